--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: try check format lint types bench clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+try: $(STAMP)
+	$(BIN)/python -m cactuspass_standins.trial
+
+check: $(STAMP)
+	$(BIN)/python -m tests
+
+format: $(STAMP)
+	$(BIN)/ruff format --check src tests bench
+
+lint: $(STAMP)
+	$(BIN)/ruff check src tests bench
+	$(BIN)/pydocstyle src bench
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions against plain baselines."""
--- /dev/null
+++ b/src/cactuspass/__init__.py
@@ -0,0 +1,3 @@
+"""cactuspass serves models that span several instances."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/cactuspass/_tables.py
@@ -0,0 +1,167 @@
+"""Tables of entities that the systems of the decision layer run over."""
+
+from dataclasses import dataclass, field
+
+from cactuspass._messages import AlarmKind, GroupSummary, LoadState
+from cactuspass.models import (
+    BootId,
+    Configuration,
+    CustomerId,
+    DataCentreId,
+    EntryId,
+    Generation,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    InstanceRecord,
+    KindId,
+    PlacedGroup,
+    Placement,
+    Priority,
+    RequestId,
+    TakeOut,
+    TakeOutTag,
+    UpstreamKind,
+)
+
+
+@dataclass(slots=True)
+class LocalRow:
+    """This entry process."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    data_centre: DataCentreId
+    address: str
+    draining: bool = False
+    platform_ok_at: float | None = None
+    may_hold: bool = False
+    may_hold_until: float = 0.0
+
+
+@dataclass(slots=True)
+class EntryRow:
+    """Another entry process, as its heartbeats describe it.
+
+    :param heard_at: time of its latest heartbeat.
+    """
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    data_centre: DataCentreId
+    address: str
+    heard_at: float
+    configuration_revision: int = 0
+    take_out_tags: tuple[str, ...] = ()
+    placement_version: int = 0
+    ready: bool = False
+    draining: bool = False
+    connected: bool = True
+    groups_by_id: dict[GroupId, GroupSummary] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class InstanceRow:
+    """An upstream instance whose events this entry watches.
+
+    :param heard_at: time of its latest status event; None before the first.
+    """
+
+    instance_id: InstanceId
+    address: str
+    kind: KindId
+    boot_id: BootId = BootId("")
+    heard_at: float | None = None
+    connected: bool = False
+    group_id: GroupId = GroupId("")
+    generation: Generation = Generation(0)
+    rank: int = -1
+    size: int = 0
+    state: LoadState = LoadState.IDLE
+    fence: int = 0
+    running: int = 0
+    memory_tokens: int = 0
+    measured_at: float = 0.0
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class HeldGroupRow:
+    """A group, or a plain service's instance, that this entry alone may send to.
+
+    :param members: instances by rank, with the holder's own substitutions.
+    :param serving: whether every member has recently confirmed group, generation and rank.
+    :param held_from: time from which this entry may send to it, after the settle time.
+    :param ramp: requests the group bears at present.
+    :param foreign_held: requests that an earlier holder may still have running.
+    """
+
+    group_id: GroupId
+    model: str
+    kind: KindId
+    placed: PlacedGroup | None
+    members: tuple[InstanceId, ...]
+    spares: tuple[InstanceId, ...] = ()
+    generation: Generation = Generation(0)
+    serving: bool = False
+    leaving: bool = False
+    held_from: float = 0.0
+    boot_id: BootId = BootId("")
+    ramp: float = 0.0
+    foreign_held: int = 0
+    held_tokens: int = 0
+    requests: set[RequestId] = field(default_factory=set)
+    down_since: float | None = None
+
+
+@dataclass(slots=True)
+class RequestRow:
+    """A request that waits here or runs on a group held here."""
+
+    request_id: RequestId
+    customer: CustomerId
+    model: str
+    tokens: int
+    priority: Priority
+    arrived_at: float
+    deadline: float
+    forwarded_by: EntryId | None = None
+    prefixes: tuple[str, ...] = ()
+    excluded: tuple[str, ...] = ()
+    group_id: GroupId | None = None
+    dispatched_at: float | None = None
+
+
+@dataclass(slots=True)
+class AlarmRow:
+    """An alarm that is raised at present."""
+
+    kind: AlarmKind
+    subject: str
+    raised_at: float
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Tables:
+    """All entities that one entry process knows.
+
+    :param service_models: plain services by kind, as ``service:NAME``.
+    :param pending_take_outs_by_tag: take-outs accepted but not yet in the platform.
+    :param store_revision: the platform's revision of the own data centre's document.
+    """
+
+    local: LocalRow
+    kinds_by_id: dict[KindId, UpstreamKind]
+    weights_by_customer: dict[CustomerId, float] = field(default_factory=dict)
+    service_models: dict[KindId, str] = field(default_factory=dict)
+    configuration: Configuration | None = None
+    pending_take_outs_by_tag: dict[TakeOutTag, TakeOut] = field(default_factory=dict)
+    placement: Placement | None = None
+    store_revision: int = 0
+    records_by_id: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    entries_by_id: dict[EntryId, EntryRow] = field(default_factory=dict)
+    instances_by_id: dict[InstanceId, InstanceRow] = field(default_factory=dict)
+    held_groups_by_id: dict[GroupId, HeldGroupRow] = field(default_factory=dict)
+    requests_by_id: dict[RequestId, RequestRow] = field(default_factory=dict)
+    alarms_by_key: dict[tuple[AlarmKind, str], AlarmRow] = field(default_factory=dict)
--- /dev/null
+++ b/src/cactuspass/models.py
@@ -0,0 +1,196 @@
+"""Ids, states and documents that the whole system shares."""
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import NewType
+
+EntryId = NewType("EntryId", str)
+Incarnation = NewType("Incarnation", str)
+DataCentreId = NewType("DataCentreId", str)
+FabricDomainId = NewType("FabricDomainId", str)
+InstanceId = NewType("InstanceId", str)
+GroupId = NewType("GroupId", str)
+ModelId = NewType("ModelId", str)
+ServiceId = NewType("ServiceId", str)
+KindId = NewType("KindId", str)
+CustomerId = NewType("CustomerId", str)
+RequestId = NewType("RequestId", str)
+OperationId = NewType("OperationId", str)
+TakeOutTag = NewType("TakeOutTag", str)
+BootId = NewType("BootId", str)
+
+
+class InstanceState(Enum):
+    """What the platform's list says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class InstanceRole(Enum):
+    """What runs on an instance of the platform's list."""
+
+    ENTRY = "entry"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class TakeOutKind(Enum):
+    """What an operator's take-out names."""
+
+    DATA_CENTRE = "data-centre"
+    UPSTREAM = "upstream"
+    GROUP = "group"
+
+
+class Priority(IntEnum):
+    """Priority of a request; a lower number is served first."""
+
+    HIGH = 0
+    NORMAL = 1
+    LOW = 2
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Generation:
+    """Version of a group's membership.
+
+    :param major: placement version at which the data centre document set the members.
+    :param minor: count of the holder's own substitutions of reserved spares since then.
+    """
+
+    major: int
+    minor: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """One line of the platform's lagging list.
+
+    :param address: ``host:port`` of the instance's listener.
+    :param accelerators: number of accelerators on the instance; 0 for entries and services.
+    :param kind: key of the upstream kind in the settings; empty for entries.
+    """
+
+    instance_id: InstanceId
+    role: InstanceRole
+    address: str
+    data_centre: DataCentreId
+    fabric_domain: FabricDomainId = FabricDomainId("")
+    kind: KindId = KindId("")
+    accelerators: int = 0
+    state: InstanceState = InstanceState.LIVE
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOut:
+    """An order that a target gets no new work, until a return that has seen it.
+
+    :param at: wall-clock time of the order, in seconds since 1970, for display only.
+    """
+
+    tag: TakeOutTag
+    kind: TakeOutKind
+    target: str
+    by: str = ""
+    at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class GroupDeclaration:
+    """Groups that an operator wants in one data centre.
+
+    :param name: unique name; groups are called ``name-0``, ``name-1`` and so on.
+    :param size: instances in each group.
+    :param count: number of groups.
+    :param spares: instances that each group keeps in reserve in its fabric domain.
+    """
+
+    name: str
+    data_centre: DataCentreId
+    model: ModelId
+    kind: KindId
+    size: int
+    count: int = 1
+    spares: int = 0
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The operators' configuration; a higher revision replaces a lower one.
+
+    :param operations: ids of the latest committed operations, oldest first.
+    :param take_outs_by_tag: take-outs in force.
+    :param cancelled: tags that a return has cancelled, oldest first.
+    """
+
+    revision: int = 0
+    declarations_by_name: dict[str, GroupDeclaration] = field(default_factory=dict)
+    take_outs_by_tag: dict[TakeOutTag, TakeOut] = field(default_factory=dict)
+    cancelled: tuple[TakeOutTag, ...] = ()
+    operations: tuple[OperationId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """The right of one entry process to hold groups of its data centre."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedGroup:
+    """Instances that the data centre document binds to one group.
+
+    :param members: instances by rank.
+    :param spares: instances reserved for this group alone.
+    """
+
+    group_id: GroupId
+    declaration: GroupDeclaration
+    fabric_domain: FabricDomainId
+    members: tuple[InstanceId, ...]
+    spares: tuple[InstanceId, ...] = ()
+    generation: Generation = Generation(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The data centre document: who may hold groups and which instances form them.
+
+    :param version: number of changes; also the fencing number of orders given under it.
+    :param epoch: number of changes of the seats.
+    :param write_id: id of the write that made this version, to recognise a lost answer.
+    """
+
+    data_centre: DataCentreId
+    version: int = 0
+    epoch: int = 0
+    seats_by_entry: dict[EntryId, Seat] = field(default_factory=dict)
+    groups_by_id: dict[GroupId, PlacedGroup] = field(default_factory=dict)
+    write_id: OperationId = OperationId("")
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamKind:
+    """What the operators say of one kind of upstream.
+
+    :param cold_requests: requests that a freshly started upstream bears at once.
+    :param full_requests: requests that a warm upstream bears at once.
+    :param warm_step: requests the bearable load grows by with each completed request.
+    :param memory_tokens: prompt and output tokens that fit its memory; 0 means no limit.
+    :param checks_fence: whether it refuses an order with an old fencing number.
+    :param is_engine: False for a plain service, whose instances serve alone.
+    """
+
+    kind: KindId
+    cold_requests: int = 1
+    full_requests: int = 8
+    warm_step: float = 1.0
+    memory_tokens: int = 0
+    checks_fence: bool = False
+    is_engine: bool = True
--- /dev/null
+++ b/src/cactuspass_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that cactuspass meets, for tests, trials and benchmarks."""
