Serve callers, forward to peers and exchange with upstreams

Cause: no path from caller to upstream stood. Change: the edges of the path on tornado and websockets: callers' listener, gateway, peer links with credit, event watch and orders to engines.

--- /dev/null
+++ b/src/cactuspass/_callers.py
@@ -0,0 +1,315 @@
+"""The callers' HTTP listener."""
+
+import asyncio
+import json
+import uuid
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
+from cactuspass._component import Component
+from cactuspass._problems import Problem, RunState, bad_request, problem_of
+from cactuspass._requests import SERVICE_PREFIX, Answer, CallerRequest
+from cactuspass.exceptions import AnswerCut, CactuspassError, RequestError
+from cactuspass.models import CustomerId, RequestId
+
+ANONYMOUS = CustomerId("anonymous")
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+REQUEST_ID_HEADER = "X-Request-Id"
+DRAIN_POLL_SECONDS = 0.05
+HIDDEN_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "x-boot-id", "x-request-id", "server"}
+)
+
+
+class FrontDoor(ABC):
+    """What the callers' listener asks of the rest of the process."""
+
+    @abstractmethod
+    async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
+        """Return the answer to a request.
+
+        :raises RequestError: when there is none.
+        """
+
+    @abstractmethod
+    def models(self) -> tuple[str, ...]:
+        """Return the names of the models that operators have declared."""
+
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+
+    @abstractmethod
+    def is_draining(self) -> bool:
+        """Return whether the process is shutting down."""
+
+    @abstractmethod
+    def is_out(self) -> bool:
+        """Return whether operators have taken the own data centre out."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Limits and keys of the callers' listener.
+
+    :param customers_by_key: API keys; an empty mapping serves everyone as one customer.
+    """
+
+    listen: str
+    customers_by_key: Mapping[str, CustomerId]
+    body_bytes: int
+    header_bytes: int
+
+
+class CallerServer(Component):
+    """Listens for callers."""
+
+    def __init__(self, settings: CallerSettings, door: FrontDoor, reader: RequestReader) -> None:
+        self._settings = settings
+        context = {"settings": settings, "door": door, "reader": reader, "server": self}
+        self._application = Application(
+            [
+                (r"/livez", LiveHandler, context),
+                (r"/readyz", ReadyHandler, context),
+                (r"/v1/models", ModelsHandler, context),
+                (r"/v1/(?:chat/)?completions", CompletionHandler, context),
+                (r"/services/([^/]+)(/.*)?", ServiceHandler, context),
+                (r".*", UnknownHandler, context),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server: HTTPServer | None = None
+        self.running = 0
+        self.port = 0
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, _, port = self._settings.listen.rpartition(":")
+        sockets = bind_sockets(int(port), host)
+        self.port = sockets[0].getsockname()[1]
+        self._server = HTTPServer(
+            self._application,
+            max_body_size=self._settings.body_bytes,
+            max_header_size=self._settings.header_bytes,
+        )
+        self._server.add_sockets(sockets)
+
+    async def drain(self) -> None:
+        """Wait until no caller's request is running."""
+        while self.running:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+class CallerHandler(RequestHandler):
+    """Base of the callers' handlers: identity, problems, relaying of answers."""
+
+    def initialize(
+        self,
+        settings: CallerSettings,
+        door: FrontDoor,
+        reader: RequestReader,
+        server: CallerServer,
+    ) -> None:
+        """Take what the server shares with its handlers."""
+        self.settings_ = settings
+        self.door = door
+        self.reader = reader
+        self.server = server
+        self.request_id = RequestId(uuid.uuid4().hex)
+        self._serving: asyncio.Task[None] | None = None
+
+    def set_default_headers(self) -> None:
+        """Drop the headers that name the server's software."""
+        self.clear_header("Server")
+
+    def compute_etag(self) -> None:
+        """Leave entity tags to the upstreams."""
+        return
+
+    def on_connection_close(self) -> None:
+        """Cancel the work for a caller that left."""
+        if self._serving is not None:
+            self._serving.cancel()
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an error of the HTTP layer as a problem."""
+        self.write_problem(bad_request(self._reason, status_code))
+
+    def log_exception(self, *args: Any) -> None:
+        """Leave logging to the counters."""
+
+    def write_problem(self, problem: Problem) -> None:
+        """Answer with a problem."""
+        self.set_status(problem.status)
+        for name, value in problem.headers().items():
+            self.set_header(name, value)
+        self.set_header(REQUEST_ID_HEADER, str(self.request_id))
+        self.finish(problem.body())
+
+    def customer(self) -> CustomerId | None:
+        """Return the customer of the API key; None for an unknown key."""
+        keys = self.settings_.customers_by_key
+        if not keys:
+            return ANONYMOUS
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        return keys.get(key.strip()) if scheme.lower() == "bearer" else None
+
+    def raw_request(self, customer: CustomerId, path: str) -> RawRequest:
+        """Return the request as it came."""
+        return RawRequest(
+            self.request_id,
+            customer,
+            self.request.method or "",
+            path,
+            tuple(self.request.headers.get_all()),
+            self.request.body,
+        )
+
+    async def run_and_relay(self, raw: RawRequest, model: str | None) -> None:
+        """Serve one request from reading to the last byte.
+
+        :param model: the plain service; None for a model request, which names its own.
+        """
+        self.server.running += 1
+        try:
+            self._serving = asyncio.create_task(self._run(raw, model))
+            await self._serving
+        except asyncio.CancelledError:
+            return
+        finally:
+            self.server.running -= 1
+
+    async def _run(self, raw: RawRequest, model: str | None) -> None:
+        try:
+            if model is None:
+                request = self.reader.read_completion(raw)
+            else:
+                request = self.reader.read_service(raw, model)
+        except MalformedRequest as error:
+            self.write_problem(bad_request(str(error)))
+            return
+        try:
+            answer = await self.door.serve(request, raw.header(IDEMPOTENCY_HEADER))
+        except RequestError as error:
+            self.write_problem(problem_of(error))
+            return
+        await self._relay(answer)
+
+    async def _relay(self, answer: Answer) -> None:
+        self.set_status(answer.status)
+        self.clear_header("Content-Type")
+        for name, value in answer.headers:
+            if name.lower() not in HIDDEN_HEADERS:
+                self.add_header(name, value)
+        self.set_header(REQUEST_ID_HEADER, str(self.request_id))
+        if self.door.is_draining():
+            self.set_header("Connection", "close")
+        try:
+            await self.flush()
+            async for chunk in answer.body.chunks():
+                self.write(chunk)
+                await self.flush()
+        except CactuspassError as error:
+            await self._cut(error)
+        except BaseException:
+            answer.body.cancel(AnswerCut("the caller left"))
+            raise
+
+    async def _cut(self, error: CactuspassError) -> None:
+        """End a broken answer so that it cannot look whole."""
+        if str(self._headers.get("Content-Type", "")).startswith("text/event-stream"):
+            problem = problem_of(AnswerCut(str(error)))
+            event = {"error": {"message": problem.detail, "type": problem.code}}
+            self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+            await self.flush()
+        connection = self.request.connection
+        assert connection is not None
+        connection.close()  # type: ignore[attr-defined]
+
+
+class LiveHandler(CallerHandler):
+    """Says that the process runs."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.write({"live": True})
+
+
+class ReadyHandler(CallerHandler):
+    """Says whether the balancer may send callers here."""
+
+    def get(self) -> None:
+        """Answer 200 when ready, else 503."""
+        ready = self.door.is_ready()
+        self.set_status(200 if ready else 503)
+        self.write({"ready": ready, "draining": self.door.is_draining()})
+
+
+class ModelsHandler(CallerHandler):
+    """Lists the declared models."""
+
+    def get(self) -> None:
+        """Answer in the form that model clients read."""
+        if self.customer() is None:
+            self.write_problem(bad_request("unknown API key", 401, "unauthorized"))
+            return
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "cactuspass"}
+            for name in self.door.models()
+        ]
+        self.write({"object": "list", "data": models})
+
+
+class CompletionHandler(CallerHandler):
+    """Serves model requests."""
+
+    async def post(self) -> None:
+        """Serve one completion."""
+        customer = self.customer()
+        if customer is None:
+            self.write_problem(bad_request("unknown API key", 401, "unauthorized"))
+            return
+        await self.run_and_relay(self.raw_request(customer, self.request.path), None)
+
+
+class ServiceHandler(CallerHandler):
+    """Serves requests to plain services, whatever their method."""
+
+    SUPPORTED_METHODS = (*RequestHandler.SUPPORTED_METHODS, "TRACE")
+
+    async def serve_any(self, service: str, rest: str | None = None) -> None:
+        """Serve one request."""
+        customer = self.customer()
+        if customer is None:
+            self.write_problem(bad_request("unknown API key", 401, "unauthorized"))
+            return
+        # The raw path is passed on as it came, without decoding and encoding it again.
+        raw_rest = self.request.uri.split("/", 3)[3:] if self.request.uri else []
+        path = "/" + "".join(raw_rest)
+        await self.run_and_relay(self.raw_request(customer, path), SERVICE_PREFIX + service)
+
+    get = head = post = put = patch = delete = options = serve_any
+
+
+class UnknownHandler(CallerHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Answer 404 for every method."""
+        problem = Problem(
+            404, "not-found", "No such path", self.request.path, RunState.NOT_RUN, None
+        )
+        self.write_problem(problem)
--- /dev/null
+++ b/src/cactuspass/_peers.py
@@ -0,0 +1,280 @@
+"""The network of peers: connections, heartbeats and the exchange of documents."""
+
+import asyncio
+import contextlib
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from cactuspass._component import Component
+from cactuspass._forwarding import Forwarding
+from cactuspass._messages import (
+    AskGrant,
+    GiveSeat,
+    GrantAsked,
+    Granted,
+    Input,
+    PeerHeard,
+    PeerLost,
+    SeatGiven,
+    SendGrant,
+    TakeOutsHeard,
+)
+from cactuspass._peer_link import (
+    CLOSE_PROTOCOL_ERROR,
+    MAX_MESSAGE_BYTES,
+    PeerLink,
+    shake_hands,
+)
+from cactuspass._peer_messages import (
+    AskGrantMessage,
+    Documents,
+    FetchDocuments,
+    GrantMessage,
+    Heartbeat,
+    Hello,
+    PeerMessage,
+    SeatMessage,
+    TakeOutsMessage,
+)
+from cactuspass.exceptions import PeerError
+from cactuspass.models import EntryId, TakeOut
+
+HEARTBEAT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+PING_SECONDS = 2.0
+
+
+class PeerState(ABC):
+    """What the network asks of the rest of the process."""
+
+    @abstractmethod
+    def heartbeat(self) -> Heartbeat:
+        """Return the state to tell peers."""
+
+    @abstractmethod
+    def documents(self) -> Documents:
+        """Return the documents in their stored form."""
+
+    @abstractmethod
+    def take_outs(self) -> tuple[TakeOut, ...]:
+        """Return the take-outs that the platform may not have yet."""
+
+    @abstractmethod
+    def wants_documents(self, link: PeerLink, heartbeat: Heartbeat) -> bool:
+        """Return whether the peer has a newer document or take-out."""
+
+    @abstractmethod
+    def receive_documents(self, documents: Documents) -> None:
+        """Take documents that a peer sent."""
+
+    @abstractmethod
+    def peer_addresses(self) -> dict[EntryId, str]:
+        """Return the listed addresses of all other entries."""
+
+
+class PeerNetwork(Component):
+    """Keeps one connection to each listed peer; the lower id opens it.
+
+    :param listen: ``host:port`` of the own listener; port 0 takes a free one.
+    """
+
+    def __init__(
+        self,
+        own: Hello,
+        listen: str,
+        state: PeerState,
+        accept_input: Callable[[Input], None],
+    ) -> None:
+        self.links_by_entry: dict[EntryId, PeerLink] = {}
+        self._own = own
+        self._listen = listen
+        self._state = state
+        self._accept_input = accept_input
+        self._forwarding: Forwarding | None = None
+        self._server: Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._connecting: set[EntryId] = set()
+        self.port = 0
+
+    def use_forwarding(self, forwarding: Forwarding) -> None:
+        """Set the receiver of forwarded requests and answers."""
+        self._forwarding = forwarding
+
+    async def start(self) -> None:
+        """Listen, and connect to the listed peers."""
+        host, _, port = self._listen.rpartition(":")
+        self._server = await serve(
+            self._accept,
+            host,
+            int(port),
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            ping_interval=PING_SECONDS,
+            ping_timeout=PING_SECONDS,
+        )
+        self.port = next(iter(self._server.sockets)).getsockname()[1]
+        self._spawn(self._connect_forever())
+        self._spawn(self._send_heartbeats())
+
+    async def stop(self) -> None:
+        """Close all connections and the listener."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        for link in tuple(self.links_by_entry.values()):
+            with contextlib.suppress(ConnectionClosed, TimeoutError):
+                await link.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    # Orders of the core
+
+    def ask_grant(self, order: AskGrant) -> None:
+        """Carry out an order of the core."""
+        self._send(order.entry_id, AskGrantMessage(order.placement_version, order.sent_at))
+
+    def send_grant(self, order: SendGrant) -> None:
+        """Carry out an order of the core."""
+        message = GrantMessage(order.placement_version, order.sent_at, order.period)
+        self._send(order.entry_id, message)
+
+    def give_seat(self, order: GiveSeat) -> None:
+        """Carry out an order of the core."""
+        message = SeatMessage(order.seat, order.placement_version, order.foreign_held_by_group)
+        self._send(order.to_entry, message)
+
+    def share_take_outs(self) -> None:
+        """Tell every peer of the pending take-outs at once."""
+        for link in self.links_by_entry.values():
+            link.send(TakeOutsMessage(self._state.take_outs()))
+
+    def share_heartbeat(self) -> None:
+        """Tell every peer of the own state at once."""
+        heartbeat = self._state.heartbeat()
+        for link in self.links_by_entry.values():
+            link.send(heartbeat)
+
+    def _send(self, entry_id: EntryId, message: PeerMessage) -> None:
+        link = self.links_by_entry.get(entry_id)
+        if link is not None:
+            link.send(message)
+
+    # Connections
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect_forever(self) -> None:
+        while True:
+            wanted = {
+                entry_id: address
+                for entry_id, address in self._state.peer_addresses().items()
+                if entry_id > self._own.entry_id
+                and entry_id not in self.links_by_entry
+                and entry_id not in self._connecting
+            }
+            for entry_id, address in wanted.items():
+                self._connecting.add(entry_id)
+                self._spawn(self._connect(entry_id, address))
+            await asyncio.sleep(HEARTBEAT_SECONDS / 4)
+
+    async def _connect(self, entry_id: EntryId, address: str) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                socket = await connect(
+                    f"ws://{address}/",
+                    compression=None,
+                    max_size=MAX_MESSAGE_BYTES,
+                    ping_interval=PING_SECONDS,
+                    ping_timeout=PING_SECONDS,
+                    proxy=None,
+                )
+            await self._run(socket)
+        except (OSError, TimeoutError, WebSocketException, PeerError):
+            await asyncio.sleep(HEARTBEAT_SECONDS / 2)
+        finally:
+            self._connecting.discard(entry_id)
+
+    async def _accept(self, socket: Any) -> None:
+        with contextlib.suppress(PeerError):
+            await self._run(socket)
+
+    async def _run(self, socket: Any) -> None:
+        link = await shake_hands(socket, self._own)
+        entry_id = link.hello.entry_id
+        older = self.links_by_entry.get(entry_id)
+        self.links_by_entry[entry_id] = link
+        if older is not None:
+            older.abort()
+        link.send(self._state.heartbeat())
+        try:
+            async for message in link.messages():
+                self._receive(link, message)
+        except PeerError as error:
+            await link.close(CLOSE_PROTOCOL_ERROR, str(error))
+        finally:
+            self._lose(link)
+
+    def _lose(self, link: PeerLink) -> None:
+        link.abort()
+        if self._forwarding is not None:
+            self._forwarding.lose_link(link)
+        if self.links_by_entry.get(link.hello.entry_id) is link:
+            del self.links_by_entry[link.hello.entry_id]
+            self._accept_input(PeerLost(link.hello.entry_id, link.hello.incarnation))
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self.share_heartbeat()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    # What arrives
+
+    def _receive(self, link: PeerLink, message: PeerMessage) -> None:
+        if self._forwarding is not None and self._forwarding.receive(link, message):
+            return
+        hello = link.hello
+        match message:
+            case Heartbeat():
+                self._receive_heartbeat(link, message)
+            case AskGrantMessage(version, sent_at):
+                self._accept_input(GrantAsked(hello.entry_id, hello.incarnation, version, sent_at))
+            case GrantMessage(version, sent_at, period):
+                self._accept_input(
+                    Granted(hello.entry_id, hello.incarnation, version, sent_at, period)
+                )
+            case SeatMessage(seat, version, foreign_held_by_group):
+                self._accept_input(SeatGiven(seat, version, foreign_held_by_group))
+            case TakeOutsMessage(take_outs):
+                self._accept_input(TakeOutsHeard(take_outs))
+            case FetchDocuments():
+                link.send(self._state.documents())
+                link.send(TakeOutsMessage(self._state.take_outs()))
+            case Documents():
+                self._state.receive_documents(message)
+
+    def _receive_heartbeat(self, link: PeerLink, message: Heartbeat) -> None:
+        hello = link.hello
+        self._accept_input(
+            PeerHeard(
+                entry_id=hello.entry_id,
+                incarnation=hello.incarnation,
+                data_centre=hello.data_centre,
+                address=hello.address,
+                configuration_revision=message.configuration_revision,
+                take_out_tags=message.take_out_tags,
+                placement_version=message.placement_version,
+                ready=message.ready,
+                draining=message.draining,
+                groups=message.groups,
+            )
+        )
+        if self._state.wants_documents(link, message):
+            link.send(FetchDocuments())
--- /dev/null
+++ b/src/cactuspass/_problems.py
@@ -0,0 +1,85 @@
+"""Problem details (RFC 9457) that callers and operators get instead of an answer."""
+
+import json
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from cactuspass._messages import RefusalReason
+from cactuspass.exceptions import AnswerCut, RequestError, RequestRefused
+
+CONTENT_TYPE = "application/problem+json"
+
+
+class RunState(Enum):
+    """Whether the request has run."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One refusal or failure, told truthfully.
+
+    :param retry_after: seconds after which to come back; None when a retry cannot help.
+    """
+
+    status: int
+    code: str
+    title: str
+    detail: str
+    run: RunState
+    retry_after: float | None = None
+
+    def body(self) -> bytes:
+        """Return the JSON body; ``error`` repeats it in the form that model clients read."""
+        members = {
+            "type": f"urn:cactuspass:problem:{self.code}",
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "run": self.run.value,
+            "error": {"message": f"{self.title}: {self.detail}", "type": self.code},
+        }
+        return json.dumps(members).encode()
+
+    def headers(self) -> dict[str, str]:
+        """Return the header fields that go with the body."""
+        fields = {"Content-Type": CONTENT_TYPE}
+        if self.retry_after is not None:
+            fields["Retry-After"] = str(max(1, math.ceil(self.retry_after)))
+        return fields
+
+
+STATUS_BY_REASON = {
+    RefusalReason.NO_CAPACITY: 503,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.DEADLINE: 503,
+    RefusalReason.NOT_SERVED: 404,
+    RefusalReason.DRAINING: 503,
+    RefusalReason.MEMORY: 503,
+    RefusalReason.NOT_HOLDER: 503,
+}
+
+
+def bad_request(detail: str, status: int = 400, code: str = "bad-request") -> Problem:
+    """Return the problem of a request that cannot be understood."""
+    return Problem(status, code, "The request cannot be served", detail, RunState.NOT_RUN)
+
+
+def problem_of(error: RequestError) -> Problem:
+    """Return the problem that tells a caller of an error."""
+    if isinstance(error, RequestRefused):
+        retry = None if error.reason is RefusalReason.NOT_SERVED else error.retry_after
+        return Problem(
+            STATUS_BY_REASON[error.reason],
+            error.reason.value,
+            "The request was refused and has not run",
+            str(error),
+            RunState.NOT_RUN,
+            retry,
+        )
+    title = "The answer broke off" if isinstance(error, AnswerCut) else "The outcome is unknown"
+    code = "answer-cut" if isinstance(error, AnswerCut) else "outcome-unknown"
+    return Problem(502, code, title, str(error), RunState.UNKNOWN)
--- /dev/null
+++ b/src/cactuspass/_runner.py
@@ -0,0 +1,57 @@
+"""Runs the decision core on the event loop and hands its orders to the edges."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from cactuspass._component import Component
+from cactuspass._core import Core
+from cactuspass._messages import Input, Order
+
+TICK_SECONDS = 0.1
+
+
+class CoreRunner(Component):
+    """Ticks the core after each input and at a steady interval.
+
+    :param clock: gives the time in seconds; monotonic.
+    """
+
+    def __init__(self, core: Core, clock: Callable[[], float]) -> None:
+        self.core = core
+        self.clock = clock
+        self._handlers_by_type: dict[type[Order], Callable[[Any], None]] = {}
+        self._tick_planned = False
+        self._task: asyncio.Task[None] | None = None
+
+    def register(self, order_type: type[Order], handler: Callable[[Any], None]) -> None:
+        """Name the function that carries out one type of order."""
+        self._handlers_by_type[order_type] = handler
+
+    def accept(self, message: Input) -> None:
+        """Queue an input and plan a tick in this turn of the event loop."""
+        self.core.accept(message)
+        if not self._tick_planned:
+            self._tick_planned = True
+            asyncio.get_running_loop().call_soon(self._tick)
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._task = asyncio.create_task(self._tick_forever())
+
+    async def stop(self) -> None:
+        """Stop ticking."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _tick(self) -> None:
+        self._tick_planned = False
+        for order in self.core.tick(self.clock()):
+            handler = self._handlers_by_type.get(type(order))
+            if handler is not None:
+                handler(order)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
--- /dev/null
+++ b/src/cactuspass/_upstream_events.py
@@ -0,0 +1,196 @@
+"""Watches upstream instances' events and gives engines their orders."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from pydantic import BaseModel
+
+from cactuspass._component import Component
+from cactuspass._http_exchange import UpstreamClient
+from cactuspass._messages import (
+    Input,
+    InstanceBroken,
+    InstanceReported,
+    LoadState,
+    OrderLoad,
+    OrderUnload,
+    UnwatchInstance,
+    WatchInstance,
+)
+from cactuspass._requests import Answer
+from cactuspass.exceptions import AnswerCut, CactuspassError
+from cactuspass.models import BootId, Generation, GroupId, InstanceId
+
+EVENTS_PATH = "/cactuspass/events"
+ORDERS_PATH = "/cactuspass/orders"
+EVENT_QUEUE_BYTES = 65_536
+MAX_EVENT_BYTES = 65_536
+SILENCE_SECONDS = 3.0
+RECONNECT_SECONDS = 0.25
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+class _StatusEvent(BaseModel):
+    """A status event as the instance sends it."""
+
+    boot_id: str
+    group: str = ""
+    generation: tuple[int, int] = (0, 0)
+    rank: int = -1
+    size: int = 0
+    state: LoadState = LoadState.READY
+    fence: int = 0
+    running: int = 0
+    memory_tokens: int = 0
+    lag: float = 0.0
+    leaving: bool = False
+
+
+class UpstreamEvents(Component):
+    """Keeps an event connection to each watched instance and sends orders to engines."""
+
+    def __init__(self, client: UpstreamClient, accept_input: Callable[[Input], None]) -> None:
+        self._client = client
+        self._accept_input = accept_input
+        self._watches_by_instance: dict[InstanceId, asyncio.Task[None]] = {}
+        self._orders: set[asyncio.Task[None]] = set()
+
+    async def stop(self) -> None:
+        """Close all event connections."""
+        for task in (*self._watches_by_instance.values(), *self._orders):
+            task.cancel()
+        self._watches_by_instance.clear()
+        self._client.close()
+
+    def watch(self, order: WatchInstance) -> None:
+        """Carry out an order of the core."""
+        running = self._watches_by_instance.pop(order.instance_id, None)
+        if running is not None:
+            running.cancel()
+        self._watches_by_instance[order.instance_id] = asyncio.create_task(
+            self._watch_forever(order)
+        )
+
+    def unwatch(self, order: UnwatchInstance) -> None:
+        """Carry out an order of the core."""
+        task = self._watches_by_instance.pop(order.instance_id, None)
+        if task is not None:
+            task.cancel()
+
+    def load(self, order: OrderLoad) -> None:
+        """Carry out an order of the core."""
+        body = {
+            "order": "load",
+            "group": order.group_id,
+            "generation": [order.generation.major, order.generation.minor],
+            "rank": order.rank,
+            "members": list(order.addresses),
+            "model": order.model,
+            "version": order.version,
+            "adapters": list(order.adapters),
+            "fence": order.fence,
+            "lifetime": order.lifetime,
+        }
+        self._order(order.address, body, order.lifetime)
+
+    def unload(self, order: OrderUnload) -> None:
+        """Carry out an order of the core."""
+        body = {"order": "unload", "fence": order.fence, "lifetime": order.lifetime}
+        self._order(order.address, body, order.lifetime)
+
+    def _order(self, address: str, body: dict[str, Any], lifetime: float) -> None:
+        task = asyncio.create_task(self._send_order(address, body, lifetime))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _send_order(self, address: str, body: dict[str, Any], lifetime: float) -> None:
+        """Send one order; whether it was obeyed shows in the instance's status events."""
+        with contextlib.suppress(CactuspassError, TimeoutError):
+            async with asyncio.timeout(lifetime):
+                answer = await self._client.send(
+                    address,
+                    "POST",
+                    ORDERS_PATH,
+                    JSON_HEADERS,
+                    json.dumps(body).encode(),
+                    repeatable=False,
+                    queue_limit=EVENT_QUEUE_BYTES,
+                )
+                async for _ in answer.body.chunks():
+                    pass
+
+    async def _watch_forever(self, order: WatchInstance) -> None:
+        while True:
+            reason = await self._watch_once(order)
+            self._accept_input(InstanceBroken(order.instance_id, reason))
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _watch_once(self, order: WatchInstance) -> str:
+        answer: Answer | None = None
+        try:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                answer = await self._client.send(
+                    order.address,
+                    "GET",
+                    EVENTS_PATH,
+                    (("Accept", "text/event-stream"),),
+                    b"",
+                    repeatable=False,
+                    queue_limit=EVENT_QUEUE_BYTES,
+                )
+            async for event in _events(answer):
+                self._report(order.instance_id, event)
+        except (CactuspassError, TimeoutError, ValueError) as error:
+            return f"{type(error).__name__}: {error}"
+        finally:
+            if answer is not None:
+                answer.body.cancel(AnswerCut("the watch ended"))
+        return "the event stream ended"
+
+    def _report(self, instance_id: InstanceId, event: dict[str, Any]) -> None:
+        if event.get("event") != "status":
+            return
+        status = _StatusEvent.model_validate(event)
+        self._accept_input(
+            InstanceReported(
+                instance_id=instance_id,
+                boot_id=BootId(status.boot_id),
+                group_id=GroupId(status.group),
+                generation=Generation(*status.generation),
+                rank=status.rank,
+                size=status.size,
+                state=status.state,
+                fence=status.fence,
+                running=status.running,
+                memory_tokens=status.memory_tokens,
+                lag=status.lag,
+                leaving=status.leaving,
+            )
+        )
+
+
+async def _events(answer: Answer) -> AsyncIterator[dict[str, Any]]:
+    """Yield the JSON objects of a stream of server-sent events.
+
+    :raises TimeoutError: when the stream is silent for too long.
+    :raises ValueError: when an event is malformed or too long.
+    """
+    pending = b""
+    chunks = aiter(answer.body.chunks())
+    while True:
+        try:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                pending += await anext(chunks)
+        except StopAsyncIteration:
+            return
+        *lines, pending = pending.split(b"\n")
+        if len(pending) > MAX_EVENT_BYTES:
+            raise ValueError("event is too long")
+        for line in lines:
+            if line.startswith(b"data:"):
+                event = json.loads(line[5:])
+                if isinstance(event, dict):
+                    yield event
--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -1,5 +1,7 @@
 """All errors of cactuspass, under one root."""
 
+from cactuspass._messages import RefusalReason
+
 
 class CactuspassError(Exception):
     """Root of every error that this package raises."""
@@ -40,3 +42,32 @@
         super().__init__(message)
         self.line = line
         self.column = column
+
+
+class RequestError(CactuspassError):
+    """A caller's request did not get a whole answer."""
+
+
+class RequestRefused(RequestError):
+    """The request has not run.
+
+    :param reason: why it was refused.
+    :param retry_after: seconds after which a new try is likely to succeed.
+    """
+
+    def __init__(self, reason: RefusalReason, retry_after: float, detail: str = "") -> None:
+        super().__init__(detail or reason.value)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class RunOutcomeUnknown(RequestError):
+    """The request may have run; its answer was lost."""
+
+
+class AnswerCut(RequestError):
+    """The answer broke off before its end."""
+
+
+class UpstreamNotReached(UpstreamError):
+    """No byte of the request left for the upstream."""
