Read settings and keep the documents in the platform's store

Cause: entries need their settings, the configuration and the placement, and the store's answers can be lost. Ruled out: repeating a write on another address once bytes may have left, since its outcome is unknown; refusing a whole instance list for one malformed line. Change: settings from TOML with all findings at once, JSON documents with a format number, an etcd v3 client that tells 'no effect' from 'unknown', and a document store that recognises its own writes by operation id and write id. Ruled in by a test: a number that is not finite became null and made the stored document unreadable; such a document is now refused before it is written.

--- /dev/null
+++ b/src/cactuspass/_etcd.py
@@ -0,0 +1,161 @@
+"""Client of the platform's key-value service over etcd v3's HTTP/JSON form."""
+
+import json
+from collections.abc import Sequence
+from enum import Enum
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+from pydantic import BaseModel
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
+
+from cactuspass._etcd_messages import (
+    KeepAliveAnswer,
+    LeaseAnswer,
+    TransactionAnswer,
+    read_request,
+    snapshot_of,
+    write_request,
+    write_result_of,
+)
+from cactuspass._platform import LeaseId, Platform, Snapshot, Write, WriteResult
+from cactuspass.exceptions import OutcomeUnknown, PlatformError, PlatformUnavailable
+from cactuspass.settings import Address
+
+MAX_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+# Tornado tells only by the text of the error whether the connection was made.
+UNSENT_TIMEOUTS = frozenset({"Timeout while connecting", "Timeout in request queue"})
+
+AnswerT = TypeVar("AnswerT", bound=BaseModel)
+
+
+class _Effect(Enum):
+    """What a call may do to the store."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class EtcdPlatform(Platform):
+    """The platform's service, reached at one of several addresses.
+
+    A read goes on to the next address when one fails. A write goes on only when the connection
+    was refused, since any later failure leaves its outcome unknown.
+
+    :param addresses: addresses of the service, in the order of preference.
+    :param timeout: seconds that one call may take at one address.
+    """
+
+    def __init__(self, addresses: Sequence[Address], timeout: float) -> None:
+        self._addresses = tuple(addresses)
+        self._timeout = timeout
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CONNECTIONS, max_body_size=MAX_ANSWER_BYTES
+        )
+
+    async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
+        """Read keys at one revision, in one call."""
+        request = read_request(keys, keys_only)
+        answer = await self._call("kv/txn", request, _Effect.READ, TransactionAnswer)
+        try:
+            return snapshot_of(keys, answer, keys_only)
+        except ValueError as error:
+            raise PlatformError(f"answer of the store is malformed: {error}") from error
+
+    async def write(self, writes: Sequence[Write]) -> WriteResult:
+        """Make all writes in one call, or none when a key is not as expected."""
+        request = write_request(writes)
+        answer = await self._call("kv/txn", request, _Effect.WRITE, TransactionAnswer)
+        try:
+            return write_result_of(writes, answer)
+        except ValueError as error:
+            raise OutcomeUnknown(f"answer of the store is malformed: {error}") from error
+
+    async def grant_lease(self, seconds: int) -> LeaseId:
+        """Create a lease that ends after the given time unless it is kept alive."""
+        request = {"TTL": str(seconds)}
+        answer = await self._call("lease/grant", request, _Effect.WRITE, LeaseAnswer)
+        return LeaseId(answer.id)
+
+    async def keep_lease_alive(self, lease: LeaseId) -> float:
+        """Renew a lease."""
+        request = {"ID": str(lease)}
+        answer = await self._call("lease/keepalive", request, _Effect.READ, KeepAliveAnswer)
+        return float(answer.result.ttl)
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete its keys."""
+        await self._call("lease/revoke", {"ID": str(lease)}, _Effect.WRITE, BaseModel)
+
+    async def close(self) -> None:
+        """Release connections."""
+        self._client.close()
+
+    async def _call(
+        self, path: str, message: dict[str, Any], effect: _Effect, answer_type: type[AnswerT]
+    ) -> AnswerT:
+        failures: list[PlatformError] = []
+        for address in self._addresses:
+            try:
+                body = await self._post(address, path, message, effect)
+                return _parse(body, effect, answer_type)
+            except PlatformUnavailable as error:
+                failures.append(error)
+        reasons = "; ".join(map(str, failures))
+        raise PlatformUnavailable(reasons) from ExceptionGroup("no address answered", failures)
+
+    async def _post(
+        self, address: Address, path: str, message: dict[str, Any], effect: _Effect
+    ) -> bytes:
+        request = HTTPRequest(
+            f"http://{address}/v3/{path}",
+            method="POST",
+            headers={"Content-Type": "application/json"},
+            body=json.dumps(message, separators=(",", ":")),
+            connect_timeout=self._timeout,
+            request_timeout=self._timeout,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except (HTTPClientError, OSError) as error:
+            raise _platform_error(address, error, effect) from error
+        return response.body
+
+
+def _parse(body: bytes, effect: _Effect, answer_type: type[AnswerT]) -> AnswerT:
+    try:
+        return answer_type.model_validate_json(body)
+    except ValueError as error:
+        failure = PlatformUnavailable if effect is _Effect.READ else OutcomeUnknown
+        raise failure(f"answer of the store is malformed: {error}") from error
+
+
+def _platform_error(
+    address: Address, error: HTTPClientError | OSError, effect: _Effect
+) -> PlatformError:
+    text = f"{address}: {error}"
+    if _is_refusal(error):
+        return PlatformError(text)
+    if effect is _Effect.READ or _is_unsent(error):
+        return PlatformUnavailable(text)
+    return OutcomeUnknown(text)
+
+
+def _is_refusal(error: HTTPClientError | OSError) -> bool:
+    """Tell whether the service itself refused the call; any proxy's 5xx says nothing."""
+    if not isinstance(error, HTTPClientError):
+        return False
+    if error.code == HTTPStatus.REQUEST_TIMEOUT:
+        return False
+    return HTTPStatus.BAD_REQUEST <= error.code < HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+def _is_unsent(error: HTTPClientError | OSError) -> bool:
+    """Tell whether the failure came before any byte of the request was sent."""
+    if isinstance(error, HTTPTimeoutError):
+        return error.message in UNSENT_TIMEOUTS
+    return isinstance(error, ConnectionRefusedError)
--- /dev/null
+++ b/src/cactuspass/_findings.py
@@ -0,0 +1,54 @@
+"""Mistakes with their place, collected and reported together."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from itertools import chain
+
+from pydantic_core import ErrorDetails
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One mistake in a file or document.
+
+    :param source: file or document that holds the mistake.
+    :param place: dotted path of keys, entries of lists counted from 1; or line and column.
+    """
+
+    source: str
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return ": ".join(part for part in (self.source, self.place, self.message) if part)
+
+
+def format_findings(findings: Iterable[Finding]) -> str:
+    """Return one line for each finding."""
+    return "\n".join(map(str, findings))
+
+
+def format_place(location: Iterable[int | str]) -> str:
+    """Return a location as a dotted path; entries of lists are counted from 1."""
+    return ".".join(str(part + 1) if isinstance(part, int) else part for part in location)
+
+
+def findings_of_errors(
+    source: str, errors: Sequence[ErrorDetails], prefix: Sequence[int | str] = ()
+) -> tuple[Finding, ...]:
+    """Turn the validator's errors into findings, without the values that were refused.
+
+    :param prefix: location of the validated part within the source.
+    """
+    return tuple(
+        Finding(source, format_place(chain(prefix, error["loc"])), _message(error))
+        for error in errors
+    )
+
+
+def _message(error: ErrorDetails) -> str:
+    if error["type"] == "extra_forbidden":
+        return "unknown key"
+    if error["type"] == "missing":
+        return "required key is missing"
+    return error["msg"].removeprefix("Value error, ")
--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -1,5 +1,7 @@
 """All errors of cactuspass, under one root."""
 
+from cactuspass._findings import Finding, format_findings
+
 
 class CactuspassError(Exception):
     """Root of every error that this package raises."""
@@ -40,3 +42,56 @@
         super().__init__(message)
         self.line = line
         self.column = column
+
+
+class SettingsError(ConfigurationError):
+    """The settings file has mistakes.
+
+    :param findings: every mistake found, in the order of the file's sections.
+    """
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__(format_findings(findings))
+        self.findings = findings
+
+
+class DocumentError(ConfigurationError):
+    """A document in the platform's store is malformed.
+
+    :param findings: every mistake found, with its place in the document.
+    """
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__(format_findings(findings))
+        self.findings = findings
+
+
+class ConfigurationConflict(ConfigurationError):
+    """The configuration changed since the operator looked at it.
+
+    :param seen_revision: revision that the operator had seen.
+    :param current_revision: revision in the platform's store.
+    """
+
+    def __init__(self, seen_revision: int, current_revision: int) -> None:
+        super().__init__(
+            f"configuration changed from revision {seen_revision} to {current_revision}; "
+            "look again and repeat the command"
+        )
+        self.seen_revision = seen_revision
+        self.current_revision = current_revision
+
+
+class StoreReverted(PlatformError):
+    """The platform's store holds an older configuration than the one in force.
+
+    :param known_revision: revision in force.
+    :param stored_revision: revision in the platform's store.
+    """
+
+    def __init__(self, known_revision: int, stored_revision: int) -> None:
+        super().__init__(
+            f"store holds configuration {stored_revision}, but {known_revision} is in force"
+        )
+        self.known_revision = known_revision
+        self.stored_revision = stored_revision
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,278 @@
+"""Documents: their form, their confirmation and their change by compare-and-swap."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactuspass._codec import (
+    decode_configuration,
+    decode_placement,
+    encode_configuration,
+    encode_placement,
+)
+from cactuspass._documents import (
+    CONFIGURATION_KEY,
+    PLACEMENT_PREFIX,
+    ConfigurationChange,
+    DocumentStore,
+)
+from cactuspass._messages import (
+    ConfigurationRead,
+    PlacementConfirmed,
+    PlacementRead,
+    PlatformFailed,
+    WritePlacement,
+)
+from cactuspass._platform import Write
+from cactuspass.exceptions import (
+    ConfigurationConflict,
+    DocumentError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    StoreReverted,
+)
+from cactuspass.models import (
+    Configuration,
+    DataCentreId,
+    Generation,
+    GroupDeclaration,
+    OperationId,
+    PlacedGroup,
+    Placement,
+    Seat,
+    TakeOut,
+    TakeOutKind,
+    TakeOutTag,
+)
+from tests.fakes import Fault, MemoryPlatform
+
+TEXT = st.text(max_size=4)
+NUMBER = st.integers(0, 2**62)
+TAKE_OUT = st.builds(
+    TakeOut, TEXT, st.sampled_from(TakeOutKind), TEXT, TEXT, st.floats(0, allow_infinity=False)
+)
+DECLARATION = st.builds(
+    GroupDeclaration, *[TEXT] * 4, *[NUMBER] * 3, TEXT, st.lists(TEXT, max_size=2).map(tuple)
+)
+NAMES = st.lists(TEXT, max_size=2).map(tuple)
+CONFIGURATION = st.builds(
+    Configuration,
+    NUMBER,
+    st.dictionaries(TEXT, DECLARATION, max_size=2),
+    st.dictionaries(TEXT, TAKE_OUT, max_size=2),
+    NAMES,
+    NAMES,
+)
+GENERATION = st.builds(Generation, NUMBER, NUMBER)
+GROUP = st.builds(PlacedGroup, TEXT, DECLARATION, TEXT, NAMES, NAMES, GENERATION)
+PLACEMENT = st.builds(
+    Placement,
+    TEXT,
+    NUMBER,
+    NUMBER,
+    st.dictionaries(TEXT, st.builds(Seat, TEXT, TEXT, TEXT), max_size=2),
+    st.dictionaries(TEXT, GROUP, max_size=2),
+    TEXT,
+)
+DATA_CENTRE = DataCentreId("sapa-a")
+PLACEMENT_KEY = PLACEMENT_PREFIX + DATA_CENTRE
+
+
+class AddTakeOut(ConfigurationChange):
+    """Takes one upstream out."""
+
+    def __init__(self, name: str) -> None:
+        self.take_out = TakeOut(TakeOutTag(name), TakeOutKind.UPSTREAM, name)
+
+    def apply(self, configuration: Configuration) -> Configuration:
+        """Add the take-out."""
+        added = {**configuration.take_outs_by_tag, self.take_out.tag: self.take_out}
+        return replace(configuration, take_outs_by_tag=added)
+
+    def depends_on(self, configuration: Configuration) -> object:
+        """Depend on the target's own take-outs only."""
+        return configuration.take_outs_by_tag.get(self.take_out.tag)
+
+
+class CodecTest(unittest.TestCase):
+    """Documents survive the way through the store unchanged."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(CONFIGURATION)
+    def test_configuration_round_trip(self, configuration: Configuration) -> None:
+        data = encode_configuration(configuration)
+        self.assertEqual(decode_configuration(data), configuration)
+        self.assertEqual(encode_configuration(decode_configuration(data)), data)
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(PLACEMENT)
+    def test_placement_round_trip(self, placement: Placement) -> None:
+        self.assertEqual(decode_placement(encode_placement(placement)), placement)
+
+    def test_document_that_could_not_be_read_back_is_not_written(self) -> None:
+        take_out = TakeOut(TakeOutTag("t"), TakeOutKind.GROUP, "g", at=float("nan"))
+        with self.assertRaises(DocumentError):
+            encode_configuration(Configuration(1, take_outs_by_tag={take_out.tag: take_out}))
+
+    def test_malformed_documents_name_the_place(self) -> None:
+        good = encode_configuration(Configuration(3))
+        cases = {
+            b"{": "",
+            good.replace(b'"revision":3', b'"revision":"x"'): "document.revision",
+            good.replace(b'"revision"', b'"reversion":1,"revision"'): "document.reversion",
+            good.replace(b'"format":1', b'"format":2'): "format",
+        }
+        for data, place in cases.items():
+            with self.subTest(data), self.assertRaises(DocumentError) as caught:
+                decode_configuration(data)
+            self.assertEqual(caught.exception.findings[0].place, place)
+
+
+class DocumentStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Polling and changing documents over a platform with faults."""
+
+    def setUp(self) -> None:
+        self.platform = MemoryPlatform()
+        self.now = 10.0
+        self.store = DocumentStore(self.platform, DATA_CENTRE, lambda: self.now)
+
+    async def commit(self, name: str, seen_revision: int | None = None) -> Configuration:
+        operation = OperationId(f"operation-{name}")
+        return await self.store.commit_configuration(AddTakeOut(name), operation, seen_revision)
+
+    def order(self, write_id: str, version: int = 1, expected: int = 0) -> WritePlacement:
+        placement = Placement(DATA_CENTRE, version, write_id=OperationId(write_id))
+        return WritePlacement(placement, expected)
+
+    def put(self, key: str, value: bytes) -> int:
+        expected = self.platform.snapshot([key]).values_by_key[key].mod_revision
+        self.platform.apply([Write(key, value, expected)])
+        return self.platform.revision
+
+    async def test_poll_reads_what_changed_and_confirms_the_rest(self) -> None:
+        first = await self.store.poll()
+        self.assertEqual(
+            first.inputs,
+            (
+                ConfigurationRead(Configuration(), from_platform=True),
+                PlacementRead(Placement(DATA_CENTRE), 0, 10.0),
+            ),
+        )
+        self.now = 11.0
+        self.assertEqual((await self.store.poll()).inputs, (PlacementConfirmed(0, 11.0),))
+        configuration = await self.commit("a")
+        self.assertEqual(
+            (await self.store.poll()).inputs,
+            (ConfigurationRead(configuration, from_platform=True), PlacementConfirmed(0, 11.0)),
+        )
+
+    async def test_poll_reports_an_outage(self) -> None:
+        self.platform.faults.append(Fault.UNAVAILABLE)
+        self.assertEqual((await self.store.poll()).inputs, (PlatformFailed("fake outage"),))
+
+    async def test_malformed_configuration_does_not_hide_the_placement(self) -> None:
+        self.put(CONFIGURATION_KEY, b"not json")
+        result = await self.store.poll()
+        self.assertEqual(result.inputs, (PlacementRead(Placement(DATA_CENTRE), 0, 10.0),))
+        self.assertEqual(result.findings[0].source, "configuration")
+
+    async def test_placement_is_read_again_after_each_write(self) -> None:
+        await self.store.poll()
+        self.platform.faults.append(Fault.UNAVAILABLE)
+        written = await self.store.write_placement(self.order("w1"))
+        self.assertIs(written.accepted, False)
+        self.assertIsInstance((await self.store.poll()).inputs[0], PlacementRead)
+
+    async def test_write_during_a_poll_still_makes_the_next_poll_read(self) -> None:
+        poll = asyncio.create_task(self.store.poll())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.platform.faults.extend([Fault.NONE, Fault.UNAVAILABLE])
+        write = asyncio.create_task(self.store.write_placement(self.order("w1")))
+        await asyncio.gather(poll, write)
+        self.assertIsInstance((await self.store.poll()).inputs[0], PlacementRead)
+
+    async def test_lost_answer_of_a_placement_is_recognised(self) -> None:
+        self.platform.faults.append(Fault.ANSWER_LOST)
+        self.assertIs((await self.store.write_placement(self.order("w1"))).accepted, True)
+
+    async def test_lost_request_of_a_placement_is_repeated(self) -> None:
+        self.platform.faults.append(Fault.REQUEST_LOST)
+        self.assertIs((await self.store.write_placement(self.order("w1"))).accepted, True)
+
+    async def test_placement_that_may_still_land_stays_unknown(self) -> None:
+        self.platform.faults.extend([Fault.DELAYED, Fault.UNAVAILABLE])
+        self.assertIs((await self.store.write_placement(self.order("w1"))).accepted, None)
+        self.platform.land_delayed()
+        placement = (await self.store.poll()).inputs[-1]
+        self.assertIsInstance(placement, PlacementRead)
+        self.assertEqual(placement.placement.write_id, "w1")  # type: ignore[attr-defined]
+
+    async def test_placement_that_was_replaced_after_a_lost_answer_stays_unknown(self) -> None:
+        self.platform.faults.append(Fault.ANSWER_LOST)
+        first = self.order("w1")
+        other = encode_placement(self.order("w2", 2).placement)
+        calls = iter((lambda: None, lambda: self._replace(other)))
+        self.platform.before_write = lambda: next(calls)()
+        self.assertIs((await self.store.write_placement(first)).accepted, None)
+
+    def _replace(self, value: bytes) -> None:
+        self.platform.before_write = lambda: None
+        self.put(PLACEMENT_KEY, value)
+
+    async def test_stale_placement_is_refused(self) -> None:
+        await self.store.write_placement(self.order("w1"))
+        self.assertIs((await self.store.write_placement(self.order("w2"))).accepted, False)
+
+    async def test_commit_whose_answer_was_lost_applies_once(self) -> None:
+        self.platform.faults.extend([Fault.NONE, Fault.ANSWER_LOST])
+        committed = await self.commit("a")
+        self.assertEqual(committed.revision, 1)
+        self.assertEqual((await self.commit("a")).revision, 1)
+
+    async def test_commit_that_lands_late_applies_once(self) -> None:
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED])
+        await self.commit("a")
+        self.platform.land_delayed()
+        stored = await self.store.read_configuration()
+        self.assertEqual(stored.configuration.revision, 1)
+
+    async def test_commit_is_unknown_when_the_store_stays_away(self) -> None:
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED])
+        self.platform.default_fault = Fault.UNAVAILABLE
+        with self.assertRaises(OutcomeUnknown):
+            await self.commit("a")
+
+    async def test_commit_without_the_platform_changes_nothing(self) -> None:
+        self.platform.default_fault = Fault.UNAVAILABLE
+        with self.assertRaises(PlatformUnavailable):
+            await self.commit("a")
+        self.assertEqual(self.platform.stored_by_key, {})
+
+    async def test_racing_commits_both_take_effect(self) -> None:
+        other = DocumentStore(self.platform, DATA_CENTRE, lambda: self.now)
+        await asyncio.gather(
+            self.commit("a"), other.commit_configuration(AddTakeOut("b"), OperationId("b"))
+        )
+        stored = (await self.store.read_configuration()).configuration
+        self.assertEqual(set(stored.take_outs_by_tag), {"a", "b"})
+        self.assertEqual(stored.revision, 2)
+
+    async def test_change_of_what_the_operator_saw_is_a_conflict(self) -> None:
+        seen = await self.commit("a")
+        await self.commit("b")
+        await self.commit("c", seen_revision=seen.revision)
+        with self.assertRaises(ConfigurationConflict):
+            await self.store.commit_configuration(
+                AddTakeOut("b"), OperationId("again"), seen.revision
+            )
+
+    async def test_older_store_is_not_built_upon(self) -> None:
+        await self.commit("a")
+        await self.commit("b")
+        self.put(CONFIGURATION_KEY, encode_configuration(Configuration(1)))
+        with self.assertRaises(StoreReverted):
+            await self.commit("c")
