--- a/src/cactuspass/_logs.py
+++ b/src/cactuspass/_logs.py
@@ -3,19 +3,13 @@
 import json
 import sys
 from datetime import UTC, datetime
-from enum import Enum
 from typing import Any, TextIO
 
 import logbook
 
-LOGGER_NAME = "cactuspass"
-
+from cactuspass.settings import LogFormat, LogLevel
 
-class LogFormat(Enum):
-    """How a log line is written."""
-
-    TEXT = "text"
-    JSON = "json"
+LOGGER_NAME = "cactuspass"
 
 
 def _text_line(record: Any, handler: Any) -> str:
@@ -41,11 +35,11 @@
     """
 
     def __init__(
-        self, log_format: LogFormat, level: str, stream: TextIO | None = None, **fields: str
+        self, log_format: LogFormat, level: LogLevel, stream: TextIO | None = None, **fields: str
     ) -> None:
         self._logger = logbook.Logger(LOGGER_NAME)
         self._fields = fields
-        handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
+        handler = logbook.StreamHandler(stream or sys.stderr, level=level.value.upper())
         handler.formatter = _json_line if log_format is LogFormat.JSON else _text_line
         self._logger.handlers.append(handler)
 
