--- /dev/null
+++ b/src/cactuspass_standins/_platform.py
@@ -0,0 +1,219 @@
+"""The platform's key-value service: a subset of etcd v3's HTTP/JSON form, with faults."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cactuspass_standins._key_value_store import (
+    KeyValueStore,
+    LeaseNotFound,
+    Request,
+    StoreError,
+    StoreState,
+    Transaction,
+)
+from cactuspass_standins._platform_codec import (
+    decode_delete,
+    decode_put,
+    decode_range,
+    decode_transaction,
+    encode_header,
+    encode_result,
+    encode_transaction,
+)
+from cactuspass_standins._stand_in import Json, Route, StandIn, StandInHandler, break_connection
+
+GRPC_NOT_FOUND = 5
+GRPC_INVALID_ARGUMENT = 3
+MAX_REQUEST_BYTES = 1_572_864
+
+
+class Platform(StandIn):
+    """The service with its faults and its counters."""
+
+    def __init__(self, name: str = "platform", store: KeyValueStore | None = None) -> None:
+        super().__init__(name)
+        self.store = store or KeyValueStore()
+        self.delay = 0.0
+        self.is_aborting = False
+        self._answers_to_lose = 0
+        self._snapshots_by_name: dict[str, StoreState] = {}
+        self.reads_by_second: Counter[int] = Counter()
+        self.writes_by_second: Counter[int] = Counter()
+        self.answers_lost = 0
+        self.controls_by_name |= {
+            "outage": self.outage,
+            "end_outage": self.end_outage,
+            "slow": self.slow,
+            "lose_next_answers": self.lose_next_answers,
+            "snapshot": self.snapshot,
+            "restore": self.restore,
+        }
+
+    def routes(self) -> list[Route]:
+        """Return path patterns with their handlers."""
+        return [(r"/v3/([a-z/]+)", CallHandler)]
+
+    def counts(self) -> Json:
+        """Return all counters by name."""
+        return {
+            "reads": self.reads_by_second.total(),
+            "writes": self.writes_by_second.total(),
+            "peak_reads_per_second": max(self.reads_by_second.values(), default=0),
+            "peak_writes_per_second": max(self.writes_by_second.values(), default=0),
+            "answers_lost": self.answers_lost,
+            "revision": self.store.revision,
+        }
+
+    def outage(self, seconds: float = 0.0, refuse: bool = True) -> None:
+        """Be away, until :meth:`end_outage` or for some seconds.
+
+        :param refuse: whether connections are refused; else they are broken at the first call.
+        """
+        if refuse:
+            self.kill(seconds)
+            return
+        self.is_aborting = True
+        if seconds:
+            self._call_later(seconds, self.end_outage)
+
+    def end_outage(self) -> None:
+        """Answer again."""
+        self.is_aborting = False
+        self.revive()
+
+    def slow(self, seconds: float) -> None:
+        """Delay each call by this time before it takes effect; 0 ends this."""
+        self.delay = seconds
+
+    def lose_next_answers(self, count: int = 1) -> None:
+        """Let the next writes take effect but break their connections before the answer."""
+        self._answers_to_lose += count
+
+    def snapshot(self, name: str = "") -> None:
+        """Keep a copy of the present state."""
+        self._snapshots_by_name[name] = self.store.snapshot()
+
+    def restore(self, name: str = "") -> None:
+        """Go back to a kept state, with its revision.
+
+        :raises KeyError: when there is no such copy.
+        """
+        self.store.restore(self._snapshots_by_name[name])
+
+    def take_lost_answer(self, is_write: bool) -> bool:
+        """Tell whether the present call's answer is to be lost."""
+        is_lost = is_write and self._answers_to_lose > 0
+        self._answers_to_lose -= is_lost
+        self.answers_lost += is_lost
+        return is_lost
+
+    def note_call(self, is_write: bool) -> None:
+        """Count a call."""
+        calls_by_second = self.writes_by_second if is_write else self.reads_by_second
+        calls_by_second[int(time.monotonic())] += 1
+
+
+class CallHandler(StandInHandler):
+    """Runs all calls of the service."""
+
+    stand_in: Platform
+
+    async def prepare(self) -> None:
+        """Wait while the service is frozen or slow, and break the connection in an outage."""
+        await super().prepare()
+        if self.stand_in.delay:
+            await asyncio.sleep(self.stand_in.delay)
+        if self.stand_in.is_aborting:
+            break_connection(self)
+            self.finish()
+
+    def post(self, path: str) -> None:
+        """Run the call, and answer unless the answer is to be lost."""
+        calls_by_path: dict[str, Callable[[Json], Json]] = {
+            "kv/range": self.read_range,
+            "kv/put": self.put_key,
+            "kv/deleterange": self.delete_range,
+            "kv/txn": self.run_transaction,
+            "lease/grant": self.grant_lease,
+            "lease/keepalive": self.keep_lease_alive,
+            "lease/revoke": self.revoke_lease,
+            "kv/lease/revoke": self.revoke_lease,
+        }
+        self.is_write = path != "kv/range"
+        if path not in calls_by_path:
+            self.refuse(HTTPStatus.NOT_FOUND, GRPC_NOT_FOUND, "Not Found")
+            return
+        try:
+            self.call(calls_by_path[path])
+        except LeaseNotFound as error:
+            self.refuse(HTTPStatus.NOT_FOUND, GRPC_NOT_FOUND, str(error))
+        except (StoreError, KeyError, TypeError, ValueError) as error:
+            self.refuse(HTTPStatus.BAD_REQUEST, GRPC_INVALID_ARGUMENT, str(error))
+
+    def call(self, run: Callable[[Json], Json]) -> None:
+        """Run one call and answer it.
+
+        :raises StoreError: when the request is too large or the store refuses it.
+        """
+        if len(self.request.body) > MAX_REQUEST_BYTES:
+            raise StoreError("etcdserver: request is too large")
+        answer = run(self.json_body())
+        self.stand_in.note_call(self.is_write)
+        if self.stand_in.take_lost_answer(self.is_write):
+            break_connection(self)
+            return
+        self.write(answer)
+
+    def refuse(self, status: HTTPStatus, code: int, message: str) -> None:
+        """Answer with the service's form of an error."""
+        self.set_status(status)
+        self.write({"error": message, "code": code, "message": message})
+
+    def read_range(self, body: Json) -> Json:
+        """Read keys."""
+        return self.run_request(decode_range(body))
+
+    def put_key(self, body: Json) -> Json:
+        """Write a key."""
+        return self.run_request(decode_put(body))
+
+    def delete_range(self, body: Json) -> Json:
+        """Delete keys."""
+        return self.run_request(decode_delete(body))
+
+    def run_request(self, request: Request) -> Json:
+        """Run a single request."""
+        store = self.stand_in.store
+        result = store.run(Transaction((), (request,)), time.monotonic())
+        return encode_result(result.results[0], store.revision)
+
+    def run_transaction(self, body: Json) -> Json:
+        """Run a transaction."""
+        transaction, store = decode_transaction(body), self.stand_in.store
+        self.is_write = transaction.may_write
+        return encode_transaction(store.run(transaction, time.monotonic()), store.revision)
+
+    def grant_lease(self, body: Json) -> Json:
+        """Make a lease."""
+        lease_id = int(body.get("ID", 0))
+        lease = self.stand_in.store.grant_lease(int(body["TTL"]), time.monotonic(), lease_id)
+        return self.header() | {"ID": str(lease.lease_id), "TTL": str(lease.period)}
+
+    def keep_lease_alive(self, body: Json) -> Json:
+        """Keep a lease alive; the answer has no TTL when it has lapsed."""
+        lease_id = int(body["ID"])
+        lease = self.stand_in.store.keep_lease_alive(lease_id, time.monotonic())
+        period = {"TTL": str(lease.period)} if lease else {}
+        return {"result": self.header() | {"ID": str(lease_id)} | period}
+
+    def revoke_lease(self, body: Json) -> Json:
+        """Delete a lease and its keys."""
+        self.stand_in.store.revoke_lease(int(body["ID"]), time.monotonic())
+        return self.header()
+
+    def header(self) -> Json:
+        """Return the header of an answer."""
+        return {"header": encode_header(self.stand_in.store.revision)}
--- /dev/null
+++ b/src/cactuspass_standins/_stand_in.py
@@ -0,0 +1,235 @@
+"""Base of all stand-ins: an HTTP server that can be frozen, stopped and cut off."""
+
+import asyncio
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any, cast
+from weakref import WeakSet
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, HTTPError, RequestHandler
+
+LOCAL_HOST = "127.0.0.1"
+
+Json = dict[str, Any]
+Route = tuple[str, type[RequestHandler]]
+
+
+class BreakableServer(HTTPServer):
+    """HTTP server that knows its open connections."""
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Remember the connection and serve it."""
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Prepare the set of connections."""
+        self.streams: WeakSet[IOStream] = WeakSet()
+        super().initialize(*args, **kwargs)
+
+    def break_connections(self) -> None:
+        """Close every connection without a clean end of its answer."""
+        for stream in list(self.streams):
+            stream.close()
+        self.streams.clear()
+
+
+class StandIn(ABC):
+    """One listener with its control methods and counters.
+
+    :param name: unique name in its host.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.port = 0
+        self._server: BreakableServer | None = None
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._timers: list[asyncio.TimerHandle] = []
+        self.controls_by_name: dict[str, Callable[..., None]] = {
+            "kill": self.kill,
+            "revive": self.revive,
+            "freeze": self.freeze,
+        }
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` of the listener."""
+        return f"{LOCAL_HOST}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the listener."""
+        return f"http://{self.address}"
+
+    @property
+    def is_listening(self) -> bool:
+        """Tell whether new connections are accepted."""
+        return self._server is not None
+
+    @property
+    def is_frozen(self) -> bool:
+        """Tell whether the stand-in answers nothing at present."""
+        return not self._thawed.is_set()
+
+    @abstractmethod
+    def routes(self) -> list[Route]:
+        """Return path patterns with their handlers."""
+
+    @abstractmethod
+    def counts(self) -> Json:
+        """Return all counters by name."""
+
+    def start(self, port: int = 0) -> None:
+        """Listen on the port; 0 takes a free one, which later starts keep."""
+        sockets = bind_sockets(port or self.port, LOCAL_HOST)
+        self.port = sockets[0].getsockname()[1]
+        control_routes: list[Route] = [
+            ("/standin/counts", CountsHandler),
+            ("/standin/([a-z_]+)", ControlHandler),
+        ]
+        rules = [
+            (pattern, handler, {"stand_in": self})
+            for pattern, handler in control_routes + self.routes()
+        ]
+        application = Application(cast(Any, rules), log_function=lambda handler: None)
+        self._server = BreakableServer(application)
+        self._server.add_sockets(sockets)
+
+    def stop(self) -> None:
+        """Stop for good."""
+        for timer in self._timers:
+            timer.cancel()
+        self._close()
+
+    def kill(self, seconds: float = 0.0) -> None:
+        """Stop listening and break all connections, as when the process dies.
+
+        :param seconds: time until it starts again; 0 for never.
+        """
+        self._close()
+        self._thawed.set()
+        if seconds:
+            self._call_later(seconds, self.revive)
+
+    def revive(self) -> None:
+        """Start again on the same port after :meth:`kill`."""
+        if not self.is_listening:
+            self.start()
+
+    def freeze(self, seconds: float) -> None:
+        """Accept connections but answer nothing, as when the process is paused."""
+        self._thawed.clear()
+        self._call_later(seconds, self.thaw)
+
+    def thaw(self) -> None:
+        """Go on after :meth:`freeze`."""
+        self._thawed.set()
+
+    def break_connections(self) -> None:
+        """Close every connection without a clean end of its answer."""
+        if self._server is not None:
+            self._server.break_connections()
+
+    def spare_connection(self, handler: RequestHandler) -> None:
+        """Keep a control connection open when all others are broken."""
+        if self._server is not None:
+            self._server.streams.discard(connection_stream(handler))
+
+    async def wait_until_thawed(self) -> None:
+        """Return once the stand-in isn't frozen."""
+        await self._thawed.wait()
+
+    def _call_later(self, seconds: float, callback: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._timers = [timer for timer in self._timers if timer.when() > loop.time()]
+        self._timers.append(loop.call_later(seconds, callback))
+
+    def _close(self) -> None:
+        if self._server is None:
+            return
+        self._server.stop()
+        self._server.break_connections()
+        self._server = None
+
+
+class StandInHandler(RequestHandler):
+    """Base of the handlers; waits while the stand-in is frozen."""
+
+    def initialize(self, stand_in: Any) -> None:
+        """Keep the stand-in that is served."""
+        self.stand_in = stand_in
+        self.is_closed = False
+
+    async def prepare(self) -> None:
+        """Wait until the stand-in isn't frozen."""
+        await self.stand_in.wait_until_thawed()
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has gone."""
+        self.is_closed = True
+
+    def json_body(self) -> Json:
+        """Return the body as a JSON object.
+
+        :raises HTTPError: 400 when it isn't one.
+        """
+        try:
+            body = json.loads(self.request.body or b"{}")
+        except ValueError as error:
+            raise HTTPError(400, "body is not JSON") from error
+        if not isinstance(body, dict):
+            raise HTTPError(400, "body is not a JSON object")
+        return body
+
+    async def write_event(self, data: str) -> bool:
+        """Send one server-sent event; False when the connection is closed."""
+        self.write(f"data: {data}\n\n")
+        try:
+            await self.flush()
+        except StreamClosedError:
+            return False
+        return True
+
+
+class ControlHandler(StandInHandler):
+    """Runs a control method, also while the stand-in is frozen."""
+
+    async def prepare(self) -> None:
+        """Don't wait, and survive the breaking of connections."""
+        self.stand_in.spare_connection(self)
+
+    def post(self, name: str) -> None:
+        """Call the control with the fields of the body."""
+        control = self.stand_in.controls_by_name.get(name)
+        if control is None:
+            raise HTTPError(404, "no control %s", name)
+        try:
+            control(**self.json_body())
+        except (KeyError, TypeError, ValueError) as error:
+            raise HTTPError(400, str(error)) from error
+        self.write({"done": name})
+
+
+class CountsHandler(ControlHandler):
+    """Answers the counters."""
+
+    def get(self) -> None:
+        """Write all counters as JSON."""
+        self.write(self.stand_in.counts())
+
+
+def connection_stream(handler: RequestHandler) -> IOStream:
+    """Return the socket stream below a handler."""
+    return cast(HTTP1Connection, handler.request.connection).stream
+
+
+def break_connection(handler: RequestHandler) -> None:
+    """Close the handler's connection without a clean end of its answer."""
+    connection_stream(handler).close()
