--- /dev/null
+++ b/src/cactuspass/cli.py
@@ -0,0 +1,186 @@
+"""The operators' command line."""
+
+import json
+import os
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from cactuspass._burn import BurnRow
+from cactuspass._operator_api import CommandAnswer, QueryAnswer
+from cactuspass._operator_client import OperatorClient
+from cactuspass._output import as_json, as_table
+from cactuspass._parser import parse_many
+from cactuspass._rows import row_set
+from cactuspass._statements import Query
+from cactuspass.exceptions import CactuspassError, CommandError
+
+ENTRY_VARIABLE = "CACTUSPASS_ENTRY"
+TOKEN_VARIABLE = "CACTUSPASS_TOKEN"
+CLEAR_SCREEN = "\x1b[2J\x1b[H"
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_NOT_EVERYWHERE = 3
+
+
+class Commands:
+    """Ask what waits and where, and order data centres, upstreams and groups in or out.
+
+    The entry to talk to is named by --entry HOST:PORT or CACTUSPASS_ENTRY, the operators' token by
+    --token or CACTUSPASS_TOKEN. Exit codes: 0 done, 1 failed, 2 mistake in the text or flags,
+    3 accepted but not yet confirmed by every entry.
+    """
+
+    def __init__(self, entry: str = "", token: str = "") -> None:
+        self._entry = entry
+        self._token = token
+
+    def ask(self, query: str, json: bool = False, entry: str = "", token: str = "") -> None:
+        """Answer one query, such as "waiting by customer" or "groups where serving = false".
+
+        :param query: waiting, groups, upstreams, held, stranded, entries, alarms, declarations,
+            take outs, in force or counters, with clauses by, where, order by and limit.
+        :param json: print JSON instead of a table.
+        """
+        _print_answer(self._client(entry, token).ask(str(query)), json)
+
+    def do(
+        self,
+        command: str,
+        wait: float = 5.0,
+        json: bool = False,
+        entry: str = "",
+        token: str = "",
+    ) -> None:
+        """Carry out one command, such as "take out data centre sapa-a".
+
+        :param command: take out, return, declare group, remove group or recommit configuration.
+        :param wait: seconds to wait for every entry to confirm.
+        :param json: print JSON instead of text.
+        """
+        answer = self._client(entry, token).order(str(command), float(wait))
+        _print_command(answer, json)
+        if answer.not_confirmed:
+            sys.exit(EXIT_NOT_EVERYWHERE)
+
+    def run(self, file: str, wait: float = 5.0, entry: str = "", token: str = "") -> None:
+        """Run the queries and commands of a file, one in each line, after checking all of them.
+
+        :param file: path of the file; lines that begin with # are comments.
+        """
+        text = Path(file).read_text(encoding="utf-8")
+        statements = parse_many(text)
+        lines = [line for line in text.splitlines() if line.split("#", 1)[0].strip()]
+        client = self._client(entry, token)
+        for line, statement in zip(lines, statements, strict=True):
+            print(f"> {line}")
+            if isinstance(statement, Query):
+                _print_answer(client.ask(line), False)
+            else:
+                _print_command(client.order(line, float(wait)), False)
+
+    def watch(
+        self,
+        query: str,
+        interval: float = 2.0,
+        times: int = 0,
+        entry: str = "",
+        token: str = "",
+    ) -> None:
+        """Repeat a query and show its latest answer.
+
+        :param interval: seconds between two answers.
+        :param times: number of answers; 0 repeats until interrupted.
+        """
+        client = self._client(entry, token)
+        count = 0
+        while not times or count < times:
+            if count:
+                time.sleep(float(interval))
+            answer = client.ask(str(query))
+            if sys.stdout.isatty():
+                print(CLEAR_SCREEN, end="")
+            _print_answer(answer, False)
+            count += 1
+
+    def burn(self, json: bool = False, plot: str = "", entry: str = "", token: str = "") -> None:
+        """Report how fast each objective's error budget is used up.
+
+        :param json: print JSON instead of a table.
+        :param plot: also draw the report to this .png or .svg file.
+        """
+        answer = self._client(entry, token).burn()
+        if plot:
+            # Importing the plotting library takes longer than the rest of the command.
+            from cactuspass._burn_plot import plot_burn
+
+            plot_burn(answer.rows, Path(plot))
+        found = row_set(BurnRow, answer.rows)
+        print(as_json(found) if json else as_table(found))
+        _print_unreachable(answer.unreachable)
+
+    def _client(self, entry: str, token: str) -> OperatorClient:
+        address = entry or self._entry or os.environ.get(ENTRY_VARIABLE, "")
+        secret = token or self._token or os.environ.get(TOKEN_VARIABLE, "")
+        if not address:
+            raise CommandError(f"name the entry by --entry HOST:PORT or {ENTRY_VARIABLE}")
+        return OperatorClient(address, secret)
+
+
+def _print_answer(answer: QueryAnswer, json_wanted: bool) -> None:
+    print(as_json(answer.found) if json_wanted else as_table(answer.found))
+    _print_unreachable(answer.unreachable)
+
+
+def _print_unreachable(entries: tuple[str, ...]) -> None:
+    if entries:
+        print(f"no answer from: {', '.join(entries)}", file=sys.stderr)
+
+
+def _print_command(answer: CommandAnswer, json_wanted: bool) -> None:
+    if json_wanted:
+        print(json.dumps(asdict(answer), indent=2))
+        return
+    print(f"accepted at revision {answer.revision}" if answer.revision else "accepted by peers")
+    if answer.detail:
+        print(answer.detail)
+    print(f"in force at: {', '.join(answer.in_force) or 'no entry'}")
+    if answer.not_confirmed:
+        print(f"not confirmed by: {', '.join(answer.not_confirmed)}")
+
+
+def _print_mistakes(errors: tuple[BaseException, ...]) -> None:
+    for error in errors:
+        if isinstance(error, CommandError):
+            print(f"line {error.line}, column {error.column}: {error}", file=sys.stderr)
+        else:
+            print(error, file=sys.stderr)
+
+
+def run_guarded(action: Callable[[], Any]) -> int:
+    """Run the command line and turn its errors into messages and an exit code."""
+    try:
+        action()
+    except CommandError as error:
+        _print_mistakes((error,))
+        return EXIT_USAGE
+    except ExceptionGroup as group:
+        _print_mistakes(group.exceptions)
+        return EXIT_USAGE
+    except (CactuspassError, OSError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_OK
+    return EXIT_OK
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(run_guarded(lambda: fire.Fire(Commands, name="cactuspass")))
