Write the placement through one compare-and-swap at a time

Seats and groups change in the same document. Two writers in one entry would conflict with themselves, so one object merges the changes of a tick. A write whose answer is lost stays in doubt until the platform shows another revision, because it can take effect until then.

--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -148,7 +148,10 @@
 
     :param service_models: plain services by kind, as ``service:NAME``.
     :param pending_take_outs_by_tag: take-outs accepted but not yet in the platform.
-    :param store_revision: the platform's revision of the own data centre's document.
+    :param store_revision: the platform's revision at which ``placement`` was read from it;
+        0 when it came from a peer or the platform now has another one.
+    :param seats_held: other entries' seats that were given to this entry for good.
+    :param removals_under_way: entries whose seat a write of ours removes or may still remove.
     """
 
     local: LocalRow
@@ -159,6 +162,8 @@
     pending_take_outs_by_tag: dict[TakeOutTag, TakeOut] = field(default_factory=dict)
     placement: Placement | None = None
     store_revision: int = 0
+    seats_held: set[EntryId] = field(default_factory=set)
+    removals_under_way: set[EntryId] = field(default_factory=set)
     records_by_id: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
     entries_by_id: dict[EntryId, EntryRow] = field(default_factory=dict)
     instances_by_id: dict[InstanceId, InstanceRow] = field(default_factory=dict)
