Decide rights, seats and their handover

Settle waits alone let a newcomer gain a group whose earlier holder still held it by grants under the older version, so a gained group now waits until every other seat has told that it knows the change, or can no longer hold without a grant of ours.

--- /dev/null
+++ b/src/cactuspass/_membership.py
@@ -0,0 +1,151 @@
+"""Keeps the tables of instances and of the other entry processes."""
+
+from collections.abc import Iterable, Sequence
+
+from cactuspass._core import System
+from cactuspass._holding import process_of
+from cactuspass._messages import Input, InstancesListed, Order, PeerHeard, PeerLost
+from cactuspass._tables import EntryRow, ProcessKey, Tables
+from cactuspass.models import EntryId, InstanceId, Seat
+
+HEARTBEAT_LOST_SECONDS = 3.0
+UNLISTED_SECONDS = 60.0
+DROP_SECONDS = 60.0
+
+
+def is_live(row: EntryRow, now: float) -> bool:
+    """Tell whether an entry is connected and its heartbeat is recent."""
+    return row.connected and now - row.heard_at < HEARTBEAT_LOST_SECONDS
+
+
+def live_entries(tables: Tables, now: float) -> list[EntryRow]:
+    """Return the live entries of all data centres, by name."""
+    rows_by_id = tables.entries_by_id
+    return [rows_by_id[key] for key in sorted(rows_by_id) if is_live(rows_by_id[key], now)]
+
+
+def live_local_entries(tables: Tables, now: float) -> list[EntryRow]:
+    """Return the live entries of the own data centre, by name."""
+    own = tables.local.data_centre
+    return [row for row in live_entries(tables, now) if row.data_centre == own]
+
+
+def is_seat_live(tables: Tables, seat: Seat, now: float) -> bool:
+    """Tell whether the very process that a seat was written for is live."""
+    row = tables.entries_by_id.get(seat.entry_id)
+    return row is not None and row.incarnation == seat.incarnation and is_live(row, now)
+
+
+class MembershipSystem(System):
+    """Follows the instance list and the peers' heartbeats.
+
+    It also finds which processes that have a seat surely ended: a newer process answers at the
+    address, or the instance list, which names this entry, dropped the silent instance.
+    """
+
+    def __init__(self) -> None:
+        self._listed: set[EntryId] = set()
+        self._unlisted_since: dict[EntryId, float] = {}
+        self._superseded: set[ProcessKey] = set()
+
+    def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
+        """Update the rows and the set of processes that ended."""
+        for message in inputs:
+            if isinstance(message, InstancesListed):
+                self._note_list(tables, message, now)
+            elif isinstance(message, PeerHeard):
+                self._note_heard(tables, message, now)
+            elif isinstance(message, PeerLost):
+                _note_lost(tables, message)
+        self._mark_gone(tables, now)
+        _drop_rows(tables, now)
+        return ()
+
+    def _note_list(self, tables: Tables, message: InstancesListed, now: float) -> None:
+        tables.records_by_id = {record.instance_id: record for record in message.records}
+        named = {EntryId(instance_id) for instance_id in tables.records_by_id}
+        if tables.local.entry_id not in named:
+            return
+        self._listed |= named
+        for seat in _seats(tables):
+            if seat.entry_id in named:
+                self._unlisted_since.pop(seat.entry_id, None)
+            else:
+                self._unlisted_since.setdefault(seat.entry_id, now)
+
+    def _note_heard(self, tables: Tables, message: PeerHeard, now: float) -> None:
+        key = ProcessKey(message.entry_id, message.incarnation)
+        if message.entry_id == tables.local.entry_id or key in self._superseded:
+            return
+        row = tables.entries_by_id.get(message.entry_id)
+        if row is not None and row.incarnation != message.incarnation:
+            if is_live(row, now):
+                return
+            self._superseded.add(ProcessKey(row.entry_id, row.incarnation))
+            row = None
+        known_version = 0 if row is None else row.placement_version
+        tables.entries_by_id[message.entry_id] = EntryRow(
+            entry_id=message.entry_id,
+            incarnation=message.incarnation,
+            data_centre=message.data_centre,
+            address=message.address,
+            heard_at=now,
+            configuration_revision=message.configuration_revision,
+            take_out_tags=message.take_out_tags,
+            placement_version=max(message.placement_version, known_version),
+            ready=message.ready,
+            draining=message.draining,
+            groups_by_id={group.group_id: group for group in message.groups},
+        )
+
+    def _mark_gone(self, tables: Tables, now: float) -> None:
+        tables.gone_processes = {
+            process_of(seat)
+            for seat in _seats(tables)
+            if process_of(seat) in tables.gone_processes
+            or _is_replaced(tables, seat)
+            or self._is_unlisted(tables, seat, now)
+        }
+
+    def _is_unlisted(self, tables: Tables, seat: Seat, now: float) -> bool:
+        since = self._unlisted_since.get(seat.entry_id)
+        if since is None or is_seat_live(tables, seat, now):
+            return False
+        return seat.entry_id in self._listed or now - since >= UNLISTED_SECONDS
+
+
+def _seats(tables: Tables) -> list[Seat]:
+    if tables.placement is None:
+        return []
+    return list(tables.placement.seats_by_entry.values())
+
+
+def _is_replaced(tables: Tables, seat: Seat) -> bool:
+    """Tell whether a newer process answers at the address of a seat.
+
+    It is newer because it knows the placement that has the seat of the other process.
+    """
+    row = tables.entries_by_id.get(seat.entry_id)
+    if row is None or tables.placement is None or row.incarnation == seat.incarnation:
+        return False
+    return row.address == seat.address and row.placement_version >= tables.placement.version
+
+
+def _note_lost(tables: Tables, message: PeerLost) -> None:
+    row = tables.entries_by_id.get(message.entry_id)
+    if row is not None and row.incarnation == message.incarnation:
+        row.connected = False
+
+
+def _drop_rows(tables: Tables, now: float) -> None:
+    """Drop the rows of silent entries that neither the list nor the placement names."""
+    seated = {seat.entry_id for seat in _seats(tables)}
+    dropped = [
+        row.entry_id
+        for row in tables.entries_by_id.values()
+        if now - row.heard_at >= DROP_SECONDS
+        and row.entry_id not in seated
+        and InstanceId(row.entry_id) not in tables.records_by_id
+    ]
+    for entry_id in dropped:
+        del tables.entries_by_id[entry_id]
--- a/src/cactuspass/_messages.py
+++ b/src/cactuspass/_messages.py
@@ -190,11 +190,13 @@
     """A leaving peer gave up its seat for good and names who may use it.
 
     :param foreign_held_by_group: requests that the leaver still has running, by group.
+    :param to_entry: the only entry that may use it from now on.
     """
 
     seat: Seat
     placement_version: int
     foreign_held_by_group: dict[GroupId, int]
+    to_entry: EntryId = EntryId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,7 +220,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveSeat(Order):
-    """Give the own seat, or one that was taken over, to a peer for good."""
+    """Give the own seat, or one that was taken over, to a peer for good.
+
+    The edge sends :class:`SeatGiven` to every peer of the data centre; only ``to_entry`` may use
+    the seat.
+    """
 
     to_entry: EntryId
     seat: Seat
--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -19,15 +19,28 @@
     Placement,
     Priority,
     RequestId,
+    Seat,
     TakeOut,
     TakeOutTag,
     UpstreamKind,
 )
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class ProcessKey:
+    """One entry process: an entry and its incarnation."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+
+
 @dataclass(slots=True)
 class LocalRow:
-    """This entry process."""
+    """This entry process.
+
+    :param may_hold_from: time of the tick that computed ``may_hold``.
+    :param joined_version: placement version that first had the seat of this process; 0 without one.
+    """
 
     entry_id: EntryId
     incarnation: Incarnation
@@ -37,6 +50,13 @@
     platform_ok_at: float | None = None
     may_hold: bool = False
     may_hold_until: float = 0.0
+    may_hold_from: float = 0.0
+    joined_version: int = 0
+
+    @property
+    def key(self) -> ProcessKey:
+        """Key of this process."""
+        return ProcessKey(self.entry_id, self.incarnation)
 
 
 @dataclass(slots=True)
@@ -60,6 +80,27 @@
     groups_by_id: dict[GroupId, GroupSummary] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class GivenSeat:
+    """A seat whose owner gave it up for good.
+
+    :param user: entry that uses it now.
+    :param placement_version: latest placement version that its givers knew.
+    """
+
+    seat: Seat
+    user: EntryId
+    placement_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SeatSnapshot:
+    """The seats of an earlier epoch and those of them that this entry used."""
+
+    seats: frozenset[EntryId]
+    used: frozenset[EntryId]
+
+
 @dataclass(slots=True)
 class InstanceRow:
     """An upstream instance whose events this entry watches.
@@ -151,6 +192,10 @@
     :param store_revision: the platform's revision at which ``placement`` was read from it;
         0 when it came from a peer or the platform now has another one.
     :param seats_held: other entries' seats that were given to this entry for good.
+    :param given_seats_by_entry: all seats known to be given up, by the entry that had them.
+    :param gone_processes: entry processes of the placement that surely ended.
+    :param promises_by_process: time until which this entry removes no seat of a process.
+    :param unsettled: earlier epochs under which another entry may still hold groups.
     :param removals_under_way: entries whose seat a write of ours removes or may still remove.
     """
 
@@ -163,6 +208,10 @@
     placement: Placement | None = None
     store_revision: int = 0
     seats_held: set[EntryId] = field(default_factory=set)
+    given_seats_by_entry: dict[EntryId, GivenSeat] = field(default_factory=dict)
+    gone_processes: set[ProcessKey] = field(default_factory=set)
+    promises_by_process: dict[ProcessKey, float] = field(default_factory=dict)
+    unsettled: tuple[SeatSnapshot, ...] = ()
     removals_under_way: set[EntryId] = field(default_factory=set)
     records_by_id: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
     entries_by_id: dict[EntryId, EntryRow] = field(default_factory=dict)
--- a/src/cactuspass/_writer.py
+++ b/src/cactuspass/_writer.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from cactuspass._core import System
+from cactuspass._holding import has_given_up
 from cactuspass._messages import Input, Order, PlacementRead, PlacementWritten, WritePlacement
 from cactuspass._tables import Tables
 from cactuspass.models import EntryId, OperationId, Placement
@@ -28,6 +29,15 @@
     }
 
 
+def is_own_write(tables: Tables, placement: Placement) -> bool:
+    """Tell whether this process wrote this version of the document."""
+    return placement.write_id.startswith(_write_prefix(tables))
+
+
+def _write_prefix(tables: Tables) -> str:
+    return f"{tables.local.entry_id}/{tables.local.incarnation}/"
+
+
 @dataclass(frozen=True, slots=True)
 class _Doubt:
     """A write that may still take effect while the platform has the expected revision."""
@@ -69,9 +79,10 @@
         """Tell whether a change proposed now would be written.
 
         :return: False while a write is in flight, until the platform was read after the last write,
-            and while the placement held here is not the one that the platform has.
+            while the placement held here is not the one that the platform has, and once this
+            process gave its seat up.
         """
-        if self._in_flight is not None or self._revision is None:
+        if has_given_up(tables) or self._in_flight is not None or self._revision is None:
             return False
         if self._read_at < self._fresh_after:
             return False
@@ -133,8 +144,7 @@
         return [order]
 
     def _next_id(self, tables: Tables) -> OperationId:
-        local = tables.local
-        return OperationId(f"{local.entry_id}/{local.incarnation}/{self._count}")
+        return OperationId(f"{_write_prefix(tables)}{self._count}")
 
 
 def _settles(read: PlacementRead, doubt: _Doubt) -> bool:
