Draft the group and placement decisions

Contract additions with defaults only: report of the model, needs of the weight store, lost and released instances.

--- /dev/null
+++ b/src/cactuspass/_groups.py
@@ -0,0 +1,148 @@
+"""Runs the groups that this entry holds: watches, orders, substitutions and confirmation."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from functools import partial
+from itertools import chain
+
+from cactuspass._alarms import set_alarm
+from cactuspass._configuration import is_taken_out
+from cactuspass._confirm import group_boot_id, is_confirmed, is_heard
+from cactuspass._core import System
+from cactuspass._held import Holding, update_rows
+from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
+from cactuspass._messages import AlarmKind, Input, Order
+from cactuspass._repair import (
+    adopt_reports,
+    is_leaving,
+    lost_instances,
+    record_group,
+    substitute,
+)
+from cactuspass._reports import apply_reports
+from cactuspass._tables import HeldGroupRow, Tables
+from cactuspass._watches import bound_instances, update_watches
+from cactuspass._writer import PlacementWriter
+from cactuspass.models import GroupId, TakeOutKind
+
+ADOPT_SECONDS = 1.5
+GROUP_DOWN_SECONDS = 3.0
+
+
+class GroupSystem(System):
+    """Keeps each held group whole, and says in the same tick when one is not.
+
+    :param writer: takes changes of the data centre document.
+    :param loads_at_once: members of the data centre that may load weights at the same time.
+    :param holding: rights of this entry's seats.
+    """
+
+    def __init__(
+        self,
+        writer: PlacementWriter,
+        holding: Holding,
+        loads_at_once: int = LOADS_AT_ONCE,
+    ) -> None:
+        self._writer = writer
+        self._scheduler = LoadScheduler(loads_at_once)
+        self._holding = holding
+        self._last_tick: float | None = None
+
+    def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
+        """Run every held group once."""
+        known = set(tables.held_groups_by_id)
+        apply_reports(tables, inputs, now, self._last_tick)
+        self._last_tick = now
+        update_rows(tables, self._holding, now)
+        orders: list[Order] = list(update_watches(tables, now))
+        rows = [row for _, row in sorted(tables.held_groups_by_id.items())]
+        ready = [row for row in rows if self._may_repair(tables, row, now)]
+        for row in ready:
+            adopt_reports(tables, row, now)
+            substitute(tables, row, now)
+        orders.extend(self._scheduler.order(tables, ready, now))
+        for row in rows:
+            _update_leaving(tables, row, now)
+            self._update_serving(tables, row, now)
+        for row in ready:
+            self._propose(tables, row, now)
+        return chain(orders, _group_alarms(tables, rows, known, now))
+
+    def _may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        return now >= row.held_from and self._holding.may_send(tables, row.group_id, now)
+
+    def _may_repair(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        """Return whether the row follows the document and its instances had time to report."""
+        if row.placed is None or not self._may_send(tables, row, now):
+            return False
+        if not _follows_placement(tables, row):
+            return False
+        instances = map(tables.instances_by_id.get, bound_instances(row))
+        is_known = all(is_heard(instance, now) for instance in instances)
+        return is_known or now - row.added_at >= ADOPT_SECONDS
+
+    def _update_serving(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
+        row.boot_id = group_boot_id(tables, row)
+        row.serving = self._may_send(tables, row, now) and is_confirmed(tables, row, now)
+        if row.serving:
+            row.down_since = None
+        elif row.down_since is None:
+            row.down_since = now
+
+    def _propose(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
+        """Write own substitutions, and instances lost or found again, into the document."""
+        lost = lost_instances(tables, row, now)
+        placed = row.placed
+        if placed is None or not self._writer.is_ready(tables):
+            return
+        if (placed.generation, placed.members, placed.lost) != (row.generation, row.members, lost):
+            change = partial(
+                record_group,
+                group_id=row.group_id,
+                generation=row.generation,
+                members=row.members,
+                lost=lost,
+            )
+            self._writer.propose(change)
+
+
+def _follows_placement(tables: Tables, row: HeldGroupRow) -> bool:
+    if row.placed is None:
+        return row.members[0] in tables.records_by_id
+    placement = tables.placement
+    return placement is not None and placement.groups_by_id.get(row.group_id) == row.placed
+
+
+def _update_leaving(tables: Tables, row: HeldGroupRow, now: float) -> None:
+    """Say whether new work must stay away from the group."""
+    row.leaving = (
+        not _follows_placement(tables, row)
+        or any(is_leaving(tables, member) for member in row.members)
+        or is_taken_out(tables, TakeOutKind.GROUP, row.group_id)
+        or is_taken_out(tables, TakeOutKind.DATA_CENTRE, tables.local.data_centre)
+    )
+    if not row.leaving:
+        row.leaving_since = None
+    elif row.leaving_since is None:
+        row.leaving_since = now
+
+
+def _group_alarms(
+    tables: Tables, rows: Sequence[HeldGroupRow], known: set[GroupId], now: float
+) -> Iterator[Order]:
+    """Raise an alarm for each group that has been down for long; clear those of others."""
+    for row in rows:
+        is_long = row.down_since is not None and now - row.down_since >= GROUP_DOWN_SECONDS
+        detail = _down_detail(tables, row, now) if is_long else ""
+        yield from set_alarm(tables, AlarmKind.GROUP_DOWN, row.group_id, detail, now)
+    for group_id in sorted(known - set(tables.held_groups_by_id)):
+        yield from set_alarm(tables, AlarmKind.GROUP_DOWN, group_id, "", now)
+
+
+def _down_detail(tables: Tables, row: HeldGroupRow, now: float) -> str:
+    instances = ((name, tables.instances_by_id.get(name)) for name in row.members)
+    unheard = [name for name, instance in instances if not is_heard(instance, now)]
+    if unheard:
+        return "no word from " + ", ".join(unheard)
+    if row.missing:
+        return f"{row.missing} of {len(row.members)} members lack the weights"
+    return "waits for the members' confirmation"
--- a/src/cactuspass/_messages.py
+++ b/src/cactuspass/_messages.py
@@ -121,6 +121,7 @@
     :param free: requests the group can take now.
     :param queued: requests waiting for it.
     :param ramp: requests it bears at present.
+    :param missing: reachable members that lack the weights.
     """
 
     group_id: GroupId
@@ -131,6 +132,7 @@
     queued: int
     ramp: int
     held: int
+    missing: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,6 +254,7 @@
     :param running: requests it holds, as of ``measured_at``.
     :param memory_tokens: tokens it holds, as of ``measured_at``.
     :param lag: seconds between the measurement and its arrival, as the instance says.
+    :param model: model whose weights the instance has; empty when it did not say.
     """
 
     instance_id: InstanceId
@@ -266,6 +269,8 @@
     memory_tokens: int = 0
     lag: float = 0.0
     leaving: bool = False
+    model: str = ""
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/cactuspass/_plan.py
@@ -0,0 +1,227 @@
+"""Plans which instances form which groups; pure, and the same on every entry."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from cactuspass.models import (
+    Configuration,
+    DataCentreId,
+    FabricDomainId,
+    Generation,
+    GroupDeclaration,
+    GroupId,
+    InstanceId,
+    InstanceRecord,
+    KindId,
+    PlacedGroup,
+    Placement,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlanFacts:
+    """What a planner knows besides the documents and the list.
+
+    :param free: instances outside all groups that may be bound now.
+    :param lost: bound instances that are to be replaced.
+    :param movable: groups that may leave their domain though some members survive.
+    """
+
+    free: frozenset[InstanceId] = frozenset()
+    lost: frozenset[InstanceId] = frozenset()
+    movable: frozenset[GroupId] = frozenset()
+
+
+def declared_groups(
+    configuration: Configuration, data_centre: DataCentreId
+) -> dict[GroupId, GroupDeclaration]:
+    """Return the declaration of each group that a data centre should have, by group id."""
+    return {
+        GroupId(f"{declaration.name}-{index}"): declaration
+        for declaration in configuration.declarations_by_name.values()
+        if declaration.data_centre == data_centre
+        for index in range(declaration.count)
+    }
+
+
+def bound_ids(groups: Iterable[PlacedGroup]) -> set[InstanceId]:
+    """Return every instance that the groups bind, as member or spare."""
+    return {instance for group in groups for instance in group.members + group.spares}
+
+
+def plan(
+    draft: Placement,
+    configuration: Configuration,
+    records_by_id: Mapping[InstanceId, InstanceRecord],
+    facts: PlanFacts,
+) -> Placement:
+    """Return the draft with the groups that the configuration wants, as far as they fit.
+
+    Groups that are whole stay as they are. A lost member is replaced by one of the group's own
+    spares, else by a free instance of the same domain, and the others keep their ranks. A group
+    that its domain can't hold moves to another. New groups go to the domain in which they leave
+    the fewest accelerators unusable. An instance that the draft binds never joins another group.
+
+    :param draft: the document with the version that the write will have.
+    """
+    planner = _Planner(draft, configuration, records_by_id, facts)
+    planner.keep_declared()
+    planner.replace_lost()
+    planner.form_missing()
+    planner.fill_spares()
+    groups = planner.groups_by_id
+    if groups == draft.groups_by_id:
+        return draft
+    released = _released(draft, groups, records_by_id)
+    return replace(draft, groups_by_id=groups, released_by_id=released)
+
+
+def _released(
+    draft: Placement,
+    groups: Mapping[GroupId, PlacedGroup],
+    records_by_id: Mapping[InstanceId, InstanceRecord],
+) -> dict[InstanceId, int]:
+    """Return the version at which each listed free instance was released last."""
+    after = bound_ids(groups.values())
+    released = draft.released_by_id | dict.fromkeys(
+        bound_ids(draft.groups_by_id.values()) - after, draft.version
+    )
+    return {
+        instance: version
+        for instance, version in sorted(released.items())
+        if instance not in after and instance in records_by_id
+    }
+
+
+class _Planner:
+    """Working state of one plan."""
+
+    def __init__(
+        self,
+        draft: Placement,
+        configuration: Configuration,
+        records_by_id: Mapping[InstanceId, InstanceRecord],
+        facts: PlanFacts,
+    ) -> None:
+        self._draft = draft
+        self._wanted = declared_groups(configuration, draft.data_centre)
+        self._facts = facts
+        self._generation = Generation(draft.version)
+        self._free: dict[tuple[KindId, FabricDomainId], list[InstanceId]] = {}
+        for instance in sorted(facts.free - bound_ids(draft.groups_by_id.values())):
+            record = records_by_id[instance]
+            self._free.setdefault((record.kind, record.fabric_domain), []).append(instance)
+        self.groups_by_id: dict[GroupId, PlacedGroup] = {}
+
+    def keep_declared(self) -> None:
+        """Keep the groups that are still declared with the same kind and size."""
+        for group_id, group in self._draft.groups_by_id.items():
+            wanted = self._wanted.get(group_id)
+            if wanted is None or (wanted.kind, wanted.size) != _shape(group.declaration):
+                continue
+            if wanted != group.declaration:
+                group = self._redeclare(group, wanted)
+            self.groups_by_id[group_id] = group
+
+    def _redeclare(self, group: PlacedGroup, wanted: GroupDeclaration) -> PlacedGroup:
+        old = group.declaration
+        is_same = (old.model, old.version, old.adapters) == (
+            wanted.model,
+            wanted.version,
+            wanted.adapters,
+        )
+        generation = group.generation if is_same else self._generation
+        return replace(group, declaration=wanted, generation=generation)
+
+    def replace_lost(self) -> None:
+        """Replace lost members, and move the groups that their domain can't hold."""
+        for group_id, group in sorted(self.groups_by_id.items()):
+            lost = [member for member in group.members if member in self._facts.lost]
+            if lost:
+                self.groups_by_id[group_id] = self._repair(group, lost)
+
+    def _repair(self, group: PlacedGroup, lost: list[InstanceId]) -> PlacedGroup:
+        spares = [spare for spare in group.spares if spare not in self._facts.lost]
+        free = self._free_in(group.declaration.kind, group.fabric_domain)
+        if len(spares) + len(free) < len(lost):
+            may_move = len(lost) == len(group.members) or group.group_id in self._facts.movable
+            moved = self._form(group.group_id, group.declaration) if may_move else None
+            return moved or group
+        new = [*spares, *free][: len(lost)]
+        del free[: max(0, len(lost) - len(spares))]
+        by_lost = dict(zip(lost, new, strict=True))
+        return replace(
+            group,
+            members=tuple(by_lost.get(member, member) for member in group.members),
+            spares=tuple(spares[len(lost) :]),
+            generation=self._generation,
+            lost=(),
+        )
+
+    def form_missing(self) -> None:
+        """Form the declared groups that have no instances, the largest first."""
+        missing = [
+            (-declaration.size, group_id, declaration)
+            for group_id, declaration in self._wanted.items()
+            if group_id not in self.groups_by_id
+        ]
+        for _, group_id, declaration in sorted(missing, key=lambda item: item[:2]):
+            group = self._form(group_id, declaration)
+            if group is not None:
+                self.groups_by_id[group_id] = group
+
+    def _form(self, group_id: GroupId, declaration: GroupDeclaration) -> PlacedGroup | None:
+        domain = self._best_domain(group_id, declaration)
+        if domain is None:
+            return None
+        free = self._free_in(declaration.kind, domain)
+        members = tuple(free[: declaration.size])
+        del free[: declaration.size]
+        return PlacedGroup(group_id, declaration, domain, members, (), self._generation)
+
+    def _best_domain(
+        self, group_id: GroupId, declaration: GroupDeclaration
+    ) -> FabricDomainId | None:
+        """Return the domain in which the group leaves the fewest instances unusable."""
+        others = [
+            wanted.size
+            for other_id, wanted in self._wanted.items()
+            if other_id != group_id
+            and other_id not in self.groups_by_id
+            and wanted.kind == declaration.kind
+        ]
+        smallest = min(others, default=declaration.size)
+        fits = [
+            (_fit(len(free), declaration, smallest), domain)
+            for (kind, domain), free in self._free.items()
+            if kind == declaration.kind and len(free) >= declaration.size
+        ]
+        return min(fits)[1] if fits else None
+
+    def fill_spares(self) -> None:
+        """Drop lost and surplus spares and reserve new ones from the same domain."""
+        for group_id, group in sorted(self.groups_by_id.items()):
+            usable = [spare for spare in group.spares if spare not in self._facts.lost]
+            free = self._free_in(group.declaration.kind, group.fabric_domain)
+            need = max(0, group.declaration.spares - len(usable))
+            spares = (*usable[: group.declaration.spares], *free[:need])
+            del free[:need]
+            if spares != group.spares:
+                bound = {*group.members, *spares}
+                lost = tuple(instance for instance in group.lost if instance in bound)
+                self.groups_by_id[group_id] = replace(group, spares=spares, lost=lost)
+
+    def _free_in(self, kind: KindId, domain: FabricDomainId) -> list[InstanceId]:
+        return self._free.setdefault((kind, domain), [])
+
+
+def _shape(declaration: GroupDeclaration) -> tuple[KindId, int]:
+    return declaration.kind, declaration.size
+
+
+def _fit(free: int, declaration: GroupDeclaration, smallest: int) -> tuple[bool, int, int]:
+    """Return a key that is smallest for the best domain."""
+    left = free - declaration.size
+    lacks_spares = left < declaration.spares
+    unusable = left if lacks_spares else (left - declaration.spares) % smallest
+    return lacks_spares, unusable, left
--- /dev/null
+++ b/src/cactuspass/_reports.py
@@ -0,0 +1,58 @@
+"""Takes the status events of watched instances into the tables."""
+
+from collections.abc import Sequence
+
+from cactuspass._messages import Input, InstanceBroken, InstanceReported
+from cactuspass._tables import InstanceRow, Tables
+
+PAUSE_SECONDS = 1.0
+RETIRED_BOOTS = 8
+
+
+def apply_reports(
+    tables: Tables, inputs: Sequence[Input], now: float, last_tick: float | None
+) -> None:
+    """Apply every report and every broken connection, in order of arrival.
+
+    After a pause of this process, waiting reports may be as old as the last tick, so they
+    count as heard then.
+
+    :param last_tick: time of the tick before; None at the first.
+    """
+    paused = last_tick is not None and now - last_tick > PAUSE_SECONDS
+    heard_at = last_tick if paused and last_tick is not None else now
+    for item in inputs:
+        if isinstance(item, InstanceReported):
+            _apply_report(tables.instances_by_id.get(item.instance_id), item, heard_at)
+        elif isinstance(item, InstanceBroken):
+            _apply_break(tables.instances_by_id.get(item.instance_id), now)
+
+
+def _apply_report(row: InstanceRow | None, report: InstanceReported, heard_at: float) -> None:
+    if row is None or report.boot_id in row.retired_boots:
+        return
+    if row.boot_id and row.boot_id != report.boot_id:
+        row.retired_boots = (*row.retired_boots, row.boot_id)[-RETIRED_BOOTS:]
+    row.boot_id = report.boot_id
+    row.heard_at = heard_at
+    row.connected = True
+    row.broken_at = None
+    row.group_id = report.group_id
+    row.generation = report.generation
+    row.rank = report.rank
+    row.size = report.size
+    row.state = report.state
+    row.fence = report.fence
+    row.running = report.running
+    row.memory_tokens = report.memory_tokens
+    row.measured_at = heard_at - report.lag
+    row.leaving = report.leaving
+    row.model = report.model
+    row.version = report.version
+
+
+def _apply_break(row: InstanceRow | None, now: float) -> None:
+    if row is None:
+        return
+    row.connected = False
+    row.broken_at = now if row.broken_at is None else row.broken_at
--- /dev/null
+++ b/src/cactuspass/_shortage.py
@@ -0,0 +1,55 @@
+"""Alarms for groups that fit nowhere and for accelerators that no group can use."""
+
+from collections.abc import Iterable
+
+from cactuspass._alarms import set_alarm
+from cactuspass._messages import AlarmKind, Order
+from cactuspass._plan import declared_groups
+from cactuspass._stranded import StrandedReason, accelerators_by_domain, stranded
+from cactuspass._tables import Tables
+
+SHORTAGE_SECONDS = 15.0
+
+
+class ShortageAlarms:
+    """Raises the alarms of one data centre while this entry is the one that plans."""
+
+    def __init__(self) -> None:
+        self._since_by_key: dict[tuple[AlarmKind, str], float] = {}
+        self._raised: set[tuple[AlarmKind, str]] = set()
+
+    def update(self, tables: Tables, is_planner: bool, now: float) -> Iterable[Order]:
+        """Raise an alarm for each lasting shortage, and clear those that are over.
+
+        :param is_planner: whether this entry is the one to raise them.
+        """
+        details = _shortages(tables) if is_planner else {}
+        self._since_by_key = {key: self._since_by_key.get(key, now) for key in details}
+        lasting = {
+            key for key, since in self._since_by_key.items() if now - since >= SHORTAGE_SECONDS
+        }
+        ended = self._raised - lasting
+        self._raised = lasting
+        return [
+            order
+            for kind, subject in sorted(lasting | ended, key=lambda key: (key[0].value, key[1]))
+            for order in set_alarm(tables, kind, subject, details.get((kind, subject), ""), now)
+        ]
+
+
+def _shortages(tables: Tables) -> dict[tuple[AlarmKind, str], str]:
+    if tables.configuration is None or tables.placement is None:
+        return {}
+    wanted = declared_groups(tables.configuration, tables.local.data_centre)
+    unplaced = {
+        (AlarmKind.GROUP_DOWN, str(group_id)): f"no domain has {declaration.size} free instances"
+        for group_id, declaration in wanted.items()
+        if group_id not in tables.placement.groups_by_id
+    }
+    counts = accelerators_by_domain(stranded(tables), StrandedReason.DOMAIN_TOO_SMALL)
+    unused = {
+        (AlarmKind.STRANDED, str(domain)): f"{count} accelerators in a domain too small"
+        for domain, count in counts.items()
+        if count
+    }
+    return unplaced | unused
--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from cactuspass._messages import AlarmKind, GroupSummary, LoadState
+from cactuspass._messages import AlarmKind, GroupSummary, LoadState, OrderLoad
 from cactuspass.models import (
     BootId,
     Configuration,
@@ -65,6 +65,13 @@
     """An upstream instance whose events this entry watches.
 
     :param heard_at: time of its latest status event; None before the first.
+    :param watched_at: time from which this entry has watched it.
+    :param broken_at: time at which its event connection broke; None while it is whole.
+    :param retired_boots: boot ids that it has left behind, whose late reports count nothing.
+    :param ordered: latest order that this entry gave to it.
+    :param ordered_at: time of that order.
+    :param ordered_since: time of the first order with the same contents.
+    :param needs_weights: whether the latest order made it load weights.
     """
 
     instance_id: InstanceId
@@ -83,6 +90,15 @@
     memory_tokens: int = 0
     measured_at: float = 0.0
     leaving: bool = False
+    model: str = ""
+    version: str = ""
+    watched_at: float = 0.0
+    broken_at: float | None = None
+    retired_boots: tuple[BootId, ...] = ()
+    ordered: OrderLoad | None = None
+    ordered_at: float = 0.0
+    ordered_since: float = 0.0
+    needs_weights: bool = False
 
 
 @dataclass(slots=True)
@@ -94,6 +110,9 @@
     :param held_from: time from which this entry may send to it, after the settle time.
     :param ramp: requests the group bears at present.
     :param foreign_held: requests that an earlier holder may still have running.
+    :param added_at: time at which this entry became the holder.
+    :param leaving_since: time from which new work has been kept away; None otherwise.
+    :param missing: reachable members that lack the weights.
     """
 
     group_id: GroupId
@@ -112,6 +131,9 @@
     held_tokens: int = 0
     requests: set[RequestId] = field(default_factory=set)
     down_since: float | None = None
+    added_at: float = 0.0
+    leaving_since: float | None = None
+    missing: int = 0
 
 
 @dataclass(slots=True)
@@ -149,6 +171,7 @@
     :param service_models: plain services by kind, as ``service:NAME``.
     :param pending_take_outs_by_tag: take-outs accepted but not yet in the platform.
     :param store_revision: the platform's revision of the own data centre's document.
+    :param probed_instances: instances outside the held groups that placement wants watched.
     """
 
     local: LocalRow
@@ -165,3 +188,4 @@
     held_groups_by_id: dict[GroupId, HeldGroupRow] = field(default_factory=dict)
     requests_by_id: dict[RequestId, RequestRow] = field(default_factory=dict)
     alarms_by_key: dict[tuple[AlarmKind, str], AlarmRow] = field(default_factory=dict)
+    probed_instances: set[InstanceId] = field(default_factory=set)
--- /dev/null
+++ b/src/cactuspass/_watches.py
@@ -0,0 +1,36 @@
+"""Keeps event connections to exactly the instances that matter to this entry."""
+
+from collections.abc import Iterator
+
+from cactuspass._messages import Order, UnwatchInstance, WatchInstance
+from cactuspass._tables import HeldGroupRow, InstanceRow, Tables
+from cactuspass.models import InstanceId
+
+
+def bound_instances(row: HeldGroupRow) -> tuple[InstanceId, ...]:
+    """Return the members, then the spares of a held group."""
+    return (*row.members, *row.spares)
+
+
+def update_watches(tables: Tables, now: float) -> Iterator[Order]:
+    """Watch the instances of held groups and those that placement probes, and no others."""
+    held = (bound_instances(row) for row in tables.held_groups_by_id.values())
+    wanted = set(tables.probed_instances).union(*held)
+    for instance_id in sorted(set(tables.instances_by_id) - wanted):
+        del tables.instances_by_id[instance_id]
+        yield UnwatchInstance(instance_id)
+    for instance_id in sorted(wanted):
+        yield from _watch(tables, instance_id, now)
+
+
+def _watch(tables: Tables, instance_id: InstanceId, now: float) -> Iterator[Order]:
+    record = tables.records_by_id.get(instance_id)
+    row = tables.instances_by_id.get(instance_id)
+    if record is None or (row is not None and row.address == record.address):
+        return
+    if row is not None:
+        yield UnwatchInstance(instance_id)
+    tables.instances_by_id[instance_id] = InstanceRow(
+        instance_id, record.address, record.kind, watched_at=now
+    )
+    yield WatchInstance(instance_id, record.address)
--- a/src/cactuspass/models.py
+++ b/src/cactuspass/models.py
@@ -56,7 +56,7 @@
     """Version of a group's membership.
 
     :param major: placement version at which the data centre document set the members.
-    :param minor: count of the holder's own substitutions of reserved spares since then.
+    :param minor: grows with each substitution that the holder makes by itself since then.
     """
 
     major: int
@@ -148,6 +148,7 @@
 
     :param members: instances by rank.
     :param spares: instances reserved for this group alone.
+    :param lost: members and spares that the holder reports unreachable.
     """
 
     group_id: GroupId
@@ -156,6 +157,7 @@
     members: tuple[InstanceId, ...]
     spares: tuple[InstanceId, ...] = ()
     generation: Generation = Generation(0)
+    lost: tuple[InstanceId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +167,7 @@
     :param version: number of changes; also the fencing number of orders given under it.
     :param epoch: number of changes of the seats.
     :param write_id: id of the write that made this version, to recognise a lost answer.
+    :param released_by_id: version at which an instance was last released by its group.
     """
 
     data_centre: DataCentreId
@@ -173,6 +176,7 @@
     seats_by_entry: dict[EntryId, Seat] = field(default_factory=dict)
     groups_by_id: dict[GroupId, PlacedGroup] = field(default_factory=dict)
     write_id: OperationId = OperationId("")
+    released_by_id: dict[InstanceId, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
