--- /dev/null
+++ b/bench/group_world.py
@@ -0,0 +1,418 @@
+"""Small fakes around the group decisions: engines, the document store and the clock.
+
+Both the tests and the benchmark of groups drive the real systems with them.
+"""
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from zlib import crc32
+
+from cactuspass._core import Core, System
+from cactuspass._groups import GroupSystem
+from cactuspass._held_rows import Holding
+from cactuspass._messages import (
+    Input,
+    InstanceBroken,
+    InstanceReported,
+    LoadState,
+    Order,
+    OrderLoad,
+    PlacementRead,
+    PlacementWritten,
+    UnwatchInstance,
+    WatchInstance,
+    WritePlacement,
+)
+from cactuspass._placement import PlacementSystem
+from cactuspass._tables import EntryRow, LocalRow, Tables
+from cactuspass._writer import PlacementWriter
+from cactuspass.models import (
+    BootId,
+    Configuration,
+    DataCentreId,
+    EntryId,
+    FabricDomainId,
+    Generation,
+    GroupDeclaration,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    InstanceRecord,
+    InstanceRole,
+    KindId,
+    ModelId,
+    Placement,
+    Seat,
+    UpstreamKind,
+)
+
+DATA_CENTRE = DataCentreId("sapa-a")
+KIND = KindId("draft")
+STEP_SECONDS = 0.1
+STATUS_SECONDS = 0.5
+READ_SECONDS = 1.0
+RIGHT_SECONDS = 4.0
+SETTLE_SECONDS = 5.0
+REJOIN_SECONDS = 0.2
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """An engine that loads weights, reports its place and may check fencing numbers.
+
+    :param weights: model, version, rank and size that its memory holds.
+    :param left: seconds of loading that remain.
+    :param true_at: time at which it was last ready at each place.
+    """
+
+    instance_id: InstanceId
+    fabric_domain: FabricDomainId
+    load_seconds: float
+    checks_fence: bool
+    boots: int = 1
+    is_up: bool = True
+    is_paused: bool = False
+    group_id: GroupId = GroupId("")
+    generation: Generation = Generation(0)
+    rank: int = -1
+    size: int = 0
+    state: LoadState = LoadState.IDLE
+    fence: int = 0
+    weights: tuple[str, str, int, int] | None = None
+    wanted: tuple[str, str, int, int] | None = None
+    left: float = 0.0
+    is_slow: bool = False
+    changed_at: float = 0.0
+    true_at: dict[tuple[GroupId, Generation, int, int], float] = field(default_factory=dict)
+
+    @property
+    def record(self) -> InstanceRecord:
+        """Return the engine's line of the instance list."""
+        return InstanceRecord(
+            self.instance_id,
+            InstanceRole.ENGINE,
+            f"10.0.0.1:{self.instance_id}",
+            DATA_CENTRE,
+            self.fabric_domain,
+            KIND,
+            8,
+        )
+
+    @property
+    def is_loading(self) -> bool:
+        """Return whether the engine draws from the weight store."""
+        return self.is_running and self.state is LoadState.LOADING and self.weights != self.wanted
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs and isn't paused."""
+        return self.is_up and not self.is_paused
+
+    @property
+    def place(self) -> tuple[GroupId, Generation, int, int]:
+        """Return the group, generation, rank and size that the engine has."""
+        return self.group_id, self.generation, self.rank, self.size
+
+    def accept(self, order: OrderLoad, now: float) -> bool:
+        """Carry out an order; return False when the engine refuses its fencing number."""
+        if self.checks_fence and order.fence < self.fence:
+            return False
+        self.fence = max(self.fence, order.fence)
+        place = (order.group_id, order.generation, order.rank, len(order.addresses))
+        if place == self.place:
+            return True
+        self.group_id, self.generation, self.rank, self.size = place
+        self.wanted = (order.model, order.version, order.rank, len(order.addresses))
+        self.left = REJOIN_SECONDS if self.weights == self.wanted else self.load_seconds
+        self.state = LoadState.LOADING
+        self.changed_at = now
+        return True
+
+    def serves(self, group_id: GroupId, generation: Generation) -> bool:
+        """Return whether a request for the group and generation would run here."""
+        is_ready = self.is_running and self.state is LoadState.READY
+        return is_ready and (self.group_id, self.generation) == (group_id, generation)
+
+    def advance(self, seconds: float, now: float) -> None:
+        """Load on, and remember the places at which the engine was ready."""
+        if self.is_running and self.state is LoadState.LOADING:
+            self.left -= seconds * (0.25 if self.is_slow else 1.0)
+            if self.left <= 0:
+                self.state = LoadState.READY
+                self.weights = self.wanted
+                self.changed_at = now
+        if self.is_running and self.state is LoadState.READY:
+            self.true_at[self.place] = now
+
+    def kill(self) -> None:
+        """End the process; its memory is lost."""
+        self.is_up = False
+        self.is_paused = False
+        self.weights = self.wanted = None
+        self.group_id, self.generation = GroupId(""), Generation(0)
+        self.rank, self.size, self.fence = -1, 0, 0
+        self.state = LoadState.IDLE
+
+    def start(self, now: float) -> None:
+        """Start a new process in place of one that has ended."""
+        if not self.is_up:
+            self.is_up = True
+            self.boots += 1
+            self.changed_at = now
+
+    def report(self) -> InstanceReported:
+        """Return a status event."""
+        model, version = self.weights[:2] if self.weights else ("", "")
+        return InstanceReported(
+            self.instance_id,
+            BootId(f"{self.instance_id}-b{self.boots}"),
+            self.group_id,
+            self.generation,
+            self.rank,
+            self.size,
+            self.state,
+            self.fence,
+            model=model,
+            version=version,
+        )
+
+
+class FakeHolding(Holding):
+    """Seats by hash; a right runs for a few seconds after each read of the platform."""
+
+    def __init__(self) -> None:
+        self.read_at = float("-inf")
+        self._owned: dict[GroupId, float] = {}
+
+    def owns(self, tables: Tables, group_id: GroupId) -> bool:
+        """Return whether the group's seat is this entry's."""
+        if tables.placement is None or not tables.placement.seats_by_entry:
+            return False
+        names = sorted(tables.placement.seats_by_entry)
+        return names[crc32(group_id.encode()) % len(names)] == tables.local.entry_id
+
+    def may_send(self, tables: Tables, group_id: GroupId, now: float) -> bool:
+        """Return whether the last read of the platform is recent enough."""
+        return self.owns(tables, group_id) and now - self.read_at < RIGHT_SECONDS
+
+    def held_from(self, tables: Tables, group_id: GroupId, now: float) -> float:
+        """Return the end of the settle time."""
+        return now + SETTLE_SECONDS
+
+
+class FakeStore:
+    """The key of the data centre document."""
+
+    def __init__(self, placement: Placement) -> None:
+        self.placement = placement
+        self.revision = 1
+        self.is_up = True
+        self.history = [placement]
+
+    def write(self, order: WritePlacement) -> bool:
+        """Write by compare-and-swap; return whether it took effect."""
+        if order.expected_revision != self.revision:
+            return False
+        self.placement = order.placement
+        self.revision += 1
+        self.history.append(order.placement)
+        return True
+
+
+class FakeEntry:
+    """One entry process with its tables, systems and connections.
+
+    :param systems: makes the systems under test from a writer and a right.
+    """
+
+    def __init__(self, name: str, systems: Callable[[PlacementWriter, Holding], list[System]]):
+        self.name = EntryId(name)
+        local = LocalRow(self.name, Incarnation("i1"), DATA_CENTRE, "10.0.0.2:1")
+        self.tables = Tables(local, {KIND: UpstreamKind(KIND)})
+        self.writer = PlacementWriter()
+        self.holding = FakeHolding()
+        self.core = Core(self.tables, [*systems(self.writer, self.holding), self.writer])
+        self.watched: dict[InstanceId, float] = {}
+        self.waiting: list[Input] = []
+        self.is_paused = False
+        self.is_cut_off = False
+        self.unreachable: set[InstanceId] = set()
+        self.delay = 0.0
+        self.orders: list[tuple[float, OrderLoad]] = []
+
+    @property
+    def seat(self) -> Seat:
+        """Return the entry's seat."""
+        local = self.tables.local
+        return Seat(local.entry_id, local.incarnation, local.address)
+
+
+def real_systems(writer: PlacementWriter, holding: Holding) -> list[System]:
+    """Return the systems that run groups."""
+    return [PlacementSystem(writer), GroupSystem(writer, holding)]
+
+
+class GroupWorld:
+    """Engines, entries and a document store on one simulated clock.
+
+    :param engines: engines of the data centre.
+    :param declarations: groups that the operators want.
+    :param store_slots: members that may load at the full rate at once.
+    """
+
+    def __init__(
+        self,
+        engines: Sequence[FakeEngine],
+        declarations: Sequence[GroupDeclaration],
+        entries: Sequence[FakeEntry],
+        store_slots: int = 8,
+    ) -> None:
+        self.now = 0.0
+        self.engines_by_id = {engine.instance_id: engine for engine in engines}
+        self.configuration = Configuration(1, {item.name: item for item in declarations})
+        self.entries = list(entries)
+        self.store_slots = store_slots
+        seats = {entry.name: entry.seat for entry in entries}
+        self.store = FakeStore(Placement(DATA_CENTRE, 1, 1, seats))
+        self.late_orders: list[tuple[float, OrderLoad]] = []
+        self.order_delay = 0.0
+        self._read_due = dict.fromkeys(seats, 0.0)
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock in small steps."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.step()
+
+    def run_until(self, condition: Callable[[], bool], seconds: float) -> bool:
+        """Advance until the condition holds, or give up after the time."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            if condition():
+                return True
+            self.step()
+        return condition()
+
+    def step(self) -> None:
+        """Advance the clock by one step."""
+        self.now = round(self.now + STEP_SECONDS, 3)
+        loading = sum(engine.is_loading for engine in self.engines_by_id.values())
+        share = min(1.0, self.store_slots / loading) if loading else 1.0
+        for engine in self.engines_by_id.values():
+            engine.advance(STEP_SECONDS * (share if engine.is_loading else 1.0), self.now)
+        self._deliver_late_orders()
+        for entry in self.entries:
+            self._feed(entry)
+            if not entry.is_paused:
+                self._tick(entry)
+
+    def serving_rows(self) -> Iterator[tuple[FakeEntry, GroupId]]:
+        """Yield each entry and group that it would send a request to at this moment."""
+        for entry in self.entries:
+            for group_id, row in entry.tables.held_groups_by_id.items():
+                is_allowed = entry.holding.may_send(entry.tables, group_id, self.now)
+                if not entry.is_paused and row.serving and is_allowed:
+                    yield entry, group_id
+
+    def _feed(self, entry: FakeEntry) -> None:
+        tables = entry.tables
+        for other in self.entries:
+            if other is not entry and not entry.is_paused and not other.is_paused:
+                version = other.tables.placement.version if other.tables.placement else 0
+                tables.entries_by_id[other.name] = EntryRow(
+                    other.name,
+                    other.tables.local.incarnation,
+                    DATA_CENTRE,
+                    "",
+                    self.now,
+                    placement_version=version,
+                )
+        for instance_id, sent_at in sorted(entry.watched.items()):
+            self._feed_status(entry, self.engines_by_id[instance_id], sent_at)
+
+    def _feed_status(self, entry: FakeEntry, engine: FakeEngine, sent_at: float) -> None:
+        if engine.instance_id in entry.unreachable:
+            return
+        if not engine.is_up:
+            entry.waiting.append(InstanceBroken(engine.instance_id, "refused"))
+        elif engine.is_running and (
+            self.now - sent_at >= STATUS_SECONDS or engine.changed_at >= sent_at
+        ):
+            entry.watched[engine.instance_id] = self.now
+            entry.waiting.append(engine.report())
+
+    def _tick(self, entry: FakeEntry) -> None:
+        tables = entry.tables
+        tables.configuration = self.configuration
+        tables.records_by_id = {
+            name: engine.record for name, engine in self.engines_by_id.items()
+        }
+        if self.now >= self._read_due[entry.name]:
+            self._read(entry)
+        tables.local.may_hold = self.now - entry.holding.read_at < RIGHT_SECONDS
+        for item in entry.waiting:
+            entry.core.accept(item)
+        entry.waiting.clear()
+        for order in entry.core.tick(self.now):
+            self._carry_out(entry, order)
+
+    def _read(self, entry: FakeEntry) -> None:
+        self._read_due[entry.name] = self.now + READ_SECONDS
+        if not self.store.is_up or entry.is_cut_off:
+            return
+        entry.holding.read_at = self.now
+        entry.tables.placement = self.store.placement
+        entry.tables.store_revision = self.store.revision
+        entry.core.accept(PlacementRead(self.store.placement, self.store.revision, self.now))
+
+    def _carry_out(self, entry: FakeEntry, order: Order) -> None:
+        if isinstance(order, WatchInstance):
+            entry.watched[order.instance_id] = float("-inf")
+        elif isinstance(order, UnwatchInstance):
+            del entry.watched[order.instance_id]
+        elif isinstance(order, OrderLoad):
+            entry.orders.append((self.now, order))
+            self.late_orders.append((self.now + self.order_delay, order))
+        elif isinstance(order, WritePlacement):
+            is_reachable = self.store.is_up and not entry.is_cut_off
+            accepted = self.store.write(order) if is_reachable else None
+            entry.core.accept(PlacementWritten(order.placement.write_id, accepted))
+            self._read_due[entry.name] = self.now
+
+    def _deliver_late_orders(self) -> None:
+        due = [order for at, order in self.late_orders if at <= self.now]
+        self.late_orders = [item for item in self.late_orders if item[0] > self.now]
+        for order in due:
+            engine = self.engines_by_id[order.instance_id]
+            if engine.is_running:
+                engine.accept(order, self.now)
+
+
+def make_engines(
+    domains: Sequence[int], load_seconds: float = 10.0, checks_fence: bool = True
+) -> list[FakeEngine]:
+    """Return engines ``d0-0``, ``d0-1`` and so on, with the given count in each domain."""
+    return [
+        FakeEngine(
+            InstanceId(f"d{domain}-{index}"),
+            FabricDomainId(f"d{domain}"),
+            load_seconds,
+            checks_fence,
+        )
+        for domain, count in enumerate(domains)
+        for index in range(count)
+    ]
+
+
+def declare(size: int, count: int = 1, spares: int = 0, version: str = "1") -> GroupDeclaration:
+    """Return a declaration of groups ``g-0``, ``g-1`` and so on."""
+    model = ModelId("draft")
+    return GroupDeclaration("g", DATA_CENTRE, model, KIND, size, count, spares, version)
+
+
+def redeclare(world: GroupWorld, *declarations: GroupDeclaration) -> None:
+    """Replace the configuration by one with these declarations."""
+    by_name = {item.name: item for item in declarations}
+    world.configuration = replace(
+        world.configuration,
+        revision=world.configuration.revision + 1,
+        declarations_by_name=by_name,
+    )
--- a/src/cactuspass/_groups.py
+++ b/src/cactuspass/_groups.py
@@ -8,7 +8,7 @@
 from cactuspass._configuration import is_taken_out
 from cactuspass._confirm import group_boot_id, is_confirmed, is_heard
 from cactuspass._core import System
-from cactuspass._held import Holding, update_rows
+from cactuspass._held_rows import Holding, update_rows
 from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
 from cactuspass._messages import AlarmKind, Input, Order
 from cactuspass._repair import (
