--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -5,26 +5,36 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
-from zlib import crc32
 
+from cactuspass._confirm import is_confirmed
 from cactuspass._core import Core, System
 from cactuspass._groups import GroupSystem
-from cactuspass._held_rows import Holding
+from cactuspass._holding import holds
+from cactuspass._membership import MembershipSystem
 from cactuspass._messages import (
+    AskGrant,
+    GrantAsked,
+    Granted,
+    GroupSummary,
     Input,
     InstanceBroken,
     InstanceReported,
+    InstancesListed,
     LoadState,
     Order,
     OrderLoad,
+    PeerHeard,
     PlacementRead,
     PlacementWritten,
+    PlatformFailed,
+    SendGrant,
     UnwatchInstance,
     WatchInstance,
     WritePlacement,
 )
 from cactuspass._placement import PlacementSystem
-from cactuspass._tables import EntryRow, LocalRow, Tables
+from cactuspass._right import RightSystem
+from cactuspass._tables import HeldGroupRow, LocalRow, Tables
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import (
     BootId,
@@ -51,8 +61,6 @@
 STEP_SECONDS = 0.1
 STATUS_SECONDS = 0.5
 READ_SECONDS = 1.0
-RIGHT_SECONDS = 4.0
-SETTLE_SECONDS = 5.0
 REJOIN_SECONDS = 0.2
 
 
@@ -72,6 +80,7 @@
     boots: int = 1
     is_up: bool = True
     is_paused: bool = False
+    is_listed: bool = True
     group_id: GroupId = GroupId("")
     generation: Generation = Generation(0)
     rank: int = -1
@@ -177,29 +186,6 @@
         )
 
 
-class FakeHolding(Holding):
-    """Seats by hash; a right runs for a few seconds after each read of the platform."""
-
-    def __init__(self) -> None:
-        self.read_at = float("-inf")
-        self._owned: dict[GroupId, float] = {}
-
-    def owns(self, tables: Tables, group_id: GroupId) -> bool:
-        """Return whether the group's seat is this entry's."""
-        if tables.placement is None or not tables.placement.seats_by_entry:
-            return False
-        names = sorted(tables.placement.seats_by_entry)
-        return names[crc32(group_id.encode()) % len(names)] == tables.local.entry_id
-
-    def may_send(self, tables: Tables, group_id: GroupId, now: float) -> bool:
-        """Return whether the last read of the platform is recent enough."""
-        return self.owns(tables, group_id) and now - self.read_at < RIGHT_SECONDS
-
-    def held_from(self, tables: Tables, group_id: GroupId, now: float) -> float:
-        """Return the end of the settle time."""
-        return now + SETTLE_SECONDS
-
-
 class FakeStore:
     """The key of the data centre document."""
 
@@ -222,16 +208,19 @@
 class FakeEntry:
     """One entry process with its tables, systems and connections.
 
-    :param systems: makes the systems under test from a writer and a right.
+    :param systems: makes the systems under test from a writer.
     """
 
-    def __init__(self, name: str, systems: Callable[[PlacementWriter, Holding], list[System]]):
+    def __init__(
+        self, name: str, systems: Callable[[PlacementWriter], list[System]] | None = None
+    ) -> None:
         self.name = EntryId(name)
         local = LocalRow(self.name, Incarnation("i1"), DATA_CENTRE, "10.0.0.2:1")
         self.tables = Tables(local, {KIND: UpstreamKind(KIND)})
         self.writer = PlacementWriter()
-        self.holding = FakeHolding()
-        self.core = Core(self.tables, [*systems(self.writer, self.holding), self.writer])
+        own = (systems or real_systems)(self.writer)
+        shared = [MembershipSystem(), RightSystem()]
+        self.core = Core(self.tables, [*shared, *own, self.writer])
         self.watched: dict[InstanceId, float] = {}
         self.waiting: list[Input] = []
         self.is_paused = False
@@ -246,10 +235,15 @@
         local = self.tables.local
         return Seat(local.entry_id, local.incarnation, local.address)
 
+    def would_send(self, row: HeldGroupRow, now: float) -> bool:
+        """Return whether admission could dispatch a request to the group."""
+        may_send = row.serving and holds(self.tables, row.group_id, now)
+        return may_send and is_confirmed(self.tables, row, now)
 
-def real_systems(writer: PlacementWriter, holding: Holding) -> list[System]:
+
+def real_systems(writer: PlacementWriter) -> list[System]:
     """Return the systems that run groups."""
-    return [PlacementSystem(writer), GroupSystem(writer, holding)]
+    return [PlacementSystem(writer), GroupSystem(writer)]
 
 
 class GroupWorld:
@@ -276,6 +270,7 @@
         self.store = FakeStore(Placement(DATA_CENTRE, 1, 1, seats))
         self.late_orders: list[tuple[float, OrderLoad]] = []
         self.order_delay = 0.0
+        self.is_split = False
         self._read_due = dict.fromkeys(seats, 0.0)
 
     def run(self, seconds: float) -> None:
@@ -304,27 +299,16 @@
             if not entry.is_paused:
                 self._tick(entry)
 
-    def serving_rows(self) -> Iterator[tuple[FakeEntry, GroupId]]:
+    def serving_rows(self) -> Iterator[tuple[FakeEntry, HeldGroupRow]]:
         """Yield each entry and group that it would send a request to at this moment."""
         for entry in self.entries:
-            for group_id, row in entry.tables.held_groups_by_id.items():
-                is_allowed = entry.holding.may_send(entry.tables, group_id, self.now)
-                if not entry.is_paused and row.serving and is_allowed:
-                    yield entry, group_id
+            rows = () if entry.is_paused else entry.tables.held_groups_by_id.values()
+            yield from ((entry, row) for row in rows if entry.would_send(row, self.now))
 
     def _feed(self, entry: FakeEntry) -> None:
-        tables = entry.tables
         for other in self.entries:
-            if other is not entry and not entry.is_paused and not other.is_paused:
-                version = other.tables.placement.version if other.tables.placement else 0
-                tables.entries_by_id[other.name] = EntryRow(
-                    other.name,
-                    other.tables.local.incarnation,
-                    DATA_CENTRE,
-                    "",
-                    self.now,
-                    placement_version=version,
-                )
+            if other is not entry and not other.is_paused and not self.is_split:
+                entry.waiting.append(_heartbeat(other))
         for instance_id, sent_at in sorted(entry.watched.items()):
             self._feed_status(entry, self.engines_by_id[instance_id], sent_at)
 
@@ -342,12 +326,8 @@
     def _tick(self, entry: FakeEntry) -> None:
         tables = entry.tables
         tables.configuration = self.configuration
-        tables.records_by_id = {
-            name: engine.record for name, engine in self.engines_by_id.items()
-        }
         if self.now >= self._read_due[entry.name]:
             self._read(entry)
-        tables.local.may_hold = self.now - entry.holding.read_at < RIGHT_SECONDS
         for item in entry.waiting:
             entry.core.accept(item)
         entry.waiting.clear()
@@ -357,11 +337,11 @@
     def _read(self, entry: FakeEntry) -> None:
         self._read_due[entry.name] = self.now + READ_SECONDS
         if not self.store.is_up or entry.is_cut_off:
+            entry.waiting.append(PlatformFailed("no answer"))
             return
-        entry.holding.read_at = self.now
-        entry.tables.placement = self.store.placement
-        entry.tables.store_revision = self.store.revision
-        entry.core.accept(PlacementRead(self.store.placement, self.store.revision, self.now))
+        records = [engine.record for engine in self.engines_by_id.values() if engine.is_listed]
+        entry.waiting.append(InstancesListed(tuple(records)))
+        entry.waiting.append(PlacementRead(self.store.placement, self.store.revision, self.now))
 
     def _carry_out(self, entry: FakeEntry, order: Order) -> None:
         if isinstance(order, WatchInstance):
@@ -376,6 +356,19 @@
             accepted = self.store.write(order) if is_reachable else None
             entry.core.accept(PlacementWritten(order.placement.write_id, accepted))
             self._read_due[entry.name] = self.now
+        elif isinstance(order, AskGrant | SendGrant):
+            self._pass_on(entry, order)
+
+    def _pass_on(self, entry: FakeEntry, order: AskGrant | SendGrant) -> None:
+        """Hand a question or a grant to the peer."""
+        version = order.placement_version
+        own = entry.tables.local
+        message: Input = GrantAsked(entry.name, own.incarnation, version, order.sent_at)
+        if isinstance(order, SendGrant):
+            message = Granted(entry.name, own.incarnation, version, order.sent_at, order.period)
+        for other in self.entries:
+            if other.name == order.entry_id and not self.is_split:
+                other.waiting.append(message)
 
     def _deliver_late_orders(self) -> None:
         due = [order for at, order in self.late_orders if at <= self.now]
@@ -386,6 +379,21 @@
                 engine.accept(order, self.now)
 
 
+def _heartbeat(entry: FakeEntry) -> PeerHeard:
+    local = entry.tables.local
+    placement = entry.tables.placement
+    version = placement.version if placement else 0
+    groups = tuple(
+        GroupSummary(
+            row.group_id, row.model, row.boot_id, row.serving, 1, 0, 1, 0, missing=row.missing
+        )
+        for row in entry.tables.held_groups_by_id.values()
+    )
+    return PeerHeard(
+        entry.name, local.incarnation, DATA_CENTRE, "", 0, (), version, True, False, groups
+    )
+
+
 def make_engines(
     domains: Sequence[int], load_seconds: float = 10.0, checks_fence: bool = True
 ) -> list[FakeEngine]:
--- a/src/cactuspass/_groups.py
+++ b/src/cactuspass/_groups.py
@@ -8,7 +8,8 @@
 from cactuspass._configuration import is_taken_out
 from cactuspass._confirm import group_boot_id, is_confirmed, is_heard
 from cactuspass._core import System
-from cactuspass._held_rows import Holding, update_rows
+from cactuspass._held_rows import update_rows
+from cactuspass._holding import holds
 from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
 from cactuspass._messages import AlarmKind, Input, Order
 from cactuspass._repair import (
@@ -33,18 +34,15 @@
 
     :param writer: takes changes of the data centre document.
     :param loads_at_once: members of the data centre that may load weights at the same time.
-    :param holding: rights of this entry's seats.
     """
 
     def __init__(
         self,
         writer: PlacementWriter,
-        holding: Holding,
         loads_at_once: int = LOADS_AT_ONCE,
     ) -> None:
         self._writer = writer
         self._scheduler = LoadScheduler(loads_at_once)
-        self._holding = holding
         self._last_tick: float | None = None
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
@@ -52,42 +50,21 @@
         known = set(tables.held_groups_by_id)
         apply_reports(tables, inputs, now, self._last_tick)
         self._last_tick = now
-        update_rows(tables, self._holding, now)
+        update_rows(tables, now)
         orders: list[Order] = list(update_watches(tables, now))
         rows = [row for _, row in sorted(tables.held_groups_by_id.items())]
-        ready = [row for row in rows if self._may_repair(tables, row, now)]
+        ready = [row for row in rows if _may_repair(tables, row, now)]
         for row in ready:
             adopt_reports(tables, row, now)
             substitute(tables, row, now)
         orders.extend(self._scheduler.order(tables, ready, now))
         for row in rows:
             _update_leaving(tables, row, now)
-            self._update_serving(tables, row, now)
+            _update_serving(tables, row, now)
         for row in ready:
             self._propose(tables, row, now)
         return chain(orders, _group_alarms(tables, rows, known, now))
 
-    def _may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
-        return now >= row.held_from and self._holding.may_send(tables, row.group_id, now)
-
-    def _may_repair(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
-        """Return whether the row follows the document and its instances had time to report."""
-        if row.placed is None or not self._may_send(tables, row, now):
-            return False
-        if not _follows_placement(tables, row):
-            return False
-        instances = map(tables.instances_by_id.get, bound_instances(row))
-        is_known = all(is_heard(instance, now) for instance in instances)
-        return is_known or now - row.added_at >= ADOPT_SECONDS
-
-    def _update_serving(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
-        row.boot_id = group_boot_id(tables, row)
-        row.serving = self._may_send(tables, row, now) and is_confirmed(tables, row, now)
-        if row.serving:
-            row.down_since = None
-        elif row.down_since is None:
-            row.down_since = now
-
     def _propose(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
         """Write own substitutions, and instances lost or found again, into the document."""
         lost = lost_instances(tables, row, now)
@@ -105,6 +82,29 @@
             self._writer.propose(change)
 
 
+def _may_repair(tables: Tables, row: HeldGroupRow, now: float) -> bool:
+    """Return whether the row follows the document and its instances had time to report."""
+    if row.placed is None or not holds(tables, row.group_id, now):
+        return False
+    if not _follows_placement(tables, row):
+        return False
+    instances = map(tables.instances_by_id.get, bound_instances(row))
+    is_known = all(is_heard(instance, now) for instance in instances)
+    return is_known or now - row.added_at >= ADOPT_SECONDS
+
+
+def _update_serving(tables: Tables, row: HeldGroupRow, now: float) -> None:
+    may_send = holds(tables, row.group_id, now)
+    if may_send:
+        row.held_from = min(row.held_from, now)
+    row.boot_id = group_boot_id(tables, row)
+    row.serving = may_send and is_confirmed(tables, row, now)
+    if row.serving:
+        row.down_since = None
+    elif row.down_since is None:
+        row.down_since = now
+
+
 def _follows_placement(tables: Tables, row: HeldGroupRow) -> bool:
     if row.placed is None:
         return row.members[0] in tables.records_by_id
--- a/src/cactuspass/_held_rows.py
+++ b/src/cactuspass/_held_rows.py
@@ -1,10 +1,10 @@
 """Keeps one row for each group, and each plain service's instance, that this entry holds."""
 
-from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from zlib import crc32
 
 from cactuspass._confirm import is_confirmed
+from cactuspass._holding import owns
 from cactuspass._tables import HeldGroupRow, Tables
 from cactuspass.models import (
     Generation,
@@ -17,22 +17,7 @@
 
 LEAVING_DRAIN_SECONDS = 30.0
 MINOR_STRIDE = 1000
-
-
-class Holding(ABC):
-    """What this entry's seats allow it to hold."""
-
-    @abstractmethod
-    def owns(self, tables: Tables, group_id: GroupId) -> bool:
-        """Return whether a seat that this entry uses is the group's."""
-
-    @abstractmethod
-    def may_send(self, tables: Tables, group_id: GroupId, now: float) -> bool:
-        """Return whether the right to the seat runs at this moment."""
-
-    @abstractmethod
-    def held_from(self, tables: Tables, group_id: GroupId, now: float) -> float:
-        """Return the time from which a group gained now may be sent to."""
+NOT_YET = float("inf")
 
 
 def service_group_id(instance_id: InstanceId) -> GroupId:
@@ -52,29 +37,27 @@
     return kept
 
 
-def update_rows(tables: Tables, holding: Holding, now: float) -> None:
+def update_rows(tables: Tables, now: float) -> None:
     """Add, change and remove the rows of groups that this entry holds."""
     placed_by_id = disjoint_groups(tables.placement.groups_by_id) if tables.placement else {}
     placed_by_id = {
-        group_id: group
-        for group_id, group in placed_by_id.items()
-        if holding.owns(tables, group_id)
+        group_id: group for group_id, group in placed_by_id.items() if owns(tables, group_id)
     }
     services_by_id = {
         service_group_id(record.instance_id): record
         for record in _own_services(tables)
-        if holding.owns(tables, service_group_id(record.instance_id))
+        if owns(tables, service_group_id(record.instance_id))
     }
-    _remove_rows(tables, holding, set(placed_by_id) | set(services_by_id), now)
+    _remove_rows(tables, set(placed_by_id) | set(services_by_id), now)
     for group_id, placed in placed_by_id.items():
         row = tables.held_groups_by_id.get(group_id)
         if row is None:
-            tables.held_groups_by_id[group_id] = _new_group(tables, holding, placed, now)
+            tables.held_groups_by_id[group_id] = _new_group(placed, now)
         else:
             _follow_placement(tables, row, placed, now)
     for group_id, record in services_by_id.items():
         if group_id not in tables.held_groups_by_id:
-            tables.held_groups_by_id[group_id] = _new_service(tables, holding, record, now)
+            tables.held_groups_by_id[group_id] = _new_service(tables, record, now)
 
 
 def _own_services(tables: Tables) -> Iterator[InstanceRecord]:
@@ -87,7 +70,7 @@
     )
 
 
-def _new_group(tables: Tables, holding: Holding, placed: PlacedGroup, now: float) -> HeldGroupRow:
+def _new_group(placed: PlacedGroup, now: float) -> HeldGroupRow:
     return HeldGroupRow(
         placed.group_id,
         placed.declaration.model,
@@ -96,15 +79,13 @@
         placed.members,
         placed.spares,
         placed.generation,
-        held_from=holding.held_from(tables, placed.group_id, now),
+        held_from=NOT_YET,
         down_since=now,
         added_at=now,
     )
 
 
-def _new_service(
-    tables: Tables, holding: Holding, record: InstanceRecord, now: float
-) -> HeldGroupRow:
+def _new_service(tables: Tables, record: InstanceRecord, now: float) -> HeldGroupRow:
     group_id = service_group_id(record.instance_id)
     return HeldGroupRow(
         group_id,
@@ -112,18 +93,18 @@
         record.kind,
         None,
         (record.instance_id,),
-        held_from=holding.held_from(tables, group_id, now),
+        held_from=NOT_YET,
         down_since=now,
         added_at=now,
     )
 
 
-def _remove_rows(tables: Tables, holding: Holding, kept: set[GroupId], now: float) -> None:
+def _remove_rows(tables: Tables, kept: set[GroupId], now: float) -> None:
     bound = bound_by_placement(tables)
     for group_id in sorted(set(tables.held_groups_by_id) - kept):
         row = tables.held_groups_by_id[group_id]
         is_rebound = any(bound.get(member, group_id) != group_id for member in row.members)
-        is_ours = holding.owns(tables, group_id)
+        is_ours = owns(tables, group_id)
         if is_ours and not is_rebound and _drains(tables, row, now):
             continue
         del tables.held_groups_by_id[group_id]
--- a/src/cactuspass/_release.py
+++ b/src/cactuspass/_release.py
@@ -1,10 +1,12 @@
 """Tells when an instance that left a group may join another one."""
 
+from cactuspass._adoption import needs_our_grant
+from cactuspass._holding import is_given, is_gone, other_seats
 from cactuspass._tables import Tables
-from cactuspass.models import InstanceId
+from cactuspass.models import InstanceId, Seat
 
 RELEASE_SECONDS = 5.0
-UNHEARD_RELEASE_SECONDS = 125.0
+FORGET_SECONDS = 60.0
 
 
 class ReleaseClock:
@@ -12,7 +14,8 @@
 
     A holder whose right still runs may count an instance that a newer document has released.
     ``RELEASE_SECONDS`` outlasts a right that the platform confirms. A right that peers grant runs
-    longer; it ends the wait only when that holder has said that it knows the newer document.
+    longer, so every other seat must know the newer document, or be unable to hold without
+    the platform.
     """
 
     def __init__(self) -> None:
@@ -24,7 +27,7 @@
         old = [
             known
             for known, learned_at in self._learned_at.items()
-            if now - learned_at > UNHEARD_RELEASE_SECONDS
+            if now - learned_at > FORGET_SECONDS
         ]
         for known in sorted(old)[:-1]:
             del self._learned_at[known]
@@ -39,20 +42,16 @@
             return True
         known = [at for version, at in self._learned_at.items() if version >= released]
         age = now - min(known, default=now)
-        if age >= UNHEARD_RELEASE_SECONDS:
-            return True
-        return age >= RELEASE_SECONDS and _all_seats_know(tables, released)
+        return age >= RELEASE_SECONDS and all(
+            _has_learned(tables, seat, released, now) for seat in other_seats(tables)
+        )
 
 
-def _all_seats_know(tables: Tables, version: int) -> bool:
-    placement = tables.placement
-    if placement is None:
+def _has_learned(tables: Tables, seat: Seat, version: int, now: float) -> bool:
+    """Return whether a process knows the version, or can't hold anything by an older one."""
+    if is_given(tables, seat) or is_gone(tables, seat) or needs_our_grant(tables, seat, now):
+        return True
+    entry = tables.entries_by_id.get(seat.entry_id)
+    if entry is None or entry.incarnation != seat.incarnation:
         return False
-    entries = tables.entries_by_id
-    return all(
-        entry_id in entries
-        and entries[entry_id].incarnation == seat.incarnation
-        and entries[entry_id].placement_version >= version
-        for entry_id, seat in placement.seats_by_entry.items()
-        if entry_id != tables.local.entry_id
-    )
+    return entry.placement_version >= version
