Admit, queue, route and refuse requests

Cause: an upstream that has just started bears little, several entries send at once, and a queue without bounds hides a backlog.

Ruled out: growth of a ramp by time (a stalled upstream would be sent more), counting failed requests as gone (the upstream may still run them), strict priority across customers (one customer's flood of high priority would starve the others).

Change: the holder alone counts what a group has running, by requests and by memory tokens; the ramp grows with each success under the same boot; a request whose connection broke keeps its place until a report measured later shows it gone; customers share a model's queue by cost; refusals name the time at which the caller's share is free.

Conclusion: the tests of these parts pass; no load has been measured yet.

--- /dev/null
+++ b/src/cactuspass/_admission.py
@@ -0,0 +1,286 @@
+"""Admission of requests: queue, dispatch, forward or refuse."""
+
+import random
+from collections.abc import Iterable, Sequence
+from itertools import chain
+
+from cactuspass._core import System
+from cactuspass._forecast import Forecast, has_free_room, wait_of
+from cactuspass._gate import Gate
+from cactuspass._held import HeldGroups
+from cactuspass._limits import room_of
+from cactuspass._messages import (
+    Dispatch,
+    Forward,
+    Input,
+    Order,
+    PeerHeard,
+    PeerLost,
+    RefusalReason,
+    Refuse,
+    RequestArrived,
+    RequestFinished,
+    RequestWithdrawn,
+)
+from cactuspass._prefixes import PrefixMemory
+from cactuspass._queues import FairQueue, cost_of
+from cactuspass._ramp import kind_of
+from cactuspass._refusals import RefusalPolicy, is_late
+from cactuspass._returns import ReturnBook
+from cactuspass._routing import Router
+from cactuspass._served import is_known_model, largest_memory
+from cactuspass._tables import HeldGroupRow, RequestRow, Tables
+
+SOON_SECONDS = 3.0
+REROUTE_SECONDS = 1.0
+REVIEW_SECONDS = 0.25
+
+
+class AdmissionSystem(System):
+    """Gives each arrived request exactly one final order, unless its caller withdraws it."""
+
+    def __init__(self, gate: Gate, rng: random.Random, forecast: Forecast) -> None:
+        self._forecast = forecast
+        prefixes = PrefixMemory()
+        self._router = Router(gate, rng, prefixes)
+        self._held = HeldGroups(prefixes, forecast)
+        self._refusals = RefusalPolicy(forecast, ReturnBook(rng))
+        self._queues_by_model: dict[str, FairQueue] = {}
+        self._unable_since_by_model: dict[str, float] = {}
+        self._review_at = 0.0
+
+    def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
+        """Apply the inputs, then dispatch whatever fits at this very tick."""
+        self._hear_peers(inputs, now)
+        self._held.refresh(tables, inputs, now)
+        self._refresh_capacities(tables, now)
+        orders = list(chain.from_iterable(self._apply(tables, item, now) for item in inputs))
+        if now >= self._review_at:
+            self._review_at = now + REVIEW_SECONDS
+            orders += self._review(tables, now)
+        for model in self._queues_by_model:
+            orders += self._dispatch(tables, model, now)
+        return orders
+
+    def _hear_peers(self, inputs: Sequence[Input], now: float) -> None:
+        """Take in heartbeats and broken connections of peers."""
+        for item in inputs:
+            if isinstance(item, PeerHeard):
+                self._router.hear(item, now)
+            elif isinstance(item, PeerLost):
+                self._router.forget(item.entry_id)
+
+    def _refresh_capacities(self, tables: Tables, now: float) -> None:
+        """Recompute the capacity of each model that is held or waited for."""
+        models = {row.model for row in tables.held_groups_by_id.values()}
+        for model in sorted(models | self._queues_by_model.keys()):
+            able = self._router.able_rows(tables, model, now)
+            self._forecast.set_capacity(tables, model, able)
+            if able:
+                self._unable_since_by_model.pop(model, None)
+            else:
+                self._unable_since_by_model.setdefault(model, now)
+
+    def _apply(self, tables: Tables, item: Input, now: float) -> list[Order]:
+        """Apply one input about a request."""
+        if isinstance(item, RequestArrived):
+            known = item.request_id in tables.requests_by_id
+            return [] if known else self._arrive(tables, item, now)
+        if isinstance(item, RequestFinished):
+            self._held.finish(tables, item, now)
+        elif isinstance(item, RequestWithdrawn):
+            self._withdraw(tables, item)
+        return []
+
+    def _withdraw(self, tables: Tables, item: RequestWithdrawn) -> None:
+        """Forget a waiting request; a running one counts until it is reported finished."""
+        row = tables.requests_by_id.get(item.request_id)
+        if row is not None and row.group_id is None:
+            self._queues_by_model[row.model].remove(row.request_id)
+            del tables.requests_by_id[row.request_id]
+
+    def _arrive(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
+        """Queue, forward or refuse a new request."""
+        limit = largest_memory(tables, item.model)
+        if limit is not None and item.tokens > limit:
+            return [self._refusals.too_large(item, limit)]
+        if item.forwarded_by is not None and tables.local.draining:
+            return [self._refusals.handed_back(item, RefusalReason.DRAINING)]
+        own = self._own_choice(tables, item, now)
+        place = self._router.choose(tables, item, own, self._queued(item.model), now)
+        if place is None:
+            return [self._refuse_unplaced(tables, item, now)]
+        if place.entry_id is None:
+            return self._enqueue(tables, item, own, now)
+        self._router.sent(place.entry_id, item, now)
+        return [Forward(item.request_id, place.entry_id)]
+
+    def _queued(self, model: str) -> int:
+        """Return the number of requests that wait here for a model."""
+        queue = self._queues_by_model.get(model)
+        return len(queue) if queue is not None else 0
+
+    def _own_choice(
+        self, tables: Tables, item: RequestArrived | RequestRow, now: float
+    ) -> list[HeldGroupRow]:
+        """Return own groups that can take a request now, or soon if no peer can."""
+        able = _large_enough(tables, self._router.able_rows(tables, item.model, now), item.tokens)
+        if able or self._router.choose(tables, item, [], 0, now) is not None:
+            return able
+        since = self._unable_since_by_model.get(item.model, now)
+        patience = SOON_SECONDS if item.forwarded_by is None else REROUTE_SECONDS
+        rows = _large_enough(tables, self._router.own_rows(tables, item.model), item.tokens)
+        return [
+            row
+            for row in rows
+            if row.held_from < item.deadline and now < max(row.held_from, since) + patience
+        ]
+
+    def _enqueue(
+        self, tables: Tables, item: RequestArrived, own: list[HeldGroupRow], now: float
+    ) -> list[Order]:
+        """Put a request into the model's queue, unless its deadline can't be met."""
+        queue = self._queues_by_model.setdefault(item.model, FairQueue())
+        waiting = queue.cost_of_customer(item.customer)
+        if queue.is_full_for(item.customer):
+            reason = RefusalReason.QUEUE_FULL
+            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+        idle = not len(queue) and has_free_room(tables, own, item.tokens)
+        if self._refusals.is_hopeless(tables, item, waiting, now) and not (
+            idle and item.deadline > now
+        ):
+            reason = RefusalReason.DEADLINE
+            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+        row = _row_of(item, now)
+        tables.requests_by_id[row.request_id] = row
+        evicted = queue.push(row, tables.weights_by_customer.get(row.customer, 1.0))
+        if evicted is None:
+            return []
+        del tables.requests_by_id[evicted.request_id]
+        waiting = queue.cost_of_customer(evicted.customer)
+        reason = RefusalReason.QUEUE_FULL
+        return [self._refusals.crowded(tables, evicted, reason, waiting, now)]
+
+    def _refuse_unplaced(
+        self, tables: Tables, item: RequestArrived | RequestRow, now: float
+    ) -> Refuse:
+        """Refuse a request that neither this entry nor a peer can take."""
+        if item.forwarded_by is not None:
+            return self._refusals.handed_back(item, RefusalReason.NOT_HOLDER)
+        if not is_known_model(tables, item.model):
+            return self._refusals.not_served(item)
+        since = self._unable_since_by_model.setdefault(item.model, now)
+        return self._refusals.outage(item, now - since)
+
+    def _review(self, tables: Tables, now: float) -> list[Order]:
+        """Move or refuse waiting requests that can't be served here in time."""
+        self._refusals.forget_missed(now)
+        self._forecast.forget_idle(now)
+        orders: list[Order] = []
+        for model, queue in self._queues_by_model.items():
+            if not self._is_able(tables, model, now):
+                rows = sorted(queue, key=lambda row: row.arrived_at)
+                orders += chain.from_iterable(self._replace(tables, row, now) for row in rows)
+            orders += self._refuse_late(tables, model, queue, now)
+        return orders
+
+    def _is_able(self, tables: Tables, model: str, now: float) -> bool:
+        """Return whether the model's groups can be sent to, or stopped just now."""
+        if not self._router.own_rows(tables, model):
+            return False
+        return now < self._unable_since_by_model.get(model, now) + REROUTE_SECONDS
+
+    def _replace(self, tables: Tables, row: RequestRow, now: float) -> list[Order]:
+        """Find another place for a waiting request, or refuse it."""
+        own = self._own_choice(tables, row, now)
+        place = self._router.choose(tables, row, own, self._queued(row.model), now)
+        if place is not None and place.entry_id is None:
+            return []
+        self._queues_by_model[row.model].remove(row.request_id)
+        del tables.requests_by_id[row.request_id]
+        if place is None or place.entry_id is None:
+            return [self._refuse_unplaced(tables, row, now)]
+        self._router.sent(place.entry_id, row, now)
+        return [Forward(row.request_id, place.entry_id)]
+
+    def _refuse_late(self, tables: Tables, model: str, queue: FairQueue, now: float) -> list[Order]:
+        """Refuse at once what would surely miss its deadline."""
+        late: list[tuple[RequestRow, float]] = []
+        for customer, waiting in queue.waiting().items():
+            share = self._forecast.share(model, customer, tables, now)
+            ahead = 0.0
+            for row in waiting:
+                cost = cost_of(row)
+                if is_late(row, wait_of(ahead + cost, share), now):
+                    late.append((row, ahead))
+                else:
+                    ahead += cost
+        orders: list[Order] = []
+        for row, ahead in late:
+            queue.remove(row.request_id)
+            del tables.requests_by_id[row.request_id]
+            reason = RefusalReason.DEADLINE
+            orders.append(self._refusals.crowded(tables, row, reason, ahead, now))
+        return orders
+
+    def _dispatch(self, tables: Tables, model: str, now: float) -> list[Order]:
+        """Send the heads of the queue while a group has room for them."""
+        queue = self._queues_by_model[model]
+        able = self._router.able_rows(tables, model, now) if len(queue) else []
+        orders: list[Order] = []
+        while able and (head := queue.head()) is not None:
+            order = self._dispatch_head(tables, queue, head, able, now)
+            if order is None:
+                break
+            orders.append(order)
+        return orders
+
+    def _dispatch_head(
+        self,
+        tables: Tables,
+        queue: FairQueue,
+        head: RequestRow,
+        able: list[HeldGroupRow],
+        now: float,
+    ) -> Order | None:
+        """Send, move or refuse the head of the queue; None when it has to wait."""
+        if head.deadline <= now:
+            queue.remove(head.request_id)
+            del tables.requests_by_id[head.request_id]
+            reason = RefusalReason.DEADLINE
+            return self._refusals.crowded(tables, head, reason, 0.0, now)
+        if not _large_enough(tables, able, head.tokens):
+            return next(iter(self._replace(tables, head, now)), None)
+        fitting = [row for row in able if room_of(tables, row).fits(head.tokens)]
+        if not fitting:
+            return None
+        row = min(
+            fitting, key=lambda row: (self._router.group_score(tables, head, row), row.group_id)
+        )
+        queue.serve(head)
+        self._held.dispatch(row, head, now)
+        first = row.members[0]
+        instance = tables.instances_by_id[first]
+        return Dispatch(head.request_id, row.group_id, first, instance.address, instance.boot_id)
+
+
+def _row_of(item: RequestArrived, now: float) -> RequestRow:
+    """Return the table row of a new request."""
+    return RequestRow(
+        request_id=item.request_id,
+        customer=item.customer,
+        model=item.model,
+        tokens=item.tokens,
+        priority=item.priority,
+        arrived_at=now,
+        deadline=item.deadline,
+        forwarded_by=item.forwarded_by,
+        prefixes=item.prefixes,
+        excluded=item.excluded,
+    )
+
+
+def _large_enough(tables: Tables, rows: list[HeldGroupRow], tokens: int) -> list[HeldGroupRow]:
+    """Return the groups whose whole memory can hold a request of that size."""
+    memories = ((row, kind_of(tables, row).memory_tokens) for row in rows)
+    return [row for row, memory in memories if not memory or tokens <= memory]
--- /dev/null
+++ b/src/cactuspass/_gate.py
@@ -0,0 +1,18 @@
+"""What the admission system asks of the parts that own rights, groups and take-outs."""
+
+from abc import ABC, abstractmethod
+
+from cactuspass._tables import HeldGroupRow, Tables
+from cactuspass.models import TakeOutKind
+
+
+class Gate(ABC):
+    """Says whether a group may be sent to and whether a target is taken out."""
+
+    @abstractmethod
+    def may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        """Return whether this entry holds the group at ``now`` and all members confirm it."""
+
+    @abstractmethod
+    def taken_out(self, tables: Tables, kind: TakeOutKind, target: str) -> bool:
+        """Return whether an operator's take-out of the target is in force."""
--- a/src/cactuspass/_messages.py
+++ b/src/cactuspass/_messages.py
@@ -347,6 +347,7 @@
     :param forwarded_by: peer that forwarded it; None when a caller sent it here.
     :param prefixes: hashes of the prompt's leading blocks, longest last.
     :param excluded: groups or peers already tried and found unable.
+    :param returning: whether the caller says that it comes back after a refusal.
     """
 
     request_id: RequestId
@@ -358,6 +359,7 @@
     forwarded_by: EntryId | None = None
     prefixes: tuple[str, ...] = ()
     excluded: tuple[str, ...] = ()
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -366,11 +368,13 @@
 
     :param succeeded: whether the upstream gave a whole answer.
     :param started: whether a byte may have reached the upstream.
+    :param boot_id: boot that the answer named; empty when it named none.
     """
 
     request_id: RequestId
     succeeded: bool
     started: bool = True
+    boot_id: BootId = BootId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -380,6 +384,19 @@
     request_id: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class CacheReported(Input):
+    """A cache event of an engine arrived, late and maybe after a gap.
+
+    :param sequence: number of the event; a gap means that events were lost.
+    """
+
+    instance_id: InstanceId
+    sequence: int
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Dispatch(Order):
     """Send the request to a group that this entry holds.
@@ -406,12 +423,14 @@
 class Refuse(Order):
     """Refuse the request, which has not run.
 
-    :param retry_after: seconds after which a new try is likely to succeed.
+    :param retry_after: seconds after which a new try is likely to succeed; 0 when none will.
+    :param detail: what the caller should know besides the reason.
     """
 
     request_id: RequestId
     reason: RefusalReason
     retry_after: float
+    detail: str = ""
 
 
 # Operators --------------------------------------------------------------------------------
--- /dev/null
+++ b/src/cactuspass/_refusals.py
@@ -0,0 +1,97 @@
+"""Refusals of requests that have not run, and when their callers should come back."""
+
+import math
+
+from cactuspass._forecast import Forecast
+from cactuspass._messages import RefusalReason, Refuse, RequestArrived
+from cactuspass._queues import cost_of
+from cactuspass._returns import ReturnBook
+from cactuspass._tables import RequestRow, Tables
+
+UNKNOWN_RETRY_SECONDS = 2.0
+NOT_SERVED_RETRY_SECONDS = 10.0
+HANDOVER_RETRY_SECONDS = 0.5
+MAX_OUTAGE_RETRY_SECONDS = 60.0
+AIMED_SHARE_OF_DEADLINE = 0.5
+
+
+class RefusalPolicy:
+    """Decides when a deadline can't be met and what to tell the refused caller."""
+
+    def __init__(self, forecast: Forecast, returns: ReturnBook) -> None:
+        self._forecast = forecast
+        self._returns = returns
+
+    def is_hopeless(self, tables: Tables, item: RequestArrived, waiting: float, now: float) -> bool:
+        """Return whether a new request would surely miss its deadline.
+
+        A request that is not a return also waits behind the returns that are due before its
+        deadline, so that those who follow their ``Retry-After`` find the room they were told of.
+        """
+        if item.deadline <= now:
+            return True
+        cost = cost_of(item)
+        if not self._returns.redeem(item.model, item.customer, cost, item.returning, now):
+            waiting += self._returns.booked(item.model, item.customer, item.deadline)
+        wait = self._forecast.wait(item.model, item.customer, waiting + cost, tables, now)
+        return wait is not None and now + wait > item.deadline
+
+    def crowded(
+        self,
+        tables: Tables,
+        item: RequestArrived | RequestRow,
+        reason: RefusalReason,
+        waiting: float,
+        now: float,
+    ) -> Refuse:
+        """Refuse for too much work and book the caller's return.
+
+        :param waiting: tokens that the customer has waiting.
+        """
+        share = self._forecast.share(item.model, item.customer, tables, now)
+        if share is None or share <= 0:
+            return Refuse(item.request_id, reason, UNKNOWN_RETRY_SECONDS * self._returns.jitter())
+        cost = cost_of(item)
+        patience = AIMED_SHARE_OF_DEADLINE * max(0.0, item.deadline - now)
+        earliest = now + max(0.0, (waiting + cost) / share - patience)
+        period = self._returns.book(item.model, item.customer, cost, share, earliest, now)
+        return Refuse(item.request_id, reason, period)
+
+    def outage(self, item: RequestArrived | RequestRow, down_for: float) -> Refuse:
+        """Refuse because no group can be sent to; the longer the outage, the later the return.
+
+        :param down_for: seconds since a group could last be sent to.
+        """
+        period = min(MAX_OUTAGE_RETRY_SECONDS, max(UNKNOWN_RETRY_SECONDS, down_for))
+        reason = RefusalReason.NO_CAPACITY
+        return Refuse(item.request_id, reason, period * self._returns.jitter())
+
+    def not_served(self, item: RequestArrived | RequestRow) -> Refuse:
+        """Refuse because nobody is known to serve the model."""
+        period = NOT_SERVED_RETRY_SECONDS * self._returns.jitter()
+        return Refuse(item.request_id, RefusalReason.NOT_SERVED, period, "unknown model")
+
+    def handed_back(self, item: RequestArrived | RequestRow, reason: RefusalReason) -> Refuse:
+        """Refuse a forwarded request, so that its forwarder tries another peer."""
+        return Refuse(item.request_id, reason, HANDOVER_RETRY_SECONDS * self._returns.jitter())
+
+    def too_large(self, item: RequestArrived | RequestRow, limit: int) -> Refuse:
+        """Refuse a request that no group can ever hold.
+
+        :param limit: tokens that the largest group can hold.
+        """
+        detail = f"{item.tokens} tokens do not fit the memory of any upstream ({limit} tokens)"
+        return Refuse(item.request_id, RefusalReason.NO_CAPACITY, 0.0, detail)
+
+    def forget_missed(self, now: float) -> None:
+        """Drop returns that did not come."""
+        self._returns.forget_missed(now)
+
+
+def is_late(row: RequestRow, wait: float | None, now: float) -> bool:
+    """Return whether a waiting request surely misses its deadline.
+
+    :param wait: forecast of its wait in seconds; None while nothing is known.
+    """
+    left = row.deadline - now
+    return left <= 0 or (wait is not None and wait != math.inf and wait > left)
--- /dev/null
+++ b/src/cactuspass/_routing.py
@@ -0,0 +1,171 @@
+"""Choice of the place where a new request goes: here, to a peer, or nowhere."""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from cactuspass._gate import Gate
+from cactuspass._messages import PeerHeard, RequestArrived
+from cactuspass._prefixes import PrefixMemory
+from cactuspass._ramp import bearable_requests
+from cactuspass._tables import EntryRow, HeldGroupRow, RequestRow, Tables
+from cactuspass.models import EntryId, TakeOutKind
+
+FORWARD_TRIES = 3
+HEARD_SECONDS = 3.5
+IN_FLIGHT_SECONDS = 0.1
+AFFINITY_LOAD = 0.5
+FORWARD_LOAD = 0.05
+REMOTE_LOAD = 0.5
+JITTER_LOAD = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A place that can take a request.
+
+    :param entry_id: the peer; None for this entry.
+    :param score: load less affinity; the lowest is chosen.
+    """
+
+    entry_id: EntryId | None
+    score: float
+
+
+class Router:
+    """Compares own groups and peers by load, prefix affinity and distance."""
+
+    def __init__(self, gate: Gate, rng: random.Random, prefixes: PrefixMemory) -> None:
+        self._gate = gate
+        self._rng = rng
+        self._prefixes = prefixes
+        self._sent_by_target: dict[tuple[EntryId, str], deque[float]] = {}
+
+    def hear(self, message: PeerHeard, now: float) -> None:
+        """Stop counting what was sent before the peer's heartbeat was made."""
+        for (entry_id, _), times in self._sent_by_target.items():
+            while entry_id == message.entry_id and times and times[0] < now - IN_FLIGHT_SECONDS:
+                times.popleft()
+
+    def forget(self, entry_id: EntryId) -> None:
+        """Forget a peer whose connection broke."""
+        for key in [key for key in self._sent_by_target if key[0] == entry_id]:
+            del self._sent_by_target[key]
+        self._prefixes.forget(f"entry {entry_id}")
+
+    def sent(self, entry_id: EntryId, request: RequestRow | RequestArrived, now: float) -> None:
+        """Count a request that is being forwarded."""
+        self._sent_by_target.setdefault((entry_id, request.model), deque()).append(now)
+        self._prefixes.sent(f"entry {entry_id}", request.prefixes, now)
+
+    def own_rows(self, tables: Tables, model: str) -> list[HeldGroupRow]:
+        """Return own groups of a model that operators have not taken out."""
+        data_centre = tables.local.data_centre
+        if self._gate.taken_out(tables, TakeOutKind.DATA_CENTRE, data_centre):
+            return []
+        return [
+            row
+            for row in tables.held_groups_by_id.values()
+            if row.model == model and not row.leaving and not self._group_out(tables, row)
+        ]
+
+    def able_rows(self, tables: Tables, model: str, now: float) -> list[HeldGroupRow]:
+        """Return own groups of a model that may be sent to at this tick."""
+        rows = self.own_rows(tables, model)
+        return [row for row in rows if self._gate.may_send(tables, row, now)]
+
+    def choose(
+        self,
+        tables: Tables,
+        request: RequestRow | RequestArrived,
+        own: list[HeldGroupRow],
+        queued: int,
+        now: float,
+    ) -> Place | None:
+        """Return the best place for a request.
+
+        :param own: own groups that could take it.
+        :param queued: requests that wait here for the model.
+        """
+        own = [row for row in own if row.group_id not in request.excluded]
+        places = self._peer_places(tables, request, now)
+        if own:
+            places.append(Place(None, self._own_score(tables, request, own, queued)))
+        return min(places, key=lambda place: place.score, default=None)
+
+    def group_score(self, tables: Tables, request: RequestRow, row: HeldGroupRow) -> float:
+        """Return load less affinity of one own group; the lowest is chosen."""
+        load = (len(row.requests) + row.foreign_held) / max(1, bearable_requests(tables, row))
+        return load - AFFINITY_LOAD * self._prefixes.matched(row.group_id, request.prefixes)
+
+    def _own_score(
+        self,
+        tables: Tables,
+        request: RequestRow | RequestArrived,
+        own: list[HeldGroupRow],
+        queued: int,
+    ) -> float:
+        """Return load less affinity of this entry."""
+        held = sum(len(row.requests) + row.foreign_held for row in own)
+        ramp = sum(bearable_requests(tables, row) for row in own)
+        matches = (self._prefixes.matched(row.group_id, request.prefixes) for row in own)
+        return (held + queued) / max(1, ramp) - AFFINITY_LOAD * max(matches)
+
+    def _peer_places(
+        self, tables: Tables, request: RequestRow | RequestArrived, now: float
+    ) -> list[Place]:
+        """Return the peers that can take a request, none for one that was forwarded here."""
+        if request.forwarded_by is not None or len(request.excluded) >= FORWARD_TRIES:
+            return []
+        rows = (row for row in tables.entries_by_id.values() if self._usable(tables, row, now))
+        places = (self._peer_place(tables, request, row) for row in rows)
+        return [place for place in places if place is not None]
+
+    def _usable(self, tables: Tables, row: EntryRow, now: float) -> bool:
+        """Return whether a peer takes new work, as far as we know."""
+        if not (row.connected and row.ready) or row.draining:
+            return False
+        if now - row.heard_at > HEARD_SECONDS:
+            return False
+        return not self._gate.taken_out(tables, TakeOutKind.DATA_CENTRE, row.data_centre)
+
+    def _peer_place(
+        self, tables: Tables, request: RequestRow | RequestArrived, row: EntryRow
+    ) -> Place | None:
+        """Return a peer's place for a request, or None when it has no group for it."""
+        if row.entry_id in request.excluded:
+            return None
+        groups = [
+            summary
+            for summary in row.groups_by_id.values()
+            if summary.model == request.model
+            and summary.serving
+            and summary.group_id not in request.excluded
+            and not self._gate.taken_out(tables, TakeOutKind.GROUP, summary.group_id)
+        ]
+        if not groups:
+            return None
+        sent = len(self._sent_by_target.get((row.entry_id, request.model), ()))
+        held = sum(item.held + item.queued for item in groups)
+        ramp = sum(item.ramp for item in groups)
+        load = (held + sent * self._senders(tables)) / max(1, ramp)
+        distance = FORWARD_LOAD
+        if row.data_centre != tables.local.data_centre:
+            distance += REMOTE_LOAD
+        match = self._prefixes.matched(f"entry {row.entry_id}", request.prefixes)
+        jitter = JITTER_LOAD * self._rng.random()
+        return Place(row.entry_id, load + distance + jitter - AFFINITY_LOAD * match)
+
+    def _senders(self, tables: Tables) -> int:
+        """Return the entries of the data centre, which all send about as much as this one."""
+        rows = tables.entries_by_id.values()
+        own = tables.local.data_centre
+        return 1 + sum(1 for row in rows if row.connected and row.data_centre == own)
+
+    def _group_out(self, tables: Tables, row: HeldGroupRow) -> bool:
+        """Return whether the group or any of its members is taken out."""
+        if self._gate.taken_out(tables, TakeOutKind.GROUP, row.group_id):
+            return True
+        return any(
+            self._gate.taken_out(tables, TakeOutKind.UPSTREAM, member) for member in row.members
+        )
--- /dev/null
+++ b/src/cactuspass/_summaries.py
@@ -0,0 +1,45 @@
+"""What a holder tells its peers of its groups."""
+
+from itertools import groupby
+
+from cactuspass._limits import room_of
+from cactuspass._messages import GroupSummary
+from cactuspass._ramp import bearable_requests, group_boot
+from cactuspass._tables import HeldGroupRow, Tables
+
+
+def summaries(tables: Tables, now: float) -> tuple[GroupSummary, ...]:
+    """Return a summary of each held group, with its part of the model's queue."""
+    rows = sorted(tables.held_groups_by_id.values(), key=lambda row: (row.model, row.group_id))
+    grouped = ((model, list(items)) for model, items in groupby(rows, lambda row: row.model))
+    return tuple(
+        _summary(tables, row, _part(waiting, len(items), index), now)
+        for model, items in grouped
+        for waiting in [_waiting(tables, model)]
+        for index, row in enumerate(items)
+    )
+
+
+def _waiting(tables: Tables, model: str) -> int:
+    """Return the number of requests that wait here for a model."""
+    rows = tables.requests_by_id.values()
+    return sum(1 for row in rows if row.group_id is None and row.model == model)
+
+
+def _part(total: int, count: int, index: int) -> int:
+    """Return part ``index`` of a total split into ``count`` whole parts."""
+    return total // count + (1 if index < total % count else 0)
+
+
+def _summary(tables: Tables, row: HeldGroupRow, queued: int, now: float) -> GroupSummary:
+    """Return the summary of one group."""
+    return GroupSummary(
+        group_id=row.group_id,
+        model=row.model,
+        boot_id=group_boot(tables, row),
+        serving=row.serving and not row.leaving and row.held_from <= now,
+        free=room_of(tables, row).requests,
+        queued=queued,
+        ramp=bearable_requests(tables, row),
+        held=len(row.requests) + row.foreign_held,
+    )
--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -93,7 +93,13 @@
     :param serving: whether every member has recently confirmed group, generation and rank.
     :param held_from: time from which this entry may send to it, after the settle time.
     :param ramp: requests the group bears at present.
-    :param foreign_held: requests that an earlier holder may still have running.
+    :param foreign_held: requests that an earlier holder, or a broken connection of our own,
+        may still have running.
+    :param foreign_tokens: memory tokens of those requests.
+    :param foreign_since: time after which a report must be measured to lower ``foreign_held``;
+        None before the row has been adopted by the admission system.
+    :param foreign_known: whether a report measured since ``held_from`` has come.
+    :param ramp_boot: boot ids of all members that ``ramp`` was observed under.
     """
 
     group_id: GroupId
@@ -112,6 +118,10 @@
     held_tokens: int = 0
     requests: set[RequestId] = field(default_factory=set)
     down_since: float | None = None
+    foreign_tokens: int = 0
+    foreign_since: float | None = None
+    foreign_known: bool = False
+    ramp_boot: BootId = BootId("")
 
 
 @dataclass(slots=True)
@@ -130,6 +140,7 @@
     excluded: tuple[str, ...] = ()
     group_id: GroupId | None = None
     dispatched_at: float | None = None
+    ramp_boot: BootId = BootId("")
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/admission_fixtures.py
@@ -0,0 +1,105 @@
+"""A small decision layer with one held group, for the admission tests."""
+
+import random
+from dataclasses import dataclass, field
+
+from cactuspass._admission import AdmissionSystem
+from cactuspass._forecast import Forecast
+from cactuspass._gate import Gate
+from cactuspass._messages import GroupSummary, Input, LoadState, Order, RequestArrived
+from cactuspass._tables import EntryRow, HeldGroupRow, InstanceRow, LocalRow, Tables
+from cactuspass.models import (
+    BootId,
+    CustomerId,
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    KindId,
+    Priority,
+    RequestId,
+    TakeOutKind,
+    UpstreamKind,
+)
+
+KIND = UpstreamKind(KindId("draft"), cold_requests=1, full_requests=4, memory_tokens=1000)
+MODEL = "m"
+
+
+@dataclass(slots=True)
+class FakeGate(Gate):
+    """Lets through what the test says."""
+
+    may: bool = True
+    out: set[str] = field(default_factory=set)
+
+    def may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        return self.may and row.serving and row.held_from <= now
+
+    def taken_out(self, tables: Tables, kind: TakeOutKind, target: str) -> bool:
+        return target in self.out
+
+
+class AdmissionFixture:
+    """Tables, a gate and an admission system with a clock."""
+
+    def __init__(self, kind: UpstreamKind = KIND, groups: int = 1, serving: bool = True) -> None:
+        local = LocalRow(EntryId("e1"), Incarnation("i1"), DataCentreId("a"), "127.0.0.1:1")
+        self.tables = Tables(local, {kind.kind: kind})
+        self.gate = FakeGate()
+        self.forecast = Forecast()
+        self.system = AdmissionSystem(self.gate, random.Random(7), self.forecast)
+        self.now = 0.0
+        for index in range(groups):
+            self.hold(f"g{index}", kind, serving)
+
+    def hold(self, name: str, kind: UpstreamKind = KIND, serving: bool = True) -> HeldGroupRow:
+        """Hold a group of one instance that has just reported."""
+        instance = InstanceId(f"{name}-i")
+        self.tables.instances_by_id[instance] = InstanceRow(instance, "127.0.0.1:2", kind.kind)
+        row = HeldGroupRow(GroupId(name), MODEL, kind.kind, None, (instance,), serving=serving)
+        row.held_from = self.now
+        self.tables.held_groups_by_id[row.group_id] = row
+        self.report(name, "b1")
+        return row
+
+    def report(self, name: str, boot: str, running: int = 0, tokens: int = 0, lag: float = -0.2):
+        """Take in a status report of a group's only instance."""
+        row = self.tables.instances_by_id[InstanceId(f"{name}-i")]
+        row.boot_id, row.connected, row.heard_at = BootId(boot), True, self.now
+        row.state = LoadState.READY
+        row.running, row.memory_tokens, row.measured_at = running, tokens, self.now - lag
+
+    def add_peer(self, name: str, free: int = 4, held: int = 0, data_centre: str = "a") -> EntryRow:
+        """Add a peer that holds one group of the model."""
+        boot = BootId("b1")
+        group = GroupId(f"{name}-g")
+        summary = GroupSummary(group, MODEL, boot, True, free, 0, free + held, held)
+        place = DataCentreId(data_centre)
+        row = EntryRow(EntryId(name), Incarnation("i"), place, "127.0.0.1:3", self.now, ready=True)
+        row.groups_by_id[group] = summary
+        self.tables.entries_by_id[row.entry_id] = row
+        return row
+
+    def row(self, name: str = "g0") -> HeldGroupRow:
+        """Return a held group."""
+        return self.tables.held_groups_by_id[GroupId(name)]
+
+    def tick(self, *inputs: Input, after: float = 0.0) -> list[Order]:
+        """Run the system once, ``after`` seconds later."""
+        self.now += after
+        return list(self.system.run(self.tables, inputs, self.now))
+
+
+def arrival(name: str, **changes: object) -> RequestArrived:
+    """Return a request with plain values but for the given ones."""
+    values: dict[str, object] = {
+        "request_id": RequestId(name),
+        "customer": CustomerId("c1"),
+        "model": MODEL,
+        "tokens": 100,
+        "priority": Priority.NORMAL,
+        "deadline": 60.0,
+    }
+    return RequestArrived(**(values | changes))  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,232 @@
+"""Tests of admission: ramps, limits, refusals and moves."""
+
+import unittest
+
+from cactuspass._messages import (
+    Dispatch,
+    Forward,
+    GroupSummary,
+    Order,
+    PeerHeard,
+    RefusalReason,
+    Refuse,
+    RequestFinished,
+    RequestWithdrawn,
+)
+from cactuspass._summaries import summaries
+from cactuspass.models import (
+    BootId,
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    KindId,
+    RequestId,
+    UpstreamKind,
+)
+from tests.admission_fixtures import KIND, MODEL, AdmissionFixture, arrival
+
+
+def dispatched(orders: list[Order]) -> list[str]:
+    """Return the ids of the requests that are sent to a group."""
+    return [order.request_id for order in orders if isinstance(order, Dispatch)]
+
+
+def finished(name: str, **changes: object) -> RequestFinished:
+    """Return the end of a request, a success unless told otherwise."""
+    values: dict[str, object] = {"request_id": RequestId(name), "succeeded": True}
+    return RequestFinished(**(values | changes))  # type: ignore[arg-type]
+
+
+class RampTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = AdmissionFixture()
+
+    def test_grows_by_success_and_counts_held_requests(self) -> None:
+        first = self.world.tick(*(arrival(f"r{i}") for i in range(8)))
+        self.assertEqual(dispatched(first), ["r0"])
+        second = self.world.tick(finished("r0"), after=0.1)
+        self.assertEqual(dispatched(second), ["r1", "r2"])
+
+    def test_does_not_grow_with_time_or_failure(self) -> None:
+        self.world.tick(arrival("r0"), arrival("r1"))
+        self.assertEqual(dispatched(self.world.tick(after=5.0)), [])
+        self.world.tick(finished("r0", succeeded=False, started=False), after=0.1)
+        self.assertEqual(self.world.row().ramp, 1.0)
+
+    def test_new_boot_is_cold_and_old_success_does_not_warm_it(self) -> None:
+        self.world.tick(*(arrival(f"r{i}") for i in range(8)))
+        self.world.tick(finished("r0"), after=0.1)
+        self.world.report("g0", "b2")
+        orders = self.world.tick(finished("r1"), after=0.1)
+        self.assertEqual((self.world.row().ramp, dispatched(orders)), (1.0, []))
+
+    def test_held_requests_count_until_the_boot_change_is_known_to_have_ended_them(self) -> None:
+        self.world.tick(arrival("r0"), arrival("r1"))
+        self.world.report("g0", "b2")
+        self.assertEqual(dispatched(self.world.tick(after=0.1)), [])
+        failed = finished("r0", succeeded=False)
+        self.assertEqual(dispatched(self.world.tick(failed, after=0.1)), ["r1"])
+
+    def test_answer_of_an_unknown_boot_makes_the_group_cold(self) -> None:
+        self.world.tick(arrival("r0"))
+        self.world.tick(finished("r0"), after=0.1)
+        self.world.tick(arrival("r1"), after=0.1)
+        self.world.tick(finished("r1", boot_id=BootId("b2")), after=0.1)
+        self.assertEqual(self.world.row().ramp, 1.0)
+
+    def test_broken_connection_counts_as_cold(self) -> None:
+        self.world.tick(arrival("r0"))
+        self.world.tick(finished("r0"), after=0.1)
+        instance = self.world.tables.instances_by_id[self.world.row().members[0]]
+        instance.connected = False
+        self.world.tick(after=0.1)
+        self.assertEqual(summaries(self.world.tables, self.world.now)[0].ramp, 1)
+
+    def test_ramp_of_an_earlier_holder_counts_for_the_same_boot_only(self) -> None:
+        for boot, ramp in (("b1", 3.0), ("b0", 1.0)):
+            world = AdmissionFixture(groups=0)
+            summary = GroupSummary(GroupId("g0"), MODEL, BootId(boot), True, 3, 0, 3, 0)
+            place = DataCentreId("a")
+            heard = PeerHeard(
+                EntryId("e2"), Incarnation("i"), place, "", 0, (), 0, True, False, (summary,)
+            )
+            world.tick(heard)
+            world.hold("g0")
+            world.tick(after=0.1)
+            self.assertEqual(world.row().ramp, ramp)
+
+
+class ForeignTest(unittest.TestCase):
+    """Requests that an earlier holder or a broken connection may still have running."""
+
+    def test_no_room_before_a_report_measured_after_the_takeover(self) -> None:
+        world = AdmissionFixture()
+        world.report("g0", "b1", lag=1.0)
+        self.assertEqual(dispatched(world.tick(arrival("r0"))), [])
+        world.report("g0", "b1", running=1, lag=-0.2)
+        self.assertEqual(dispatched(world.tick(after=0.1)), [])
+        world.report("g0", "b1", running=0, lag=0.05)
+        self.assertEqual(dispatched(world.tick(after=0.5)), [])
+        world.report("g0", "b1", running=0, lag=0.05)
+        self.assertEqual(dispatched(world.tick(after=0.1)), ["r0"])
+
+    def test_request_with_a_broken_connection_holds_its_place_until_reported_gone(self) -> None:
+        world = AdmissionFixture()
+        world.tick(arrival("r0"), arrival("r1"))
+        self.assertEqual(dispatched(world.tick(finished("r0", succeeded=False), after=0.1)), [])
+        world.report("g0", "b1", running=0, lag=0.5)
+        self.assertEqual(dispatched(world.tick(after=0.1)), [])
+        world.report("g0", "b1", running=0, lag=-0.1)
+        self.assertEqual(dispatched(world.tick(after=0.1)), ["r1"])
+
+    def test_own_running_requests_count_when_the_group_comes_back(self) -> None:
+        world = AdmissionFixture()
+        world.tick(arrival("r0"))
+        del world.tables.held_groups_by_id[GroupId("g0")]
+        world.tick(after=0.1)
+        world.hold("g0")
+        self.assertEqual(dispatched(world.tick(arrival("r1"), after=0.1)), [])
+        self.assertEqual(world.row().held_tokens, 100)
+
+
+class MemoryLimitTest(unittest.TestCase):
+    def test_request_that_never_fits_is_refused_at_once(self) -> None:
+        orders = AdmissionFixture().tick(arrival("r0", tokens=1001))
+        self.assertEqual([type(order) for order in orders], [Refuse])
+        self.assertEqual(orders[0].reason, RefusalReason.NO_CAPACITY)
+        self.assertEqual(orders[0].retry_after, 0.0)
+
+    def test_tokens_held_never_outgrow_the_memory(self) -> None:
+        kind = UpstreamKind(KindId("draft"), 4, 4, memory_tokens=1000)
+        world = AdmissionFixture(kind)
+        orders = world.tick(*(arrival(f"r{i}", tokens=400) for i in range(4)))
+        self.assertEqual(dispatched(orders), ["r0", "r1"])
+
+
+class RefusalTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = AdmissionFixture()
+        self.world.tick(arrival("r0"))
+        self.world.tick(finished("r0"), arrival("r1"), arrival("r2"), after=2.0)
+
+    def refusals(self, orders: list[Order]) -> list[RefusalReason]:
+        return [order.reason for order in orders if isinstance(order, Refuse)]
+
+    def test_deadline_that_cannot_be_met_is_refused_on_arrival(self) -> None:
+        late = arrival("r3", deadline=self.world.now + 0.5)
+        self.assertEqual(self.refusals(self.world.tick(late)), [RefusalReason.DEADLINE])
+
+    def test_waiting_request_is_given_up_long_before_its_deadline(self) -> None:
+        waiting = [arrival(f"w{i}", deadline=self.world.now + 5.0) for i in range(4)]
+        self.assertEqual(self.refusals(self.world.tick(*waiting)), [])
+        self.world.report("g0", "b2")
+        orders = self.world.tick(after=0.3)
+        self.assertEqual(self.refusals(orders), [RefusalReason.DEADLINE] * 2)
+
+    def test_withdrawn_request_gets_no_order(self) -> None:
+        self.world.tick(arrival("r3"))
+        gone = RequestWithdrawn(RequestId("r3"))
+        ended = [finished("r1"), finished("r2")]
+        self.assertEqual(self.world.tick(gone, *ended, after=0.1), [])
+        self.assertEqual(self.world.tables.requests_by_id, {})
+
+    def test_unknown_model(self) -> None:
+        orders = self.world.tick(arrival("r3", model="other"))
+        self.assertEqual(self.refusals(orders), [RefusalReason.NOT_SERVED])
+
+    def test_draining_entry_refuses_forwarded_work_and_finishes_its_queue(self) -> None:
+        self.world.tick(arrival("r3"))
+        self.world.tables.local.draining = True
+        orders = self.world.tick(arrival("r4", forwarded_by=EntryId("e2")))
+        self.assertEqual(self.refusals(orders), [RefusalReason.DRAINING])
+        self.assertEqual(dispatched(self.world.tick(finished("r1"), after=0.1)), ["r3"])
+
+
+class MoveTest(unittest.TestCase):
+    """Waiting requests when the entry may no longer send."""
+
+    def setUp(self) -> None:
+        self.world = AdmissionFixture()
+        own = arrival("own")
+        forwarded = arrival("forwarded", forwarded_by=EntryId("e9"))
+        self.world.tick(arrival("running"), own, forwarded)
+        self.world.add_peer("e2")
+
+    def orders_by_id(self, orders: list[Order]) -> dict[str, Order]:
+        return {order.request_id: order for order in orders}  # type: ignore[attr-defined]
+
+    def test_lost_right_moves_own_requests_and_hands_forwarded_ones_back(self) -> None:
+        self.world.gate.may = False
+        self.assertEqual(self.world.tick(finished("running"), after=0.3), [])
+        orders = self.orders_by_id(self.world.tick(after=1.2))
+        self.assertEqual(orders["own"], Forward(RequestId("own"), EntryId("e2")))
+        self.assertEqual(orders["forwarded"].reason, RefusalReason.NOT_HOLDER)  # type: ignore
+
+    def test_data_centre_taken_out_gets_no_new_work(self) -> None:
+        self.world.gate.out = {"a"}
+        self.world.add_peer("e3", data_centre="b")
+        inputs = [finished("running"), arrival("new"), arrival("f", forwarded_by=EntryId("e9"))]
+        orders = self.orders_by_id(self.world.tick(*inputs, after=0.3))
+        self.assertEqual(orders["new"], Forward(RequestId("new"), EntryId("e3")))
+        self.assertEqual(orders["own"], Forward(RequestId("own"), EntryId("e3")))
+        self.assertEqual(orders["f"].reason, RefusalReason.NOT_HOLDER)  # type: ignore
+
+    def test_without_any_peer_the_requests_are_refused_with_a_later_return(self) -> None:
+        self.world.tables.entries_by_id.clear()
+        self.world.gate.may = False
+        self.world.tick(after=0.1)
+        orders = self.orders_by_id(self.world.tick(after=10.0))
+        self.assertEqual(orders["own"].reason, RefusalReason.NO_CAPACITY)  # type: ignore
+        self.assertGreaterEqual(orders["own"].retry_after, 9.0)  # type: ignore
+
+
+class KindTest(unittest.TestCase):
+    def test_limit_is_that_of_rank_zero(self) -> None:
+        world = AdmissionFixture()
+        other = UpstreamKind(KindId("other"), 3, 3)
+        world.tables.kinds_by_id[other.kind] = other
+        world.tables.instances_by_id[world.row().members[0]].kind = other.kind
+        self.assertNotEqual(KIND.cold_requests, other.cold_requests)
+        orders = world.tick(*(arrival(f"r{i}") for i in range(5)))
+        self.assertEqual(len(dispatched(orders)), 3)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,179 @@
+"""Tests of routing, prefix memory, summaries and retries."""
+
+import unittest
+
+from cactuspass._messages import (
+    CacheReported,
+    Dispatch,
+    Forward,
+    PeerHeard,
+    RefusalReason,
+    Refuse,
+    RequestFinished,
+)
+from cactuspass._prefixes import EVENT_LAG_SECONDS, PREFIXES_PER_TARGET, PrefixMemory
+from cactuspass._retries import RETRY_BURST, RetryBudget, may_retry
+from cactuspass._routing import FORWARD_TRIES, HEARD_SECONDS
+from cactuspass._summaries import summaries
+from cactuspass.models import (
+    DataCentreId,
+    EntryId,
+    InstanceId,
+    KindId,
+    RequestId,
+    UpstreamKind,
+)
+from tests.admission_fixtures import MODEL, AdmissionFixture, arrival
+
+WARM = UpstreamKind(KindId("draft"), cold_requests=8, full_requests=8)
+
+
+class RoutingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = AdmissionFixture(WARM, groups=0)
+
+    def targets(self, count: int, **changes: object) -> list[str]:
+        """Return the peers that new requests are forwarded to."""
+        base = len(self.world.tables.requests_by_id)
+        items = [arrival(f"r{base}-{i}-{self.world.now}", **changes) for i in range(count)]
+        orders = self.world.tick(*items)
+        return [order.entry_id for order in orders if isinstance(order, Forward)]
+
+    def test_counts_what_was_sent_since_the_report(self) -> None:
+        self.world.add_peer("e2")
+        self.world.add_peer("e3")
+        targets = self.targets(20)
+        self.assertAlmostEqual(targets.count("e2"), 10, delta=2)
+
+    def test_heartbeat_clears_what_was_sent_before_it(self) -> None:
+        peer = self.world.add_peer("e2", free=8)
+        self.targets(20)
+        self.world.add_peer("e3", free=8)
+        self.assertEqual(self.targets(1), ["e3"])
+        self.world.now += 1.0
+        args = (peer.incarnation, DataCentreId("a"), "", 0, (), 0, True, False)
+        self.world.tick(PeerHeard(EntryId("e2"), *args))
+        self.world.tables.entries_by_id[EntryId("e3")].groups_by_id.clear()
+        self.world.add_peer("e4", free=4, held=4)
+        self.assertEqual(self.targets(1), ["e2"])
+
+    def test_own_data_centre_first_then_others_when_it_is_full(self) -> None:
+        near = self.world.add_peer("e2", free=4)
+        self.world.add_peer("e3", free=4, data_centre="b")
+        self.assertEqual(self.targets(1), ["e2"])
+        near.groups_by_id.clear()
+        self.world.add_peer("e2", free=0, held=4)
+        self.assertEqual(self.targets(1), ["e3"])
+
+    def test_unusable_peers_get_nothing(self) -> None:
+        changes = {
+            "draining": lambda row: setattr(row, "draining", True),
+            "not ready": lambda row: setattr(row, "ready", False),
+            "broken": lambda row: setattr(row, "connected", False),
+            "silent": lambda row: setattr(row, "heard_at", -HEARD_SECONDS - 1.0),
+        }
+        for name, change in changes.items():
+            with self.subTest(name):
+                change(self.world.add_peer("e2"))
+                self.assertEqual(self.targets(1), [])
+        self.world.add_peer("e2")
+        for name in ("a", "e2-g"):
+            with self.subTest(taken_out=name):
+                self.world.gate.out = {name}
+                self.assertEqual(self.targets(1), [])
+
+    def test_forwarded_request_is_never_forwarded_again(self) -> None:
+        self.world.add_peer("e2")
+        orders = self.world.tick(arrival("r", forwarded_by=EntryId("e9")))
+        reasons = [order.reason for order in orders if isinstance(order, Refuse)]
+        self.assertEqual(reasons, [RefusalReason.NOT_HOLDER])
+
+    def test_tries_other_peers_up_to_a_bound(self) -> None:
+        for name in ("e2", "e3", "e4", "e5"):
+            self.world.add_peer(name)
+        tried: tuple[str, ...] = ()
+        for _ in range(FORWARD_TRIES):
+            (target,) = self.targets(1, excluded=tried)
+            self.assertNotIn(target, tried)
+            tried += (target,)
+        self.assertEqual(self.targets(1, excluded=tried), [])
+
+    def test_services_are_routed_as_models_are(self) -> None:
+        self.world.hold("g0", WARM).model = "service:jobs"
+        orders = self.world.tick(arrival("r", model="service:jobs", tokens=0))
+        self.assertEqual([type(order) for order in orders], [Dispatch])
+
+    def test_prefixes_bring_requests_back_until_the_load_outweighs_them(self) -> None:
+        for name in ("g0", "g1", "g2"):
+            self.world.hold(name, WARM)
+        items = [arrival(f"r{i}", prefixes=("p1", "p2")) for i in range(20)]
+        orders = [o for o in self.world.tick(*items) if isinstance(o, Dispatch)]
+        first = orders[0].group_id
+        self.assertEqual([order.group_id for order in orders[:4]], [first] * 4)
+        self.assertEqual(len({order.group_id for order in orders}), 3)
+
+    def test_restart_forgets_prefixes(self) -> None:
+        for name in ("g0", "g1"):
+            self.world.hold(name, WARM)
+        self.world.tick(arrival("r0", prefixes=("p",)), arrival("r1"))
+        self.world.tick(RequestFinished(RequestId("r0"), True), after=0.1)
+        self.world.report("g0", "b2")
+        orders = self.world.tick(arrival("r2", prefixes=("p",)), after=0.1)
+        self.world.tick(CacheReported(InstanceId("g1-i"), 1, ("p",)))
+        self.assertEqual([order.group_id for order in orders], ["g0"])  # type: ignore
+
+    def test_summaries_split_the_queue(self) -> None:
+        for name in ("g0", "g1"):
+            self.world.hold(name, WARM)
+        self.world.tick(*(arrival(f"r{i}") for i in range(21)))
+        rows = summaries(self.world.tables, self.world.now)
+        self.assertEqual([(row.held, row.free, row.queued) for row in rows], [(8, 0, 3), (8, 0, 2)])
+        self.assertEqual({row.model for row in rows}, {MODEL})
+
+
+class PrefixMemoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.memory = PrefixMemory()
+
+    def test_matches_the_longest_known_prefix(self) -> None:
+        self.memory.sent("g", ("a", "b"), 0.0)
+        self.assertEqual(self.memory.matched("g", ("a", "b", "c", "d")), 0.5)
+
+    def test_late_removal_does_not_outweigh_a_later_send(self) -> None:
+        self.memory.sent("g", ("a",), 10.0)
+        self.memory.report("g", 1, (), ("a",), 11.0)
+        self.assertEqual(self.memory.matched("g", ("a",)), 1.0)
+        self.memory.report("g", 2, (), ("a",), 11.0 + EVENT_LAG_SECONDS)
+        self.assertEqual(self.memory.matched("g", ("a",)), 0.0)
+
+    def test_gap_drops_what_was_not_used_recently(self) -> None:
+        self.memory.sent("g", ("old",), 0.0)
+        self.memory.report("g", 1, (), (), 1.0)
+        self.memory.sent("g", ("new",), 20.0)
+        self.memory.report("g", 3, (), (), 21.0)
+        matches = [self.memory.matched("g", (name,)) for name in ("old", "new")]
+        self.assertEqual(matches, [0.0, 1.0])
+
+    def test_is_bounded(self) -> None:
+        for index in range(PREFIXES_PER_TARGET + 1):
+            self.memory.sent("g", (str(index),), float(index))
+        self.assertEqual(self.memory.matched("g", ("0",)), 0.0)
+
+
+class RetryTest(unittest.TestCase):
+    def test_started_request_is_retried_only_when_it_may_run_twice(self) -> None:
+        budget = RetryBudget()
+        outcomes = {
+            (repeatable, started): may_retry(repeatable, started, budget)
+            for repeatable in (False, True)
+            for started in (False, True)
+        }
+        self.assertEqual([key for key, allowed in outcomes.items() if not allowed], [(False, True)])
+
+    def test_retries_are_a_tenth_of_the_requests(self) -> None:
+        budget = RetryBudget()
+        retries = 0
+        for _ in range(1000):
+            budget.count_request()
+            retries += may_retry(True, True, budget)
+        self.assertLessEqual(retries, 100 + RETRY_BURST)
