--- a/Makefile
+++ b/Makefile
@@ -12,17 +12,17 @@
 	touch $(STAMP)
 
 try: $(STAMP)
-	$(BIN)/python -m cactuspass_standins.trial
+	$(BIN)/python -m trial
 
 check: $(STAMP)
 	$(BIN)/python -m tests
 
 format: $(STAMP)
-	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff format --check src tests bench trial
 
 lint: $(STAMP)
-	$(BIN)/ruff check src tests bench
-	$(BIN)/pydocstyle src bench
+	$(BIN)/ruff check src tests bench trial
+	$(BIN)/pydocstyle src bench trial
 
 types: $(STAMP)
 	$(BIN)/mypy
--- /dev/null
+++ b/src/cactuspass/_bindings.py
@@ -0,0 +1,72 @@
+"""Binds the edges' and the admission's questions to the decision tables."""
+
+from collections.abc import Callable
+
+from cactuspass._configuration import is_taken_out
+from cactuspass._confirm import is_confirmed
+from cactuspass._gate import Gate
+from cactuspass._gateway import RetryPolicy, SendGuard
+from cactuspass._holding import holds
+from cactuspass._retries import RetryBudget
+from cactuspass._tables import HeldGroupRow, Tables
+from cactuspass.models import GroupId, TakeOutKind
+
+
+def may_send_to(tables: Tables, row: HeldGroupRow, now: float) -> bool:
+    """Return whether this entry holds a group, every member confirms it and none leaves."""
+    return (
+        not row.leaving
+        and row.held_from <= now
+        and holds(tables, row.group_id, now)
+        and is_confirmed(tables, row, now)
+    )
+
+
+class HoldingGate(Gate):
+    """Answers the admission system from the tables."""
+
+    def may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        """Return whether the group may be sent to at ``now``."""
+        return may_send_to(tables, row, now)
+
+    def taken_out(self, tables: Tables, kind: TakeOutKind, target: str) -> bool:
+        """Return whether an operator's take-out is in force."""
+        return is_taken_out(tables, kind, target)
+
+
+class TableGuard(SendGuard):
+    """Judges at the moment of sending, after the connection was made.
+
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(self, tables: Tables, clock: Callable[[], float]) -> None:
+        self._tables = tables
+        self._clock = clock
+
+    def may_send(self, group_id: GroupId) -> bool:
+        """Return whether the group may be sent to now."""
+        row = self._tables.held_groups_by_id.get(group_id)
+        return row is not None and may_send_to(self._tables, row, self._clock())
+
+    def generation(self, group_id: GroupId) -> str | None:
+        """Return the group's generation; None for a plain service."""
+        row = self._tables.held_groups_by_id.get(group_id)
+        if row is None or row.placed is None:
+            return None
+        return f"{row.generation.major}.{row.generation.minor}"
+
+
+class BudgetRetries(RetryPolicy):
+    """Retries within the share of requests that the budget allows."""
+
+    def __init__(self) -> None:
+        self._budget = RetryBudget()
+
+    def count_request(self) -> None:
+        """Count a new request."""
+        self._budget.count_request()
+
+    def may_retry(self) -> bool:
+        """Return whether the budget has a retry left, and spend it."""
+        return self._budget.take()
--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -1,7 +1,9 @@
 """The callers' HTTP listener."""
 
 import asyncio
+import contextlib
 import json
+import time
 import uuid
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
@@ -9,6 +11,7 @@
 from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -28,6 +31,19 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """How one caller's request ended.
+
+    :param first_byte_seconds: time from arrival to the first byte; None when there was none.
+    :param whole: whether the caller got a whole answer.
+    """
+
+    request: CallerRequest
+    first_byte_seconds: float | None
+    whole: bool
+
+
 class FrontDoor(ABC):
     """What the callers' listener asks of the rest of the process."""
 
@@ -38,6 +54,10 @@
         :raises RequestError: when there is none.
         """
 
+    @abstractmethod
+    def observe(self, outcome: CallOutcome) -> None:
+        """Count how a request ended."""
+
     @abstractmethod
     def models(self) -> tuple[str, ...]:
         """Return the names of the models that operators have declared."""
@@ -201,14 +221,20 @@
         except MalformedRequest as error:
             self.write_problem(bad_request(str(error)))
             return
+        started_at = time.monotonic()
+        first_byte_seconds: float | None = None
+        whole = False
         try:
             answer = await self.door.serve(request, raw.header(IDEMPOTENCY_HEADER))
+            first_byte_seconds = time.monotonic() - started_at
+            whole = await self._relay(answer)
         except RequestError as error:
             self.write_problem(problem_of(error))
-            return
-        await self._relay(answer)
+        finally:
+            self.door.observe(CallOutcome(request, first_byte_seconds, whole))
 
-    async def _relay(self, answer: Answer) -> None:
+    async def _relay(self, answer: Answer) -> bool:
+        """Pass the answer on; return whether all of it was."""
         self.set_status(answer.status)
         self.clear_header("Content-Type")
         for name, value in answer.headers:
@@ -217,6 +243,7 @@
         self.set_header(REQUEST_ID_HEADER, str(self.request_id))
         if self.door.is_draining():
             self.set_header("Connection", "close")
+        answer.body.on_cancel(self._close)
         try:
             await self.flush()
             async for chunk in answer.body.chunks():
@@ -224,9 +251,14 @@
                 await self.flush()
         except CactuspassError as error:
             await self._cut(error)
+            return False
+        except StreamClosedError:
+            answer.body.cancel(AnswerCut("the caller left"))
+            return False
         except BaseException:
             answer.body.cancel(AnswerCut("the caller left"))
             raise
+        return True
 
     async def _cut(self, error: CactuspassError) -> None:
         """End a broken answer so that it cannot look whole."""
@@ -234,10 +266,15 @@
             problem = problem_of(AnswerCut(str(error)))
             event = {"error": {"message": problem.detail, "type": problem.code}}
             self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
-            await self.flush()
+            with contextlib.suppress(StreamClosedError):
+                await self.flush()
+        self._close()
+
+    def _close(self) -> None:
+        """Close the connection without the end that a whole answer has."""
         connection = self.request.connection
-        assert connection is not None
-        connection.close()  # type: ignore[attr-defined]
+        if connection is not None:
+            connection.close()  # type: ignore[attr-defined]
 
 
 class LiveHandler(CallerHandler):
--- /dev/null
+++ b/src/cactuspass/_entry.py
@@ -0,0 +1,276 @@
+"""Assembles one entry process from its settings."""
+
+import asyncio
+import random
+import time
+import uuid
+from collections.abc import Sequence
+
+from cactuspass._admission import AdmissionSystem
+from cactuspass._answer_memory import AnswerMemory
+from cactuspass._application import Application
+from cactuspass._backlog import BacklogSystem
+from cactuspass._bindings import BudgetRetries, HoldingGate, TableGuard
+from cactuspass._burn import BurnLedger, Objective
+from cactuspass._caller_requests import RequestDefaults, RequestReader
+from cactuspass._callers import CallerServer, CallerSettings
+from cactuspass._configuration import ConfigurationSystem
+from cactuspass._core import Core, System
+from cactuspass._counters import Counters
+from cactuspass._documents import DocumentStore
+from cactuspass._entry_operators import EntryOperators
+from cactuspass._entry_state import EntryState
+from cactuspass._etcd import EtcdPlatform
+from cactuspass._forecast import Forecast
+from cactuspass._forwarding import Forwarding
+from cactuspass._front import Front
+from cactuspass._gateway import AnswerLimits, Gateway
+from cactuspass._groups import GroupSystem
+from cactuspass._handover import HandoverSystem
+from cactuspass._http_exchange import UpstreamClient
+from cactuspass._instance_list import HttpInstanceList
+from cactuspass._logs import StateLog
+from cactuspass._membership import MembershipSystem
+from cactuspass._memory import MemoryBudget, MemoryLedger
+from cactuspass._messages import (
+    AlarmChanged,
+    AskGrant,
+    GiveSeat,
+    OrderLoad,
+    OrderUnload,
+    SendGrant,
+    UnwatchInstance,
+    WatchInstance,
+    WritePlacement,
+)
+from cactuspass._operators import OperatorServer
+from cactuspass._peer_messages import Hello
+from cactuspass._peer_queries import PeerQueries
+from cactuspass._peers import PeerNetwork
+from cactuspass._placement import PlacementSystem
+from cactuspass._platform_loop import InstanceListLoop, PlatformLoop
+from cactuspass._requests import SERVICE_PREFIX
+from cactuspass._right import RightSystem
+from cactuspass._runner import CoreRunner
+from cactuspass._seats import SeatSystem
+from cactuspass._state_changes import StateChanges
+from cactuspass._tables import LocalRow, Tables
+from cactuspass._upstream_events import UpstreamEvents
+from cactuspass._views import ViewSources
+from cactuspass._writer import PlacementWriter
+from cactuspass.models import EntryId, Incarnation
+from cactuspass.settings import Settings
+
+INCARNATION_DIGITS = 12
+DRAIN_NOTICE_SECONDS = 1.0
+SEAT_POLL_SECONDS = 0.05
+SEAT_TIMEOUT_SECONDS = 5.0
+
+
+def build_tables(settings: Settings) -> Tables:
+    """Return the tables of a process that has just started."""
+    peers = settings.listeners.advertised_peers or settings.listeners.peers
+    local = LocalRow(
+        settings.entry_id,
+        Incarnation(uuid.uuid4().hex[:INCARNATION_DIGITS]),
+        settings.data_centre,
+        str(peers),
+    )
+    return Tables(
+        local,
+        settings.kinds_by_id,
+        weights_by_customer={customer.id: customer.weight for customer in settings.customers},
+        service_models={
+            service.kind: SERVICE_PREFIX + service.name for service in settings.services
+        },
+    )
+
+
+def build_systems(rng: random.Random) -> Sequence[System]:
+    """Return the systems of the decision layer in the order in which they run."""
+    writer = PlacementWriter()
+    forecast = Forecast()
+    return (
+        MembershipSystem(),
+        ConfigurationSystem(),
+        RightSystem(),
+        HandoverSystem(),
+        SeatSystem(writer),
+        GroupSystem(writer),
+        PlacementSystem(writer),
+        writer,
+        AdmissionSystem(HoldingGate(), rng, forecast),
+        BacklogSystem(forecast),
+    )
+
+
+class Entry:
+    """One entry process: its tables, its edges and their life-cycle."""
+
+    def __init__(self, settings: Settings, log: StateLog) -> None:
+        self.settings = settings
+        self.tables = build_tables(settings)
+        self._log = log
+        self._build_core()
+        self._build_platform()
+        self._build_path()
+        self._build_operators()
+        self._register_orders()
+        self._application = Application(
+            (
+                self.counters,
+                self.memory,
+                self.runner,
+                self.upstream_events,
+                self.network,
+                self.instance_list_loop,
+                self.platform_loop,
+                self.operators,
+                self.callers,
+                StateChanges(self.tables, log),
+            )
+        )
+
+    async def start(self) -> None:
+        """Start every part; the listeners are open afterwards."""
+        await self._application.start()
+        self._log.info(
+            "started",
+            callers=self.callers.port,
+            operators=self.operators.port,
+            peers=self.network.port,
+        )
+
+    async def drain(self) -> None:
+        """Leave: not ready, seats handed over, running requests finished."""
+        self.tables.local.draining = True
+        self.network.share_heartbeat()
+        self._log.info("draining")
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        await self._application.drain(self.settings.limits.drain_seconds)
+        while self.gateway.running:
+            await asyncio.sleep(SEAT_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._application.stop()
+        await self.platform.close()
+        self._log.info("stopped")
+
+    def _build_core(self) -> None:
+        settings = self.settings
+        statsd = settings.statsd
+        address = None if statsd is None else f"{statsd.host}:{statsd.port}"
+        self.counters = Counters(address, "cactuspass" if statsd is None else statsd.prefix)
+        rng = random.Random(self.tables.local.incarnation)
+        self.runner = CoreRunner(Core(self.tables, build_systems(rng)), time.monotonic)
+        limits = settings.limits
+        ledger = MemoryLedger(MemoryBudget(limits.node_memory_bytes, limits.stream_memory_bytes))
+        self.memory = AnswerMemory(ledger, time.monotonic, self.counters)
+
+    def _build_platform(self) -> None:
+        settings = self.settings
+        timeout = settings.platform.timeout_seconds
+        self.platform = EtcdPlatform(settings.platform.addresses, timeout)
+        self.documents = DocumentStore(self.platform, settings.data_centre, time.monotonic)
+        accept = self.runner.accept
+        self.platform_loop = PlatformLoop(self.documents, accept, self.counters)
+        instances = HttpInstanceList(settings.platform.instance_list, timeout)
+        self.instance_list_loop = InstanceListLoop(instances, accept, self.counters)
+
+    def _build_path(self) -> None:
+        settings, tables, accept = self.settings, self.tables, self.runner.accept
+        upstreams = UpstreamClient()
+        self.upstream_events = UpstreamEvents(upstreams, accept)
+        self.gateway = Gateway(
+            self.runner,
+            upstreams,
+            TableGuard(tables, time.monotonic),
+            BudgetRetries(),
+            AnswerLimits(settings.limits.stream_memory_bytes),
+            self.memory.account_for,
+        )
+        local = tables.local
+        hello = Hello(
+            local.entry_id,
+            local.incarnation,
+            local.data_centre,
+            local.address,
+            settings.peers.token,
+        )
+        state = EntryState(tables, time.monotonic, accept)
+        self.network = PeerNetwork(hello, str(settings.listeners.peers), state, accept)
+        links = self.network.links_by_entry
+        forwarding = Forwarding(self.gateway, links, time.monotonic, self.memory.account_for)
+        self.network.add_receiver(forwarding.receive, forwarding.lose_link)
+        self.gateway.use_forwarder(forwarding)
+        self.burn = BurnLedger(
+            [
+                Objective(
+                    item.customer,
+                    item.model,
+                    item.first_token_seconds,
+                    item.share,
+                    item.window_seconds,
+                )
+                for item in settings.objectives
+            ]
+        )
+        front = Front(self.gateway, tables, self.burn, self.counters)
+        self.callers = CallerServer(self._caller_settings(), front, self._reader())
+
+    def _caller_settings(self) -> CallerSettings:
+        settings = self.settings
+        return CallerSettings(
+            str(settings.listeners.callers),
+            {customer.api_key: customer.id for customer in settings.customers},
+            settings.limits.body_bytes,
+            settings.limits.header_bytes,
+        )
+
+    def _reader(self) -> RequestReader:
+        limits = self.settings.limits
+        defaults = RequestDefaults(limits.default_deadline_seconds, limits.max_deadline_seconds)
+        priorities = {customer.id: customer.priority for customer in self.settings.customers}
+        return RequestReader(defaults, time.monotonic, priorities)
+
+    def _build_operators(self) -> None:
+        tables = self.tables
+        sources = ViewSources(
+            tables, time.monotonic, self.memory.ledger.held_by_customer, self.counters.values
+        )
+        api = EntryOperators(
+            sources, self.documents, self.network, self.platform_loop, self.runner, self.burn
+        )
+        queries = PeerQueries(
+            self.network.links_by_entry, api.own_rows, lambda: self._listed_entries()
+        )
+        api.use_peers(queries)
+        self.network.add_receiver(queries.receive, queries.lose_link)
+        listen = str(self.settings.listeners.operators)
+        self.operators = OperatorServer(listen, self.settings.operators.token, api)
+
+    def _listed_entries(self) -> list[EntryId]:
+        return list(EntryState(self.tables, time.monotonic, self.runner.accept).peer_addresses())
+
+    def _register_orders(self) -> None:
+        handlers = {
+            AskGrant: self.network.ask_grant,
+            SendGrant: self.network.send_grant,
+            GiveSeat: self.network.give_seat,
+            WritePlacement: self.platform_loop.write_placement,
+            WatchInstance: self.upstream_events.watch,
+            UnwatchInstance: self.upstream_events.unwatch,
+            OrderLoad: self.upstream_events.load,
+            OrderUnload: self.upstream_events.unload,
+            AlarmChanged: self._log_alarm,
+        }
+        for order_type, handler in handlers.items():
+            self.runner.register(order_type, handler)  # type: ignore[arg-type]
+
+    def _log_alarm(self, order: AlarmChanged) -> None:
+        state = "raised" if order.raised else "cleared"
+        self.counters.count(f"alarms.{order.kind.value}.{state}")
+        self._log.warning(
+            f"alarm {state}", alarm=order.kind.value, subject=order.subject, detail=order.detail
+        )
--- /dev/null
+++ b/src/cactuspass/_entry_operators.py
@@ -0,0 +1,138 @@
+"""Answers operators from this entry's tables, its peers and the platform."""
+
+import asyncio
+import time
+import uuid
+from dataclasses import fields
+
+from cactuspass._burn import BurnLedger, BurnPoint, burn_rows
+from cactuspass._configuration import where_in_force
+from cactuspass._configuration_changes import change_of
+from cactuspass._documents import DocumentStore
+from cactuspass._messages import ConfigurationRead, TakeOutsHeard
+from cactuspass._operator_api import BurnAnswer, CommandAnswer, OperatorApi, QueryAnswer
+from cactuspass._peer_queries import PeerQueries
+from cactuspass._peers import PeerNetwork
+from cactuspass._platform_loop import PlatformLoop
+from cactuspass._rows import RowSet, merge, row_set, select
+from cactuspass._runner import CoreRunner
+from cactuspass._statements import Query, Statement, TakeOutCommand, ViewName
+from cactuspass._views import FLEET_VIEWS, VIEWS_BY_NAME, ViewSources
+from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
+from cactuspass.models import OperationId, TakeOut, TakeOutTag
+
+POLL_SECONDS = 0.05
+BURN_VIEW = ""
+
+
+class EntryOperators(OperatorApi):
+    """The operators' side of this entry."""
+
+    def __init__(
+        self,
+        sources: ViewSources,
+        documents: DocumentStore,
+        network: PeerNetwork,
+        platform_loop: PlatformLoop,
+        runner: CoreRunner,
+        burn: BurnLedger,
+    ) -> None:
+        self._sources = sources
+        self._tables = sources.tables
+        self._documents = documents
+        self._network = network
+        self._platform_loop = platform_loop
+        self._runner = runner
+        self._burn = burn
+        self._peers: PeerQueries | None = None
+
+    def use_peers(self, peers: PeerQueries) -> None:
+        """Set the way to ask the peers."""
+        self._peers = peers
+
+    def own_rows(self, view: str) -> RowSet:
+        """Return this entry's own rows of a view, or its burn counts for an empty name."""
+        if view == BURN_VIEW:
+            return row_set(BurnPoint, self._burn.points())
+        return VIEWS_BY_NAME[ViewName(view)](self._sources)
+
+    async def ask(self, query: Query) -> QueryAnswer:
+        """Answer a query."""
+        if query.view is ViewName.IN_FORCE:
+            return QueryAnswer(select(query, self._in_force()))
+        found = self.own_rows(query.view.value)
+        unreachable: tuple[str, ...] = ()
+        if query.view in FLEET_VIEWS and self._peers is not None:
+            others = await self._peers.ask_all(query.view.value)
+            rows = merge([found, *others.parts]).rows
+            found = RowSet(found.columns, tuple(dict.fromkeys(rows)))
+            unreachable = others.unreachable
+        return QueryAnswer(select(query, found), unreachable)
+
+    async def order(self, command: Statement, wait_seconds: float) -> CommandAnswer:
+        """Carry out a command, then wait until it is in force everywhere or the time is over."""
+        tag = TakeOutTag(f"{self._tables.local.entry_id}-{uuid.uuid4().hex[:12]}")
+        change = change_of(command, self._tables, tag, time.time())
+        operation = OperationId(uuid.uuid4().hex)
+        try:
+            configuration = await self._documents.commit_configuration(
+                change, operation, self._seen_revision()
+            )
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            if not isinstance(command, TakeOutCommand):
+                raise
+            return await self._take_out_by_peers(command, tag, str(error), wait_seconds)
+        self._runner.accept(ConfigurationRead(configuration, from_platform=True))
+        self._platform_loop.poll_soon()
+        return await self._wait_in_force(configuration.revision, (), "", wait_seconds)
+
+    async def burn(self) -> BurnAnswer:
+        """Return the burn of every objective over the fleet."""
+        points = list(self._burn.points())
+        unreachable: tuple[str, ...] = ()
+        if self._peers is not None:
+            others = await self._peers.ask_all(BURN_VIEW)
+            names = tuple(field.name for field in fields(BurnPoint))
+            points += [
+                BurnPoint(**dict(zip(names, row, strict=True)))  # type: ignore[arg-type]
+                for part in others.parts
+                for row in part.rows
+            ]
+            unreachable = others.unreachable
+        return BurnAnswer(tuple(burn_rows(self._burn.objectives, points, time.time())), unreachable)
+
+    def _seen_revision(self) -> int | None:
+        configuration = self._tables.configuration
+        return None if configuration is None else configuration.revision
+
+    async def _take_out_by_peers(
+        self, command: TakeOutCommand, tag: TakeOutTag, reason: str, wait_seconds: float
+    ) -> CommandAnswer:
+        """Accept a take-out while the platform does not answer; it is committed later."""
+        take_out = TakeOut(tag, command.kind, command.target, at=time.time())
+        self._runner.accept(TakeOutsHeard((take_out,)))
+        await asyncio.sleep(0)
+        self._network.share_take_outs()
+        detail = f"the platform does not answer ({reason}); peers pass it on until it does"
+        return await self._wait_in_force(0, (tag,), detail, wait_seconds)
+
+    async def _wait_in_force(
+        self, revision: int, tags: tuple[TakeOutTag, ...], detail: str, wait_seconds: float
+    ) -> CommandAnswer:
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + wait_seconds
+        self._network.share_heartbeat()
+        reached = where_in_force(self._tables, revision, tags)
+        while reached.unconfirmed and loop.time() < give_up_at:
+            await asyncio.sleep(POLL_SECONDS)
+            reached = where_in_force(self._tables, revision, tags)
+        return CommandAnswer(True, revision, reached.confirmed, reached.unconfirmed, detail)
+
+    def _in_force(self) -> RowSet:
+        """Return for each listed entry whether it has what is in force here."""
+        revision = self._seen_revision() or 0
+        tags = tuple(self._tables.pending_take_outs_by_tag)
+        reached = where_in_force(self._tables, revision, tags)
+        rows = [(entry, revision, True) for entry in reached.confirmed]
+        rows += [(entry, revision, False) for entry in reached.unconfirmed]
+        return RowSet(("entry", "revision", "confirmed"), tuple(sorted(rows)))
--- /dev/null
+++ b/src/cactuspass/_entry_state.py
@@ -0,0 +1,102 @@
+"""What this entry tells its peers, and the documents that it takes from them."""
+
+from collections.abc import Callable
+
+from cactuspass._codec import (
+    decode_configuration,
+    decode_placement,
+    encode_configuration,
+    encode_placement,
+)
+from cactuspass._messages import ConfigurationRead, Input, PlacementRead
+from cactuspass._peer_link import PeerLink
+from cactuspass._peer_messages import Documents, Heartbeat
+from cactuspass._peers import PeerState
+from cactuspass._summaries import summaries
+from cactuspass._tables import Tables
+from cactuspass.exceptions import DocumentError
+from cactuspass.models import EntryId, InstanceRole, TakeOut
+
+
+class EntryState(PeerState):
+    """Reads the tables for the peer network.
+
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(
+        self, tables: Tables, clock: Callable[[], float], accept_input: Callable[[Input], None]
+    ) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._accept_input = accept_input
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the state to tell peers."""
+        tables = self._tables
+        configuration = tables.configuration
+        placement = tables.placement
+        return Heartbeat(
+            configuration_revision=0 if configuration is None else configuration.revision,
+            take_out_tags=tuple(sorted(tables.pending_take_outs_by_tag)),
+            placement_version=0 if placement is None else placement.version,
+            ready=configuration is not None,
+            draining=tables.local.draining,
+            groups=summaries(tables, self._clock()),
+        )
+
+    def documents(self) -> Documents:
+        """Return the documents in their stored form."""
+        configuration = self._tables.configuration
+        placement = self._tables.placement
+        return Documents(
+            self._tables.local.data_centre,
+            b"" if configuration is None else encode_configuration(configuration),
+            b"" if placement is None else encode_placement(placement),
+        )
+
+    def take_outs(self) -> tuple[TakeOut, ...]:
+        """Return the take-outs that the platform may not have yet."""
+        return tuple(self._tables.pending_take_outs_by_tag.values())
+
+    def wants_documents(self, link: PeerLink, heartbeat: Heartbeat) -> bool:
+        """Return whether the peer has a newer document or a take-out unknown here."""
+        tables = self._tables
+        own_revision = -1 if tables.configuration is None else tables.configuration.revision
+        own_version = 0 if tables.placement is None else tables.placement.version
+        is_local = link.hello.data_centre == tables.local.data_centre
+        known = self._known_tags()
+        return (
+            (heartbeat.ready and heartbeat.configuration_revision > own_revision)
+            or (is_local and heartbeat.placement_version > own_version)
+            or any(tag not in known for tag in heartbeat.take_out_tags)
+        )
+
+    def receive_documents(self, documents: Documents) -> None:
+        """Take documents that a peer sent; malformed ones are left."""
+        try:
+            if documents.configuration:
+                configuration = decode_configuration(documents.configuration)
+                self._accept_input(ConfigurationRead(configuration, from_platform=False))
+            if documents.placement and documents.data_centre == self._tables.local.data_centre:
+                placement = decode_placement(documents.placement)
+                self._accept_input(PlacementRead(placement, 0, self._clock()))
+        except DocumentError:
+            return
+
+    def peer_addresses(self) -> dict[EntryId, str]:
+        """Return the listed addresses of all other entries."""
+        return {
+            EntryId(record.instance_id): record.address
+            for record in self._tables.records_by_id.values()
+            if record.role is InstanceRole.ENTRY
+            and str(record.instance_id) != self._tables.local.entry_id
+        }
+
+    def _known_tags(self) -> set[str]:
+        known: set[str] = set(self._tables.pending_take_outs_by_tag)
+        configuration = self._tables.configuration
+        if configuration is not None:
+            known.update(configuration.take_outs_by_tag)
+            known.update(configuration.cancelled)
+        return known
--- a/src/cactuspass/_forwarding.py
+++ b/src/cactuspass/_forwarding.py
@@ -36,19 +36,30 @@
 class _CreditAccount(BytesAccount):
     """Gives the sender credit for bytes that the caller has taken."""
 
-    def __init__(self, link: PeerLink, request_id: RequestId, inner: BytesAccount | None) -> None:
+    def __init__(self, link: PeerLink, request_id: RequestId, inner: BytesAccount) -> None:
         self._link = link
         self._request_id = request_id
         self._inner = inner
 
-    def add(self, count: int) -> None:
-        if self._inner is not None:
-            self._inner.add(count)
+    def open(self, cut: Callable[[str], None]) -> None:
+        self._inner.open(cut)
 
-    def remove(self, count: int) -> None:
-        if self._inner is not None:
-            self._inner.remove(count)
-        self._link.send(AnswerCredit(self._request_id, count))
+    def close(self) -> None:
+        self._inner.close()
+
+    async def reserve(self, count: int) -> None:
+        await self._inner.reserve(count)
+
+    def try_reserve(self, count: int) -> bool:
+        return self._inner.try_reserve(count)
+
+    async def wait_while_paused(self) -> None:
+        await self._inner.wait_while_paused()
+
+    def release(self, count: int) -> None:
+        self._inner.release(count)
+        if count:
+            self._link.send(AnswerCredit(self._request_id, count))
 
 
 @dataclass(slots=True)
@@ -88,7 +99,7 @@
         gateway: Gateway,
         links_by_entry: dict[EntryId, PeerLink],
         clock: Callable[[], float],
-        account_for: Callable[[CallerRequest], BytesAccount | None] = lambda request: None,
+        account_for: Callable[[CallerRequest], BytesAccount],
     ) -> None:
         self._gateway = gateway
         self._links_by_entry = links_by_entry
@@ -250,10 +261,13 @@
     async def _send_body(
         self, link: PeerLink, request_id: RequestId, answer: Answer, credit: _Credit
     ) -> None:
+        answer.body.on_cancel(credit.more.set)
         async for data in answer.body.chunks():
             rest = data
             while rest:
                 while credit.left <= 0:
+                    if answer.body.cancelled:
+                        raise AnswerCut("the answer was given up")
                     credit.more.clear()
                     await credit.more.wait()
                 part, rest = rest[: credit.left], rest[credit.left :]
--- /dev/null
+++ b/src/cactuspass/_front.py
@@ -0,0 +1,61 @@
+"""Serves callers' requests: claims keyed ones, places them and counts how they ended."""
+
+import time
+
+from cactuspass._burn import BurnLedger
+from cactuspass._callers import CallOutcome, FrontDoor
+from cactuspass._configuration import is_taken_out
+from cactuspass._counters import Counters
+from cactuspass._gateway import Gateway
+from cactuspass._requests import Answer, CallerRequest
+from cactuspass._tables import Tables
+from cactuspass.models import TakeOutKind
+
+
+class Front(FrontDoor):
+    """The callers' side of this entry."""
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        tables: Tables,
+        burn: BurnLedger,
+        counters: Counters,
+    ) -> None:
+        self._gateway = gateway
+        self._tables = tables
+        self._burn = burn
+        self._counters = counters
+
+    async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
+        """Return the answer to a request."""
+        self._counters.count("requests")
+        return await self._gateway.serve(request)
+
+    def observe(self, outcome: CallOutcome) -> None:
+        """Count how a request ended."""
+        request = outcome.request
+        self._counters.count("answers.whole" if outcome.whole else "answers.missing")
+        if outcome.first_byte_seconds is not None:
+            self._counters.duration("first_byte", outcome.first_byte_seconds)
+        first_byte = outcome.first_byte_seconds if outcome.whole else None
+        self._burn.record(request.customer, request.model, first_byte, time.time())
+
+    def models(self) -> tuple[str, ...]:
+        """Return the names of the declared models."""
+        configuration = self._tables.configuration
+        declared = {} if configuration is None else configuration.declarations_by_name
+        return tuple(sorted({item.model for item in declared.values()}))
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return self._tables.configuration is not None and not self._tables.local.draining
+
+    def is_draining(self) -> bool:
+        """Return whether the process is shutting down."""
+        return self._tables.local.draining
+
+    def is_out(self) -> bool:
+        """Return whether operators have taken the own data centre out."""
+        local = self._tables.local
+        return is_taken_out(self._tables, TakeOutKind.DATA_CENTRE, local.data_centre)
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -106,7 +106,7 @@
         guard: SendGuard,
         retries: RetryPolicy,
         limits: AnswerLimits,
-        account_for: Callable[[CallerRequest], BytesAccount | None] = lambda request: None,
+        account_for: Callable[[CallerRequest], BytesAccount],
     ) -> None:
         self._runner = runner
         self._upstreams = upstreams
--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -20,7 +20,7 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_HEADER_BYTES = 65_536
 MAX_ANSWER_BYTES = 1 << 40
-READ_CHUNK_BYTES = 65_536
+READ_CHUNK_BYTES = 16_384
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 END_OF_STREAM = b"data: [DONE]"
 TAIL_BYTES = 64
@@ -129,8 +129,8 @@
         queue.on_cancel(stream.close)
         try:
             code, answer_headers = await asyncio.shield(reader.head)
-        except asyncio.CancelledError:
-            stream.close()
+        except BaseException as error:
+            queue.cancel(error)
             task.cancel()
             raise
         return Answer(code, tuple(answer_headers.get_all()), queue)
--- a/src/cactuspass/_peer_messages.py
+++ b/src/cactuspass/_peer_messages.py
@@ -74,8 +74,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SeatMessage(PeerMessage):
-    """Gives a seat to the receiver for good."""
+    """Says that the sender gives a seat to one entry for good."""
 
+    to_entry: EntryId
     seat: Seat
     placement_version: int
     foreign_held_by_group: dict[GroupId, int]
@@ -182,6 +183,26 @@
     request_id: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class AskRows(PeerMessage):
+    """Asks for the receiver's own rows of a view, or for its burn counts.
+
+    :param view: name of the view; empty for the burn counts.
+    """
+
+    question_id: str
+    view: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rows(PeerMessage):
+    """Answers :class:`AskRows`."""
+
+    question_id: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str | int | float | bool | None, ...], ...]
+
+
 _TYPES: tuple[type[PeerMessage], ...] = (
     Hello,
     Heartbeat,
@@ -199,6 +220,8 @@
     AnswerFailed,
     AnswerCredit,
     CancelForward,
+    AskRows,
+    Rows,
 )
 _ADAPTERS_BY_NAME: dict[str, TypeAdapter[Any]] = {
     kind.__name__: TypeAdapter(kind) for kind in _TYPES
--- a/src/cactuspass/_peers.py
+++ b/src/cactuspass/_peers.py
@@ -11,7 +11,6 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from cactuspass._component import Component
-from cactuspass._forwarding import Forwarding
 from cactuspass._messages import (
     AskGrant,
     GiveSeat,
@@ -95,15 +94,25 @@
         self._listen = listen
         self._state = state
         self._accept_input = accept_input
-        self._forwarding: Forwarding | None = None
+        self._receivers: list[Callable[[PeerLink, PeerMessage], bool]] = []
+        self._loss_handlers: list[Callable[[PeerLink], None]] = []
         self._server: Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._connecting: set[EntryId] = set()
         self.port = 0
 
-    def use_forwarding(self, forwarding: Forwarding) -> None:
-        """Set the receiver of forwarded requests and answers."""
-        self._forwarding = forwarding
+    def add_receiver(
+        self,
+        receive: Callable[[PeerLink, PeerMessage], bool],
+        lose: Callable[[PeerLink], None],
+    ) -> None:
+        """Add a part of the process that has messages of its own.
+
+        :param receive: takes a message and returns whether it was for this part.
+        :param lose: is told of each connection that broke.
+        """
+        self._receivers.append(receive)
+        self._loss_handlers.append(lose)
 
     async def start(self) -> None:
         """Listen, and connect to the listed peers."""
@@ -145,8 +154,12 @@
 
     def give_seat(self, order: GiveSeat) -> None:
         """Carry out an order of the core."""
-        message = SeatMessage(order.seat, order.placement_version, order.foreign_held_by_group)
-        self._send(order.to_entry, message)
+        message = SeatMessage(
+            order.to_entry, order.seat, order.placement_version, order.foreign_held_by_group
+        )
+        for link in self.links_by_entry.values():
+            if link.hello.data_centre == self._own.data_centre:
+                link.send(message)
 
     def share_take_outs(self) -> None:
         """Tell every peer of the pending take-outs at once."""
@@ -224,8 +237,8 @@
 
     def _lose(self, link: PeerLink) -> None:
         link.abort()
-        if self._forwarding is not None:
-            self._forwarding.lose_link(link)
+        for lose in self._loss_handlers:
+            lose(link)
         if self.links_by_entry.get(link.hello.entry_id) is link:
             del self.links_by_entry[link.hello.entry_id]
             self._accept_input(PeerLost(link.hello.entry_id, link.hello.incarnation))
@@ -238,7 +251,7 @@
     # What arrives
 
     def _receive(self, link: PeerLink, message: PeerMessage) -> None:
-        if self._forwarding is not None and self._forwarding.receive(link, message):
+        if any(receive(link, message) for receive in self._receivers):
             return
         hello = link.hello
         match message:
@@ -250,8 +263,8 @@
                 self._accept_input(
                     Granted(hello.entry_id, hello.incarnation, version, sent_at, period)
                 )
-            case SeatMessage(seat, version, foreign_held_by_group):
-                self._accept_input(SeatGiven(seat, version, foreign_held_by_group))
+            case SeatMessage(to_entry, seat, version, held):
+                self._accept_input(SeatGiven(seat, version, held, to_entry))
             case TakeOutsMessage(take_outs):
                 self._accept_input(TakeOutsHeard(take_outs))
             case FetchDocuments():
--- /dev/null
+++ b/src/cactuspass/_platform_loop.py
@@ -0,0 +1,101 @@
+"""Keeps the tables in step with the platform's documents and instance list."""
+
+import asyncio
+from collections.abc import Callable
+
+from cactuspass._component import Component
+from cactuspass._counters import Counters
+from cactuspass._documents import DocumentStore
+from cactuspass._instance_list import InstanceList
+from cactuspass._messages import Input, InstancesListed, WritePlacement
+from cactuspass.exceptions import PlatformError
+
+CONFIRM_SECONDS = 1.0
+LIST_SECONDS = 2.0
+
+
+class PlatformLoop(Component):
+    """Confirms the documents once a second and writes placements for the core."""
+
+    def __init__(
+        self, documents: DocumentStore, accept_input: Callable[[Input], None], counters: Counters
+    ) -> None:
+        self._documents = documents
+        self._accept_input = accept_input
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._poll_soon = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin to poll."""
+        self._spawn(asyncio.create_task(self._poll_forever()))
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def write_placement(self, order: WritePlacement) -> None:
+        """Carry out an order of the core."""
+        self._spawn(asyncio.create_task(self._write(order)))
+
+    def poll_soon(self) -> None:
+        """Poll at once instead of at the next interval."""
+        self._poll_soon.set()
+
+    def _spawn(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write(self, order: WritePlacement) -> None:
+        self._counters.count("platform.writes")
+        self._accept_input(await self._documents.write_placement(order))
+        self.poll_soon()
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._poll_soon.clear()
+            self._counters.count("platform.reads")
+            result = await self._documents.poll()
+            for message in result.inputs:
+                self._accept_input(message)
+            if result.findings:
+                self._counters.count("platform.findings", len(result.findings))
+            try:
+                async with asyncio.timeout(CONFIRM_SECONDS):
+                    await self._poll_soon.wait()
+            except TimeoutError:
+                continue
+
+
+class InstanceListLoop(Component):
+    """Reads the platform's lagging list of instances."""
+
+    def __init__(
+        self, instances: InstanceList, accept_input: Callable[[Input], None], counters: Counters
+    ) -> None:
+        self._instances = instances
+        self._accept_input = accept_input
+        self._counters = counters
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._task = asyncio.create_task(self._read_forever())
+
+    async def stop(self) -> None:
+        """Stop reading."""
+        if self._task is not None:
+            self._task.cancel()
+        await self._instances.close()
+
+    async def _read_forever(self) -> None:
+        while True:
+            try:
+                listing = await self._instances.read()
+                self._accept_input(InstancesListed(listing.records))
+                if listing.findings:
+                    self._counters.count("instance_list.findings", len(listing.findings))
+            except PlatformError:
+                self._counters.count("instance_list.failures")
+            await asyncio.sleep(LIST_SECONDS)
--- /dev/null
+++ b/src/cactuspass/_views.py
@@ -0,0 +1,315 @@
+"""The rows behind each view of the operators' language, from one entry's tables."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from cactuspass._backlog import WaitingRow, waiting
+from cactuspass._rows import RowSet, row_set
+from cactuspass._statements import ViewName
+from cactuspass._stranded import StrandedRow, stranded
+from cactuspass._summaries import summaries
+from cactuspass._tables import Tables
+from cactuspass.models import CustomerId
+
+
+@dataclass(frozen=True, slots=True)
+class ViewSources:
+    """What the views read.
+
+    :param held_by_customer: bytes of answers held now.
+    :param counters: counters and gauges by name.
+    """
+
+    tables: Tables
+    clock: Callable[[], float]
+    held_by_customer: Callable[[], Mapping[CustomerId, int]]
+    counters: Callable[[], Mapping[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupView:
+    """A group that an entry holds."""
+
+    group: str
+    model: str
+    data_centre: str
+    holder: str
+    generation: str
+    members: tuple[str, ...]
+    spares: tuple[str, ...]
+    serving: bool
+    leaving: bool
+    requests: int
+    bearable: int
+    tokens: int
+    down_seconds: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamView:
+    """An upstream instance of the entry's data centre."""
+
+    upstream: str
+    data_centre: str
+    fabric_domain: str
+    kind: str
+    listed: str
+    connected: bool
+    group: str
+    rank: int
+    state: str
+    running: int
+    memory_tokens: int
+    heard_seconds_ago: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class HeldView:
+    """Bytes of answers that an entry holds for a customer."""
+
+    customer: str
+    entry: str
+    bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryView:
+    """An entry as this one sees it."""
+
+    entry: str
+    data_centre: str
+    address: str
+    ready: bool
+    draining: bool
+    connected: bool
+    configuration_revision: int
+    placement_version: int
+    heard_seconds_ago: float
+
+
+@dataclass(frozen=True, slots=True)
+class AlarmView:
+    """An alarm that an entry has raised."""
+
+    alarm: str
+    subject: str
+    entry: str
+    age_seconds: float
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class DeclarationView:
+    """Groups that operators want."""
+
+    name: str
+    data_centre: str
+    model: str
+    kind: str
+    size: int
+    count: int
+    spares: int
+    version: str
+    adapters: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOutView:
+    """A take-out in force.
+
+    :param committed: whether the platform has it.
+    """
+
+    kind: str
+    target: str
+    by: str
+    tag: str
+    committed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CounterView:
+    """A counter of one entry."""
+
+    counter: str
+    entry: str
+    value: float
+
+
+def waiting_view(sources: ViewSources) -> RowSet:
+    """Return requests that wait, by customer and model."""
+    return row_set(WaitingRow, waiting(sources.tables, sources.clock()))
+
+
+def groups_view(sources: ViewSources) -> RowSet:
+    """Return the groups that this entry holds."""
+    tables, now = sources.tables, sources.clock()
+    summaries_by_id = {summary.group_id: summary for summary in summaries(tables, now)}
+    views = [
+        GroupView(
+            group=row.group_id,
+            model=row.model,
+            data_centre=tables.local.data_centre,
+            holder=tables.local.entry_id,
+            generation=f"{row.generation.major}.{row.generation.minor}",
+            members=row.members,
+            spares=row.spares,
+            serving=row.serving,
+            leaving=row.leaving,
+            requests=len(row.requests),
+            bearable=summaries_by_id[row.group_id].ramp,
+            tokens=row.held_tokens,
+            down_seconds=None if row.down_since is None else now - row.down_since,
+        )
+        for row in sorted(tables.held_groups_by_id.values(), key=lambda row: row.group_id)
+    ]
+    return row_set(GroupView, views)
+
+
+def upstreams_view(sources: ViewSources) -> RowSet:
+    """Return the upstream instances that this entry watches."""
+    tables, now = sources.tables, sources.clock()
+    views = []
+    for row in sorted(tables.instances_by_id.values(), key=lambda row: row.instance_id):
+        record = tables.records_by_id.get(row.instance_id)
+        views.append(
+            UpstreamView(
+                upstream=row.instance_id,
+                data_centre=tables.local.data_centre,
+                fabric_domain="" if record is None else record.fabric_domain,
+                kind=row.kind,
+                listed="gone" if record is None else record.state.value,
+                connected=row.connected,
+                group=row.group_id,
+                rank=row.rank,
+                state=row.state.value,
+                running=row.running,
+                memory_tokens=row.memory_tokens,
+                heard_seconds_ago=None if row.heard_at is None else now - row.heard_at,
+            )
+        )
+    return row_set(UpstreamView, views)
+
+
+def held_view(sources: ViewSources) -> RowSet:
+    """Return bytes of answers held, by customer."""
+    entry = sources.tables.local.entry_id
+    held = sorted(sources.held_by_customer().items())
+    return row_set(HeldView, (HeldView(customer, entry, count) for customer, count in held))
+
+
+def stranded_view(sources: ViewSources) -> RowSet:
+    """Return instances of the data centre whose accelerators serve nobody."""
+    return row_set(StrandedRow, stranded(sources.tables))
+
+
+def entries_view(sources: ViewSources) -> RowSet:
+    """Return this entry and those that it has heard of."""
+    tables, now = sources.tables, sources.clock()
+    local = tables.local
+    own = EntryView(
+        local.entry_id,
+        local.data_centre,
+        local.address,
+        tables.configuration is not None,
+        local.draining,
+        True,
+        0 if tables.configuration is None else tables.configuration.revision,
+        0 if tables.placement is None else tables.placement.version,
+        0.0,
+    )
+    others = (
+        EntryView(
+            row.entry_id,
+            row.data_centre,
+            row.address,
+            row.ready,
+            row.draining,
+            row.connected,
+            row.configuration_revision,
+            row.placement_version,
+            now - row.heard_at,
+        )
+        for row in tables.entries_by_id.values()
+    )
+    return row_set(EntryView, sorted((own, *others), key=lambda view: view.entry))
+
+
+def alarms_view(sources: ViewSources) -> RowSet:
+    """Return the alarms that this entry has raised."""
+    tables, now = sources.tables, sources.clock()
+    views = (
+        AlarmView(
+            row.kind.value, row.subject, tables.local.entry_id, now - row.raised_at, row.detail
+        )
+        for row in tables.alarms_by_key.values()
+    )
+    return row_set(AlarmView, views)
+
+
+def declarations_view(sources: ViewSources) -> RowSet:
+    """Return the declared groups."""
+    configuration = sources.tables.configuration
+    declared = {} if configuration is None else configuration.declarations_by_name
+    return row_set(
+        DeclarationView,
+        (
+            DeclarationView(
+                item.name,
+                item.data_centre,
+                item.model,
+                item.kind,
+                item.size,
+                item.count,
+                item.spares,
+                item.version,
+                item.adapters,
+            )
+            for _, item in sorted(declared.items())
+        ),
+    )
+
+
+def take_outs_view(sources: ViewSources) -> RowSet:
+    """Return the take-outs in force here, committed or not."""
+    tables = sources.tables
+    configuration = tables.configuration
+    committed = {} if configuration is None else configuration.take_outs_by_tag
+    pending = tables.pending_take_outs_by_tag
+    views = (
+        TakeOutView(item.kind.value, item.target, item.by, tag, tag in committed)
+        for tag, item in sorted({**pending, **committed}.items())
+    )
+    return row_set(TakeOutView, views)
+
+
+def counters_view(sources: ViewSources) -> RowSet:
+    """Return the counters of this entry."""
+    entry = sources.tables.local.entry_id
+    values = sorted(sources.counters().items())
+    return row_set(CounterView, (CounterView(name, entry, value) for name, value in values))
+
+
+VIEWS_BY_NAME: Mapping[ViewName, Callable[[ViewSources], RowSet]] = {
+    ViewName.WAITING: waiting_view,
+    ViewName.GROUPS: groups_view,
+    ViewName.UPSTREAMS: upstreams_view,
+    ViewName.HELD: held_view,
+    ViewName.STRANDED: stranded_view,
+    ViewName.ENTRIES: entries_view,
+    ViewName.ALARMS: alarms_view,
+    ViewName.DECLARATIONS: declarations_view,
+    ViewName.TAKE_OUTS: take_outs_view,
+    ViewName.COUNTERS: counters_view,
+}
+FLEET_VIEWS = frozenset(
+    {
+        ViewName.WAITING,
+        ViewName.GROUPS,
+        ViewName.UPSTREAMS,
+        ViewName.HELD,
+        ViewName.STRANDED,
+        ViewName.ALARMS,
+        ViewName.COUNTERS,
+    }
+)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,7 +9,7 @@
 
 from cactuspass._byte_queue import ByteQueue
 from cactuspass._caller_requests import RequestDefaults, RequestReader
-from cactuspass._callers import CallerServer, CallerSettings, FrontDoor
+from cactuspass._callers import CallerServer, CallerSettings, CallOutcome, FrontDoor
 from cactuspass._messages import RefusalReason
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass.exceptions import AnswerCut, RequestRefused
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.requests: list[CallerRequest] = []
+        self.outcomes: list[CallOutcome] = []
         self.error: Exception | None = None
         self.queue = ByteQueue(1000)
         self.headers: tuple[tuple[str, str], ...] = (("Content-Type", "text/event-stream"),)
@@ -31,6 +32,9 @@
             raise self.error
         return Answer(200, self.headers, self.queue)
 
+    def observe(self, outcome: CallOutcome) -> None:
+        self.outcomes.append(outcome)
+
     def models(self) -> tuple[str, ...]:
         return ("assistant",)
 
--- /dev/null
+++ b/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the whole path as separate processes on this machine, on embedded stand-ins."""
--- /dev/null
+++ b/trial/calls.py
@@ -0,0 +1,84 @@
+"""Calls that a user of the system would make, with checks of their answers."""
+
+import hashlib
+import json
+import urllib.error
+import urllib.request
+from dataclasses import dataclass
+
+import openai
+
+from trial.fleet import API_KEY, HTTP_TIMEOUT_SECONDS, MODEL, SERVICE
+from trial.processes import TrialError
+
+DIGEST_DIGITS = 12
+DEFAULT_TOKENS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Answer of a plain service, or the refusal."""
+
+    status: int
+    body: bytes
+
+
+def client_of(address: str) -> openai.OpenAI:
+    """Return an ordinary client of an entry that tries once."""
+    return openai.OpenAI(
+        base_url=f"http://{address}/v1", api_key=API_KEY, max_retries=0, timeout=60.0
+    )
+
+
+def stream_completion(address: str, prompt: str, max_tokens: int = DEFAULT_TOKENS) -> str:
+    """Return the text of a streamed chat answer.
+
+    :raises TrialError: when it is not the whole answer to this prompt.
+    """
+    with client_of(address) as client:
+        stream = client.chat.completions.create(
+            model=MODEL,
+            messages=[{"role": "user", "content": prompt}],
+            max_tokens=max_tokens,
+            stream=True,
+        )
+        text = "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+    return _checked(text, prompt, max_tokens)
+
+
+def unary_completion(address: str, prompt: str, max_tokens: int = DEFAULT_TOKENS) -> str:
+    """Return the text of an unstreamed answer.
+
+    :raises TrialError: when it is not the whole answer to this prompt.
+    """
+    with client_of(address) as client:
+        answer = client.completions.create(model=MODEL, prompt=prompt, max_tokens=max_tokens)
+    return _checked(answer.choices[0].text, prompt, max_tokens)
+
+
+def book(address: str, key: str, booking: str) -> ServiceAnswer:
+    """Send one booking with an idempotency key."""
+    request = urllib.request.Request(
+        f"http://{address}/services/{SERVICE}/loans",
+        json.dumps({"booking": booking}).encode(),
+        {
+            "Authorization": f"Bearer {API_KEY}",
+            "Content-Type": "application/json",
+            "Idempotency-Key": key,
+        },
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_SECONDS) as answer:
+            return ServiceAnswer(answer.status, answer.read())
+    except urllib.error.HTTPError as error:
+        return ServiceAnswer(error.code, error.read())
+
+
+def _checked(text: str, prompt: str, max_tokens: int) -> str:
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_DIGITS]
+    words = text.split()
+    if not words or words[0] != digest:
+        raise TrialError(f"the answer to {prompt!r} is another one: {text!r}")
+    if len(words) != max_tokens:
+        raise TrialError(f"the answer to {prompt!r} has {len(words)} of {max_tokens} tokens")
+    return text
--- /dev/null
+++ b/trial/fleet.py
@@ -0,0 +1,252 @@
+"""A fleet on loopback: stand-ins in one process, each entry daemon in its own."""
+
+import json
+import socket
+import tempfile
+import urllib.error
+import urllib.request
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from cactuspass._operator_client import OperatorClient
+from cactuspass.exceptions import CactuspassError
+from trial.processes import START_TIMEOUT_SECONDS, Child, wait_until
+
+PEER_TOKEN = "peer-secret"
+OPERATOR_TOKEN = "operator-secret"
+API_KEY = "library-key"
+MODEL = "assistant"
+KIND = "assistant-llm"
+SERVICE = "lending"
+SERVICE_KIND = "lending-app"
+HTTP_TIMEOUT_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    :param engines: engine instances in each data centre, all in one fabric domain.
+    :param engine_settings: further settings of each engine.
+    """
+
+    data_centres: Sequence[str] = ("fukuoka", "kumamoto", "kagoshima")
+    entries: int = 2
+    engines: int = 5
+    services: int = 1
+    engine_settings: dict[str, Any] = field(default_factory=dict)
+    checks_fence: bool = True
+    drain_seconds: float = 30.0
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """One entry daemon with its listeners."""
+
+    name: str
+    data_centre: str
+    callers: str
+    operators: str
+    peers: str
+    settings: Path
+    child: Child | None = None
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Fleet:
+    """Starts and stops the processes of a trial; a context manager."""
+
+    def __init__(self, plan: FleetPlan | None = None) -> None:
+        self.plan = plan or FleetPlan()
+        self._folder = tempfile.TemporaryDirectory(prefix="cactuspass-")
+        self.folder = Path(self._folder.name)
+        self.entries_by_name: dict[str, EntryProcess] = {}
+        self.addresses_by_name: dict[str, str] = {}
+        self._host: Child | None = None
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start the stand-ins, then the entries, and wait until all are ready."""
+        for data_centre in self.plan.data_centres:
+            for number in range(self.plan.entries):
+                self._plan_entry(f"{data_centre}-{number}", data_centre)
+        host_file = self.folder / "host.toml"
+        host_file.write_text(self._host_settings(), encoding="utf-8")
+        arguments = ["-m", "cactuspass_standins.host", str(host_file)]
+        self._host = Child("stand-ins", arguments, self.folder / "host.log")
+        self.addresses_by_name = self._host.read_json_line()
+        for entry in self.entries_by_name.values():
+            self.start_entry(entry.name)
+        for entry in self.entries_by_name.values():
+            self.wait_ready(entry.name)
+
+    def stop(self) -> None:
+        """End every process that was started, and delete the files."""
+        for entry in self.entries_by_name.values():
+            if entry.child is not None:
+                entry.child.kill()
+        if self._host is not None:
+            self._host.kill()
+        self._folder.cleanup()
+
+    def start_entry(self, name: str) -> None:
+        """Start, or start again, one entry daemon."""
+        entry = self.entries_by_name[name]
+        entry.settings.write_text(self._entry_settings(entry), encoding="utf-8")
+        arguments = ["-m", "cactuspass.daemon", "--settings", str(entry.settings)]
+        entry.child = Child(name, arguments, self.folder / f"{name}.log")
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an entry says that it is ready."""
+        entry = self.entries_by_name[name]
+        wait_until(
+            lambda: self.status(entry.callers, "/readyz") == 200,
+            f"{name} is ready",
+            START_TIMEOUT_SECONDS,
+        )
+
+    def operator(self, name: str) -> OperatorClient:
+        """Return a client of an entry's operators' port."""
+        return OperatorClient(self.entries_by_name[name].operators, OPERATOR_TOKEN)
+
+    def rows(self, query: str, entry: str = "") -> list[dict[str, Any]]:
+        """Return the rows of a query as objects; none while the entry does not answer."""
+        name = entry or next(iter(self.entries_by_name))
+        try:
+            found = self.operator(name).ask(query).found
+        except CactuspassError:
+            return []
+        return [dict(zip(found.columns, row, strict=True)) for row in found.rows]
+
+    def status(self, address: str, path: str) -> int:
+        """Return the HTTP status of a path; 0 when nothing answers."""
+        try:
+            with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as answer:
+                return int(answer.status)
+        except urllib.error.HTTPError as error:
+            return error.code
+        except OSError:
+            return 0
+
+    def control(self, stand_in: str, action: str, **arguments: Any) -> dict[str, Any]:
+        """Call a control method of a stand-in; with no arguments ``counts`` reads counters."""
+        address = self.addresses_by_name[stand_in]
+        url = f"http://{address}/standin/{action}"
+        body = None if action == "counts" else json.dumps(arguments).encode()
+        request = urllib.request.Request(url, body, {"Content-Type": "application/json"})
+        with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_SECONDS) as answer:
+            found: dict[str, Any] = json.loads(answer.read() or b"{}")
+            return found
+
+    def counts(self, prefix: str, counter: str) -> list[Any]:
+        """Return one counter of every stand-in whose name begins with a prefix."""
+        names = [name for name in self.addresses_by_name if name.startswith(prefix)]
+        return [self.control(name, "counts").get(counter) for name in sorted(names)]
+
+    def _plan_entry(self, name: str, data_centre: str) -> None:
+        self.entries_by_name[name] = EntryProcess(
+            name,
+            data_centre,
+            callers=free_address(),
+            operators=free_address(),
+            peers=free_address(),
+            settings=self.folder / f"{name}.toml",
+        )
+
+    def _host_settings(self) -> str:
+        tables = ["[platform]\n", "[instances]\nlag = 0.0\n"]
+        for data_centre in self.plan.data_centres:
+            tables.append(self._engine_table(data_centre))
+            tables.append(
+                f'[[services]]\ninstance_id = "{data_centre}-{SERVICE}"\nkind = "{SERVICE_KIND}"\n'
+                f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
+                f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
+            )
+        for entry in self.entries_by_name.values():
+            tables.append(
+                f'[[listed]]\ninstance_id = "{entry.name}"\nrole = "entry"\n'
+                f'address = "{entry.peers}"\ndata_centre = "{entry.data_centre}"\n'
+            )
+        return "\n".join(tables)
+
+    def _engine_table(self, data_centre: str) -> str:
+        further = "".join(
+            f"{name} = {json.dumps(value)}\n" for name, value in self.plan.engine_settings.items()
+        )
+        return (
+            f'[[engines]]\ninstance_id = "{data_centre}-engine"\nkind = "{KIND}"\n'
+            f'data_centre = "{data_centre}"\nfabric_domain = "{data_centre}-fabric"\n'
+            f"count = {self.plan.engines}\naccelerators = 4\ncold_requests = 2\n"
+            f"full_requests = 8\nwarm_step = 1.0\nload_seconds = 0.5\n"
+            f"checks_fence = {json.dumps(self.plan.checks_fence)}\n{further}"
+        )
+
+    def _entry_settings(self, entry: EntryProcess) -> str:
+        platform = self.addresses_by_name["platform"]
+        instances = self.addresses_by_name["instances"]
+        return f"""
+entry_id = "{entry.name}"
+data_centre = "{entry.data_centre}"
+
+[listeners]
+callers = "{entry.callers}"
+operators = "{entry.operators}"
+peers = "{entry.peers}"
+
+[platform]
+addresses = ["{platform}"]
+instance_list = "{instances}"
+timeout_seconds = 0.5
+
+[peers]
+token = "{PEER_TOKEN}"
+
+[operators]
+token = "{OPERATOR_TOKEN}"
+
+[limits]
+drain_seconds = {self.plan.drain_seconds}
+
+[[upstream_kinds]]
+kind = "{KIND}"
+cold_requests = 2
+full_requests = 8
+warm_step = 1.0
+checks_fence = {json.dumps(self.plan.checks_fence)}
+
+[[upstream_kinds]]
+kind = "{SERVICE_KIND}"
+cold_requests = 8
+full_requests = 16
+is_engine = false
+
+[[services]]
+name = "{SERVICE}"
+kind = "{SERVICE_KIND}"
+
+[[customers]]
+id = "library"
+api_key = "{API_KEY}"
+
+[[objectives]]
+first_token_seconds = 0.61
+share = 0.95
+"""
--- /dev/null
+++ b/trial/processes.py
@@ -0,0 +1,102 @@
+"""Child processes of a trial: started, watched and ended by their own process id."""
+
+import json
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+class TrialError(Exception):
+    """A step of the trial did not hold."""
+
+
+def wait_until(condition: Callable[[], bool], what: str, timeout: float) -> float:
+    """Wait until a condition holds.
+
+    :param what: what is waited for, named in the error.
+    :return: seconds that it took.
+    :raises TrialError: when it does not hold in time.
+    """
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > timeout:
+            raise TrialError(f"not within {timeout:g} s: {what}")
+        time.sleep(POLL_SECONDS)
+    return time.monotonic() - started
+
+
+class Child:
+    """One child process with its own log file."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        self.name = name
+        self.log = log
+        with log.open("a", encoding="utf-8") as stream:
+            self._process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                text=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    def read_json_line(self) -> dict[str, str]:
+        """Return the object that the process prints when it is ready."""
+        stdout = self._process.stdout
+        assert stdout is not None
+        with selectors.DefaultSelector() as selector:
+            selector.register(stdout, selectors.EVENT_READ)
+            if not selector.select(START_TIMEOUT_SECONDS):
+                raise TrialError(f"{self.name} printed nothing; its log: {self.log.read_text()}")
+        line = stdout.readline()
+        if not line:
+            raise TrialError(f"{self.name} ended; its log: {self.log.read_text()}")
+        found: dict[str, str] = json.loads(line)
+        return found
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    def wait(self, timeout: float = STOP_TIMEOUT_SECONDS) -> int:
+        """Return the exit code once the process has ended.
+
+        :raises TrialError: when it does not end in time.
+        """
+        try:
+            return self._process.wait(timeout)
+        except subprocess.TimeoutExpired as error:
+            raise TrialError(f"{self.name} did not end within {timeout:g} s") from error
+
+    def terminate(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.send(signal.SIGTERM)
+        return self.wait()
+
+    def kill(self) -> None:
+        """End the process at once, also when it is stopped."""
+        if self.is_running:
+            self._process.kill()
+            self._process.wait()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
