Give a group room once its settle time is over

Cause: admission adopted a joining group while its settle time was still open and waited for a report measured after 'never', so requests queued until their deadline. Ruled out: routing (requests waited at the holder) and the ramp. Change: adopt a group only when it may be held.

--- a/src/cactuspass/_held.py
+++ b/src/cactuspass/_held.py
@@ -1,5 +1,6 @@
 """Upkeep of the held groups: adoption, ramps, load reports and request counts."""
 
+import math
 from collections.abc import Sequence
 
 from cactuspass._forecast import Forecast
@@ -65,7 +66,8 @@
 
     def _refresh_group(self, tables: Tables, row: HeldGroupRow) -> None:
         """Bring one group's counts up to date."""
-        if row.foreign_since is None:
+        # A group that this entry may not use yet has no time after which reports count.
+        if row.foreign_since is None and row.held_from < math.inf:
             adopt_group(tables, row)
         restarted = bool(row.ramp_boot)
         if self._ramps.refresh(tables, row):
--- /dev/null
+++ b/tests/test_settled_group.py
@@ -0,0 +1,43 @@
+"""Tests that a group gets room once its settle time is over."""
+
+import math
+import unittest
+
+from cactuspass._forecast import Forecast
+from cactuspass._held import HeldGroups
+from cactuspass._limits import room_of
+from cactuspass._prefixes import PrefixMemory
+from cactuspass._tables import HeldGroupRow, InstanceRow, LocalRow, Tables
+from cactuspass.models import (
+    BootId,
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    KindId,
+    UpstreamKind,
+)
+
+KIND = KindId("draft")
+MEMBER = InstanceId("e1")
+
+
+class SettledGroupTest(unittest.TestCase):
+    def test_room_comes_with_the_first_report_after_the_settle_time(self) -> None:
+        local = LocalRow(EntryId("n1"), Incarnation("i1"), DataCentreId("a"), "127.0.0.1:1")
+        tables = Tables(local, {KIND: UpstreamKind(KIND, cold_requests=2)})
+        group = HeldGroupRow(
+            GroupId("g"), "m", KIND, placed=None, members=(MEMBER,), held_from=math.inf
+        )
+        member = InstanceRow(MEMBER, "127.0.0.1:2", KIND, BootId("b1"), connected=True)
+        tables.held_groups_by_id[group.group_id] = group
+        tables.instances_by_id[MEMBER] = member
+        held = HeldGroups(PrefixMemory(), Forecast())
+        member.heard_at = member.measured_at = 1.0
+        held.refresh(tables, (), 1.0)
+        self.assertEqual(room_of(tables, group).requests, 0)
+        group.held_from = 5.0
+        member.heard_at = member.measured_at = 6.0
+        held.refresh(tables, (), 6.0)
+        self.assertEqual(room_of(tables, group).requests, 2)
