--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -1,5 +1,7 @@
 """All errors of cactuspass, under one root."""
 
+from cactuspass.models import OperationId
+
 
 class CactuspassError(Exception):
     """Root of every error that this package raises."""
@@ -40,3 +42,23 @@
         super().__init__(message)
         self.line = line
         self.column = column
+
+
+class ConfigurationConflict(ConfigurationError):
+    """Another operator changed the configuration since this one looked.
+
+    :param seen_revision: revision that the refused change was based on.
+    :param revision: revision at present.
+    :param operations: ids of the operations committed since, as far as they are kept.
+    """
+
+    def __init__(
+        self, seen_revision: int, revision: int, operations: tuple[OperationId, ...]
+    ) -> None:
+        named = ", ".join(operations) or "none kept"
+        super().__init__(
+            f"revision {seen_revision} was seen, but {revision} is in force; since then: {named}"
+        )
+        self.seen_revision = seen_revision
+        self.revision = revision
+        self.operations = operations
--- /dev/null
+++ b/tests/holding_world.py
@@ -0,0 +1,309 @@
+"""A small world of entry processes, a platform and a network, for tests of who holds a group."""
+
+from dataclasses import dataclass, field
+from itertools import combinations
+from random import Random
+
+from cactuspass._core import Core
+from cactuspass._handover import HandoverSystem
+from cactuspass._holding import holds, may_hold
+from cactuspass._membership import MembershipSystem
+from cactuspass._messages import (
+    AskGrant,
+    GiveSeat,
+    GrantAsked,
+    Granted,
+    Input,
+    InstancesListed,
+    Order,
+    PeerHeard,
+    PeerLost,
+    PlacementConfirmed,
+    PlacementRead,
+    PlacementWritten,
+    PlatformFailed,
+    SeatGiven,
+    SendGrant,
+    WritePlacement,
+)
+from cactuspass._right import RightSystem
+from cactuspass._seats import SeatSystem
+from cactuspass._tables import LocalRow, Tables
+from cactuspass._writer import PlacementWriter
+from cactuspass.models import (
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    InstanceRecord,
+    InstanceRole,
+    Placement,
+)
+
+DATA_CENTRE = DataCentreId("fukuoka")
+GROUPS = tuple(GroupId(f"g{number}") for number in range(8))
+STEP_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(eq=False)
+class Process:
+    """One entry process with a clock of its own."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    rate: float
+    core: Core
+    paused_until: float = 0.0
+    next_beat: float = 0.0
+    held: frozenset[GroupId] = frozenset()
+    inbox: list[tuple[float, Input]] = field(default_factory=list)
+
+    @property
+    def tables(self) -> Tables:
+        return self.core.tables
+
+    def now(self, time: float) -> float:
+        return 1000.0 + self.rate * time
+
+
+@dataclass
+class Store:
+    """The platform's document; writes may take effect late and lose their answer."""
+
+    placement: Placement = field(default_factory=lambda: Placement(DATA_CENTRE))
+    revision: int = 0
+    is_up: bool = True
+    pending: list[tuple[float, WritePlacement]] = field(default_factory=list)
+
+    def apply(self, order: WritePlacement) -> bool:
+        if order.expected_revision != self.revision:
+            return False
+        self.placement = order.placement
+        self.revision += 7
+        return True
+
+
+class World:
+    """Runs the processes in steps of true time and checks who may send to each group."""
+
+    def __init__(self, seed: int, names: tuple[str, ...] = ("e1", "e2", "e3")) -> None:
+        self.random = Random(seed)
+        self.time = 0.0
+        self.store = Store()
+        self.cuts: set[frozenset[EntryId]] = set()
+        self.cut_off: set[EntryId] = set()
+        self.loss = 0.0
+        self.delay = 0.05
+        self.listed: list[tuple[float, frozenset[EntryId]]] = []
+        self.processes: list[Process] = []
+        self.count = 0
+        for name in names:
+            self.start(EntryId(name))
+
+    # Events -------------------------------------------------------------------------------
+
+    def start(self, entry_id: EntryId) -> Process:
+        self.count += 1
+        incarnation = Incarnation(f"i{self.count}")
+        local = LocalRow(entry_id, incarnation, DATA_CENTRE, f"{entry_id}:1")
+        writer = PlacementWriter()
+        systems = [MembershipSystem(), RightSystem(), HandoverSystem(), SeatSystem(writer), writer]
+        core = Core(Tables(local, {}), systems)
+        process = Process(entry_id, incarnation, self.random.uniform(0.99, 1.01), core)
+        self.processes.append(process)
+        return process
+
+    def kill(self, process: Process) -> None:
+        self.processes.remove(process)
+        for other in self.processes:
+            if self.random.random() < 0.5:
+                self._send(process, other, PeerLost(process.entry_id, process.incarnation))
+
+    def named(self, name: str) -> Process:
+        return next(process for process in self.processes if process.entry_id == name)
+
+    def split(self, side: frozenset[EntryId], others: frozenset[EntryId]) -> None:
+        """Cut one side from the platform and from the other side."""
+        self.cut_off |= side
+        self.cuts |= {frozenset({one, other}) for one in side for other in others - side}
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.cut_off.clear()
+        self.store.is_up = True
+
+    def drain(self, process: Process) -> None:
+        process.tables.local.draining = True
+
+    # Time ---------------------------------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        end = self.time + seconds
+        while self.time < end:
+            self.time += STEP_SECONDS
+            self._apply_writes()
+            alive = frozenset(process.entry_id for process in self.processes)
+            self.listed.append((self.time, alive))
+            for process in self.random.sample(self.processes, len(self.processes)):
+                if self.time >= process.paused_until:
+                    self._tick(process)
+                    self._note_held(process)
+            self.check()
+
+    def _note_held(self, process: Process) -> None:
+        """Remember what the process may send to; until its next tick that can only shrink."""
+        now = process.now(self.time)
+        process.held = frozenset(
+            group_id for group_id in GROUPS if holds(process.tables, group_id, now)
+        )
+        if process.held:
+            self.check()
+
+    def holders(self, group_id: GroupId) -> list[EntryId]:
+        """Return every process that would send to the group if it went on at this instant."""
+        return [
+            process.entry_id
+            for process in self.processes
+            if group_id in process.held and holds(process.tables, group_id, process.now(self.time))
+        ]
+
+    def check(self) -> None:
+        holding = [
+            process
+            for process in self.processes
+            if process.held and may_hold(process.tables, process.now(self.time))
+        ]
+        for one, other in combinations(holding, 2):
+            both = one.held & other.held
+            assert not both, f"{one.entry_id} and {other.entry_id} at {self.time}: {sorted(both)}"
+
+    def unheld(self) -> list[GroupId]:
+        return [group_id for group_id in GROUPS if not self.holders(group_id)]
+
+    def _tick(self, process: Process) -> None:
+        due = [item for item in process.inbox if item[0] <= self.time]
+        process.inbox = [item for item in process.inbox if item[0] > self.time]
+        for _, message in due:
+            process.core.accept(message)
+        if self.time >= process.next_beat:
+            process.next_beat = self.time + 1.0
+            self._beat(process)
+        for order in process.core.tick(process.now(self.time)):
+            self._carry_out(process, order)
+
+    def _beat(self, process: Process) -> None:
+        """Read the platform and send heartbeats, as the edge does each second."""
+        self._read(process)
+        tables = process.tables
+        version = tables.placement.version if tables.placement else 0
+        local = tables.local
+        beat = PeerHeard(
+            process.entry_id,
+            process.incarnation,
+            DATA_CENTRE,
+            local.address,
+            0,
+            (),
+            version,
+            not local.draining,
+            local.draining,
+        )
+        for other in self.processes:
+            if other.entry_id == process.entry_id:
+                continue
+            self._send(process, other, beat)
+            row = tables.entries_by_id.get(other.entry_id)
+            if row is not None and row.placement_version < version and tables.placement:
+                self._send(process, other, PlacementRead(tables.placement, 0, 0.0))
+
+    # Platform -----------------------------------------------------------------------------
+
+    def _reaches(self, process: Process) -> bool:
+        return self.store.is_up and process.entry_id not in self.cut_off
+
+    def _read(self, process: Process) -> None:
+        sent_at = process.now(self.time)
+        if not self._reaches(process) or self.random.random() < self.loss:
+            self._arrive(process, PlatformFailed("timeout"), TIMEOUT_SECONDS)
+            return
+        store = self.store
+        if store.revision > 0 and store.revision == process.tables.store_revision:
+            self._arrive(process, PlacementConfirmed(store.revision, sent_at), self._delay())
+        else:
+            read = PlacementRead(store.placement, store.revision, sent_at)
+            self._arrive(process, read, self._delay())
+        lag = self.random.uniform(1.0, 4.0)
+        seen = [names for time, names in self.listed if time <= self.time - lag]
+        names = seen[-1] if seen else frozenset()
+        records = (
+            InstanceRecord(InstanceId(name), InstanceRole.ENTRY, f"{name}:1", DATA_CENTRE)
+            for name in sorted(names)
+        )
+        self._arrive(process, InstancesListed(tuple(records)), self._delay())
+
+    def _write(self, process: Process, order: WritePlacement) -> None:
+        write_id = order.placement.write_id
+        if not self._reaches(process):
+            self._arrive(process, PlacementWritten(write_id, None), TIMEOUT_SECONDS)
+        elif self.random.random() < self.loss:
+            late = self.time + self.random.uniform(0.0, 6.0)
+            self.store.pending.append((late, order))
+            self._arrive(process, PlacementWritten(write_id, None), TIMEOUT_SECONDS)
+        else:
+            accepted = self.store.apply(order)
+            self._arrive(process, PlacementWritten(write_id, accepted), self._delay())
+
+    def _apply_writes(self) -> None:
+        due = [order for time, order in self.store.pending if time <= self.time]
+        self.store.pending = [item for item in self.store.pending if item[0] > self.time]
+        for order in due:
+            self.store.apply(order)
+
+    # Network ------------------------------------------------------------------------------
+
+    def _delay(self) -> float:
+        return self.random.uniform(0.0, self.delay)
+
+    def _arrive(self, process: Process, message: Input, delay: float) -> None:
+        process.inbox.append((self.time + delay, message))
+        process.inbox.sort(key=lambda item: item[0])
+
+    def _send(self, source: Process, target: Process, message: Input) -> None:
+        is_cut = frozenset({source.entry_id, target.entry_id}) in self.cuts
+        if not is_cut and self.random.random() >= self.loss:
+            self._arrive(target, message, self._delay())
+
+    def _carry_out(self, process: Process, order: Order) -> None:
+        others = [other for other in self.processes if other.entry_id != process.entry_id]
+        if isinstance(order, WritePlacement):
+            self._write(process, order)
+        elif isinstance(order, GiveSeat):
+            given = SeatGiven(
+                order.seat, order.placement_version, order.foreign_held_by_group, order.to_entry
+            )
+            for other in others:
+                self._send(process, other, given)
+        elif isinstance(order, AskGrant | SendGrant):
+            self._carry_grant(process, order, others)
+
+    def _carry_grant(
+        self, process: Process, order: AskGrant | SendGrant, others: list[Process]
+    ) -> None:
+        message: Input
+        if isinstance(order, AskGrant):
+            message = GrantAsked(
+                process.entry_id, process.incarnation, order.placement_version, order.sent_at
+            )
+        else:
+            message = Granted(
+                process.entry_id,
+                process.incarnation,
+                order.placement_version,
+                order.sent_at,
+                order.period,
+            )
+        for other in others:
+            if other.entry_id == order.entry_id:
+                self._send(process, other, message)
