--- a/src/cactuspass/_configuration_changes.py
+++ b/src/cactuspass/_configuration_changes.py
@@ -1,10 +1,18 @@
 """The changes of the configuration that operators' commands ask for."""
 
-from dataclasses import dataclass, replace
-
+from dataclasses import dataclass
+
+from cactuspass._configuration import (
+    declare,
+    merge_take_outs,
+    remove_declaration,
+    return_target,
+    take_outs_in_force,
+)
 from cactuspass._documents import ConfigurationChange
 from cactuspass._statements import (
     DeclareCommand,
+    RecommitCommand,
     RemoveCommand,
     ReturnCommand,
     Statement,
@@ -12,52 +20,57 @@
 )
 from cactuspass._tables import Tables
 from cactuspass.exceptions import CommandError
-from cactuspass.models import Configuration, GroupDeclaration, TakeOut, TakeOutTag
-
-KEPT_CANCELLED = 4096
+from cactuspass.models import (
+    Configuration,
+    GroupDeclaration,
+    OperationId,
+    TakeOut,
+    TakeOutKind,
+    TakeOutTag,
+)
 
 
 def change_of(
-    command: Statement, tables: Tables, tag: TakeOutTag, now: float
+    command: Statement, tables: Tables, operation: OperationId, now: float
 ) -> ConfigurationChange:
     """Return the change that a command asks for, as seen by this entry.
 
-    :param tag: unique tag for a take-out.
     :param now: wall-clock time in seconds since 1970.
     :raises CommandError: when the command cannot be carried out.
     """
     match command:
         case TakeOutCommand(kind, target):
-            return TakeOutChange((TakeOut(tag, kind, target, at=now),))
+            take_out = TakeOut(TakeOutTag(operation), kind, target, at=now)
+            return TakeOutChange((take_out,), operation)
         case ReturnCommand(kind, target):
-            found = _known_take_outs(tables)
-            tags = [item.tag for item in found if (item.kind, item.target) == (kind, target)]
-            if not tags:
-                raise CommandError(f"{kind.value} {target} is not taken out")
-            return ReturnChange(tuple(tags))
+            return ReturnChange(kind, target, _seen_tags(tables, kind, target), operation)
         case DeclareCommand(declaration):
             _check_declaration(declaration, tables)
-            return DeclareChange(declaration)
+            return DeclareChange(declaration, operation)
         case RemoveCommand(name):
-            return RemoveChange(name)
+            if tables.configuration and name not in tables.configuration.declarations_by_name:
+                raise CommandError(f"no group {name} is declared")
+            return RemoveChange(name, operation)
+        case RecommitCommand():
+            if tables.configuration is None:
+                raise CommandError("this entry has no configuration to commit")
+            return RecommitChange(tables.configuration)
     raise CommandError("this command is not known")
 
 
 @dataclass(frozen=True, slots=True)
 class TakeOutChange(ConfigurationChange):
-    """Adds take-outs that no return has cancelled."""
+    """Adds take-outs that no return has cancelled; take-outs of several operators all count."""
 
     take_outs: tuple[TakeOut, ...]
+    operation: OperationId
 
     def apply(self, configuration: Configuration) -> Configuration:
         """Return the changed configuration."""
-        added = {
-            item.tag: item for item in self.take_outs if item.tag not in configuration.cancelled
-        }
-        return replace(configuration, take_outs_by_tag={**configuration.take_outs_by_tag, **added})
+        return merge_take_outs(configuration, self.take_outs, self.operation)
 
     def depends_on(self, configuration: Configuration) -> object:
-        """Depend on nothing: take-outs of several operators all count."""
+        """Depend on nothing."""
         return None
 
 
@@ -65,21 +78,17 @@
 class ReturnChange(ConfigurationChange):
     """Cancels the take-outs that were seen, and no others."""
 
+    kind: TakeOutKind
+    target: str
     tags: tuple[TakeOutTag, ...]
+    operation: OperationId
 
     def apply(self, configuration: Configuration) -> Configuration:
         """Return the changed configuration."""
-        kept = {
-            tag: item
-            for tag, item in configuration.take_outs_by_tag.items()
-            if tag not in self.tags
-        }
-        new = tuple(tag for tag in self.tags if tag not in configuration.cancelled)
-        cancelled = (*configuration.cancelled, *new)[-KEPT_CANCELLED:]
-        return replace(configuration, take_outs_by_tag=kept, cancelled=cancelled)
+        return return_target(configuration, self.kind, self.target, self.tags, self.operation)
 
     def depends_on(self, configuration: Configuration) -> object:
-        """Depend on nothing: only the seen take-outs are cancelled."""
+        """Depend on nothing, since a take-out that was not seen stays."""
         return None
 
 
@@ -88,14 +97,11 @@
     """Adds or replaces a declaration."""
 
     declaration: GroupDeclaration
+    operation: OperationId
 
     def apply(self, configuration: Configuration) -> Configuration:
         """Return the changed configuration."""
-        declared = {
-            **configuration.declarations_by_name,
-            self.declaration.name: self.declaration,
-        }
-        return replace(configuration, declarations_by_name=declared)
+        return declare(configuration, self.declaration, self.operation)
 
     def depends_on(self, configuration: Configuration) -> object:
         """Depend on the declaration of the same name."""
@@ -107,24 +113,47 @@
     """Removes a declaration."""
 
     name: str
+    operation: OperationId
 
     def apply(self, configuration: Configuration) -> Configuration:
         """Return the changed configuration."""
-        if self.name not in configuration.declarations_by_name:
-            raise CommandError(f"no group {self.name} is declared")
-        declared = dict(configuration.declarations_by_name)
-        del declared[self.name]
-        return replace(configuration, declarations_by_name=declared)
+        return remove_declaration(configuration, self.name, self.operation)
 
     def depends_on(self, configuration: Configuration) -> object:
         """Depend on the declaration of the same name."""
         return configuration.declarations_by_name.get(self.name)
 
 
-def _known_take_outs(tables: Tables) -> list[TakeOut]:
-    configuration = tables.configuration
-    committed = {} if configuration is None else configuration.take_outs_by_tag
-    return list({**committed, **tables.pending_take_outs_by_tag}.values())
+@dataclass(frozen=True, slots=True)
+class RecommitChange(ConfigurationChange):
+    """Writes the configuration in force over an older one that the store went back to."""
+
+    in_force: Configuration
+
+    def apply(self, configuration: Configuration) -> Configuration:
+        """Return the configuration in force, unless the store has a newer one."""
+        if configuration.revision > self.in_force.revision:
+            raise CommandError("the platform has a newer configuration than this entry")
+        return self.in_force
+
+    def depends_on(self, configuration: Configuration) -> object:
+        """Depend on nothing."""
+        return None
+
+
+def _seen_tags(tables: Tables, kind: TakeOutKind, target: str) -> tuple[TakeOutTag, ...]:
+    """Return the tags of a target's take-outs that this entry has seen.
+
+    :raises CommandError: when there are none.
+    """
+    seen = tuple(
+        tag
+        for tag, order in take_outs_in_force(tables).items()
+        if (order.kind, order.target) == (kind, target)
+    )
+    if not seen:
+        raise CommandError(f"{kind.value} {target} is not taken out")
+    return seen
 
 
 def _check_declaration(declaration: GroupDeclaration, tables: Tables) -> None:
--- a/src/cactuspass/_entry_operators.py
+++ b/src/cactuspass/_entry_operators.py
@@ -7,7 +7,7 @@
 
 from cactuspass._burn import BurnLedger, BurnPoint, burn_rows
 from cactuspass._configuration import where_in_force
-from cactuspass._configuration_changes import change_of
+from cactuspass._configuration_changes import TakeOutChange, change_of
 from cactuspass._documents import DocumentStore
 from cactuspass._messages import ConfigurationRead, TakeOutsHeard
 from cactuspass._operator_api import BurnAnswer, CommandAnswer, OperatorApi, QueryAnswer
@@ -16,10 +16,10 @@
 from cactuspass._platform_loop import PlatformLoop
 from cactuspass._rows import RowSet, merge, row_set, select
 from cactuspass._runner import CoreRunner
-from cactuspass._statements import Query, Statement, TakeOutCommand, ViewName
+from cactuspass._statements import Query, Statement, ViewName
 from cactuspass._views import FLEET_VIEWS, VIEWS_BY_NAME, ViewSources
 from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
-from cactuspass.models import OperationId, TakeOut, TakeOutTag
+from cactuspass.models import OperationId, TakeOutTag
 
 POLL_SECONDS = 0.05
 BURN_VIEW = ""
@@ -71,17 +71,16 @@
 
     async def order(self, command: Statement, wait_seconds: float) -> CommandAnswer:
         """Carry out a command, then wait until it is in force everywhere or the time is over."""
-        tag = TakeOutTag(f"{self._tables.local.entry_id}-{uuid.uuid4().hex[:12]}")
-        change = change_of(command, self._tables, tag, time.time())
-        operation = OperationId(uuid.uuid4().hex)
+        operation = OperationId(f"{self._tables.local.entry_id}/{uuid.uuid4().hex[:12]}")
+        change = change_of(command, self._tables, operation, time.time())
         try:
             configuration = await self._documents.commit_configuration(
                 change, operation, self._seen_revision()
             )
         except (PlatformUnavailable, OutcomeUnknown) as error:
-            if not isinstance(command, TakeOutCommand):
+            if not isinstance(change, TakeOutChange):
                 raise
-            return await self._take_out_by_peers(command, tag, str(error), wait_seconds)
+            return await self._take_out_by_peers(change, str(error), wait_seconds)
         self._runner.accept(ConfigurationRead(configuration, from_platform=True))
         self._platform_loop.poll_soon()
         return await self._wait_in_force(configuration.revision, (), "", wait_seconds)
@@ -106,15 +105,15 @@
         return None if configuration is None else configuration.revision
 
     async def _take_out_by_peers(
-        self, command: TakeOutCommand, tag: TakeOutTag, reason: str, wait_seconds: float
+        self, change: TakeOutChange, reason: str, wait_seconds: float
     ) -> CommandAnswer:
         """Accept a take-out while the platform does not answer; it is committed later."""
-        take_out = TakeOut(tag, command.kind, command.target, at=time.time())
-        self._runner.accept(TakeOutsHeard((take_out,)))
+        self._runner.accept(TakeOutsHeard(change.take_outs))
         await asyncio.sleep(0)
         self._network.share_take_outs()
         detail = f"the platform does not answer ({reason}); peers pass it on until it does"
-        return await self._wait_in_force(0, (tag,), detail, wait_seconds)
+        tags = tuple(order.tag for order in change.take_outs)
+        return await self._wait_in_force(0, tags, detail, wait_seconds)
 
     async def _wait_in_force(
         self, revision: int, tags: tuple[TakeOutTag, ...], detail: str, wait_seconds: float
--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -2,6 +2,7 @@
 
 from cactuspass._findings import Finding, format_findings
 from cactuspass._messages import RefusalReason
+from cactuspass.models import OperationId
 
 
 class CactuspassError(Exception):
@@ -101,15 +102,19 @@
 
     :param seen_revision: revision that the operator had seen.
     :param current_revision: revision in the platform's store.
+    :param operations: operations committed since, oldest first, as far as they are known.
     """
 
-    def __init__(self, seen_revision: int, current_revision: int) -> None:
+    def __init__(
+        self, seen_revision: int, current_revision: int, operations: tuple[OperationId, ...] = ()
+    ) -> None:
         super().__init__(
             f"configuration changed from revision {seen_revision} to {current_revision}; "
             "look again and repeat the command"
         )
         self.seen_revision = seen_revision
         self.current_revision = current_revision
+        self.operations = operations
 
 
 class StoreReverted(PlatformError):
