Claim idempotency keys through the platform's store

Cause: a booking may be retried through another entry, and the store's answers can be lost, late or missing. Ruled out: deleting a key to release it, since a claim that is still on its way would land in the gap; a mark 'not run' takes its place and fences the late write. Ruled out: one call for each claim, which the store's rate does not carry.

--- /dev/null
+++ b/src/cactuspass/_claim_store.py
@@ -0,0 +1,176 @@
+"""Claims idempotency keys, so that the request of each key runs at most once."""
+
+import asyncio
+from collections import Counter
+from itertools import count
+
+from cactuspass._claim_table import ClaimTable
+from cactuspass._claim_writer import MAX_BATCH_WRITES, ClaimWriter
+from cactuspass._claim_writes import ClaimWrite, FinishWrite, ReleaseWrite
+from cactuspass._claims import (
+    Claim,
+    Claimed,
+    ClaimKey,
+    ClaimOutcome,
+    ClaimRecord,
+    ClaimState,
+    Fingerprint,
+    Owner,
+    OwnerIsGone,
+    RecordedAnswer,
+    Refused,
+    claim_key,
+    finished_record,
+)
+from cactuspass._platform import Platform
+from cactuspass.models import CustomerId, EntryId, Incarnation
+from cactuspass.settings import PlatformSettings
+
+CLAIM_WAIT_SECONDS = 2.5
+MAX_WAITING_WRITES = 2048
+MAX_UNRECORDED_BYTES = 8 * 1024 * 1024
+BUSY_RETRY_SECONDS = 1.0
+
+
+def claim_spacing(settings: PlatformSettings) -> float:
+    """Return the shortest time between two calls of one entry, in seconds."""
+    return settings.fleet_entries / settings.write_budget_per_second
+
+
+class ClaimStore:
+    """Claims of one entry process, kept in the platform's store.
+
+    :param spacing: shortest time between two calls of the store, in seconds.
+    :param is_gone: tells whether an entry's incarnation surely no longer runs.
+    :ivar outcomes: number of claims by the type of their outcome.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        entry_id: EntryId,
+        incarnation: Incarnation,
+        spacing: float,
+        is_gone: OwnerIsGone,
+        max_batch_writes: int = MAX_BATCH_WRITES,
+    ) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.writer = ClaimWriter(platform, spacing, max_batch_writes)
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._sequences = count(1)
+        self._table = ClaimTable(Owner(entry_id, incarnation, 0), is_gone)
+        self._releases_by_key: dict[ClaimKey, ReleaseWrite] = {}
+        self._unrecorded_bytes = 0
+
+    def start(self) -> None:
+        """Begin to write claims."""
+        self.writer.start()
+
+    async def drain(self, seconds: float) -> bool:
+        """Wait until all outcomes are recorded; False when the time was too short."""
+        return await self.writer.drain(seconds)
+
+    async def close(self) -> None:
+        """Stop at once; outcomes that are not recorded yet stay unknown to retries."""
+        await self.writer.close()
+
+    def note_platform(self, answers: bool) -> None:
+        """Note whether the store answered another part of the process just now."""
+        self.writer.note_platform(answers)
+
+    async def claim(
+        self,
+        customer: CustomerId,
+        idempotency_key: str,
+        fingerprint: Fingerprint,
+        wait_seconds: float = CLAIM_WAIT_SECONDS,
+    ) -> ClaimOutcome:
+        """Claim the right to run the request of a key.
+
+        After :class:`Claimed` the caller calls one of :meth:`finish`, :meth:`release` and
+        :meth:`mark_unknown`. When this call is cancelled, the claim is released.
+
+        :param wait_seconds: time after which the claim is given up and refused.
+        """
+        outcome = await self._claim(claim_key(customer, idempotency_key), fingerprint, wait_seconds)
+        self.outcomes[type(outcome).__name__] += 1
+        return outcome
+
+    def finish(self, claim: Claim, answer: RecordedAnswer) -> None:
+        """Record the whole answer of a request in the background; only the first call counts."""
+        record = finished_record(claim, answer)
+        size = len(answer.body)
+        if self._unrecorded_bytes + size > MAX_UNRECORDED_BYTES:
+            record = ClaimRecord(ClaimState.DONE, claim.fingerprint, claim.owner)
+        self._record(claim, record)
+
+    def mark_unknown(self, claim: Claim) -> None:
+        """Record in the background that the request may have run, with unknown outcome."""
+        self._record(claim, ClaimRecord(ClaimState.UNKNOWN, claim.fingerprint, claim.owner))
+
+    def release(self, claim: Claim) -> None:
+        """Let a retry claim the key, since the request surely did not run."""
+        local = self._table.remove(claim)
+        if local is not None:
+            self._submit_release(claim, local.revision)
+
+    async def _claim(
+        self, key: ClaimKey, fingerprint: Fingerprint, wait_seconds: float
+    ) -> ClaimOutcome:
+        known = self._table.outcome(key, fingerprint, asyncio.get_running_loop().time())
+        if known is not None:
+            return known
+        if self.writer.down_seconds > 0.0:
+            return Refused(max(BUSY_RETRY_SECONDS, self.writer.down_seconds))
+        if self.writer.waiting >= MAX_WAITING_WRITES:
+            return Refused(BUSY_RETRY_SECONDS)
+        owner = Owner(self._entry_id, self._incarnation, next(self._sequences))
+        claim = Claim(key, fingerprint, owner)
+        write = ClaimWrite(claim, self._table, self._submit_release)
+        self._table.add(claim)
+        self.writer.submit(write)
+        return await self._wait(write, wait_seconds)
+
+    async def _wait(self, write: ClaimWrite, seconds: float) -> ClaimOutcome:
+        try:
+            await asyncio.wait([write.outcome], timeout=seconds)
+        except asyncio.CancelledError:
+            self._give_up(write)
+            raise
+        if write.outcome.done():
+            return write.outcome.result()
+        self._give_up(write)
+        return Refused(BUSY_RETRY_SECONDS)
+
+    def _give_up(self, write: ClaimWrite) -> None:
+        if not write.outcome.done():
+            write.abandon(is_queued=self.writer.take_back(write))
+        elif isinstance(write.outcome.result(), Claimed):
+            self.release(write.claim)
+
+    def _submit_release(self, claim: Claim, expected_revision: int) -> None:
+        self._table.add_not_run(claim)
+        if claim.key in self._releases_by_key:
+            return
+        write = ReleaseWrite(
+            claim, expected_revision, self._table, lambda: self._forget_release(claim.key)
+        )
+        self._releases_by_key[claim.key] = write
+        self.writer.submit(write)
+
+    def _forget_release(self, key: ClaimKey) -> None:
+        del self._releases_by_key[key]
+
+    def _record(self, claim: Claim, record: ClaimRecord) -> None:
+        local = self._table.end(claim, record, asyncio.get_running_loop().time())
+        if local is None:
+            return
+        size = len(record.answer.body) if record.answer is not None else 0
+        self._unrecorded_bytes += size
+        self.writer.submit(
+            FinishWrite(claim, record, local.revision, lambda: self._forget_unrecorded(size))
+        )
+
+    def _forget_unrecorded(self, size: int) -> None:
+        self._unrecorded_bytes -= size
--- a/src/cactuspass/_codec.py
+++ b/src/cactuspass/_codec.py
@@ -17,68 +17,62 @@
 class _Envelope(BaseModel, Generic[DocumentT]):
     """A document and the number of its form."""
 
-    model_config = ConfigDict(extra="forbid", ser_json_inf_nan="constants")
+    model_config = ConfigDict(
+        extra="forbid",
+        ser_json_inf_nan="constants",
+        ser_json_bytes="base64",
+        val_json_bytes="base64",
+    )
 
     format: int
     document: DocumentT
 
 
-_CONFIGURATION = TypeAdapter(_Envelope[Configuration])
-_PLACEMENT = TypeAdapter(_Envelope[Placement])
+class DocumentCodec(Generic[DocumentT]):
+    """Turns documents of one type into JSON with sorted keys, and back.
 
-
-def encode_configuration(configuration: Configuration) -> bytes:
-    """Return the configuration as JSON with sorted keys.
-
-    :raises DocumentError: when a number is not finite.
+    :param name: name of the document in findings.
     """
-    envelope = _Envelope[Configuration](format=DOCUMENT_FORMAT, document=configuration)
-    return _dump("configuration", _CONFIGURATION.dump_python(envelope, mode="json"))
-
-
-def decode_configuration(data: bytes) -> Configuration:
-    """Return the configuration that the bytes hold.
-
-    :raises DocumentError: when the bytes are malformed or of another format.
-    """
-    return _load("configuration", _CONFIGURATION, data).document
-
 
-def encode_placement(placement: Placement) -> bytes:
-    """Return the placement as JSON with sorted keys.
-
-    :raises DocumentError: when a number is not finite.
-    """
-    envelope = _Envelope[Placement](format=DOCUMENT_FORMAT, document=placement)
-    return _dump("placement", _PLACEMENT.dump_python(envelope, mode="json"))
-
-
-def decode_placement(data: bytes) -> Placement:
-    """Return the placement that the bytes hold.
-
-    :raises DocumentError: when the bytes are malformed or of another format.
-    """
-    return _load("placement", _PLACEMENT, data).document
-
-
-def _dump(name: str, value: Any) -> bytes:
-    try:
-        text = json.dumps(
-            value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False
-        )
-        return text.encode("utf-8")
-    except ValueError as error:
-        raise DocumentError((Finding(name, "", str(error)),)) from error
-
-
-def _load(
-    name: str, adapter: TypeAdapter[_Envelope[DocumentT]], data: bytes
-) -> _Envelope[DocumentT]:
-    try:
-        envelope = adapter.validate_json(data)
-    except ValidationError as error:
-        raise DocumentError(findings_of_errors(name, error.errors())) from error
-    if envelope.format != DOCUMENT_FORMAT:
-        message = f"format {envelope.format} is not supported"
-        raise DocumentError((Finding(name, "format", message),))
-    return envelope
+    def __init__(self, name: str, document_type: type[DocumentT]) -> None:
+        self._name = name
+        self._adapter: TypeAdapter[Any] = TypeAdapter(_Envelope[document_type])  # type: ignore[valid-type]
+        self._envelope = _Envelope[document_type]  # type: ignore[valid-type]
+
+    def encode(self, document: DocumentT) -> bytes:
+        """Return the document as JSON.
+
+        :raises DocumentError: when it holds what JSON can't carry, such as a number not finite.
+        """
+        envelope = self._envelope(format=DOCUMENT_FORMAT, document=document)
+        value = self._adapter.dump_python(envelope, mode="json")
+        try:
+            text = json.dumps(
+                value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False
+            )
+            return text.encode("utf-8")
+        except ValueError as error:
+            raise DocumentError((Finding(self._name, "", str(error)),)) from error
+
+    def decode(self, data: bytes) -> DocumentT:
+        """Return the document that the bytes hold.
+
+        :raises DocumentError: when the bytes are malformed or of another format.
+        """
+        try:
+            envelope: _Envelope[DocumentT] = self._adapter.validate_json(data)
+        except ValidationError as error:
+            raise DocumentError(findings_of_errors(self._name, error.errors())) from error
+        if envelope.format != DOCUMENT_FORMAT:
+            message = f"format {envelope.format} is not supported"
+            raise DocumentError((Finding(self._name, "format", message),))
+        return envelope.document
+
+
+_CONFIGURATION = DocumentCodec("configuration", Configuration)
+_PLACEMENT = DocumentCodec("placement", Placement)
+
+encode_configuration = _CONFIGURATION.encode
+decode_configuration = _CONFIGURATION.decode
+encode_placement = _PLACEMENT.encode
+decode_placement = _PLACEMENT.decode
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,7 @@
 from enum import Enum, auto
 
 from cactuspass._platform import KeyValue, LeaseId, Platform, Snapshot, Write, WriteResult
-from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
+from cactuspass.exceptions import OutcomeUnknown, PlatformError, PlatformUnavailable
 
 
 class Fault(Enum):
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         self.stored_by_key: dict[str, KeyValue] = {}
         self.leases_by_key: dict[str, LeaseId | None] = {}
+        self.live_leases: set[LeaseId | None] = {None}
         self.faults: deque[Fault] = deque()
         self.default_fault = Fault.NONE
         self.delayed: list[tuple[Write, ...]] = []
@@ -73,6 +74,8 @@
             self.delayed.append(tuple(writes))
         if fault in (Fault.DELAYED, Fault.REQUEST_LOST):
             raise OutcomeUnknown("fake timeout")
+        if any(write.lease not in self.live_leases for write in writes):
+            raise PlatformError("fake lease not found")
         result = self.apply(writes)
         if fault is Fault.ANSWER_LOST:
             raise OutcomeUnknown("fake lost answer")
@@ -84,14 +87,17 @@
         await self._wait()
         if self._next_fault() is not Fault.NONE:
             raise PlatformUnavailable("fake outage")
-        return LeaseId(self.counts.leases)
+        lease = LeaseId(self.counts.leases)
+        self.live_leases.add(lease)
+        return lease
 
     async def keep_lease_alive(self, lease: LeaseId) -> float:
         """Return a fixed remaining life."""
         return 60.0
 
     async def revoke_lease(self, lease: LeaseId) -> None:
-        """Delete the keys of a lease."""
+        """End a lease and delete its keys."""
+        self.live_leases.discard(lease)
         keys = [key for key, owner in self.leases_by_key.items() if owner == lease]
         for key in keys:
             del self.stored_by_key[key]
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,261 @@
+"""Claims: one run for each idempotency key, through any entry and any fault."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactuspass._claim_store import CLAIM_WAIT_SECONDS, ClaimStore
+from cactuspass._claims import (
+    RECORDED_BODY_BYTES,
+    Claimed,
+    ClaimOutcome,
+    ClaimRecord,
+    ClaimState,
+    DifferentRequest,
+    DoneWithoutAnswer,
+    Header,
+    InProgress,
+    OutcomeUnknownEarlier,
+    Owner,
+    Recorded,
+    RecordedAnswer,
+    Refused,
+    claim_key,
+    decode_record,
+    encode_record,
+    fingerprint_of,
+)
+from cactuspass._platform import LeaseId
+from cactuspass.models import CustomerId, EntryId, Incarnation
+from tests.fakes import Fault, MemoryPlatform
+from tests.virtual_time import virtual_time
+
+CUSTOMER = CustomerId("counters")
+ANSWER = RecordedAnswer(201, (Header("Location", "/loans/1"),), b"\xff loan")
+SPACING = 0.02
+DRAIN_SECONDS = 30.0
+
+TEXT = st.text(max_size=4)
+ANSWERS = st.none() | st.builds(
+    RecordedAnswer,
+    st.integers(100, 599),
+    st.lists(st.builds(Header, TEXT, TEXT), max_size=2).map(tuple),
+    st.binary(max_size=9),
+)
+OWNERS = st.builds(Owner, TEXT, TEXT, st.integers(0, 2**62))
+
+
+class ClaimRecordTest(unittest.TestCase):
+    """Keys, fingerprints and records."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.builds(ClaimRecord, st.sampled_from(ClaimState), TEXT, OWNERS, ANSWERS))
+    def test_record_round_trip(self, record: ClaimRecord) -> None:
+        self.assertEqual(decode_record(encode_record(record)), record)
+
+    def test_parts_are_kept_apart(self) -> None:
+        self.assertNotEqual(claim_key(CustomerId("a"), "bc"), claim_key(CustomerId("ab"), "c"))
+        self.assertNotEqual(fingerprint_of("P", "/a", b"b"), fingerprint_of("P", "/ab", b""))
+
+
+class ClaimStoreTest(unittest.TestCase):
+    """Two entries over one platform with faults, in virtual time."""
+
+    def setUp(self) -> None:
+        self.platform = MemoryPlatform()
+        self.gone: set[EntryId] = set()
+
+    def entry(self, name: str = "e1", incarnation: str = "i1") -> ClaimStore:
+        store = ClaimStore(
+            self.platform,
+            EntryId(name),
+            Incarnation(incarnation),
+            SPACING,
+            lambda entry_id, _: entry_id in self.gone,
+        )
+        store.start()
+        return store
+
+    async def claim(self, entry: ClaimStore, key: str = "k", body: bytes = b"b") -> ClaimOutcome:
+        return await entry.claim(CUSTOMER, key, fingerprint_of("POST", "/loans", body))
+
+    async def claimed(self, entry: ClaimStore, key: str = "k") -> Claimed:
+        outcome = await self.claim(entry, key)
+        assert isinstance(outcome, Claimed), outcome
+        return outcome
+
+    def assert_refused(self, outcome: ClaimOutcome) -> None:
+        self.assertIsInstance(outcome, Refused)
+
+    @virtual_time
+    async def test_retry_gets_the_recorded_answer_through_any_entry(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        claimed = await self.claimed(first)
+        self.assertEqual(await self.claim(first), InProgress())
+        self.assertEqual(await self.claim(second), InProgress())
+        first.finish(claimed.claim, ANSWER)
+        first.finish(claimed.claim, RecordedAnswer(500))
+        self.assertEqual(await self.claim(first), Recorded(ANSWER))
+        self.assertTrue(await first.drain(DRAIN_SECONDS))
+        self.assertEqual(await self.claim(second), Recorded(ANSWER))
+
+    @virtual_time
+    async def test_same_key_with_another_request_is_told_apart(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        await self.claimed(first)
+        self.assertEqual(await self.claim(first, body=b"other"), DifferentRequest())
+        self.assertEqual(await self.claim(second, body=b"other"), DifferentRequest())
+
+    @virtual_time
+    async def test_large_answer_is_recorded_as_done(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        claimed = await self.claimed(first)
+        first.finish(claimed.claim, RecordedAnswer(200, (), b"x" * (RECORDED_BODY_BYTES + 1)))
+        await first.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(first), DoneWithoutAnswer())
+        self.assertEqual(await self.claim(second), DoneWithoutAnswer())
+
+    @virtual_time
+    async def test_lost_answer_of_a_claim_is_recognised(self) -> None:
+        self.platform.faults.extend([Fault.NONE, Fault.ANSWER_LOST])
+        await self.claimed(self.entry())
+
+    @virtual_time
+    async def test_claim_is_refused_at_once_while_the_platform_is_away(self) -> None:
+        entry = self.entry()
+        self.platform.default_fault = Fault.UNAVAILABLE
+        self.assert_refused(await self.claim(entry))
+        leases = self.platform.counts.leases
+        self.assert_refused(await self.claim(entry, "other"))
+        self.assertEqual(self.platform.counts.leases, leases)
+        self.platform.default_fault = Fault.NONE
+        entry.note_platform(answers=True)
+        await self.claimed(entry)
+
+    @virtual_time
+    async def test_outage_seen_elsewhere_refuses_what_waits(self) -> None:
+        entry = self.entry()
+        await self.claimed(entry, "first")
+        waiting = asyncio.create_task(self.claim(entry))
+        await asyncio.sleep(0)
+        entry.note_platform(answers=False)
+        self.assert_refused(await waiting)
+        self.assertEqual(self.platform.counts.writes, 1)
+
+    @virtual_time
+    async def test_slow_platform_refuses_and_releases(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        await self.claimed(first, "lease")
+        self.platform.latency = 2 * CLAIM_WAIT_SECONDS
+        self.assert_refused(await self.claim(first))
+        self.platform.latency = 0.0
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_claim_that_lands_after_its_refusal_does_not_block_the_key(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        self.platform.land_delayed()
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+        self.platform.land_delayed()
+        self.assertEqual(await self.claim(first), InProgress())
+
+    @virtual_time
+    async def test_claim_cannot_land_after_its_release(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        await first.drain(DRAIN_SECONDS)
+        self.platform.land_delayed()
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_caller_that_leaves_releases_its_claim(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        await self.claimed(first, "lease")
+        self.platform.latency = 0.5
+        leaving = asyncio.create_task(self.claim(first))
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        await asyncio.wait([leaving])
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_released_claim_may_run_anywhere(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        first.release((await self.claimed(first)).claim)
+        first.release((await self.claimed(first)).claim)
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_claim_of_an_owner_that_is_gone_never_runs_again(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        await self.claimed(first)
+        await first.close()
+        self.assertEqual(await self.claim(second), InProgress())
+        self.assertEqual(await self.claim(self.entry("e1", "i2")), OutcomeUnknownEarlier())
+        self.gone.add(EntryId("e1"))
+        self.assertEqual(await self.claim(second), OutcomeUnknownEarlier())
+
+    @virtual_time
+    async def test_unknown_outcome_is_recorded(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        first.mark_unknown((await self.claimed(first)).claim)
+        await first.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(second), OutcomeUnknownEarlier())
+
+    @virtual_time
+    async def test_outcome_is_recorded_after_an_outage(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        claimed = await self.claimed(first)
+        self.platform.default_fault = Fault.UNAVAILABLE
+        first.finish(claimed.claim, ANSWER)
+        self.assertFalse(await first.drain(DRAIN_SECONDS))
+        self.assertEqual(await self.claim(first), Recorded(ANSWER))
+        self.platform.default_fault = Fault.NONE
+        self.assertTrue(await first.drain(DRAIN_SECONDS))
+        self.assertEqual(await self.claim(second), Recorded(ANSWER))
+
+    @virtual_time
+    async def test_malformed_record_never_runs(self) -> None:
+        entry = self.entry()
+        await self.platform.compare_and_swap(claim_key(CUSTOMER, "k"), b"?", 0)
+        self.assertEqual(await self.claim(entry), OutcomeUnknownEarlier())
+
+    @virtual_time
+    async def test_waiting_claims_share_one_call(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        await self.claimed(first, "7")
+        before = self.platform.counts.writes
+        keys = [str(number) for number in range(40)]
+        outcomes = await asyncio.gather(*(self.claim(second, key) for key in keys))
+        held = [key for key, outcome in zip(keys, outcomes, strict=True) if outcome == InProgress()]
+        self.assertEqual(held, ["7"])
+        self.assertEqual(self.platform.counts.writes - before, 2)
+
+    @virtual_time
+    async def test_calls_stay_within_the_budget(self) -> None:
+        entry = self.entry()
+        loop = asyncio.get_running_loop()
+        for number in range(50):
+            entry.finish((await self.claimed(entry, str(number))).claim, ANSWER)
+        await entry.drain(DRAIN_SECONDS)
+        calls = self.platform.counts.writes + self.platform.counts.leases
+        self.assertEqual(entry.writer.counts.calls, calls)
+        self.assertGreaterEqual(loop.time(), (calls - 1) * SPACING - 1e-6)
+
+    @virtual_time
+    async def test_records_end_with_a_lease_that_is_replaced_when_it_is_lost(self) -> None:
+        entry = self.entry()
+        await self.claimed(entry, "a")
+        self.assertEqual(set(self.platform.leases_by_key.values()), {LeaseId(1)})
+        await self.platform.revoke_lease(LeaseId(1))
+        await self.claimed(entry, "b")
+        self.assertEqual(self.platform.leases_by_key[claim_key(CUSTOMER, "b")], LeaseId(2))
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,49 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+import asyncio
+import functools
+import selectors
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+TestT = TypeVar("TestT")
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Selector that advances a clock by the time that it would wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return what is ready now, and let the time of waiting pass at once."""
+        if timeout is None:
+            raise RuntimeError("the loop would wait for ever")
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop in virtual time; for fakes in the same process only."""
+
+    def __init__(self) -> None:
+        self._virtual_selector = VirtualSelector()
+        super().__init__(self._virtual_selector)
+
+    def time(self) -> float:
+        """Return the virtual time, in seconds."""
+        return self._virtual_selector.now
+
+
+def virtual_time(
+    test: Callable[[TestT], Coroutine[Any, Any, None]],
+) -> Callable[[TestT], None]:
+    """Run an asynchronous test method in virtual time."""
+
+    @functools.wraps(test)
+    def run(self: TestT) -> None:
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(test(self))
+
+    return run
