Run each request with an idempotency key at most once

Change: claims in the platform's store before the run, answers recorded after it; the run outlives its caller so that a retry gets the answer.

--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 from collections.abc import Sequence
+from functools import partial
 
 from cactuspass._admission import AdmissionSystem
 from cactuspass._answer_memory import AnswerMemory
@@ -14,6 +15,7 @@
 from cactuspass._burn import BurnLedger, Objective
 from cactuspass._caller_requests import RequestDefaults, RequestReader
 from cactuspass._callers import CallerServer, CallerSettings
+from cactuspass._claim_store import ClaimStore, claim_spacing
 from cactuspass._configuration import ConfigurationSystem
 from cactuspass._core import Core, System
 from cactuspass._counters import Counters
@@ -29,6 +31,7 @@
 from cactuspass._handover import HandoverSystem
 from cactuspass._http_exchange import UpstreamClient
 from cactuspass._instance_list import HttpInstanceList
+from cactuspass._keyed_requests import KeyedRequests, is_owner_gone
 from cactuspass._logs import StateLog
 from cactuspass._membership import MembershipSystem
 from cactuspass._memory import MemoryBudget, MemoryLedger
@@ -125,6 +128,7 @@
                 self.network,
                 self.instance_list_loop,
                 self.platform_loop,
+                self.keyed,
                 self.operators,
                 self.callers,
                 StateChanges(self.tables, log),
@@ -173,8 +177,17 @@
         timeout = settings.platform.timeout_seconds
         self.platform = EtcdPlatform(settings.platform.addresses, timeout)
         self.documents = DocumentStore(self.platform, settings.data_centre, time.monotonic)
-        accept = self.runner.accept
-        self.platform_loop = PlatformLoop(self.documents, accept, self.counters)
+        local, accept = self.tables.local, self.runner.accept
+        self.claims = ClaimStore(
+            self.platform,
+            local.entry_id,
+            local.incarnation,
+            claim_spacing(settings.platform),
+            partial(is_owner_gone, self.tables),
+        )
+        self.platform_loop = PlatformLoop(
+            self.documents, accept, self.claims.note_platform, self.counters
+        )
         instances = HttpInstanceList(settings.platform.instance_list, timeout)
         self.instance_list_loop = InstanceListLoop(instances, accept, self.counters)
 
@@ -204,6 +217,7 @@
         forwarding = Forwarding(self.gateway, links, time.monotonic, self.memory.account_for)
         self.network.add_receiver(forwarding.receive, forwarding.lose_link)
         self.gateway.use_forwarder(forwarding)
+        self.keyed = KeyedRequests(self.claims, self.gateway, self.counters.count)
         self.burn = BurnLedger(
             [
                 Objective(
@@ -216,7 +230,7 @@
                 for item in settings.objectives
             ]
         )
-        front = Front(self.gateway, tables, self.burn, self.counters)
+        front = Front(self.gateway, self.keyed, tables, self.burn, self.counters)
         self.callers = CallerServer(self._caller_settings(), front, self._reader())
 
     def _caller_settings(self) -> CallerSettings:
--- a/src/cactuspass/_front.py
+++ b/src/cactuspass/_front.py
@@ -7,6 +7,7 @@
 from cactuspass._configuration import is_taken_out
 from cactuspass._counters import Counters
 from cactuspass._gateway import Gateway
+from cactuspass._keyed_requests import KeyedRequests
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass._tables import Tables
 from cactuspass.models import TakeOutKind
@@ -18,11 +19,13 @@
     def __init__(
         self,
         gateway: Gateway,
+        keyed: KeyedRequests,
         tables: Tables,
         burn: BurnLedger,
         counters: Counters,
     ) -> None:
         self._gateway = gateway
+        self._keyed = keyed
         self._tables = tables
         self._burn = burn
         self._counters = counters
@@ -30,6 +33,8 @@
     async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
         """Return the answer to a request."""
         self._counters.count("requests")
+        if idempotency_key is not None:
+            return await self._keyed.serve(request, idempotency_key)
         return await self._gateway.serve(request)
 
     def observe(self, outcome: CallOutcome) -> None:
--- a/src/cactuspass/_messages.py
+++ b/src/cactuspass/_messages.py
@@ -346,6 +346,7 @@
     DRAINING = "draining"
     MEMORY = "memory-full"
     NOT_HOLDER = "not-holder"
+    NOT_CLAIMED = "key-not-claimed"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/_platform_loop.py
+++ b/src/cactuspass/_platform_loop.py
@@ -7,7 +7,7 @@
 from cactuspass._counters import Counters
 from cactuspass._documents import DocumentStore
 from cactuspass._instance_list import InstanceList
-from cactuspass._messages import Input, InstancesListed, WritePlacement
+from cactuspass._messages import Input, InstancesListed, PlatformFailed, WritePlacement
 from cactuspass.exceptions import PlatformError
 
 CONFIRM_SECONDS = 1.0
@@ -15,12 +15,20 @@
 
 
 class PlatformLoop(Component):
-    """Confirms the documents once a second and writes placements for the core."""
+    """Confirms the documents once a second and writes placements for the core.
+
+    :param note_platform: is told after each poll whether the platform answered.
+    """
 
     def __init__(
-        self, documents: DocumentStore, accept_input: Callable[[Input], None], counters: Counters
+        self,
+        documents: DocumentStore,
+        accept_input: Callable[[Input], None],
+        note_platform: Callable[[bool], None],
+        counters: Counters,
     ) -> None:
         self._documents = documents
+        self._note_platform = note_platform
         self._accept_input = accept_input
         self._counters = counters
         self._tasks: set[asyncio.Task[None]] = set()
@@ -57,6 +65,8 @@
             self._poll_soon.clear()
             self._counters.count("platform.reads")
             result = await self._documents.poll()
+            failed = any(isinstance(message, PlatformFailed) for message in result.inputs)
+            self._note_platform(not failed)
             for message in result.inputs:
                 self._accept_input(message)
             if result.findings:
--- a/src/cactuspass/_problems.py
+++ b/src/cactuspass/_problems.py
@@ -6,7 +6,13 @@
 from enum import Enum
 
 from cactuspass._messages import RefusalReason
-from cactuspass.exceptions import AnswerCut, RequestError, RequestRefused
+from cactuspass.exceptions import (
+    AnswerCut,
+    KeyReused,
+    RequestError,
+    RequestInProgress,
+    RequestRefused,
+)
 
 CONTENT_TYPE = "application/problem+json"
 
@@ -60,6 +66,7 @@
     RefusalReason.DRAINING: 503,
     RefusalReason.MEMORY: 503,
     RefusalReason.NOT_HOLDER: 503,
+    RefusalReason.NOT_CLAIMED: 503,
 }
 
 
@@ -80,6 +87,12 @@
             RunState.NOT_RUN,
             retry,
         )
+    if isinstance(error, RequestInProgress):
+        title = "An earlier try is still running"
+        return Problem(409, "in-progress", title, str(error), RunState.UNKNOWN, error.retry_after)
+    if isinstance(error, KeyReused):
+        title = "The idempotency key belongs to another request"
+        return Problem(422, "key-reused", title, str(error), RunState.NOT_RUN)
     title = "The answer broke off" if isinstance(error, AnswerCut) else "The outcome is unknown"
     code = "answer-cut" if isinstance(error, AnswerCut) else "outcome-unknown"
     return Problem(502, code, title, str(error), RunState.UNKNOWN)
--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -67,6 +67,21 @@
     """The request may have run; its answer was lost."""
 
 
+class RequestInProgress(RequestError):
+    """An earlier try with the same idempotency key may still be running.
+
+    :param retry_after: seconds after which to ask again.
+    """
+
+    def __init__(self, retry_after: float) -> None:
+        super().__init__("an earlier try with this key is still running")
+        self.retry_after = retry_after
+
+
+class KeyReused(RequestError):
+    """The idempotency key belongs to another request; this one has not run."""
+
+
 class AnswerCut(RequestError):
     """The answer broke off before its end."""
 
