Let the trial pass from end to end; commit take-outs made during an outage

Cause: heartbeats went out once a second, so a group that changed its holder waited for the next one; the trial declared groups while seats still joined. Change: a changed placement, configuration or serving group is told at once; the trial waits until all entries are seated; pending take-outs are committed when the platform answers.

--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -58,6 +58,7 @@
 from cactuspass._seats import SeatSystem
 from cactuspass._state_changes import StateChanges
 from cactuspass._tables import LocalRow, Tables
+from cactuspass._take_out_commits import TakeOutCommits
 from cactuspass._upstream_events import UpstreamEvents
 from cactuspass._views import ViewSources
 from cactuspass._writer import PlacementWriter
@@ -131,6 +132,7 @@
                 self.keyed,
                 self.operators,
                 self.callers,
+                self.take_out_commits,
                 StateChanges(self.tables, log),
             )
         )
@@ -188,6 +190,9 @@
         self.platform_loop = PlatformLoop(
             self.documents, accept, self.claims.note_platform, self.counters
         )
+        self.take_out_commits = TakeOutCommits(
+            self.tables, self.documents, accept, time.monotonic, self.counters
+        )
         instances = HttpInstanceList(settings.platform.instance_list, timeout)
         self.instance_list_loop = InstanceListLoop(instances, accept, self.counters)
 
--- a/src/cactuspass/_entry_state.py
+++ b/src/cactuspass/_entry_state.py
@@ -1,6 +1,6 @@
 """What this entry tells its peers, and the documents that it takes from them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from cactuspass._codec import (
     decode_configuration,
@@ -45,6 +45,17 @@
             groups=summaries(tables, self._clock()),
         )
 
+    def urgent_state(self) -> Hashable:
+        """Return the part of the state whose changes peers must learn of at once."""
+        tables = self._tables
+        return (
+            None if tables.configuration is None else tables.configuration.revision,
+            None if tables.placement is None else tables.placement.version,
+            tables.local.draining,
+            tuple(tables.pending_take_outs_by_tag),
+            tuple(row.group_id for row in tables.held_groups_by_id.values() if row.serving),
+        )
+
     def documents(self) -> Documents:
         """Return the documents in their stored form."""
         configuration = self._tables.configuration
--- a/src/cactuspass/_peers.py
+++ b/src/cactuspass/_peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Any
 
 from websockets.asyncio.client import connect
@@ -44,6 +44,7 @@
 from cactuspass.models import EntryId, TakeOut
 
 HEARTBEAT_SECONDS = 1.0
+URGENT_LOOK_SECONDS = 0.05
 CONNECT_TIMEOUT_SECONDS = 2.0
 PING_SECONDS = 2.0
 
@@ -55,6 +56,10 @@
     def heartbeat(self) -> Heartbeat:
         """Return the state to tell peers."""
 
+    @abstractmethod
+    def urgent_state(self) -> Hashable:
+        """Return the part of the state whose changes peers must learn of at once."""
+
     @abstractmethod
     def documents(self) -> Documents:
         """Return the documents in their stored form."""
@@ -244,9 +249,13 @@
             self._accept_input(PeerLost(link.hello.entry_id, link.hello.incarnation))
 
     async def _send_heartbeats(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            told = self._state.urgent_state()
             self.share_heartbeat()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            next_at = loop.time() + HEARTBEAT_SECONDS
+            while loop.time() < next_at and self._state.urgent_state() == told:
+                await asyncio.sleep(URGENT_LOOK_SECONDS)
 
     # What arrives
 
--- /dev/null
+++ b/src/cactuspass/_take_out_commits.py
@@ -0,0 +1,76 @@
+"""Commits take-outs that were accepted while the platform did not answer."""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+
+from cactuspass._component import Component
+from cactuspass._configuration_changes import TakeOutChange
+from cactuspass._counters import Counters
+from cactuspass._documents import DocumentStore
+from cactuspass._membership import live_entries
+from cactuspass._messages import ConfigurationRead, Input
+from cactuspass._tables import Tables
+from cactuspass.exceptions import ConfigurationError, PlatformError
+from cactuspass.models import OperationId
+
+LOOK_SECONDS = 1.0
+TURN_SECONDS = 1.0
+
+
+class TakeOutCommits(Component):
+    """Writes pending take-outs once the platform answers again; the lowest live entry first.
+
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        tables: Tables,
+        documents: DocumentStore,
+        accept_input: Callable[[Input], None],
+        clock: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self._tables = tables
+        self._documents = documents
+        self._accept_input = accept_input
+        self._clock = clock
+        self._counters = counters
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to look for pending take-outs."""
+        self._task = asyncio.create_task(self._look_forever())
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _look_forever(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if not self._tables.pending_take_outs_by_tag:
+                continue
+            await asyncio.sleep(TURN_SECONDS * self._turn())
+            if self._tables.pending_take_outs_by_tag:
+                await self._commit()
+
+    def _turn(self) -> int:
+        """Return how many live entries have a lower id than this one."""
+        own = self._tables.local.entry_id
+        return sum(row.entry_id < own for row in live_entries(self._tables, self._clock()))
+
+    async def _commit(self) -> None:
+        pending = tuple(self._tables.pending_take_outs_by_tag.values())
+        operation = OperationId(f"{self._tables.local.entry_id}/{uuid.uuid4().hex[:12]}")
+        try:
+            committed = await self._documents.commit_configuration(
+                TakeOutChange(pending, operation), operation
+            )
+        except (PlatformError, ConfigurationError):
+            self._counters.count("take_outs.commit_failures")
+            return
+        self._counters.count("take_outs.committed", len(pending))
+        self._accept_input(ConfigurationRead(committed, from_platform=True))
--- a/src/cactuspass/_views.py
+++ b/src/cactuspass/_views.py
@@ -9,7 +9,7 @@
 from cactuspass._stranded import StrandedRow, stranded
 from cactuspass._summaries import summaries
 from cactuspass._tables import Tables
-from cactuspass.models import CustomerId
+from cactuspass.models import CustomerId, DataCentreId, EntryId, Incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryView:
-    """An entry as this one sees it."""
+    """An entry as this one sees it.
+
+    :param seated: whether it may hold groups; None for entries of other data centres.
+    """
 
     entry: str
     data_centre: str
@@ -84,6 +87,7 @@
     connected: bool
     configuration_revision: int
     placement_version: int
+    seated: bool | None
     heard_seconds_ago: float
 
 
@@ -216,6 +220,7 @@
         True,
         0 if tables.configuration is None else tables.configuration.revision,
         0 if tables.placement is None else tables.placement.version,
+        _is_seated(tables, local.entry_id, local.incarnation, local.data_centre),
         0.0,
     )
     others = (
@@ -228,6 +233,7 @@
             row.connected,
             row.configuration_revision,
             row.placement_version,
+            _is_seated(tables, row.entry_id, row.incarnation, row.data_centre),
             now - row.heard_at,
         )
         for row in tables.entries_by_id.values()
@@ -235,6 +241,16 @@
     return row_set(EntryView, sorted((own, *others), key=lambda view: view.entry))
 
 
+def _is_seated(
+    tables: Tables, entry_id: EntryId, incarnation: Incarnation, data_centre: DataCentreId
+) -> bool | None:
+    if data_centre != tables.local.data_centre:
+        return None
+    seats = {} if tables.placement is None else tables.placement.seats_by_entry
+    seat = seats.get(entry_id)
+    return seat is not None and seat.incarnation == incarnation
+
+
 def alarms_view(sources: ViewSources) -> RowSet:
     """Return the alarms that this entry has raised."""
     tables, now = sources.tables, sources.clock()
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -97,6 +97,8 @@
             self.start_entry(entry.name)
         for entry in self.entries_by_name.values():
             self.wait_ready(entry.name)
+        for entry in self.entries_by_name.values():
+            self.wait_seated(entry.name)
 
     def stop(self) -> None:
         """End every process that was started, and delete the files."""
@@ -123,6 +125,14 @@
             START_TIMEOUT_SECONDS,
         )
 
+    def wait_seated(self, name: str) -> None:
+        """Wait until every entry of the named one's data centre may hold groups."""
+        wait_until(
+            lambda: len(self.rows("entries where seated = true", name)) == self.plan.entries,
+            f"the entries beside {name} are seated",
+            START_TIMEOUT_SECONDS,
+        )
+
     def operator(self, name: str) -> OperatorClient:
         """Return a client of an entry's operators' port."""
         return OperatorClient(self.entries_by_name[name].operators, OPERATOR_TOKEN)
