Let tests cut any two processes off from each other

Cause: partitions could not be provoked. Change: relays in the stand-ins' host, an instance list for each viewer, and the fleet's cut, isolate and heal. Engines keep their own addresses, since they refuse orders that name them by others.

--- a/src/cactuspass/_caller_requests.py
+++ b/src/cactuspass/_caller_requests.py
@@ -180,7 +180,7 @@
     if prompt is not None:
         return prompt if isinstance(prompt, str) else "".join(prompt)
     contents = (message.get("content") for message in fields.messages or ())
-    return "".join(chain.from_iterable(_texts(content) for content in contents))
+    return "\n".join(chain.from_iterable(_texts(content) for content in contents))
 
 
 def _texts(content: Any) -> list[str]:
--- a/src/cactuspass_standins/host.py
+++ b/src/cactuspass_standins/host.py
@@ -20,6 +20,7 @@
 from cactuspass_standins._engine import Engine, EngineSettings
 from cactuspass_standins._instances import InstanceList, record_from_json
 from cactuspass_standins._key_value_store import KeyValueStore
+from cactuspass_standins._network import ListView, Network
 from cactuspass_standins._platform import Platform
 from cactuspass_standins._registry import EngineRegistry
 from cactuspass_standins._service import Service, ServiceSettings
@@ -42,13 +43,16 @@
         self.registry = EngineRegistry()
         self.instances: InstanceList | None = None
         self.platform: Platform | None = None
+        self.network: Network | None = None
+        self._viewers: tuple[str, ...] = ()
         self._ports_by_name: dict[str, int] = {}
         self._records: list[InstanceRecord] = []
 
     @property
     def addresses_by_name(self) -> dict[str, str]:
         """Return ``host:port`` of each stand-in."""
-        return {name: item.address for name, item in self.stand_ins_by_name.items()}
+        addresses = {name: item.address for name, item in self.stand_ins_by_name.items()}
+        return addresses | self._platform_relays()
 
     def add_platform(self, store: KeyValueStore | None = None, port: int = 0) -> Platform:
         """Add the key-value service."""
@@ -60,6 +64,15 @@
         self.instances = self._add(InstanceList("instances", lag), port)
         return self.instances
 
+    def add_network(self, viewers: list[str]) -> None:
+        """Give each viewer a list and a platform address of its own, behind relays."""
+        if self.instances is None or self.platform is None:
+            raise ValueError("a network needs the platform and the instance list")
+        self.network = self._add(Network(), 0)
+        self._viewers = tuple(viewers)
+        for viewer in viewers:
+            self._add(ListView(viewer, self.instances, self.network), 0)
+
     def add_engine(
         self,
         settings: EngineSettings,
@@ -102,6 +115,16 @@
         for stand_in in self.stand_ins_by_name.values():
             stand_in.stop()
 
+    def _platform_relays(self) -> dict[str, str]:
+        """Return the platform's address of each viewer, called ``platform-VIEWER``."""
+        network, platform = self.network, self.platform
+        if network is None or platform is None:
+            return {}
+        return {
+            f"platform-{viewer}": network.relay(viewer, platform.name, platform.address)
+            for viewer in self._viewers
+        }
+
     def _add(self, stand_in: AnyStandIn, port: int) -> AnyStandIn:
         if stand_in.name in self.stand_ins_by_name:
             raise ValueError(f"two stand-ins are called {stand_in.name}")
@@ -117,7 +140,8 @@
 def host_from_settings(settings: Json) -> StandInHost:
     """Return a host with the stand-ins that the settings name.
 
-    Tables: ``platform``, ``instances``, and lists ``engines``, ``services`` and ``listed``.
+    Tables: ``platform``, ``instances``, ``network``, and lists ``engines``, ``services`` and
+    ``listed``.
     An engine or service with ``count`` stands for instances called ``NAME-0``, ``NAME-1``, ...
 
     :raises TypeError: when a setting is unknown.
@@ -127,6 +151,8 @@
         host.add_platform(**settings["platform"])
     if "instances" in settings:
         host.add_instances(**settings["instances"])
+    if "network" in settings:
+        host.add_network(**settings["network"])
     for fields in _numbered(settings.get("engines", [])):
         place = _take_place(fields)
         host.add_engine(EngineSettings(**fields), **place)
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -30,6 +30,7 @@
 
     :param engines: engine instances in each data centre, all in one fabric domain.
     :param engine_settings: further settings of each engine.
+    :param relays: whether all connections of entries pass relays, so that they can be cut.
     """
 
     data_centres: Sequence[str] = ("fukuoka", "kumamoto", "kagoshima")
@@ -39,6 +40,7 @@
     engine_settings: dict[str, Any] = field(default_factory=dict)
     checks_fence: bool = True
     drain_seconds: float = 30.0
+    relays: bool = False
 
 
 @dataclass(slots=True)
@@ -166,11 +168,27 @@
             found: dict[str, Any] = json.loads(answer.read() or b"{}")
             return found
 
+    def cut(self, *links: tuple[str, str]) -> None:
+        """Cut links between entries, upstreams and ``platform``; both ends see silence."""
+        self.control("network", "cut", links=[list(link) for link in links])
+
+    def heal(self) -> None:
+        """Heal every link."""
+        self.control("network", "heal")
+
+    def isolate(self, names: Sequence[str], others: Sequence[str]) -> None:
+        """Cut every link between two sets of processes."""
+        self.cut(*((name, other) for name in names for other in others))
+
     def counts(self, prefix: str, counter: str) -> list[Any]:
         """Return one counter of every stand-in whose name begins with a prefix."""
-        names = [name for name in self.addresses_by_name if name.startswith(prefix)]
+        names = [name for name in self.addresses_by_name if self._is_stand_in(name, prefix)]
         return [self.control(name, "counts").get(counter) for name in sorted(names)]
 
+    @staticmethod
+    def _is_stand_in(name: str, prefix: str) -> bool:
+        return name.startswith(prefix) and not name.startswith("platform-")
+
     def _plan_entry(self, name: str, data_centre: str) -> None:
         self.entries_by_name[name] = EntryProcess(
             name,
@@ -183,6 +201,8 @@
 
     def _host_settings(self) -> str:
         tables = ["[platform]\n", "[instances]\nlag = 0.0\n"]
+        if self.plan.relays:
+            tables.append(f"[network]\nviewers = {json.dumps(list(self.entries_by_name))}\n")
         for data_centre in self.plan.data_centres:
             tables.append(self._engine_table(data_centre))
             tables.append(
@@ -210,8 +230,9 @@
         )
 
     def _entry_settings(self, entry: EntryProcess) -> str:
-        platform = self.addresses_by_name["platform"]
-        instances = self.addresses_by_name["instances"]
+        addresses = self.addresses_by_name
+        platform = addresses.get(f"platform-{entry.name}", addresses["platform"])
+        instances = addresses.get(f"list-{entry.name}", addresses["instances"])
         return f"""
 entry_id = "{entry.name}"
 data_centre = "{entry.data_centre}"
