--- a/src/cactuspass_standins/_engine.py
+++ b/src/cactuspass_standins/_engine.py
@@ -17,6 +17,7 @@
 
 RESUME_SECONDS = 5.0
 SHORTEST_STEP_SECONDS = 0.005
+LONGEST_STEP_SECONDS = 0.1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -298,7 +299,7 @@
         while self.batch.requests:
             began_at = time.monotonic()
             await asyncio.sleep(max(self.settings.seconds_per_token, SHORTEST_STEP_SECONDS))
-            seconds = time.monotonic() - began_at
+            seconds = min(time.monotonic() - began_at, LONGEST_STEP_SECONDS)
             await self.wait_until_thawed()
             if self.registry.group_is_stalled(self):
                 continue
--- a/src/cactuspass_standins/_engine_http.py
+++ b/src/cactuspass_standins/_engine_http.py
@@ -112,16 +112,16 @@
         self.set_header("Content-Type", "text/event-stream")
         position, cut_at = first, self.stand_in.take_truncation(request)
         while position != cut_at and await self.wait_for_token(request, position):
-            chunk = shape.chunk(request.prompt.answer_token(position))
-            if not await self.write_event(json_encode(chunk)):
+            end = request.produced if cut_at is None else min(cut_at, request.produced)
+            tokens = map(request.prompt.answer_token, range(position, end))
+            if not await self.write_events(json_encode(shape.chunk(token)) for token in tokens):
                 return
-            position += 1
+            position = end
         is_whole = request.outcome is Outcome.COMPLETED and position >= request.max_tokens
         if position == cut_at or not is_whole:
             break_connection(self)
             return
-        await self.write_event(json_encode(shape.chunk("", "length")))
-        await self.write_event("[DONE]")
+        await self.write_events([json_encode(shape.chunk("", "length")), "[DONE]"])
 
     async def wait_for_token(self, request: EngineRequest, position: int) -> bool:
         """Wait for a token; False when no more comes on this connection."""
@@ -142,12 +142,12 @@
         self.running = request
         request.readers += 1
 
-    def on_connection_close(self) -> None:
-        """Cancel what runs for the caller, unless it may resume."""
-        super().on_connection_close()
+    def leave(self) -> None:
+        """Cancel what still runs for the caller, unless it may resume."""
         if self.running is not None:
             self.stand_in.detach(self.running)
             self.running.progress.set()
+            self.running = None
 
 
 class CompletionsHandler(StreamingHandler):
--- a/src/cactuspass_standins/_events.py
+++ b/src/cactuspass_standins/_events.py
@@ -43,12 +43,11 @@
     async def _send_events(self) -> None:
         while (event := await self.queue.get()) is not None:
             await self.stand_in.wait_until_thawed()
-            if not await self.write_event(json.dumps(event)):
+            if not await self.write_events([json.dumps(event)]):
                 return
 
-    def on_connection_close(self) -> None:
+    def leave(self) -> None:
         """Stop sending."""
-        super().on_connection_close()
         if hasattr(self, "queue"):
             self.queue.put_nowait(None)
 
--- a/src/cactuspass_standins/_service.py
+++ b/src/cactuspass_standins/_service.py
@@ -170,9 +170,8 @@
             "run": run,
         }
 
-    def on_connection_close(self) -> None:
+    def leave(self) -> None:
         """Forget the call; its effect stays."""
-        super().on_connection_close()
         self.stand_in.release(self, completed=False)
 
 
--- a/src/cactuspass_standins/_stand_in.py
+++ b/src/cactuspass_standins/_stand_in.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, cast
 from weakref import WeakSet
 
@@ -174,6 +174,14 @@
     def on_connection_close(self) -> None:
         """Note that the caller has gone."""
         self.is_closed = True
+        self.leave()
+
+    def on_finish(self) -> None:
+        """Free what the request held, also after the stand-in broke the connection."""
+        self.leave()
+
+    def leave(self) -> None:
+        """Free what the request held; may be called twice."""
 
     def json_body(self) -> Json:
         """Return the body as a JSON object.
@@ -188,9 +196,10 @@
             raise HTTPError(400, "body is not a JSON object")
         return body
 
-    async def write_event(self, data: str) -> bool:
-        """Send one server-sent event; False when the connection is closed."""
-        self.write(f"data: {data}\n\n")
+    async def write_events(self, events: Iterable[str]) -> bool:
+        """Send server-sent events; False when the connection is closed."""
+        for event in events:
+            self.write(f"data: {event}\n\n")
         try:
             await self.flush()
         except StreamClosedError:
--- a/src/cactuspass_standins/host.py
+++ b/src/cactuspass_standins/host.py
@@ -26,6 +26,7 @@
 from cactuspass_standins._stand_in import Json, StandIn
 from cactuspass_standins._upstream import UpstreamSettings
 
+CLOSE_SECONDS = 0.01
 PLACE_FIELDS = ("data_centre", "fabric_domain", "accelerators", "port", "count")
 
 AnyStandIn = TypeVar("AnyStandIn", bound=StandIn)
@@ -101,6 +102,7 @@
         """Stop all stand-ins."""
         for stand_in in self.stand_ins_by_name.values():
             stand_in.stop()
+        await asyncio.sleep(CLOSE_SECONDS)
 
     def _add(self, stand_in: AnyStandIn, port: int) -> AnyStandIn:
         if stand_in.name in self.stand_ins_by_name:
