Make three tests of the stand-ins see their faults

With the guard removed, the tests of the resumed stream, of a lost member and of a stream without its end still passed: the stream was complete before its connection was cut, the expiry of silent members hid the broken connection, and the status of the answer hid the missing end. They now fail without the guard. A test of a silent member was added.

--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -7,11 +7,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
+from unittest.mock import patch
 
 import openai
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import HTTPStreamClosedError, SimpleAsyncHTTPClient
 
+from cactuspass_standins import _assignment
+from cactuspass_standins._answer_checks import StreamCheck
 from cactuspass_standins._client_load import BookingWorkload, ChatWorkload, Load, LoadSettings
 from cactuspass_standins._engine import Engine, EngineSettings
 from cactuspass_standins._key_value_store import (
@@ -145,14 +148,13 @@
         self.assertEqual((await self.complete(engine, LONG_ANSWER)).code, BROKEN)
         await wait_until(lambda: engine.counters.cancelled == 1)
         self.assertEqual(engine.memory_tokens, 0)
-        cut = await self.complete(engine, 5, X_Request_Id="r1", X_Resumable="1")
+        cut = await self.complete(engine, 200, X_Request_Id="r1", X_Resumable="1")
         self.assertEqual(cut.code, BROKEN)
         rest = await self.client.fetch(f"{engine.url}/cactuspass/streams/r1?from=2")
-        events = rest.body.decode().split("\n\n")[:-1]
-        chunks = [json.loads(event.removeprefix("data: ")) for event in events[:-1]]
-        texts = [chunk["choices"][0]["text"] for chunk in chunks]
-        self.assertEqual(texts, [" w1", " w2", " w3", ""])
-        self.assertEqual(events[-1], "data: [DONE]")
+        events = [item.removeprefix("data: ") for item in rest.body.decode().split("\n\n")]
+        texts = [json.loads(item)["choices"][0]["text"] for item in events[:-2]]
+        self.assertEqual(texts, [f" w{number}" for number in range(1, 199)] + [""])
+        self.assertEqual(events[-2:], ["[DONE]", ""])
 
     async def test_urgent_requests_get_tokens_first(self) -> None:
         (engine,) = self.add_engines(1, cold_requests=8, batch=1)
@@ -187,6 +189,7 @@
 class GroupTest(StandInsTest):
     async def test_group_dies_with_a_member_and_keeps_the_survivors_weights(self) -> None:
         first, second, spare = self.add_engines(3)
+        self.enterContext(patch.object(_assignment, "MEMBER_SILENCE_SECONDS", 1000.0))
         await self.host.start()
         await self.form([first, second])
         running = self.complete(first, LONG_ANSWER)
@@ -221,6 +224,16 @@
         second.thaw()
         self.assertEqual((await running).code, 200)
 
+    async def test_silent_member_stops_the_group(self) -> None:
+        first, second = self.add_engines(2, status_seconds=0.02)
+        self.enterContext(patch.object(_assignment, "MEMBER_SILENCE_SECONDS", 0.2))
+        await self.host.start()
+        await self.form([first, second])
+        second.freeze(1000.0)
+        await wait_until(lambda: not first.is_serving)
+        second.thaw()
+        await wait_until(lambda: first.is_serving)
+
     async def test_only_checking_engines_refuse_an_old_fencing_number(self) -> None:
         for checks, expected in ((True, 409), (False, 200)):
             host = StandInHost()
@@ -311,6 +324,20 @@
 
 
 class LoadTest(StandInsTest):
+    def test_stream_is_whole_only_with_all_text_and_its_end(self) -> None:
+        end = b"data: [DONE]\n\n"
+        for text, last, expected in (
+            ("ab", end, (True, True)),
+            ("ab", b"", (False, True)),
+            ("a", end, (False, True)),
+            ("b", end, (False, False)),
+        ):
+            check = StreamCheck("ab")
+            chunk = json.dumps({"choices": [{"delta": {"content": text}}]}).encode()
+            check.feed(b"data: " + chunk[:5])
+            check.feed(chunk[5:] + b"\n\n" + last)
+            self.assertEqual((check.is_whole, check.is_own), expected)
+
     async def test_cut_streams_and_refusals_are_not_whole(self) -> None:
         (engine,) = self.add_engines(1, cold_requests=100, full_requests=100)
         await self.host.start()
