--- /dev/null
+++ b/tests/invariants.py
@@ -0,0 +1,96 @@
+"""Checks of what must always hold, from the counters of the stand-ins.
+
+Each check returns every violation that it finds, with its place.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """Something that must always hold and did not."""
+
+    rule: str
+    place: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.rule} at {self.place}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Counters of upstream stand-ins by their name."""
+
+    by_name: Mapping[str, Mapping[str, Any]]
+
+    def total(self, counter: str, prefix: str = "") -> int:
+        """Return the sum of a counter over the stand-ins whose name begins with a prefix."""
+        return sum(
+            int(counts.get(counter, 0))
+            for name, counts in self.by_name.items()
+            if name.startswith(prefix)
+        )
+
+    def merged(self, counter: str) -> Counter[str]:
+        """Return the sum of a counter by key over all stand-ins."""
+        return sum(
+            (Counter(counts.get(counter, {})) for counts in self.by_name.values()), Counter()
+        )
+
+
+def no_partial_group(counts: Counts) -> list[Violation]:
+    """Find whole answers of groups that were not whole."""
+    return _where_above_zero(counts, "no partial group serves", "partial_completed")
+
+
+def no_over_admission(counts: Counts) -> list[Violation]:
+    """Find upstreams that got more than they could bear."""
+    return _where_above_zero(counts, "no upstream gets more than it bears", "fell_over")
+
+
+def no_arrival_while_leaving(counts: Counts) -> list[Violation]:
+    """Find requests that came to an upstream that had said that it leaves."""
+    return _where_above_zero(counts, "a leaving upstream gets no work", "arrived_while_leaving")
+
+
+def at_most_once(counts: Counts, keys: Iterable[str] | None = None) -> list[Violation]:
+    """Find idempotency keys that ran more than once."""
+    runs = counts.merged("runs_by_idempotency_key")
+    wanted = runs if keys is None else {key: runs[key] for key in keys}
+    return [
+        Violation("at most once", key, f"ran {number} times")
+        for key, number in wanted.items()
+        if number > 1
+    ]
+
+
+def not_run(counts: Counts, keys: Iterable[str]) -> list[Violation]:
+    """Find requests that ran although a refusal said that they had not."""
+    runs = counts.merged("runs_by_idempotency_key")
+    return [
+        Violation("a refusal that says not run is true", key, f"ran {runs[key]} times")
+        for key in keys
+        if runs[key]
+    ]
+
+
+def no_double_send(counts: Counts) -> list[Violation]:
+    """Find requests that reached upstreams more than once."""
+    accepted = counts.merged("accepted_by_request_id")
+    return [
+        Violation("a request is sent once", request_id, f"accepted {number} times")
+        for request_id, number in accepted.items()
+        if number > 1
+    ]
+
+
+def _where_above_zero(counts: Counts, rule: str, counter: str) -> list[Violation]:
+    return [
+        Violation(rule, name, f"{counter} = {found[counter]}")
+        for name, found in sorted(counts.by_name.items())
+        if found.get(counter, 0)
+    ]
