--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -5,7 +5,7 @@
 import tempfile
 import urllib.error
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -30,6 +30,9 @@
 
     :param engines: engine instances in each data centre, all in one fabric domain.
     :param engine_settings: further settings of each engine.
+    :param listed_engines: addresses by name of engines that run elsewhere, listed in the first
+        data centre.
+    :param full_requests: requests that a warm engine bears; others than 8 count as warm at once.
     :param relays: whether all connections of entries pass relays, so that they can be cut.
     """
 
@@ -41,6 +44,8 @@
     checks_fence: bool = True
     drain_seconds: float = 30.0
     relays: bool = False
+    listed_engines: Mapping[str, str] = field(default_factory=dict)
+    full_requests: int = 8
 
 
 @dataclass(slots=True)
@@ -210,6 +215,12 @@
                 f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
                 f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
             )
+        for name, address in self.plan.listed_engines.items():
+            tables.append(
+                f'[[listed]]\ninstance_id = "{name}"\nrole = "engine"\nkind = "{KIND}"\n'
+                f'address = "{address}"\ndata_centre = "{self.plan.data_centres[0]}"\n'
+                f'fabric_domain = "fabric"\naccelerators = 4\n'
+            )
         for entry in self.entries_by_name.values():
             tables.append(
                 f'[[listed]]\ninstance_id = "{entry.name}"\nrole = "entry"\n'
@@ -258,8 +269,8 @@
 
 [[upstream_kinds]]
 kind = "{KIND}"
-cold_requests = 2
-full_requests = 8
+cold_requests = {2 if self.plan.full_requests == 8 else self.plan.full_requests}
+full_requests = {self.plan.full_requests}
 warm_step = 1.0
 checks_fence = {json.dumps(self.plan.checks_fence)}
 
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
@@ -59,18 +60,18 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
-    def read_json_line(self) -> dict[str, str]:
-        """Return the object that the process prints when it is ready."""
+    def read_json_line(self, timeout: float = START_TIMEOUT_SECONDS) -> dict[str, Any]:
+        """Return the object that the process prints as its first line."""
         stdout = self._process.stdout
         assert stdout is not None
         with selectors.DefaultSelector() as selector:
             selector.register(stdout, selectors.EVENT_READ)
-            if not selector.select(START_TIMEOUT_SECONDS):
+            if not selector.select(timeout):
                 raise TrialError(f"{self.name} printed nothing; its log: {self.log.read_text()}")
         line = stdout.readline()
         if not line:
             raise TrialError(f"{self.name} ended; its log: {self.log.read_text()}")
-        found: dict[str, str] = json.loads(line)
+        found: dict[str, Any] = json.loads(line)
         return found
 
     def send(self, number: signal.Signals) -> None:
