Check event connections at the moment of sending; pass cache events and boots on

Cause: a restart of an upstream became known a few turns of the event loop after a new connection could reach the fresh process. Change: the kernel's view of each member's event connection is asked after connecting and before the first byte leaves; answers' boot ids, cache events and returning callers reach the decisions.

--- a/src/cactuspass/_bindings.py
+++ b/src/cactuspass/_bindings.py
@@ -9,7 +9,7 @@
 from cactuspass._holding import holds
 from cactuspass._retries import RetryBudget
 from cactuspass._tables import HeldGroupRow, Tables
-from cactuspass.models import GroupId, TakeOutKind
+from cactuspass.models import GroupId, InstanceId, TakeOutKind
 
 
 def may_send_to(tables: Tables, row: HeldGroupRow, now: float) -> bool:
@@ -38,16 +38,27 @@
     """Judges at the moment of sending, after the connection was made.
 
     :param clock: monotonic time in seconds.
+    :param is_open: tells whether an instance's event connection is whole at this very moment.
     """
 
-    def __init__(self, tables: Tables, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        tables: Tables,
+        clock: Callable[[], float],
+        is_open: Callable[[InstanceId], bool],
+    ) -> None:
         self._tables = tables
         self._clock = clock
+        self._is_open = is_open
 
     def may_send(self, group_id: GroupId) -> bool:
         """Return whether the group may be sent to now."""
         row = self._tables.held_groups_by_id.get(group_id)
-        return row is not None and may_send_to(self._tables, row, self._clock())
+        return (
+            row is not None
+            and may_send_to(self._tables, row, self._clock())
+            and all(self._is_open(member) for member in row.members)
+        )
 
     def generation(self, group_id: GroupId) -> str | None:
         """Return the group's generation; None for a plain service."""
--- a/src/cactuspass/_caller_requests.py
+++ b/src/cactuspass/_caller_requests.py
@@ -21,6 +21,7 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 DEADLINE_HEADER = "X-Deadline-Seconds"
 PRIORITY_HEADER = "X-Request-Priority"
+RETRY_COUNT_HEADERS = ("X-Retry-Count", "X-Stainless-Retry-Count")
 SERVICE_TOKENS = 1
 
 
@@ -134,6 +135,7 @@
             deadline=self._clock() + self._deadline_seconds(raw),
             repeatable=repeatable,
             prefixes=prefixes,
+            returning=any(raw.header(name) not in (None, "0") for name in RETRY_COUNT_HEADERS),
         )
 
     def _priority(self, raw: RawRequest) -> Priority:
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -203,7 +203,7 @@
         self.gateway = Gateway(
             self.runner,
             upstreams,
-            TableGuard(tables, time.monotonic),
+            TableGuard(tables, time.monotonic, self.upstream_events.is_open),
             BudgetRetries(),
             AnswerLimits(settings.limits.stream_memory_bytes),
             self.memory.account_for,
--- a/src/cactuspass/_forwarding.py
+++ b/src/cactuspass/_forwarding.py
@@ -147,6 +147,7 @@
             repeatable=request.repeatable,
             prefixes=request.prefixes,
             window=WINDOW_BYTES,
+            returning=request.returning,
         )
 
     def _forget(self, request_id: RequestId, queue: ByteQueue) -> None:
@@ -288,4 +289,5 @@
             deadline=self._clock() + message.seconds_left,
             repeatable=message.repeatable,
             prefixes=message.prefixes,
+            returning=message.returning,
         )
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -23,7 +23,7 @@
     RunOutcomeUnknown,
     UpstreamNotReached,
 )
-from cactuspass.models import EntryId, GroupId, RequestId
+from cactuspass.models import BootId, EntryId, GroupId, RequestId
 
 Placed = Dispatch | Forward | Refuse
 
@@ -35,6 +35,7 @@
 GENERATION_HEADER = "X-Generation"
 REQUEST_ID_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
+BOOT_ID_HEADER = "X-Boot-Id"
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -191,6 +192,7 @@
                 forwarded_by=forwarded_by,
                 prefixes=request.prefixes,
                 excluded=excluded,
+                returning=request.returning,
             )
         )
         try:
@@ -205,8 +207,10 @@
         elif placed.done() and not placed.cancelled() and isinstance(placed.result(), Dispatch):
             self._finish(request_id, succeeded=False, started=False)
 
-    def _finish(self, request_id: RequestId, succeeded: bool, started: bool = True) -> None:
-        self._runner.accept(RequestFinished(request_id, succeeded, started))
+    def _finish(
+        self, request_id: RequestId, succeeded: bool, started: bool = True, boot_id: str = ""
+    ) -> None:
+        self._runner.accept(RequestFinished(request_id, succeeded, started, BootId(boot_id)))
 
     async def _forward(self, order: Forward, request: CallerRequest) -> Answer:
         if self._forwarder is None:
--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -1,7 +1,9 @@
 """One HTTP/1.1 request to an upstream, on tornado's client connection."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -133,7 +135,8 @@
             queue.cancel(error)
             task.cancel()
             raise
-        return Answer(code, tuple(answer_headers.get_all()), queue)
+        headers_found = tuple(answer_headers.get_all())
+        return Answer(code, headers_found, queue, partial(_is_whole, stream))
 
     async def _connect(self, address: str, reuse: bool) -> IOStream:
         idle = self._idle_by_address.get(address, [])
@@ -199,3 +202,15 @@
             self._keep(address, stream)
         else:
             stream.close()
+
+
+def _is_whole(stream: IOStream) -> bool:
+    """Return whether the other end has not closed the connection, by the kernel's knowledge."""
+    if stream.closed():
+        return False
+    try:
+        return stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
--- a/src/cactuspass/_peer_messages.py
+++ b/src/cactuspass/_peer_messages.py
@@ -124,6 +124,7 @@
     repeatable: bool
     prefixes: tuple[str, ...]
     window: int
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/_requests.py
+++ b/src/cactuspass/_requests.py
@@ -1,5 +1,6 @@
 """Callers' requests and their answers, as the edges pass them on."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cactuspass._byte_queue import ByteQueue
@@ -18,6 +19,7 @@
     :param deadline: time by which the first byte is wanted, by the local monotonic clock.
     :param repeatable: whether a second run would do no harm.
     :param prefixes: hashes of the prompt's leading blocks, longest last.
+    :param returning: whether the caller comes back after a refusal.
     """
 
     request_id: RequestId
@@ -32,6 +34,7 @@
     deadline: float
     repeatable: bool
     prefixes: tuple[str, ...] = ()
+    returning: bool = False
 
     @property
     def is_service(self) -> bool:
@@ -41,8 +44,16 @@
 
 @dataclass(slots=True)
 class Answer:
-    """An answer whose body may still be arriving."""
+    """An answer whose body may still be arriving.
+
+    :param is_open: tells whether its connection is whole at this very moment.
+    """
 
     status: int
     headers: tuple[Header, ...]
     body: ByteQueue
+    is_open: Callable[[], bool] = lambda: True
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header field, or None."""
+        return next((value for key, value in self.headers if key.lower() == name.lower()), None)
--- a/src/cactuspass/_upstream_events.py
+++ b/src/cactuspass/_upstream_events.py
@@ -11,6 +11,7 @@
 from cactuspass._component import Component
 from cactuspass._http_exchange import UpstreamClient
 from cactuspass._messages import (
+    CacheReported,
     Input,
     InstanceBroken,
     InstanceReported,
@@ -42,6 +43,8 @@
     rank: int = -1
     size: int = 0
     state: LoadState = LoadState.READY
+    model: str = ""
+    version: str = ""
     fence: int = 0
     running: int = 0
     memory_tokens: int = 0
@@ -49,6 +52,14 @@
     leaving: bool = False
 
 
+class _CacheEvent(BaseModel):
+    """A change of an engine's prefix cache as the instance sends it."""
+
+    seq: int
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
 class UpstreamEvents(Component):
     """Keeps an event connection to each watched instance and sends orders to engines."""
 
@@ -57,6 +68,7 @@
         self._accept_input = accept_input
         self._watches_by_instance: dict[InstanceId, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
+        self._streams_by_instance: dict[InstanceId, Answer] = {}
 
     async def stop(self) -> None:
         """Close all event connections."""
@@ -65,6 +77,14 @@
         self._watches_by_instance.clear()
         self._client.close()
 
+    def is_open(self, instance_id: InstanceId) -> bool:
+        """Return whether the event connection is whole at this very moment.
+
+        A restarted instance closed it before it began to listen again.
+        """
+        answer = self._streams_by_instance.get(instance_id)
+        return answer is not None and not answer.body.ended and answer.is_open()
+
     def watch(self, order: WatchInstance) -> None:
         """Carry out an order of the core."""
         running = self._watches_by_instance.pop(order.instance_id, None)
@@ -141,16 +161,25 @@
                     repeatable=False,
                     queue_limit=EVENT_QUEUE_BYTES,
                 )
+            self._streams_by_instance[order.instance_id] = answer
             async for event in _events(answer):
                 self._report(order.instance_id, event)
         except (CactuspassError, TimeoutError, ValueError) as error:
             return f"{type(error).__name__}: {error}"
         finally:
             if answer is not None:
+                self._forget(order.instance_id, answer)
                 answer.body.cancel(AnswerCut("the watch ended"))
         return "the event stream ended"
 
+    def _forget(self, instance_id: InstanceId, answer: Answer) -> None:
+        if self._streams_by_instance.get(instance_id) is answer:
+            del self._streams_by_instance[instance_id]
+
     def _report(self, instance_id: InstanceId, event: dict[str, Any]) -> None:
+        if event.get("event") == "cache":
+            cache = _CacheEvent.model_validate(event)
+            self._accept_input(CacheReported(instance_id, cache.seq, cache.added, cache.removed))
         if event.get("event") != "status":
             return
         status = _StatusEvent.model_validate(event)
@@ -168,6 +197,8 @@
                 memory_tokens=status.memory_tokens,
                 lag=status.lag,
                 leaving=status.leaving,
+                model=status.model,
+                version=status.version,
             )
         )
 
