Ask for no grants without a seat; test the order and patience of removals

An entry without a seat asked its peers for grants each second: seen by a test of a newcomer. Split the configuration in force from its changes.

--- /dev/null
+++ b/src/cactuspass/_alarm_changes.py
@@ -0,0 +1,27 @@
+"""Raises and clears alarms, once each."""
+
+from cactuspass._messages import AlarmChanged, AlarmKind
+from cactuspass._tables import AlarmRow, Tables
+
+
+def raise_alarm(
+    tables: Tables, kind: AlarmKind, subject: str, detail: str, now: float
+) -> list[AlarmChanged]:
+    """Raise an alarm.
+
+    :return: the order that tells of it; none when it is raised already.
+    """
+    if (kind, subject) in tables.alarms_by_key:
+        return []
+    tables.alarms_by_key[kind, subject] = AlarmRow(kind, subject, now, detail)
+    return [AlarmChanged(kind, subject, raised=True, detail=detail)]
+
+
+def clear_alarm(tables: Tables, kind: AlarmKind, subject: str) -> list[AlarmChanged]:
+    """Clear an alarm.
+
+    :return: the order that tells of it; none when it is not raised.
+    """
+    if tables.alarms_by_key.pop((kind, subject), None) is None:
+        return []
+    return [AlarmChanged(kind, subject, raised=False)]
--- a/src/cactuspass/_right.py
+++ b/src/cactuspass/_right.py
@@ -229,7 +229,8 @@
         ok_at = tables.local.platform_ok_at
         is_silent = ok_at is None or now - ok_at >= SILENT_PLATFORM_SECONDS
         is_wanted = (self._platform_failed or is_silent) and not self._has_lapsed
-        if tables.placement is None or not is_wanted or now < self._asked_at + ASK_SECONDS:
+        is_due = now >= self._asked_at + ASK_SECONDS
+        if tables.placement is None or not is_wanted or not is_due or not used_seats(tables):
             return []
         self._asked_at = now
         return [
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,16 +9,18 @@
 from cactuspass._configuration import (
     KEPT_CANCELLED,
     KEPT_OPERATIONS,
-    ConfigurationSystem,
-    InForce,
-    base_for_write,
     declare,
-    is_ready,
-    is_taken_out,
     merge_take_outs,
     remove_declaration,
     return_target,
     take_out,
+)
+from cactuspass._in_force import (
+    ConfigurationSystem,
+    InForce,
+    base_for_write,
+    is_ready,
+    is_taken_out,
     where_in_force,
 )
 from cactuspass._membership import MembershipSystem
--- a/tests/test_right.py
+++ b/tests/test_right.py
@@ -11,6 +11,7 @@
     Granted,
     Input,
     Order,
+    PeerLost,
     PlacementConfirmed,
     PlatformFailed,
     SeatGiven,
@@ -70,6 +71,12 @@
         self.assertEqual(self.tables.store_revision, 0)
         self.assertFalse(self.holds_at(1.0))
 
+    def test_read_of_an_older_version_does_not_confirm_a_newer_one(self) -> None:
+        self.begin("e1", "e2")
+        self.tick(1.0, peer_read(placement(2, "e1", "e2", epoch=1)))
+        self.tick(2.0, platform_read(placement(1, "e1", "e2"), 1.5))
+        self.assertFalse(self.holds_at(2.0))
+
     def test_lower_version_is_not_adopted_and_gives_no_right(self) -> None:
         self.tick(0.0, platform_read(placement(2, "e1"), 0.0))
         self.tick(1.0, platform_read(placement(1, "e1", "e2"), 1.0))
@@ -112,8 +119,8 @@
             self.setUp()
             self.begin("e1", "e2")
             self.tick(1.0, beat("e2", 1), *grants)
-            self.tick(3.5, beat("e2", 1, number=2))
-            self.tick(4.5, beat("e2", 1, number=2))
+            lost = PeerLost(E2, Incarnation("e2-1"))
+            self.tick(2.0, lost, beat("e2", 1, number=2))
             self.assertIn(ProcessKey(E2, Incarnation("e2-1")), self.tables.gone_processes)
             self.assertEqual(self.holds_at(1.0 + GRANT_SECONDS), expected)
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from functools import partial
 
+from cactuspass._core import Core
 from cactuspass._handover import HandoverSystem
 from cactuspass._membership import MembershipSystem
 from cactuspass._messages import (
@@ -14,7 +15,8 @@
     PlacementWritten,
     WritePlacement,
 )
-from cactuspass._seats import with_seat, without_seat
+from cactuspass._right import RightSystem
+from cactuspass._seats import SeatSystem, with_seat, without_seat
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import EntryId, OperationId, Placement, Seat
 from tests.holding_tables import DATA_CENTRE, beat, make_tables, placement, platform_read, seat
@@ -112,6 +114,43 @@
         self.assertEqual(self.seats(), {"e1", "e2", "e3", "e4"})
 
 
+class SeatSystemTest(unittest.TestCase):
+    """Runs one entry alone, with the messages of the test."""
+
+    def begin(self, name: str, *names: str) -> None:
+        writer = PlacementWriter()
+        systems = [MembershipSystem(), RightSystem(), SeatSystem(writer), writer]
+        self.core = Core(make_tables(name), systems)
+        self.core.accept(platform_read(placement(1, *names), 0.0))
+
+    def write_time(self, start: float, end: float, *heard: str) -> float | None:
+        """Tick ten times a second while some are heard; return when a write was ordered."""
+        for now in (tenth / 10 for tenth in range(round(start * 10), round(end * 10))):
+            for name in heard:
+                self.core.accept(beat(name, 1))
+            if any(isinstance(order, WritePlacement) for order in self.core.tick(now)):
+                return now
+        return None
+
+    def test_newcomer_waits_while_a_seat_is_silent(self) -> None:
+        self.begin("e1", "e2")
+        self.assertIsNone(self.write_time(0.0, 0.1, "e2"))
+        self.assertIsNone(self.write_time(0.1, 8.0))
+        self.assertEqual(self.write_time(8.0, 9.0, "e2"), 8.0)
+
+    def test_pause_is_not_taken_for_the_silence_of_the_others(self) -> None:
+        self.begin("e1", "e1", "e2")
+        self.assertIsNone(self.write_time(0.0, 2.0, "e2"))
+        self.assertIsNone(self.write_time(20.0, 23.0))
+        self.assertEqual(self.write_time(23.0, 30.0), 24.0)
+
+    def test_live_seat_with_the_lowest_name_removes_first(self) -> None:
+        for name, other, expected in (("e1", "e2", 4.0), ("e2", "e1", 6.0)):
+            self.begin(name, "e1", "e2", "e3")
+            self.assertIsNone(self.write_time(0.0, 0.1, "e1", "e2", "e3"))
+            self.assertEqual(self.write_time(0.1, 9.0, other), expected)
+
+
 class HandoverTest(unittest.TestCase):
     def setUp(self) -> None:
         self.tables = make_tables()
