Repair a store that lost versions; repeat the word of a handover

A write of unknown outcome that never took effect left the writer waiting for a read that the edge had no reason to make: a confirmation of the revision now counts. A handover whose one message was cut left the seat unused for good, seen by a random trial that asked for every group to be held after healing: the leaving entry now repeats it until the placement has the seat no longer.

--- a/src/cactuspass/_adoption.py
+++ b/src/cactuspass/_adoption.py
@@ -45,10 +45,13 @@
         if read.placement.version > (held.version if held else 0):
             self._adopt(tables, read.placement, now)
             tables.store_revision = read.store_revision
+            tables.store_reverted = False
         elif from_platform and is_same_document(held, read.placement):
             tables.store_revision = read.store_revision
-        elif from_platform and read.sent_at >= self._adopted_at:
+            tables.store_reverted = False
+        elif from_platform and held is not None and read.sent_at >= self._adopted_at:
             tables.store_revision = 0
+            tables.store_reverted = True
 
     def _adopt(self, tables: Tables, placement: Placement, now: float) -> None:
         self._adopted_at = now
--- a/src/cactuspass/_handover.py
+++ b/src/cactuspass/_handover.py
@@ -4,32 +4,49 @@
 from collections.abc import Iterable, Sequence
 
 from cactuspass._core import System
-from cactuspass._holding import own_seat, owning_seat, used_seats
+from cactuspass._holding import has_given_seat, own_seat, owning_seat, used_seats
 from cactuspass._membership import is_live, is_seat_live
 from cactuspass._messages import GiveSeat, Input, Order
 from cactuspass._tables import EntryRow, GivenSeat, Tables
 from cactuspass.models import EntryId, GroupId, Placement, Seat
 
+REPEAT_SECONDS = 1.0
+
 
 class HandoverSystem(System):
     """Gives up every seat for good once this entry drains, also while the platform is out.
 
     It waits while a write of ours may still remove a seat, because a peer that learns that this
-    seat was given up relies on that.
+    seat was given up relies on that. The word is repeated until the placement has the seat no
+    longer, so that a lost message leaves no seat unused.
     """
 
+    def __init__(self) -> None:
+        self._given: list[GiveSeat] = []
+        self._sent_at = float("-inf")
+
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
         """Give the seats to one live peer; from then on this entry holds nothing."""
-        if not tables.local.draining or tables.removals_under_way or own_seat(tables) is None:
+        if not tables.local.draining or tables.placement is None:
             return ()
-        seats = used_seats(tables)
-        heir = _choose_heir(tables, now)
-        if tables.placement is None or heir is None or not seats:
+        if not self._given and not tables.removals_under_way and own_seat(tables) is not None:
+            self._given = _give_all(tables, tables.placement, now)
+        elif now < self._sent_at + REPEAT_SECONDS:
             return ()
-        orders = [_give(tables, tables.placement, seat_id, heir) for seat_id in sorted(seats)]
-        for order in orders:
-            _note_given(tables, order)
-        return orders
+        self._sent_at = now
+        seats = tables.placement.seats_by_entry.values()
+        return [order for order in self._given if order.seat in seats]
+
+
+def _give_all(tables: Tables, placement: Placement, now: float) -> list[GiveSeat]:
+    heir = _choose_heir(tables, now)
+    if heir is None:
+        return []
+    seat_ids = sorted(used_seats(tables))
+    orders = [_give(tables, placement, seat_id, heir) for seat_id in seat_ids]
+    for order in orders:
+        _note_given(tables, order)
+    return orders
 
 
 def _choose_heir(tables: Tables, now: float) -> EntryId | None:
@@ -47,7 +64,7 @@
 
 
 def _can_take(tables: Tables, row: EntryRow, now: float) -> bool:
-    if tables.placement is None or row.entry_id in tables.given_seats_by_entry:
+    if tables.placement is None or has_given_seat(tables, row.entry_id):
         return False
     knows_placement = row.placement_version == tables.placement.version
     return is_live(row, now) and row.ready and not row.draining and knows_placement
--- a/src/cactuspass/_holding.py
+++ b/src/cactuspass/_holding.py
@@ -48,6 +48,14 @@
     return given is not None and given.seat == seat
 
 
+def has_given_seat(tables: Tables, entry_id: EntryId) -> bool:
+    """Tell whether an entry gave up the seat that it has in the placement."""
+    if tables.placement is None:
+        return False
+    seat = tables.placement.seats_by_entry.get(entry_id)
+    return seat is not None and is_given(tables, seat)
+
+
 def is_gone(tables: Tables, seat: Seat) -> bool:
     """Tell whether the process of the seat surely ended.
 
--- a/src/cactuspass/_right.py
+++ b/src/cactuspass/_right.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable, Sequence
 
 from cactuspass._adoption import Adoption, is_same_document, needs_our_grant
+from cactuspass._alarm_changes import clear_alarm, raise_alarm
 from cactuspass._core import System
 from cactuspass._holding import (
     current_user_of_seat,
+    has_given_seat,
     holds,
     is_given,
     is_gone,
@@ -18,6 +20,8 @@
     used_seats,
 )
 from cactuspass._messages import (
+    AlarmChanged,
+    AlarmKind,
     AskGrant,
     GrantAsked,
     Granted,
@@ -97,8 +101,9 @@
         self._note_newcomers(before, tables)
         orders = [order for message in inputs for order in self._handle(tables, message, now)]
         self._note_ended(tables, now)
+        self._forget_lost_seats(tables)
         self._update_local(tables, now)
-        return [*orders, *self._ask(tables, now)]
+        return [*orders, *self._ask(tables, now), *_check_store(tables, now)]
 
     def _check_clock(self, now: float) -> None:
         """Drop everything that was timed by a clock that has gone back since."""
@@ -184,6 +189,8 @@
         version = message.placement_version
         if known is not None and known.seat == seat:
             version = max(version, known.placement_version)
+            if has_given_seat(tables, message.to_entry):
+                return
         is_ours = message.to_entry == tables.local.entry_id
         if key == tables.local.key or (is_ours and key in self._taken):
             return
@@ -202,6 +209,22 @@
             or (is_gone(tables, seat) and self._grants_by_process.get(key, NEVER) > now)
         }
 
+    def _forget_lost_seats(self, tables: Tables) -> None:
+        """Drop what was kept of processes whose seats the placement has no longer."""
+        if tables.placement is None:
+            return
+        placement = tables.placement
+        seated = {process_of(seat) for seat in placement.seats_by_entry.values()}
+        self._grants_by_process = _only(self._grants_by_process, seated)
+        tables.promises_by_process = _only(tables.promises_by_process, seated)
+        tables.seats_held &= placement.seats_by_entry.keys()
+        tables.given_seats_by_entry = {
+            entry_id: given
+            for entry_id, given in tables.given_seats_by_entry.items()
+            if given.placement_version > placement.version
+            or process_of(given.seat) in {*seated, tables.local.key}
+        }
+
     def _platform_until(self, tables: Tables) -> float:
         if tables.placement is None or tables.placement.version != self._confirmed_version:
             return NEVER
@@ -240,6 +263,18 @@
         ]
 
 
+def _only(times: dict[ProcessKey, float], keys: set[ProcessKey]) -> dict[ProcessKey, float]:
+    return {key: time for key, time in times.items() if key in keys}
+
+
+def _check_store(tables: Tables, now: float) -> list[AlarmChanged]:
+    subject = f"placement/{tables.local.data_centre}"
+    if not tables.store_reverted or tables.placement is None:
+        return clear_alarm(tables, AlarmKind.STORE_REVERTED, subject)
+    detail = f"the platform lost version {tables.placement.version}, which is held here"
+    return raise_alarm(tables, AlarmKind.STORE_REVERTED, subject, detail, now)
+
+
 def _was_given_before(tables: Tables, seat: Seat) -> bool:
     """Tell whether a seat was given up by a process that wrote no placement after the held one."""
     if tables.placement is None or not is_given(tables, seat):
--- a/src/cactuspass/_seats.py
+++ b/src/cactuspass/_seats.py
@@ -32,6 +32,11 @@
     return replace(draft, seats_by_entry={**draft.seats_by_entry, seat.entry_id: seat})
 
 
+def unchanged(draft: Placement) -> Placement:
+    """Return the draft as it is; written only over a document that the platform lost."""
+    return draft
+
+
 def without_seat(draft: Placement, seat: Seat) -> Placement:
     """Return the draft without this seat; a newer seat of the same entry stays."""
     kept = {key: other for key, other in draft.seats_by_entry.items() if other != seat}
@@ -50,6 +55,7 @@
         self._seen_at_by_process: dict[ProcessKey, float] = {}
         self._due_at_by_process: dict[ProcessKey, float] = {}
         self._join_at: float | None = None
+        self._reverted_at: float | None = None
         self._resumed_at = float("-inf")
         self._ticked_at = float("-inf")
 
@@ -62,6 +68,8 @@
         if not self._writer.is_ready(tables) or tables.local.draining or has_given_up(tables):
             return ()
         removed = [seat for seat in other_seats(tables) if self._is_due(tables, seat, now)]
+        if self._is_repair_due(tables, now):
+            self._writer.propose(unchanged)
         for seat in removed:
             self._writer.propose(partial(without_seat, seat=seat))
         if self._may_join(tables, now):
@@ -87,6 +95,14 @@
         rank = _rank(tables, now) + is_given(tables, seat)
         return now >= due_at + STEP_IN_SECONDS * rank
 
+    def _is_repair_due(self, tables: Tables, now: float) -> bool:
+        if not tables.store_reverted or own_seat(tables) is None:
+            self._reverted_at = None
+            return False
+        if self._reverted_at is None:
+            self._reverted_at = now
+        return now >= self._reverted_at + STEP_IN_SECONDS * _rank(tables, now)
+
     def _is_dead(self, tables: Tables, seat: Seat, now: float) -> bool:
         if (
             not may_remove_seat(tables, seat.entry_id, now)
--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -191,6 +191,7 @@
     :param pending_take_outs_by_tag: take-outs accepted but not yet in the platform.
     :param store_revision: the platform's revision at which ``placement`` was read from it;
         0 when it came from a peer or the platform now has another one.
+    :param store_reverted: whether the platform lost versions of it that are held here.
     :param seats_held: other entries' seats that were given to this entry for good.
     :param given_seats_by_entry: all seats known to be given up, by the entry that had them.
     :param gone_processes: entry processes of the placement that surely ended.
@@ -207,6 +208,7 @@
     pending_take_outs_by_tag: dict[TakeOutTag, TakeOut] = field(default_factory=dict)
     placement: Placement | None = None
     store_revision: int = 0
+    store_reverted: bool = False
     seats_held: set[EntryId] = field(default_factory=set)
     given_seats_by_entry: dict[EntryId, GivenSeat] = field(default_factory=dict)
     gone_processes: set[ProcessKey] = field(default_factory=set)
--- a/src/cactuspass/_writer.py
+++ b/src/cactuspass/_writer.py
@@ -5,10 +5,19 @@
 
 from cactuspass._core import System
 from cactuspass._holding import has_given_up
-from cactuspass._messages import Input, Order, PlacementRead, PlacementWritten, WritePlacement
+from cactuspass._messages import (
+    Input,
+    Order,
+    PlacementConfirmed,
+    PlacementRead,
+    PlacementWritten,
+    WritePlacement,
+)
 from cactuspass._tables import Tables
 from cactuspass.models import EntryId, OperationId, Placement
 
+REPAIR_STEP = 1000
+
 PlacementChange = Callable[[Placement], Placement]
 
 
@@ -60,10 +69,15 @@
     alone sets ``version``, ``epoch`` and ``write_id``. A change that returns an equal draft
     writes nothing.
 
+    When the platform lost versions of the document, the first proposal, even one without effect,
+    writes the copy held here over it. Its version and epoch are so much higher that no other
+    process takes it for the successor of a version that it knows.
+
     One write is in flight at a time, and after each, whatever its answer, the writer waits for a
-    platform read that was started later. Proposals made meanwhile are dropped: a system proposes
-    anew, from the tables, in each tick in which it still wants the change. The edge answers
-    every :class:`WritePlacement` with one :class:`PlacementWritten` and then reads the document.
+    platform read or confirmation that was started later. Proposals made meanwhile are dropped:
+    a system proposes anew, from the tables, in each tick in which it still wants the change.
+    The edge answers every :class:`WritePlacement` with one :class:`PlacementWritten` and then
+    reads the document.
     """
 
     def __init__(self) -> None:
@@ -88,6 +102,8 @@
             return False
         if tables.placement is None:
             return self._revision == 0
+        if tables.store_reverted:
+            return True
         return self._revision == tables.store_revision and self._revision > 0
 
     def propose(self, change: PlacementChange) -> None:
@@ -98,7 +114,10 @@
         """Follow the platform's answers and write what was proposed in this tick."""
         for message in inputs:
             if isinstance(message, PlacementRead) and is_from_platform(message):
-                self._note_read(message)
+                self._note_read(message.store_revision, message.sent_at)
+            elif isinstance(message, PlacementConfirmed):
+                if message.store_revision == self._revision:
+                    self._note_read(message.store_revision, message.sent_at)
             elif isinstance(message, PlacementWritten):
                 self._note_written(message, now)
         changes, self._changes = self._changes, []
@@ -106,12 +125,16 @@
         tables.removals_under_way = {name for doubt in self._doubts for name in doubt.removed}
         return orders
 
-    def _note_read(self, read: PlacementRead) -> None:
-        if read.sent_at < self._read_at:
+    def _note_read(self, store_revision: int, sent_at: float) -> None:
+        if sent_at < self._read_at:
             return
-        self._read_at = read.sent_at
-        self._revision = read.store_revision
-        self._doubts = [doubt for doubt in self._doubts if not _settles(read, doubt)]
+        self._read_at = sent_at
+        self._revision = store_revision
+        self._doubts = [
+            doubt
+            for doubt in self._doubts
+            if sent_at < doubt.written_at or store_revision == doubt.order.expected_revision
+        ]
 
     def _note_written(self, answer: PlacementWritten, now: float) -> None:
         if answer.write_id == self._in_flight:
@@ -124,17 +147,18 @@
 
     def _write(self, tables: Tables, changes: Sequence[PlacementChange], now: float) -> list[Order]:
         base = tables.placement or Placement(tables.local.data_centre)
-        draft = replace(base, version=base.version + 1, write_id=self._next_id(tables))
+        draft = _draft(base, self._next_id(tables), tables.store_reverted)
         after = draft
         for change in changes:
             after = change(after)
-        if after == draft:
+        is_repair = tables.store_reverted and len(changes) > 0
+        if after == draft and not is_repair:
             return []
         seats_changed = after.seats_by_entry != base.seats_by_entry
         placement = replace(
             after,
             version=draft.version,
-            epoch=base.epoch + seats_changed,
+            epoch=draft.epoch + seats_changed,
             write_id=draft.write_id,
         )
         order = WritePlacement(placement, self._revision or 0)
@@ -147,7 +171,8 @@
         return OperationId(f"{_write_prefix(tables)}{self._count}")
 
 
-def _settles(read: PlacementRead, doubt: _Doubt) -> bool:
-    """Tell whether the read shows that the write either took effect or never can."""
-    is_later = read.sent_at >= doubt.written_at
-    return is_later and read.store_revision != doubt.order.expected_revision
+def _draft(base: Placement, write_id: OperationId, is_repair: bool) -> Placement:
+    if not is_repair:
+        return replace(base, version=base.version + 1, write_id=write_id)
+    version, epoch = base.version + REPAIR_STEP, base.epoch + REPAIR_STEP
+    return replace(base, version=version, epoch=epoch, write_id=write_id)
--- a/tests/test_right.py
+++ b/tests/test_right.py
@@ -6,6 +6,7 @@
 from cactuspass._holding import holds, may_hold, seat_owner, used_seats
 from cactuspass._membership import MembershipSystem
 from cactuspass._messages import (
+    AlarmChanged,
     AskGrant,
     GrantAsked,
     Granted,
@@ -83,6 +84,13 @@
         self.assertEqual(self.tables.placement, placement(2, "e1"))
         self.assertEqual(self.tables.store_revision, 0)
 
+    def test_lost_version_raises_an_alarm_but_a_late_answer_does_not(self) -> None:
+        self.begin("e1", "e2")
+        self.tick(2.0, peer_read(placement(2, "e1", "e2", epoch=1)))
+        self.assertEqual(self.tick(2.1, platform_read(placement(1, "e1", "e2"), 1.9)), [])
+        [alarm] = self.tick(3.0, platform_read(placement(1, "e1", "e2"), 2.5))
+        self.assertIsInstance(alarm, AlarmChanged)
+
     def test_clock_that_goes_back_ends_the_right(self) -> None:
         self.tick(100.0, platform_read(placement(1, "e1", "e2"), 100.0))
         self.assertFalse(self.holds_at(99.0))
@@ -208,6 +216,14 @@
         self.tick(8.0, given)
         self.assertEqual(used_seats(self.tables), {E1})
 
+    def test_seats_that_the_placement_lost_are_forgotten(self) -> None:
+        self.begin("e1", "e2", "e3")
+        self.tick(1.0, SeatGiven(seat("e2"), 1, {}, E1), asked("e3"))
+        self.tick(2.0, platform_read(placement(2, "e1"), 2.0))
+        self.assertEqual(self.tables.given_seats_by_entry, {})
+        self.assertEqual(self.tables.promises_by_process, {})
+        self.assertEqual(self.tables.seats_held, set())
+
     def test_given_seat_is_of_no_use_without_an_own_seat(self) -> None:
         self.begin("e1", "e2", "e3")
         self.tick(1.0, SeatGiven(seat("e2"), 1, {}, E1))
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -9,8 +9,10 @@
 from cactuspass._membership import MembershipSystem
 from cactuspass._messages import (
     GiveSeat,
+    Input,
     Order,
     PeerHeard,
+    PlacementConfirmed,
     PlacementRead,
     PlacementWritten,
     WritePlacement,
@@ -104,6 +106,24 @@
         self.assertEqual(self.seats(), {"e1", "e3"})
         self.assertEqual(self.world.unheld(), [])
 
+    def test_store_that_lost_versions_gets_the_held_one_back(self) -> None:
+        held = self.world.store.placement
+        self.world.store.placement = placement(1, "e1")
+        self.world.store.revision += 1
+        self.world.run(3)
+        repaired = self.world.store.placement
+        self.assertEqual(repaired.seats_by_entry, held.seats_by_entry)
+        self.assertGreater(repaired.version, held.version + 1)
+        self.world.run(10)
+        self.assertEqual(self.world.unheld(), [])
+        self.assertEqual(self.world.named("e1").tables.alarms_by_key, {})
+
+    def test_store_that_lost_the_document_gets_the_held_one_back(self) -> None:
+        self.world.store.placement, self.world.store.revision = Placement(DATA_CENTRE), 0
+        self.world.run(13)
+        self.assertEqual(self.seats(), {"e1", "e2", "e3"})
+        self.assertEqual(self.world.unheld(), [])
+
     def test_newcomer_takes_no_seat_while_it_cannot_hear_one(self) -> None:
         self.world.cuts = {frozenset({E2, EntryId("e4")})}
         self.world.start(EntryId("e4"))
@@ -154,6 +174,7 @@
 class HandoverTest(unittest.TestCase):
     def setUp(self) -> None:
         self.tables = make_tables()
+        self.system = HandoverSystem()
         self.tables.placement = placement(4, "e1", "e2", "e3")
         self.tables.local.draining = True
         self.hear(beat("e2", 4), beat("e3", 4))
@@ -161,13 +182,17 @@
     def hear(self, *beats: PeerHeard) -> None:
         MembershipSystem().run(self.tables, beats, 0.0)
 
-    def give(self) -> list[Order]:
-        return list(HandoverSystem().run(self.tables, (), 1.0))
+    def give(self, now: float = 1.0) -> list[Order]:
+        return list(self.system.run(self.tables, (), now))
 
-    def test_seats_go_to_one_live_peer_and_only_once(self) -> None:
+    def test_seat_goes_to_one_live_peer_and_the_word_is_repeated(self) -> None:
         expected = [GiveSeat(E2, seat("e1"), 4, {})]
         self.assertEqual(self.give(), expected)
-        self.assertEqual(self.give(), [])
+        self.tables.entries_by_id.clear()
+        self.assertEqual(self.give(1.9), [])
+        self.assertEqual(self.give(2.0), expected)
+        self.tables.placement = placement(5, "e2", "e3")
+        self.assertEqual(self.give(3.0), [])
 
     def test_no_seat_is_given_while_a_write_may_still_remove_one(self) -> None:
         self.tables.removals_under_way = {E3}
@@ -190,9 +215,7 @@
         self.tables.store_revision = document.version * 10
         self.run_writer(sent_at, platform_read(document, sent_at))
 
-    def run_writer(
-        self, now: float, *inputs: PlacementRead | PlacementWritten
-    ) -> list[WritePlacement]:
+    def run_writer(self, now: float, *inputs: Input) -> list[WritePlacement]:
         orders = self.writer.run(self.tables, inputs, now)
         return [order for order in orders if isinstance(order, WritePlacement)]
 
@@ -227,6 +250,12 @@
         self.read(placement(5, "e1", "e2", "e3"), 4.0)
         self.assertEqual(len(self.remove(4.5)), 1)
 
+    def test_confirmation_of_the_same_revision_lets_it_write_again(self) -> None:
+        [order] = self.remove(1.0)
+        self.run_writer(2.0, PlacementWritten(order.placement.write_id, None))
+        self.run_writer(3.0, PlacementConfirmed(40, 2.5))
+        self.assertEqual(len(self.remove(3.5)), 1)
+
     def test_removal_stays_under_way_until_the_platform_moved_on(self) -> None:
         [order] = self.remove(1.0)
         self.run_writer(2.0, PlacementWritten(order.placement.write_id, None))
