Keep a promise after the seat left the placement

A process that lost its seat and came back with a version in between unseen still counted an old grant, which the granter had forgotten. Grants moved to a module of their own.

--- a/src/cactuspass/_right.py
+++ b/src/cactuspass/_right.py
@@ -5,6 +5,7 @@
 from cactuspass._adoption import Adoption, is_same_document, needs_our_grant
 from cactuspass._alarm_changes import clear_alarm, raise_alarm
 from cactuspass._core import System
+from cactuspass._grants import GRANT_SECONDS, NEVER, PeerGrants, answer_ask
 from cactuspass._holding import (
     current_user_of_seat,
     has_given_seat,
@@ -12,7 +13,6 @@
     is_given,
     is_gone,
     may_hold,
-    other_seats,
     own_seat,
     owns,
     process_of,
@@ -31,13 +31,13 @@
     PlacementRead,
     PlatformFailed,
     SeatGiven,
-    SendGrant,
 )
 from cactuspass._tables import GivenSeat, ProcessKey, Tables
 from cactuspass._writer import is_from_platform
-from cactuspass.models import EntryId, Placement, Seat
+from cactuspass.models import EntryId
 
 __all__ = [
+    "GRANT_SECONDS",
     "RightSystem",
     "current_user_of_seat",
     "holds",
@@ -49,12 +49,7 @@
 ]
 
 RIGHT_SECONDS = 4.0
-GRANT_SECONDS = 120.0
-PROMISE_SECONDS = GRANT_SECONDS * 1.03
-ASK_SECONDS = 1.0
 SILENT_PLATFORM_SECONDS = 1.5
-NEVER = float("-inf")
-FOREVER = float("inf")
 
 
 def may_remove_seat(tables: Tables, entry_id: EntryId, now: float) -> bool:
@@ -83,13 +78,10 @@
         self._adoption = Adoption()
         self._confirmed_at = NEVER
         self._confirmed_version = 0
-        self._grants_by_process: dict[ProcessKey, float] = {}
-        self._excused: set[ProcessKey] = set()
-        self._newcomers: set[ProcessKey] = set()
+        self._grants = PeerGrants()
         self._taken: set[ProcessKey] = set()
         self._has_lapsed = True
         self._platform_failed = False
-        self._asked_at = NEVER
         self._ticked_at = NEVER
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
@@ -98,10 +90,10 @@
         self._check_lapse(tables, now)
         before = tables.placement
         self._adoption.run(tables, inputs, now)
-        self._note_newcomers(before, tables)
+        self._grants.note_adopted(before, tables)
         orders = [order for message in inputs for order in self._handle(tables, message, now)]
-        self._note_ended(tables, now)
-        self._forget_lost_seats(tables)
+        self._grants.note_ended(tables, now)
+        _forget_lost_seats(tables, now)
         self._update_local(tables, now)
         return [*orders, *self._ask(tables, now), *_check_store(tables, now)]
 
@@ -110,26 +102,14 @@
         if now < self._ticked_at:
             self._has_lapsed = True
             self._confirmed_at = NEVER
-            self._grants_by_process.clear()
+            self._grants.clear()
         self._ticked_at = now
 
     def _check_lapse(self, tables: Tables, now: float) -> None:
-        by_peers = self._peers_until(tables, self._newcomers)
+        by_peers = self._grants.lapse_at(tables)
         if now >= max(self._platform_until(tables), by_peers):
             self._has_lapsed = True
 
-    def _note_newcomers(self, before: Placement | None, tables: Tables) -> None:
-        """Remember seats that a peer told of, whose first grant is only asked for now.
-
-        The right is suspended, but has not lapsed, until they grant.
-        """
-        is_by_peer = tables.store_revision == 0
-        if before is None or before is tables.placement or not is_by_peer:
-            return
-        known = {process_of(seat) for seat in before.seats_by_entry.values()}
-        others = {process_of(seat) for seat in other_seats(tables)}
-        self._newcomers = (self._newcomers & others) | (others - known)
-
     def _handle(self, tables: Tables, message: Input, now: float) -> list[Order]:
         if isinstance(message, PlacementRead):
             self._note_read(tables, message, now)
@@ -138,11 +118,11 @@
         elif isinstance(message, PlatformFailed):
             self._platform_failed = True
         elif isinstance(message, Granted):
-            self._note_granted(tables, message, now)
+            self._grants.note_granted(tables, message, now)
         elif isinstance(message, SeatGiven):
             self._note_given(tables, message)
         elif isinstance(message, GrantAsked):
-            return _answer(tables, message, now)
+            return [*answer_ask(tables, message, now)]
         return []
 
     def _note_read(self, tables: Tables, read: PlacementRead, now: float) -> None:
@@ -169,17 +149,7 @@
         self._confirmed_at = sent_at
         self._confirmed_version = tables.placement.version
         self._has_lapsed = False
-        self._newcomers.clear()
-
-    def _note_granted(self, tables: Tables, message: Granted, now: float) -> None:
-        key = ProcessKey(message.entry_id, message.incarnation)
-        is_known = any(process_of(seat) == key for seat in other_seats(tables))
-        if not is_known or message.sent_at > now:
-            return
-        until = message.sent_at + min(message.period, GRANT_SECONDS)
-        self._grants_by_process[key] = max(until, self._grants_by_process.get(key, NEVER))
-        if until > now:
-            self._newcomers.discard(key)
+        self._grants.end_suspension()
 
     def _note_given(self, tables: Tables, message: SeatGiven) -> None:
         """Learn who uses a seat now; take it once when it was given to this entry."""
@@ -199,72 +169,40 @@
             tables.seats_held.add(seat.entry_id)
         tables.given_seats_by_entry[seat.entry_id] = GivenSeat(seat, message.to_entry, version)
 
-    def _note_ended(self, tables: Tables, now: float) -> None:
-        """Excuse processes that ended while their last grant still ran."""
-        seats_by_process = {process_of(seat): seat for seat in other_seats(tables)}
-        self._excused = {
-            key
-            for key, seat in seats_by_process.items()
-            if key in self._excused
-            or (is_gone(tables, seat) and self._grants_by_process.get(key, NEVER) > now)
-        }
-
-    def _forget_lost_seats(self, tables: Tables) -> None:
-        """Drop what was kept of processes whose seats the placement has no longer."""
-        if tables.placement is None:
-            return
-        placement = tables.placement
-        seated = {process_of(seat) for seat in placement.seats_by_entry.values()}
-        self._grants_by_process = _only(self._grants_by_process, seated)
-        tables.promises_by_process = _only(tables.promises_by_process, seated)
-        tables.seats_held &= placement.seats_by_entry.keys()
-        tables.given_seats_by_entry = {
-            entry_id: given
-            for entry_id, given in tables.given_seats_by_entry.items()
-            if given.placement_version > placement.version
-            or process_of(given.seat) in {*seated, tables.local.key}
-        }
-
     def _platform_until(self, tables: Tables) -> float:
         if tables.placement is None or tables.placement.version != self._confirmed_version:
             return NEVER
         return self._confirmed_at + RIGHT_SECONDS
 
-    def _peers_until(self, tables: Tables, ignored: set[ProcessKey]) -> float:
-        if tables.placement is None:
-            return NEVER
-        seats = (seat for seat in other_seats(tables) if process_of(seat) not in ignored)
-        return min((self._granted_until(tables, seat) for seat in seats), default=FOREVER)
-
-    def _granted_until(self, tables: Tables, seat: Seat) -> float:
-        if process_of(seat) in self._excused or _was_given_before(tables, seat):
-            return FOREVER
-        return self._grants_by_process.get(process_of(seat), NEVER)
-
     def _update_local(self, tables: Tables, now: float) -> None:
-        by_peers = NEVER if self._has_lapsed else self._peers_until(tables, set())
+        by_peers = NEVER if self._has_lapsed else self._grants.until(tables)
         local = tables.local
         local.may_hold_until = max(self._platform_until(tables), by_peers)
         local.may_hold_from = now
         local.may_hold = bool(used_seats(tables)) and now < local.may_hold_until
 
-    def _ask(self, tables: Tables, now: float) -> list[Order]:
+    def _ask(self, tables: Tables, now: float) -> list[AskGrant]:
         ok_at = tables.local.platform_ok_at
         is_silent = ok_at is None or now - ok_at >= SILENT_PLATFORM_SECONDS
         is_wanted = (self._platform_failed or is_silent) and not self._has_lapsed
-        is_due = now >= self._asked_at + ASK_SECONDS
-        if tables.placement is None or not is_wanted or not is_due or not used_seats(tables):
-            return []
-        self._asked_at = now
-        return [
-            AskGrant(seat.entry_id, tables.placement.version, now)
-            for seat in other_seats(tables)
-            if self._granted_until(tables, seat) - now < GRANT_SECONDS / 2
-        ]
+        return self._grants.ask(tables, now) if is_wanted else []
 
 
-def _only(times: dict[ProcessKey, float], keys: set[ProcessKey]) -> dict[ProcessKey, float]:
-    return {key: time for key, time in times.items() if key in keys}
+def _forget_lost_seats(tables: Tables, now: float) -> None:
+    """Drop the seats that the placement has no longer, and promises that ran out."""
+    if tables.placement is None:
+        return
+    placement = tables.placement
+    kept = {process_of(seat) for seat in placement.seats_by_entry.values()} | {tables.local.key}
+    tables.seats_held &= placement.seats_by_entry.keys()
+    tables.given_seats_by_entry = {
+        entry_id: given
+        for entry_id, given in tables.given_seats_by_entry.items()
+        if given.placement_version > placement.version or process_of(given.seat) in kept
+    }
+    tables.promises_by_process = {
+        key: until for key, until in tables.promises_by_process.items() if until > now
+    }
 
 
 def _check_store(tables: Tables, now: float) -> list[AlarmChanged]:
@@ -273,27 +211,3 @@
         return clear_alarm(tables, AlarmKind.STORE_REVERTED, subject)
     detail = f"the platform lost version {tables.placement.version}, which is held here"
     return raise_alarm(tables, AlarmKind.STORE_REVERTED, subject, detail, now)
-
-
-def _was_given_before(tables: Tables, seat: Seat) -> bool:
-    """Tell whether a seat was given up by a process that wrote no placement after the held one."""
-    if tables.placement is None or not is_given(tables, seat):
-        return False
-    given = tables.given_seats_by_entry[seat.entry_id]
-    return given.placement_version <= tables.placement.version
-
-
-def _answer(tables: Tables, message: GrantAsked, now: float) -> list[Order]:
-    """Grant what was asked, if this entry can keep the promise."""
-    placement = tables.placement
-    if placement is None or message.placement_version != placement.version:
-        return []
-    key = ProcessKey(message.entry_id, message.incarnation)
-    seat = placement.seats_by_entry.get(message.entry_id)
-    if seat is None or process_of(seat) != key or not used_seats(tables):
-        return []
-    if message.entry_id in tables.removals_under_way:
-        return []
-    until = now + PROMISE_SECONDS
-    tables.promises_by_process[key] = max(until, tables.promises_by_process.get(key, NEVER))
-    return [SendGrant(message.entry_id, placement.version, message.sent_at, GRANT_SECONDS)]
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -86,6 +86,15 @@
         self.assertEqual(self.seats(), {"e1", "e3"})
         self.assertEqual(self.world.unheld(), [])
 
+    def test_handover_whose_message_was_lost_is_repeated(self) -> None:
+        self.world.split(frozenset({E2}), frozenset({E1, E2, E3}))
+        self.world.drain(self.world.named("e2"))
+        self.world.run(2)
+        self.world.heal()
+        self.world.run(12)
+        self.assertEqual(self.seats(), {"e1", "e3"})
+        self.assertEqual(self.world.unheld(), [])
+
     def test_all_groups_are_held_through_an_outage_and_a_handover_in_it(self) -> None:
         self.world.store.is_up = False
         self.world.run(30)
