--- a/tests/test_right.py
+++ b/tests/test_right.py
@@ -110,6 +110,10 @@
         self.assertTrue(self.holds_at(1.0 + GRANT_SECONDS - 0.1))
         self.assertFalse(self.holds_at(1.0 + GRANT_SECONDS))
 
+    def test_entry_without_a_seat_asks_for_no_grants(self) -> None:
+        self.begin("e2")
+        self.assertEqual(self.tick(1.0, PlatformFailed("down")), [])
+
     def test_one_missing_grant_ends_the_right(self) -> None:
         self.begin("e1", "e2", "e3")
         self.tick(1.0, granted("e2", 1.0))
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -19,6 +19,7 @@
 )
 from cactuspass._right import RightSystem
 from cactuspass._seats import SeatSystem, with_seat, without_seat
+from cactuspass._tables import GivenSeat
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import EntryId, OperationId, Placement, Seat
 from tests.holding_tables import DATA_CENTRE, beat, make_tables, placement, platform_read, seat
@@ -282,6 +283,10 @@
         self.tables.placement, self.tables.store_revision = placement(6, "e1", "e2"), 0
         self.assertEqual(self.remove(1.0), [])
 
+    def test_nothing_is_written_once_the_own_seat_is_given_up(self) -> None:
+        self.tables.given_seats_by_entry[E1] = GivenSeat(seat("e1"), E2, 4)
+        self.assertEqual(self.remove(1.0), [])
+
     def test_newer_seat_of_the_same_entry_is_not_removed(self) -> None:
         newer = Seat(E2, seat("e2", 2).incarnation, "e2:1")
         document = with_seat(placement(4, "e1", "e2"), newer)
