--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -49,6 +49,7 @@
     InstanceId,
     InstanceRecord,
     InstanceRole,
+    InstanceState,
     KindId,
     ModelId,
     Placement,
@@ -80,6 +81,7 @@
     boots: int = 1
     is_up: bool = True
     is_paused: bool = False
+    list_state: InstanceState = InstanceState.LIVE
     is_listed: bool = True
     group_id: GroupId = GroupId("")
     generation: Generation = Generation(0)
@@ -105,6 +107,7 @@
             self.fabric_domain,
             KIND,
             8,
+            self.list_state,
         )
 
     @property
@@ -117,6 +120,11 @@
         """Return whether the process runs and isn't paused."""
         return self.is_up and not self.is_paused
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the engine would run a request."""
+        return self.is_running and self.state is LoadState.READY
+
     @property
     def place(self) -> tuple[GroupId, Generation, int, int]:
         """Return the group, generation, rank and size that the engine has."""
@@ -139,8 +147,7 @@
 
     def serves(self, group_id: GroupId, generation: Generation) -> bool:
         """Return whether a request for the group and generation would run here."""
-        is_ready = self.is_running and self.state is LoadState.READY
-        return is_ready and (self.group_id, self.generation) == (group_id, generation)
+        return self.is_ready and (self.group_id, self.generation) == (group_id, generation)
 
     def advance(self, seconds: float, now: float) -> None:
         """Load on, and remember the places at which the engine was ready."""
@@ -305,6 +312,32 @@
             rows = () if entry.is_paused else entry.tables.held_groups_by_id.values()
             yield from ((entry, row) for row in rows if entry.would_send(row, self.now))
 
+    def heal(self) -> None:
+        """End every fault of the entries, the platform and the connections."""
+        self.store.is_up = True
+        self.is_split = False
+        self.order_delay = 0.0
+        for entry in self.entries:
+            entry.is_paused = entry.is_cut_off = False
+            entry.unreachable.clear()
+
+    def heal_engines(self) -> None:
+        """Start and resume every engine."""
+        for engine in self.engines_by_id.values():
+            engine.is_paused = False
+            engine.start(self.now)
+
+    def describe(self) -> str:
+        """Return the document, the held groups and the engines, for a failure's message."""
+        groups = [str(group) for group in self.store.placement.groups_by_id.values()]
+        rows = [
+            f"{entry.name} {row}"
+            for entry in self.entries
+            for row in entry.tables.held_groups_by_id.values()
+        ]
+        engines = [str(engine.report()) for engine in self.engines_by_id.values()]
+        return "\n".join([str(self.now), *groups, *rows, *engines])
+
     def _feed(self, entry: FakeEntry) -> None:
         for other in self.entries:
             if other is not entry and not other.is_paused and not self.is_split:
--- a/src/cactuspass/_placement.py
+++ b/src/cactuspass/_placement.py
@@ -92,16 +92,12 @@
         """Propose the plan that the facts allow which this entry has seen itself."""
         if not self._writer.is_ready(tables) or not _is_probed(tables, hoped.free, now):
             return
-        facts = replace(
-            hoped,
-            free=frozenset(
-                instance
-                for instance in hoped.free
-                if is_heard(tables.instances_by_id.get(instance), now)
-                and self._clock.is_settled(tables, instance, now)
-            ),
-            lost=self._losses.lost(tables, placement, now) | _silent(tables, placement, now),
+        heard = frozenset(
+            name for name in hoped.free if is_heard(tables.instances_by_id.get(name), now)
         )
+        settled = frozenset(name for name in heard if self._clock.is_settled(tables, name, now))
+        lost = self._losses.lost(tables, placement, now) | _silent(tables, placement, now)
+        facts = replace(hoped, free=settled, lost=lost, settling=heard - settled)
         if _changes(tables, placement, configuration, facts):
             change = partial(
                 plan,
--- a/src/cactuspass/_plan.py
+++ b/src/cactuspass/_plan.py
@@ -25,11 +25,13 @@
     :param free: instances outside all groups that may be bound now.
     :param lost: bound instances that are to be replaced.
     :param movable: groups that may leave their domain though some members survive.
+    :param settling: instances outside all groups that may be bound soon.
     """
 
     free: frozenset[InstanceId] = frozenset()
     lost: frozenset[InstanceId] = frozenset()
     movable: frozenset[GroupId] = frozenset()
+    settling: frozenset[InstanceId] = frozenset()
 
 
 def declared_groups(
@@ -68,6 +70,7 @@
     planner.keep_declared()
     planner.replace_lost()
     planner.form_missing()
+    planner.yield_spares()
     planner.fill_spares()
     groups = planner.groups_by_id
     if groups == draft.groups_by_id:
@@ -107,10 +110,9 @@
         self._wanted = declared_groups(configuration, draft.data_centre)
         self._facts = facts
         self._generation = Generation(draft.version)
-        self._free: dict[tuple[KindId, FabricDomainId], list[InstanceId]] = {}
-        for instance in sorted(facts.free - bound_ids(draft.groups_by_id.values())):
-            record = records_by_id[instance]
-            self._free.setdefault((record.kind, record.fabric_domain), []).append(instance)
+        bound = bound_ids(draft.groups_by_id.values())
+        self._free = _by_domain(facts.free - bound, records_by_id)
+        self._settling = _by_domain(facts.settling - bound, records_by_id)
         self.groups_by_id: dict[GroupId, PlacedGroup] = {}
 
     def keep_declared(self) -> None:
@@ -198,6 +200,50 @@
         ]
         return min(fits)[1] if fits else None
 
+    def yield_spares(self) -> None:
+        """Release the spares without which a broken or a missing group can't be whole.
+
+        They join it in a later plan, when no holder can count them any more.
+        """
+        for group_id, group in sorted(self.groups_by_id.items()):
+            lost = self._facts.lost.intersection(group.members)
+            if lost:
+                own = [spare for spare in group.spares if spare not in self._facts.lost]
+                pool = group.declaration.kind, group.fabric_domain
+                self._reserve(pool, len(lost) - len(own), group_id)
+        for group_id, declaration in sorted(self._wanted.items()):
+            if group_id not in self.groups_by_id:
+                pools = [pool for pool in sorted(self._free) if pool[0] == declaration.kind]
+                any(self._reserve(pool, declaration.size, group_id) for pool in pools)
+
+    def _reserve(self, pool: tuple[KindId, FabricDomainId], need: int, for_id: GroupId) -> bool:
+        """Keep free instances for a group and release as many spares as it lacks besides.
+
+        :return: False when the domain can't hold it even so.
+        """
+        free, settling = self._free_in(*pool), self._settling.get(pool, [])
+        lenders = [
+            (group, spare)
+            for group in self.groups_by_id.values()
+            if (group.declaration.kind, group.fabric_domain) == pool and group.group_id != for_id
+            for spare in group.spares
+            if spare not in self._facts.lost
+        ]
+        lacking = need - len(free) - len(settling)
+        if lacking > len(lenders):
+            return False
+        for group, spare in lenders[: max(0, lacking)]:
+            self._release_spare(group.group_id, spare)
+        kept = need - len(settling)
+        del settling[:need]
+        del free[: max(0, kept)]
+        return True
+
+    def _release_spare(self, group_id: GroupId, spare: InstanceId) -> None:
+        group = self.groups_by_id[group_id]
+        spares = tuple(other for other in group.spares if other != spare)
+        self.groups_by_id[group_id] = replace(group, spares=spares)
+
     def fill_spares(self) -> None:
         """Drop lost and surplus spares and reserve new ones from the same domain."""
         for group_id, group in sorted(self.groups_by_id.items()):
@@ -215,6 +261,18 @@
         return self._free.setdefault((kind, domain), [])
 
 
+def _by_domain(
+    instances: Iterable[InstanceId], records_by_id: Mapping[InstanceId, InstanceRecord]
+) -> dict[tuple[KindId, FabricDomainId], list[InstanceId]]:
+    pools: dict[tuple[KindId, FabricDomainId], list[InstanceId]] = {}
+    for record in records_by_id.values():
+        pools.setdefault((record.kind, record.fabric_domain), [])
+    for instance in sorted(instances):
+        record = records_by_id[instance]
+        pools[record.kind, record.fabric_domain].append(instance)
+    return pools
+
+
 def _shape(declaration: GroupDeclaration) -> tuple[KindId, int]:
     return declaration.kind, declaration.size
 
