--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -71,6 +71,7 @@
 
     :param weights: model, version, rank and size that its memory holds.
     :param left: seconds of loading that remain.
+    :param loads: number of times that it drew weights from the store.
     :param true_at: time at which it was last ready at each place.
     """
 
@@ -93,6 +94,7 @@
     wanted: tuple[str, str, int, int] | None = None
     left: float = 0.0
     is_slow: bool = False
+    loads: int = 0
     changed_at: float = 0.0
     true_at: dict[tuple[GroupId, Generation, int, int], float] = field(default_factory=dict)
 
@@ -155,6 +157,7 @@
             self.left -= seconds * (0.25 if self.is_slow else 1.0)
             if self.left <= 0:
                 self.state = LoadState.READY
+                self.loads += self.weights != self.wanted
                 self.weights = self.wanted
                 self.changed_at = now
         if self.is_running and self.state is LoadState.READY:
@@ -206,11 +209,18 @@
         """Write by compare-and-swap; return whether it took effect."""
         if order.expected_revision != self.revision:
             return False
-        self.placement = order.placement
-        self.revision += 1
-        self.history.append(order.placement)
+        self._set(order.placement)
         return True
 
+    def put(self, placement: Placement) -> None:
+        """Write the document as the next version, whatever is there."""
+        self._set(replace(placement, version=self.placement.version + 1))
+
+    def _set(self, placement: Placement) -> None:
+        self.placement = placement
+        self.revision += 1
+        self.history.append(placement)
+
 
 class FakeEntry:
     """One entry process with its tables, systems and connections.
@@ -278,6 +288,7 @@
         self.late_orders: list[tuple[float, OrderLoad]] = []
         self.order_delay = 0.0
         self.is_split = False
+        self.extra_records: list[InstanceRecord] = []
         self._read_due = dict.fromkeys(seats, 0.0)
 
     def run(self, seconds: float) -> None:
@@ -321,6 +332,14 @@
             entry.is_paused = entry.is_cut_off = False
             entry.unreachable.clear()
 
+    def drop_seat(self, entry: FakeEntry) -> None:
+        """Remove an entry's seat, as another entry would."""
+        placement = self.store.placement
+        seats = {
+            name: seat for name, seat in placement.seats_by_entry.items() if name != entry.name
+        }
+        self.store.put(replace(placement, seats_by_entry=seats, epoch=placement.epoch + 1))
+
     def heal_engines(self) -> None:
         """Start and resume every engine."""
         for engine in self.engines_by_id.values():
@@ -342,7 +361,9 @@
         for other in self.entries:
             if other is not entry and not other.is_paused and not self.is_split:
                 entry.waiting.append(_heartbeat(other))
-        for instance_id, sent_at in sorted(entry.watched.items()):
+        engines = sorted(entry.watched.keys() & self.engines_by_id.keys())
+        for instance_id in engines:
+            sent_at = entry.watched[instance_id]
             self._feed_status(entry, self.engines_by_id[instance_id], sent_at)
 
     def _feed_status(self, entry: FakeEntry, engine: FakeEngine, sent_at: float) -> None:
@@ -373,7 +394,7 @@
             entry.waiting.append(PlatformFailed("no answer"))
             return
         records = [engine.record for engine in self.engines_by_id.values() if engine.is_listed]
-        entry.waiting.append(InstancesListed(tuple(records)))
+        entry.waiting.append(InstancesListed((*records, *self.extra_records)))
         entry.waiting.append(PlacementRead(self.store.placement, self.store.revision, self.now))
 
     def _carry_out(self, entry: FakeEntry, order: Order) -> None:
--- a/src/cactuspass/_repair.py
+++ b/src/cactuspass/_repair.py
@@ -20,6 +20,7 @@
 SUBSTITUTE_SECONDS = 1.5
 BROKEN_SECONDS = 0.5
 LOST_SECONDS = 3.0
+SPARE_LOST_SECONDS = 15.0
 
 
 def silent_for(instance: InstanceRow | None, now: float) -> float:
@@ -149,9 +150,17 @@
 
 
 def lost_instances(tables: Tables, row: HeldGroupRow, now: float) -> tuple[InstanceId, ...]:
-    """Return the members and spares that have been unreachable for long."""
-    rows = ((name, tables.instances_by_id.get(name)) for name in bound_instances(row))
-    return tuple(sorted(name for name, row in rows if silent_for(row, now) >= LOST_SECONDS))
+    """Return the members and spares to be replaced by instances from outside the group.
+
+    A spare is waited for longer, since it may be a member that returns with its weights.
+    """
+    limits = dict.fromkeys(row.spares, SPARE_LOST_SECONDS)
+    limits |= dict.fromkeys(row.members, LOST_SECONDS)
+    return tuple(
+        name
+        for name, limit in sorted(limits.items())
+        if silent_for(tables.instances_by_id.get(name), now) >= limit
+    )
 
 
 def record_group(
--- a/tests/test_groups_model.py
+++ b/tests/test_groups_model.py
@@ -1,5 +1,6 @@
 """Random interleavings of faults over two entries and two kinds of engines."""
 
+import sys
 import unittest
 from collections import Counter
 from copy import deepcopy
@@ -194,6 +195,7 @@
         )
         case.runTest()
         tried = len(GroupMachine.sequences)
-        print(f"group model: {tried} interleavings, served {dict(GroupMachine.served)}")
+        served = dict(GroupMachine.served)
+        print(f"group model: {tried} interleavings, served {served}", file=sys.__stdout__)
         self.assertGreaterEqual(tried, 10)
         self.assertGreater(GroupMachine.served["g-0"], 100)
