--- a/src/cactuspass/_plan.py
+++ b/src/cactuspass/_plan.py
@@ -151,9 +151,9 @@
         spares = [spare for spare in group.spares if spare not in self._facts.lost]
         free = self._free_in(group.declaration.kind, group.fabric_domain)
         if len(spares) + len(free) < len(lost):
-            may_move = len(lost) == len(group.members) or group.group_id in self._facts.movable
-            moved = self._form(group.group_id, group.declaration) if may_move else None
-            return moved or group
+            if not self._may_move(group):
+                return group
+            return self._form(group.group_id, group.declaration) or group
         new = [*spares, *free][: len(lost)]
         del free[: max(0, len(lost) - len(spares))]
         by_lost = dict(zip(lost, new, strict=True))
@@ -210,16 +210,27 @@
 
         They join it in a later plan, when no holder can count them any more.
         """
-        for group_id, group in sorted(self.groups_by_id.items()):
+        for _, group in sorted(self.groups_by_id.items()):
             lost = self._facts.lost.intersection(group.members)
             if lost:
-                own = [spare for spare in group.spares if spare not in self._facts.lost]
-                pool = group.declaration.kind, group.fabric_domain
-                self._reserve(pool, len(lost) - len(own), group_id)
+                self._reserve_repair(group, len(lost))
         for group_id, declaration in sorted(self._wanted.items()):
             if group_id not in self.groups_by_id:
-                pools = [pool for pool in sorted(self._free) if pool[0] == declaration.kind]
-                any(self._reserve(pool, declaration.size, group_id) for pool in pools)
+                self._reserve_anywhere(group_id, declaration)
+
+    def _reserve_repair(self, group: PlacedGroup, lost: int) -> None:
+        own = [spare for spare in group.spares if spare not in self._facts.lost]
+        pool = group.declaration.kind, group.fabric_domain
+        if not self._reserve(pool, lost - len(own), group.group_id) and self._may_move(group):
+            self._reserve_anywhere(group.group_id, group.declaration)
+
+    def _reserve_anywhere(self, group_id: GroupId, declaration: GroupDeclaration) -> None:
+        pools = [pool for pool in sorted(self._free) if pool[0] == declaration.kind]
+        any(self._reserve(pool, declaration.size, group_id) for pool in pools)
+
+    def _may_move(self, group: PlacedGroup) -> bool:
+        is_dark = self._facts.lost.issuperset(group.members)
+        return is_dark or group.group_id in self._facts.movable
 
     def _reserve(self, pool: tuple[KindId, FabricDomainId], need: int, for_id: GroupId) -> bool:
         """Keep free instances for a group and release as many spares as it lacks besides.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -94,6 +94,12 @@
         self.assertEqual(after.groups_by_id[G0].spares, ())
         self.assertEqual(after.released_by_id, dict.fromkeys(ids("d0-2", "d0-3"), 2))
 
+    def test_spares_elsewhere_are_given_up_for_a_group_whose_domain_is_dark(self) -> None:
+        before = self.plan([2, 4], declare(2, 2, spares=1))
+        dark = frozenset(ids("d0-0", "d0-1"))
+        after = self.plan([2, 4], declare(2, 2, spares=1), before, ids("d1-3"), lost=dark)
+        self.assertEqual(after.released_by_id, dict.fromkeys(ids("d1-2"), 2))
+
     def test_plan_of_a_whole_placement_changes_nothing(self) -> None:
         before = self.plan([5, 4], declare(2, 3, spares=1))
         again = self.plan([5, 4], declare(2, 3, spares=1), before)
