Keep groups that a foreign list does not name, and stalled loads

An instance list that does not name this entry says nothing of what it lacks, so it makes no member leave. A member that has been loading for minutes no longer keeps others from the weight store.

--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -256,6 +256,13 @@
         local = self.tables.local
         return Seat(local.entry_id, local.incarnation, local.address)
 
+    @property
+    def record(self) -> InstanceRecord:
+        """Return the entry's line of the instance list."""
+        instance_id = InstanceId(self.name)
+        address = self.tables.local.address
+        return InstanceRecord(instance_id, InstanceRole.ENTRY, address, DATA_CENTRE)
+
     def would_send(self, row: HeldGroupRow, now: float) -> bool:
         """Return whether admission could dispatch a request to the group."""
         may_send = row.serving and holds(self.tables, row.group_id, now)
@@ -292,6 +299,7 @@
         self.late_orders: list[tuple[float, OrderLoad]] = []
         self.order_delay = 0.0
         self.is_split = False
+        self.entries_are_listed = True
         self.extra_records: list[InstanceRecord] = []
         self._read_due = dict.fromkeys(seats, 0.0)
 
@@ -398,7 +406,9 @@
             entry.waiting.append(PlatformFailed("no answer"))
             return
         records = [engine.record for engine in self.engines_by_id.values() if engine.is_listed]
-        entry.waiting.append(InstancesListed((*records, *self.extra_records)))
+        entries = [other.record for other in self.entries if self.entries_are_listed]
+        listed = (*records, *entries, *self.extra_records)
+        entry.waiting.append(InstancesListed(listed))
         entry.waiting.append(PlacementRead(self.store.placement, self.store.revision, self.now))
 
     def _carry_out(self, entry: FakeEntry, order: Order) -> None:
--- a/src/cactuspass/_loads.py
+++ b/src/cactuspass/_loads.py
@@ -12,7 +12,7 @@
 LOADS_AT_ONCE = 8
 ORDER_RETRY_SECONDS = 1.0
 ORDER_LIFETIME_SECONDS = 2.0
-STALL_SECONDS = 60.0
+STALL_SECONDS = 300.0
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -75,7 +75,10 @@
     instances = [tables.instances_by_id.get(member) for member in row.members]
     reachable = [is_heard(instance, now) for instance in instances]
     missing = sum(
-        is_reachable and instance is not None and not keeps_weights(row, rank, instance)
+        is_reachable
+        and instance is not None
+        and not keeps_weights(row, rank, instance)
+        and not _is_stalled(row, rank, instance, now)
         for rank, (instance, is_reachable) in enumerate(zip(instances, reachable, strict=True))
     )
     return LoadNeed(reachable.count(False), missing, row.group_id)
@@ -95,13 +98,19 @@
         return False
     if instance.ordered.generation != row.generation or instance.ordered.rank != rank:
         return False
-    if now - instance.ordered_since >= STALL_SECONDS or not is_heard(instance, now):
+    if _is_stalled(row, rank, instance, now) or not is_heard(instance, now):
         return False
     if is_assigned(row, rank, instance):
         return instance.state is LoadState.LOADING
     return now - instance.ordered_at < ORDER_RETRY_SECONDS
 
 
+def _is_stalled(row: HeldGroupRow, rank: int, instance: InstanceRow, now: float) -> bool:
+    """Return whether the member has been loading for so long that others go first."""
+    is_loading = is_assigned(row, rank, instance) and instance.state is LoadState.LOADING
+    return is_loading and now - instance.ordered_since >= STALL_SECONDS
+
+
 def _orders(tables: Tables, row: HeldGroupRow, allowed: int, now: float) -> Iterator[OrderLoad]:
     for rank, member in enumerate(row.members):
         instance = tables.instances_by_id.get(member)
--- a/src/cactuspass/_repair.py
+++ b/src/cactuspass/_repair.py
@@ -40,10 +40,15 @@
 
 
 def is_leaving(tables: Tables, instance_id: InstanceId) -> bool:
-    """Return whether the instance, the list or an operator says that it must get no new work."""
+    """Return whether the instance, the list or an operator says that it must get no new work.
+
+    A list that does not name this entry either says nothing of what it lacks.
+    """
     record = tables.records_by_id.get(instance_id)
     instance = tables.instances_by_id.get(instance_id)
-    if record is None or record.state is InstanceState.LEAVING:
+    if record is None:
+        return InstanceId(tables.local.entry_id) in tables.records_by_id
+    if record.state is InstanceState.LEAVING:
         return True
     if instance is not None and instance.leaving:
         return True
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -157,6 +157,18 @@
         world.run(10.0)
         self.assertEqual(world.store.placement.groups_by_id[G0].members, ids("d0-2", "d0-1"))
 
+    def test_only_a_list_that_names_the_entry_tells_what_is_gone(self) -> None:
+        world = self.start([3], declare(2))
+        engine = world.engines_by_id[InstanceId("d0-0")]
+        engine.is_listed = False
+        world.run(10.0)
+        self.assertEqual(world.store.placement.groups_by_id[G0].members, ids("d0-2", "d0-1"))
+        world.entries_are_listed = False
+        world.engines_by_id[InstanceId("d0-1")].is_listed = False
+        engine.is_listed = True
+        world.run(10.0)
+        self.assertEqual(world.store.placement.groups_by_id[G0].members, ids("d0-2", "d0-1"))
+
     def test_each_stranded_accelerator_has_a_reason(self) -> None:
         world = self.start([5, 1], declare(2, 3, spares=0), replace(declare(2), name="h"))
         world.run(20.0)
