--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -247,7 +247,8 @@
         self.is_paused = False
         self.is_cut_off = False
         self.unreachable: set[InstanceId] = set()
-        self.delay = 0.0
+        self.report_delay = 0.0
+        self.late_reports: list[tuple[float, InstanceReported]] = []
         self.orders: list[tuple[float, OrderLoad]] = []
 
     @property
@@ -263,6 +264,22 @@
         address = self.tables.local.address
         return InstanceRecord(instance_id, InstanceRole.ENTRY, address, DATA_CENTRE)
 
+    def send_report(self, report: InstanceReported, now: float) -> None:
+        """Put a status event on its way; those of one process arrive in order."""
+        earlier = [
+            due
+            for due, other in self.late_reports
+            if (other.instance_id, other.boot_id) == (report.instance_id, report.boot_id)
+        ]
+        due = max([now + self.report_delay, *earlier])
+        self.late_reports.append((due, report))
+
+    def receive_reports(self, now: float) -> None:
+        """Hand over the status events that have arrived from watched instances."""
+        arrived = [report for due, report in self.late_reports if due <= now]
+        self.late_reports = [item for item in self.late_reports if item[0] > now]
+        self.waiting.extend(report for report in arrived if report.instance_id in self.watched)
+
     def would_send(self, row: HeldGroupRow, now: float) -> bool:
         """Return whether admission could dispatch a request to the group."""
         may_send = row.serving and holds(self.tables, row.group_id, now)
@@ -342,6 +359,7 @@
         self.order_delay = 0.0
         for entry in self.entries:
             entry.is_paused = entry.is_cut_off = False
+            entry.report_delay = 0.0
             entry.unreachable.clear()
 
     def drop_seat(self, entry: FakeEntry) -> None:
@@ -377,6 +395,7 @@
         for instance_id in engines:
             sent_at = entry.watched[instance_id]
             self._feed_status(entry, self.engines_by_id[instance_id], sent_at)
+        entry.receive_reports(self.now)
 
     def _feed_status(self, entry: FakeEntry, engine: FakeEngine, sent_at: float) -> None:
         if engine.instance_id in entry.unreachable:
@@ -387,7 +406,7 @@
             self.now - sent_at >= STATUS_SECONDS or engine.changed_at >= sent_at
         ):
             entry.watched[engine.instance_id] = self.now
-            entry.waiting.append(engine.report())
+            entry.send_report(engine.report(), self.now)
 
     def _tick(self, entry: FakeEntry) -> None:
         tables = entry.tables
