--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -217,10 +217,10 @@
         holder.is_cut_off = True
         self.world.is_split = True
         self.world.run(6.0)
+        self.assertFalse(holder.tables.held_groups_by_id[G0].serving)
         self.engines[D1].kill()
         killed_at = self.world.now
         self.world.run(3.0)
-        self.assertFalse(holder.tables.held_groups_by_id[G0].serving)
         self.assertEqual([at for at, _ in holder.orders if at > killed_at], [])
 
     def test_late_order_of_an_earlier_holder_stops_the_group_until_repaired(self) -> None:
@@ -247,18 +247,24 @@
         self.assertEqual(most, 3)
         self.assertEqual(len(list(world.serving_rows())), 3)
 
-    def test_group_that_lacks_the_fewest_members_loads_first(self) -> None:
+    def first_repaired(self, lacking: dict[str, int]) -> str:
+        """Restart members of two groups that load one at a time; return the first to serve."""
         engines = make_engines([8], self.load_seconds)
         entry = FakeEntry("a", lambda writer: [PlacementSystem(writer), GroupSystem(writer, 1)])
         world = GroupWorld(engines, [declare(3, 2)], [entry])
         world.run_until(lambda: len(list(world.serving_rows())) == 2, 120.0)
         rows = world.entries[0].tables.held_groups_by_id
-        for name in (*rows[G0].members, rows[GroupId("g-1")].members[0]):
-            world.engines_by_id[name].kill()
-            world.engines_by_id[name].start(world.now)
+        for group_id, count in lacking.items():
+            for name in rows[GroupId(group_id)].members[:count]:
+                world.engines_by_id[name].kill()
+                world.engines_by_id[name].start(world.now)
         world.run(1.0)
         world.run_until(lambda: any(world.serving_rows()), 60.0)
-        self.assertEqual([row.group_id for _, row in world.serving_rows()], ["g-1"])
+        return next(row.group_id for _, row in world.serving_rows())
+
+    def test_group_that_lacks_the_fewest_members_loads_first(self) -> None:
+        self.assertEqual(self.first_repaired({"g-0": 3, "g-1": 1}), "g-1")
+        self.assertEqual(self.first_repaired({"g-0": 1, "g-1": 3}), "g-0")
 
 
 class RowTest(GroupTestCase):
@@ -303,8 +309,13 @@
         twin = replace(placement.groups_by_id[G0], group_id=GroupId("g-1"))
         groups = {**placement.groups_by_id, twin.group_id: twin}
         self.world.store.put(replace(placement, groups_by_id=groups))
-        self.world.run(1.5)
-        self.assertEqual(list(self.entries[0].tables.held_groups_by_id), [G0])
+        tables = self.entries[0].tables
+        seen = set()
+        for _ in range(15):
+            self.world.step()
+            seen.add(tables.placement.version)
+            self.assertEqual(list(tables.held_groups_by_id), [G0])
+        self.assertIn(placement.version + 1, seen)
 
 
 class TraceTest(GroupTestCase):
