--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -144,6 +144,13 @@
         world.run_until(lambda: len(world.store.placement.groups_by_id) == 2, 20.0)
         self.assertEqual(len(world.store.placement.groups_by_id), 2)
 
+    def test_second_seat_steps_in_when_the_first_is_cut_off_from_the_platform(self) -> None:
+        world = self.start([4], declare(2, 1))
+        self.entries[0].is_cut_off = True
+        redeclare(world, declare(2, 2))
+        world.run_until(lambda: len(world.store.placement.groups_by_id) == 2, 20.0)
+        self.assertEqual(len(world.store.placement.groups_by_id), 2)
+
     def test_silent_free_instance_is_never_chosen(self) -> None:
         engines = make_engines([3], 1.0)
         engines[0].kill()
