Spare whole groups the work of mending

Cause: a tick cost 0.43 ms for each held group of 16, nearly all of it spent on repair decisions for members that were already confirmed. Ruled out: fewer ticks alone, since each status event needs one. Change: confirmed groups skip repair and load scheduling, and a tick without news does nothing.

--- a/src/cactuspass/_groups.py
+++ b/src/cactuspass/_groups.py
@@ -11,7 +11,7 @@
 from cactuspass._held_rows import update_rows
 from cactuspass._holding import holds
 from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
-from cactuspass._messages import AlarmKind, Input, Order
+from cactuspass._messages import AlarmKind, Input, InstanceBroken, InstanceReported, Order
 from cactuspass._repair import (
     adopt_reports,
     is_leaving,
@@ -23,9 +23,10 @@
 from cactuspass._tables import HeldGroupRow, Tables
 from cactuspass._watches import bound_instances, update_watches
 from cactuspass._writer import PlacementWriter
-from cactuspass.models import GroupId, TakeOutKind
+from cactuspass.models import GroupId, Placement, TakeOutKind
 
 ADOPT_SECONDS = 1.5
+CHECK_SECONDS = 0.05
 GROUP_DOWN_SECONDS = 3.0
 
 
@@ -44,27 +45,48 @@
         self._writer = writer
         self._scheduler = LoadScheduler(loads_at_once)
         self._last_tick: float | None = None
+        self._ran_at: float | None = None
+        self._placement: Placement | None = None
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
-        """Run every held group once."""
+        """Run every held group once, if anything may have changed since the last time."""
+        last_tick, self._last_tick = self._last_tick, now
+        if not self._is_due(tables, inputs, now):
+            return ()
+        self._ran_at = now
+        self._placement = tables.placement
         known = set(tables.held_groups_by_id)
-        apply_reports(tables, inputs, now, self._last_tick)
-        self._last_tick = now
+        apply_reports(tables, inputs, now, last_tick)
         update_rows(tables, now)
         orders: list[Order] = list(update_watches(tables, now))
         rows = [row for _, row in sorted(tables.held_groups_by_id.items())]
-        ready = [row for row in rows if _may_repair(tables, row, now)]
-        for row in ready:
-            adopt_reports(tables, row, now)
-            substitute(tables, row, now)
-        orders.extend(self._scheduler.order(tables, ready, now))
         for row in rows:
             _update_leaving(tables, row, now)
+        ready = [row for row in rows if _may_repair(tables, row, now)]
+        orders.extend(self._repair(tables, ready, now))
+        for row in rows:
             _update_serving(tables, row, now)
         for row in ready:
             self._propose(tables, row, now)
         return chain(orders, _group_alarms(tables, rows, known, now))
 
+    def _is_due(self, tables: Tables, inputs: Sequence[Input], now: float) -> bool:
+        if self._ran_at is None or now - self._ran_at >= CHECK_SECONDS:
+            return True
+        if self._placement is not tables.placement:
+            return True
+        return any(isinstance(item, InstanceReported | InstanceBroken) for item in inputs)
+
+    def _repair(self, tables: Tables, rows: Sequence[HeldGroupRow], now: float) -> Iterator[Order]:
+        """Mend the groups that are not whole, or whose members leave."""
+        broken = [row for row in rows if row.leaving or not is_confirmed(tables, row, now)]
+        for row in broken:
+            adopt_reports(tables, row, now)
+            substitute(tables, row, now)
+        for row in rows:
+            row.missing = 0
+        return self._scheduler.order(tables, broken, now)
+
     def _propose(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
         """Write own substitutions, and instances lost or found again, into the document."""
         lost = lost_instances(tables, row, now)
