Load a new version into one serving group at a time

Cause: a changed declaration put all its groups into a new generation at once, so the model was down while all of them loaded. Ruled out: a timer, since a version that never loads would go on taking groups. Change: the next serving group follows when the one before serves again, by the own rows and the peers' summaries; a word older than the settle time after the change counts nothing.

--- a/src/cactuspass/_placement.py
+++ b/src/cactuspass/_placement.py
@@ -7,10 +7,10 @@
 from cactuspass._core import System
 from cactuspass._messages import Input, Order
 from cactuspass._plan import PlanFacts, Planner, bound_ids, declared_groups, plan
-from cactuspass._release import ReleaseClock
+from cactuspass._release import RELEASE_SECONDS, ReleaseClock
 from cactuspass._repair import LOST_SECONDS, is_leaving, silent_for
 from cactuspass._shortage import ShortageAlarms
-from cactuspass._stranded import engine_records
+from cactuspass._stranded import engine_records, serving_groups
 from cactuspass._tables import Tables
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import Configuration, EntryId, GroupId, InstanceId, Placement
@@ -79,8 +79,21 @@
     ) -> PlanFacts:
         """Return the facts as they would be if all listed instances were alive."""
         lost = self._losses.lost(tables, placement, now) | _reported_lost(placement)
-        movable = self._losses.movable(placement, lost, now)
-        return PlanFacts(_free_instances(tables, placement, configuration), lost, movable)
+        return PlanFacts(
+            free=_free_instances(tables, placement, configuration),
+            lost=lost,
+            movable=self._losses.movable(placement, lost, now),
+            serving=self._serving(tables, placement, now),
+        )
+
+    def _serving(self, tables: Tables, placement: Placement, now: float) -> frozenset[GroupId]:
+        """Return the groups that serve, but for those of which the word may be out of date."""
+        return frozenset(
+            group_id
+            for group_id in serving_groups(tables) & placement.groups_by_id.keys()
+            if self._clock.age(placement.groups_by_id[group_id].generation.major, now)
+            >= RELEASE_SECONDS
+        )
 
     def _propose(
         self,
--- a/src/cactuspass/_plan.py
+++ b/src/cactuspass/_plan.py
@@ -13,6 +13,7 @@
     InstanceId,
     InstanceRecord,
     KindId,
+    ModelId,
     PlacedGroup,
     Placement,
 )
@@ -26,12 +27,14 @@
     :param lost: bound instances that are to be replaced.
     :param movable: groups that may leave their domain though some members survive.
     :param settling: instances outside all groups that may be bound soon.
+    :param serving: groups that serve at present.
     """
 
     free: frozenset[InstanceId] = frozenset()
     lost: frozenset[InstanceId] = frozenset()
     movable: frozenset[GroupId] = frozenset()
     settling: frozenset[InstanceId] = frozenset()
+    serving: frozenset[GroupId] = frozenset()
 
 
 Planner = Callable[
@@ -122,23 +125,35 @@
 
     def keep_declared(self) -> None:
         """Keep the groups that are still declared with the same kind and size."""
-        for group_id, group in self._draft.groups_by_id.items():
-            wanted = self._wanted.get(group_id)
-            if wanted is None or (wanted.kind, wanted.size) != _shape(group.declaration):
-                continue
-            if wanted != group.declaration:
-                group = self._redeclare(group, wanted)
-            self.groups_by_id[group_id] = group
-
-    def _redeclare(self, group: PlacedGroup, wanted: GroupDeclaration) -> PlacedGroup:
-        old = group.declaration
-        is_same = (old.model, old.version, old.adapters) == (
-            wanted.model,
-            wanted.version,
-            wanted.adapters,
-        )
-        generation = group.generation if is_same else self._generation
-        return replace(group, declaration=wanted, generation=generation)
+        self.groups_by_id = {
+            group_id: group
+            for group_id, group in self._draft.groups_by_id.items()
+            if group_id in self._wanted
+            and _shape(group.declaration) == _shape(self._wanted[group_id])
+        }
+        reloading = {
+            wanted.name
+            for group_id, wanted in self._wanted.items()
+            if group_id in self.groups_by_id
+            and _contents(self.groups_by_id[group_id].declaration) == _contents(wanted)
+            and group_id not in self._facts.serving
+        }
+        for group_id, group in sorted(self.groups_by_id.items()):
+            self.groups_by_id[group_id] = self._redeclare(group, reloading)
+
+    def _redeclare(self, group: PlacedGroup, reloading: set[str]) -> PlacedGroup:
+        """Apply a changed declaration; serving groups load new contents one after the other.
+
+        :param reloading: declarations of which a group with the new contents doesn't serve yet.
+        """
+        wanted = self._wanted[group.group_id]
+        if _contents(group.declaration) == _contents(wanted):
+            return replace(group, declaration=wanted)
+        if group.group_id in self._facts.serving:
+            if wanted.name in reloading:
+                return group
+            reloading.add(wanted.name)
+        return replace(group, declaration=wanted, generation=self._generation)
 
     def replace_lost(self) -> None:
         """Replace lost members, and move the groups that their domain can't hold."""
@@ -293,6 +308,10 @@
     return declaration.kind, declaration.size
 
 
+def _contents(declaration: GroupDeclaration) -> tuple[ModelId, str, tuple[str, ...]]:
+    return declaration.model, declaration.version, declaration.adapters
+
+
 def _fit(free: int, declaration: GroupDeclaration, smallest: int) -> tuple[bool, int, int]:
     """Return a key that is smallest for the best domain."""
     left = free - declaration.size
--- a/src/cactuspass/_release.py
+++ b/src/cactuspass/_release.py
@@ -32,6 +32,11 @@
         for known in sorted(old)[:-1]:
             del self._learned_at[known]
 
+    def age(self, version: int, now: float) -> float:
+        """Return the seconds for which this entry has known the version or a later one."""
+        known = [at for other, at in self._learned_at.items() if other >= version]
+        return now - min(known, default=now)
+
     def is_settled(self, tables: Tables, instance_id: InstanceId, now: float) -> bool:
         """Return whether no entry can still hold the instance for the group that it left."""
         placement = tables.placement
@@ -40,9 +45,7 @@
         released = placement.released_by_id.get(instance_id)
         if released is None:
             return True
-        known = [at for version, at in self._learned_at.items() if version >= released]
-        age = now - min(known, default=now)
-        return age >= RELEASE_SECONDS and all(
+        return self.age(released, now) >= RELEASE_SECONDS and all(
             _has_learned(tables, seat, released, now) for seat in other_seats(tables)
         )
 
--- a/src/cactuspass/_stranded.py
+++ b/src/cactuspass/_stranded.py
@@ -53,7 +53,7 @@
     Groups of other holders count as serving when those say so in their heartbeats.
     """
     bound = _bound_groups(tables)
-    serving = _serving_groups(tables)
+    serving = serving_groups(tables)
     unplaced = _unplaced(tables)
     rows = []
     for record in sorted(engine_records(tables), key=lambda record: record.instance_id):
@@ -118,7 +118,8 @@
     )
 
 
-def _serving_groups(tables: Tables) -> set[GroupId]:
+def serving_groups(tables: Tables) -> set[GroupId]:
+    """Return the groups that serve, by the own rows and the heartbeats of other holders."""
     own = {row.group_id for row in tables.held_groups_by_id.values() if row.serving}
     others = {
         summary.group_id
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -164,6 +164,25 @@
         world.run(10.0)
         self.assertEqual(world.store.placement.groups_by_id[G0].members, ids("d0-2", "d0-1"))
 
+    def test_new_version_reaches_one_serving_group_at_a_time(self) -> None:
+        world = self.start([6], declare(2, 3))
+        redeclare(world, declare(2, 3, version="2"))
+        fewest = 3
+        for _ in range(200):
+            world.step()
+            fewest = min(fewest, len(list(world.serving_rows())))
+        self.assertEqual(fewest, 2)
+        versions = {engine.weights[1] for engine in world.engines_by_id.values() if engine.weights}
+        self.assertEqual(versions, {"2"})
+
+    def test_version_that_does_not_load_stops_one_group_only(self) -> None:
+        world = self.start([6], declare(2, 3))
+        for engine in world.engines_by_id.values():
+            engine.load_seconds = 1e9
+        redeclare(world, declare(2, 3, version="2"))
+        world.run(30.0)
+        self.assertEqual(len(list(world.serving_rows())), 2)
+
     def test_only_a_list_that_names_the_entry_tells_what_is_gone(self) -> None:
         world = self.start([3], declare(2))
         engine = world.engines_by_id[InstanceId("d0-0")]
