--- a/src/cactuspass/_placement.py
+++ b/src/cactuspass/_placement.py
@@ -2,16 +2,15 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
-from functools import partial
 
 from cactuspass._confirm import is_heard
 from cactuspass._core import System
 from cactuspass._messages import Input, Order
-from cactuspass._plan import PlanFacts, bound_ids, declared_groups, plan
-from cactuspass._release import ReleaseClock
+from cactuspass._plan import PlanFacts, Planner, bound_ids, declared_groups, plan
+from cactuspass._release import RELEASE_SECONDS, ReleaseClock
 from cactuspass._repair import LOST_SECONDS, is_leaving, silent_for
 from cactuspass._shortage import ShortageAlarms
-from cactuspass._stranded import engine_records
+from cactuspass._stranded import engine_records, serving_groups
 from cactuspass._tables import Tables
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import Configuration, EntryId, GroupId, InstanceId, Placement
@@ -31,10 +30,12 @@
     been due for longer. Compare-and-swap keeps it safe when two act.
 
     :param writer: takes changes of the data centre document.
+    :param planner: says which instances should form which groups.
     """
 
-    def __init__(self, writer: PlacementWriter) -> None:
+    def __init__(self, writer: PlacementWriter, planner: Planner = plan) -> None:
         self._writer = writer
+        self._plan = planner
         self._clock = ReleaseClock()
         self._losses = _Losses()
         self._alarms = ShortageAlarms()
@@ -56,7 +57,7 @@
             return self._alarms.update(tables, False, now)
         position = live_position(tables, placement, now)
         hoped = self._hoped_facts(tables, placement, configuration, now)
-        is_due = _changes(tables, placement, configuration, hoped)
+        is_due = self._changes(tables, placement, configuration, hoped)
         is_acting = self._is_acting(position, is_due, now)
         watched = hoped.free | _reported_lost(placement)
         tables.probed_instances = set(watched) if is_acting else set()
@@ -78,8 +79,21 @@
     ) -> PlanFacts:
         """Return the facts as they would be if all listed instances were alive."""
         lost = self._losses.lost(tables, placement, now) | _reported_lost(placement)
-        movable = self._losses.movable(placement, lost, now)
-        return PlanFacts(_free_instances(tables, placement, configuration), lost, movable)
+        return PlanFacts(
+            free=_free_instances(tables, placement, configuration),
+            lost=lost,
+            movable=self._losses.movable(placement, lost, now),
+            serving=self._serving(tables, placement, now),
+        )
+
+    def _serving(self, tables: Tables, placement: Placement, now: float) -> frozenset[GroupId]:
+        """Return the groups that serve, but for those of which the word may be out of date."""
+        return frozenset(
+            group_id
+            for group_id in serving_groups(tables) & placement.groups_by_id.keys()
+            if self._clock.age(placement.groups_by_id[group_id].generation.major, now)
+            >= RELEASE_SECONDS
+        )
 
     def _propose(
         self,
@@ -92,24 +106,21 @@
         """Propose the plan that the facts allow which this entry has seen itself."""
         if not self._writer.is_ready(tables) or not _is_probed(tables, hoped.free, now):
             return
-        facts = replace(
-            hoped,
-            free=frozenset(
-                instance
-                for instance in hoped.free
-                if is_heard(tables.instances_by_id.get(instance), now)
-                and self._clock.is_settled(tables, instance, now)
-            ),
-            lost=self._losses.lost(tables, placement, now) | _silent(tables, placement, now),
+        heard = frozenset(
+            name for name in hoped.free if is_heard(tables.instances_by_id.get(name), now)
         )
-        if _changes(tables, placement, configuration, facts):
-            change = partial(
-                plan,
-                configuration=configuration,
-                records_by_id=dict(tables.records_by_id),
-                facts=facts,
-            )
-            self._writer.propose(change)
+        settled = frozenset(name for name in heard if self._clock.is_settled(tables, name, now))
+        lost = self._losses.lost(tables, placement, now) | _silent(tables, placement, now)
+        facts = replace(hoped, free=settled, lost=lost, settling=heard - settled)
+        if self._changes(tables, placement, configuration, facts):
+            records = dict(tables.records_by_id)
+            self._writer.propose(lambda draft: self._plan(draft, configuration, records, facts))
+
+    def _changes(
+        self, tables: Tables, placement: Placement, configuration: Configuration, facts: PlanFacts
+    ) -> bool:
+        draft = replace(placement, version=placement.version + 1)
+        return self._plan(draft, configuration, tables.records_by_id, facts) != draft
 
 
 class _Losses:
@@ -178,13 +189,6 @@
     return now - entry.heard_at < SEAT_SILENT_SECONDS
 
 
-def _changes(
-    tables: Tables, placement: Placement, configuration: Configuration, facts: PlanFacts
-) -> bool:
-    draft = replace(placement, version=placement.version + 1)
-    return plan(draft, configuration, tables.records_by_id, facts) != draft
-
-
 def _free_instances(
     tables: Tables, placement: Placement, configuration: Configuration
 ) -> frozenset[InstanceId]:
--- a/src/cactuspass/_repair.py
+++ b/src/cactuspass/_repair.py
@@ -20,6 +20,7 @@
 SUBSTITUTE_SECONDS = 1.5
 BROKEN_SECONDS = 0.5
 LOST_SECONDS = 3.0
+SPARE_LOST_SECONDS = 15.0
 
 
 def silent_for(instance: InstanceRow | None, now: float) -> float:
@@ -39,10 +40,15 @@
 
 
 def is_leaving(tables: Tables, instance_id: InstanceId) -> bool:
-    """Return whether the instance, the list or an operator says that it must get no new work."""
+    """Return whether the instance, the list or an operator says that it must get no new work.
+
+    A list that does not name this entry either says nothing of what it lacks.
+    """
     record = tables.records_by_id.get(instance_id)
     instance = tables.instances_by_id.get(instance_id)
-    if record is None or record.state is InstanceState.LEAVING:
+    if record is None:
+        return InstanceId(tables.local.entry_id) in tables.records_by_id
+    if record.state is InstanceState.LEAVING:
         return True
     if instance is not None and instance.leaving:
         return True
@@ -149,9 +155,17 @@
 
 
 def lost_instances(tables: Tables, row: HeldGroupRow, now: float) -> tuple[InstanceId, ...]:
-    """Return the members and spares that have been unreachable for long."""
-    rows = ((name, tables.instances_by_id.get(name)) for name in bound_instances(row))
-    return tuple(sorted(name for name, row in rows if silent_for(row, now) >= LOST_SECONDS))
+    """Return the members and spares to be replaced by instances from outside the group.
+
+    A spare is waited for longer, since it may be a member that returns with its weights.
+    """
+    limits = dict.fromkeys(row.spares, SPARE_LOST_SECONDS)
+    limits |= dict.fromkeys(row.members, LOST_SECONDS)
+    return tuple(
+        name
+        for name, limit in sorted(limits.items())
+        if silent_for(tables.instances_by_id.get(name), now) >= limit
+    )
 
 
 def record_group(
