--- a/src/cactuspass/_held.py
+++ b/src/cactuspass/_held.py
@@ -26,7 +26,7 @@
             if isinstance(item, PeerHeard):
                 self._ramps.hear(item)
         for row in tables.held_groups_by_id.values():
-            self._refresh_group(tables, row)
+            self._refresh_group(tables, row, now)
         for group_id in self._known - tables.held_groups_by_id.keys():
             self._prefixes.forget(group_id)
         self._known = set(tables.held_groups_by_id)
@@ -63,16 +63,16 @@
         if item.boot_id and item.boot_id != self._first_boot(tables, row):
             self._ramps.distrust(tables, row)
 
-    def _refresh_group(self, tables: Tables, row: HeldGroupRow) -> None:
+    def _refresh_group(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
         """Bring one group's counts up to date."""
-        if row.foreign_since is None:
+        if not row.adopted:
             adopt_group(tables, row)
         restarted = bool(row.ramp_boot)
         if self._ramps.refresh(tables, row):
             self._prefixes.forget(row.group_id)
             if restarted and row.foreign_known:
                 forget_foreign(row)
-        observe_report(tables, row)
+        observe_report(tables, row, now)
 
     def _hear_cache(self, tables: Tables, item: CacheReported, now: float) -> None:
         """Apply a cache event to the group of its instance."""
--- a/src/cactuspass/_queues.py
+++ b/src/cactuspass/_queues.py
@@ -25,9 +25,9 @@
     :param start: virtual time at which the customer's next request starts.
     """
 
-    def __init__(self, weight: float, start: float) -> None:
-        self.weight = weight
-        self.start = start
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.start = 0.0
         self.cost = 0
         self._rows_by_priority: dict[Priority, OrderedDict[RequestId, RequestRow]] = {
             priority: OrderedDict() for priority in Priority
@@ -115,7 +115,7 @@
         """
         queue = self._queues_by_customer.get(row.customer)
         if queue is None:
-            queue = CustomerQueue(weight, self._virtual_time)
+            queue = CustomerQueue()
             self._queues_by_customer[row.customer] = queue
         if not len(queue):
             queue.start = max(queue.start, self._virtual_time)
--- a/src/cactuspass/_tables.py
+++ b/src/cactuspass/_tables.py
@@ -85,6 +85,27 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSample:
+    """A load report of a group's rank 0 that is kept until it can be compared with our counts."""
+
+    measured_at: float
+    boot_id: BootId
+    running: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignRequest:
+    """A request that a group may still run although this entry has no connection for it.
+
+    :param since: time from which it has been counted.
+    """
+
+    since: float
+    memory_tokens: int
+
+
 @dataclass(slots=True)
 class HeldGroupRow:
     """A group, or a plain service's instance, that this entry alone may send to.
@@ -95,10 +116,10 @@
     :param ramp: requests the group bears at present.
     :param foreign_held: requests that an earlier holder, or a broken connection of our own,
         may still have running.
-    :param foreign_tokens: memory tokens of those requests.
-    :param foreign_since: time after which a report must be measured to lower ``foreign_held``;
-        None before the row has been adopted by the admission system.
+    :param foreign_requests: those requests, oldest first.
+    :param adopted: whether the admission system has counted its own requests of the group.
     :param foreign_known: whether a report measured since ``held_from`` has come.
+    :param load_sample: the load report that is compared next.
     :param ramp_boot: boot ids of all members that ``ramp`` was observed under.
     """
 
@@ -118,9 +139,10 @@
     held_tokens: int = 0
     requests: set[RequestId] = field(default_factory=set)
     down_since: float | None = None
-    foreign_tokens: int = 0
-    foreign_since: float | None = None
+    foreign_requests: list[ForeignRequest] = field(default_factory=list)
+    adopted: bool = False
     foreign_known: bool = False
+    load_sample: LoadSample | None = None
     ramp_boot: BootId = BootId("")
 
 
--- a/tests/admission_fixtures.py
+++ b/tests/admission_fixtures.py
@@ -59,12 +59,14 @@
         instance = InstanceId(f"{name}-i")
         self.tables.instances_by_id[instance] = InstanceRow(instance, "127.0.0.1:2", kind.kind)
         row = HeldGroupRow(GroupId(name), MODEL, kind.kind, None, (instance,), serving=serving)
-        row.held_from = self.now
+        row.held_from = self.now - 1.0
         self.tables.held_groups_by_id[row.group_id] = row
         self.report(name, "b1")
         return row
 
-    def report(self, name: str, boot: str, running: int = 0, tokens: int = 0, lag: float = -0.2):
+    def report(
+        self, name: str, boot: str, running: int = 0, tokens: int = 0, lag: float = 0.6
+    ) -> None:
         """Take in a status report of a group's only instance."""
         row = self.tables.instances_by_id[InstanceId(f"{name}-i")]
         row.boot_id, row.connected, row.heard_at = BootId(boot), True, self.now
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -102,23 +102,33 @@
 
     def test_no_room_before_a_report_measured_after_the_takeover(self) -> None:
         world = AdmissionFixture()
-        world.report("g0", "b1", lag=1.0)
+        world.report("g0", "b1", lag=0.95)
         self.assertEqual(dispatched(world.tick(arrival("r0"))), [])
-        world.report("g0", "b1", running=1, lag=-0.2)
+        self.assertEqual(dispatched(world.tick(after=5.0)), [])
+        world.report("g0", "b1", running=1)
         self.assertEqual(dispatched(world.tick(after=0.1)), [])
-        world.report("g0", "b1", running=0, lag=0.05)
-        self.assertEqual(dispatched(world.tick(after=0.5)), [])
-        world.report("g0", "b1", running=0, lag=0.05)
+        world.report("g0", "b1", running=0)
         self.assertEqual(dispatched(world.tick(after=0.1)), ["r0"])
 
     def test_request_with_a_broken_connection_holds_its_place_until_reported_gone(self) -> None:
         world = AdmissionFixture()
         world.tick(arrival("r0"), arrival("r1"))
         self.assertEqual(dispatched(world.tick(finished("r0", succeeded=False), after=0.1)), [])
-        world.report("g0", "b1", running=0, lag=0.5)
-        self.assertEqual(dispatched(world.tick(after=0.1)), [])
-        world.report("g0", "b1", running=0, lag=-0.1)
-        self.assertEqual(dispatched(world.tick(after=0.1)), ["r1"])
+        world.report("g0", "b1", running=0)
+        self.assertEqual(dispatched(world.tick(after=0.5)), [])
+        world.report("g0", "b1", running=0, lag=0.3)
+        self.assertEqual(dispatched(world.tick(after=0.3)), ["r1"])
+
+    def test_report_is_compared_only_when_the_ends_before_it_are_known(self) -> None:
+        world = AdmissionFixture(UpstreamKind(KindId("draft"), 2, 2))
+        world.tick(arrival("broken"), arrival("r0"))
+        world.tick(finished("broken", succeeded=False), after=1.0)
+        world.now += 1.0
+        world.report("g0", "b1", running=1, lag=0.0)
+        world.tick(after=0.1)
+        world.tick(finished("r0"), after=0.1)
+        world.tick(after=0.4)
+        self.assertEqual(world.row().foreign_held, 1)
 
     def test_own_running_requests_count_when_the_group_comes_back(self) -> None:
         world = AdmissionFixture()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -18,6 +18,7 @@
 from cactuspass.models import (
     DataCentreId,
     EntryId,
+    GroupId,
     InstanceId,
     KindId,
     RequestId,
@@ -40,11 +41,18 @@
         return [order.entry_id for order in orders if isinstance(order, Forward)]
 
     def test_counts_what_was_sent_since_the_report(self) -> None:
-        self.world.add_peer("e2")
-        self.world.add_peer("e3")
+        self.world.add_peer("e2", free=8)
+        self.world.add_peer("e3", free=6, held=2)
         targets = self.targets(20)
         self.assertAlmostEqual(targets.count("e2"), 10, delta=2)
 
+    def test_prefixes_bring_requests_back_to_a_peer_until_the_load_outweighs_them(self) -> None:
+        self.world.add_peer("e2", free=30)
+        self.world.add_peer("e3", free=30)
+        targets = self.targets(20, prefixes=("p",))
+        self.assertEqual(len(set(targets[:4])), 1)
+        self.assertEqual(len(set(targets)), 2)
+
     def test_heartbeat_clears_what_was_sent_before_it(self) -> None:
         peer = self.world.add_peer("e2", free=8)
         self.targets(20)
@@ -113,14 +121,20 @@
         self.assertEqual(len({order.group_id for order in orders}), 3)
 
     def test_restart_forgets_prefixes(self) -> None:
-        for name in ("g0", "g1"):
-            self.world.hold(name, WARM)
-        self.world.tick(arrival("r0", prefixes=("p",)), arrival("r1"))
-        self.world.tick(RequestFinished(RequestId("r0"), True), after=0.1)
-        self.world.report("g0", "b2")
-        orders = self.world.tick(arrival("r2", prefixes=("p",)), after=0.1)
+        for boot, group in (("b1", "g0"), ("b2", "g1")):
+            self.world = AdmissionFixture(WARM, groups=2)
+            self.world.tick(arrival("r0", prefixes=("p",)))
+            self.world.tick(RequestFinished(RequestId("r0"), True), arrival("r1"), after=0.1)
+            self.world.report("g0", boot)
+            orders = self.world.tick(arrival("r2", prefixes=("p",)), after=0.1)
+            self.assertEqual([order.group_id for order in orders], [group])  # type: ignore
+
+    def test_cache_events_count_for_the_group_of_their_instance(self) -> None:
+        self.world = AdmissionFixture(WARM, groups=2)
+        self.world.tables.instances_by_id[InstanceId("g1-i")].group_id = GroupId("g1")
         self.world.tick(CacheReported(InstanceId("g1-i"), 1, ("p",)))
-        self.assertEqual([order.group_id for order in orders], ["g0"])  # type: ignore
+        orders = self.world.tick(arrival("r", prefixes=("p",)))
+        self.assertEqual([order.group_id for order in orders], ["g1"])  # type: ignore
 
     def test_summaries_split_the_queue(self) -> None:
         for name in ("g0", "g1"):
