Book the returns of refused callers and measure a flood

Cause: a caller that came back as told was often refused again, because the time was worked out from a share that others' load then took.

Change: returns are booked at the fair share, which the queue keeps for the customer whatever others send; new requests wait behind booked ones. The capacity counts the share of successes of each group, and dispatch prefers groups that succeed.

Callers that do not mark their returns are not told apart from new requests and do worse.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -31,7 +31,7 @@
 from cactuspass._served import is_known_model, largest_memory
 from cactuspass._tables import HeldGroupRow, RequestRow, Tables
 
-SOON_SECONDS = 3.0
+SOON_SECONDS = 7.0
 REROUTE_SECONDS = 1.0
 REVIEW_SECONDS = 0.25
 
@@ -42,7 +42,7 @@
     def __init__(self, gate: Gate, rng: random.Random, forecast: Forecast) -> None:
         self._forecast = forecast
         prefixes = PrefixMemory()
-        self._router = Router(gate, rng, prefixes)
+        self._router = Router(gate, rng, prefixes, forecast)
         self._held = HeldGroups(prefixes, forecast)
         self._refusals = RefusalPolicy(forecast, ReturnBook(rng))
         self._queues_by_model: dict[str, FairQueue] = {}
@@ -129,12 +129,9 @@
             return able
         since = self._unable_since_by_model.get(item.model, now)
         patience = SOON_SECONDS if item.forwarded_by is None else REROUTE_SECONDS
-        rows = _large_enough(tables, self._router.own_rows(tables, item.model), item.tokens)
-        return [
-            row
-            for row in rows
-            if row.held_from < item.deadline and now < max(row.held_from, since) + patience
-        ]
+        if now >= since + patience:
+            return []
+        return _large_enough(tables, self._router.own_rows(tables, item.model), item.tokens)
 
     def _enqueue(
         self, tables: Tables, item: RequestArrived, own: list[HeldGroupRow], now: float
--- a/src/cactuspass/_forecast.py
+++ b/src/cactuspass/_forecast.py
@@ -6,10 +6,12 @@
 from cactuspass._limits import room_of
 from cactuspass._ramp import bearable_requests, kind_of
 from cactuspass._tables import HeldGroupRow, RequestRow, Tables
-from cactuspass.models import CustomerId
+from cactuspass.models import CustomerId, GroupId
 
 SERVICE_SAMPLES = 20
 RATE_SECONDS = 5.0
+MIN_RATE_SECONDS = 1.0
+SUCCESS_SAMPLES = 20
 ACTIVE_TOKENS_PER_SECOND = 0.01
 
 
@@ -32,18 +34,24 @@
 class RateMeter:
     """Exponentially decaying rate of dispatched tokens."""
 
-    tokens_per_second: float = 0.0
+    since: float
+    sum_per_second: float = 0.0
     at: float = 0.0
 
     def value(self, now: float) -> float:
-        """Return the rate at ``now``, in tokens per second."""
-        return self.tokens_per_second * math.exp((self.at - now) / RATE_SECONDS)
+        """Return the rate at ``now``, in tokens per second, of the time observed so far."""
+        observed = max(MIN_RATE_SECONDS, now - self.since)
+        return self._decayed(now) / (1.0 - math.exp(-observed / RATE_SECONDS))
 
     def add(self, tokens: float, now: float) -> None:
         """Count dispatched tokens."""
-        self.tokens_per_second = self.value(now) + tokens / RATE_SECONDS
+        self.sum_per_second = self._decayed(now) + tokens / RATE_SECONDS
         self.at = now
 
+    def _decayed(self, now: float) -> float:
+        """Return the decayed sum at ``now``."""
+        return self.sum_per_second * math.exp((self.at - now) / RATE_SECONDS)
+
 
 class Forecast:
     """Estimates how long a customer's request waits for a model."""
@@ -52,11 +60,26 @@
         self._services_by_model: dict[str, ServiceTime] = {}
         self._meters_by_model: dict[str, dict[CustomerId, RateMeter]] = {}
         self._capacities_by_model: dict[str, float] = {}
+        self._success_by_group: dict[GroupId, float] = {}
 
     def dispatched(self, row: RequestRow, now: float) -> None:
         """Count a request as served to its customer."""
         meters = self._meters_by_model.setdefault(row.model, {})
-        meters.setdefault(row.customer, RateMeter()).add(max(1, row.tokens), now)
+        meters.setdefault(row.customer, RateMeter(now)).add(max(1, row.tokens), now)
+
+    def success(self, group_id: GroupId) -> float:
+        """Return the share of a group's latest requests that succeeded."""
+        return self._success_by_group.get(group_id, 1.0)
+
+    def ended(self, group_id: GroupId, succeeded: bool) -> None:
+        """Count the outcome of a request for its group."""
+        success = self.success(group_id)
+        change = (float(succeeded) - success) / SUCCESS_SAMPLES
+        self._success_by_group[group_id] = success + change
+
+    def forget_group(self, group_id: GroupId) -> None:
+        """Forget the outcomes of a group that is held no longer or has restarted."""
+        self._success_by_group.pop(group_id, None)
 
     def completed(self, row: RequestRow, now: float) -> None:
         """Count the service time of a request that succeeded."""
@@ -78,7 +101,7 @@
         if service is None:
             self._capacities_by_model.pop(model, None)
             return
-        slots = sum(self._slots(tables, row, service) for row in rows)
+        slots = sum(self._slots(tables, row, service) * self.success(row.group_id) for row in rows)
         self._capacities_by_model[model] = slots * service.tokens / service.seconds
 
     def _slots(self, tables: Tables, row: HeldGroupRow, service: ServiceTime) -> float:
@@ -92,18 +115,34 @@
 
         It is the larger of the fair share and of what the other customers leave.
 
+        :return: None while nothing is known of the model.
+        """
+        capacity = self._capacities_by_model.get(model)
+        fair = self.fair_share(model, customer, tables, now)
+        if capacity is None or fair is None:
+            return None
+        return max(fair, capacity - sum(self._other_rates(model, customer, now).values()))
+
+    def fair_share(
+        self, model: str, customer: CustomerId, tables: Tables, now: float
+    ) -> float | None:
+        """Return the rate that the customer gets whatever the others send.
+
         :return: None while nothing is known of the model.
         """
         capacity = self._capacities_by_model.get(model)
         if capacity is None:
             return None
-        meters = self._meters_by_model.get(model, {})
-        rates = {key: meter.value(now) for key, meter in meters.items() if key != customer}
-        active = {key: rate for key, rate in rates.items() if rate > ACTIVE_TOKENS_PER_SECOND}
         weights = tables.weights_by_customer
         own = weights.get(customer, 1.0)
-        others = sum(weights.get(key, 1.0) for key in active)
-        return max(capacity * own / (own + others), capacity - sum(active.values()))
+        others = self._other_rates(model, customer, now)
+        return capacity * own / (own + sum(weights.get(key, 1.0) for key in others))
+
+    def _other_rates(self, model: str, customer: CustomerId, now: float) -> dict[CustomerId, float]:
+        """Return the rates of the other customers that were served lately."""
+        meters = self._meters_by_model.get(model, {})
+        rates = {key: meter.value(now) for key, meter in meters.items() if key != customer}
+        return {key: rate for key, rate in rates.items() if rate > ACTIVE_TOKENS_PER_SECOND}
 
     def wait(
         self, model: str, customer: CustomerId, cost: float, tables: Tables, now: float
--- a/src/cactuspass/_held.py
+++ b/src/cactuspass/_held.py
@@ -29,6 +29,7 @@
             self._refresh_group(tables, row, now)
         for group_id in self._known - tables.held_groups_by_id.keys():
             self._prefixes.forget(group_id)
+            self._forecast.forget_group(group_id)
         self._known = set(tables.held_groups_by_id)
         for item in inputs:
             if isinstance(item, CacheReported):
@@ -49,6 +50,7 @@
         request = tables.requests_by_id.pop(item.request_id, None)
         if request is None or request.group_id is None:
             return
+        self._forecast.ended(request.group_id, item.succeeded)
         if item.succeeded:
             self._forecast.completed(request, now)
         row = tables.held_groups_by_id.get(request.group_id)
@@ -70,6 +72,7 @@
         restarted = bool(row.ramp_boot)
         if self._ramps.refresh(tables, row):
             self._prefixes.forget(row.group_id)
+            self._forecast.forget_group(row.group_id)
             if restarted and row.foreign_known:
                 forget_foreign(row)
         observe_report(tables, row, now)
--- a/src/cactuspass/_refusals.py
+++ b/src/cactuspass/_refusals.py
@@ -49,12 +49,13 @@
         :param waiting: tokens that the customer has waiting.
         """
         share = self._forecast.share(item.model, item.customer, tables, now)
-        if share is None or share <= 0:
+        sure = self._forecast.fair_share(item.model, item.customer, tables, now)
+        if not share or not sure:
             return Refuse(item.request_id, reason, UNKNOWN_RETRY_SECONDS * self._returns.jitter())
         cost = cost_of(item)
         patience = AIMED_SHARE_OF_DEADLINE * max(0.0, item.deadline - now)
         earliest = now + max(0.0, (waiting + cost) / share - patience)
-        period = self._returns.book(item.model, item.customer, cost, share, earliest, now)
+        period = self._returns.book(item.model, item.customer, cost, sure, earliest, now)
         return Refuse(item.request_id, reason, period)
 
     def outage(self, item: RequestArrived | RequestRow, down_for: float) -> Refuse:
--- a/src/cactuspass/_returns.py
+++ b/src/cactuspass/_returns.py
@@ -9,6 +9,7 @@
 MAX_RETRY_SECONDS = 600.0
 RETRY_JITTER = 0.1
 GRACE_SECONDS = 3.0
+BOOKED_SHARE = 0.9
 RETURN_SAMPLES = 50
 
 
@@ -46,7 +47,7 @@
     ) -> float:
         """Book a place and return the seconds after which the caller should come back.
 
-        :param share: rate at which the customer is served, in tokens per second.
+        :param share: rate that the customer gets whatever others send, in tokens per second.
         :param earliest: time before which a return would not find room.
         """
         returns = self._returns_by_key.setdefault((model, customer), CustomerReturns())
@@ -54,7 +55,7 @@
         start = max(returns.cursor, earliest, now + MIN_RETRY_SECONDS)
         if start >= latest:
             return MAX_RETRY_SECONDS * self.jitter()
-        returns.cursor = start + cost / share
+        returns.cursor = start + cost / (BOOKED_SHARE * share)
         period = (start - now) * self.jitter()
         second = int(now + period)
         returns.costs_by_second[second] = returns.costs_by_second.get(second, 0.0) + cost
--- a/src/cactuspass/_routing.py
+++ b/src/cactuspass/_routing.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from cactuspass._forecast import Forecast
 from cactuspass._gate import Gate
 from cactuspass._messages import PeerHeard, RequestArrived
 from cactuspass._prefixes import PrefixMemory
@@ -18,6 +19,7 @@
 FORWARD_LOAD = 0.05
 REMOTE_LOAD = 0.5
 JITTER_LOAD = 0.05
+FAILURE_LOAD = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +37,10 @@
 class Router:
     """Compares own groups and peers by load, prefix affinity and distance."""
 
-    def __init__(self, gate: Gate, rng: random.Random, prefixes: PrefixMemory) -> None:
+    def __init__(
+        self, gate: Gate, rng: random.Random, prefixes: PrefixMemory, forecast: Forecast
+    ) -> None:
+        self._forecast = forecast
         self._gate = gate
         self._rng = rng
         self._prefixes = prefixes
@@ -94,8 +99,9 @@
         return min(places, key=lambda place: place.score, default=None)
 
     def group_score(self, tables: Tables, request: RequestRow, row: HeldGroupRow) -> float:
-        """Return load less affinity of one own group; the lowest is chosen."""
+        """Return load and failures less affinity of one own group; the lowest is chosen."""
         load = (len(row.requests) + row.foreign_held) / max(1, bearable_requests(tables, row))
+        load += FAILURE_LOAD * (1.0 - self._forecast.success(row.group_id))
         return load - AFFINITY_LOAD * self._prefixes.matched(row.group_id, request.prefixes)
 
     def _own_score(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Tests of admission: ramps, limits, refusals and moves."""
 
+import random
 import unittest
 
 from cactuspass._messages import (
@@ -13,6 +14,8 @@
     RequestFinished,
     RequestWithdrawn,
 )
+from cactuspass._refusals import RefusalPolicy
+from cactuspass._returns import ReturnBook
 from cactuspass._summaries import summaries
 from cactuspass.models import (
     BootId,
@@ -174,6 +177,22 @@
         orders = self.world.tick(after=0.3)
         self.assertEqual(self.refusals(orders), [RefusalReason.DEADLINE] * 2)
 
+    def test_booked_return_finds_room_that_a_new_request_does_not(self) -> None:
+        world = self.world
+        policy = RefusalPolicy(world.forecast, ReturnBook(random.Random(1)))
+        late = [arrival(f"w{i}", deadline=world.now + 5.0) for i in range(10)]
+        refusals = [
+            policy.crowded(world.tables, item, RefusalReason.DEADLINE, 0.0, world.now)
+            for item in late
+        ]
+        periods = sorted(order.retry_after for order in refusals)
+        self.assertGreater(periods[-1] - periods[0], 9.0)
+        now = world.now + periods[0]
+        for returning in (True, False):
+            item = arrival("r", deadline=now + 5.0, returning=returning)
+            hopeless = policy.is_hopeless(world.tables, item, 0.0, now)
+            self.assertEqual(hopeless, not returning)
+
     def test_withdrawn_request_gets_no_order(self) -> None:
         self.world.tick(arrival("r3"))
         gone = RequestWithdrawn(RequestId("r3"))
