Know returning callers by their prompts

Change: a refused prompt is remembered and counts as a return when it is due; a retry after a failed try counts as one too. The test ticks once before it books, and checks more cases than before.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -167,6 +167,7 @@
 
     policy = "fair queue, Retry-After, retry budget"
     marks_returns = True
+    has_prompts = False
 
     def __init__(self, seconds: float, seed: int) -> None:
         super().__init__(seconds, seed)
@@ -195,6 +196,7 @@
                 Priority.NORMAL,
                 client.deadline,
                 excluded=client.excluded,
+                prefixes=(client.name,) if self.has_prompts else (),
                 returning=client.returned and self.marks_returns,
             )
         )
@@ -236,10 +238,18 @@
         self.schedule.at(at, come_back)
 
 
+class PromptFairRun(FairRun):
+    """The same with clients that don't mark returns, which are known by their prompts."""
+
+    policy = "the same, returns known by their prompts"
+    marks_returns = False
+    has_prompts = True
+
+
 class UnmarkedFairRun(FairRun):
-    """The same with clients that don't say that they come back."""
+    """The same with clients whose returns look like new requests."""
 
-    policy = "the same, returns not marked"
+    policy = "the same, returns not told apart"
     marks_returns = False
 
 
@@ -299,7 +309,7 @@
     :param quick: simulate 30 s in place of 120 s.
     """
     seconds = 30.0 if quick else 120.0
-    policies = (FairRun, UnmarkedFairRun, NaiveRun)
+    policies = (FairRun, PromptFairRun, UnmarkedFairRun, NaiveRun)
     return OverloadReport(seconds, tuple(policy(seconds, 11).run() for policy in policies))
 
 
--- a/src/cactuspass/_refusals.py
+++ b/src/cactuspass/_refusals.py
@@ -5,7 +5,7 @@
 from cactuspass._forecast import Forecast
 from cactuspass._messages import RefusalReason, Refuse, RequestArrived
 from cactuspass._queues import cost_of
-from cactuspass._returns import ReturnBook
+from cactuspass._returns import Booking, ReturnBook
 from cactuspass._tables import RequestRow, Tables
 
 UNKNOWN_RETRY_SECONDS = 2.0
@@ -25,13 +25,15 @@
     def is_hopeless(self, tables: Tables, item: RequestArrived, waiting: float, now: float) -> bool:
         """Return whether a new request would surely miss its deadline.
 
-        A request that is not a return also waits behind the returns that are due before its
-        deadline, so that those who follow their ``Retry-After`` find the room they were told of.
+        A request that is neither a return nor a retry also waits behind the returns that are
+        due before its deadline, so that those who follow their ``Retry-After`` find the room
+        that they were told of.
         """
         if item.deadline <= now:
             return True
         cost = cost_of(item)
-        if not self._returns.redeem(item.model, item.customer, cost, item.returning, now):
+        known = item.returning or bool(item.excluded)
+        if not self._returns.redeem(_booking(item), known, now):
             waiting += self._returns.booked(item.model, item.customer, item.deadline)
         wait = self._forecast.wait(item.model, item.customer, waiting + cost, tables, now)
         return wait is not None and now + wait > item.deadline
@@ -55,7 +57,7 @@
         cost = cost_of(item)
         patience = AIMED_SHARE_OF_DEADLINE * max(0.0, item.deadline - now)
         earliest = now + max(0.0, (waiting + cost) / share - patience)
-        period = self._returns.book(item.model, item.customer, cost, sure, earliest, now)
+        period = self._returns.book(_booking(item), sure, earliest, now)
         return Refuse(item.request_id, reason, period)
 
     def outage(self, item: RequestArrived | RequestRow, down_for: float) -> Refuse:
@@ -89,6 +91,12 @@
         self._returns.forget_missed(now)
 
 
+def _booking(item: RequestArrived | RequestRow) -> Booking:
+    """Return what is booked for a request when it is refused."""
+    prompt = item.prefixes[-1] if item.prefixes else ""
+    return Booking(item.model, item.customer, cost_of(item), prompt)
+
+
 def is_late(row: RequestRow, wait: float | None, now: float) -> bool:
     """Return whether a waiting request surely misses its deadline.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -179,19 +179,21 @@
 
     def test_booked_return_finds_room_that_a_new_request_does_not(self) -> None:
         world = self.world
-        policy = RefusalPolicy(world.forecast, ReturnBook(random.Random(1)))
-        late = [arrival(f"w{i}", deadline=world.now + 5.0) for i in range(10)]
-        refusals = [
-            policy.crowded(world.tables, item, RefusalReason.DEADLINE, 0.0, world.now)
-            for item in late
-        ]
-        periods = sorted(order.retry_after for order in refusals)
-        self.assertGreater(periods[-1] - periods[0], 9.0)
-        now = world.now + periods[0]
-        for returning in (True, False):
-            item = arrival("r", deadline=now + 5.0, returning=returning)
+        world.tick(after=0.1)
+        late = [arrival(f"w{i}", deadline=world.now + 5.0, prefixes=(f"p{i}",)) for i in range(10)]
+        cases = {("new", False): True, ("new", True): False, ("p0", False): False}
+        for (prompt, returning), expected in (cases | {("p9", False): True}).items():
+            policy = RefusalPolicy(world.forecast, ReturnBook(random.Random(1)))
+            refusals = [
+                policy.crowded(world.tables, item, RefusalReason.DEADLINE, 0.0, world.now)
+                for item in late
+            ]
+            periods = sorted(order.retry_after for order in refusals)
+            self.assertGreater(periods[-1] - periods[0], 9.0)
+            now = world.now + refusals[0].retry_after
+            item = arrival("r", deadline=now + 5.0, returning=returning, prefixes=(prompt,))
             hopeless = policy.is_hopeless(world.tables, item, 0.0, now)
-            self.assertEqual(hopeless, not returning)
+            self.assertEqual(hopeless, expected)
 
     def test_withdrawn_request_gets_no_order(self) -> None:
         self.world.tick(arrival("r3"))
