--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,355 @@
+"""Prefix-cache hits of affinity routing, round robin and least load, with late events."""
+
+import random
+from abc import ABC, abstractmethod
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field, replace
+from itertools import cycle
+
+from bench.upstream_pool import OpenGate, Schedule, Upstream, hold_group, make_tables, report
+from cactuspass._admission import AdmissionSystem
+from cactuspass._forecast import Forecast
+from cactuspass._messages import (
+    CacheReported,
+    Dispatch,
+    Forward,
+    Input,
+    PeerHeard,
+    Refuse,
+    RequestArrived,
+    RequestFinished,
+)
+from cactuspass._summaries import summaries
+from cactuspass._tables import EntryRow, Tables
+from cactuspass.models import (
+    CustomerId,
+    EntryId,
+    GroupId,
+    InstanceId,
+    KindId,
+    Priority,
+    RequestId,
+    UpstreamKind,
+)
+
+ENTRIES = 6
+GROUPS = 12
+SLOTS = 8
+KIND = UpstreamKind(KindId("k"), SLOTS, SLOTS)
+MODEL = "m"
+LOAD = 0.65
+SERVICE_SECONDS = 1.0
+CACHE_BLOCKS = 600
+SESSIONS = 200
+SYSTEM_PROMPTS = 5
+SYSTEM_BLOCKS = 4
+TURN_BLOCKS = 2
+MAX_TURNS = 20
+STEP_SECONDS = 0.02
+BEAT_SECONDS = 1.0
+EVENT_LAG_SECONDS = 2.0
+EVENT_LOSS = 0.2
+DEADLINE_SECONDS = 10.0
+WARM_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class Session:
+    """A conversation whose prompt grows with each turn."""
+
+    system: int
+    number: int
+    turns: int = 0
+
+    def prefixes(self) -> tuple[str, ...]:
+        """Return the hashes of the prompt's leading blocks."""
+        shared = (f"s{self.system}.{block}" for block in range(SYSTEM_BLOCKS))
+        own = (f"c{self.number}.{block}" for block in range(TURN_BLOCKS * self.turns))
+        return (*shared, *own)
+
+
+@dataclass(slots=True)
+class Cache:
+    """Prefix blocks that an upstream truly has, least recently used first."""
+
+    blocks: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    sequence: int = 0
+
+    def use(self, prefixes: tuple[str, ...]) -> tuple[int, tuple[str, ...], tuple[str, ...]]:
+        """Serve a prompt; return the blocks that were cached, those added and those removed."""
+        hits = next((i for i, key in enumerate(prefixes) if key not in self.blocks), len(prefixes))
+        added = tuple(key for key in prefixes if key not in self.blocks)
+        for key in reversed(prefixes):
+            self.blocks[key] = None
+            self.blocks.move_to_end(key)
+        excess = max(0, len(self.blocks) - CACHE_BLOCKS)
+        removed = tuple(self.blocks.popitem(last=False)[0] for _ in range(excess))
+        self.sequence += 1
+        return hits, added, removed
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingFigures:
+    """Outcome of one policy.
+
+    :param hit_ratio: prompt blocks found in the cache over all prompt blocks.
+    :param wait_p95: seconds from arrival to dispatch that 95 in 100 requests stay below.
+    """
+
+    policy: str
+    hit_ratio: float
+    wait_p95: float
+    refused: int
+
+
+class RoutingRun(ABC):
+    """Sessions, caches and upstreams that the policies share."""
+
+    policy = ""
+
+    def __init__(self, seconds: float, seed: int) -> None:
+        self.seconds = seconds
+        self.rng = random.Random(seed)
+        self.schedule = Schedule()
+        self.upstreams = [Upstream(KIND) for _ in range(GROUPS)]
+        self.caches = [Cache() for _ in range(GROUPS)]
+        self.sessions = [self._session(number) for number in range(SESSIONS)]
+        self.next_session = SESSIONS
+        self.count = self.hits = self.blocks = self.refused = 0
+        self.waits: list[float] = []
+        self.rate = LOAD * GROUPS * SLOTS / SERVICE_SECONDS
+        self.schedule.at(0.0, self._arrive)
+
+    def _session(self, number: int) -> Session:
+        return Session(self.rng.randrange(SYSTEM_PROMPTS), number, self.rng.randrange(MAX_TURNS))
+
+    def _arrive(self, now: float) -> None:
+        """Let one session take its next turn, at any entry."""
+        place = self.rng.randrange(SESSIONS)
+        session = self.sessions[place]
+        session.turns += 1
+        if session.turns > MAX_TURNS:
+            session = Session(self.rng.randrange(SYSTEM_PROMPTS), self.next_session, 1)
+            self.sessions[place] = session
+            self.next_session += 1
+        self.count += 1
+        request = RequestArrived(
+            RequestId(f"r{self.count}"),
+            CustomerId(f"c{session.number % 10}"),
+            MODEL,
+            100,
+            Priority.NORMAL,
+            now + DEADLINE_SECONDS,
+            prefixes=session.prefixes(),
+        )
+        self.arrive(self.rng.randrange(ENTRIES), request, now)
+        self.schedule.at(now + self.rng.expovariate(self.rate), self._arrive)
+
+    @abstractmethod
+    def arrive(self, entry: int, request: RequestArrived, now: float) -> None:
+        """Take a request at an entry."""
+
+    @abstractmethod
+    def step(self, now: float) -> None:
+        """Send what may be sent."""
+
+    @abstractmethod
+    def finished(self, group: int, request: RequestArrived) -> None:
+        """Learn that a request ended."""
+
+    @abstractmethod
+    def cached(self, group: int, event: CacheReported) -> None:
+        """Learn of a cache event that was not lost."""
+
+    def send(self, group: int, request: RequestArrived, now: float) -> None:
+        """Send a request to an upstream."""
+        upstream = self.upstreams[group]
+        upstream.start(request.request_id)
+        cache = self.caches[group]
+        hits, added, removed = cache.use(request.prefixes)
+        if now > WARM_SECONDS:
+            self.hits += hits
+            self.blocks += len(request.prefixes)
+            self.waits.append(now - (request.deadline - DEADLINE_SECONDS))
+        event = CacheReported(InstanceId(f"g{group}"), cache.sequence, added, removed)
+        if self.rng.random() >= EVENT_LOSS:
+            self.schedule.at(now + EVENT_LAG_SECONDS, lambda at: self.cached(group, event))
+
+        def finish(at: float) -> None:
+            upstream.finish(request.request_id)
+            self.finished(group, request)
+
+        period = SERVICE_SECONDS * self.rng.uniform(0.5, 1.5)
+        self.schedule.at(now + period, finish)
+
+    def run(self) -> RoutingFigures:
+        """Run to the end and return the figures."""
+        for step in range(1, round(self.seconds / STEP_SECONDS) + 1):
+            now = step * STEP_SECONDS
+            self.schedule.run_until(now)
+            self.step(now)
+        waits = sorted(self.waits)
+        p95 = waits[int(0.95 * len(waits))]
+        return RoutingFigures(self.policy, self.hits / self.blocks, p95, self.refused)
+
+
+class AffinityRun(RoutingRun):
+    """The admission systems of all entries, which forward to one another."""
+
+    policy = "affinity against load"
+
+    def __init__(self, seconds: float, seed: int) -> None:
+        super().__init__(seconds, seed)
+        self.tables: list[Tables] = []
+        self.systems: list[AdmissionSystem] = []
+        self.inboxes: list[list[Input]] = [[] for _ in range(ENTRIES)]
+        self.requests_by_id: dict[RequestId, RequestArrived] = {}
+        self.beat_at = -BEAT_SECONDS
+        for entry in range(ENTRIES):
+            tables = make_tables(f"e{entry}", KIND)
+            for group in range(entry, GROUPS, ENTRIES):
+                hold_group(tables, f"g{group}", MODEL, KIND).model = MODEL
+                tables.instances_by_id[InstanceId(f"g{group}")].group_id = GroupId(f"g{group}")
+            self.tables.append(tables)
+            self.systems.append(AdmissionSystem(OpenGate(), random.Random(entry), Forecast()))
+
+    def arrive(self, entry: int, request: RequestArrived, now: float) -> None:
+        """Hand the request to its entry."""
+        self.requests_by_id[request.request_id] = request
+        self.inboxes[entry].append(request)
+
+    def finished(self, group: int, request: RequestArrived) -> None:
+        """Tell the holder."""
+        self.inboxes[group % ENTRIES].append(RequestFinished(request.request_id, True))
+
+    def cached(self, group: int, event: CacheReported) -> None:
+        """Tell the holder."""
+        self.inboxes[group % ENTRIES].append(event)
+
+    def step(self, now: float) -> None:
+        """Tick every entry; forwarded requests arrive at the next step."""
+        if now - self.beat_at >= BEAT_SECONDS:
+            self.beat_at = now
+            self._beat(now)
+        forwarded: list[tuple[int, RequestArrived]] = []
+        for entry, system in enumerate(self.systems):
+            inputs, self.inboxes[entry] = tuple(self.inboxes[entry]), []
+            for order in system.run(self.tables[entry], inputs, now):
+                if isinstance(order, Dispatch):
+                    request = self.requests_by_id[order.request_id]
+                    self.send(int(order.group_id[1:]), request, now)
+                elif isinstance(order, Forward):
+                    request = self.requests_by_id[order.request_id]
+                    by = EntryId(f"e{entry}")
+                    forwarded.append((int(order.entry_id[1:]), replace(request, forwarded_by=by)))
+                elif isinstance(order, Refuse):
+                    self.refused += 1
+        for entry, request in forwarded:
+            self.inboxes[entry].append(request)
+
+    def _beat(self, now: float) -> None:
+        """Exchange load reports and heartbeats."""
+        for group, upstream in enumerate(self.upstreams):
+            report(self.tables[group % ENTRIES], f"g{group}", upstream, now)
+        for entry, tables in enumerate(self.tables):
+            rows = summaries(tables, now)
+            local = tables.local
+            heard = PeerHeard(
+                local.entry_id,
+                local.incarnation,
+                local.data_centre,
+                "",
+                0,
+                (),
+                0,
+                True,
+                False,
+                rows,
+            )
+            for other in set(range(ENTRIES)) - {entry}:
+                row = EntryRow(local.entry_id, local.incarnation, local.data_centre, "", now)
+                row.ready = True
+                row.groups_by_id = {item.group_id: item for item in rows}
+                self.tables[other].entries_by_id[local.entry_id] = row
+                self.inboxes[other].append(heard)
+
+
+class SilentAffinityRun(AffinityRun):
+    """The same without any cache event."""
+
+    policy = "affinity against load, no cache events"
+
+    def cached(self, group: int, event: CacheReported) -> None:
+        """Lose the event."""
+
+
+class CentralRun(RoutingRun):
+    """One queue that knows the true load at once."""
+
+    def __init__(self, seconds: float, seed: int) -> None:
+        super().__init__(seconds, seed)
+        self.queue: deque[RequestArrived] = deque()
+
+    def arrive(self, entry: int, request: RequestArrived, now: float) -> None:
+        """Queue the request."""
+        self.queue.append(request)
+
+    def finished(self, group: int, request: RequestArrived) -> None:
+        """Ignore the end, which the upstream itself counts."""
+
+    def cached(self, group: int, event: CacheReported) -> None:
+        """Ignore the event."""
+
+    def step(self, now: float) -> None:
+        """Send while the chosen group has room."""
+        while self.queue:
+            group = self.choose()
+            if len(self.upstreams[group].running) >= SLOTS:
+                break
+            self.send(group, self.queue.popleft(), now)
+
+    @abstractmethod
+    def choose(self) -> int:
+        """Return the group for the next request."""
+
+
+class RoundRobinRun(CentralRun):
+    """Each group in turn."""
+
+    policy = "round robin"
+
+    def __init__(self, seconds: float, seed: int) -> None:
+        super().__init__(seconds, seed)
+        self.turns = cycle(range(GROUPS))
+
+    def choose(self) -> int:
+        """Return the next group in turn, skipping full ones."""
+        turns = (next(self.turns) for _ in range(GROUPS))
+        free = (group for group in turns if len(self.upstreams[group].running) < SLOTS)
+        return next(free, 0)
+
+
+class LeastLoadedRun(CentralRun):
+    """The group that runs least."""
+
+    policy = "least loaded"
+
+    def choose(self) -> int:
+        """Return the least loaded group, any of them on a tie."""
+        loads = [len(upstream.running) for upstream in self.upstreams]
+        return self.rng.choice([g for g, load in enumerate(loads) if load == min(loads)])
+
+
+def run(quick: bool) -> tuple[RoutingFigures, ...]:
+    """Run each policy on the same kind of sessions.
+
+    :param quick: simulate 20 s in place of 60 s.
+    """
+    seconds = 20.0 if quick else 60.0
+    policies = (AffinityRun, SilentAffinityRun, RoundRobinRun, LeastLoadedRun)
+    return tuple(policy(seconds, 3).run() for policy in policies)
+
+
+if __name__ == "__main__":
+    for row in run(quick=False):
+        print(row)
