--- a/src/cactuspass/_bindings.py
+++ b/src/cactuspass/_bindings.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from cactuspass._configuration import is_taken_out
 from cactuspass._confirm import is_confirmed
 from cactuspass._gate import Gate
 from cactuspass._gateway import RetryPolicy, SendGuard
 from cactuspass._holding import holds
+from cactuspass._in_force import is_taken_out
 from cactuspass._retries import RetryBudget
 from cactuspass._tables import HeldGroupRow, Tables
 from cactuspass.models import GroupId, InstanceId, TakeOutKind
--- a/src/cactuspass/_configuration_changes.py
+++ b/src/cactuspass/_configuration_changes.py
@@ -7,9 +7,9 @@
     merge_take_outs,
     remove_declaration,
     return_target,
-    take_outs_in_force,
 )
 from cactuspass._documents import ConfigurationChange
+from cactuspass._in_force import take_outs_in_force
 from cactuspass._statements import (
     DeclareCommand,
     RecommitCommand,
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -16,7 +16,6 @@
 from cactuspass._caller_requests import RequestDefaults, RequestReader
 from cactuspass._callers import CallerServer, CallerSettings
 from cactuspass._claim_store import ClaimStore, claim_spacing
-from cactuspass._configuration import ConfigurationSystem
 from cactuspass._core import Core, System
 from cactuspass._counters import Counters
 from cactuspass._documents import DocumentStore
@@ -30,6 +29,7 @@
 from cactuspass._groups import GroupSystem
 from cactuspass._handover import HandoverSystem
 from cactuspass._http_exchange import UpstreamClient
+from cactuspass._in_force import ConfigurationSystem
 from cactuspass._instance_list import HttpInstanceList
 from cactuspass._keyed_requests import KeyedRequests, is_owner_gone
 from cactuspass._logs import StateLog
--- a/src/cactuspass/_front.py
+++ b/src/cactuspass/_front.py
@@ -4,9 +4,9 @@
 
 from cactuspass._burn import BurnLedger
 from cactuspass._callers import CallOutcome, FrontDoor
-from cactuspass._configuration import is_taken_out
 from cactuspass._counters import Counters
 from cactuspass._gateway import Gateway
+from cactuspass._in_force import is_taken_out
 from cactuspass._keyed_requests import KeyedRequests
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass._tables import Tables
