Test each guard of the claims

Cause: with single guards removed some tests still passed. Change: a test for each of these guards; two guards that no state can reach are removed (an own claim at another revision, and a release over a missing key, which the expected revision covers). Conclusion: with each guard removed at least one test fails.

--- a/src/cactuspass/_claim_table.py
+++ b/src/cactuspass/_claim_table.py
@@ -59,7 +59,7 @@
 class ClaimTable:
     """Own claims by key; the oldest ended ones are dropped when they take too much memory.
 
-    :param entry_id: of the owner that all own claims share.
+    :param owner: the entry process itself.
     :param is_gone: tells whether another owner's process surely no longer runs.
     """
 
@@ -69,7 +69,7 @@
         self._active_by_key: dict[ClaimKey, LocalClaim] = {}
         self._ended_by_key: OrderedDict[ClaimKey, LocalClaim] = OrderedDict()
         self._ended_bytes = 0
-        self._not_run_by_key: defaultdict[ClaimKey, set[int]] = defaultdict(set)
+        self._not_run_by_key: defaultdict[ClaimKey, set[Owner]] = defaultdict(set)
 
     def outcome(self, key: ClaimKey, fingerprint: Fingerprint, now: float) -> ClaimOutcome | None:
         """Return what own claims say of a request; None when there is no own claim."""
@@ -97,13 +97,8 @@
 
     def has_not_run(self, key: ClaimKey, record: ClaimRecord) -> bool:
         """Tell whether the record is an own claim whose request surely did not run."""
-        is_own = record.owner.incarnation == self._owner.incarnation
-        is_own = is_own and record.owner.entry_id == self._owner.entry_id
-        return (
-            is_own
-            and record.state is ClaimState.CLAIMED
-            and record.owner.sequence in self._not_run_by_key.get(key, ())
-        )
+        is_claimed = record.state is ClaimState.CLAIMED
+        return is_claimed and record.owner in self._not_run_by_key.get(key, ())
 
     def add(self, claim: Claim) -> None:
         """Add a claim that waits to be written."""
@@ -137,13 +132,13 @@
 
     def add_not_run(self, claim: Claim) -> None:
         """Note that a claim's request surely did not run, though the claim may be stored."""
-        self._not_run_by_key[claim.key].add(claim.owner.sequence)
+        self._not_run_by_key[claim.key].add(claim.owner)
 
     def discard_not_run(self, claim: Claim) -> None:
         """Note that this claim, whose request did not run, surely is not stored."""
-        sequences = self._not_run_by_key.get(claim.key, set())
-        sequences.discard(claim.owner.sequence)
-        if not sequences:
+        owners = self._not_run_by_key.get(claim.key, set())
+        owners.discard(claim.owner)
+        if not owners:
             self.forget_not_run(claim.key)
 
     def forget_not_run(self, key: ClaimKey) -> None:
--- a/src/cactuspass/_claim_writes.py
+++ b/src/cactuspass/_claim_writes.py
@@ -150,7 +150,8 @@
 class ReleaseWrite(PendingWrite):
     """A mark that the request of a claim did not run, so that a retry may run.
 
-    The mark also replaces a missing key, since the claim may still be on its way to the store.
+    The mark is also written where the key is missing or free, since a claim that is still on
+    its way to the store would otherwise take effect there.
     """
 
     def __init__(
@@ -166,11 +167,10 @@
         self._end()
 
     def rejected(self, current: KeyValue) -> NextTry:
-        """Replace whatever is stored but the claim of a request that may have run."""
+        """Replace a mark, or an own claim that did not run; anything else ends the claim too."""
         record = _decode(current)
-        is_free = current.value is None or (
-            record is not None
-            and (record.state is ClaimState.NOT_RUN or self._table.has_not_run(self.key, record))
+        is_free = record is not None and (
+            record.state is ClaimState.NOT_RUN or self._table.has_not_run(self.key, record)
         )
         if not is_free:
             self._end()
@@ -197,7 +197,6 @@
         self, claim: Claim, record: ClaimRecord, expected_revision: int, finished: Finished
     ) -> None:
         super().__init__(claim.key, record, expected_revision)
-        self._owner = claim.owner
         self._finished = finished
         self._give_up_at = asyncio.get_running_loop().time() + MAX_BACKGROUND_SECONDS
 
@@ -206,11 +205,8 @@
         self._finished()
 
     def rejected(self, current: KeyValue) -> NextTry:
-        """Write again over the own claim, or when the store has lost it."""
-        record = _decode(current)
-        is_lost = current.value is None
-        is_claimed = record is not None and record.state is ClaimState.CLAIMED
-        if is_lost or (is_claimed and _owner_of(current) == self._owner):
+        """Write again when the store has lost the claim; else it has this record already."""
+        if current.value is None:
             self.expected_revision = current.mod_revision
             return NextTry.NOW
         self._finished()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -174,6 +174,67 @@
         self.platform.land_delayed()
         await self.claimed(second)
 
+    @virtual_time
+    async def test_release_also_fences_a_claim_over_another_entrys_mark(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        second.release((await self.claimed(second)).claim)
+        await second.drain(DRAIN_SECONDS)
+        first.note_platform(answers=True)
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        await first.drain(DRAIN_SECONDS)
+        for _ in range(4):
+            self.platform.land_delayed()
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_earlier_claim_is_still_released_after_a_later_one_was_given_up(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        first.note_platform(answers=True)
+        self.platform.latency = 0.2
+        self.platform.faults.append(Fault.UNAVAILABLE)
+        leaving = asyncio.create_task(self.claim(first))
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        await asyncio.sleep(0.2)
+        self.platform.land_delayed()
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_retry_at_the_same_entry_need_not_wait_for_the_release(self) -> None:
+        entry = self.entry()
+        self.platform.faults.extend([Fault.NONE, Fault.ANSWER_LOST, Fault.UNAVAILABLE])
+        self.assert_refused(await self.claim(entry))
+        entry.note_platform(answers=True)
+        await self.claimed(entry)
+        await entry.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(self.entry("e2")), InProgress())
+
+    @virtual_time
+    async def test_caller_that_leaves_as_its_claim_is_accepted_releases_it(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        loop = asyncio.get_running_loop()
+        leaving = asyncio.create_task(self.claim(first))
+        self.platform.before_write = lambda: loop.call_soon(leaving.cancel) and None
+        await asyncio.wait([leaving])
+        self.assertTrue(leaving.cancelled())
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_outcome_is_recorded_though_the_store_lost_the_claim(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        claimed = await self.claimed(first)
+        self.platform.stored_by_key.clear()
+        first.finish(claimed.claim, ANSWER)
+        await first.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(second), Recorded(ANSWER))
+
     @virtual_time
     async def test_caller_that_leaves_releases_its_claim(self) -> None:
         first, second = self.entry(), self.entry("e2")
@@ -240,6 +301,19 @@
         self.assertEqual(held, ["7"])
         self.assertEqual(self.platform.counts.writes - before, 2)
 
+    @virtual_time
+    async def test_new_claims_do_not_hold_up_a_repeated_batch(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        for key in ("a", "b", "lease"):
+            await self.claimed(second if key == "lease" else first, key)
+        self.platform.latency = 0.1
+        early = asyncio.gather(self.claim(second, "a"), self.claim(second, "c"))
+        await asyncio.sleep(0.05)
+        late = asyncio.create_task(self.claim(second, "b"))
+        await early
+        self.assertFalse(late.done())
+        self.assertEqual(await late, InProgress())
+
     @virtual_time
     async def test_calls_stay_within_the_budget(self) -> None:
         entry = self.entry()
