Refuse at once a claim that cannot be written in time

Cause: claims waited up to 2.5 s in a queue that could not reach them. Change: the writer estimates when a new write is sent; a later one is refused at once.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,247 @@
+"""Claims a second against the platform's writes, with and without batching, and under faults.
+
+Runs in virtual time over a fake platform with a set latency. Each claimed request takes
+``RUN_SECONDS`` and its outcome is recorded, so that a claim costs two changes of the store.
+"""
+
+import asyncio
+import sys
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from random import Random
+from statistics import quantiles
+
+from cactuspass._claim_store import ClaimStore
+from cactuspass._claim_writer import MAX_BATCH_WRITES
+from cactuspass._claims import (
+    Claimed,
+    ClaimOutcome,
+    InProgress,
+    RecordedAnswer,
+    Refused,
+    fingerprint_of,
+)
+from cactuspass.models import CustomerId, EntryId, Incarnation
+from tests.fakes import Fault, MemoryPlatform
+from tests.virtual_time import VirtualLoop
+
+CUSTOMER = CustomerId("counters")
+FINGERPRINT = fingerprint_of("POST", "/services/loans", b"{}")
+LATENCY_SECONDS = 0.005
+RUN_SECONDS = 0.05
+WRITE_BUDGET_PER_SECOND = 200.0
+MAX_TRIES = 6
+RETRY_SECONDS = 0.5
+KILL_SECONDS = 2.0
+GONE_LAG_SECONDS = 3.0
+OUTAGE_SECONDS = 3.0
+LAND_SECONDS = 0.4
+FAULT_SHARE = 0.05
+PERCENT = 100
+MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True)
+class ClaimLoad:
+    """One trace of claims.
+
+    :param batch: changes that share one call at most; 1 is the baseline.
+    :param rate: new keys per second over all entries.
+    :param retry_share: share of requests that callers send again at once through another entry.
+    """
+
+    entries: int
+    batch: int
+    rate: float
+    seconds: float
+    is_faulty: bool = False
+    retry_share: float = 0.1
+
+
+@dataclass(frozen=True)
+class ClaimFigures:
+    """What one trace gave.
+
+    :param elapsed_seconds: time until the last retry had its outcome.
+    :param claimed_share: share of keys whose request ran.
+    :param refusals: truthful "not run" answers, after which callers retried.
+    :param duplicates: requests that ran beyond the first of their key.
+    """
+
+    load: ClaimLoad
+    keys: int
+    elapsed_seconds: float
+    claimed_per_second: float
+    claimed_share: float
+    refusals: int
+    calls_per_second: float
+    median_ms: float
+    p95_ms: float
+    duplicates: int
+    kills: int
+
+
+@dataclass
+class Tally:
+    """Counts of one trace while it runs."""
+
+    runs_by_key: Counter[str] = field(default_factory=Counter)
+    waits: list[float] = field(default_factory=list)
+    refusals: int = 0
+    kills: int = 0
+
+
+class Fleet:
+    """Entries over one fake platform, with callers that retry."""
+
+    def __init__(self, load: ClaimLoad, seed: int) -> None:
+        self.load = load
+        self.random = Random(seed)
+        self.platform = MemoryPlatform()
+        self.platform.latency = LATENCY_SECONDS
+        self.tally = Tally()
+        self.gone: set[Incarnation] = set()
+        self.started = 0
+        self.incarnations_by_store: dict[ClaimStore, int] = {}
+        self.stores = [self.start(number) for number in range(load.entries)]
+
+    def start(self, number: int) -> ClaimStore:
+        """Start one entry process."""
+        self.started += 1
+        store = ClaimStore(
+            self.platform,
+            EntryId(f"e{number}"),
+            Incarnation(str(self.started)),
+            self.load.entries / WRITE_BUDGET_PER_SECOND,
+            lambda _, incarnation: incarnation in self.gone,
+            self.load.batch,
+        )
+        store.start()
+        self.incarnations_by_store[store] = self.started
+        return store
+
+    async def run(self) -> ClaimFigures:
+        """Send all requests and return the figures."""
+        helpers = [asyncio.create_task(self.break_things())] if self.load.is_faulty else []
+        callers = []
+        loop = asyncio.get_running_loop()
+        number = 0
+        while loop.time() < self.load.seconds:
+            await asyncio.sleep(self.random.expovariate(self.load.rate))
+            number += 1
+            copies = 1 + (self.random.random() < self.load.retry_share)
+            callers += [asyncio.create_task(self.call(f"k{number}")) for _ in range(copies)]
+        await asyncio.gather(*callers)
+        for helper in helpers:
+            helper.cancel()
+        return self.figures(number)
+
+    async def call(self, key: str) -> None:
+        """Send one request until it has a final outcome."""
+        for _ in range(MAX_TRIES):
+            outcome = await self.ask(key)
+            if isinstance(outcome, Claimed) or not isinstance(outcome, Refused | InProgress):
+                return
+            await asyncio.sleep(max(RETRY_SECONDS, outcome.retry_after))
+
+    async def ask(self, key: str) -> ClaimOutcome:
+        """Send one request to any entry and run it when it may run."""
+        store = self.random.choice(self.stores)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        outcome = await store.claim(CUSTOMER, key, FINGERPRINT)
+        if isinstance(outcome, Claimed):
+            self.tally.waits.append(loop.time() - began)
+            self.tally.runs_by_key[key] += 1
+            await asyncio.sleep(RUN_SECONDS)
+            if store in self.stores:
+                store.finish(outcome.claim, RecordedAnswer(201, (), b"{}"))
+        self.tally.refusals += isinstance(outcome, Refused)
+        return outcome
+
+    async def break_things(self) -> None:
+        """Lose and delay answers, kill entries, and let the platform go away once."""
+        loop = asyncio.get_running_loop()
+        self.platform.choose_fault = self.choose_fault
+        while True:
+            await asyncio.sleep(KILL_SECONDS)
+            number = self.random.randrange(len(self.stores))
+            killed = self.stores[number]
+            incarnation = Incarnation(str(self.incarnations_by_store[killed]))
+            await killed.close()
+            self.stores[number] = self.start(number)
+            loop.call_later(GONE_LAG_SECONDS, self.gone.add, incarnation)
+            loop.call_later(LAND_SECONDS, self.land)
+            self.tally.kills += 1
+
+    def choose_fault(self) -> Fault:
+        """Return the fault of the next call."""
+        middle = self.load.seconds / 2
+        now = asyncio.get_running_loop().time()
+        if middle <= now < middle + OUTAGE_SECONDS:
+            return Fault.UNAVAILABLE
+        if self.random.random() >= FAULT_SHARE:
+            return Fault.NONE
+        return self.random.choice((Fault.ANSWER_LOST, Fault.REQUEST_LOST, Fault.DELAYED))
+
+    def land(self) -> None:
+        """Let every delayed write reach the store."""
+        while self.platform.delayed:
+            self.platform.land_delayed()
+
+    def figures(self, keys: int) -> ClaimFigures:
+        """Return what the trace gave."""
+        tally = self.tally
+        elapsed = asyncio.get_running_loop().time()
+        cuts = quantiles(tally.waits, n=PERCENT) if len(tally.waits) > 1 else [0.0] * PERCENT
+        calls = self.platform.counts.writes + self.platform.counts.leases
+        return ClaimFigures(
+            load=self.load,
+            keys=keys,
+            elapsed_seconds=round(elapsed, 1),
+            claimed_per_second=round(len(tally.waits) / elapsed, 1),
+            claimed_share=round(len(tally.runs_by_key) / keys, 4),
+            refusals=tally.refusals,
+            calls_per_second=round(calls / elapsed, 1),
+            median_ms=round(cuts[49] * MILLISECONDS, 1),
+            p95_ms=round(cuts[94] * MILLISECONDS, 1),
+            duplicates=sum(runs - 1 for runs in tally.runs_by_key.values()),
+            kills=tally.kills,
+        )
+
+
+@dataclass(frozen=True)
+class ClaimReport:
+    """Figures of all traces."""
+
+    figures: tuple[ClaimFigures, ...]
+
+
+def measure(load: ClaimLoad, seed: int = 1) -> ClaimFigures:
+    """Run one trace in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(_measure(load, seed))
+
+
+async def _measure(load: ClaimLoad, seed: int) -> ClaimFigures:
+    return await Fleet(load, seed).run()
+
+
+def run(quick: bool = False) -> ClaimReport:
+    """Compare batched claims with one call for each change, then add faults.
+
+    :param quick: shorter traces and fewer rates.
+    """
+    seconds = 3.0 if quick else 10.0
+    rates = (50.0, 400.0) if quick else (50.0, 100.0, 400.0, 1000.0)
+    plain = [
+        ClaimLoad(6, batch, rate, seconds) for batch in (1, MAX_BATCH_WRITES) for rate in rates
+    ]
+    fleets = [ClaimLoad(entries, MAX_BATCH_WRITES, 400.0, seconds) for entries in (49, 340)]
+    faulty = [ClaimLoad(6, MAX_BATCH_WRITES, 100.0, 3 * seconds, is_faulty=True)]
+    return ClaimReport(tuple(measure(load) for load in [*plain, *fleets, *faulty]))
+
+
+if __name__ == "__main__":
+    for figures in run("--quick" in sys.argv).figures:
+        print(asdict(figures))
--- a/src/cactuspass/_claim_store.py
+++ b/src/cactuspass/_claim_store.py
@@ -123,8 +123,9 @@
             return known
         if self.writer.down_seconds > 0.0:
             return Refused(max(BUSY_RETRY_SECONDS, self.writer.down_seconds))
-        if self.writer.waiting >= MAX_WAITING_WRITES:
-            return Refused(BUSY_RETRY_SECONDS)
+        delay = self.writer.seconds_to_send
+        if delay > wait_seconds or self.writer.waiting >= MAX_WAITING_WRITES:
+            return Refused(max(BUSY_RETRY_SECONDS, delay))
         owner = Owner(self._entry_id, self._incarnation, next(self._sequences))
         claim = Claim(key, fingerprint, owner)
         write = ClaimWrite(claim, self._table, self._submit_release)
--- a/src/cactuspass/_claim_writer.py
+++ b/src/cactuspass/_claim_writer.py
@@ -60,9 +60,9 @@
         self._repeated: deque[PendingWrite] = deque()
         self._delayed: deque[_Delayed] = deque()
         self._next_call_at = 0.0
+        self._call_seconds = 0.0
         self._down_until = 0.0
         self._unknown_batches = 0
-        self._is_writing = False
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -78,6 +78,13 @@
         """Return for how long the store is taken to be away; 0 when it is not."""
         return max(0.0, self._down_until - _now())
 
+    @property
+    def seconds_to_send(self) -> float:
+        """Return the time until a write submitted now is likely to be sent."""
+        batches_before = (len(self._new) + len(self._repeated)) // self._max_batch_writes
+        pace = max(self._spacing, self._call_seconds)
+        return max(0.0, self._next_call_at - _now()) + batches_before * pace
+
     def start(self) -> None:
         """Begin to write."""
         self._task = asyncio.create_task(self._run())
@@ -129,9 +136,9 @@
             await self._wait_for_turn()
             batch = self._take_batch()
             if batch:
-                self._is_writing = True
+                began = _now()
                 await self._write(batch)
-                self._is_writing = False
+                self._call_seconds = _now() - began
 
     async def _wait_for_work(self) -> None:
         while not self._new and not self._repeated:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,7 +34,8 @@
 
     A delayed write is reported as unknown and takes effect in :meth:`land_delayed`.
 
-    :ivar faults: faults of the next calls, oldest first; afterwards ``default_fault`` applies.
+    :ivar faults: faults of the next calls, oldest first; afterwards ``choose_fault`` is asked,
+        which gives ``default_fault`` unless it is replaced.
     :ivar latency: seconds that each call takes; by default calls do not wait.
     """
 
@@ -44,6 +45,7 @@
         self.live_leases: set[LeaseId | None] = {None}
         self.faults: deque[Fault] = deque()
         self.default_fault = Fault.NONE
+        self.choose_fault: Callable[[], Fault] = lambda: self.default_fault
         self.delayed: list[tuple[Write, ...]] = []
         self.latency = 0.0
         self.counts = CallCounts()
@@ -131,7 +133,7 @@
         self.leases_by_key[write.key] = write.lease
 
     def _next_fault(self) -> Fault:
-        return self.faults.popleft() if self.faults else self.default_fault
+        return self.faults.popleft() if self.faults else self.choose_fault()
 
     async def _wait(self) -> None:
         await asyncio.sleep(self.latency)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -67,13 +67,16 @@
         self.platform = MemoryPlatform()
         self.gone: set[EntryId] = set()
 
-    def entry(self, name: str = "e1", incarnation: str = "i1") -> ClaimStore:
+    def entry(
+        self, name: str = "e1", incarnation: str = "i1", max_batch_writes: int = 64
+    ) -> ClaimStore:
         store = ClaimStore(
             self.platform,
             EntryId(name),
             Incarnation(incarnation),
             SPACING,
             lambda entry_id, _: entry_id in self.gone,
+            max_batch_writes,
         )
         store.start()
         return store
@@ -314,6 +317,19 @@
         self.assertFalse(late.done())
         self.assertEqual(await late, InProgress())
 
+    @virtual_time
+    async def test_claim_that_cannot_be_written_in_time_is_refused_at_once(self) -> None:
+        entry, loop = self.entry(max_batch_writes=1), asyncio.get_running_loop()
+        await self.claimed(entry, "lease")
+        began = loop.time()
+        claims = [asyncio.create_task(self.claim(entry, str(number))) for number in range(200)]
+        await asyncio.sleep(0)
+        refused = [claim for claim in claims if claim.done()]
+        self.assertEqual(loop.time(), began)
+        self.assertGreater(len(refused), 200 - CLAIM_WAIT_SECONDS / SPACING - 2)
+        for outcome in await asyncio.gather(*claims):
+            self.assertIsInstance(outcome, Claimed | Refused)
+
     @virtual_time
     async def test_calls_stay_within_the_budget(self) -> None:
         entry = self.entry()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,16 +4,27 @@
 import socket
 import unittest
 
+from cactuspass._claim_store import ClaimStore
+from cactuspass._claims import Claimed, InProgress, Recorded, RecordedAnswer, fingerprint_of
 from cactuspass._etcd import EtcdPlatform
 from cactuspass._instance_list import HttpInstanceList, parse_listing
 from cactuspass._platform import KeyValue, LeaseId, Write
 from cactuspass.exceptions import OutcomeUnknown, PlatformError, PlatformUnavailable
-from cactuspass.models import DataCentreId, InstanceId, InstanceRecord, InstanceRole
+from cactuspass.models import (
+    CustomerId,
+    DataCentreId,
+    EntryId,
+    Incarnation,
+    InstanceId,
+    InstanceRecord,
+    InstanceRole,
+)
 from cactuspass.settings import Address, parse_address
 from cactuspass_standins._instances import InstanceList
 from cactuspass_standins._platform import Platform as PlatformStandIn
 
 KEY = "/cactuspass/é"
+CUSTOMER = CustomerId("counters")
 TIMEOUT_SECONDS = 0.2
 
 
@@ -118,6 +129,28 @@
         self.assertEqual(await self.stored(), KeyValue(KEY, None, 0))
         self.assertEqual(await self.platform.keep_lease_alive(lease), 0.0)
 
+    async def test_claims_over_the_service(self) -> None:
+        first, second = self.claims("e1"), self.claims("e2")
+        fingerprint = fingerprint_of("POST", "/", b"b")
+        self.assertIsInstance(await first.claim(CUSTOMER, "lease", fingerprint), Claimed)
+        self.stand_in.lose_next_answers(1)
+        outcome = await first.claim(CUSTOMER, "k", fingerprint)
+        assert isinstance(outcome, Claimed), outcome
+        self.assertEqual(await second.claim(CUSTOMER, "k", fingerprint), InProgress())
+        self.stand_in.lose_next_answers(1)
+        answer = RecordedAnswer(201, (), bytes(range(256)))
+        first.finish(outcome.claim, answer)
+        await first.drain(30.0)
+        self.assertEqual(await second.claim(CUSTOMER, "k", fingerprint), Recorded(answer))
+
+    def claims(self, name: str) -> ClaimStore:
+        store = ClaimStore(
+            self.platform, EntryId(name), Incarnation("i1"), 0.0, lambda entry, incarnation: False
+        )
+        store.start()
+        self.addAsyncCleanup(store.close)
+        return store
+
     async def test_write_with_an_ended_lease_is_surely_refused(self) -> None:
         with self.assertRaises(PlatformError) as caught:
             await self.platform.compare_and_swap(KEY, b"1", 0, LeaseId(99))
