--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -127,6 +127,7 @@
     first_answer: RecordedAnswer | None = None
     finished_by: Process | None = None
     may_be_orphaned: bool = False
+    asked: list[Process] = field(default_factory=list)
 
 
 class ClaimWorld:
@@ -206,6 +207,7 @@
         chosen, content = self.processes[process], BODIES[body]
         claim = chosen.store.claim(CUSTOMER, key, fingerprint_of("POST", "/", content))
         task = self.loop.create_task(claim)
+        self.histories[key].asked.append(chosen)
         self.waiting.append(Attempt(chosen, key, content, task))
         self.settle()
 
@@ -306,7 +308,7 @@
             if attempt.process is killed:
                 attempt.task.cancel()
         for history in self.histories.values():
-            history.may_be_orphaned = True
+            history.may_be_orphaned |= killed in history.asked
         self.waiting = [item for item in self.waiting if item.process is not killed]
         self.claimed = [item for item in self.claimed if item.process is not killed]
         self.running = [item for item in self.running if item.process is not killed]
