Give a claim up in one way, wherever its write is

Cause: a claim given up while queued and one given up in a call were treated apart, which no test could tell from one treatment. Change: the write releases itself when it may be stored; a stale claim cannot end the one that followed it, which has a test now.

--- a/src/cactuspass/_claim_store.py
+++ b/src/cactuspass/_claim_store.py
@@ -146,7 +146,8 @@
 
     def _give_up(self, write: ClaimWrite) -> None:
         if not write.outcome.done():
-            write.abandon(is_queued=self.writer.take_back(write))
+            self.writer.take_back(write)
+            write.abandon()
         elif isinstance(write.outcome.result(), Claimed):
             self.release(write.claim)
 
--- a/src/cactuspass/_claim_table.py
+++ b/src/cactuspass/_claim_table.py
@@ -134,13 +134,6 @@
         """Note that a claim's request surely did not run, though the claim may be stored."""
         self._not_run_by_key[claim.key].add(claim.owner)
 
-    def discard_not_run(self, claim: Claim) -> None:
-        """Note that this claim, whose request did not run, surely is not stored."""
-        owners = self._not_run_by_key.get(claim.key, set())
-        owners.discard(claim.owner)
-        if not owners:
-            self.forget_not_run(claim.key)
-
     def forget_not_run(self, key: ClaimKey) -> None:
         """Note that no claim whose request did not run can be stored any more."""
         self._not_run_by_key.pop(key, None)
--- a/src/cactuspass/_claim_writer.py
+++ b/src/cactuspass/_claim_writer.py
@@ -115,13 +115,11 @@
         self._idle.clear()
         self._wake.set()
 
-    def take_back(self, write: PendingWrite) -> bool:
-        """Remove a write from the queue; False when it is in a call."""
+    def take_back(self, write: PendingWrite) -> None:
+        """Remove a write from the queue, unless it is in a call."""
         for queue in (self._new, self._repeated):
             if write in queue:
                 queue.remove(write)
-                return True
-        return False
 
     def note_platform(self, answers: bool) -> None:
         """Note whether the store answered another part of the process just now."""
--- a/src/cactuspass/_claim_writes.py
+++ b/src/cactuspass/_claim_writes.py
@@ -104,7 +104,6 @@
             self.accepted(current.mod_revision)
             return NextTry.NEVER
         if self._is_abandoned:
-            self._table.discard_not_run(self.claim)
             return NextTry.NEVER
         outcome = self._table.judge(current, self.claim)
         if outcome is None:
@@ -128,23 +127,15 @@
         self.outcome.set_result(Refused(REFUSED_RETRY_SECONDS))
         return NextTry.NEVER
 
-    def abandon(self, is_queued: bool) -> None:
-        """Give the claim up, since the caller has left or waited too long.
-
-        :param is_queued: whether the write was taken back before its next try.
-        """
+    def abandon(self) -> None:
+        """Give the claim up, since the caller has left or waited too long."""
         self._is_abandoned = True
         self._table.remove(self.claim)
-        if is_queued:
-            self._settle()
-        else:
-            self._table.add_not_run(self.claim)
+        self._settle()
 
     def _settle(self) -> None:
         if self.may_be_stored:
             self._release(self.claim, self.expected_revision)
-        elif self._is_abandoned:
-            self._table.discard_not_run(self.claim)
 
 
 class ReleaseWrite(PendingWrite):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -218,6 +218,18 @@
         await entry.drain(DRAIN_SECONDS)
         self.assertEqual(await self.claim(self.entry("e2")), InProgress())
 
+    @virtual_time
+    async def test_caller_that_leaves_before_the_second_try_releases_the_first(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED])
+        leaving = asyncio.create_task(self.claim(first))
+        await asyncio.sleep(1.5 * SPACING)
+        leaving.cancel()
+        await asyncio.wait([leaving])
+        self.platform.land_delayed()
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
     @virtual_time
     async def test_caller_that_leaves_as_its_claim_is_accepted_releases_it(self) -> None:
         first, second = self.entry(), self.entry("e2")
@@ -253,8 +265,13 @@
     @virtual_time
     async def test_released_claim_may_run_anywhere(self) -> None:
         first, second = self.entry(), self.entry("e2")
-        first.release((await self.claimed(first)).claim)
-        first.release((await self.claimed(first)).claim)
+        released = (await self.claimed(first)).claim
+        first.release(released)
+        active = (await self.claimed(first)).claim
+        first.release(released)
+        first.finish(released, ANSWER)
+        self.assertEqual(await self.claim(first), InProgress())
+        first.release(active)
         await first.drain(DRAIN_SECONDS)
         await self.claimed(second)
 
