Keep a commit unknown when a later try is refused

Cause: after a lost answer, a refusal other than an unreachable store was passed on as 'nothing was changed', though the first write may still take effect. Change: any failure of the platform after a lost answer is reported as unknown; one try is a function of its own. Conclusion: the new test fails without the guard.

--- a/src/cactuspass/_documents.py
+++ b/src/cactuspass/_documents.py
@@ -26,7 +26,6 @@
     DocumentError,
     OutcomeUnknown,
     PlatformError,
-    PlatformUnavailable,
     StoreReverted,
 )
 from cactuspass.models import Configuration, DataCentreId, OperationId, Placement
@@ -168,27 +167,34 @@
         :raises DocumentError: when the stored document is malformed; nothing was changed.
         """
         doubt: OutcomeUnknown | None = None
-        revision = 0
         for _ in range(MAX_COMMIT_TRIES):
             try:
-                stored = await self.read_configuration()
-                revision = stored.configuration.revision
-                if operation in stored.configuration.operations:
-                    return stored.configuration
-                self._check_not_reverted(revision)
-                self._check_seen(change, stored.configuration, seen_revision)
-                changed = _next_configuration(change, stored.configuration, operation)
-                if await self._swap_configuration(changed, stored.store_revision):
-                    return changed
+                committed = await self._try_commit(change, operation, seen_revision)
             except OutcomeUnknown as error:
                 doubt = error
-            except PlatformUnavailable as error:
+            except PlatformError as error:
                 if doubt is not None:
                     raise OutcomeUnknown(str(doubt)) from error
                 raise
+            else:
+                if committed is not None:
+                    return committed
         if doubt is not None:
             raise OutcomeUnknown(str(doubt))
-        raise ConfigurationConflict(seen_revision or 0, revision)
+        raise ConfigurationConflict(seen_revision or 0, max(self._seen_by_revision))
+
+    async def _try_commit(
+        self, change: ConfigurationChange, operation: OperationId, seen_revision: int | None
+    ) -> Configuration | None:
+        """Read and replace the configuration; None when another operator was faster."""
+        stored = await self.read_configuration()
+        if operation in stored.configuration.operations:
+            return stored.configuration
+        self._check_not_reverted(stored.configuration.revision)
+        self._check_seen(change, stored.configuration, seen_revision)
+        changed = _next_configuration(change, stored.configuration, operation)
+        accepted = await self._swap_configuration(changed, stored.store_revision)
+        return changed if accepted else None
 
     async def write_placement(self, order: WritePlacement) -> PlacementWritten:
         """Replace the placement when the store still has the expected revision.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -50,7 +50,8 @@
         self.latency = 0.0
         self.counts = CallCounts()
         self.revision = 1
-        self.before_write: Callable[[], None] = lambda: None
+        self.before_write: Callable[[], object] = lambda: None
+        self.before_timeout: Callable[[], object] = lambda: None
 
     async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
         """Read keys at one revision."""
@@ -75,6 +76,7 @@
         if fault is Fault.DELAYED:
             self.delayed.append(tuple(writes))
         if fault in (Fault.DELAYED, Fault.REQUEST_LOST):
+            self.before_timeout()
             raise OutcomeUnknown("fake timeout")
         if any(write.lease not in self.live_leases for write in writes):
             raise PlatformError("fake lease not found")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -235,7 +235,7 @@
         first, second = self.entry(), self.entry("e2")
         loop = asyncio.get_running_loop()
         leaving = asyncio.create_task(self.claim(first))
-        self.platform.before_write = lambda: loop.call_soon(leaving.cancel) and None
+        self.platform.before_write = lambda: loop.call_soon(leaving.cancel)
         await asyncio.wait([leaving])
         self.assertTrue(leaving.cancelled())
         await first.drain(DRAIN_SECONDS)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -262,6 +262,14 @@
         with self.assertRaises(OutcomeUnknown):
             await self.commit("a")
 
+    async def test_commit_is_unknown_when_the_store_reverts_meanwhile(self) -> None:
+        await self.commit("a")
+        old = encode_configuration(Configuration(0))
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED])
+        self.platform.before_timeout = lambda: self.put(CONFIGURATION_KEY, old)
+        with self.assertRaises(OutcomeUnknown):
+            await self.commit("b")
+
     async def test_commit_without_the_platform_changes_nothing(self) -> None:
         self.platform.default_fault = Fault.UNAVAILABLE
         with self.assertRaises(PlatformUnavailable):
