--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,7 +34,8 @@
 
     A delayed write is reported as unknown and takes effect in :meth:`land_delayed`.
 
-    :ivar faults: faults of the next calls, oldest first; afterwards ``default_fault`` applies.
+    :ivar faults: faults of the next calls, oldest first; afterwards ``choose_fault`` is asked,
+        which gives ``default_fault`` unless it is replaced.
     :ivar latency: seconds that each call takes; by default calls do not wait.
     """
 
@@ -44,11 +45,13 @@
         self.live_leases: set[LeaseId | None] = {None}
         self.faults: deque[Fault] = deque()
         self.default_fault = Fault.NONE
+        self.choose_fault: Callable[[], Fault] = lambda: self.default_fault
         self.delayed: list[tuple[Write, ...]] = []
         self.latency = 0.0
         self.counts = CallCounts()
         self.revision = 1
-        self.before_write: Callable[[], None] = lambda: None
+        self.before_write: Callable[[], object] = lambda: None
+        self.before_timeout: Callable[[], object] = lambda: None
 
     async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
         """Read keys at one revision."""
@@ -73,6 +76,7 @@
         if fault is Fault.DELAYED:
             self.delayed.append(tuple(writes))
         if fault in (Fault.DELAYED, Fault.REQUEST_LOST):
+            self.before_timeout()
             raise OutcomeUnknown("fake timeout")
         if any(write.lease not in self.live_leases for write in writes):
             raise PlatformError("fake lease not found")
@@ -131,7 +135,7 @@
         self.leases_by_key[write.key] = write.lease
 
     def _next_fault(self) -> Fault:
-        return self.faults.popleft() if self.faults else self.default_fault
+        return self.faults.popleft() if self.faults else self.choose_fault()
 
     async def _wait(self) -> None:
         await asyncio.sleep(self.latency)
