--- /dev/null
+++ b/bench/matters.py
@@ -0,0 +1,192 @@
+"""The matters that are measured: what each one's figures say beside baseline and target."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from bench import claims, groups, overload, path, routing, warmup
+from bench.report import Line, at_least, at_most, share_of_baseline
+
+DOWNTIME_SHARE = 1 / 3
+STRANDED_SHARE = 1 / 2
+OTHERS_GOODPUT = 0.95
+RETURN_SUCCESS = 0.9
+AMPLIFICATION = 1.1
+FULL_LOAD_RATIO = 1.3
+HIT_FACTOR = 2.0
+TARGET_CPU_SHARE = 1.0
+WAY_TAKEN = "one holder"
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Lines to print and the data classes behind them."""
+
+    lines: tuple[Line, ...]
+    figures: tuple[Any, ...]
+
+
+def measure_small_groups(quick: bool) -> Found:
+    """Compare repairs of groups of 4 instances with forming groups anew."""
+    return _groups("groups of 4", groups.compare(groups.SMALL_GROUPS, quick))
+
+
+def measure_large_groups(quick: bool) -> Found:
+    """Compare repairs of groups of 16 instances with forming groups anew."""
+    return _groups("groups of 16", groups.compare(groups.LARGE_GROUPS, quick))
+
+
+def _groups(matter: str, found: groups.GroupComparison) -> Found:
+    ours, rebuild = found.ours, found.rebuild
+    lines = (
+        share_of_baseline(
+            matter,
+            "group-seconds down",
+            ours.down_group_seconds,
+            rebuild.down_group_seconds,
+            DOWNTIME_SHARE,
+        ),
+        share_of_baseline(
+            matter,
+            "accelerator-seconds stranded",
+            ours.stranded_accelerator_seconds,
+            rebuild.stranded_accelerator_seconds,
+            STRANDED_SHARE,
+        ),
+        Line(matter, "weight loads", ours.weight_loads, rebuild.weight_loads),
+    )
+    return Found(lines, (found,))
+
+
+def measure_warmup(quick: bool) -> Found:
+    """Compare ways to keep a fresh upstream within what it bears."""
+    found = warmup.run(quick)
+    lines: list[Line] = []
+    for item in found:
+        matter = f"warm-up, {item.entries} entries"
+        own = [at_most(matter, f"peak over bearable: {item.way}", item.peak_over_bearable, 1)]
+        if item.full_over_ideal is not None:
+            measure = f"time to full load over ideal: {item.way}"
+            own.append(at_most(matter, measure, item.full_over_ideal, FULL_LOAD_RATIO))
+        lines += [replace(line, taken=item.way == WAY_TAKEN) for line in own]
+        lines.append(
+            Line(matter, f"control bytes/s for each entry: {item.way}", item.control_bytes)
+        )
+    return Found(tuple(lines), tuple(found))
+
+
+def measure_overload(quick: bool) -> Found:
+    """Compare fair queues and bounded retries with a plain queue, under a flood."""
+    report = overload.run(quick)
+    ours, naive = report.figures[0], report.figures[-1]
+    lines = [
+        at_least(
+            "overload",
+            "others' share of their fair goodput",
+            ours.others_goodput,
+            OTHERS_GOODPUT,
+            naive.others_goodput,
+        ),
+        at_most("overload", "tries for each request", ours.amplification, AMPLIFICATION),
+        Line("overload", "most requests waiting", ours.peak_waiting, naive.peak_waiting),
+    ]
+    lines += [
+        replace(
+            at_least(
+                "overload", f"returns served: {item.policy}", item.return_success, RETURN_SUCCESS
+            ),
+            taken=item is ours,
+        )
+        for item in report.figures
+        if item.return_success is not None
+    ]
+    return Found(tuple(lines), (report,))
+
+
+def measure_routing(quick: bool) -> Found:
+    """Compare routing by prefixes with routing by load."""
+    found = routing.run(quick)
+    by_policy = {item.policy: item for item in found}
+    ours, least = found[0], by_policy["least loaded"]
+    lines = (
+        Line(
+            "routing",
+            "prefix-cache hits",
+            ours.hit_ratio,
+            least.hit_ratio,
+            f"at least {HIT_FACTOR:g} times least loaded",
+            ours.hit_ratio >= HIT_FACTOR * least.hit_ratio,
+        ),
+        share_of_baseline("routing", "p95 wait, seconds", ours.wait_p95, least.wait_p95, 1.0),
+    )
+    return Found(lines, tuple(found))
+
+
+def measure_claims(quick: bool) -> Found:
+    """Compare batched claims with one call for each."""
+    report = claims.run(quick)
+    plain = {item.load.rate: item for item in report.figures if item.load.batch == 1}
+    lines: list[Line] = []
+    for item in report.figures:
+        load = item.load
+        if load.batch == 1:
+            continue
+        matter = f"claims, {load.entries} entries" + (" with faults" if load.is_faulty else "")
+        base = plain.get(load.rate) if load.entries == 6 and not load.is_faulty else None
+        offered = f"of {load.rate:g} keys/s"
+        lines += [
+            Line(
+                matter,
+                f"claimed/s {offered}",
+                item.claimed_per_second,
+                None if base is None else base.claimed_per_second,
+            ),
+            Line(
+                matter,
+                f"p95 added ms {offered}",
+                item.p95_ms,
+                None if base is None else base.p95_ms,
+            ),
+            at_most(matter, f"duplicates {offered}", item.duplicates, 0),
+        ]
+    return Found(tuple(lines), (report,))
+
+
+def measure_path(quick: bool) -> Found:
+    """Compare calls through one daemon with the same calls made directly."""
+    found = path.run(quick)
+    ours, direct = found.target_daemon, found.target_direct
+    lines = (
+        Line(
+            "path",
+            "added first token p50 at a node's share, s",
+            found.added_p50,
+        ),
+        at_most(
+            "path",
+            "added first token p99 at a node's share, s",
+            found.added_p99,
+            path.TARGET_ADDED_P99_SECONDS,
+        ),
+        at_least("path", "whole answers of 75 requests/s", ours.whole, ours.sent, direct.whole),
+        Line(
+            "path",
+            "first token p99 at 75 requests/s, s",
+            ours.first_token_p99,
+            direct.first_token_p99,
+        ),
+        Line("path", "tokens/s at 75 requests/s", ours.tokens_per_second, direct.tokens_per_second),
+        at_most("path", "cores used at 75 requests/s", ours.cpu_share, TARGET_CPU_SHARE),
+    )
+    return Found(lines, (found,))
+
+
+PURE: Mapping[str, Callable[[bool], Found]] = {
+    "groups of 4": measure_small_groups,
+    "groups of 16": measure_large_groups,
+    "warm-up": measure_warmup,
+    "overload": measure_overload,
+    "routing": measure_routing,
+    "claims": measure_claims,
+}
+ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {"path": measure_path}
--- a/src/cactuspass_standins/_network.py
+++ b/src/cactuspass_standins/_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import Any
@@ -27,6 +28,8 @@
         super().__init__("network")
         self._addresses_by_route: dict[tuple[str, str, str], str] = {}
         self._cut: set[Link] = set()
+        self._bytes_by_link: Counter[Link] = Counter()
+        self._chunks_by_link: Counter[Link] = Counter()
         self._healed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._sockets: list[socket.socket] = []
@@ -37,8 +40,12 @@
         return []
 
     def counts(self) -> Json:
-        """Return the links that are cut."""
-        return {"cut": sorted(sorted(link) for link in self._cut)}
+        """Return the links that are cut, and the bytes and chunks that each link has passed."""
+        return {
+            "cut": sorted(sorted(link) for link in self._cut),
+            "bytes_by_link": {" ".join(sorted(k)): n for k, n in self._bytes_by_link.items()},
+            "chunks_by_link": {" ".join(sorted(k)): n for k, n in self._chunks_by_link.items()},
+        }
 
     def cut(self, links: list[list[str]]) -> None:
         """Cut links, each named by its two ends."""
@@ -100,6 +107,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 await self._wait_whole(link)
+                self._bytes_by_link[link] += len(data)
+                self._chunks_by_link[link] += 1
                 writer.write(data)
                 await writer.drain()
         await self._wait_whole(link)
