--- a/src/cactuspass/_groups.py
+++ b/src/cactuspass/_groups.py
@@ -5,11 +5,11 @@
 from itertools import chain
 
 from cactuspass._alarms import set_alarm
-from cactuspass._configuration import is_taken_out
 from cactuspass._confirm import group_boot_id, is_confirmed, is_heard
 from cactuspass._core import System
 from cactuspass._held_rows import update_rows
 from cactuspass._holding import holds
+from cactuspass._in_force import is_taken_out
 from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
 from cactuspass._messages import AlarmKind, Input, InstanceBroken, InstanceReported, Order
 from cactuspass._repair import (
--- a/src/cactuspass/_repair.py
+++ b/src/cactuspass/_repair.py
@@ -2,9 +2,9 @@
 
 from dataclasses import replace
 
-from cactuspass._configuration import is_taken_out
 from cactuspass._confirm import confirms, is_heard
 from cactuspass._held_rows import LEAVING_DRAIN_SECONDS, next_generation, set_members
+from cactuspass._in_force import is_taken_out
 from cactuspass._messages import LoadState
 from cactuspass._tables import HeldGroupRow, InstanceRow, Tables
 from cactuspass._watches import bound_instances
--- a/src/cactuspass/_stranded.py
+++ b/src/cactuspass/_stranded.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cactuspass._configuration import is_taken_out
+from cactuspass._in_force import is_taken_out
 from cactuspass._messages import LoadState
 from cactuspass._plan import declared_groups
 from cactuspass._tables import Tables
