--- a/tests/test_groups_model.py
+++ b/tests/test_groups_model.py
@@ -92,6 +92,16 @@
         entry.is_paused = not entry.is_paused
         self._pass(f"pause entry {index}", steps)
 
+    @rule(index=ENTRIES, engine=ENGINES, steps=STEPS)
+    def pause_engine_while_entry_is_paused(self, index: int, engine: int, steps: int) -> None:
+        entry = self.world.entries[index]
+        entry.is_paused = True
+        self._advance(1)
+        self._engine(engine).is_paused = self._engine(engine).is_up
+        self._advance(steps)
+        entry.is_paused = False
+        self._pass(f"pause both {index} {engine}", 1)
+
     @rule(index=ENTRIES, steps=STEPS)
     def restart_entry(self, index: int, steps: int) -> None:
         self.world.restart_entry(self.world.entries[index])
