Give each conversation a home entry

Cause: each entry only remembered the prefixes that it had sent itself, so the turns of one conversation, which come in at any entry, were spread.

Change: a rendezvous hash of the first prefix that few prompts share names an entry, which all entries prefer; the weights of affinity are higher.

--- a/src/cactuspass/_routing.py
+++ b/src/cactuspass/_routing.py
@@ -6,6 +6,7 @@
 
 from cactuspass._forecast import Forecast
 from cactuspass._gate import Gate
+from cactuspass._homes import PrefixCounts, home_of
 from cactuspass._messages import PeerHeard, RequestArrived
 from cactuspass._prefixes import PrefixMemory
 from cactuspass._ramp import bearable_requests
@@ -15,7 +16,8 @@
 FORWARD_TRIES = 3
 HEARD_SECONDS = 3.5
 IN_FLIGHT_SECONDS = 0.1
-AFFINITY_LOAD = 0.5
+AFFINITY_LOAD = 0.8
+HOME_MATCH = 0.8
 FORWARD_LOAD = 0.05
 REMOTE_LOAD = 0.5
 JITTER_LOAD = 0.05
@@ -27,11 +29,15 @@
     """A place that can take a request.
 
     :param entry_id: the peer; None for this entry.
-    :param score: load less affinity; the lowest is chosen.
+    :param load: running and waiting requests over what is borne, with the cost of distance.
+    :param match: share of the prompt's prefixes that its caches are thought to have.
+    :param weight: requests that its groups bear; 0 in another data centre.
     """
 
     entry_id: EntryId | None
-    score: float
+    load: float
+    match: float
+    weight: float
 
 
 class Router:
@@ -44,6 +50,7 @@
         self._gate = gate
         self._rng = rng
         self._prefixes = prefixes
+        self._counts = PrefixCounts()
         self._sent_by_target: dict[tuple[EntryId, str], deque[float]] = {}
 
     def hear(self, message: PeerHeard, now: float) -> None:
@@ -95,8 +102,14 @@
         own = [row for row in own if row.group_id not in request.excluded]
         places = self._peer_places(tables, request, now)
         if own:
-            places.append(Place(None, self._own_score(tables, request, own, queued)))
-        return min(places, key=lambda place: place.score, default=None)
+            places.append(self._own_place(tables, request, own, queued))
+        if len(places) < 2:
+            return next(iter(places), None)
+        local = tables.local.entry_id
+        names = [place.entry_id or local for place in places]
+        weights = {name: place.weight for name, place in zip(names, places, strict=True)}
+        home = home_of(self._counts.distinct_prefix(request.prefixes), weights)
+        return min(places, key=lambda place: _score(place, (place.entry_id or local) == home))
 
     def group_score(self, tables: Tables, request: RequestRow, row: HeldGroupRow) -> float:
         """Return load and failures less affinity of one own group; the lowest is chosen."""
@@ -104,18 +117,18 @@
         load += FAILURE_LOAD * (1.0 - self._forecast.success(row.group_id))
         return load - AFFINITY_LOAD * self._prefixes.matched(row.group_id, request.prefixes)
 
-    def _own_score(
+    def _own_place(
         self,
         tables: Tables,
         request: RequestRow | RequestArrived,
         own: list[HeldGroupRow],
         queued: int,
-    ) -> float:
-        """Return load less affinity of this entry."""
+    ) -> Place:
+        """Return this entry's place for a request."""
         held = sum(len(row.requests) + row.foreign_held for row in own)
         ramp = sum(bearable_requests(tables, row) for row in own)
         matches = (self._prefixes.matched(row.group_id, request.prefixes) for row in own)
-        return (held + queued) / max(1, ramp) - AFFINITY_LOAD * max(matches)
+        return Place(None, (held + queued) / max(1, ramp), max(matches), ramp)
 
     def _peer_places(
         self, tables: Tables, request: RequestRow | RequestArrived, now: float
@@ -155,12 +168,11 @@
         held = sum(item.held + item.queued for item in groups)
         ramp = sum(item.ramp for item in groups)
         load = (held + sent * self._senders(tables)) / max(1, ramp)
-        distance = FORWARD_LOAD
-        if row.data_centre != tables.local.data_centre:
-            distance += REMOTE_LOAD
+        load += FORWARD_LOAD + JITTER_LOAD * self._rng.random()
         match = self._prefixes.matched(f"entry {row.entry_id}", request.prefixes)
-        jitter = JITTER_LOAD * self._rng.random()
-        return Place(row.entry_id, load + distance + jitter - AFFINITY_LOAD * match)
+        if row.data_centre != tables.local.data_centre:
+            return Place(row.entry_id, load + REMOTE_LOAD, match, 0.0)
+        return Place(row.entry_id, load, match, ramp)
 
     def _senders(self, tables: Tables) -> int:
         """Return the entries of the data centre, which all send about as much as this one."""
@@ -175,3 +187,9 @@
         return any(
             self._gate.taken_out(tables, TakeOutKind.UPSTREAM, member) for member in row.members
         )
+
+
+def _score(place: Place, is_home: bool) -> float:
+    """Return load less affinity of a place; the lowest is chosen."""
+    match = max(place.match, HOME_MATCH) if is_home else place.match
+    return place.load - AFFINITY_LOAD * match
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cactuspass._homes import PrefixCounts, home_of
 from cactuspass._messages import (
     CacheReported,
     Dispatch,
@@ -120,6 +121,15 @@
         self.assertEqual([order.group_id for order in orders[:4]], [first] * 4)
         self.assertEqual(len({order.group_id for order in orders}), 3)
 
+    def test_new_conversation_goes_to_its_home(self) -> None:
+        weights = {EntryId(name): 4.0 for name in ("e2", "e3", "e4")}
+        for number in range(5):
+            self.setUp()
+            for name in weights:
+                self.world.add_peer(name)
+            prompt = f"p{number}"
+            self.assertEqual(self.targets(1, prefixes=(prompt,)), [home_of(prompt, weights)])
+
     def test_restart_forgets_prefixes(self) -> None:
         for boot, group in (("b1", "g0"), ("b2", "g1")):
             self.world = AdmissionFixture(WARM, groups=2)
@@ -174,6 +184,30 @@
         self.assertEqual(self.memory.matched("g", ("0",)), 0.0)
 
 
+class HomeTest(unittest.TestCase):
+    def test_entries_agree_on_a_conversation_beyond_its_popular_prefix(self) -> None:
+        names = [EntryId(f"e{i}") for i in range(6)]
+        weights = dict.fromkeys(names, 8.0)
+        homes: dict[str, set[EntryId | None]] = {}
+        for _entry in range(2):
+            counts = PrefixCounts()
+            for turn in range(600):
+                talk = f"talk{turn % 60}"
+                prefix = counts.distinct_prefix(("system", talk, f"{talk}.{turn}"))
+                if turn >= 300:
+                    homes.setdefault(talk, set()).add(home_of(prefix, weights))
+        self.assertEqual({len(found) for found in homes.values()}, {1})
+        self.assertEqual(set.union(*homes.values()), set(names))
+
+    def test_lost_entry_moves_only_its_own_conversations(self) -> None:
+        weights = {EntryId(f"e{i}"): 8.0 for i in range(6)}
+        rest = {name: weight for name, weight in weights.items() if name != "e0"}
+        for number in range(100):
+            before = home_of(f"p{number}", weights)
+            if before != "e0":
+                self.assertEqual(home_of(f"p{number}", rest), before)
+
+
 class RetryTest(unittest.TestCase):
     def test_started_request_is_retried_only_when_it_may_run_twice(self) -> None:
         budget = RetryBudget()
