Warm the model's upstream before its faults, keep a draining entry free

Cause: most interleavings of the model met a group without room, and a draining entry still queued its callers' new requests although peers had room.

A draining entry takes a request only when no peer can.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -123,9 +123,16 @@
     def _own_choice(
         self, tables: Tables, item: RequestArrived | RequestRow, now: float
     ) -> list[HeldGroupRow]:
-        """Return own groups that can take a request now, or soon if no peer can."""
+        """Return own groups that can take a request now, or soon if no peer can.
+
+        A draining entry takes a request only when no peer can.
+        """
         able = _large_enough(tables, self._router.able_rows(tables, item.model, now), item.tokens)
-        if able or self._router.choose(tables, item, [], 0, now) is not None:
+        if able and not tables.local.draining:
+            return able
+        if self._router.choose(tables, item, [], 0, now) is not None:
+            return []
+        if able:
             return able
         since = self._unable_since_by_model.get(item.model, now)
         patience = SOON_SECONDS if item.forwarded_by is None else REROUTE_SECONDS
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -211,6 +211,9 @@
         self.world.tables.local.draining = True
         orders = self.world.tick(arrival("r4", forwarded_by=EntryId("e2")))
         self.assertEqual(self.refusals(orders), [RefusalReason.DRAINING])
+        self.world.add_peer("e3", held=4, free=0)
+        orders = self.world.tick(arrival("r5"))
+        self.assertEqual(orders, [Forward(RequestId("r5"), EntryId("e3"))])
         self.assertEqual(dispatched(self.world.tick(finished("r1"), after=0.1)), ["r3"])
 
 
--- a/tests/test_admission_model.py
+++ b/tests/test_admission_model.py
@@ -60,6 +60,11 @@
         self.reports: list[tuple[float, int, int, int]] = []
         self.told_boot = [0, 0]
         self.take_over(0)
+        self.settle()
+        for _ in range(2):
+            self.arrive_together(1)
+            for name in sorted(self.upstream.running):
+                self.finish(name)
 
     def take_over(self, index: int) -> None:
         """Move the group to an entry; the other may not send from now on."""
@@ -175,6 +180,14 @@
         self.upstream.completed = 0
         self.reports.clear()
 
+    @precondition(lambda self: self.upstream.running)
+    @rule()
+    def restart_under_load(self) -> None:
+        """Restart the upstream and let the holder learn of it while more requests come."""
+        self.restart()
+        self.settle()
+        self.arrive_together(3)
+
     @rule()
     def break_events(self) -> None:
         """Tell the holder that the event connection broke."""
@@ -191,10 +204,10 @@
         self.tick(0)
         self.tick(1)
 
-    @rule(count=st.integers(2, 6))
-    def arrive_together(self, count: int) -> None:
+    @rule(count=st.integers(2, 6), tokens=st.sampled_from([100, 300]))
+    def arrive_together(self, count: int, tokens: int = 100) -> None:
         for _ in range(count):
-            self.arrive(self.holder, 100, 30.0, "c1", Priority.NORMAL)
+            self.arrive(self.holder, tokens, 30.0, "c1", Priority.NORMAL)
 
     @rule()
     def settle(self) -> None:
@@ -210,10 +223,15 @@
     @rule(data=st.data())
     def complete(self, data: st.DataObject) -> None:
         """Complete a request and deliver the news at once."""
-        self.end(data, False)
-        if self.news:
-            _, index, item = self.news.pop()
-            self.tick(index, item)
+        self.finish(data.draw(st.sampled_from(sorted(self.upstream.running))))
+
+    def finish(self, name: Id) -> None:
+        """Complete a request and deliver the news at once, unless it was told before."""
+        del self.upstream.running[name]
+        told = any(item.request_id == name for _, _, item in self.news)  # type: ignore
+        if name in self.worlds[self.owner[name]].tables.requests_by_id and not told:
+            self.upstream.completed += 1
+            self.tick(self.owner[name], RequestFinished(name, True))
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
     def wait(self, seconds: float) -> None:
