--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -152,7 +152,7 @@
         for _ in range(MAX_TRIES):
             order = await self._place(request, forwarded_by, tuple(excluded))
             if isinstance(order, Refuse):
-                raise RequestRefused(order.reason, order.retry_after)
+                raise RequestRefused(order.reason, order.retry_after, order.detail)
             try:
                 if isinstance(order, Forward):
                     return await self._forward(order, request)
--- a/src/cactuspass/_problems.py
+++ b/src/cactuspass/_problems.py
@@ -78,7 +78,7 @@
 def problem_of(error: RequestError) -> Problem:
     """Return the problem that tells a caller of an error."""
     if isinstance(error, RequestRefused):
-        retry = None if error.reason is RefusalReason.NOT_SERVED else error.retry_after
+        retry = error.retry_after if error.retry_after > 0 else None
         return Problem(
             STATUS_BY_REASON[error.reason],
             error.reason.value,
--- a/src/cactuspass/_runner.py
+++ b/src/cactuspass/_runner.py
@@ -6,10 +6,13 @@
 
 from cactuspass._component import Component
 from cactuspass._core import Core
-from cactuspass._messages import Input, Order
+from cactuspass._messages import Input, Order, PeerHeard, PlacementConfirmed
 
 TICK_SECONDS = 0.1
 
+# These arrive all the time from every peer and can wait for the next steady tick.
+PATIENT_INPUTS = (PeerHeard, PlacementConfirmed)
+
 
 class CoreRunner(Component):
     """Ticks the core after each input and at a steady interval.
@@ -29,9 +32,9 @@
         self._handlers_by_type[order_type] = handler
 
     def accept(self, message: Input) -> None:
-        """Queue an input and plan a tick in this turn of the event loop."""
+        """Queue an input and, unless it can wait, plan a tick in this turn of the event loop."""
         self.core.accept(message)
-        if not self._tick_planned:
+        if not self._tick_planned and not isinstance(message, PATIENT_INPUTS):
             self._tick_planned = True
             asyncio.get_running_loop().call_soon(self._tick)
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,51 @@
+"""Tests that the pages are current: links, settings and shown commands."""
+
+import re
+import unittest
+from pathlib import Path
+
+from cactuspass._parser import parse
+from cactuspass.settings import example_settings, parse_settings, settings_reference
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGES = (ROOT / "README.md", *sorted((ROOT / "docs").glob("**/*.md")))
+OPERATING = ROOT / "docs" / "OPERATING.md"
+LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
+COMMAND = re.compile(r'cactuspass (?:ask|do|watch) "([^"]+)"')
+
+
+def marked(text: str, name: str) -> str:
+    """Return what stands between the begin and end marks of a generated part."""
+    return text.split(f"<!-- {name}: begin -->\n")[1].split(f"<!-- {name}: end -->")[0]
+
+
+class DocsTest(unittest.TestCase):
+    def test_links_lead_somewhere(self) -> None:
+        broken = [
+            f"{page.name}: {target}"
+            for page in PAGES
+            for target in LINK.findall(page.read_text(encoding="utf-8"))
+            if "://" not in target and not (page.parent / target).exists()
+        ]
+        self.assertEqual(broken, [])
+
+    def test_settings_reference_is_current(self) -> None:
+        text = OPERATING.read_text(encoding="utf-8")
+        self.assertEqual(marked(text, "settings reference").strip(), settings_reference().strip())
+
+    def test_shown_settings_load(self) -> None:
+        shown = marked(OPERATING.read_text(encoding="utf-8"), "settings example")
+        example = shown.strip().removeprefix("```toml").removesuffix("```")
+        self.assertEqual(example.strip(), example_settings().strip())
+        parse_settings(example)
+
+    def test_shown_commands_parse(self) -> None:
+        commands = [
+            command
+            for page in PAGES
+            for command in COMMAND.findall(page.read_text(encoding="utf-8"))
+        ]
+        self.assertGreater(len(commands), 10)
+        for command in commands:
+            with self.subTest(command):
+                parse(command)
