Tell peers of missing weights, so that all holders share one load budget

Cause: each holder budgeted only for its own groups, since heartbeats left out how many members lack weights.

--- a/src/cactuspass/_summaries.py
+++ b/src/cactuspass/_summaries.py
@@ -42,4 +42,5 @@
         queued=queued,
         ramp=bearable_requests(tables, row),
         held=len(row.requests) + row.foreign_held,
+        missing=row.missing,
     )
