--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,264 @@
+"""Works the capacity table out from measured slopes.
+
+``python -m bench.capacity measure`` writes ``docs/measured/control.json``;
+``python -m bench.capacity`` prints the table that ``docs/CAPACITY.md`` shows.
+"""
+
+import json
+import sys
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy
+
+from bench import control, path
+
+MEASURED = Path(__file__).resolve().parent.parent / "docs" / "measured"
+CONTROL_FILE = MEASURED / "control.json"
+PATH_FILE = MEASURED / "path.json"
+
+NODES = 340
+DATA_CENTRES = 7
+SERVERS = 610
+LOCAL_ENTRIES = 49
+OTHER_ENTRIES = NODES - LOCAL_ENTRIES
+UPSTREAMS = 87
+GROUP_SIZE = 16
+HELD_GROUPS = 1
+CPU_BUDGET_SHARE = 0.017
+BYTES_BUDGET = 2048.0
+MEMORY_BUDGET_MB = 256.0
+PLATFORM_READS_BUDGET = 2000.0
+PLATFORM_WRITES_BUDGET = 200.0
+REQUESTS_PER_SECOND = 5300.0
+TOKENS_PER_SECOND = 1_300_000.0
+CONFIRM_BYTES = 1100.0
+CONFIRMS_PER_SECOND = 1.0
+LIST_LINE_BYTES = 170.0
+LIST_READS_PER_SECOND = 0.5
+LIST_CHANGES_PER_DAY = 126
+SECONDS_PER_DAY = 86_400
+UNCHANGED_BYTES = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class Slopes:
+    """Cost of one more of each, fitted to the measured sizes.
+
+    :param cpu_base: share of a core with nothing else.
+    :param cpu_local: share of a core for each entry of the own data centre.
+    :param cpu_other: share of a core for each connected entry of another data centre.
+    :param cpu_watched: share of a core for each watched instance.
+    :param heartbeat_base: bytes of a heartbeat without groups.
+    :param heartbeat_group: bytes for each held group.
+    :param state_peer: bytes of memory for each entry.
+    :param state_upstream: bytes of memory for each upstream of the data centre.
+    """
+
+    cpu_base: float
+    cpu_local: float
+    cpu_other: float
+    cpu_watched: float
+    heartbeat_base: float
+    heartbeat_group: float
+    state_peer: float
+    state_upstream: float
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """One line of the capacity table."""
+
+    role: str
+    mechanism: str
+    state: str
+    messages: str
+    cpu_share: float | None
+    bytes_per_second: float | None
+    verdict: str
+
+
+def fit(found: Sequence[dict[str, Any]]) -> Slopes:
+    """Fit the slopes to measured figures."""
+    sizes = [item["size"] for item in found]
+    local = [size["local_entries"] - 1 for size in sizes]
+    other = [size["other_entries"] for size in sizes]
+    peers = [sum(pair) for pair in zip(local, other, strict=True)]
+    watched = [item["watched"] for item in found]
+    cpu = _least_squares([local, other, watched], [item["cpu_share"] for item in found])
+    heartbeat = _least_squares(
+        [[item["held_groups"] for item in found]], [item["heartbeat_bytes"] for item in found]
+    )
+    state = _least_squares(
+        [peers, [size["upstreams"] for size in sizes]], [item["state_bytes"] for item in found]
+    )
+    return Slopes(*cpu, *heartbeat, *state[1:])
+
+
+def roles(slopes: Slopes, path_figures: dict[str, Any]) -> list[Role]:
+    """Return the capacity table at the letter's size."""
+    frame = control.WEBSOCKET_HEADER_BYTES + control.TCP_IP_HEADER_BYTES
+    heartbeat = slopes.heartbeat_base + HELD_GROUPS * slopes.heartbeat_group + frame
+    watched = HELD_GROUPS * GROUP_SIZE
+    peers = NODES - 1
+    event = control.STATUS_EVENT_BYTES + control.TCP_IP_HEADER_BYTES
+    target = path_figures["target_daemon"]
+    cpu_token = target["cpu_share"] / target["tokens_per_second"]
+    node_tokens = TOKENS_PER_SECOND / NODES
+    state = peers * slopes.state_peer + UPSTREAMS * slopes.state_upstream
+    list_bytes = (
+        LIST_READS_PER_SECOND * UNCHANGED_BYTES
+        + LIST_CHANGES_PER_DAY / SECONDS_PER_DAY * (NODES + SERVERS) * LIST_LINE_BYTES
+    )
+    return [
+        Role(
+            "entry path",
+            "callers' listener, one hop to the holder",
+            "answers up to the memory budget",
+            f"{REQUESTS_PER_SECOND / NODES:.1f} requests/s, {node_tokens:,.0f} tokens/s",
+            node_tokens * cpu_token,
+            None,
+            _within(node_tokens * cpu_token, 1.0, "one core"),
+        ),
+        Role(
+            "peer membership",
+            "a connection and a heartbeat a second to every entry",
+            f"{state / 1e6:.2f} MB of tables",
+            f"{peers} heartbeats/s out, {peers} in",
+            slopes.cpu_base
+            + (LOCAL_ENTRIES - 1) * slopes.cpu_local
+            + OTHER_ENTRIES * slopes.cpu_other,
+            peers * heartbeat,
+            _within(peers * heartbeat, BYTES_BUDGET, "2 KB/s"),
+        ),
+        Role(
+            "holder of a group of 16",
+            "an event stream from each member, one status a second",
+            "a row for each member and request",
+            f"{watched} events/s",
+            watched * slopes.cpu_watched,
+            watched * event,
+            _within(watched * event, BYTES_BUDGET, "2 KB/s"),
+        ),
+        Role(
+            "configuration and right",
+            "one confirmation read a second in one transaction",
+            "two documents",
+            f"{NODES * CONFIRMS_PER_SECOND:.0f} reads/s of the fleet",
+            None,
+            CONFIRM_BYTES * CONFIRMS_PER_SECOND,
+            _within(NODES * CONFIRMS_PER_SECOND, PLATFORM_READS_BUDGET, "2,000 reads/s"),
+        ),
+        Role(
+            "instance list",
+            "the whole list on each change, asked for every 2 s",
+            f"{NODES + SERVERS} lines",
+            f"{LIST_READS_PER_SECOND:g} reads/s",
+            None,
+            list_bytes,
+            _within(list_bytes, BYTES_BUDGET, "2 KB/s"),
+        ),
+        Role(
+            "placement of a data centre",
+            "one document, compare-and-swap by the lowest-named live seat",
+            f"about {(LOCAL_ENTRIES * 110 + UPSTREAMS * 60) / 1000:.0f} KB",
+            "a write for each change of seats or groups",
+            None,
+            None,
+            "within 1 MB",
+        ),
+        Role(
+            "claims",
+            "batched writes, each entry within its share of the budget",
+            "64 changes in a call at most",
+            f"{PLATFORM_WRITES_BUDGET / NODES:.2f} calls/s of a node",
+            None,
+            None,
+            "waits above a second: see CLAIMS.md",
+        ),
+        Role(
+            "operators' port",
+            "a question to every connected peer",
+            "none kept",
+            f"{peers} messages for a fleet-wide query",
+            None,
+            None,
+            "on demand",
+        ),
+    ]
+
+
+def table(found: Sequence[Role]) -> str:
+    """Return the roles as a Markdown table."""
+    lines = [
+        "| role | mechanism today | state | messages | core | bytes/s | at 340 nodes |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    lines += [
+        f"| {role.role} | {role.mechanism} | {role.state} | {role.messages} | "
+        f"{_text(role.cpu_share, '.3f')} | {_text(role.bytes_per_second, ',.0f')} | "
+        f"{role.verdict} |"
+        for role in found
+    ]
+    return "\n".join(lines)
+
+
+def breaking_sizes(slopes: Slopes) -> str:
+    """Return at which number of entries each budget of a node is used up."""
+    frame = control.WEBSOCKET_HEADER_BYTES + control.TCP_IP_HEADER_BYTES
+    heartbeat = slopes.heartbeat_base + HELD_GROUPS * slopes.heartbeat_group + frame
+    by_bytes = BYTES_BUDGET / heartbeat + 1
+    by_cpu = (CPU_BUDGET_SHARE - slopes.cpu_base) / slopes.cpu_local + 1
+    return "\n".join(
+        (
+            "| budget of a node | used up by | at |",
+            "| --- | --- | --- |",
+            f"| 2 KB/s | heartbeats to every entry | {by_bytes:.0f} entries |",
+            f"| 1.7% of a core | entries of one data centre | {by_cpu:.0f} entries |",
+        )
+    )
+
+
+def load() -> tuple[Slopes, dict[str, Any]]:
+    """Return the slopes and the path's figures from the measured files."""
+    measured = json.loads(CONTROL_FILE.read_text(encoding="utf-8"))
+    return fit(measured), json.loads(PATH_FILE.read_text(encoding="utf-8"))
+
+
+def measure() -> None:
+    """Measure control cost and path anew and write both files."""
+    MEASURED.mkdir(parents=True, exist_ok=True)
+    figures = [asdict(item) for item in control.run()]
+    CONTROL_FILE.write_text(json.dumps(figures, indent=1) + "\n", encoding="utf-8")
+    PATH_FILE.write_text(json.dumps(asdict(path.run()), indent=1) + "\n", encoding="utf-8")
+
+
+def _least_squares(columns: Sequence[Sequence[float]], values: Sequence[float]) -> list[float]:
+    matrix = numpy.array([numpy.ones(len(values)), *columns]).T
+    solution, *_ = numpy.linalg.lstsq(matrix, numpy.array(values), rcond=None)
+    return [float(item) for item in solution]
+
+
+def _within(value: float, budget: float, name: str) -> str:
+    return f"within {name}" if value <= budget else f"**over** {name}"
+
+
+def _text(value: float | None, form: str) -> str:
+    return "-" if value is None else format(value, form)
+
+
+def main() -> None:
+    """Measure, or print the tables."""
+    if sys.argv[1:] == ["measure"]:
+        measure()
+        return
+    slopes, path_figures = load()
+    print(table(roles(slopes, path_figures)))
+    print()
+    print(breaking_sizes(slopes))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactuspass/_holding.py
+++ b/src/cactuspass/_holding.py
@@ -13,12 +13,17 @@
     return blake2b(f"{group_id}\0{entry_id}".encode(), digest_size=8).digest()
 
 
+@lru_cache(maxsize=16384)
+def _heaviest(seats: tuple[EntryId, ...], group_id: GroupId) -> EntryId | None:
+    return max(seats, key=lambda entry_id: (_weight(group_id, entry_id), entry_id), default=None)
+
+
 def owning_seat(seats: Iterable[EntryId], group_id: GroupId) -> EntryId | None:
     """Choose the seat of a group.
 
     :return: the seat with the highest weight for the group, None when there are no seats.
     """
-    return max(seats, key=lambda entry_id: (_weight(group_id, entry_id), entry_id), default=None)
+    return _heaviest(tuple(seats), group_id)
 
 
 def process_of(seat: Seat) -> ProcessKey:
--- a/src/cactuspass/_instance_list.py
+++ b/src/cactuspass/_instance_list.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
@@ -46,7 +47,7 @@
 
 
 class HttpInstanceList(InstanceList):
-    """The list that the platform serves over HTTP.
+    """The list that the platform serves over HTTP; an unchanged list is not sent again.
 
     :param timeout: seconds that one read may take.
     """
@@ -54,23 +55,33 @@
     def __init__(self, address: Address, timeout: float) -> None:
         self._url = f"http://{address}/instances"
         self._timeout = timeout
+        self._etag: str | None = None
+        self._latest: InstanceListing | None = None
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
             force_instance=True, max_body_size=MAX_LIST_BYTES
         )
 
     async def read(self) -> InstanceListing:
         """Read the whole list."""
+        headers = {} if self._etag is None else {"If-None-Match": self._etag}
         request = HTTPRequest(
             self._url,
+            headers=headers,
             connect_timeout=self._timeout,
             request_timeout=self._timeout,
             follow_redirects=False,
         )
         try:
             response = await self._client.fetch(request)
-        except (HTTPClientError, OSError) as error:
+        except HTTPClientError as error:
+            if error.code == HTTPStatus.NOT_MODIFIED and self._latest is not None:
+                return self._latest
             raise PlatformUnavailable(f"{SOURCE}: {error}") from error
-        return parse_listing(response.body)
+        except OSError as error:
+            raise PlatformUnavailable(f"{SOURCE}: {error}") from error
+        self._latest = parse_listing(response.body)
+        self._etag = response.headers.get("Etag")
+        return self._latest
 
     async def close(self) -> None:
         """Release connections."""
--- a/src/cactuspass/_runner.py
+++ b/src/cactuspass/_runner.py
@@ -8,7 +8,7 @@
 from cactuspass._core import Core
 from cactuspass._messages import Input, Order, PeerHeard, PlacementConfirmed
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.2
 
 # These arrive all the time from every peer and can wait for the next steady tick.
 PATIENT_INPUTS = (PeerHeard, PlacementConfirmed)
