Notice a lost version also when the platform only confirms the old one

A platform read older than a version learned from a peer is ignored as late. The edge then only confirms the same revision, so a store that had truly lost the version was never noticed: no right and no alarm. A confirmation now counts as another read of the same document.

--- a/src/cactuspass/_adoption.py
+++ b/src/cactuspass/_adoption.py
@@ -1,9 +1,10 @@
 """Adopts newer versions of the placement and finds when earlier holders must have stopped."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from cactuspass._holding import is_given, is_gone, other_seats, own_seat, process_of, used_seats
-from cactuspass._messages import Input, PlacementRead
+from cactuspass._messages import Input, PlacementConfirmed, PlacementRead
 from cactuspass._tables import SeatSnapshot, Tables
 from cactuspass._writer import is_from_platform, is_own_write
 from cactuspass.models import Placement, Seat
@@ -20,7 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self._read_at = float("-inf")
+        self._latest_read: PlacementRead | None = None
         self._adopted_at = float("-inf")
         self._epoch_at = float("-inf")
         self._epoch_version = 0
@@ -32,15 +33,24 @@
         for message in inputs:
             if isinstance(message, PlacementRead) and message.placement.data_centre == own:
                 self._note_read(tables, message, now)
+            elif isinstance(message, PlacementConfirmed):
+                self._note_confirmed(tables, message, now)
         if tables.unsettled and self._is_settled(tables, now):
             tables.unsettled = ()
 
+    def _note_confirmed(self, tables: Tables, message: PlacementConfirmed, now: float) -> None:
+        """Treat a confirmation as another read of the same document."""
+        read = self._latest_read
+        if read is not None and read.store_revision == message.store_revision:
+            self._note_read(tables, replace(read, sent_at=message.sent_at), now)
+
     def _note_read(self, tables: Tables, read: PlacementRead, now: float) -> None:
         from_platform = is_from_platform(read)
-        if from_platform and read.sent_at < self._read_at:
+        latest = self._latest_read
+        if from_platform and latest is not None and read.sent_at < latest.sent_at:
             return
         if from_platform:
-            self._read_at = read.sent_at
+            self._latest_read = read
         held = tables.placement
         if read.placement.version > (held.version if held else 0):
             self._adopt(tables, read.placement, now)
--- a/tests/test_right.py
+++ b/tests/test_right.py
@@ -88,7 +88,7 @@
         self.begin("e1", "e2")
         self.tick(2.0, peer_read(placement(2, "e1", "e2", epoch=1)))
         self.assertEqual(self.tick(2.1, platform_read(placement(1, "e1", "e2"), 1.9)), [])
-        [alarm] = self.tick(3.0, platform_read(placement(1, "e1", "e2"), 2.5))
+        [alarm] = self.tick(3.0, PlacementConfirmed(10, 2.5))
         self.assertIsInstance(alarm, AlarmChanged)
 
     def test_clock_that_goes_back_ends_the_right(self) -> None:
