Let recommit write over a store that went back

Cause: commit_configuration refused any change while the store had an older revision than was seen, also the command that repairs this, and counted the next revision from the store's. Ruled out: a lost alarm; all entries raise it. Change: a change names what it is made to; recommit names the configuration in force.

--- a/src/cactuspass/_configuration_changes.py
+++ b/src/cactuspass/_configuration_changes.py
@@ -130,12 +130,16 @@
 
     in_force: Configuration
 
-    def apply(self, configuration: Configuration) -> Configuration:
+    def base(self, stored: Configuration) -> Configuration:
         """Return the configuration in force, unless the store has a newer one."""
-        if configuration.revision > self.in_force.revision:
+        if stored.revision > self.in_force.revision:
             raise CommandError("the platform has a newer configuration than this entry")
         return self.in_force
 
+    def apply(self, configuration: Configuration) -> Configuration:
+        """Return the configuration in force."""
+        return configuration
+
     def depends_on(self, configuration: Configuration) -> object:
         """Depend on nothing."""
         return None
--- a/src/cactuspass/_documents.py
+++ b/src/cactuspass/_documents.py
@@ -85,6 +85,13 @@
         :raises CommandError: when the change can't be made.
         """
 
+    def base(self, stored: Configuration) -> Configuration:
+        """Return what the change is made to; by default, what the store has.
+
+        :raises CommandError: when the change can't be made.
+        """
+        return stored
+
     def depends_on(self, configuration: Configuration) -> object:
         """Return the part that the operator must have seen as it is; by default, all of it."""
         return configuration.declarations_by_name, configuration.take_outs_by_tag
@@ -175,9 +182,10 @@
                 revision = stored.configuration.revision
                 if operation in stored.configuration.operations:
                     return stored.configuration
-                self._check_not_reverted(revision)
-                self._check_seen(change, stored.configuration, seen_revision)
-                changed = _next_configuration(change, stored.configuration, operation)
+                base = change.base(stored.configuration)
+                self._check_not_reverted(base.revision, revision)
+                self._check_seen(change, base, seen_revision)
+                changed = _next_configuration(change, base, operation)
                 if await self._swap_configuration(changed, stored.store_revision):
                     return changed
             except OutcomeUnknown as error:
@@ -270,9 +278,9 @@
         self.note_configuration(configuration)
         return StoredConfiguration(configuration, stored.mod_revision)
 
-    def _check_not_reverted(self, stored_revision: int) -> None:
+    def _check_not_reverted(self, base_revision: int, stored_revision: int) -> None:
         known_revision = max(self._seen_by_revision)
-        if stored_revision < known_revision:
+        if base_revision < known_revision:
             raise StoreReverted(known_revision, stored_revision)
 
     def _check_seen(
