Say ready only after the listed peers were heard

Cause: an entry that had just started said ready as soon as it had a configuration, knew no place for a request yet and refused with no-capacity. Ruled out: the groups were serving and the peers connected moments later. Change: readiness also waits until each listed peer was heard, at most 3 s; and a peer that is asked for its documents sends pending take-outs first, so that a restarted entry knows them when it becomes ready.

--- a/src/cactuspass/_front.py
+++ b/src/cactuspass/_front.py
@@ -10,7 +10,9 @@
 from cactuspass._keyed_requests import KeyedRequests
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass._tables import Tables
-from cactuspass.models import TakeOutKind
+from cactuspass.models import EntryId, InstanceRole, TakeOutKind
+
+INTRODUCTION_SECONDS = 3.0
 
 
 class Front(FrontDoor):
@@ -29,6 +31,8 @@
         self._tables = tables
         self._burn = burn
         self._counters = counters
+        self._started_at = time.monotonic()
+        self._knows_peers = False
 
     async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
         """Return the answer to a request."""
@@ -54,7 +58,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return self._tables.configuration is not None and not self._tables.local.draining
+        if self._tables.configuration is None or self._tables.local.draining:
+            return False
+        self._knows_peers = self._knows_peers or self._has_heard_peers()
+        return self._knows_peers
 
     def is_draining(self) -> bool:
         """Return whether the process is shutting down."""
@@ -64,3 +71,18 @@
         """Return whether operators have taken the own data centre out."""
         local = self._tables.local
         return is_taken_out(self._tables, TakeOutKind.DATA_CENTRE, local.data_centre)
+
+    def _has_heard_peers(self) -> bool:
+        """Return whether every listed peer was heard, or had time to be.
+
+        An entry that has just started knows no place for a request until it has heard the peers.
+        """
+        if time.monotonic() - self._started_at >= INTRODUCTION_SECONDS:
+            return True
+        listed = {
+            EntryId(record.instance_id)
+            for record in self._tables.records_by_id.values()
+            if record.role is InstanceRole.ENTRY
+        }
+        heard = self._tables.entries_by_id.keys() | {self._tables.local.entry_id}
+        return bool(listed) and listed <= heard
--- a/src/cactuspass/_peers.py
+++ b/src/cactuspass/_peers.py
@@ -277,8 +277,8 @@
             case TakeOutsMessage(take_outs):
                 self._accept_input(TakeOutsHeard(take_outs))
             case FetchDocuments():
-                link.send(self._state.documents())
                 link.send(TakeOutsMessage(self._state.take_outs()))
+                link.send(self._state.documents())
             case Documents():
                 self._state.receive_documents(message)
 
