--- /dev/null
+++ b/tests/test_leaving_upstreams.py
@@ -0,0 +1,102 @@
+"""Upstreams leave by the list, by an operator's order and by their own word."""
+
+import itertools
+from collections.abc import Callable
+
+from tests.fleet_case import IN_FORCE_SECONDS
+from tests.operations_case import Background, OperationsCase
+from trial.calls import book
+from trial.fleet import KIND, MODEL, FleetPlan
+
+KEYS = itertools.count()
+MEMBER_SEPARATOR = " "
+
+
+class LeavingUpstreamTest(OperationsCase):
+    plan = FleetPlan(("fukuoka",), engines=3, services=2, service_latency=0.02)
+    model_groups = 1
+
+    @classmethod
+    def declare_groups(cls) -> None:
+        cls.order(
+            f"declare group g model {MODEL} in fukuoka kind {KIND} size 2 count 1 spares 1"
+        )
+        cls.wait(lambda: bool(cls.serving()), "the group serves")
+
+    def tearDown(self) -> None:
+        for name in self.fleet.addresses_by_name:
+            if "-engine-" in name or "-lending-" in name:
+                self.fleet.control(name, "set_leaving", leaving=False)
+        everyone = [name for name in self.fleet.addresses_by_name if "-engine-" in name]
+        services = [name for name in self.fleet.addresses_by_name if "-lending-" in name]
+        self.fleet.control("instances", "instances", live=everyone + services)
+        super().tearDown()
+
+    def first_member(self) -> str:
+        found = self.serving()
+        return str(found[0]["members"]).split(MEMBER_SEPARATOR)[0]
+
+    def assert_group_leaves(self, leave: Callable[[str], object]) -> None:
+        """Check that the first member finishes its work and a spare takes its rank."""
+        leaving = self.first_member()
+        with self.long_stream("fukuoka-1", "g-0"):
+            leave(leaving)
+            self.wait(self.has_no_place, "new work stays away", IN_FORCE_SECONDS)
+            before = self.counts().by_name[leaving]["arrived"]
+        self.wait(
+            lambda: any(leaving not in row["members"] for row in self.serving()),
+            "the group goes on with its spare",
+        )
+        self.call("fukuoka-0", "fukuoka-1")
+        self.assertEqual(self.counts().by_name[leaving]["arrived"], before)
+
+    def has_no_place(self) -> bool:
+        return all(row["leaving"] for row in self.fleet.rows(f"groups where model = {MODEL}"))
+
+    def test_engine_leaves_by_the_list(self) -> None:
+        self.assert_group_leaves(
+            lambda name: self.fleet.control("instances", "instances", leaving=[name])
+        )
+
+    def test_engine_leaves_by_an_order(self) -> None:
+        self.assert_group_leaves(lambda name: self.order(f"take out upstream {name}"))
+
+    def test_engine_leaves_by_its_own_word(self) -> None:
+        self.assert_group_leaves(
+            lambda name: self.fleet.control(name, "set_leaving", leaving=True)
+        )
+
+    def assert_service_leaves(self, leave: Callable[[str], object]) -> None:
+        """Check that a running call ends whole and the other instance gets all new ones."""
+        leaving = "fukuoka-lending-0"
+        self.fleet.control(leaving, "slow", factor=40)
+        calls = [Background(lambda: self.booked()) for _ in range(6)]
+        self.wait(
+            lambda: self.counts().by_name[leaving]["running"] > 0, "a call runs at the instance"
+        )
+        leave(leaving)
+        row = f'groups where group = "service-{leaving}" and leaving = true'
+        self.wait(lambda: bool(self.fleet.rows(row)), "it gets no work", IN_FORCE_SECONDS)
+        self.assertEqual({call.result() for call in calls}, {200})
+        self.fleet.control(leaving, "slow", factor=1)
+        before = self.counts().by_name[leaving]["arrived"]
+        for _ in range(12):
+            self.assertEqual(self.booked(), 200)
+        self.assertEqual(self.counts().by_name[leaving]["arrived"], before)
+
+    def booked(self) -> int:
+        entry = self.fleet.entries_by_name[f"fukuoka-{next(KEYS) % 2}"]
+        return book(entry.callers, f"leaving-{next(KEYS)}", "crew").status
+
+    def test_service_leaves_by_the_list(self) -> None:
+        self.assert_service_leaves(
+            lambda name: self.fleet.control("instances", "instances", leaving=[name])
+        )
+
+    def test_service_leaves_by_an_order(self) -> None:
+        self.assert_service_leaves(lambda name: self.order(f"take out upstream {name}"))
+
+    def test_service_leaves_by_its_own_word(self) -> None:
+        self.assert_service_leaves(
+            lambda name: self.fleet.control(name, "set_leaving", leaving=True)
+        )
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -30,6 +30,7 @@
 
     :param engines: engine instances in each data centre, all in one fabric domain.
     :param engine_settings: further settings of each engine.
+    :param service_latency: seconds that a call of a plain service takes.
     :param relays: whether all connections of entries pass relays, so that they can be cut.
     """
 
@@ -41,6 +42,7 @@
     checks_fence: bool = True
     drain_seconds: float = 30.0
     relays: bool = False
+    service_latency: float = 0.0
 
 
 @dataclass(slots=True)
@@ -209,6 +211,7 @@
                 f'[[services]]\ninstance_id = "{data_centre}-{SERVICE}"\nkind = "{SERVICE_KIND}"\n'
                 f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
                 f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
+                f"latency = {self.plan.service_latency}\n"
             )
         for entry in self.entries_by_name.values():
             tables.append(
