--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -33,6 +33,7 @@
     :param listed_engines: addresses by name of engines that run elsewhere, listed in the first
         data centre.
     :param full_requests: requests that a warm engine bears; others than 8 count as warm at once.
+    :param service_latency: seconds that a call of a plain service takes.
     :param relays: whether all connections of entries pass relays, so that they can be cut.
     """
 
@@ -46,6 +47,7 @@
     relays: bool = False
     listed_engines: Mapping[str, str] = field(default_factory=dict)
     full_requests: int = 8
+    service_latency: float = 0.0
 
 
 @dataclass(slots=True)
@@ -214,6 +216,7 @@
                 f'[[services]]\ninstance_id = "{data_centre}-{SERVICE}"\nkind = "{SERVICE_KIND}"\n'
                 f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
                 f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
+                f"latency = {self.plan.service_latency}\n"
             )
         for name, address in self.plan.listed_engines.items():
             tables.append(
