--- /dev/null
+++ b/tests/raw_calls.py
@@ -0,0 +1,154 @@
+"""Calls of entries that show whether an answer looked complete to an HTTP client."""
+
+import http.client
+import json
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Any
+
+from trial.fleet import API_KEY, MODEL, SERVICE
+
+TIMEOUT_SECONDS = 40.0
+LOANS_PATH = f"/services/{SERVICE}/loans"
+COMPLETIONS_PATH = "/v1/completions"
+END_OF_STREAM = b"data: [DONE]"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a client got.
+
+    :param status: 0 when no head came.
+    :param complete: whether HTTP says that the answer is whole.
+    """
+
+    status: int
+    body: bytes = b""
+    complete: bool = False
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def problem(self) -> dict[str, Any]:
+        """The answer's JSON object; empty when it is none."""
+        try:
+            found = json.loads(self.body)
+        except ValueError:
+            return {}
+        return found if isinstance(found, dict) else {}
+
+    @property
+    def run(self) -> str:
+        """What a refusal says about the request."""
+        return str(self.problem.get("run", ""))
+
+    @property
+    def looks_whole(self) -> bool:
+        """Whether a model client takes the answer for complete."""
+        return self.complete and (END_OF_STREAM in self.body or "choices" in self.problem)
+
+
+class OpenCall:
+    """One request whose answer is read when the test wants it."""
+
+    def __init__(
+        self, address: str, path: str, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_SECONDS)
+        fields = {"Authorization": f"Bearer {API_KEY}", "Content-Type": "application/json"}
+        self._received = b""
+        self._response: http.client.HTTPResponse | None = None
+        try:
+            self._connection.request("POST", path, body, fields | (headers or {}))
+        except OSError:
+            self._connection.close()
+            raise
+
+    def __enter__(self) -> "OpenCall":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._connection.close()
+
+    def read_first(self) -> bytes:
+        """Wait for the first bytes of the body."""
+        self._response = self._connection.getresponse()
+        self._received += self._response.read1(10)
+        return self._received
+
+    def read_rest(self) -> Reply:
+        """Read to the end, however it comes."""
+        try:
+            response = self._response or self._connection.getresponse()
+        except (OSError, http.client.HTTPException):
+            return Reply(0)
+        headers = dict(response.getheaders())
+        try:
+            while part := response.read1(65_536):
+                self._received += part
+        except (OSError, http.client.HTTPException):
+            return Reply(response.status, self._received, False, headers)
+        complete = response.length in (None, 0)
+        return Reply(response.status, self._received, complete, headers)
+
+
+def post(address: str, path: str, fields: Any, headers: dict[str, str] | None = None) -> Reply:
+    """Send one request and read its answer."""
+    body = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    try:
+        with OpenCall(address, path, body, headers) as call:
+            return call.read_rest()
+    except OSError:
+        return Reply(0)
+
+
+def loan(address: str, booking: str, key: str = "", **headers: str) -> Reply:
+    """Make one booking."""
+    named = {"Idempotency-Key": key} if key else {}
+    return post(address, LOANS_PATH, {"booking": booking}, named | headers)
+
+
+def completion(address: str, prompt: str, max_tokens: int = 8, **headers: str) -> Reply:
+    """Ask for one answer that is not streamed."""
+    fields = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
+    return post(address, COMPLETIONS_PATH, fields, headers)
+
+
+def open_stream(address: str, prompt: str, max_tokens: int) -> OpenCall:
+    """Begin a streamed answer and wait for its first bytes."""
+    fields = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True}
+    call = OpenCall(address, COMPLETIONS_PATH, json.dumps(fields).encode())
+    call.read_first()
+    return call
+
+
+class Together:
+    """Calls that run at the same time."""
+
+    def __init__(self) -> None:
+        self._pool = ThreadPoolExecutor(64)
+
+    def __enter__(self) -> "Together":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._pool.shutdown()
+
+    def loan(self, address: str, booking: str, key: str = "") -> "Future[Reply]":
+        """Begin one booking."""
+        return self._pool.submit(loan, address, booking, key)
+
+    def completion(self, address: str, prompt: str, max_tokens: int = 8) -> "Future[Reply]":
+        """Begin one answer that is not streamed."""
+        return self._pool.submit(completion, address, prompt, max_tokens)
