--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -26,6 +26,7 @@
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 END_OF_STREAM = b"data: [DONE]"
 TAIL_BYTES = 64
+REQUEST_ID_HEADER = "X-Request-Id"
 
 
 class _AnswerReader(HTTPMessageDelegate):
@@ -55,6 +56,16 @@
             self.head.set_result((start_line.code, headers))
         return None
 
+    def echoes(self, request_id: str | None) -> bool:
+        """Return whether the answer names its request.
+
+        Only then would a second answer on the same connection be told from the next one's.
+        """
+        if request_id is None or not self.head.done() or self.head.exception() is not None:
+            return False
+        _, headers = self.head.result()
+        return headers.get(REQUEST_ID_HEADER) == request_id
+
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the body; the connection waits while the queue is full."""
         self._has_body = True
@@ -126,7 +137,7 @@
         queue = ByteQueue(queue_limit, account)
         reader = _AnswerReader(queue, expect_done_event)
         task = asyncio.create_task(
-            self._exchange(address, stream, reader, method, path, headers, body)
+            self._exchange(address, stream, reader, method, path, headers, body, repeatable)
         )
         queue.on_cancel(stream.close)
         try:
@@ -176,6 +187,7 @@
         path: str,
         headers: tuple[Header, ...],
         body: bytes,
+        keep: bool,
     ) -> None:
         parameters = HTTP1ConnectionParameters(
             chunk_size=READ_CHUNK_BYTES,
@@ -198,7 +210,7 @@
             return
         finally:
             reader.on_connection_close()
-        if open_after:
+        if open_after and keep and reader.echoes(sent.get(REQUEST_ID_HEADER)):
             self._keep(address, stream)
         else:
             stream.close()
--- /dev/null
+++ b/tests/test_crossed_answers.py
@@ -0,0 +1,160 @@
+"""Late, crossed and duplicated answers of upstreams, against raw socket servers."""
+
+import asyncio
+import re
+import time
+import unittest
+from collections.abc import Iterable, Sequence
+
+from cactuspass._byte_queue import UnboundedAccount
+from cactuspass._core import Core, System
+from cactuspass._gateway import AnswerLimits, Gateway, RetryPolicy, SendGuard
+from cactuspass._http_exchange import UpstreamClient
+from cactuspass._messages import Dispatch, Input, Order, RefusalReason, Refuse, RequestArrived
+from cactuspass._requests import SERVICE_PREFIX, CallerRequest
+from cactuspass._runner import CoreRunner
+from cactuspass._tables import LocalRow, Tables
+from cactuspass.exceptions import RequestRefused, RunOutcomeUnknown
+from cactuspass.models import (
+    BootId,
+    CustomerId,
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    Priority,
+    RequestId,
+)
+
+
+class OneTry(System):
+    """Sends each request to the first server, and refuses what was sent before."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
+        return [self._place(item) for item in inputs if isinstance(item, RequestArrived)]
+
+    def _place(self, item: RequestArrived) -> Order:
+        if item.excluded:
+            return Refuse(item.request_id, RefusalReason.NO_CAPACITY, 1.0)
+        group, instance = GroupId("g"), InstanceId("i")
+        return Dispatch(item.request_id, group, instance, self._address, BootId("b"))
+
+
+class OpenGuard(SendGuard):
+    """Allows everything."""
+
+    def may_send(self, group_id: GroupId) -> bool:
+        return True
+
+    def generation(self, group_id: GroupId) -> str | None:
+        return None
+
+
+class AnyRetry(RetryPolicy):
+    """Has retries without end."""
+
+    def count_request(self) -> None:
+        return
+
+    def may_retry(self) -> bool:
+        return True
+
+
+def answer(text: bytes, request_id: str = "") -> bytes:
+    """Return a whole answer as it goes over the wire."""
+    echo = f"X-Request-Id: {request_id}\r\n" if request_id else ""
+    return f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(text)}\r\n\r\n".encode() + text
+
+
+class CrossedAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.received: list[str] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        local = LocalRow(EntryId("e"), Incarnation("i"), DataCentreId("d"), "127.0.0.1:1")
+        runner = CoreRunner(Core(Tables(local, {}), (OneTry(address),)), time.monotonic)
+        self.client = UpstreamClient()
+        limits = AnswerLimits(100_000)
+        self.gateway = Gateway(
+            runner, self.client, OpenGuard(), AnyRetry(), limits, lambda item: UnboundedAccount()
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        for writer in self.writers:
+            writer.close()
+        closings = (writer.wait_closed() for writer in self.writers)
+        await asyncio.gather(*closings, return_exceptions=True)
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer each request by its path: see the tests."""
+        self.writers.append(writer)
+        while head := await self.read_head(reader):
+            path = head.split()[1]
+            found = re.search(r"X-Request-Id: (\S+)", head)
+            own = found.group(1) if found else ""
+            self.received.append(own)
+            if path == "/silent":
+                break
+            echo = {"/crossed": "other", "/twice-unnamed": ""}.get(path, own)
+            writer.write(answer(own.encode(), echo) * (2 if path.startswith("/twice") else 1))
+        writer.close()
+
+    async def read_head(self, reader: asyncio.StreamReader) -> str:
+        try:
+            return (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ""
+
+    async def ask(self, name: str, path: str, model: str = "m", repeatable: bool = True) -> bytes:
+        request = CallerRequest(
+            request_id=RequestId(name),
+            customer=CustomerId("c"),
+            model=model,
+            method="GET",
+            path=path,
+            headers=(),
+            body=b"",
+            tokens=1,
+            priority=Priority.NORMAL,
+            deadline=time.monotonic() + 30.0,
+            repeatable=repeatable,
+        )
+        found = await self.gateway.serve(request)
+        return b"".join([chunk async for chunk in found.body.chunks()])
+
+    async def test_answer_of_another_request_is_not_passed_on(self) -> None:
+        with self.assertRaises(RunOutcomeUnknown):
+            await self.ask("r1", "/crossed", repeatable=False)
+
+    async def test_second_answer_of_an_engine_never_reaches_the_next_request(self) -> None:
+        self.assertEqual(await self.ask("r1", "/twice"), b"r1")
+        with self.assertRaises(RunOutcomeUnknown):
+            await self.ask("r2", "/any")
+
+    async def test_second_answer_that_names_no_request_reaches_nobody(self) -> None:
+        self.assertEqual(await self.ask("r1", "/twice-unnamed"), b"r1")
+        self.assertEqual(await self.ask("r2", "/any"), b"r2")
+
+    async def test_second_answer_of_a_service_never_reaches_the_next_request(self) -> None:
+        service = f"{SERVICE_PREFIX}s"
+        self.assertEqual(await self.ask("r1", "/twice", service), b"r1")
+        self.assertEqual(await self.ask("r2", "/any", service), b"r2")
+
+    async def test_refused_retry_after_an_unknown_try_is_unknown(self) -> None:
+        with self.assertRaises(RunOutcomeUnknown):
+            await self.ask("r1", "/silent")
+        self.assertEqual(self.received, ["r1"])
+
+    async def test_unreachable_upstream_has_not_run(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(RequestRefused):
+            await self.ask("r1", "/any")
