Let requests wait while a leaving holder gives its seat

Cause: between the word of a leaving entry and the first look of its heir no entry had a place for the model, so that the heir refused its callers at once. Requests now wait for up to REROUTE_SECONDS when a listed entry drains and the model is known. Ruled out: keeping the leaving entry as a place, since it gives up its seat at once; a wait without a draining entry, since then no holder is about to come. Before: 503 no-capacity at the heir in tests.test_shutdown; after: 2 of 2 pass in 27.1 s, with streams, a queue and a claim in flight at the leaving entries.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -47,6 +47,7 @@
         self._refusals = RefusalPolicy(forecast, ReturnBook(rng))
         self._queues_by_model: dict[str, FairQueue] = {}
         self._unable_since_by_model: dict[str, float] = {}
+        self._unplaced_since_by_model: dict[str, float] = {}
         self._review_at = 0.0
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
@@ -109,12 +110,29 @@
         own = self._own_choice(tables, item, now)
         place = self._router.choose(tables, item, own, self._queued(item.model), now)
         if place is None:
-            return [self._refuse_unplaced(tables, item, now)]
+            return self._wait_or_refuse(tables, item, now)
+        self._unplaced_since_by_model.pop(item.model, None)
         if place.entry_id is None:
             return self._enqueue(tables, item, own, now)
         self._router.sent(place.entry_id, item, now)
         return [Forward(item.request_id, place.entry_id)]
 
+    def _wait_or_refuse(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
+        """Let a request that has no place wait for a new holder, or refuse it."""
+        queue = self._queues_by_model.get(item.model)
+        is_full = queue is not None and queue.is_full_for(item.customer)
+        if is_full or not self._awaits_holder(tables, item, now):
+            return [self._refuse_unplaced(tables, item, now)]
+        return self._push(tables, item, now)
+
+    def _awaits_holder(self, tables: Tables, item: RequestArrived | RequestRow, now: float) -> bool:
+        """Return whether all places went just now, as when a leaving peer gives its seat."""
+        if item.forwarded_by is not None or not is_known_model(tables, item.model):
+            return False
+        if not any(row.draining for row in tables.entries_by_id.values()):
+            return False
+        return now < self._unplaced_since_by_model.setdefault(item.model, now) + REROUTE_SECONDS
+
     def _queued(self, model: str) -> int:
         """Return the number of requests that wait here for a model."""
         queue = self._queues_by_model.get(model)
@@ -148,6 +166,11 @@
         ):
             reason = RefusalReason.DEADLINE
             return [self._refusals.crowded(tables, item, reason, waiting, now)]
+        return self._push(tables, item, now)
+
+    def _push(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
+        """Let a request wait, and refuse the one that it displaces."""
+        queue = self._queues_by_model.setdefault(item.model, FairQueue())
         row = _row_of(item, now)
         tables.requests_by_id[row.request_id] = row
         evicted = queue.push(row, tables.weights_by_customer.get(row.customer, 1.0))
@@ -193,6 +216,8 @@
         place = self._router.choose(tables, row, own, self._queued(row.model), now)
         if place is not None and place.entry_id is None:
             return []
+        if place is None and self._awaits_holder(tables, row, now):
+            return []
         self._queues_by_model[row.model].remove(row.request_id)
         del tables.requests_by_id[row.request_id]
         if place is None or place.entry_id is None:
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,106 @@
+"""A graceful shutdown cuts no request in flight, on real processes."""
+
+import itertools
+import signal
+from concurrent.futures import Future
+
+from tests.fleet_case import FleetCase
+from tests.invariants import at_most_once, no_double_send, no_over_admission
+from tests.raw_calls import Reply, Together, completion, loan, open_stream
+from trial.fleet import FleetPlan
+
+STREAM_TOKENS = 200
+MANY = 20
+
+
+class ShutdownTest(FleetCase):
+    plan = FleetPlan(data_centres=("a",), entries=2, engines=2, service_settings={"latency": 0.02})
+
+    def setUp(self) -> None:
+        entries = self.fleet.entries_by_name
+        self.callers = {name: entry.callers for name, entry in entries.items()}
+        self.addCleanup(self.start_ended)
+        for name, address in self.callers.items():
+            self.wait(
+                lambda address=address: completion(address, "begin").looks_whole, f"{name} serves"
+            )
+        self.wait(lambda: len(self.serving()) == 1, "one entry holds the group")
+        self.holder = str(self.serving()[0]["holder"])
+        self.other = next(name for name in entries if name != self.holder)
+
+    def start_ended(self) -> None:
+        for name, entry in self.fleet.entries_by_name.items():
+            assert entry.child is not None
+            if not entry.child.is_running:
+                entry.child.kill()
+                self.fleet.start_entry(name)
+        for name in self.callers:
+            self.fleet.wait_ready(name)
+            self.fleet.wait_seated(name)
+
+    def begin_leaving(self, name: str) -> None:
+        """Ask an entry to end and wait until it says that it is not ready."""
+        child = self.fleet.entries_by_name[name].child
+        assert child is not None
+        self.addCleanup(child.wait)
+        child.send(signal.SIGTERM)
+        self.wait(lambda: self.readiness(name) != 200, "it is not ready")
+
+    def readiness(self, name: str) -> int:
+        return self.fleet.status(self.callers[name], "/readyz")
+
+    def assert_ended_well(self, name: str) -> None:
+        child = self.fleet.entries_by_name[name].child
+        assert child is not None
+        self.assertEqual(child.wait(), 0)
+        counts = self.counts()
+        self.assert_holds([*at_most_once(counts), *no_double_send(counts)])
+        self.assert_holds(no_over_admission(counts))
+
+    def assert_whole(self, *replies: Reply) -> None:
+        for reply in replies:
+            self.assertEqual((reply.status, reply.looks_whole), (200, True), reply)
+
+    def test_the_holder_leaves_with_everything_in_flight(self) -> None:
+        near, far = self.callers[self.holder], self.callers[self.other]
+        numbers = itertools.count()
+        moving: list[Future[Reply]] = []
+        with Together() as calls:
+
+            def call_other_until_it_holds() -> bool:
+                moving.append(calls.completion(far, f"moving {next(numbers)}"))
+                rows = self.serving(self.other)
+                return bool(rows) and rows[0]["holder"] == self.other
+
+            with (
+                open_stream(near, "own, read late", STREAM_TOKENS) as own,
+                open_stream(far, "forwarded", STREAM_TOKENS) as forwarded,
+            ):
+                queued = [calls.completion(near, f"queued {n}", 30) for n in range(MANY)]
+                self.wait(lambda: bool(self.fleet.rows("waiting", self.holder)), "requests wait")
+                self.begin_leaving(self.holder)
+                self.assertEqual(self.readiness(self.holder), 503)
+                self.wait(call_other_until_it_holds, "the other entry holds the group")
+                self.assert_whole(*(item.result() for item in (*queued, *moving)))
+                self.assert_whole(forwarded.read_rest(), own.read_rest())
+        self.assert_ended_well(self.holder)
+        self.assert_whole(completion(far, "after"))
+
+    def test_an_entry_leaves_while_it_forwards_and_claims(self) -> None:
+        address = self.callers[self.other]
+        with Together() as calls, open_stream(address, "hop", STREAM_TOKENS) as call:
+            self.fleet.control("platform", "slow", seconds=0.3)
+            self.addCleanup(self.fleet.control, "platform", "slow", seconds=0.0)
+            before = self.requests_of(self.other)
+            pending = calls.loan(address, "claim", "claim")
+            self.wait(lambda: self.requests_of(self.other) > before, "the claim has begun")
+            self.begin_leaving(self.other)
+            self.assert_whole(call.read_rest())
+            reply = pending.result()
+        self.assertEqual(reply.status, 200)
+        self.assert_ended_well(self.other)
+        self.assertEqual(loan(self.callers[self.holder], "claim", "claim").body, reply.body)
+
+    def requests_of(self, entry: str) -> int:
+        rows = self.fleet.rows("counters where counter = requests", entry)
+        return sum(int(row["value"]) for row in rows if row["entry"] == entry)
