Say unknown when a retry is refused after a try that was sent

Cause: a repeatable request whose first try broke after sending was told "not run" when its retry was refused or found no place, although an upstream had accepted it. Change: the earlier unknown outcome goes before the later refusal. Ruled out: counting the refusals' request ids wrongly; the ids of whole answers are all among the accepted ones.

--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -19,6 +19,7 @@
 from cactuspass._requests import Answer, CallerRequest, Header
 from cactuspass._runner import CoreRunner
 from cactuspass.exceptions import (
+    RequestError,
     RequestRefused,
     RunOutcomeUnknown,
     UpstreamNotReached,
@@ -146,13 +147,14 @@
 
     async def _serve(self, request: CallerRequest, forwarded_by: EntryId | None) -> Answer:
         excluded: list[str] = []
-        refusal = RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
+        refusal: RequestError = RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
+        unknown: RunOutcomeUnknown | None = None
         if forwarded_by is None:
             self._retries.count_request()
         for _ in range(MAX_TRIES):
             order = await self._place(request, forwarded_by, tuple(excluded))
             if isinstance(order, Refuse):
-                raise RequestRefused(order.reason, order.retry_after, order.detail)
+                raise unknown or RequestRefused(order.reason, order.retry_after, order.detail)
             try:
                 if isinstance(order, Forward):
                     return await self._forward(order, request)
@@ -163,11 +165,12 @@
                 refusal = RequestRefused(
                     RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS, detail=str(error)
                 )
-            except RunOutcomeUnknown:
+            except RunOutcomeUnknown as error:
                 if forwarded_by or not request.repeatable or not self._retries.may_retry():
                     raise
+                unknown = error
             excluded.append(order.entry_id if isinstance(order, Forward) else str(order.group_id))
-        raise refusal
+        raise unknown or refusal
 
     def _resolve(self, order: Placed) -> None:
         placed = self._placed_by_request.pop(order.request_id, None)
