Prove on six processes that failing members never make a partial group serve

Change: a burst at cold upstreams, a killed member of each rank, restarts without warning and a dark data centre, all under traffic through every entry; the counters of the stand-ins are compared with what each caller saw. Ruled out: requiring that no request is accepted twice, since a repeatable model request may be sent again after its connection broke.

--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+PEAK = "peak_over_bearable"
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
@@ -52,6 +54,25 @@
     return _where_above_zero(counts, "no upstream gets more than it bears", "fell_over")
 
 
+def within_bearable(counts: Counts) -> list[Violation]:
+    """Find upstreams that held more requests than they could bear at an arrival."""
+    return [
+        Violation("no upstream holds more than it bears", name, f"peak {found[PEAK]:.2f}")
+        for name, found in sorted(counts.by_name.items())
+        if found.get(PEAK, 0.0) > 1.0
+    ]
+
+
+def none_accepted(counts: Counts, request_ids: Iterable[str]) -> list[Violation]:
+    """Find requests that an upstream accepted although their refusal said that they had not run."""
+    accepted = counts.merged("accepted_by_request_id")
+    return [
+        Violation("a refusal that says not run is true", request_id, f"accepted {number} times")
+        for request_id in request_ids
+        if (number := accepted[request_id])
+    ]
+
+
 def no_arrival_while_leaving(counts: Counts) -> list[Violation]:
     """Find requests that came to an upstream that had said that it leaves."""
     return _where_above_zero(counts, "a leaving upstream gets no work", "arrived_while_leaving")
--- /dev/null
+++ b/tests/test_group_failures.py
@@ -0,0 +1,74 @@
+"""Members, upstreams and whole data centres fail under traffic through all entries."""
+
+from tests.group_case import GroupCase, ask
+from tests.group_traffic import Ending, book_once, burst
+from trial.fleet import FleetPlan
+
+LOAD_SECONDS = 0.5
+DOWN_SECONDS = LOAD_SECONDS + 2.0
+DARK_SECONDS = 3.0
+
+
+class GroupFailureTest(GroupCase):
+    plan = FleetPlan(engines=3)
+
+    def tearDown(self) -> None:
+        self.wait_serving()
+
+    def test_burst_through_all_entries_at_fresh_upstreams(self) -> None:
+        for data_centre in self.plan.data_centres:
+            for number in range(self.plan.engines):
+                self.fleet.control(f"{data_centre}-engine-{number}", "restart")
+            self.fleet.control(f"{data_centre}-lending-0", "restart")
+        self.wait_serving()
+        outcomes = [
+            *burst(self.callers(), ask, callers=6),
+            *burst(self.callers(), book_once, callers=6),
+        ]
+        self.assertEqual({item.ending for item in outcomes}, {Ending.WHOLE}, outcomes)
+        self.assert_truthful(outcomes)
+        self.assert_bounds()
+
+    def test_spare_replaces_a_killed_member_within_the_load_time_and_two_seconds(self) -> None:
+        with self.streams() as traffic:
+            for rank in (1, 0):
+                self.wait_more(traffic, 10)
+                lost = self.members("fukuoka")[rank]
+                self.fleet.control(lost, "kill", seconds=DOWN_SECONDS)
+                self.wait(
+                    lambda lost=lost: self.serves_without(lost, "fukuoka"),
+                    f"a spare serves in place of {lost}",
+                    DOWN_SECONDS,
+                )
+                self.wait_more(traffic, 10)
+                self.wait(lambda lost=lost: self.is_up(lost), f"{lost} is back")
+        self.assert_truthful(traffic.outcomes)
+        self.assert_bounds()
+
+    def test_upstreams_that_restart_without_warning_never_get_too_much(self) -> None:
+        with self.streams(callers=3) as streams, self.bookings(callers=3) as bookings:
+            for _ in range(3):
+                self.wait_more(streams, 20)
+                self.wait_more(bookings, 40)
+                for data_centre in self.plan.data_centres:
+                    self.fleet.control(self.members(data_centre)[0], "restart")
+                    self.fleet.control(f"{data_centre}-lending-0", "restart")
+                self.wait_serving()
+            self.wait_more(streams, 20)
+        self.assert_truthful(streams.outcomes)
+        self.assert_truthful(bookings.outcomes)
+        self.assert_bounds()
+
+    def test_dark_data_centre_comes_back_cold(self) -> None:
+        engines = [f"kumamoto-engine-{number}" for number in range(self.plan.engines)]
+        with self.streams() as traffic:
+            self.wait_more(traffic, 10)
+            for engine in engines:
+                self.fleet.control(engine, "kill", seconds=DARK_SECONDS)
+            self.wait(lambda: not self.group("kumamoto").get("serving"), "the group is down")
+            self.wait_more(traffic, 20)
+            self.wait(lambda: all(map(self.is_up, engines)), "the engines are back")
+            self.wait_serving()
+            self.wait_more(traffic, 20)
+        self.assert_truthful(traffic.outcomes)
+        self.assert_bounds()
--- a/trial/calls.py
+++ b/trial/calls.py
@@ -74,6 +74,13 @@
         return ServiceAnswer(error.code, error.read())
 
 
+def is_whole(text: str, prompt: str, max_tokens: int) -> bool:
+    """Tell whether a text is the whole answer to a prompt."""
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_DIGITS]
+    words = text.split()
+    return words[:1] == [digest] and len(words) == max_tokens
+
+
 def _checked(text: str, prompt: str, max_tokens: int) -> str:
     digest = hashlib.sha256(prompt.encode()).hexdigest()[:DIGEST_DIGITS]
     words = text.split()
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -34,6 +34,8 @@
         data centre.
     :param full_requests: requests that a warm engine bears; others than 8 count as warm at once.
     :param relays: whether all connections of entries pass relays, so that they can be cut.
+    :param service_settings: further settings of each instance of the plain service.
+    :param limits: further settings of the entries' limits.
     """
 
     data_centres: Sequence[str] = ("fukuoka", "kumamoto", "kagoshima")
@@ -46,6 +48,8 @@
     relays: bool = False
     listed_engines: Mapping[str, str] = field(default_factory=dict)
     full_requests: int = 8
+    service_settings: Mapping[str, Any] = field(default_factory=dict)
+    limits: Mapping[str, Any] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -68,6 +72,10 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def _lines(settings: Mapping[str, Any]) -> str:
+    return "".join(f"{name} = {json.dumps(value)}\n" for name, value in settings.items())
+
+
 class Fleet:
     """Starts and stops the processes of a trial; a context manager."""
 
@@ -214,6 +222,7 @@
                 f'[[services]]\ninstance_id = "{data_centre}-{SERVICE}"\nkind = "{SERVICE_KIND}"\n'
                 f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
                 f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
+                f"{_lines(self.plan.service_settings)}"
             )
         for name, address in self.plan.listed_engines.items():
             tables.append(
@@ -229,9 +238,7 @@
         return "\n".join(tables)
 
     def _engine_table(self, data_centre: str) -> str:
-        further = "".join(
-            f"{name} = {json.dumps(value)}\n" for name, value in self.plan.engine_settings.items()
-        )
+        further = _lines(self.plan.engine_settings)
         return (
             f'[[engines]]\ninstance_id = "{data_centre}-engine"\nkind = "{KIND}"\n'
             f'data_centre = "{data_centre}"\nfabric_domain = "{data_centre}-fabric"\n'
@@ -266,6 +273,7 @@
 
 [limits]
 drain_seconds = {self.plan.drain_seconds}
+{_lines(self.plan.limits)}
 
 [[upstream_kinds]]
 kind = "{KIND}"
