Measure service while a data centre leaves and returns

Cause: no benchmark showed what callers meet while operators order a data centre out and bring it back with cold upstreams. Change: bench/data_centres.py runs the admission decisions of six entries in three data centres on a simulated clock, with heartbeats and reports of at most one second of age and orders that reach entries spread over a second, second by second, against static shares of random upstreams without ramp or forwarding.

--- /dev/null
+++ b/bench/data_centre_ways.py
@@ -0,0 +1,278 @@
+"""Ways to serve while a data centre is out: the product's decisions, and a plain balancer."""
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from bench.data_centre_world import (
+    ENTRIES,
+    ENTRIES_PER_DATA_CENTRE,
+    GROUPS,
+    KIND,
+    MAX_TRIES,
+    OUT,
+    SLOTS,
+    Call,
+    DataCentreWorld,
+    Move,
+)
+from bench.upstream_pool import REPORT_SECONDS, hold_group, make_tables, report
+from cactuspass._admission import AdmissionSystem
+from cactuspass._confirm import is_confirmed
+from cactuspass._forecast import Forecast
+from cactuspass._gate import Gate
+from cactuspass._messages import (
+    Dispatch,
+    Forward,
+    Input,
+    PeerHeard,
+    Refuse,
+    RequestArrived,
+    RequestFinished,
+)
+from cactuspass._retries import RetryBudget, may_retry
+from cactuspass._summaries import summaries
+from cactuspass._tables import EntryRow, HeldGroupRow, Tables
+from cactuspass.models import DataCentreId, EntryId, GroupId, Priority, TakeOutKind
+
+MODEL = "m"
+TOKENS = 400
+HOP_SECONDS = 0.001
+HEARTBEAT_SECONDS = 1.0
+
+
+class OrderedGate(Gate):
+    """Knows whether the data centre is out, as far as one entry has heard."""
+
+    def __init__(self) -> None:
+        self.is_out = False
+
+    def may_send(self, tables: Tables, row: HeldGroupRow, now: float) -> bool:
+        """Return whether the group's members have confirmed it."""
+        return is_confirmed(tables, row, now)
+
+    def taken_out(self, tables: Tables, kind: TakeOutKind, target: str) -> bool:
+        """Return whether the target is the data centre that is out."""
+        return self.is_out and kind is TakeOutKind.DATA_CENTRE and target == OUT
+
+
+class Site:
+    """The decision layer of one entry."""
+
+    def __init__(self, name: str, seed: int) -> None:
+        self.name = name
+        self.gate = OrderedGate()
+        self.tables = make_tables(name, KIND)
+        self.tables.local.data_centre = data_centre_of(name)
+        self.system = AdmissionSystem(self.gate, random.Random(seed), Forecast())
+        self.budget = RetryBudget()
+        self.inbox: list[Input] = []
+        for group in (group for group in GROUPS if group.startswith(name)):
+            row = hold_group(self.tables, group, MODEL, KIND)
+            row.ramp_boot = self.tables.instances_by_id[row.members[0]].boot_id
+            row.ramp = float(SLOTS)
+
+    def heartbeat(self, now: float) -> PeerHeard:
+        """Return what the entry tells its peers."""
+        local = self.tables.local
+        return PeerHeard(
+            local.entry_id,
+            local.incarnation,
+            local.data_centre,
+            local.address,
+            configuration_revision=0,
+            take_out_tags=(),
+            placement_version=0,
+            ready=True,
+            draining=False,
+            groups=summaries(self.tables, now),
+        )
+
+    def hear(self, beat: PeerHeard, now: float) -> None:
+        """Take a peer's heartbeat into the tables."""
+        row = EntryRow(beat.entry_id, beat.incarnation, beat.data_centre, beat.address, now)
+        row.ready = True
+        row.groups_by_id = {summary.group_id: summary for summary in beat.groups}
+        self.tables.entries_by_id[row.entry_id] = row
+        self.inbox.append(beat)
+
+
+def data_centre_of(entry: str) -> DataCentreId:
+    """Return the data centre of an entry."""
+    return DataCentreId(entry.rpartition("-")[0])
+
+
+class RoutedWorld(DataCentreWorld):
+    """Every entry decides with the admission system and forwards one hop."""
+
+    name = "admission and forwarding"
+
+    def __init__(self, move: Move) -> None:
+        self.sites_by_name = {name: Site(name, move.seed) for name in ENTRIES}
+        super().__init__(move)
+        for name in ENTRIES:
+            self.schedule.at(self.rng.uniform(0, HEARTBEAT_SECONDS), self._beat_of(name))
+        for group in GROUPS:
+            self.schedule.at(self.rng.uniform(0, REPORT_SECONDS), self._report_of(group))
+
+    def _beat_of(self, name: str) -> Callable[[float], None]:
+        def beat(now: float) -> None:
+            message = self.sites_by_name[name].heartbeat(now)
+            for site in self.sites_by_name.values():
+                if site.name != name:
+                    site.hear(message, now)
+            self.schedule.at(now + HEARTBEAT_SECONDS, beat)
+
+        return beat
+
+    def _report_of(self, group: str) -> Callable[[float], None]:
+        def tell(now: float) -> None:
+            if group not in self.fallen:
+                self.connected(group, now)
+            self.schedule.at(now + REPORT_SECONDS, tell)
+
+        return tell
+
+    def _site_of(self, group: str) -> Site:
+        return self.sites_by_name[group.rpartition("-")[0]]
+
+    def connected(self, group: str, now: float) -> None:
+        """Let the holder see a report of the upstream."""
+        tables = self._site_of(group).tables
+        report(tables, group, self.upstreams_by_group[group], now)
+        tables.held_groups_by_id[GroupId(group)].serving = True
+
+    def broken(self, group: str) -> None:
+        """Let the holder see the loss of the event connection."""
+        tables = self._site_of(group).tables
+        row = tables.held_groups_by_id[GroupId(group)]
+        row.serving = False
+        tables.instances_by_id[row.members[0]].connected = False
+
+    def order(self, entry: str, is_out: bool) -> None:
+        """Put the order into force at an entry."""
+        self.sites_by_name[entry].gate.is_out = is_out
+
+    def arrive(self, call: Call) -> None:
+        """Hand a request to the entry that the balancer chose."""
+        site = self.sites_by_name[call.entry]
+        site.budget.count_request()
+        site.inbox.append(_arrival(call))
+
+    def step(self) -> None:
+        """Tick every entry and carry its orders out."""
+        for site in self.sites_by_name.values():
+            inputs, site.inbox = tuple(site.inbox), []
+            for order in site.system.run(site.tables, inputs, self.now):
+                if isinstance(order, Dispatch):
+                    self.send(self._call(order.request_id), order.group_id)
+                elif isinstance(order, Forward):
+                    self._forward(self._call(order.request_id), site, order.entry_id)
+                elif isinstance(order, Refuse):
+                    self._refused(self._call(order.request_id), site)
+
+    def _call(self, name: str) -> Call:
+        return self.calls[int(name[1:])]
+
+    def _forward(self, call: Call, site: Site, target: EntryId) -> None:
+        message = replace(_arrival(call), forwarded_by=EntryId(site.name), excluded=())
+        inbox = self.sites_by_name[target]
+        self.schedule.at(self.now + HOP_SECONDS, lambda at: inbox.inbox.append(message))
+
+    def _refused(self, call: Call, site: Site) -> None:
+        """Try elsewhere what a peer handed back; tell the caller of any other refusal."""
+        if site.name != call.entry and call.tries < MAX_TRIES:
+            self._submit_again(call, site.name)
+        else:
+            self.finish(call, "late" if self.now >= call.deadline else "refused")
+
+    def _submit_again(self, call: Call, excluded: str) -> None:
+        call.tries += 1
+        call.excluded = (*call.excluded, excluded)
+        site = self.sites_by_name[call.entry]
+        self.schedule.at(self.now + HOP_SECONDS, lambda at: site.inbox.append(_arrival(call)))
+
+    def ended(self, call: Call, group: str, succeeded: bool, now: float) -> None:
+        """Tell the holder, and retry a failure while the budget lasts."""
+        holder = self._site_of(group)
+        holder.inbox.append(RequestFinished(call.name, succeeded))
+        if succeeded:
+            self.finish(call, "whole")
+        elif call.tries < MAX_TRIES and may_retry(
+            True, True, self.sites_by_name[call.entry].budget
+        ):
+            self._submit_again(call, group if holder.name == call.entry else holder.name)
+        else:
+            self.finish(call, "failed")
+
+
+def _arrival(call: Call) -> RequestArrived:
+    return RequestArrived(
+        call.name,
+        call.customer,
+        MODEL,
+        TOKENS,
+        Priority.NORMAL,
+        call.deadline,
+        excluded=call.excluded,
+    )
+
+
+class PlainWorld(DataCentreWorld):
+    """A random upstream of the own data centre, static shares, no ramp and no forwarding."""
+
+    name = "random upstream, no ramp, no forwarding"
+
+    def __init__(self, move: Move) -> None:
+        self.out_entries: set[str] = set()
+        self.queues_by_entry: dict[str, deque[Call]] = defaultdict(deque)
+        self.running: dict[tuple[str, str], int] = defaultdict(int)
+        self.share = SLOTS // ENTRIES_PER_DATA_CENTRE
+        super().__init__(move)
+
+    def order(self, entry: str, is_out: bool) -> None:
+        """Let the entries of the data centre refuse while it is out."""
+        if not entry.startswith(OUT):
+            return
+        if is_out:
+            self.out_entries.add(entry)
+        else:
+            self.out_entries.discard(entry)
+
+    def arrive(self, call: Call) -> None:
+        """Queue a request at its entry."""
+        self.queues_by_entry[call.entry].append(call)
+
+    def step(self) -> None:
+        """Send the oldest requests to random upstreams."""
+        for entry, queue in self.queues_by_entry.items():
+            if entry in self.out_entries:
+                for call in queue:
+                    self.finish(call, "refused")
+                queue.clear()
+            self._send_heads(entry, queue)
+
+    def _send_heads(self, entry: str, queue: deque[Call]) -> None:
+        own = [group for group in GROUPS if group.startswith(data_centre_of(entry))]
+        while queue:
+            free = [group for group in own if self.running[entry, group] < self.share]
+            if queue[0].deadline <= self.now:
+                self.finish(queue.popleft(), "late")
+            elif free:
+                group = self.rng.choice(free)
+                self.running[entry, group] += 1
+                self.send(queue.popleft(), group)
+            else:
+                return
+
+    def ended(self, call: Call, group: str, succeeded: bool, now: float) -> None:
+        """Free the place, and send a failed request again."""
+        self.running[call.entry, group] -= 1
+        if succeeded:
+            self.finish(call, "whole")
+        elif call.tries < MAX_TRIES:
+            call.tries += 1
+            self.arrive(call)
+        else:
+            self.finish(call, "failed")
--- a/bench/matters.py
+++ b/bench/matters.py
@@ -1,10 +1,10 @@
 """The matters that are measured: what each one's figures say beside baseline and target."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
-from bench import claims, groups, overload, path, routing, warmup
+from bench import claims, data_centres, groups, overload, path, routing, warmup
 from bench.report import Line, at_least, at_most, share_of_baseline
 
 DOWNTIME_SHARE = 1 / 3
@@ -103,6 +103,33 @@
     return Found(tuple(lines), (report,))
 
 
+def measure_data_centres(quick: bool) -> Found:
+    """Compare service while a data centre leaves and returns with a plain balancer's."""
+    found = data_centres.run(quick)
+    data_centres.write_plot(found, data_centres.PLOT)
+    lines: list[Line] = []
+    for restart, load in sorted({(item.restart, item.load) for item in found}):
+        same = [item for item in found if (item.restart, item.load) == (restart, load)]
+        plain = next(item for item in same if item.way == data_centres.BASELINE)
+        ours = [item for item in same if item.way != data_centres.BASELINE]
+        lines += _data_centre_lines(f"data centre, load {load:g}, {restart}", ours, plain)
+    return Found(tuple(lines), found)
+
+
+def _data_centre_lines(
+    matter: str, ours: Sequence[data_centres.MoveFigures], plain: data_centres.MoveFigures
+) -> Iterator[Line]:
+    """Return the worst of our seeds beside the baseline."""
+    whole = min(item.worst_second for item in ours)
+    yield Line(matter, "whole in time, worst second", whole, plain.worst_second)
+    avoidable = max(item.avoidable for item in ours)
+    yield at_most(matter, "avoidable refusals and misses", avoidable, 0, plain.avoidable)
+    sent = max(item.sent_late for item in ours)
+    yield at_most(matter, "requests sent once out is known", sent, 0, plain.sent_late)
+    peak = max(item.peak_on_return for item in ours)
+    yield at_most(matter, "peak over bearable on return", peak, 1, plain.peak_on_return)
+
+
 def measure_routing(quick: bool) -> Found:
     """Compare routing by prefixes with routing by load."""
     found = routing.run(quick)
@@ -188,5 +215,6 @@
     "overload": measure_overload,
     "routing": measure_routing,
     "claims": measure_claims,
+    "data centres": measure_data_centres,
 }
 ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {"path": measure_path}
