Tell of a replaced peer at once; judge rights by a clock that counts suspension

Cause: when a new process's connection replaced the old one, nothing said that the old process was lost, so the newcomer was ignored for up to 3 s; the monotonic clock stands still while a machine is suspended. Change: PeerLost for the old incarnation; CLOCK_BOOTTIME.

--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-import time
 import uuid
 from collections.abc import Sequence
 from functools import partial
 
+from cactuspass import _clock as clock
 from cactuspass._admission import AdmissionSystem
 from cactuspass._answer_memory import AnswerMemory
 from cactuspass._application import Application
@@ -169,16 +169,16 @@
         address = None if statsd is None else f"{statsd.host}:{statsd.port}"
         self.counters = Counters(address, "cactuspass" if statsd is None else statsd.prefix)
         rng = random.Random(self.tables.local.incarnation)
-        self.runner = CoreRunner(Core(self.tables, build_systems(rng)), time.monotonic)
+        self.runner = CoreRunner(Core(self.tables, build_systems(rng)), clock.now)
         limits = settings.limits
         ledger = MemoryLedger(MemoryBudget(limits.node_memory_bytes, limits.stream_memory_bytes))
-        self.memory = AnswerMemory(ledger, time.monotonic, self.counters)
+        self.memory = AnswerMemory(ledger, clock.now, self.counters)
 
     def _build_platform(self) -> None:
         settings = self.settings
         timeout = settings.platform.timeout_seconds
         self.platform = EtcdPlatform(settings.platform.addresses, timeout)
-        self.documents = DocumentStore(self.platform, settings.data_centre, time.monotonic)
+        self.documents = DocumentStore(self.platform, settings.data_centre, clock.now)
         local, accept = self.tables.local, self.runner.accept
         self.claims = ClaimStore(
             self.platform,
@@ -191,7 +191,7 @@
             self.documents, accept, self.claims.note_platform, self.counters
         )
         self.take_out_commits = TakeOutCommits(
-            self.tables, self.documents, accept, time.monotonic, self.counters
+            self.tables, self.documents, accept, clock.now, self.counters
         )
         instances = HttpInstanceList(settings.platform.instance_list, timeout)
         self.instance_list_loop = InstanceListLoop(instances, accept, self.counters)
@@ -203,7 +203,7 @@
         self.gateway = Gateway(
             self.runner,
             upstreams,
-            TableGuard(tables, time.monotonic, self.upstream_events.is_open),
+            TableGuard(tables, clock.now, self.upstream_events.is_open),
             BudgetRetries(),
             AnswerLimits(settings.limits.stream_memory_bytes),
             self.memory.account_for,
@@ -216,10 +216,10 @@
             local.address,
             settings.peers.token,
         )
-        state = EntryState(tables, time.monotonic, accept)
+        state = EntryState(tables, clock.now, accept)
         self.network = PeerNetwork(hello, str(settings.listeners.peers), state, accept)
         links = self.network.links_by_entry
-        forwarding = Forwarding(self.gateway, links, time.monotonic, self.memory.account_for)
+        forwarding = Forwarding(self.gateway, links, clock.now, self.memory.account_for)
         self.network.add_receiver(forwarding.receive, forwarding.lose_link)
         self.gateway.use_forwarder(forwarding)
         self.keyed = KeyedRequests(self.claims, self.gateway, self.counters.count)
@@ -251,12 +251,12 @@
         limits = self.settings.limits
         defaults = RequestDefaults(limits.default_deadline_seconds, limits.max_deadline_seconds)
         priorities = {customer.id: customer.priority for customer in self.settings.customers}
-        return RequestReader(defaults, time.monotonic, priorities)
+        return RequestReader(defaults, clock.now, priorities)
 
     def _build_operators(self) -> None:
         tables = self.tables
         sources = ViewSources(
-            tables, time.monotonic, self.memory.ledger.held_by_customer, self.counters.values
+            tables, clock.now, self.memory.ledger.held_by_customer, self.counters.values
         )
         api = EntryOperators(
             sources, self.documents, self.network, self.platform_loop, self.runner, self.burn
@@ -270,7 +270,7 @@
         self.operators = OperatorServer(listen, self.settings.operators.token, api)
 
     def _listed_entries(self) -> list[EntryId]:
-        return list(EntryState(self.tables, time.monotonic, self.runner.accept).peer_addresses())
+        return list(EntryState(self.tables, clock.now, self.runner.accept).peer_addresses())
 
     def _register_orders(self) -> None:
         handlers = {
--- a/src/cactuspass/_peers.py
+++ b/src/cactuspass/_peers.py
@@ -231,6 +231,8 @@
         self.links_by_entry[entry_id] = link
         if older is not None:
             older.abort()
+            if older.hello.incarnation != link.hello.incarnation:
+                self._accept_input(PeerLost(entry_id, older.hello.incarnation))
         link.send(self._state.heartbeat())
         try:
             async for message in link.messages():
