Notice every store that went back, and keep its lost take-outs

Cause: an entry that had a newer configuration only from a peer, or that met the same store revision again after a restore, never read the store's copy, so it raised no alarm; and its commits didn't know the newer revision. A take-out that the store lost could be dropped when a higher revision without it was read. Ruled out: a lost alarm message; the entry had read nothing. Change: the configuration is read in full every fifth poll, commits are told of what peers passed on, and take-outs of both copies stay pending until a copy has or has cancelled them.

--- a/src/cactuspass/_configuration.py
+++ b/src/cactuspass/_configuration.py
@@ -254,6 +254,7 @@
     ) -> list[AlarmChanged]:
         read = message.configuration
         held = tables.configuration
+        _keep_take_outs(tables, read)
         if held is None or read.revision > held.revision:
             tables.configuration = read
             held = read
@@ -265,6 +266,18 @@
         return _raise_alarm(tables, detail, now)
 
 
+def _keep_take_outs(tables: Tables, read: Configuration) -> None:
+    """Keep the take-outs of both copies, also when the store went back and lost some.
+
+    Those that the copy in force has, or has cancelled, are dropped from the pending ones.
+    """
+    held = tables.configuration or Configuration()
+    cancelled = {*held.cancelled, *read.cancelled}
+    both = {**held.take_outs_by_tag, **read.take_outs_by_tag}
+    kept = {tag: order for tag, order in both.items() if tag not in cancelled}
+    tables.pending_take_outs_by_tag = {**kept, **tables.pending_take_outs_by_tag}
+
+
 def _raise_alarm(tables: Tables, detail: str, now: float) -> list[AlarmChanged]:
     key = (AlarmKind.STORE_REVERTED, ALARM_SUBJECT)
     if key in tables.alarms_by_key:
--- a/src/cactuspass/_documents.py
+++ b/src/cactuspass/_documents.py
@@ -37,6 +37,7 @@
 MAX_PLACEMENT_TRIES = 2
 KEPT_OPERATIONS = 128
 KEPT_CONFIGURATIONS = 32
+FULL_READ_POLLS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +114,7 @@
         self._configuration_revision: int | None = None
         self._placement_revision: int | None = None
         self._placement_writes = 0
+        self._polls = 0
         self._seen_by_revision: dict[int, Configuration] = {}
 
     async def confirm(self) -> Confirmation:
@@ -129,8 +131,12 @@
     async def poll(self) -> PollResult:
         """Confirm both keys and read in full those that changed since the last poll.
 
-        After each :meth:`write_placement` the placement counts as changed.
+        After each :meth:`write_placement` the placement counts as changed. The configuration is
+        also read every few polls, since a store that went back may repeat a revision.
         """
+        self._polls += 1
+        if self._polls % FULL_READ_POLLS == 0:
+            self._configuration_revision = None
         try:
             confirmation = await self.confirm()
             changed = self._changed_keys(confirmation)
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -216,7 +216,7 @@
             local.address,
             settings.peers.token,
         )
-        state = EntryState(tables, time.monotonic, accept)
+        state = EntryState(tables, time.monotonic, accept, self.documents.note_configuration)
         self.network = PeerNetwork(hello, str(settings.listeners.peers), state, accept)
         links = self.network.links_by_entry
         forwarding = Forwarding(self.gateway, links, time.monotonic, self.memory.account_for)
--- a/src/cactuspass/_entry_state.py
+++ b/src/cactuspass/_entry_state.py
@@ -15,21 +15,27 @@
 from cactuspass._summaries import summaries
 from cactuspass._tables import Tables
 from cactuspass.exceptions import DocumentError
-from cactuspass.models import EntryId, InstanceRole, TakeOut
+from cactuspass.models import Configuration, EntryId, InstanceRole, TakeOut
 
 
 class EntryState(PeerState):
     """Reads the tables for the peer network.
 
     :param clock: monotonic time in seconds.
+    :param note_configuration: is told of each configuration that a peer passed on.
     """
 
     def __init__(
-        self, tables: Tables, clock: Callable[[], float], accept_input: Callable[[Input], None]
+        self,
+        tables: Tables,
+        clock: Callable[[], float],
+        accept_input: Callable[[Input], None],
+        note_configuration: Callable[[Configuration], None] = lambda configuration: None,
     ) -> None:
         self._tables = tables
         self._clock = clock
         self._accept_input = accept_input
+        self._note_configuration = note_configuration
 
     def heartbeat(self) -> Heartbeat:
         """Return the state to tell peers."""
@@ -88,6 +94,7 @@
         try:
             if documents.configuration:
                 configuration = decode_configuration(documents.configuration)
+                self._note_configuration(configuration)
                 self._accept_input(ConfigurationRead(configuration, from_platform=False))
             if documents.placement and documents.data_centre == self._tables.local.data_centre:
                 placement = decode_placement(documents.placement)
