--- a/tests/test_configuration_model.py
+++ b/tests/test_configuration_model.py
@@ -12,14 +12,14 @@
 from cactuspass._configuration import ConfigurationSystem, take_outs_in_force
 from cactuspass._configuration_changes import TakeOutChange, change_of
 from cactuspass._counters import Counters
-from cactuspass._documents import DocumentStore
+from cactuspass._documents import FULL_READ_POLLS, DocumentStore
 from cactuspass._entry_state import EntryState
 from cactuspass._messages import ConfigurationRead, Input, TakeOutsHeard
 from cactuspass._peer_messages import Hello
 from cactuspass._statements import RecommitCommand, ReturnCommand, Statement, TakeOutCommand
 from cactuspass._take_out_commits import TakeOutCommits
 from cactuspass.exceptions import CactuspassError, OutcomeUnknown, PlatformUnavailable
-from cactuspass.models import OperationId, TakeOutKind, TakeOutTag
+from cactuspass.models import OperationId, TakeOut, TakeOutKind, TakeOutTag
 from tests.fakes import Fault, MemoryPlatform
 from tests.holding_tables import DATA_CENTRE, make_tables
 
@@ -215,3 +215,27 @@
             ),
         )
         print(f"{ConfigurationMachine.tried} interleavings of {STEPS} steps tried")
+
+
+class RevertedStoreTest(unittest.TestCase):
+    """One entry has the newer configuration from a peer only when the store goes back."""
+
+    def setUp(self) -> None:
+        self.machine = ConfigurationMachine()
+        self.machine.take_out("e2", "u1")
+        self.machine.hear("e1", "e2")
+        self.machine.restore_snapshot()
+        self.node = self.machine.nodes["e1"]
+        self.assertEqual(self.node.revision, 1)
+
+    def test_it_notices_the_older_copy(self) -> None:
+        for _ in range(FULL_READ_POLLS):
+            self.machine.poll("e1")
+        self.assertEqual(len(self.node.tables.alarms_by_key), 1)
+
+    def test_it_commits_nothing_over_the_older_copy(self) -> None:
+        take_out = TakeOut(TakeOutTag("t"), TakeOutKind.UPSTREAM, "u2")
+        self.node.accept(TakeOutsHeard((take_out,)))
+        self.machine.commit_pending("e1")
+        self.assertEqual(self.machine.platform.stored_by_key, {})
+        self.assertIn(take_out.tag, self.node.tables.pending_take_outs_by_tag)
--- a/tests/test_data_centres.py
+++ b/tests/test_data_centres.py
@@ -2,11 +2,12 @@
 
 from cactuspass._operator_api import CommandAnswer
 from cactuspass._operator_client import OrderRejected
+from cactuspass.cli import EXIT_NOT_EVERYWHERE, Commands, run_guarded
 from tests.fleet_case import IN_FORCE_SECONDS
 from tests.invariants import no_over_admission, no_partial_group
 from tests.operations_case import Background, OperationsCase
 from trial.calls import book
-from trial.fleet import FleetPlan
+from trial.fleet import OPERATOR_TOKEN, FleetPlan
 
 OUT = "kumamoto"
 RACES = 3
@@ -166,6 +167,12 @@
     plan = FleetPlan(("fukuoka", "kumamoto"), relays=True, engines=2)
     model_groups = 2
 
+    def run_command(self, command: str, wait: float) -> int:
+        """Run the command line against the first entry and return its exit code."""
+        address = next(iter(self.fleet.entries_by_name.values())).operators
+        commands = Commands(address, OPERATOR_TOKEN)
+        return run_guarded(lambda: commands.do(command, wait))
+
     def test_entry_that_lost_the_platform_has_it_from_a_peer(self) -> None:
         self.fleet.cut(("fukuoka-1", "platform"))
         for command in ("take out", "return"):
@@ -177,6 +184,9 @@
         self.fleet.isolate(["fukuoka-1"], [*others, "platform"])
         answer = self.order(f"take out data centre {OUT}")
         self.assertEqual(answer.not_confirmed, ("fukuoka-1",))
+        with self.assertRaises(SystemExit) as exited:
+            self.run_command("take out group g", wait=0.0)
+        self.assertEqual(exited.exception.code, EXIT_NOT_EVERYWHERE)
         self.fleet.heal()
         self.wait(self.is_agreed, "it has the take-out", IN_FORCE_SECONDS)
 
