--- a/bench/group_world.py
+++ b/bench/group_world.py
@@ -4,8 +4,9 @@
 """
 
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
+from bench.group_engines import DATA_CENTRE, KIND, FakeEngine
 from cactuspass._confirm import is_confirmed
 from cactuspass._core import Core, System
 from cactuspass._groups import GroupSystem
@@ -20,7 +21,6 @@
     InstanceBroken,
     InstanceReported,
     InstancesListed,
-    LoadState,
     Order,
     OrderLoad,
     PeerHeard,
@@ -34,156 +34,26 @@
 )
 from cactuspass._placement import PlacementSystem
 from cactuspass._right import RightSystem
+from cactuspass._seats import SeatSystem
 from cactuspass._tables import HeldGroupRow, LocalRow, Tables
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import (
-    BootId,
     Configuration,
-    DataCentreId,
     EntryId,
-    FabricDomainId,
-    Generation,
     GroupDeclaration,
-    GroupId,
     Incarnation,
     InstanceId,
     InstanceRecord,
     InstanceRole,
-    KindId,
     ModelId,
     Placement,
     Seat,
     UpstreamKind,
 )
 
-DATA_CENTRE = DataCentreId("sapa-a")
-KIND = KindId("draft")
 STEP_SECONDS = 0.1
 STATUS_SECONDS = 0.5
 READ_SECONDS = 1.0
-REJOIN_SECONDS = 0.2
-
-
-@dataclass(slots=True)
-class FakeEngine:
-    """An engine that loads weights, reports its place and may check fencing numbers.
-
-    :param weights: model, version, rank and size that its memory holds.
-    :param left: seconds of loading that remain.
-    :param true_at: time at which it was last ready at each place.
-    """
-
-    instance_id: InstanceId
-    fabric_domain: FabricDomainId
-    load_seconds: float
-    checks_fence: bool
-    boots: int = 1
-    is_up: bool = True
-    is_paused: bool = False
-    is_listed: bool = True
-    group_id: GroupId = GroupId("")
-    generation: Generation = Generation(0)
-    rank: int = -1
-    size: int = 0
-    state: LoadState = LoadState.IDLE
-    fence: int = 0
-    weights: tuple[str, str, int, int] | None = None
-    wanted: tuple[str, str, int, int] | None = None
-    left: float = 0.0
-    is_slow: bool = False
-    changed_at: float = 0.0
-    true_at: dict[tuple[GroupId, Generation, int, int], float] = field(default_factory=dict)
-
-    @property
-    def record(self) -> InstanceRecord:
-        """Return the engine's line of the instance list."""
-        return InstanceRecord(
-            self.instance_id,
-            InstanceRole.ENGINE,
-            f"10.0.0.1:{self.instance_id}",
-            DATA_CENTRE,
-            self.fabric_domain,
-            KIND,
-            8,
-        )
-
-    @property
-    def is_loading(self) -> bool:
-        """Return whether the engine draws from the weight store."""
-        return self.is_running and self.state is LoadState.LOADING and self.weights != self.wanted
-
-    @property
-    def is_running(self) -> bool:
-        """Return whether the process runs and isn't paused."""
-        return self.is_up and not self.is_paused
-
-    @property
-    def place(self) -> tuple[GroupId, Generation, int, int]:
-        """Return the group, generation, rank and size that the engine has."""
-        return self.group_id, self.generation, self.rank, self.size
-
-    def accept(self, order: OrderLoad, now: float) -> bool:
-        """Carry out an order; return False when the engine refuses its fencing number."""
-        if self.checks_fence and order.fence < self.fence:
-            return False
-        self.fence = max(self.fence, order.fence)
-        place = (order.group_id, order.generation, order.rank, len(order.addresses))
-        if place == self.place:
-            return True
-        self.group_id, self.generation, self.rank, self.size = place
-        self.wanted = (order.model, order.version, order.rank, len(order.addresses))
-        self.left = REJOIN_SECONDS if self.weights == self.wanted else self.load_seconds
-        self.state = LoadState.LOADING
-        self.changed_at = now
-        return True
-
-    def serves(self, group_id: GroupId, generation: Generation) -> bool:
-        """Return whether a request for the group and generation would run here."""
-        is_ready = self.is_running and self.state is LoadState.READY
-        return is_ready and (self.group_id, self.generation) == (group_id, generation)
-
-    def advance(self, seconds: float, now: float) -> None:
-        """Load on, and remember the places at which the engine was ready."""
-        if self.is_running and self.state is LoadState.LOADING:
-            self.left -= seconds * (0.25 if self.is_slow else 1.0)
-            if self.left <= 0:
-                self.state = LoadState.READY
-                self.weights = self.wanted
-                self.changed_at = now
-        if self.is_running and self.state is LoadState.READY:
-            self.true_at[self.place] = now
-
-    def kill(self) -> None:
-        """End the process; its memory is lost."""
-        self.is_up = False
-        self.is_paused = False
-        self.weights = self.wanted = None
-        self.group_id, self.generation = GroupId(""), Generation(0)
-        self.rank, self.size, self.fence = -1, 0, 0
-        self.state = LoadState.IDLE
-
-    def start(self, now: float) -> None:
-        """Start a new process in place of one that has ended."""
-        if not self.is_up:
-            self.is_up = True
-            self.boots += 1
-            self.changed_at = now
-
-    def report(self) -> InstanceReported:
-        """Return a status event."""
-        model, version = self.weights[:2] if self.weights else ("", "")
-        return InstanceReported(
-            self.instance_id,
-            BootId(f"{self.instance_id}-b{self.boots}"),
-            self.group_id,
-            self.generation,
-            self.rank,
-            self.size,
-            self.state,
-            self.fence,
-            model=model,
-            version=version,
-        )
 
 
 class FakeStore:
@@ -199,34 +69,47 @@
         """Write by compare-and-swap; return whether it took effect."""
         if order.expected_revision != self.revision:
             return False
-        self.placement = order.placement
-        self.revision += 1
-        self.history.append(order.placement)
+        self._set(order.placement)
         return True
 
+    def put(self, placement: Placement) -> None:
+        """Write the document as the next version, whatever is there."""
+        self._set(replace(placement, version=self.placement.version + 1))
+
+    def _set(self, placement: Placement) -> None:
+        self.placement = placement
+        self.revision += 1
+        self.history.append(placement)
+
 
 class FakeEntry:
     """One entry process with its tables, systems and connections.
 
     :param systems: makes the systems under test from a writer.
+    :param process: number of the process on this instance.
     """
 
     def __init__(
-        self, name: str, systems: Callable[[PlacementWriter], list[System]] | None = None
+        self,
+        name: str,
+        systems: Callable[[PlacementWriter], list[System]] | None = None,
+        process: int = 1,
     ) -> None:
         self.name = EntryId(name)
-        local = LocalRow(self.name, Incarnation("i1"), DATA_CENTRE, "10.0.0.2:1")
+        self.process = process
+        local = LocalRow(self.name, Incarnation(f"i{process}"), DATA_CENTRE, f"10.0.0.2:{name}")
         self.tables = Tables(local, {KIND: UpstreamKind(KIND)})
         self.writer = PlacementWriter()
         own = (systems or real_systems)(self.writer)
-        shared = [MembershipSystem(), RightSystem()]
+        shared = [MembershipSystem(), RightSystem(), SeatSystem(self.writer)]
         self.core = Core(self.tables, [*shared, *own, self.writer])
         self.watched: dict[InstanceId, float] = {}
         self.waiting: list[Input] = []
         self.is_paused = False
         self.is_cut_off = False
         self.unreachable: set[InstanceId] = set()
-        self.delay = 0.0
+        self.report_delay = 0.0
+        self.late_reports: list[tuple[float, InstanceReported]] = []
         self.orders: list[tuple[float, OrderLoad]] = []
 
     @property
@@ -235,6 +118,29 @@
         local = self.tables.local
         return Seat(local.entry_id, local.incarnation, local.address)
 
+    @property
+    def record(self) -> InstanceRecord:
+        """Return the entry's line of the instance list."""
+        instance_id = InstanceId(self.name)
+        address = self.tables.local.address
+        return InstanceRecord(instance_id, InstanceRole.ENTRY, address, DATA_CENTRE)
+
+    def send_report(self, report: InstanceReported, now: float) -> None:
+        """Put a status event on its way; those of one process arrive in order."""
+        earlier = [
+            due
+            for due, other in self.late_reports
+            if (other.instance_id, other.boot_id) == (report.instance_id, report.boot_id)
+        ]
+        due = max([now + self.report_delay, *earlier])
+        self.late_reports.append((due, report))
+
+    def receive_reports(self, now: float) -> None:
+        """Hand over the status events that have arrived from watched instances."""
+        arrived = [report for due, report in self.late_reports if due <= now]
+        self.late_reports = [item for item in self.late_reports if item[0] > now]
+        self.waiting.extend(report for report in arrived if report.instance_id in self.watched)
+
     def would_send(self, row: HeldGroupRow, now: float) -> bool:
         """Return whether admission could dispatch a request to the group."""
         may_send = row.serving and holds(self.tables, row.group_id, now)
@@ -271,6 +177,8 @@
         self.late_orders: list[tuple[float, OrderLoad]] = []
         self.order_delay = 0.0
         self.is_split = False
+        self.entries_are_listed = True
+        self.extra_records: list[InstanceRecord] = []
         self._read_due = dict.fromkeys(seats, 0.0)
 
     def run(self, seconds: float) -> None:
@@ -305,12 +213,56 @@
             rows = () if entry.is_paused else entry.tables.held_groups_by_id.values()
             yield from ((entry, row) for row in rows if entry.would_send(row, self.now))
 
+    def heal(self) -> None:
+        """End every fault of the entries, the platform and the connections."""
+        self.store.is_up = True
+        self.is_split = False
+        self.order_delay = 0.0
+        for entry in self.entries:
+            entry.is_paused = entry.is_cut_off = False
+            entry.report_delay = 0.0
+            entry.unreachable.clear()
+
+    def restart_entry(self, entry: FakeEntry) -> None:
+        """End an entry's process and start a new one that knows nothing."""
+        started = FakeEntry(entry.name, process=entry.process + 1)
+        self.entries[self.entries.index(entry)] = started
+        self._read_due[started.name] = 0.0
+
+    def drop_seat(self, entry: FakeEntry) -> None:
+        """Remove an entry's seat, as another entry would."""
+        placement = self.store.placement
+        seats = {
+            name: seat for name, seat in placement.seats_by_entry.items() if name != entry.name
+        }
+        self.store.put(replace(placement, seats_by_entry=seats, epoch=placement.epoch + 1))
+
+    def heal_engines(self) -> None:
+        """Start and resume every engine."""
+        for engine in self.engines_by_id.values():
+            engine.is_paused = False
+            engine.start(self.now)
+
+    def describe(self) -> str:
+        """Return the document, the held groups and the engines, for a failure's message."""
+        groups = [str(group) for group in self.store.placement.groups_by_id.values()]
+        rows = [
+            f"{entry.name} {row}"
+            for entry in self.entries
+            for row in entry.tables.held_groups_by_id.values()
+        ]
+        engines = [str(engine.report()) for engine in self.engines_by_id.values()]
+        return "\n".join([str(self.now), *groups, *rows, *engines])
+
     def _feed(self, entry: FakeEntry) -> None:
         for other in self.entries:
             if other is not entry and not other.is_paused and not self.is_split:
                 entry.waiting.append(_heartbeat(other))
-        for instance_id, sent_at in sorted(entry.watched.items()):
+        engines = sorted(entry.watched.keys() & self.engines_by_id.keys())
+        for instance_id in engines:
+            sent_at = entry.watched[instance_id]
             self._feed_status(entry, self.engines_by_id[instance_id], sent_at)
+        entry.receive_reports(self.now)
 
     def _feed_status(self, entry: FakeEntry, engine: FakeEngine, sent_at: float) -> None:
         if engine.instance_id in entry.unreachable:
@@ -321,7 +273,7 @@
             self.now - sent_at >= STATUS_SECONDS or engine.changed_at >= sent_at
         ):
             entry.watched[engine.instance_id] = self.now
-            entry.waiting.append(engine.report())
+            entry.send_report(engine.report(), self.now)
 
     def _tick(self, entry: FakeEntry) -> None:
         tables = entry.tables
@@ -340,7 +292,9 @@
             entry.waiting.append(PlatformFailed("no answer"))
             return
         records = [engine.record for engine in self.engines_by_id.values() if engine.is_listed]
-        entry.waiting.append(InstancesListed(tuple(records)))
+        entries = [other.record for other in self.entries if self.entries_are_listed]
+        listed = (*records, *entries, *self.extra_records)
+        entry.waiting.append(InstancesListed(listed))
         entry.waiting.append(PlacementRead(self.store.placement, self.store.revision, self.now))
 
     def _carry_out(self, entry: FakeEntry, order: Order) -> None:
@@ -390,26 +344,19 @@
         for row in entry.tables.held_groups_by_id.values()
     )
     return PeerHeard(
-        entry.name, local.incarnation, DATA_CENTRE, "", 0, (), version, True, False, groups
+        entry.name,
+        local.incarnation,
+        DATA_CENTRE,
+        local.address,
+        0,
+        (),
+        version,
+        True,
+        False,
+        groups,
     )
 
 
-def make_engines(
-    domains: Sequence[int], load_seconds: float = 10.0, checks_fence: bool = True
-) -> list[FakeEngine]:
-    """Return engines ``d0-0``, ``d0-1`` and so on, with the given count in each domain."""
-    return [
-        FakeEngine(
-            InstanceId(f"d{domain}-{index}"),
-            FabricDomainId(f"d{domain}"),
-            load_seconds,
-            checks_fence,
-        )
-        for domain, count in enumerate(domains)
-        for index in range(count)
-    ]
-
-
 def declare(size: int, count: int = 1, spares: int = 0, version: str = "1") -> GroupDeclaration:
     """Return a declaration of groups ``g-0``, ``g-1`` and so on."""
     model = ModelId("draft")
--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -31,7 +31,7 @@
 from cactuspass._served import is_known_model, largest_memory
 from cactuspass._tables import HeldGroupRow, RequestRow, Tables
 
-SOON_SECONDS = 3.0
+SOON_SECONDS = 7.0
 REROUTE_SECONDS = 1.0
 REVIEW_SECONDS = 0.25
 
@@ -42,11 +42,12 @@
     def __init__(self, gate: Gate, rng: random.Random, forecast: Forecast) -> None:
         self._forecast = forecast
         prefixes = PrefixMemory()
-        self._router = Router(gate, rng, prefixes)
+        self._router = Router(gate, rng, prefixes, forecast)
         self._held = HeldGroups(prefixes, forecast)
         self._refusals = RefusalPolicy(forecast, ReturnBook(rng))
         self._queues_by_model: dict[str, FairQueue] = {}
         self._unable_since_by_model: dict[str, float] = {}
+        self._unplaced_since_by_model: dict[str, float] = {}
         self._review_at = 0.0
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
@@ -109,12 +110,29 @@
         own = self._own_choice(tables, item, now)
         place = self._router.choose(tables, item, own, self._queued(item.model), now)
         if place is None:
-            return [self._refuse_unplaced(tables, item, now)]
+            return self._wait_or_refuse(tables, item, now)
+        self._unplaced_since_by_model.pop(item.model, None)
         if place.entry_id is None:
             return self._enqueue(tables, item, own, now)
         self._router.sent(place.entry_id, item, now)
         return [Forward(item.request_id, place.entry_id)]
 
+    def _wait_or_refuse(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
+        """Let a request that has no place wait for a new holder, or refuse it."""
+        queue = self._queues_by_model.get(item.model)
+        is_full = queue is not None and queue.is_full_for(item.customer)
+        if is_full or not self._awaits_holder(tables, item, now):
+            return [self._refuse_unplaced(tables, item, now)]
+        return self._push(tables, item, now)
+
+    def _awaits_holder(self, tables: Tables, item: RequestArrived | RequestRow, now: float) -> bool:
+        """Return whether all places went just now, as when a leaving peer gives its seat."""
+        if item.forwarded_by is not None or not is_known_model(tables, item.model):
+            return False
+        if not any(row.draining for row in tables.entries_by_id.values()):
+            return False
+        return now < self._unplaced_since_by_model.setdefault(item.model, now) + REROUTE_SECONDS
+
     def _queued(self, model: str) -> int:
         """Return the number of requests that wait here for a model."""
         queue = self._queues_by_model.get(model)
@@ -123,18 +141,22 @@
     def _own_choice(
         self, tables: Tables, item: RequestArrived | RequestRow, now: float
     ) -> list[HeldGroupRow]:
-        """Return own groups that can take a request now, or soon if no peer can."""
+        """Return own groups that can take a request now, or soon if no peer can.
+
+        A draining entry takes a request only when no peer can.
+        """
         able = _large_enough(tables, self._router.able_rows(tables, item.model, now), item.tokens)
-        if able or self._router.choose(tables, item, [], 0, now) is not None:
+        if able and not tables.local.draining:
+            return able
+        if self._router.choose(tables, item, [], 0, now) is not None:
+            return []
+        if able:
             return able
         since = self._unable_since_by_model.get(item.model, now)
         patience = SOON_SECONDS if item.forwarded_by is None else REROUTE_SECONDS
-        rows = _large_enough(tables, self._router.own_rows(tables, item.model), item.tokens)
-        return [
-            row
-            for row in rows
-            if row.held_from < item.deadline and now < max(row.held_from, since) + patience
-        ]
+        if now >= since + patience:
+            return []
+        return _large_enough(tables, self._router.own_rows(tables, item.model), item.tokens)
 
     def _enqueue(
         self, tables: Tables, item: RequestArrived, own: list[HeldGroupRow], now: float
@@ -151,6 +173,11 @@
         ):
             reason = RefusalReason.DEADLINE
             return [self._refusals.crowded(tables, item, reason, waiting, now)]
+        return self._push(tables, item, now)
+
+    def _push(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
+        """Let a request wait, and refuse the one that it displaces."""
+        queue = self._queues_by_model.setdefault(item.model, FairQueue())
         row = _row_of(item, now)
         tables.requests_by_id[row.request_id] = row
         evicted = queue.push(row, tables.weights_by_customer.get(row.customer, 1.0))
@@ -196,6 +223,8 @@
         place = self._router.choose(tables, row, own, self._queued(row.model), now)
         if place is not None and place.entry_id is None:
             return []
+        if place is None and self._awaits_holder(tables, row, now):
+            return []
         self._queues_by_model[row.model].remove(row.request_id)
         del tables.requests_by_id[row.request_id]
         if place is None or place.entry_id is None:
--- a/src/cactuspass/_entry_operators.py
+++ b/src/cactuspass/_entry_operators.py
@@ -6,9 +6,9 @@
 from dataclasses import fields
 
 from cactuspass._burn import BurnLedger, BurnPoint, burn_rows
-from cactuspass._configuration import where_in_force
 from cactuspass._configuration_changes import TakeOutChange, change_of
 from cactuspass._documents import DocumentStore
+from cactuspass._in_force import where_in_force
 from cactuspass._messages import ConfigurationRead, TakeOutsHeard
 from cactuspass._operator_api import BurnAnswer, CommandAnswer, OperatorApi, QueryAnswer
 from cactuspass._peer_queries import PeerQueries
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -19,11 +19,12 @@
 from cactuspass._requests import Answer, CallerRequest, Header
 from cactuspass._runner import CoreRunner
 from cactuspass.exceptions import (
+    RequestError,
     RequestRefused,
     RunOutcomeUnknown,
     UpstreamNotReached,
 )
-from cactuspass.models import EntryId, GroupId, RequestId
+from cactuspass.models import BootId, EntryId, GroupId, RequestId
 
 Placed = Dispatch | Forward | Refuse
 
@@ -35,6 +36,7 @@
 GENERATION_HEADER = "X-Generation"
 REQUEST_ID_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
+BOOT_ID_HEADER = "X-Boot-Id"
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -145,13 +147,14 @@
 
     async def _serve(self, request: CallerRequest, forwarded_by: EntryId | None) -> Answer:
         excluded: list[str] = []
-        refusal = RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
+        refusal: RequestError = RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
+        unknown: RunOutcomeUnknown | None = None
         if forwarded_by is None:
             self._retries.count_request()
         for _ in range(MAX_TRIES):
             order = await self._place(request, forwarded_by, tuple(excluded))
             if isinstance(order, Refuse):
-                raise RequestRefused(order.reason, order.retry_after)
+                raise unknown or RequestRefused(order.reason, order.retry_after, order.detail)
             try:
                 if isinstance(order, Forward):
                     return await self._forward(order, request)
@@ -162,11 +165,12 @@
                 refusal = RequestRefused(
                     RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS, detail=str(error)
                 )
-            except RunOutcomeUnknown:
+            except RunOutcomeUnknown as error:
                 if forwarded_by or not request.repeatable or not self._retries.may_retry():
                     raise
+                unknown = error
             excluded.append(order.entry_id if isinstance(order, Forward) else str(order.group_id))
-        raise refusal
+        raise unknown or refusal
 
     def _resolve(self, order: Placed) -> None:
         placed = self._placed_by_request.pop(order.request_id, None)
@@ -191,6 +195,7 @@
                 forwarded_by=forwarded_by,
                 prefixes=request.prefixes,
                 excluded=excluded,
+                returning=request.returning,
             )
         )
         try:
@@ -205,8 +210,10 @@
         elif placed.done() and not placed.cancelled() and isinstance(placed.result(), Dispatch):
             self._finish(request_id, succeeded=False, started=False)
 
-    def _finish(self, request_id: RequestId, succeeded: bool, started: bool = True) -> None:
-        self._runner.accept(RequestFinished(request_id, succeeded, started))
+    def _finish(
+        self, request_id: RequestId, succeeded: bool, started: bool = True, boot_id: str = ""
+    ) -> None:
+        self._runner.accept(RequestFinished(request_id, succeeded, started, BootId(boot_id)))
 
     async def _forward(self, order: Forward, request: CallerRequest) -> Answer:
         if self._forwarder is None:
@@ -222,7 +229,7 @@
                 request.path,
                 upstream_headers(request, order.group_id, generation),
                 request.body,
-                repeatable=request.repeatable,
+                repeatable=request.repeatable and not request.is_service,
                 queue_limit=self._limits.stream_bytes,
                 account=self._account_for(request),
                 may_send=lambda: self._guard.may_send(order.group_id),
--- a/src/cactuspass/_held.py
+++ b/src/cactuspass/_held.py
@@ -1,6 +1,5 @@
 """Upkeep of the held groups: adoption, ramps, load reports and request counts."""
 
-import math
 from collections.abc import Sequence
 
 from cactuspass._forecast import Forecast
@@ -27,9 +26,10 @@
             if isinstance(item, PeerHeard):
                 self._ramps.hear(item)
         for row in tables.held_groups_by_id.values():
-            self._refresh_group(tables, row)
+            self._refresh_group(tables, row, now)
         for group_id in self._known - tables.held_groups_by_id.keys():
             self._prefixes.forget(group_id)
+            self._forecast.forget_group(group_id)
         self._known = set(tables.held_groups_by_id)
         for item in inputs:
             if isinstance(item, CacheReported):
@@ -50,6 +50,7 @@
         request = tables.requests_by_id.pop(item.request_id, None)
         if request is None or request.group_id is None:
             return
+        self._forecast.ended(request.group_id, item.succeeded)
         if item.succeeded:
             self._forecast.completed(request, now)
         row = tables.held_groups_by_id.get(request.group_id)
@@ -64,17 +65,17 @@
         if item.boot_id and item.boot_id != self._first_boot(tables, row):
             self._ramps.distrust(tables, row)
 
-    def _refresh_group(self, tables: Tables, row: HeldGroupRow) -> None:
+    def _refresh_group(self, tables: Tables, row: HeldGroupRow, now: float) -> None:
         """Bring one group's counts up to date."""
-        # A group that this entry may not use yet has no time after which reports count.
-        if row.foreign_since is None and row.held_from < math.inf:
+        if not row.adopted:
             adopt_group(tables, row)
         restarted = bool(row.ramp_boot)
         if self._ramps.refresh(tables, row):
             self._prefixes.forget(row.group_id)
+            self._forecast.forget_group(row.group_id)
             if restarted and row.foreign_known:
                 forget_foreign(row)
-        observe_report(tables, row)
+        observe_report(tables, row, now)
 
     def _hear_cache(self, tables: Tables, item: CacheReported, now: float) -> None:
         """Apply a cache event to the group of its instance."""
--- a/src/cactuspass/_holding.py
+++ b/src/cactuspass/_holding.py
@@ -13,12 +13,17 @@
     return blake2b(f"{group_id}\0{entry_id}".encode(), digest_size=8).digest()
 
 
+@lru_cache(maxsize=16384)
+def _heaviest(seats: tuple[EntryId, ...], group_id: GroupId) -> EntryId | None:
+    return max(seats, key=lambda entry_id: (_weight(group_id, entry_id), entry_id), default=None)
+
+
 def owning_seat(seats: Iterable[EntryId], group_id: GroupId) -> EntryId | None:
     """Choose the seat of a group.
 
     :return: the seat with the highest weight for the group, None when there are no seats.
     """
-    return max(seats, key=lambda entry_id: (_weight(group_id, entry_id), entry_id), default=None)
+    return _heaviest(tuple(seats), group_id)
 
 
 def process_of(seat: Seat) -> ProcessKey:
@@ -48,6 +53,14 @@
     return given is not None and given.seat == seat
 
 
+def has_given_seat(tables: Tables, entry_id: EntryId) -> bool:
+    """Tell whether an entry gave up the seat that it has in the placement."""
+    if tables.placement is None:
+        return False
+    seat = tables.placement.seats_by_entry.get(entry_id)
+    return seat is not None and is_given(tables, seat)
+
+
 def is_gone(tables: Tables, seat: Seat) -> bool:
     """Tell whether the process of the seat surely ended.
 
--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -1,7 +1,9 @@
 """One HTTP/1.1 request to an upstream, on tornado's client connection."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -24,6 +26,7 @@
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 END_OF_STREAM = b"data: [DONE]"
 TAIL_BYTES = 64
+REQUEST_ID_HEADER = "X-Request-Id"
 
 
 class _AnswerReader(HTTPMessageDelegate):
@@ -53,6 +56,16 @@
             self.head.set_result((start_line.code, headers))
         return None
 
+    def echoes(self, request_id: str | None) -> bool:
+        """Return whether the answer names its request.
+
+        Only then would a second answer on the same connection be told from the next one's.
+        """
+        if request_id is None or not self.head.done() or self.head.exception() is not None:
+            return False
+        _, headers = self.head.result()
+        return headers.get(REQUEST_ID_HEADER) == request_id
+
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the body; the connection waits while the queue is full."""
         self._has_body = True
@@ -124,7 +137,7 @@
         queue = ByteQueue(queue_limit, account)
         reader = _AnswerReader(queue, expect_done_event)
         task = asyncio.create_task(
-            self._exchange(address, stream, reader, method, path, headers, body)
+            self._exchange(address, stream, reader, method, path, headers, body, repeatable)
         )
         queue.on_cancel(stream.close)
         try:
@@ -133,7 +146,8 @@
             queue.cancel(error)
             task.cancel()
             raise
-        return Answer(code, tuple(answer_headers.get_all()), queue)
+        headers_found = tuple(answer_headers.get_all())
+        return Answer(code, headers_found, queue, partial(_is_whole, stream))
 
     async def _connect(self, address: str, reuse: bool) -> IOStream:
         idle = self._idle_by_address.get(address, [])
@@ -173,6 +187,7 @@
         path: str,
         headers: tuple[Header, ...],
         body: bytes,
+        keep: bool,
     ) -> None:
         parameters = HTTP1ConnectionParameters(
             chunk_size=READ_CHUNK_BYTES,
@@ -195,7 +210,19 @@
             return
         finally:
             reader.on_connection_close()
-        if open_after:
+        if open_after and keep and reader.echoes(sent.get(REQUEST_ID_HEADER)):
             self._keep(address, stream)
         else:
             stream.close()
+
+
+def _is_whole(stream: IOStream) -> bool:
+    """Return whether the other end has not closed the connection, by the kernel's knowledge."""
+    if stream.closed():
+        return False
+    try:
+        return stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -67,13 +67,16 @@
         self.platform = MemoryPlatform()
         self.gone: set[EntryId] = set()
 
-    def entry(self, name: str = "e1", incarnation: str = "i1") -> ClaimStore:
+    def entry(
+        self, name: str = "e1", incarnation: str = "i1", max_batch_writes: int = 64
+    ) -> ClaimStore:
         store = ClaimStore(
             self.platform,
             EntryId(name),
             Incarnation(incarnation),
             SPACING,
             lambda entry_id, _: entry_id in self.gone,
+            max_batch_writes,
         )
         store.start()
         return store
@@ -174,6 +177,79 @@
         self.platform.land_delayed()
         await self.claimed(second)
 
+    @virtual_time
+    async def test_release_also_fences_a_claim_over_another_entrys_mark(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        second.release((await self.claimed(second)).claim)
+        await second.drain(DRAIN_SECONDS)
+        first.note_platform(answers=True)
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        await first.drain(DRAIN_SECONDS)
+        for _ in range(4):
+            self.platform.land_delayed()
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_earlier_claim_is_still_released_after_a_later_one_was_given_up(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED, Fault.DELAYED])
+        self.assert_refused(await self.claim(first))
+        first.note_platform(answers=True)
+        self.platform.latency = 0.2
+        self.platform.faults.append(Fault.UNAVAILABLE)
+        leaving = asyncio.create_task(self.claim(first))
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        await asyncio.sleep(0.2)
+        self.platform.land_delayed()
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_retry_at_the_same_entry_need_not_wait_for_the_release(self) -> None:
+        entry = self.entry()
+        self.platform.faults.extend([Fault.NONE, Fault.ANSWER_LOST, Fault.UNAVAILABLE])
+        self.assert_refused(await self.claim(entry))
+        entry.note_platform(answers=True)
+        await self.claimed(entry)
+        await entry.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(self.entry("e2")), InProgress())
+
+    @virtual_time
+    async def test_caller_that_leaves_before_the_second_try_releases_the_first(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        self.platform.faults.extend([Fault.NONE, Fault.DELAYED])
+        leaving = asyncio.create_task(self.claim(first))
+        await asyncio.sleep(1.5 * SPACING)
+        leaving.cancel()
+        await asyncio.wait([leaving])
+        self.platform.land_delayed()
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_caller_that_leaves_as_its_claim_is_accepted_releases_it(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        loop = asyncio.get_running_loop()
+        leaving = asyncio.create_task(self.claim(first))
+        self.platform.before_write = lambda: loop.call_soon(leaving.cancel)
+        await asyncio.wait([leaving])
+        self.assertTrue(leaving.cancelled())
+        await first.drain(DRAIN_SECONDS)
+        await self.claimed(second)
+
+    @virtual_time
+    async def test_outcome_is_recorded_though_the_store_lost_the_claim(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        claimed = await self.claimed(first)
+        self.platform.stored_by_key.clear()
+        first.finish(claimed.claim, ANSWER)
+        await first.drain(DRAIN_SECONDS)
+        self.assertEqual(await self.claim(second), Recorded(ANSWER))
+
     @virtual_time
     async def test_caller_that_leaves_releases_its_claim(self) -> None:
         first, second = self.entry(), self.entry("e2")
@@ -189,8 +265,13 @@
     @virtual_time
     async def test_released_claim_may_run_anywhere(self) -> None:
         first, second = self.entry(), self.entry("e2")
-        first.release((await self.claimed(first)).claim)
-        first.release((await self.claimed(first)).claim)
+        released = (await self.claimed(first)).claim
+        first.release(released)
+        active = (await self.claimed(first)).claim
+        first.release(released)
+        first.finish(released, ANSWER)
+        self.assertEqual(await self.claim(first), InProgress())
+        first.release(active)
         await first.drain(DRAIN_SECONDS)
         await self.claimed(second)
 
@@ -240,6 +321,32 @@
         self.assertEqual(held, ["7"])
         self.assertEqual(self.platform.counts.writes - before, 2)
 
+    @virtual_time
+    async def test_new_claims_do_not_hold_up_a_repeated_batch(self) -> None:
+        first, second = self.entry(), self.entry("e2")
+        for key in ("a", "b", "lease"):
+            await self.claimed(second if key == "lease" else first, key)
+        self.platform.latency = 0.1
+        early = asyncio.gather(self.claim(second, "a"), self.claim(second, "c"))
+        await asyncio.sleep(0.05)
+        late = asyncio.create_task(self.claim(second, "b"))
+        await early
+        self.assertFalse(late.done())
+        self.assertEqual(await late, InProgress())
+
+    @virtual_time
+    async def test_claim_that_cannot_be_written_in_time_is_refused_at_once(self) -> None:
+        entry, loop = self.entry(max_batch_writes=1), asyncio.get_running_loop()
+        await self.claimed(entry, "lease")
+        began = loop.time()
+        claims = [asyncio.create_task(self.claim(entry, str(number))) for number in range(200)]
+        await asyncio.sleep(0)
+        refused = [claim for claim in claims if claim.done()]
+        self.assertEqual(loop.time(), began)
+        self.assertGreater(len(refused), 200 - CLAIM_WAIT_SECONDS / SPACING - 2)
+        for outcome in await asyncio.gather(*claims):
+            self.assertIsInstance(outcome, Claimed | Refused)
+
     @virtual_time
     async def test_calls_stay_within_the_budget(self) -> None:
         entry = self.entry()
--- a/tests/test_configuration_model.py
+++ b/tests/test_configuration_model.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from cactuspass._configuration import ConfigurationSystem, take_outs_in_force
 from cactuspass._configuration_changes import TakeOutChange, change_of
 from cactuspass._counters import Counters
 from cactuspass._documents import FULL_READ_POLLS, DocumentStore
 from cactuspass._entry_state import EntryState
+from cactuspass._in_force import ConfigurationSystem, take_outs_in_force
 from cactuspass._messages import ConfigurationRead, Input, TakeOutsHeard
 from cactuspass._peer_messages import Hello
 from cactuspass._statements import RecommitCommand, ReturnCommand, Statement, TakeOutCommand
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -13,7 +13,7 @@
 
 
 class LeavingUpstreamTest(OperationsCase):
-    plan = FleetPlan(("fukuoka",), engines=3, services=2, service_latency=0.02)
+    plan = FleetPlan(("fukuoka",), engines=3, services=2, service_settings={"latency": 0.02})
     model_groups = 1
 
     @classmethod
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cactuspass._homes import PrefixCounts, home_of
 from cactuspass._messages import (
     CacheReported,
     Dispatch,
@@ -18,6 +19,7 @@
 from cactuspass.models import (
     DataCentreId,
     EntryId,
+    GroupId,
     InstanceId,
     KindId,
     RequestId,
@@ -40,11 +42,18 @@
         return [order.entry_id for order in orders if isinstance(order, Forward)]
 
     def test_counts_what_was_sent_since_the_report(self) -> None:
-        self.world.add_peer("e2")
-        self.world.add_peer("e3")
+        self.world.add_peer("e2", free=8)
+        self.world.add_peer("e3", free=6, held=2)
         targets = self.targets(20)
         self.assertAlmostEqual(targets.count("e2"), 10, delta=2)
 
+    def test_prefixes_bring_requests_back_to_a_peer_until_the_load_outweighs_them(self) -> None:
+        self.world.add_peer("e2", free=30)
+        self.world.add_peer("e3", free=30)
+        targets = self.targets(20, prefixes=("p",))
+        self.assertEqual(len(set(targets[:4])), 1)
+        self.assertEqual(len(set(targets)), 2)
+
     def test_heartbeat_clears_what_was_sent_before_it(self) -> None:
         peer = self.world.add_peer("e2", free=8)
         self.targets(20)
@@ -112,15 +121,30 @@
         self.assertEqual([order.group_id for order in orders[:4]], [first] * 4)
         self.assertEqual(len({order.group_id for order in orders}), 3)
 
+    def test_new_conversation_goes_to_its_home(self) -> None:
+        weights = {EntryId(name): 4.0 for name in ("e2", "e3", "e4")}
+        for number in range(5):
+            self.setUp()
+            for name in weights:
+                self.world.add_peer(name)
+            prompt = f"p{number}"
+            self.assertEqual(self.targets(1, prefixes=(prompt,)), [home_of(prompt, weights)])
+
     def test_restart_forgets_prefixes(self) -> None:
-        for name in ("g0", "g1"):
-            self.world.hold(name, WARM)
-        self.world.tick(arrival("r0", prefixes=("p",)), arrival("r1"))
-        self.world.tick(RequestFinished(RequestId("r0"), True), after=0.1)
-        self.world.report("g0", "b2")
-        orders = self.world.tick(arrival("r2", prefixes=("p",)), after=0.1)
+        for boot, group in (("b1", "g0"), ("b2", "g1")):
+            self.world = AdmissionFixture(WARM, groups=2)
+            self.world.tick(arrival("r0", prefixes=("p",)))
+            self.world.tick(RequestFinished(RequestId("r0"), True), arrival("r1"), after=0.1)
+            self.world.report("g0", boot)
+            orders = self.world.tick(arrival("r2", prefixes=("p",)), after=0.1)
+            self.assertEqual([order.group_id for order in orders], [group])  # type: ignore
+
+    def test_cache_events_count_for_the_group_of_their_instance(self) -> None:
+        self.world = AdmissionFixture(WARM, groups=2)
+        self.world.tables.instances_by_id[InstanceId("g1-i")].group_id = GroupId("g1")
         self.world.tick(CacheReported(InstanceId("g1-i"), 1, ("p",)))
-        self.assertEqual([order.group_id for order in orders], ["g0"])  # type: ignore
+        orders = self.world.tick(arrival("r", prefixes=("p",)))
+        self.assertEqual([order.group_id for order in orders], ["g1"])  # type: ignore
 
     def test_summaries_split_the_queue(self) -> None:
         for name in ("g0", "g1"):
@@ -160,6 +184,30 @@
         self.assertEqual(self.memory.matched("g", ("0",)), 0.0)
 
 
+class HomeTest(unittest.TestCase):
+    def test_entries_agree_on_a_conversation_beyond_its_popular_prefix(self) -> None:
+        names = [EntryId(f"e{i}") for i in range(6)]
+        weights = dict.fromkeys(names, 8.0)
+        homes: dict[str, set[EntryId | None]] = {}
+        for _entry in range(2):
+            counts = PrefixCounts()
+            for turn in range(600):
+                talk = f"talk{turn % 60}"
+                prefix = counts.distinct_prefix(("system", talk, f"{talk}.{turn}"))
+                if turn >= 300:
+                    homes.setdefault(talk, set()).add(home_of(prefix, weights))
+        self.assertEqual({len(found) for found in homes.values()}, {1})
+        self.assertEqual(set.union(*homes.values()), set(names))
+
+    def test_lost_entry_moves_only_its_own_conversations(self) -> None:
+        weights = {EntryId(f"e{i}"): 8.0 for i in range(6)}
+        rest = {name: weight for name, weight in weights.items() if name != "e0"}
+        for number in range(100):
+            before = home_of(f"p{number}", weights)
+            if before != "e0":
+                self.assertEqual(home_of(f"p{number}", rest), before)
+
+
 class RetryTest(unittest.TestCase):
     def test_started_request_is_retried_only_when_it_may_run_twice(self) -> None:
         budget = RetryBudget()
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -4,17 +4,22 @@
 from dataclasses import replace
 from functools import partial
 
+from cactuspass._core import Core
 from cactuspass._handover import HandoverSystem
 from cactuspass._membership import MembershipSystem
 from cactuspass._messages import (
     GiveSeat,
+    Input,
     Order,
     PeerHeard,
+    PlacementConfirmed,
     PlacementRead,
     PlacementWritten,
     WritePlacement,
 )
-from cactuspass._seats import with_seat, without_seat
+from cactuspass._right import RightSystem
+from cactuspass._seats import SeatSystem, with_seat, without_seat
+from cactuspass._tables import GivenSeat
 from cactuspass._writer import PlacementWriter
 from cactuspass.models import EntryId, OperationId, Placement, Seat
 from tests.holding_tables import DATA_CENTRE, beat, make_tables, placement, platform_read, seat
@@ -82,6 +87,15 @@
         self.assertEqual(self.seats(), {"e1", "e3"})
         self.assertEqual(self.world.unheld(), [])
 
+    def test_handover_whose_message_was_lost_is_repeated(self) -> None:
+        self.world.split(frozenset({E2}), frozenset({E1, E2, E3}))
+        self.world.drain(self.world.named("e2"))
+        self.world.run(2)
+        self.world.heal()
+        self.world.run(12)
+        self.assertEqual(self.seats(), {"e1", "e3"})
+        self.assertEqual(self.world.unheld(), [])
+
     def test_all_groups_are_held_through_an_outage_and_a_handover_in_it(self) -> None:
         self.world.store.is_up = False
         self.world.run(30)
@@ -102,6 +116,24 @@
         self.assertEqual(self.seats(), {"e1", "e3"})
         self.assertEqual(self.world.unheld(), [])
 
+    def test_store_that_lost_versions_gets_the_held_one_back(self) -> None:
+        held = self.world.store.placement
+        self.world.store.placement = placement(1, "e1")
+        self.world.store.revision += 1
+        self.world.run(3)
+        repaired = self.world.store.placement
+        self.assertEqual(repaired.seats_by_entry, held.seats_by_entry)
+        self.assertGreater(repaired.version, held.version + 1)
+        self.world.run(10)
+        self.assertEqual(self.world.unheld(), [])
+        self.assertEqual(self.world.named("e1").tables.alarms_by_key, {})
+
+    def test_store_that_lost_the_document_gets_the_held_one_back(self) -> None:
+        self.world.store.placement, self.world.store.revision = Placement(DATA_CENTRE), 0
+        self.world.run(13)
+        self.assertEqual(self.seats(), {"e1", "e2", "e3"})
+        self.assertEqual(self.world.unheld(), [])
+
     def test_newcomer_takes_no_seat_while_it_cannot_hear_one(self) -> None:
         self.world.cuts = {frozenset({E2, EntryId("e4")})}
         self.world.start(EntryId("e4"))
@@ -112,9 +144,47 @@
         self.assertEqual(self.seats(), {"e1", "e2", "e3", "e4"})
 
 
+class SeatSystemTest(unittest.TestCase):
+    """Runs one entry alone, with the messages of the test."""
+
+    def begin(self, name: str, *names: str) -> None:
+        writer = PlacementWriter()
+        systems = [MembershipSystem(), RightSystem(), SeatSystem(writer), writer]
+        self.core = Core(make_tables(name), systems)
+        self.core.accept(platform_read(placement(1, *names), 0.0))
+
+    def write_time(self, start: float, end: float, *heard: str) -> float | None:
+        """Tick ten times a second while some are heard; return when a write was ordered."""
+        for now in (tenth / 10 for tenth in range(round(start * 10), round(end * 10))):
+            for name in heard:
+                self.core.accept(beat(name, 1))
+            if any(isinstance(order, WritePlacement) for order in self.core.tick(now)):
+                return now
+        return None
+
+    def test_newcomer_waits_while_a_seat_is_silent(self) -> None:
+        self.begin("e1", "e2")
+        self.assertIsNone(self.write_time(0.0, 0.1, "e2"))
+        self.assertIsNone(self.write_time(0.1, 8.0))
+        self.assertEqual(self.write_time(8.0, 9.0, "e2"), 8.0)
+
+    def test_pause_is_not_taken_for_the_silence_of_the_others(self) -> None:
+        self.begin("e1", "e1", "e2")
+        self.assertIsNone(self.write_time(0.0, 2.0, "e2"))
+        self.assertIsNone(self.write_time(20.0, 23.0))
+        self.assertEqual(self.write_time(23.0, 30.0), 24.0)
+
+    def test_live_seat_with_the_lowest_name_removes_first(self) -> None:
+        for name, other, expected in (("e1", "e2", 4.0), ("e2", "e1", 6.0)):
+            self.begin(name, "e1", "e2", "e3")
+            self.assertIsNone(self.write_time(0.0, 0.1, "e1", "e2", "e3"))
+            self.assertEqual(self.write_time(0.1, 9.0, other), expected)
+
+
 class HandoverTest(unittest.TestCase):
     def setUp(self) -> None:
         self.tables = make_tables()
+        self.system = HandoverSystem()
         self.tables.placement = placement(4, "e1", "e2", "e3")
         self.tables.local.draining = True
         self.hear(beat("e2", 4), beat("e3", 4))
@@ -122,13 +192,17 @@
     def hear(self, *beats: PeerHeard) -> None:
         MembershipSystem().run(self.tables, beats, 0.0)
 
-    def give(self) -> list[Order]:
-        return list(HandoverSystem().run(self.tables, (), 1.0))
+    def give(self, now: float = 1.0) -> list[Order]:
+        return list(self.system.run(self.tables, (), now))
 
-    def test_seats_go_to_one_live_peer_and_only_once(self) -> None:
+    def test_seat_goes_to_one_live_peer_and_the_word_is_repeated(self) -> None:
         expected = [GiveSeat(E2, seat("e1"), 4, {})]
         self.assertEqual(self.give(), expected)
-        self.assertEqual(self.give(), [])
+        self.tables.entries_by_id.clear()
+        self.assertEqual(self.give(1.9), [])
+        self.assertEqual(self.give(2.0), expected)
+        self.tables.placement = placement(5, "e2", "e3")
+        self.assertEqual(self.give(3.0), [])
 
     def test_no_seat_is_given_while_a_write_may_still_remove_one(self) -> None:
         self.tables.removals_under_way = {E3}
@@ -151,9 +225,7 @@
         self.tables.store_revision = document.version * 10
         self.run_writer(sent_at, platform_read(document, sent_at))
 
-    def run_writer(
-        self, now: float, *inputs: PlacementRead | PlacementWritten
-    ) -> list[WritePlacement]:
+    def run_writer(self, now: float, *inputs: Input) -> list[WritePlacement]:
         orders = self.writer.run(self.tables, inputs, now)
         return [order for order in orders if isinstance(order, WritePlacement)]
 
@@ -188,6 +260,12 @@
         self.read(placement(5, "e1", "e2", "e3"), 4.0)
         self.assertEqual(len(self.remove(4.5)), 1)
 
+    def test_confirmation_of_the_same_revision_lets_it_write_again(self) -> None:
+        [order] = self.remove(1.0)
+        self.run_writer(2.0, PlacementWritten(order.placement.write_id, None))
+        self.run_writer(3.0, PlacementConfirmed(40, 2.5))
+        self.assertEqual(len(self.remove(3.5)), 1)
+
     def test_removal_stays_under_way_until_the_platform_moved_on(self) -> None:
         [order] = self.remove(1.0)
         self.run_writer(2.0, PlacementWritten(order.placement.write_id, None))
@@ -205,6 +283,10 @@
         self.tables.placement, self.tables.store_revision = placement(6, "e1", "e2"), 0
         self.assertEqual(self.remove(1.0), [])
 
+    def test_nothing_is_written_once_the_own_seat_is_given_up(self) -> None:
+        self.tables.given_seats_by_entry[E1] = GivenSeat(seat("e1"), E2, 4)
+        self.assertEqual(self.remove(1.0), [])
+
     def test_newer_seat_of_the_same_entry_is_not_removed(self) -> None:
         newer = Seat(E2, seat("e2", 2).incarnation, "e2:1")
         document = with_seat(placement(4, "e1", "e2"), newer)
--- a/tests/test_settled_group.py
+++ b/tests/test_settled_group.py
@@ -5,7 +5,7 @@
 
 from cactuspass._forecast import Forecast
 from cactuspass._held import HeldGroups
-from cactuspass._limits import room_of
+from cactuspass._limits import END_SECONDS, room_of
 from cactuspass._prefixes import PrefixMemory
 from cactuspass._tables import HeldGroupRow, InstanceRow, LocalRow, Tables
 from cactuspass.models import (
@@ -40,4 +40,5 @@
         group.held_from = 5.0
         member.heard_at = member.measured_at = 6.0
         held.refresh(tables, (), 6.0)
+        held.refresh(tables, (), 6.0 + END_SECONDS)
         self.assertEqual(room_of(tables, group).requests, 2)
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -5,7 +5,7 @@
 import tempfile
 import urllib.error
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -30,8 +30,12 @@
 
     :param engines: engine instances in each data centre, all in one fabric domain.
     :param engine_settings: further settings of each engine.
-    :param service_latency: seconds that a call of a plain service takes.
+    :param listed_engines: addresses by name of engines that run elsewhere, listed in the first
+        data centre.
+    :param full_requests: requests that a warm engine bears; others than 8 count as warm at once.
     :param relays: whether all connections of entries pass relays, so that they can be cut.
+    :param service_settings: further settings of each instance of the plain service.
+    :param limits: further settings of the entries' limits.
     """
 
     data_centres: Sequence[str] = ("fukuoka", "kumamoto", "kagoshima")
@@ -42,7 +46,10 @@
     checks_fence: bool = True
     drain_seconds: float = 30.0
     relays: bool = False
-    service_latency: float = 0.0
+    listed_engines: Mapping[str, str] = field(default_factory=dict)
+    full_requests: int = 8
+    service_settings: Mapping[str, Any] = field(default_factory=dict)
+    limits: Mapping[str, Any] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -65,6 +72,10 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def _lines(settings: Mapping[str, Any]) -> str:
+    return "".join(f"{name} = {json.dumps(value)}\n" for name, value in settings.items())
+
+
 class Fleet:
     """Starts and stops the processes of a trial; a context manager."""
 
@@ -211,7 +222,13 @@
                 f'[[services]]\ninstance_id = "{data_centre}-{SERVICE}"\nkind = "{SERVICE_KIND}"\n'
                 f'service = "{SERVICE}"\ndata_centre = "{data_centre}"\n'
                 f"count = {self.plan.services}\ncold_requests = 8\nfull_requests = 16\n"
-                f"latency = {self.plan.service_latency}\n"
+                f"{_lines(self.plan.service_settings)}"
+            )
+        for name, address in self.plan.listed_engines.items():
+            tables.append(
+                f'[[listed]]\ninstance_id = "{name}"\nrole = "engine"\nkind = "{KIND}"\n'
+                f'address = "{address}"\ndata_centre = "{self.plan.data_centres[0]}"\n'
+                f'fabric_domain = "fabric"\naccelerators = 4\n'
             )
         for entry in self.entries_by_name.values():
             tables.append(
@@ -221,9 +238,7 @@
         return "\n".join(tables)
 
     def _engine_table(self, data_centre: str) -> str:
-        further = "".join(
-            f"{name} = {json.dumps(value)}\n" for name, value in self.plan.engine_settings.items()
-        )
+        further = _lines(self.plan.engine_settings)
         return (
             f'[[engines]]\ninstance_id = "{data_centre}-engine"\nkind = "{KIND}"\n'
             f'data_centre = "{data_centre}"\nfabric_domain = "{data_centre}-fabric"\n'
@@ -258,11 +273,12 @@
 
 [limits]
 drain_seconds = {self.plan.drain_seconds}
+{_lines(self.plan.limits)}
 
 [[upstream_kinds]]
 kind = "{KIND}"
-cold_requests = 2
-full_requests = 8
+cold_requests = {2 if self.plan.full_requests == 8 else self.plan.full_requests}
+full_requests = {self.plan.full_requests}
 warm_step = 1.0
 checks_fence = {json.dumps(self.plan.checks_fence)}
 
