--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,7 +6,7 @@
 from cactuspass_standins._client_load import ChatWorkload, Load, LoadSettings
 from tests.fleet_case import FleetCase
 from tests.invariants import no_double_send, no_over_admission, no_partial_group
-from tests.raw_calls import Together, completion, loan, open_stream, post
+from tests.raw_calls import Reply, Together, completion, loan, open_stream, post
 from trial.fleet import API_KEY, MODEL, FleetPlan
 
 LONG_ANSWER_TOKENS = 400
@@ -49,12 +49,6 @@
     def holder_in_b(self) -> str:
         return str(next(row["holder"] for row in self.serving("b-0") if row["data_centre"] == "b"))
 
-    def lending_holder_in_b(self) -> str:
-        """Return the entry of b that sends to b's lending service."""
-        loan(self.callers["a-0"], "find", "")
-        rows = self.fleet.rows("groups where model = service/lending and data_centre = b", "b-0")
-        return str(rows[0]["holder"])
-
     def test_many_answers_at_once_are_whole_and_own(self) -> None:
         load = Load(
             [f"http://{address}" for address in self.callers.values()],
@@ -89,25 +83,27 @@
             (busy,) = [n for n in engines if self.fleet.control(n, "counts")["running"]]
             self.fleet.control(busy, "kill", seconds=0.5)
             reply = call.read_rest()
-        self.assertEqual((reply.looks_whole, reply.complete), (False, False))
+        self.assertEqual(self.looks(reply), (False, False))
 
-    def test_holder_of_a_forwarded_stream_is_killed(self) -> None:
+    def test_either_hop_of_a_forwarded_stream_is_killed(self) -> None:
         self.only_b_serves()
-        holder = self.entries[self.holder_in_b()].child
-        with open_stream(self.callers["a-0"], "holder dies", LONG_ANSWER_TOKENS) as call:
-            assert holder is not None
+        holder, hop = self.entries[self.holder_in_b()].child, self.entries["a-1"].child
+        assert holder is not None
+        assert hop is not None
+        with (
+            open_stream(self.callers["a-0"], "holder dies", LONG_ANSWER_TOKENS) as first,
+            open_stream(self.callers["a-1"], "entry dies", LONG_ANSWER_TOKENS) as second,
+        ):
+            hop.kill()
+            self.assertEqual(self.looks(second.read_rest()), (False, False))
             holder.kill()
-            reply = call.read_rest()
-        self.assertEqual((reply.looks_whole, reply.complete), (False, False))
+            reply = first.read_rest()
+        self.assertEqual(self.looks(reply), (False, False))
         self.assertIn(b'"type": "answer-cut"', reply.body)
 
-    def test_the_callers_entry_is_killed_in_a_stream(self) -> None:
-        entry = self.entries["a-1"].child
-        with open_stream(self.callers["a-1"], "entry dies", LONG_ANSWER_TOKENS) as call:
-            assert entry is not None
-            entry.kill()
-            reply = call.read_rest()
-        self.assertEqual((reply.looks_whole, reply.complete), (False, False))
+    def looks(self, reply: Reply) -> tuple[bool, bool]:
+        """Return whether an answer looks whole to a model client and to HTTP."""
+        return reply.looks_whole, reply.complete
 
     def test_partition_after_forwarding_is_unknown_and_sent_once(self) -> None:
         self.only_b_serves()
