--- a/tests/test_groups_model.py
+++ b/tests/test_groups_model.py
@@ -10,15 +10,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from bench.group_world import (
-    STEP_SECONDS,
-    FakeEngine,
-    FakeEntry,
-    GroupWorld,
-    declare,
-    make_engines,
-    redeclare,
-)
+from bench.group_engines import FakeEngine, make_engines
+from bench.group_world import STEP_SECONDS, FakeEntry, GroupWorld, declare, redeclare
 from cactuspass._confirm import CONFIRM_SECONDS
 from cactuspass._plan import bound_ids
 
@@ -99,6 +92,16 @@
         entry.is_paused = not entry.is_paused
         self._pass(f"pause entry {index}", steps)
 
+    @rule(index=ENTRIES, engine=ENGINES, steps=STEPS)
+    def pause_engine_while_entry_is_paused(self, index: int, engine: int, steps: int) -> None:
+        entry = self.world.entries[index]
+        entry.is_paused = True
+        self._advance(1)
+        self._engine(engine).is_paused = self._engine(engine).is_up
+        self._advance(steps)
+        entry.is_paused = False
+        self._pass(f"pause both {index} {engine}", 1)
+
     @rule(index=ENTRIES, steps=STEPS)
     def restart_entry(self, index: int, steps: int) -> None:
         self.world.restart_entry(self.world.entries[index])
