Let the leaving entry's own queue wait for the heir too

Cause: the leaving entry counts itself not among its draining peers, so that its queue was refused while the heir did not serve yet, and a second was about as long as the change takes. Both now wait up to SOON_SECONDS. Ruled out: nothing further.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -129,9 +129,10 @@
         """Return whether all places went just now, as when a leaving peer gives its seat."""
         if item.forwarded_by is not None or not is_known_model(tables, item.model):
             return False
-        if not any(row.draining for row in tables.entries_by_id.values()):
+        peers = tables.entries_by_id.values()
+        if not tables.local.draining and not any(row.draining for row in peers):
             return False
-        return now < self._unplaced_since_by_model.setdefault(item.model, now) + REROUTE_SECONDS
+        return now < self._unplaced_since_by_model.setdefault(item.model, now) + SOON_SECONDS
 
     def _queued(self, model: str) -> int:
         """Return the number of requests that wait here for a model."""
