--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,6 +1,7 @@
 """Bad input to real daemons: a clear typed error, no traceback, and the daemon goes on."""
 
 import asyncio
+import socket
 import subprocess
 import sys
 from typing import Any
@@ -57,6 +58,14 @@
         self.assertIn(large_header.status, (0, 400, 431))
         self.assertEqual(self.counts().merged("accepted_by_request_id").total(), before)
 
+    def test_oversize_is_a_typed_error(self) -> None:
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        for rest in (b"Content-Length: 6000000\r\n\r\n", b"X-Large: " + b"x" * 100_000):
+            host, _, port = self.entry.callers.rpartition(":")
+            with socket.create_connection((host, int(port)), 10.0) as caller:
+                caller.sendall(head + rest)
+                self.assertIn(b"urn:cactuspass:problem:", caller.recv(65_536))
+
     def call(self, path: str, fields: Any, headers: dict[str, str] | None = None) -> Reply:
         return post(self.entry.callers, path, fields, headers)
 
