--- a/tests/group_traffic.py
+++ b/tests/group_traffic.py
@@ -14,6 +14,7 @@
 
 CALL_TIMEOUT_SECONDS = 60.0
 REQUEST_ID_HEADER = "X-Request-Id"
+SHORT_ANSWER_TOKENS = 12
 DONE = "[DONE]"
 
 
@@ -55,6 +56,11 @@
     return _judge_stream(exchange, prompt, max_tokens)
 
 
+def ask(address: str, prompt: str) -> Outcome:
+    """Ask the model for a short streamed answer."""
+    return stream(address, prompt, SHORT_ANSWER_TOKENS)
+
+
 def book_once(address: str, key: str) -> Outcome:
     """Book with an idempotency key."""
     headers = {"Idempotency-Key": key}
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -63,6 +63,18 @@
     ]
 
 
+def no_shared_instance(groups: Iterable[Mapping[str, Any]]) -> list[Violation]:
+    """Find instances that belong to more than one group of the operators' view."""
+    bound = Counter(
+        instance for row in groups for instance in f"{row['members']} {row['spares']}".split()
+    )
+    return [
+        Violation("an instance is in one group", instance, f"in {number} places")
+        for instance, number in bound.items()
+        if number > 1
+    ]
+
+
 def none_accepted(counts: Counts, request_ids: Iterable[str]) -> list[Violation]:
     """Find requests that an upstream accepted although their refusal said that they had not run."""
     accepted = counts.merged("accepted_by_request_id")
