--- a/tests/test_group_failures.py
+++ b/tests/test_group_failures.py
@@ -75,7 +75,9 @@
         self.assert_bounds()
 
     def test_placement_whose_answer_was_lost_binds_no_instance_twice(self) -> None:
-        declare = f"declare group fukuoka-group model {MODEL} in fukuoka kind {KIND} size 2 spares 1"
+        declare = (
+            f"declare group fukuoka-group model {MODEL} in fukuoka kind {KIND} size 2 spares 1"
+        )
         with self.streams() as traffic:
             for count in (2, 1, 2):
                 self.wait_more(traffic, 5)
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -1,6 +1,8 @@
 """A fleet on loopback: stand-ins in one process, each entry daemon in its own."""
 
+import contextlib
 import json
+import random
 import socket
 import tempfile
 import urllib.error
@@ -22,6 +24,7 @@
 SERVICE = "lending"
 SERVICE_KIND = "lending-app"
 HTTP_TIMEOUT_SECONDS = 30.0
+LISTENER_PORTS = (10_000, 32_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +71,12 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free and that no socket gets by chance."""
+    while True:
+        port = random.randrange(*LISTENER_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def _lines(settings: Mapping[str, Any]) -> str:
