Wait until the new holder could send before its count is judged

Cause: with `- row.foreign_held` removed (_limits.py:36) the case of the requests left by a killed holder still passed: it judged before the new holder had its first comparison. Change: the new requests must wait for 3 s while the service is full. Conclusion: the case is a proof only since this commit.

--- a/tests/test_holder_failures.py
+++ b/tests/test_holder_failures.py
@@ -6,10 +6,11 @@
 
 from tests.group_case import GroupCase
 from tests.group_traffic import Ending, Outcome, Traffic, ask, book_once, burst
-from trial.fleet import FleetPlan
+from trial.fleet import MODEL, FleetPlan
 
 COLD_SERVICE_REQUESTS = 8
 ENDLESS = 1_000_000.0
+COUNTED_SECONDS = 3.0
 LEFT_SERVICE = "c-lending-0"
 
 
@@ -135,7 +136,7 @@
             target=lambda: outcomes.extend(burst([address], book_once, callers=4))
         )
         late.start()
-        self.wait(lambda: self.waiting(other) == 4, "the new requests wait")
+        self.wait(lambda: self.waiting(other) == 4, "the new requests wait for long")
         self.assertEqual(self.running(), COLD_SERVICE_REQUESTS)
         self.fleet.heal()
         for thread in [*self.left, late]:
@@ -207,6 +208,10 @@
         return self.counts().total("loads", f"{data_centre}-engine")
 
     def waiting(self, entry: str) -> int:
-        """Return the number of requests that wait at an entry."""
+        """Return the number of calls that wait at an entry for longer than it counts anew."""
         rows = self.fleet.rows("waiting", entry)
-        return sum(int(row["count"]) for row in rows if row["model"] != "assistant")
+        return sum(
+            int(row["count"])
+            for row in rows
+            if row["model"] != MODEL and row["oldest_seconds"] >= COUNTED_SECONDS
+        )
