Send what an entry can't serve in time to a peer that can

Each refusal came from an entry whose own upstreams had restarted: its queue looked hopeless by the forecast for three slots, and it refused without asking peers that would have served in time. Ruled out: over-admission (peak over bearable stayed 1.0) and refusals by peers (the refused had been tried nowhere else). Change: a request that would be refused for its deadline or a full queue is forwarded to the best peer with less than CROWDED_LOAD (2.0) times what it bears, if there is one.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -147,14 +147,12 @@
         queue = self._queues_by_model.setdefault(item.model, FairQueue())
         waiting = queue.cost_of_customer(item.customer)
         if queue.is_full_for(item.customer):
-            reason = RefusalReason.QUEUE_FULL
-            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+            return [self._leave(tables, item, RefusalReason.QUEUE_FULL, waiting, now)]
         idle = not len(queue) and has_free_room(tables, own, item.tokens)
         if self._refusals.is_hopeless(tables, item, waiting, now) and not (
             idle and item.deadline > now
         ):
-            reason = RefusalReason.DEADLINE
-            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+            return [self._leave(tables, item, RefusalReason.DEADLINE, waiting, now)]
         row = _row_of(item, now)
         tables.requests_by_id[row.request_id] = row
         evicted = queue.push(row, tables.weights_by_customer.get(row.customer, 1.0))
@@ -162,8 +160,25 @@
             return []
         del tables.requests_by_id[evicted.request_id]
         waiting = queue.cost_of_customer(evicted.customer)
-        reason = RefusalReason.QUEUE_FULL
-        return [self._refusals.crowded(tables, evicted, reason, waiting, now)]
+        return [self._leave(tables, evicted, RefusalReason.QUEUE_FULL, waiting, now)]
+
+    def _leave(
+        self,
+        tables: Tables,
+        item: RequestArrived | RequestRow,
+        reason: RefusalReason,
+        waiting: float,
+        now: float,
+    ) -> Order:
+        """Forward what can't wait here to a peer with room, or refuse it.
+
+        :param waiting: tokens that the customer has waiting.
+        """
+        peer = self._router.choose_peer_with_room(tables, item, now)
+        if peer is None or item.deadline <= now:
+            return self._refusals.crowded(tables, item, reason, waiting, now)
+        self._router.sent(peer, item, now)
+        return Forward(item.request_id, peer)
 
     def _refuse_unplaced(
         self, tables: Tables, item: RequestArrived | RequestRow, now: float
@@ -223,8 +238,7 @@
         for row, ahead in late:
             queue.remove(row.request_id)
             del tables.requests_by_id[row.request_id]
-            reason = RefusalReason.DEADLINE
-            orders.append(self._refusals.crowded(tables, row, reason, ahead, now))
+            orders.append(self._leave(tables, row, RefusalReason.DEADLINE, ahead, now))
         return orders
 
     def _dispatch(self, tables: Tables, model: str, now: float) -> list[Order]:
--- a/src/cactuspass/_routing.py
+++ b/src/cactuspass/_routing.py
@@ -22,6 +22,7 @@
 REMOTE_LOAD = 0.5
 JITTER_LOAD = 0.05
 FAILURE_LOAD = 1.0
+CROWDED_LOAD = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,12 +33,14 @@
     :param load: running and waiting requests over what is borne, with the cost of distance.
     :param match: share of the prompt's prefixes that its caches are thought to have.
     :param weight: requests that its groups bear; 0 in another data centre.
+    :param has_room: whether little waits there beyond what its groups bear.
     """
 
     entry_id: EntryId | None
     load: float
     match: float
     weight: float
+    has_room: bool
 
 
 class Router:
@@ -111,6 +114,14 @@
         home = home_of(self._counts.distinct_prefix(request.prefixes), weights)
         return min(places, key=lambda place: _score(place, (place.entry_id or local) == home))
 
+    def choose_peer_with_room(
+        self, tables: Tables, request: RequestRow | RequestArrived, now: float
+    ) -> EntryId | None:
+        """Return the best peer where little waits, as far as we know."""
+        places = (place for place in self._peer_places(tables, request, now) if place.has_room)
+        best = min(places, key=lambda place: _score(place, False), default=None)
+        return best.entry_id if best is not None else None
+
     def group_score(self, tables: Tables, request: RequestRow, row: HeldGroupRow) -> float:
         """Return load and failures less affinity of one own group; the lowest is chosen."""
         load = (len(row.requests) + row.foreign_held) / max(1, bearable_requests(tables, row))
@@ -128,7 +139,8 @@
         held = sum(len(row.requests) + row.foreign_held for row in own)
         ramp = sum(bearable_requests(tables, row) for row in own)
         matches = (self._prefixes.matched(row.group_id, request.prefixes) for row in own)
-        return Place(None, (held + queued) / max(1, ramp), max(matches), ramp)
+        has_room = held + queued < CROWDED_LOAD * ramp
+        return Place(None, (held + queued) / max(1, ramp), max(matches), ramp, has_room)
 
     def _peer_places(
         self, tables: Tables, request: RequestRow | RequestArrived, now: float
@@ -167,12 +179,15 @@
         sent = len(self._sent_by_target.get((row.entry_id, request.model), ()))
         held = sum(item.held + item.queued for item in groups)
         ramp = sum(item.ramp for item in groups)
-        load = (held + sent * self._senders(tables)) / max(1, ramp)
+        expected = held + sent * self._senders(tables)
+        load = expected / max(1, ramp)
         load += FORWARD_LOAD + JITTER_LOAD * self._rng.random()
         match = self._prefixes.matched(f"entry {row.entry_id}", request.prefixes)
         if row.data_centre != tables.local.data_centre:
-            return Place(row.entry_id, load + REMOTE_LOAD, match, 0.0)
-        return Place(row.entry_id, load, match, ramp)
+            return Place(
+                row.entry_id, load + REMOTE_LOAD, match, 0.0, expected < CROWDED_LOAD * ramp
+            )
+        return Place(row.entry_id, load, match, ramp, expected < CROWDED_LOAD * ramp)
 
     def _senders(self, tables: Tables) -> int:
         """Return the entries of the data centre, which all send about as much as this one."""
