Measure memory held for slow readers and a slow upstream

Cause: no benchmark showed what slow readers and upstreams make an entry hold, nor what that costs the other callers.

--- a/bench/matters.py
+++ b/bench/matters.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import chain
 from typing import Any
 
-from bench import claims, data_centres, groups, overload, path, routing, warmup
+from bench import claims, data_centres, groups, overload, path, routing, slow_readers, warmup
 from bench.report import Line, at_least, at_most, share_of_baseline
 
 DOWNTIME_SHARE = 1 / 3
@@ -130,6 +131,41 @@
     yield at_most(matter, "peak over bearable on return", peak, 1, plain.peak_on_return)
 
 
+def measure_slow_readers(quick: bool) -> Found:
+    """Compare budgets and pauses for slow readers and upstreams with queues without bounds."""
+    found = slow_readers.run(quick)
+    plain, *ours, unbounded = found
+    lines = chain.from_iterable(_slow_reader_lines(item, plain, unbounded) for item in ours)
+    return Found(tuple(lines), found)
+
+
+def _slow_reader_lines(
+    item: slow_readers.MemoryFigures,
+    plain: slow_readers.MemoryFigures,
+    unbounded: slow_readers.MemoryFigures,
+) -> Iterator[Line]:
+    """Return the lines of one load."""
+    matter = f"memory, {item.load.name}"
+    is_same_budget = item.load.budget == unbounded.load.budget
+    yield at_most(
+        matter,
+        "peak held over budget",
+        item.peak_over_budget,
+        1.0,
+        unbounded.peak_over_budget if is_same_budget else None,
+    )
+    yield at_least(
+        matter,
+        "others' goodput over a run without slow callers",
+        item.goodput / plain.goodput,
+        OTHERS_GOODPUT,
+        unbounded.goodput / plain.goodput,
+    )
+    yield at_most(matter, "answers cut of callers that go on reading", item.cut_slow, 0)
+    yield at_most(matter, "answers cut of other callers", item.cut_others, 0)
+    yield Line(matter, "answers cut of readers that stopped", item.cut_stopped)
+
+
 def measure_routing(quick: bool) -> Found:
     """Compare routing by prefixes with routing by load."""
     found = routing.run(quick)
@@ -216,5 +252,6 @@
     "routing": measure_routing,
     "claims": measure_claims,
     "data centres": measure_data_centres,
+    "slow readers": measure_slow_readers,
 }
 ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {"path": measure_path}
