--- /dev/null
+++ b/tests/test_send_guard.py
@@ -0,0 +1,33 @@
+"""What is judged once more between a group's confirmation and the sending of a request."""
+
+from bench.group_world import declare
+from cactuspass._bindings import TableGuard
+from cactuspass._confirm import CONFIRM_SECONDS
+from cactuspass.models import InstanceId
+from tests.test_groups import D1, G0, GroupTestCase
+
+
+class SendGuardTest(GroupTestCase):
+    def setUp(self) -> None:
+        self.start([2], declare(2))
+        self.broken: set[InstanceId] = set()
+        self.late = 0.0
+        self.guard = TableGuard(
+            self.entries[0].tables,
+            lambda: self.world.now + self.late,
+            lambda instance: instance not in self.broken,
+        )
+
+    def test_member_lost_since_the_last_tick_stops_the_sending(self) -> None:
+        self.assertTrue(self.guard.may_send(G0))
+        self.broken = {D1}
+        self.assertFalse(self.guard.may_send(G0))
+
+    def test_confirmation_that_ran_out_since_the_last_tick_stops_the_sending(self) -> None:
+        self.late = CONFIRM_SECONDS + 0.1
+        self.entries[0].tables.local.may_hold_until = float("inf")
+        self.assertFalse(self.guard.may_send(G0))
+
+    def test_right_that_ran_out_since_the_last_tick_stops_the_sending(self) -> None:
+        self.entries[0].tables.local.may_hold_until = self.world.now
+        self.assertFalse(self.guard.may_send(G0))
