--- a/bench/matters.py
+++ b/bench/matters.py
@@ -1,10 +1,11 @@
 """The matters that are measured: what each one's figures say beside baseline and target."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import chain
 from typing import Any
 
-from bench import claims, groups, overload, path, routing, warmup
+from bench import claims, data_centres, groups, overload, path, routing, slow_readers, warmup
 from bench.report import Line, at_least, at_most, share_of_baseline
 
 DOWNTIME_SHARE = 1 / 3
@@ -103,6 +104,68 @@
     return Found(tuple(lines), (report,))
 
 
+def measure_data_centres(quick: bool) -> Found:
+    """Compare service while a data centre leaves and returns with a plain balancer's."""
+    found = data_centres.run(quick)
+    data_centres.write_plot(found, data_centres.PLOT)
+    lines: list[Line] = []
+    for restart, load in sorted({(item.restart, item.load) for item in found}):
+        same = [item for item in found if (item.restart, item.load) == (restart, load)]
+        plain = next(item for item in same if item.way == data_centres.BASELINE)
+        ours = [item for item in same if item.way != data_centres.BASELINE]
+        lines += _data_centre_lines(f"data centre, load {load:g}, {restart}", ours, plain)
+    return Found(tuple(lines), found)
+
+
+def _data_centre_lines(
+    matter: str, ours: Sequence[data_centres.MoveFigures], plain: data_centres.MoveFigures
+) -> Iterator[Line]:
+    """Return the worst of our seeds beside the baseline."""
+    whole = min(item.worst_second for item in ours)
+    yield Line(matter, "whole in time, worst second", whole, plain.worst_second)
+    avoidable = max(item.avoidable for item in ours)
+    yield at_most(matter, "avoidable refusals and misses", avoidable, 0, plain.avoidable)
+    sent = max(item.sent_late for item in ours)
+    yield at_most(matter, "requests sent once out is known", sent, 0, plain.sent_late)
+    peak = max(item.peak_on_return for item in ours)
+    yield at_most(matter, "peak over bearable on return", peak, 1, plain.peak_on_return)
+
+
+def measure_slow_readers(quick: bool) -> Found:
+    """Compare budgets and pauses for slow readers and upstreams with queues without bounds."""
+    found = slow_readers.run(quick)
+    plain, *ours, unbounded = found
+    lines = chain.from_iterable(_slow_reader_lines(item, plain, unbounded) for item in ours)
+    return Found(tuple(lines), found)
+
+
+def _slow_reader_lines(
+    item: slow_readers.MemoryFigures,
+    plain: slow_readers.MemoryFigures,
+    unbounded: slow_readers.MemoryFigures,
+) -> Iterator[Line]:
+    """Return the lines of one load."""
+    matter = f"memory, {item.load.name}"
+    is_same_budget = item.load.budget == unbounded.load.budget
+    yield at_most(
+        matter,
+        "peak held over budget",
+        item.peak_over_budget,
+        1.0,
+        unbounded.peak_over_budget if is_same_budget else None,
+    )
+    yield at_least(
+        matter,
+        "others' goodput over a run without slow callers",
+        item.goodput / plain.goodput,
+        OTHERS_GOODPUT,
+        unbounded.goodput / plain.goodput,
+    )
+    yield at_most(matter, "answers cut of callers that go on reading", item.cut_slow, 0)
+    yield at_most(matter, "answers cut of other callers", item.cut_others, 0)
+    yield Line(matter, "answers cut of readers that stopped", item.cut_stopped)
+
+
 def measure_routing(quick: bool) -> Found:
     """Compare routing by prefixes with routing by load."""
     found = routing.run(quick)
@@ -188,5 +251,7 @@
     "overload": measure_overload,
     "routing": measure_routing,
     "claims": measure_claims,
+    "data centres": measure_data_centres,
+    "slow readers": measure_slow_readers,
 }
 ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {"path": measure_path}
--- a/src/cactuspass/_documents.py
+++ b/src/cactuspass/_documents.py
@@ -36,6 +36,7 @@
 MAX_PLACEMENT_TRIES = 2
 KEPT_OPERATIONS = 128
 KEPT_CONFIGURATIONS = 32
+FULL_READ_POLLS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,13 @@
         :raises CommandError: when the change can't be made.
         """
 
+    def base(self, stored: Configuration) -> Configuration:
+        """Return what the change is made to; by default, what the store has.
+
+        :raises CommandError: when the change can't be made.
+        """
+        return stored
+
     def depends_on(self, configuration: Configuration) -> object:
         """Return the part that the operator must have seen as it is; by default, all of it."""
         return configuration.declarations_by_name, configuration.take_outs_by_tag
@@ -105,7 +113,9 @@
         self._configuration_revision: int | None = None
         self._placement_revision: int | None = None
         self._placement_writes = 0
+        self._polls = 0
         self._seen_by_revision: dict[int, Configuration] = {}
+        self._stored_number = 0
 
     async def confirm(self) -> Confirmation:
         """Ask for the revisions of both keys in one call.
@@ -121,8 +131,12 @@
     async def poll(self) -> PollResult:
         """Confirm both keys and read in full those that changed since the last poll.
 
-        After each :meth:`write_placement` the placement counts as changed.
+        After each :meth:`write_placement` the placement counts as changed. The configuration is
+        also read every few polls, since a store that went back may repeat a revision.
         """
+        self._polls += 1
+        if self._polls % FULL_READ_POLLS == 0:
+            self._configuration_revision = None
         try:
             confirmation = await self.confirm()
             changed = self._changed_keys(confirmation)
@@ -190,9 +204,10 @@
         stored = await self.read_configuration()
         if operation in stored.configuration.operations:
             return stored.configuration
-        self._check_not_reverted(stored.configuration.revision)
-        self._check_seen(change, stored.configuration, seen_revision)
-        changed = _next_configuration(change, stored.configuration, operation)
+        base = change.base(stored.configuration)
+        self._check_not_reverted(base.revision, stored.configuration.revision)
+        self._check_seen(change, base, seen_revision)
+        changed = _next_configuration(change, base, operation)
         accepted = await self._swap_configuration(changed, stored.store_revision)
         return changed if accepted else None
 
@@ -236,7 +251,11 @@
             CONFIGURATION_KEY: confirmation.configuration_revision,
             self._placement_key: confirmation.placement_revision,
         }
-        return [key for key, found in found_by_key.items() if found != known_by_key[key]]
+        changed = [key for key, found in found_by_key.items() if found != known_by_key[key]]
+        if self._stored_number < max(self._seen_by_revision, default=0):
+            # A peer has passed on a newer one: the store has not changed, or went back.
+            changed = [CONFIGURATION_KEY, *(key for key in changed if key != CONFIGURATION_KEY)]
+        return changed
 
     def _confirmed(self, confirmation: Confirmation) -> Input:
         return PlacementConfirmed(confirmation.placement_revision, confirmation.sent_at)
@@ -263,6 +282,7 @@
     def _input_of(self, key: str, stored: KeyValue, sent_at: float) -> Input:
         if key == CONFIGURATION_KEY:
             configuration = self._configuration_of(stored).configuration
+            self._stored_number = configuration.revision
             return ConfigurationRead(configuration, from_platform=True)
         placement = Placement(self._data_centre)
         if stored.value is not None:
@@ -276,9 +296,9 @@
         self.note_configuration(configuration)
         return StoredConfiguration(configuration, stored.mod_revision)
 
-    def _check_not_reverted(self, stored_revision: int) -> None:
+    def _check_not_reverted(self, base_revision: int, stored_revision: int) -> None:
         known_revision = max(self._seen_by_revision)
-        if stored_revision < known_revision:
+        if base_revision < known_revision:
             raise StoreReverted(known_revision, stored_revision)
 
     def _check_seen(
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -229,7 +229,7 @@
                 request.path,
                 upstream_headers(request, order.group_id, generation),
                 request.body,
-                repeatable=request.repeatable,
+                repeatable=request.repeatable and not request.is_service,
                 queue_limit=self._limits.stream_bytes,
                 account=self._account_for(request),
                 may_send=lambda: self._guard.may_send(order.group_id),
