Count the introduction of an entry from its configuration

Cause: an entry that waited long for its first configuration had used up the 3 s before it could hear a peer, and said ready at once.

--- a/src/cactuspass/_front.py
+++ b/src/cactuspass/_front.py
@@ -31,7 +31,7 @@
         self._tables = tables
         self._burn = burn
         self._counters = counters
-        self._started_at = time.monotonic()
+        self._configured_at: float | None = None
         self._knows_peers = False
 
     async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
@@ -77,7 +77,9 @@
 
         An entry that has just started knows no place for a request until it has heard the peers.
         """
-        if time.monotonic() - self._started_at >= INTRODUCTION_SECONDS:
+        if self._configured_at is None:
+            self._configured_at = time.monotonic()
+        if time.monotonic() - self._configured_at >= INTRODUCTION_SECONDS:
             return True
         listed = {
             EntryId(record.instance_id)
