--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -65,6 +65,9 @@
     def assert_service_leaves(self, leave: Callable[[str], object]) -> None:
         """Check that a running call ends whole and the other instance gets all new ones."""
         leaving = "fukuoka-lending-0"
+        serving = "groups where serving = true and leaving = false and model = "
+        both = f'{serving}"service:lending"'
+        self.wait(lambda: len(self.fleet.rows(both)) == 2, "both instances serve")
         self.fleet.control(leaving, "slow", factor=40)
         calls = [Background(lambda: self.booked()) for _ in range(6)]
         self.wait(
@@ -77,7 +80,8 @@
         self.fleet.control(leaving, "slow", factor=1)
         before = self.counts().by_name[leaving]["arrived"]
         for _ in range(12):
-            self.assertEqual(self.booked(), 200)
+            answer = self.booked()
+            self.assertEqual(answer, 200, answer)
         self.assertEqual(self.counts().by_name[leaving]["arrived"], before)
 
     def booked(self) -> int:
