--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -129,9 +129,10 @@
         """Return whether all places went just now, as when a leaving peer gives its seat."""
         if item.forwarded_by is not None or not is_known_model(tables, item.model):
             return False
-        if not any(row.draining for row in tables.entries_by_id.values()):
+        peers = tables.entries_by_id.values()
+        if not tables.local.draining and not any(row.draining for row in peers):
             return False
-        return now < self._unplaced_since_by_model.setdefault(item.model, now) + REROUTE_SECONDS
+        return now < self._unplaced_since_by_model.setdefault(item.model, now) + SOON_SECONDS
 
     def _queued(self, model: str) -> int:
         """Return the number of requests that wait here for a model."""
@@ -165,14 +166,12 @@
         queue = self._queues_by_model.setdefault(item.model, FairQueue())
         waiting = queue.cost_of_customer(item.customer)
         if queue.is_full_for(item.customer):
-            reason = RefusalReason.QUEUE_FULL
-            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+            return [self._leave(tables, item, RefusalReason.QUEUE_FULL, waiting, now)]
         idle = not len(queue) and has_free_room(tables, own, item.tokens)
         if self._refusals.is_hopeless(tables, item, waiting, now) and not (
             idle and item.deadline > now
         ):
-            reason = RefusalReason.DEADLINE
-            return [self._refusals.crowded(tables, item, reason, waiting, now)]
+            return [self._leave(tables, item, RefusalReason.DEADLINE, waiting, now)]
         return self._push(tables, item, now)
 
     def _push(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
@@ -185,8 +184,25 @@
             return []
         del tables.requests_by_id[evicted.request_id]
         waiting = queue.cost_of_customer(evicted.customer)
-        reason = RefusalReason.QUEUE_FULL
-        return [self._refusals.crowded(tables, evicted, reason, waiting, now)]
+        return [self._leave(tables, evicted, RefusalReason.QUEUE_FULL, waiting, now)]
+
+    def _leave(
+        self,
+        tables: Tables,
+        item: RequestArrived | RequestRow,
+        reason: RefusalReason,
+        waiting: float,
+        now: float,
+    ) -> Order:
+        """Forward what can't wait here to a peer with room, or refuse it.
+
+        :param waiting: tokens that the customer has waiting.
+        """
+        peer = self._router.choose_peer_with_room(tables, item, now)
+        if peer is None or item.deadline <= now:
+            return self._refusals.crowded(tables, item, reason, waiting, now)
+        self._router.sent(peer, item, now)
+        return Forward(item.request_id, peer)
 
     def _refuse_unplaced(
         self, tables: Tables, item: RequestArrived | RequestRow, now: float
@@ -248,8 +264,7 @@
         for row, ahead in late:
             queue.remove(row.request_id)
             del tables.requests_by_id[row.request_id]
-            reason = RefusalReason.DEADLINE
-            orders.append(self._refusals.crowded(tables, row, reason, ahead, now))
+            orders.append(self._leave(tables, row, RefusalReason.DEADLINE, ahead, now))
         return orders
 
     def _dispatch(self, tables: Tables, model: str, now: float) -> list[Order]:
--- a/src/cactuspass/_entry_state.py
+++ b/src/cactuspass/_entry_state.py
@@ -30,7 +30,7 @@
         tables: Tables,
         clock: Callable[[], float],
         accept_input: Callable[[Input], None],
-        note_configuration: Callable[[Configuration], None] = lambda configuration: None,
+        note_configuration: Callable[[Configuration], None],
     ) -> None:
         self._tables = tables
         self._clock = clock
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -1,6 +1,8 @@
 """A fleet on loopback: stand-ins in one process, each entry daemon in its own."""
 
+import contextlib
 import json
+import random
 import socket
 import tempfile
 import urllib.error
@@ -22,6 +24,7 @@
 SERVICE = "lending"
 SERVICE_KIND = "lending-app"
 HTTP_TIMEOUT_SECONDS = 30.0
+LISTENER_PORTS = (10_000, 32_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,7 @@
     :param relays: whether all connections of entries pass relays, so that they can be cut.
     :param service_settings: further settings of each instance of the plain service.
     :param limits: further settings of the entries' limits.
+    :param unfenced: data centres whose engines ignore fencing numbers.
     """
 
     data_centres: Sequence[str] = ("fukuoka", "kumamoto", "kagoshima")
@@ -50,6 +54,7 @@
     full_requests: int = 8
     service_settings: Mapping[str, Any] = field(default_factory=dict)
     limits: Mapping[str, Any] = field(default_factory=dict)
+    unfenced: Sequence[str] = ()
 
 
 @dataclass(slots=True)
@@ -66,10 +71,12 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free and that no socket gets by chance."""
+    while True:
+        port = random.randrange(*LISTENER_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def _lines(settings: Mapping[str, Any]) -> str:
@@ -239,12 +246,13 @@
 
     def _engine_table(self, data_centre: str) -> str:
         further = _lines(self.plan.engine_settings)
+        checks_fence = self.plan.checks_fence and data_centre not in self.plan.unfenced
         return (
             f'[[engines]]\ninstance_id = "{data_centre}-engine"\nkind = "{KIND}"\n'
             f'data_centre = "{data_centre}"\nfabric_domain = "{data_centre}-fabric"\n'
             f"count = {self.plan.engines}\naccelerators = 4\ncold_requests = 2\n"
             f"full_requests = 8\nwarm_step = 1.0\nload_seconds = 0.5\n"
-            f"checks_fence = {json.dumps(self.plan.checks_fence)}\n{further}"
+            f"checks_fence = {json.dumps(checks_fence)}\n{further}"
         )
 
     def _entry_settings(self, entry: EntryProcess) -> str:
