--- a/src/cactuspass/_groups.py
+++ b/src/cactuspass/_groups.py
@@ -11,7 +11,16 @@
 from cactuspass._holding import holds
 from cactuspass._in_force import is_taken_out
 from cactuspass._loads import LOADS_AT_ONCE, LoadScheduler
-from cactuspass._messages import AlarmKind, Input, InstanceBroken, InstanceReported, Order
+from cactuspass._messages import (
+    AlarmKind,
+    ConfigurationRead,
+    Input,
+    InstanceBroken,
+    InstanceReported,
+    InstancesListed,
+    Order,
+    TakeOutsHeard,
+)
 from cactuspass._repair import (
     adopt_reports,
     is_leaving,
@@ -27,6 +36,15 @@
 
 ADOPT_SECONDS = 1.5
 CHECK_SECONDS = 0.05
+
+# Inputs that may change which groups are held, leave or serve.
+CHANGING_INPUTS = (
+    InstanceReported,
+    InstanceBroken,
+    ConfigurationRead,
+    TakeOutsHeard,
+    InstancesListed,
+)
 GROUP_DOWN_SECONDS = 3.0
 
 
@@ -75,7 +93,7 @@
             return True
         if self._placement is not tables.placement:
             return True
-        return any(isinstance(item, InstanceReported | InstanceBroken) for item in inputs)
+        return any(isinstance(item, CHANGING_INPUTS) for item in inputs)
 
     def _repair(self, tables: Tables, rows: Sequence[HeldGroupRow], now: float) -> Iterator[Order]:
         """Mend the groups that are not whole, or whose members leave."""
