Pass answers on in pieces, so that slow readers show progress

A queue passed on all that it held at once; a reader of 5 KiB/s takes over 10 s for 64 KiB and more, and the ledger counts progress only when a piece is taken. Change: ByteQueue yields at most 16 KiB at a time. Request bodies are still outside the node's budget.

--- a/src/cactuspass/_byte_queue.py
+++ b/src/cactuspass/_byte_queue.py
@@ -7,6 +7,8 @@
 
 from cactuspass.exceptions import AnswerCut
 
+PIECE_BYTES = 16 * 1024
+
 
 class BytesAccount(ABC):
     """Counts the bytes that a queue holds against a budget."""
@@ -144,15 +146,16 @@
             callback()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield what arrives, several queued chunks joined.
+        """Yield what arrives, with queued chunks joined or split into pieces of bounded size.
+
+        A reader's progress counts once it has taken a whole piece.
 
         :raises BaseException: the error given to :meth:`fail` or :meth:`cancel`.
         """
         try:
             while True:
                 if self._chunks:
-                    data = b"".join(self._chunks)
-                    self._chunks.clear()
+                    data = self._take_piece()
                     try:
                         yield data
                     finally:
@@ -167,6 +170,17 @@
         finally:
             self._account.close()
 
+    def _take_piece(self) -> bytes:
+        """Remove the oldest bytes, at most ``PIECE_BYTES``."""
+        piece = bytearray()
+        while self._chunks and len(piece) < PIECE_BYTES:
+            chunk = self._chunks.popleft()
+            room = PIECE_BYTES - len(piece)
+            if len(chunk) > room:
+                self._chunks.appendleft(chunk[room:])
+            piece += chunk[:room]
+        return bytes(piece)
+
     def _add(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
         self._held += len(chunk)
