--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -13,7 +13,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
 from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
 from cactuspass._component import Component
@@ -133,8 +133,12 @@
             await self._server.close_all_connections()
 
 
+@stream_request_body
 class CallerHandler(RequestHandler):
-    """Base of the callers' handlers: identity, problems, relaying of answers."""
+    """Base of the callers' handlers: identity, problems, relaying of answers.
+
+    The body is taken as it arrives, so that an oversize one is refused by its announced length.
+    """
 
     def initialize(
         self,
@@ -150,6 +154,22 @@
         self.server = server
         self.request_id = RequestId(uuid.uuid4().hex)
         self._serving: asyncio.Task[None] | None = None
+        self._body = bytearray()
+
+    def prepare(self) -> None:
+        """Refuse a body whose announced length is over the limit."""
+        announced = self.request.headers.get("Content-Length", "0")
+        limit = self.settings_.body_bytes
+        if announced.isdigit() and int(announced) > limit:
+            connection = self.request.connection
+            # The library would answer an oversize body itself, without a problem.
+            connection.set_max_body_size(int(announced))  # type: ignore[union-attr]
+            detail = f"the body has {announced} bytes; the limit is {limit}"
+            self.write_problem(bad_request(detail, 413, "body-too-large"))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._body += chunk
 
     def set_default_headers(self) -> None:
         """Drop the headers that name the server's software."""
@@ -195,7 +215,7 @@
             self.request.method or "",
             path,
             tuple(self.request.headers.get_all()),
-            self.request.body,
+            bytes(self._body),
         )
 
     async def run_and_relay(self, raw: RawRequest, model: str | None) -> None:
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -19,7 +19,6 @@
 from cactuspass._requests import Answer, CallerRequest, Header
 from cactuspass._runner import CoreRunner
 from cactuspass.exceptions import (
-    RequestError,
     RequestRefused,
     RunOutcomeUnknown,
     UpstreamNotReached,
@@ -147,14 +146,14 @@
 
     async def _serve(self, request: CallerRequest, forwarded_by: EntryId | None) -> Answer:
         excluded: list[str] = []
-        refusal: RequestError = RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
+        refusal: RequestRefused | None = None
         unknown: RunOutcomeUnknown | None = None
         if forwarded_by is None:
             self._retries.count_request()
         for _ in range(MAX_TRIES):
             order = await self._place(request, forwarded_by, tuple(excluded))
             if isinstance(order, Refuse):
-                raise unknown or RequestRefused(order.reason, order.retry_after, order.detail)
+                raise unknown or _refused(order, refusal)
             try:
                 if isinstance(order, Forward):
                     return await self._forward(order, request)
@@ -170,7 +169,7 @@
                     raise
                 unknown = error
             excluded.append(order.entry_id if isinstance(order, Forward) else str(order.group_id))
-        raise unknown or refusal
+        raise unknown or refusal or RequestRefused(RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS)
 
     def _resolve(self, order: Placed) -> None:
         placed = self._placed_by_request.pop(order.request_id, None)
@@ -267,6 +266,13 @@
         self._finish(request.request_id, succeeded=False, started=started)
 
 
+def _refused(order: Refuse, earlier: RequestRefused | None) -> RequestRefused:
+    """Return the refusal of an order, with the reason why an earlier place did not take it."""
+    details = (order.detail, str(earlier) if earlier is not None else "")
+    detail = "; ".join(filter(None, details))
+    return RequestRefused(order.reason, order.retry_after, detail)
+
+
 def upstream_headers(
     request: CallerRequest, group_id: GroupId, generation: str | None
 ) -> tuple[Header, ...]:
