--- a/src/cactuspass/_answer_memory.py
+++ b/src/cactuspass/_answer_memory.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from cactuspass._byte_queue import BytesAccount
-from cactuspass._component import Component
+from cactuspass._component import LoopComponent
 from cactuspass._counters import Counters
 from cactuspass._memory import MemoryLedger
 from cactuspass._requests import CallerRequest
@@ -14,7 +14,7 @@
 WAIT_SECONDS = 0.02
 
 
-class AnswerMemory(Component):
+class AnswerMemory(LoopComponent):
     """Counts every answer held by this process and cuts the readers that hold too much.
 
     :param clock: monotonic time in seconds.
@@ -23,20 +23,11 @@
     def __init__(
         self, ledger: MemoryLedger, clock: Callable[[], float], counters: Counters
     ) -> None:
+        super().__init__()
         self.ledger = ledger
         self._clock = clock
         self._counters = counters
         self._cuts_by_request: dict[RequestId, Callable[[str], None]] = {}
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to look for slow readers."""
-        self._task = asyncio.create_task(self._review_forever())
-
-    async def stop(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
 
     def account_for(self, request: CallerRequest) -> BytesAccount:
         """Return the account of one answer."""
@@ -64,7 +55,8 @@
         """Return whether an answer is still being counted."""
         return request_id in self._cuts_by_request
 
-    async def _review_forever(self) -> None:
+    async def run_loop(self) -> None:
+        """Work until cancelled."""
         while True:
             for cut in self.ledger.cuts(self._clock()):
                 end = self._cuts_by_request.get(cut.request_id)
--- a/src/cactuspass/_platform_loop.py
+++ b/src/cactuspass/_platform_loop.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from cactuspass._component import Component
+from cactuspass._component import Component, LoopComponent
 from cactuspass._counters import Counters
 from cactuspass._documents import DocumentStore
 from cactuspass._instance_list import InstanceList
@@ -78,28 +78,24 @@
                 continue
 
 
-class InstanceListLoop(Component):
+class InstanceListLoop(LoopComponent):
     """Reads the platform's lagging list of instances."""
 
     def __init__(
         self, instances: InstanceList, accept_input: Callable[[Input], None], counters: Counters
     ) -> None:
+        super().__init__()
         self._instances = instances
         self._accept_input = accept_input
         self._counters = counters
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to read."""
-        self._task = asyncio.create_task(self._read_forever())
 
     async def stop(self) -> None:
         """Stop reading."""
-        if self._task is not None:
-            self._task.cancel()
+        await super().stop()
         await self._instances.close()
 
-    async def _read_forever(self) -> None:
+    async def run_loop(self) -> None:
+        """Read the list now and then until cancelled."""
         while True:
             try:
                 listing = await self._instances.read()
--- a/src/cactuspass/_runner.py
+++ b/src/cactuspass/_runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cactuspass._component import Component
+from cactuspass._component import LoopComponent
 from cactuspass._core import Core
 from cactuspass._messages import Input, Order, PeerHeard, PlacementConfirmed
 
@@ -14,18 +14,18 @@
 PATIENT_INPUTS = (PeerHeard, PlacementConfirmed)
 
 
-class CoreRunner(Component):
+class CoreRunner(LoopComponent):
     """Ticks the core after each input and at a steady interval.
 
     :param clock: gives the time in seconds; monotonic.
     """
 
     def __init__(self, core: Core, clock: Callable[[], float]) -> None:
+        super().__init__()
         self.core = core
         self.clock = clock
         self._handlers_by_type: dict[type[Order], Callable[[Any], None]] = {}
         self._tick_planned = False
-        self._task: asyncio.Task[None] | None = None
 
     def register(self, order_type: type[Order], handler: Callable[[Any], None]) -> None:
         """Name the function that carries out one type of order."""
@@ -38,15 +38,6 @@
             self._tick_planned = True
             asyncio.get_running_loop().call_soon(self._tick)
 
-    async def start(self) -> None:
-        """Begin to tick."""
-        self._task = asyncio.create_task(self._tick_forever())
-
-    async def stop(self) -> None:
-        """Stop ticking."""
-        if self._task is not None:
-            self._task.cancel()
-
     def _tick(self) -> None:
         self._tick_planned = False
         for order in self.core.tick(self.clock()):
@@ -54,7 +45,8 @@
             if handler is not None:
                 handler(order)
 
-    async def _tick_forever(self) -> None:
+    async def run_loop(self) -> None:
+        """Work until cancelled."""
         while True:
             self._tick()
             await asyncio.sleep(TICK_SECONDS)
--- a/src/cactuspass/_state_changes.py
+++ b/src/cactuspass/_state_changes.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from cactuspass._component import Component
+from cactuspass._component import LoopComponent
 from cactuspass._logs import StateLog
 from cactuspass._tables import Tables
 from cactuspass.models import GroupId
@@ -23,24 +23,16 @@
     peers: frozenset[str]
 
 
-class StateChanges(Component):
+class StateChanges(LoopComponent):
     """Compares the tables with what they were and logs the differences."""
 
     def __init__(self, tables: Tables, log: StateLog) -> None:
+        super().__init__()
         self._tables = tables
         self._log = log
-        self._task: asyncio.Task[None] | None = None
 
-    async def start(self) -> None:
-        """Begin to look."""
-        self._task = asyncio.create_task(self._look_forever())
-
-    async def stop(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _look_forever(self) -> None:
+    async def run_loop(self) -> None:
+        """Work until cancelled."""
         before = self._seen()
         while True:
             await asyncio.sleep(LOOK_SECONDS)
--- a/src/cactuspass/_take_out_commits.py
+++ b/src/cactuspass/_take_out_commits.py
@@ -4,7 +4,7 @@
 import uuid
 from collections.abc import Callable
 
-from cactuspass._component import Component
+from cactuspass._component import LoopComponent
 from cactuspass._configuration_changes import TakeOutChange
 from cactuspass._counters import Counters
 from cactuspass._documents import DocumentStore
@@ -18,7 +18,7 @@
 TURN_SECONDS = 1.0
 
 
-class TakeOutCommits(Component):
+class TakeOutCommits(LoopComponent):
     """Writes pending take-outs once the platform answers again; the lowest live entry first.
 
     :param clock: monotonic time in seconds.
@@ -32,23 +32,15 @@
         clock: Callable[[], float],
         counters: Counters,
     ) -> None:
+        super().__init__()
         self._tables = tables
         self._documents = documents
         self._accept_input = accept_input
         self._clock = clock
         self._counters = counters
-        self._task: asyncio.Task[None] | None = None
 
-    async def start(self) -> None:
-        """Begin to look for pending take-outs."""
-        self._task = asyncio.create_task(self._look_forever())
-
-    async def stop(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _look_forever(self) -> None:
+    async def run_loop(self) -> None:
+        """Work until cancelled."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
             if not self._tables.pending_take_outs_by_tag:
--- /dev/null
+++ b/src/cactuspass/_upstream_messages.py
@@ -0,0 +1,105 @@
+"""Inputs and orders of upstream instances and groups.
+
+Times are seconds of the clock that the edge passes to the core, unless said otherwise.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cactuspass._message_base import Input, Order
+from cactuspass.models import (
+    BootId,
+    Generation,
+    GroupId,
+    InstanceId,
+    ModelId,
+)
+
+
+class LoadState(Enum):
+    """State of an engine's copy of the model."""
+
+    IDLE = "idle"
+    LOADING = "loading"
+    READY = "ready"
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceReported(Input):
+    """A status or load event of an upstream instance arrived.
+
+    :param fence: highest fencing number that the instance has accepted.
+    :param running: requests it holds, as of ``measured_at``.
+    :param memory_tokens: tokens it holds, as of ``measured_at``.
+    :param lag: seconds between the measurement and its arrival, as the instance says.
+    :param model: model whose weights the instance has; empty when it did not say.
+    """
+
+    instance_id: InstanceId
+    boot_id: BootId
+    group_id: GroupId
+    generation: Generation
+    rank: int
+    size: int
+    state: LoadState
+    fence: int = 0
+    running: int = 0
+    memory_tokens: int = 0
+    lag: float = 0.0
+    leaving: bool = False
+    model: str = ""
+    version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceBroken(Input):
+    """The event connection to an upstream instance broke or could not be made."""
+
+    instance_id: InstanceId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchInstance(Order):
+    """Keep an event connection to the instance."""
+
+    instance_id: InstanceId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnwatchInstance(Order):
+    """Close the event connection to the instance."""
+
+    instance_id: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLoad(Order):
+    """Tell an engine to load a model as one member of a group.
+
+    :param addresses: addresses of all members by rank.
+    :param lifetime: seconds after which an engine must ignore the order.
+    """
+
+    instance_id: InstanceId
+    address: str
+    group_id: GroupId
+    generation: Generation
+    rank: int
+    addresses: tuple[str, ...]
+    model: ModelId
+    version: str
+    adapters: tuple[str, ...]
+    fence: int
+    lifetime: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderUnload(Order):
+    """Tell an engine to leave its group."""
+
+    instance_id: InstanceId
+    address: str
+    fence: int
+    lifetime: float
