Let the settings bound the queues

Cause: limits.queued_requests and limits.queued_requests_per_customer were read and never used. Change: the admission system's queues take them. Red without it: the name did not exist; the new test counts 3 waiting of 4.

--- a/src/cactuspass/_admission.py
+++ b/src/cactuspass/_admission.py
@@ -23,7 +23,7 @@
     RequestWithdrawn,
 )
 from cactuspass._prefixes import PrefixMemory
-from cactuspass._queues import FairQueue, cost_of
+from cactuspass._queues import FairQueue, QueueLimits, cost_of
 from cactuspass._ramp import kind_of
 from cactuspass._refusals import RefusalPolicy, is_late
 from cactuspass._returns import ReturnBook
@@ -39,7 +39,14 @@
 class AdmissionSystem(System):
     """Gives each arrived request exactly one final order, unless its caller withdraws it."""
 
-    def __init__(self, gate: Gate, rng: random.Random, forecast: Forecast) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        rng: random.Random,
+        forecast: Forecast,
+        limits: QueueLimits | None = None,
+    ) -> None:
+        self._limits = limits or QueueLimits()
         self._forecast = forecast
         prefixes = PrefixMemory()
         self._router = Router(gate, rng, prefixes, forecast)
@@ -163,7 +170,7 @@
         self, tables: Tables, item: RequestArrived, own: list[HeldGroupRow], now: float
     ) -> list[Order]:
         """Put a request into the model's queue, unless its deadline can't be met."""
-        queue = self._queues_by_model.setdefault(item.model, FairQueue())
+        queue = self._queues_by_model.setdefault(item.model, FairQueue(self._limits))
         waiting = queue.cost_of_customer(item.customer)
         if queue.is_full_for(item.customer):
             return [self._leave(tables, item, RefusalReason.QUEUE_FULL, waiting, now)]
@@ -176,7 +183,7 @@
 
     def _push(self, tables: Tables, item: RequestArrived, now: float) -> list[Order]:
         """Let a request wait, and refuse the one that it displaces."""
-        queue = self._queues_by_model.setdefault(item.model, FairQueue())
+        queue = self._queues_by_model.setdefault(item.model, FairQueue(self._limits))
         row = _row_of(item, now)
         tables.requests_by_id[row.request_id] = row
         evicted = queue.push(row, tables.weights_by_customer.get(row.customer, 1.0))
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -52,6 +52,7 @@
 from cactuspass._peers import PeerNetwork
 from cactuspass._placement import PlacementSystem
 from cactuspass._platform_loop import InstanceListLoop, PlatformLoop
+from cactuspass._queues import QueueLimits
 from cactuspass._requests import SERVICE_PREFIX
 from cactuspass._right import RightSystem
 from cactuspass._runner import CoreRunner
@@ -90,7 +91,7 @@
     )
 
 
-def build_systems(rng: random.Random) -> Sequence[System]:
+def build_systems(rng: random.Random, limits: QueueLimits | None = None) -> Sequence[System]:
     """Return the systems of the decision layer in the order in which they run."""
     writer = PlacementWriter()
     forecast = Forecast()
@@ -103,7 +104,7 @@
         PlacementSystem(writer),
         GroupSystem(writer),
         writer,
-        AdmissionSystem(HoldingGate(), rng, forecast),
+        AdmissionSystem(HoldingGate(), rng, forecast, limits),
         BacklogSystem(forecast),
     )
 
@@ -169,8 +170,9 @@
         address = None if statsd is None else f"{statsd.host}:{statsd.port}"
         self.counters = Counters(address, "cactuspass" if statsd is None else statsd.prefix)
         rng = random.Random(self.tables.local.incarnation)
-        self.runner = CoreRunner(Core(self.tables, build_systems(rng)), clock.now)
         limits = settings.limits
+        queues = QueueLimits(limits.queued_requests_per_customer, limits.queued_requests)
+        self.runner = CoreRunner(Core(self.tables, build_systems(rng, queues)), clock.now)
         ledger = MemoryLedger(MemoryBudget(limits.node_memory_bytes, limits.stream_memory_bytes))
         self.memory = AnswerMemory(ledger, clock.now, self.counters)
 
--- a/src/cactuspass/_queues.py
+++ b/src/cactuspass/_queues.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import chain
 
 from cactuspass._messages import RequestArrived
@@ -14,6 +15,18 @@
 PRIORITY_RUN_REQUESTS = 8
 
 
+@dataclass(frozen=True, slots=True)
+class QueueLimits:
+    """Requests that may wait for one model.
+
+    :param customer_requests: requests of one customer at most.
+    :param total_requests: requests of all customers at most.
+    """
+
+    customer_requests: int = CUSTOMER_QUEUE_REQUESTS
+    total_requests: int = TOTAL_QUEUE_REQUESTS
+
+
 def cost_of(row: RequestRow | RequestArrived) -> int:
     """Return the cost of a request, in tokens; at least 1."""
     return max(1, row.tokens)
@@ -83,7 +96,8 @@
     priority requests gains at most that much on the others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: QueueLimits | None = None) -> None:
+        self._limits = limits or QueueLimits()
         self._queues_by_customer: dict[CustomerId, CustomerQueue] = {}
         self._rows_by_request: dict[RequestId, RequestRow] = {}
         self._virtual_time = 0.0
@@ -105,7 +119,7 @@
     def is_full_for(self, customer: CustomerId) -> bool:
         """Return whether the customer has reached its own bound."""
         queue = self._queues_by_customer.get(customer)
-        return queue is not None and len(queue) >= CUSTOMER_QUEUE_REQUESTS
+        return queue is not None and len(queue) >= self._limits.customer_requests
 
     def push(self, row: RequestRow, weight: float) -> RequestRow | None:
         """Add a request.
@@ -122,7 +136,7 @@
         queue.weight = weight
         queue.append(row)
         self._rows_by_request[row.request_id] = row
-        if len(self) <= TOTAL_QUEUE_REQUESTS:
+        if len(self) <= self._limits.total_requests:
             return None
         return self._evict()
 
--- a/src/cactuspass/_settings_sections.py
+++ b/src/cactuspass/_settings_sections.py
@@ -144,14 +144,16 @@
     header_bytes: Count = Field(default=64 * KIBIBYTE, description="Largest header of a request.")
     node_memory_bytes: Count = Field(
         default=128 * MEBIBYTE,
-        description="Bytes of requests and answers that the entry holds at most.",
+        description="Bytes of answers that the entry holds at most.",
     )
     stream_memory_bytes: Count = Field(
         default=256 * KIBIBYTE, description="Bytes of one answer held for a slow reader at most."
     )
-    queued_requests: Count = Field(default=512, description="Requests that wait at most.")
+    queued_requests: Count = Field(
+        default=512, description="Requests that wait for one model at most."
+    )
     queued_requests_per_customer: Count = Field(
-        default=256, description="Requests of one customer that wait at most."
+        default=256, description="Requests of one customer that wait for one model at most."
     )
     default_deadline_seconds: Seconds = Field(
         default=30.0, description="Time to the first byte when the caller names none."
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -7,6 +7,7 @@
     PRIORITY_LEAD_TOKENS,
     TOTAL_QUEUE_REQUESTS,
     FairQueue,
+    QueueLimits,
 )
 from cactuspass._tables import RequestRow
 from cactuspass.models import CustomerId, Priority, RequestId
@@ -107,3 +108,10 @@
         evicted = self.queue.push(request("new", "new"), 1.0)
         self.assertNotEqual(evicted.customer if evicted else "new", "new")
         self.assertEqual(len(self.queue), TOTAL_QUEUE_REQUESTS)
+
+    def test_limits_of_the_settings_apply(self) -> None:
+        self.queue = FairQueue(QueueLimits(customer_requests=2, total_requests=3))
+        self.push("a", 2)
+        self.assertTrue(self.queue.is_full_for(CustomerId("a")))
+        self.push("b", 2)
+        self.assertEqual(len(self.queue), 3)
