--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
 """Tests that the pages are current: links, settings and shown commands."""
 
+import importlib
 import re
 import unittest
 from pathlib import Path
@@ -11,6 +12,7 @@
 PAGES = (ROOT / "README.md", *sorted((ROOT / "docs").glob("**/*.md")))
 OPERATING = ROOT / "docs" / "OPERATING.md"
 LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
+TEST_ID = re.compile(r"\b(test_\w+\.\w+Test\.test_\w+)")
 COMMAND = re.compile(r'cactuspass (?:ask|do|watch) "([^"]+)"')
 
 
@@ -19,6 +21,19 @@
     return text.split(f"<!-- {name}: begin -->\n")[1].split(f"<!-- {name}: end -->")[0]
 
 
+def named_tests() -> list[str]:
+    """Return the test ids that the tables of promises name."""
+    pages = sorted((ROOT / "docs" / "promises").glob("*.md"))
+    found = (TEST_ID.findall(page.read_text(encoding="utf-8")) for page in pages)
+    return sorted({f"tests.{name}" for names in found for name in names})
+
+
+def exists(test_id: str) -> bool:
+    """Return whether a test id names a test."""
+    module, case, name = test_id.rsplit(".", 2)
+    return hasattr(getattr(importlib.import_module(module), case, None), name)
+
+
 class DocsTest(unittest.TestCase):
     def test_links_lead_somewhere(self) -> None:
         broken = [
@@ -49,3 +64,8 @@
         for command in commands:
             with self.subTest(command):
                 parse(command)
+
+    def test_promised_tests_exist(self) -> None:
+        names = named_tests()
+        self.assertGreater(len(names), 40)
+        self.assertEqual([name for name in names if not exists(name)], [])
