--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -112,9 +112,9 @@
 
 
 def _entry_path(path_figures: dict[str, Any]) -> Role:
-    target = path_figures["target_daemon"]
+    measured = path_figures["share_daemon"]
     node_tokens = TOKENS_PER_SECOND / NODES
-    share = node_tokens * target["cpu_share"] / target["tokens_per_second"]
+    share = node_tokens * measured["cpu_share"] / measured["tokens_per_second"]
     return Role(
         "entry path",
         "callers' listener, one hop to the holder",
