--- a/src/cactuspass/daemon.py
+++ b/src/cactuspass/daemon.py
@@ -1,7 +1,6 @@
 """The entry daemon."""
 
 import asyncio
-import gc
 import signal
 import sys
 from pathlib import Path
@@ -14,23 +13,10 @@
 from cactuspass.settings import Settings, load_settings
 
 EXIT_OK = 0
-YOUNG_ALLOCATIONS = 50_000
-YOUNG_COLLECTIONS = 20
-MIDDLE_COLLECTIONS = 20
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
 
-def tune_garbage_collection() -> None:
-    """Look for garbage cycles seldom, and not among what lives as long as the process.
-
-    Almost everything that a request allocates is freed by its reference count.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(YOUNG_ALLOCATIONS, YOUNG_COLLECTIONS, MIDDLE_COLLECTIONS)
-
-
 async def run_entry(settings: Settings, log: StateLog) -> None:
     """Run one entry until SIGTERM or SIGINT, then drain and stop it."""
     stopping = asyncio.Event()
@@ -38,7 +24,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     entry = Entry(settings, log)
-    tune_garbage_collection()
     await entry.start()
     await stopping.wait()
     await entry.drain()
