--- a/bench/claims.py
+++ b/bench/claims.py
@@ -122,7 +122,7 @@
 
     async def run(self) -> ClaimFigures:
         """Send all requests and return the figures."""
-        helpers = [asyncio.create_task(self.break_things())] if self.load.is_faulty else []
+        faults = [asyncio.create_task(self.break_things())] if self.load.is_faulty else []
         callers = []
         loop = asyncio.get_running_loop()
         number = 0
@@ -132,8 +132,8 @@
             copies = 1 + (self.random.random() < self.load.retry_share)
             callers += [asyncio.create_task(self.call(f"k{number}")) for _ in range(copies)]
         await asyncio.gather(*callers)
-        for helper in helpers:
-            helper.cancel()
+        for fault in faults:
+            fault.cancel()
         return self.figures(number)
 
     async def call(self, key: str) -> None:
