--- a/src/cactuspass/_alarms.py
+++ b/src/cactuspass/_alarms.py
@@ -1,21 +1,39 @@
 """Raises and clears alarms, with one order for each change."""
 
-from collections.abc import Iterator
-
 from cactuspass._messages import AlarmChanged, AlarmKind
 from cactuspass._tables import AlarmRow, Tables
 
 
+def raise_alarm(
+    tables: Tables, kind: AlarmKind, subject: str, detail: str, now: float
+) -> list[AlarmChanged]:
+    """Raise an alarm.
+
+    :return: the order that tells of it; none when it is raised already.
+    """
+    if (kind, subject) in tables.alarms_by_key:
+        return []
+    tables.alarms_by_key[kind, subject] = AlarmRow(kind, subject, now, detail)
+    return [AlarmChanged(kind, subject, raised=True, detail=detail)]
+
+
+def clear_alarm(tables: Tables, kind: AlarmKind, subject: str) -> list[AlarmChanged]:
+    """Clear an alarm.
+
+    :return: the order that tells of it; none when it is not raised.
+    """
+    if tables.alarms_by_key.pop((kind, subject), None) is None:
+        return []
+    return [AlarmChanged(kind, subject, raised=False)]
+
+
 def set_alarm(
     tables: Tables, kind: AlarmKind, subject: str, detail: str, now: float
-) -> Iterator[AlarmChanged]:
-    """Raise an alarm unless it is raised already; an empty detail clears it."""
+) -> list[AlarmChanged]:
+    """Raise an alarm or renew its detail; an empty detail clears it."""
+    if not detail:
+        return clear_alarm(tables, kind, subject)
     row = tables.alarms_by_key.get((kind, subject))
-    if detail and row is None:
-        tables.alarms_by_key[kind, subject] = AlarmRow(kind, subject, now, detail)
-        yield AlarmChanged(kind, subject, True, detail)
-    elif detail and row is not None:
+    if row is not None:
         row.detail = detail
-    elif row is not None:
-        del tables.alarms_by_key[kind, subject]
-        yield AlarmChanged(kind, subject, False)
+    return raise_alarm(tables, kind, subject, detail, now)
--- a/src/cactuspass/_backlog.py
+++ b/src/cactuspass/_backlog.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from cactuspass._alarms import clear_alarm, raise_alarm
 from cactuspass._core import System
 from cactuspass._forecast import Forecast, wait_of
 from cactuspass._messages import AlarmChanged, AlarmKind, Input, Order
 from cactuspass._queues import cost_of
-from cactuspass._tables import AlarmRow, RequestRow, Tables
+from cactuspass._tables import RequestRow, Tables
 from cactuspass.models import CustomerId, DataCentreId
 
 RAISE_SHARE_OF_DEADLINE = 0.5
@@ -72,7 +73,7 @@
             if model in raised:
                 orders += self._clear(tables, model, share, now)
             elif share > RAISE_SHARE_OF_DEADLINE:
-                orders.append(self._raise(tables, model, share, now))
+                orders += self._raise(tables, model, share, now)
         return orders
 
     def _shares(self, tables: Tables, now: float) -> dict[str, float]:
@@ -92,16 +93,14 @@
             shares[row.model] = max(shares[row.model], (now - row.arrived_at + wait) / whole)
         return dict(shares)
 
-    def _raise(self, tables: Tables, model: str, share: float, now: float) -> Order:
+    def _raise(self, tables: Tables, model: str, share: float, now: float) -> list[AlarmChanged]:
         """Raise the alarm of a model."""
         rows = [row for row in waiting(tables, now) if row.model == model]
         counts = ", ".join(f"{row.customer}: {row.count}" for row in rows)
         detail = f"wait takes {min(share, 9.99):.0%} of the deadline; waiting {counts}"
-        key = (AlarmKind.BACKLOG, model)
-        tables.alarms_by_key[key] = AlarmRow(AlarmKind.BACKLOG, model, now, detail)
-        return AlarmChanged(AlarmKind.BACKLOG, model, True, detail)
+        return raise_alarm(tables, AlarmKind.BACKLOG, model, detail, now)
 
-    def _clear(self, tables: Tables, model: str, share: float, now: float) -> list[Order]:
+    def _clear(self, tables: Tables, model: str, share: float, now: float) -> list[AlarmChanged]:
         """Clear the alarm of a model once the wait has been short for a while."""
         if share > CLEAR_SHARE_OF_DEADLINE:
             self._low_since_by_model.pop(model, None)
@@ -109,5 +108,4 @@
         if now - self._low_since_by_model.setdefault(model, now) < CLEAR_SECONDS:
             return []
         del self._low_since_by_model[model]
-        del tables.alarms_by_key[AlarmKind.BACKLOG, model]
-        return [AlarmChanged(AlarmKind.BACKLOG, model, False)]
+        return clear_alarm(tables, AlarmKind.BACKLOG, model)
--- a/src/cactuspass/_in_force.py
+++ b/src/cactuspass/_in_force.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from cactuspass._alarm_changes import clear_alarm, raise_alarm
+from cactuspass._alarms import clear_alarm, raise_alarm
 from cactuspass._core import System
 from cactuspass._messages import (
     AlarmChanged,
--- a/src/cactuspass/_right.py
+++ b/src/cactuspass/_right.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from cactuspass._adoption import Adoption, is_same_document, needs_our_grant
-from cactuspass._alarm_changes import clear_alarm, raise_alarm
+from cactuspass._alarms import clear_alarm, raise_alarm
 from cactuspass._core import System
 from cactuspass._grants import GRANT_SECONDS, NEVER, PeerGrants, answer_ask
 from cactuspass._holding import (
--- a/tests/test_operator_session.py
+++ b/tests/test_operator_session.py
@@ -9,6 +9,8 @@
 import sys
 from pathlib import Path
 
+from cactuspass import api
+from cactuspass.exceptions import CommandError
 from tests.fleet_case import FleetCase
 from trial.fleet import OPERATOR_TOKEN, FleetPlan
 
@@ -59,6 +61,14 @@
         mistakes, mistakes_code = self.run_file("mistakes.txt")
         return normalized(f"{before}{after}exit {after_code}\n{mistakes}exit {mistakes_code}\n")
 
+    def test_public_interface(self) -> None:
+        address = self.fleet.entries_by_name["fukuoka-0"].operators
+        found = api.ask("entries", address, OPERATOR_TOKEN).found
+        self.assertEqual([row[0] for row in found.rows], ["fukuoka-0"])
+        with self.assertRaises(CommandError):
+            api.order("take uot", address, OPERATOR_TOKEN)
+        self.assertEqual(api.burn(address, OPERATOR_TOKEN).unreachable, ())
+
     def test_session(self) -> None:
         session = self.session()
         if os.environ.get("WRITE_GOLDEN"):
