--- a/bench/matters.py
+++ b/bench/matters.py
@@ -5,7 +5,17 @@
 from itertools import chain
 from typing import Any
 
-from bench import claims, data_centres, groups, overload, path, routing, slow_readers, warmup
+from bench import (
+    claims,
+    control,
+    data_centres,
+    groups,
+    overload,
+    path,
+    routing,
+    slow_readers,
+    warmup,
+)
 from bench.report import Line, at_least, at_most, share_of_baseline
 
 DOWNTIME_SHARE = 1 / 3
@@ -16,6 +26,8 @@
 FULL_LOAD_RATIO = 1.3
 HIT_FACTOR = 2.0
 TARGET_CPU_SHARE = 1.0
+CONTROL_CPU_SHARE = 0.017
+CONTROL_BYTES = 2048.0
 WAY_TAKEN = "one holder"
 
 
@@ -244,6 +256,22 @@
     return Found(lines, (found,))
 
 
+def measure_control(quick: bool) -> Found:
+    """Measure what a node spends on control at several sizes."""
+    found = control.run(quick)
+    lines: list[Line] = []
+    for item in found:
+        size = item.size
+        matter = f"control, {size.local_entries}+{size.other_entries} entries"
+        place = f"{size.upstreams} upstreams, groups of {size.group_size}"
+        lines += [
+            at_most(matter, f"share of a core, {place}", item.cpu_share, CONTROL_CPU_SHARE),
+            at_most(matter, f"bytes/s to peers, {place}", item.peer_bytes, CONTROL_BYTES),
+            Line(matter, f"bytes of tables, {place}", item.state_bytes),
+        ]
+    return Found(tuple(lines), tuple(found))
+
+
 PURE: Mapping[str, Callable[[bool], Found]] = {
     "groups of 4": measure_small_groups,
     "groups of 16": measure_large_groups,
@@ -254,4 +282,7 @@
     "data centres": measure_data_centres,
     "slow readers": measure_slow_readers,
 }
-ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {"path": measure_path}
+ON_PROCESSES: Mapping[str, Callable[[bool], Found]] = {
+    "control": measure_control,
+    "path": measure_path,
+}
