Let the boot that an answer names reach the decisions

The ramp's rule against an answer of an unknown boot therefore had no input outside its unit test. Change: the gateway reports the answer's X-Boot-Id when the request ends. Red before: '' != 'boot-7'; green after.

--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -242,8 +242,11 @@
             raise
         if not request.is_service:
             self._check_engine_answer(answer, request)
+        boot_id = answer.header(BOOT_ID_HEADER) or ""
         answer.body.on_end(
-            lambda whole: self._finish(request.request_id, succeeded=whole and answer.status < 500)
+            lambda whole: self._finish(
+                request.request_id, succeeded=whole and answer.status < 500, boot_id=boot_id
+            )
         )
         return answer
 
--- a/tests/test_crossed_answers.py
+++ b/tests/test_crossed_answers.py
@@ -10,7 +10,15 @@
 from cactuspass._core import Core, System
 from cactuspass._gateway import AnswerLimits, Gateway, RetryPolicy, SendGuard
 from cactuspass._http_exchange import UpstreamClient
-from cactuspass._messages import Dispatch, Input, Order, RefusalReason, Refuse, RequestArrived
+from cactuspass._messages import (
+    Dispatch,
+    Input,
+    Order,
+    RefusalReason,
+    Refuse,
+    RequestArrived,
+    RequestFinished,
+)
 from cactuspass._requests import SERVICE_PREFIX, CallerRequest
 from cactuspass._runner import CoreRunner
 from cactuspass._tables import LocalRow, Tables
@@ -27,14 +35,18 @@
     RequestId,
 )
 
+BOOT_ID = "boot-7"
+
 
 class OneTry(System):
     """Sends each request to the first server, and refuses what was sent before."""
 
     def __init__(self, address: str) -> None:
         self._address = address
+        self.finished: list[RequestFinished] = []
 
     def run(self, tables: Tables, inputs: Sequence[Input], now: float) -> Iterable[Order]:
+        self.finished += [item for item in inputs if isinstance(item, RequestFinished)]
         return [self._place(item) for item in inputs if isinstance(item, RequestArrived)]
 
     def _place(self, item: RequestArrived) -> Order:
@@ -67,7 +79,8 @@
 def answer(text: bytes, request_id: str = "") -> bytes:
     """Return a whole answer as it goes over the wire."""
     echo = f"X-Request-Id: {request_id}\r\n" if request_id else ""
-    return f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(text)}\r\n\r\n".encode() + text
+    head = f"HTTP/1.1 200 OK\r\n{echo}X-Boot-Id: {BOOT_ID}\r\nContent-Length: {len(text)}\r\n\r\n"
+    return head.encode() + text
 
 
 class CrossedAnswersTest(unittest.IsolatedAsyncioTestCase):
@@ -77,7 +90,8 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         local = LocalRow(EntryId("e"), Incarnation("i"), DataCentreId("d"), "127.0.0.1:1")
-        runner = CoreRunner(Core(Tables(local, {}), (OneTry(address),)), time.monotonic)
+        self.system = OneTry(address)
+        runner = CoreRunner(Core(Tables(local, {}), (self.system,)), time.monotonic)
         self.client = UpstreamClient()
         limits = AnswerLimits(100_000)
         self.gateway = Gateway(
@@ -158,3 +172,9 @@
         await self.server.wait_closed()
         with self.assertRaises(RequestRefused):
             await self.ask("r1", "/any")
+
+    async def test_boot_that_the_answer_names_reaches_the_decisions(self) -> None:
+        await self.ask("r1", "/any")
+        while not self.system.finished:
+            await asyncio.sleep(0)
+        self.assertEqual(self.system.finished[0].boot_id, BOOT_ID)
