Ask one rule whether a retry may be sent; remove what nothing uses

Change: the gateway asks that rule. Removed: is_out of the callers' door, services_by_name of the settings, an unused time-out.

--- a/src/cactuspass/_bindings.py
+++ b/src/cactuspass/_bindings.py
@@ -7,7 +7,7 @@
 from cactuspass._gateway import RetryPolicy, SendGuard
 from cactuspass._holding import holds
 from cactuspass._in_force import is_taken_out
-from cactuspass._retries import RetryBudget
+from cactuspass._retries import RetryBudget, may_retry
 from cactuspass._tables import HeldGroupRow, Tables
 from cactuspass.models import GroupId, InstanceId, TakeOutKind
 
@@ -78,6 +78,6 @@
         """Count a new request."""
         self._budget.count_request()
 
-    def may_retry(self) -> bool:
-        """Return whether the budget has a retry left, and spend it."""
-        return self._budget.take()
+    def may_retry(self, repeatable: bool) -> bool:
+        """Return whether a request that may have run may be sent again, and spend the budget."""
+        return may_retry(repeatable, True, self._budget)
--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -70,10 +70,6 @@
     def is_draining(self) -> bool:
         """Return whether the process is shutting down."""
 
-    @abstractmethod
-    def is_out(self) -> bool:
-        """Return whether operators have taken the own data centre out."""
-
 
 @dataclass(frozen=True, slots=True)
 class CallerSettings:
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -68,8 +68,7 @@
 
 INCARNATION_DIGITS = 12
 DRAIN_NOTICE_SECONDS = 1.0
-SEAT_POLL_SECONDS = 0.05
-SEAT_TIMEOUT_SECONDS = 5.0
+DRAIN_POLL_SECONDS = 0.05
 
 
 def build_tables(settings: Settings) -> Tables:
@@ -156,7 +155,7 @@
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         await self._application.drain(self.settings.limits.drain_seconds)
         while self.gateway.running:
-            await asyncio.sleep(SEAT_POLL_SECONDS)
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
         """Close everything."""
--- a/src/cactuspass/_front.py
+++ b/src/cactuspass/_front.py
@@ -6,11 +6,10 @@
 from cactuspass._callers import CallOutcome, FrontDoor
 from cactuspass._counters import Counters
 from cactuspass._gateway import Gateway
-from cactuspass._in_force import is_taken_out
 from cactuspass._keyed_requests import KeyedRequests
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass._tables import Tables
-from cactuspass.models import EntryId, InstanceRole, TakeOutKind
+from cactuspass.models import EntryId, InstanceRole
 
 INTRODUCTION_SECONDS = 3.0
 
@@ -67,11 +66,6 @@
         """Return whether the process is shutting down."""
         return self._tables.local.draining
 
-    def is_out(self) -> bool:
-        """Return whether operators have taken the own data centre out."""
-        local = self._tables.local
-        return is_taken_out(self._tables, TakeOutKind.DATA_CENTRE, local.data_centre)
-
     def _has_heard_peers(self) -> bool:
         """Return whether every listed peer was heard, or had time to be.
 
--- a/src/cactuspass/_gateway.py
+++ b/src/cactuspass/_gateway.py
@@ -74,8 +74,11 @@
         """Count a new request, which earns a part of a retry."""
 
     @abstractmethod
-    def may_retry(self) -> bool:
-        """Return whether the budget has a retry left, and spend it."""
+    def may_retry(self, repeatable: bool) -> bool:
+        """Return whether a request that may have run may be sent again, and spend the budget.
+
+        :param repeatable: whether running the request twice does no harm.
+        """
 
 
 class SendGuard(ABC):
@@ -165,7 +168,7 @@
                     RefusalReason.NO_CAPACITY, RETRY_AFTER_SECONDS, detail=str(error)
                 )
             except RunOutcomeUnknown as error:
-                if forwarded_by or not request.repeatable or not self._retries.may_retry():
+                if forwarded_by or not self._retries.may_retry(request.repeatable):
                     raise
                 unknown = error
             excluded.append(order.entry_id if isinstance(order, Forward) else str(order.group_id))
--- a/src/cactuspass/_settings_sections.py
+++ b/src/cactuspass/_settings_sections.py
@@ -269,11 +269,6 @@
         """Return the kinds of upstream by their id."""
         return {kind.kind: kind.to_kind() for kind in self.upstream_kinds}
 
-    @property
-    def services_by_name(self) -> dict[ServiceId, ServiceSettings]:
-        """Return the plain services by their name."""
-        return {service.name: service for service in self.services}
-
     @property
     def customers_by_id(self) -> dict[CustomerId, CustomerSettings]:
         """Return the customers by their id."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -44,9 +44,6 @@
     def is_draining(self) -> bool:
         return False
 
-    def is_out(self) -> bool:
-        return False
-
 
 class CallersTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
--- a/tests/test_crossed_answers.py
+++ b/tests/test_crossed_answers.py
@@ -72,8 +72,8 @@
     def count_request(self) -> None:
         return
 
-    def may_retry(self) -> bool:
-        return True
+    def may_retry(self, repeatable: bool) -> bool:
+        return repeatable
 
 
 def answer(text: bytes, request_id: str = "") -> bytes:
