--- /dev/null
+++ b/src/cactuspass/fleet/__init__.py
@@ -0,0 +1,112 @@
+"""Serves callers from any instance, which sends straight to the upstreams.
+
+The platform's store holds what must last or be agreed; one instance at a time gives the orders
+that form groups.
+"""
+
+from cactuspass.fleet._catalog import (
+    CallerLimits,
+    Catalog,
+    Customer,
+    EngineSpec,
+    Evacuations,
+    ModelSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from cactuspass.fleet._channels import AnswerHead, ChannelPool, IdCheck, OutgoingRequest
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._directory import (
+    Directory,
+    OperatorDocuments,
+    UpstreamChanges,
+    UpstreamListing,
+)
+from cactuspass.fleet._inbound import (
+    AnswerNotes,
+    InboundRequest,
+    LoadReport,
+    MalformedRequest,
+    RequestFormat,
+    SendDetails,
+)
+from cactuspass.fleet._instance import Adapter, Instance
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Close,
+    Join,
+    Open,
+    OrderOutcome,
+    Stage,
+    UpstreamControl,
+    UpstreamReport,
+)
+from cactuspass.fleet._settings import (
+    InstanceSettings,
+    load_instance_settings,
+    parse_instance_settings,
+)
+from cactuspass.fleet._store import Changes, HistoryLost, LeaseEnded, SharedStore
+from cactuspass.fleet._upstreams import (
+    GroupKey,
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+)
+
+__all__ = [
+    "Adapter",
+    "AddressedOrder",
+    "AnswerHead",
+    "AnswerNotes",
+    "CallerLimits",
+    "Catalog",
+    "Changes",
+    "ChannelPool",
+    "Close",
+    "Customer",
+    "DecisionLog",
+    "Directory",
+    "EngineSpec",
+    "Evacuations",
+    "GroupKey",
+    "HistoryLost",
+    "IdCheck",
+    "InboundRequest",
+    "Instance",
+    "InstanceSettings",
+    "Join",
+    "LeaseEnded",
+    "LoadReport",
+    "MalformedRequest",
+    "MemberState",
+    "Membership",
+    "Metrics",
+    "ModelSpec",
+    "Open",
+    "OperatorDocuments",
+    "OrderOutcome",
+    "OutgoingRequest",
+    "RequestFormat",
+    "Route",
+    "RouteKind",
+    "SendDetails",
+    "Service",
+    "ServiceShare",
+    "SharedStore",
+    "Stage",
+    "Upstream",
+    "UpstreamChanges",
+    "UpstreamControl",
+    "UpstreamId",
+    "UpstreamListing",
+    "UpstreamReport",
+    "UpstreamState",
+    "load_instance_settings",
+    "parse_instance_settings",
+]
--- /dev/null
+++ b/src/cactuspass/fleet/_attempts.py
@@ -0,0 +1,246 @@
+"""What the attempts of one request at several upstreams have in common."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+from cactuspass._clock import now
+from cactuspass.exceptions import RequestError
+from cactuspass.fleet._budgets import RetryAllowance
+from cactuspass.fleet._catalog import Customer, Route
+from cactuspass.fleet._channels import AnswerHead, ChannelPool, PooledExchange
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, RequestFormat, SendDetails
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._selection import Chosen, NoUpstream, Selector, Wanted
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.models import ServiceId
+
+MAX_SENDS = 4
+MIN_SECONDS_LEFT = 0.1
+FRESH_CONNECTION_SECONDS = 1.5
+LATE_WAKE_SECONDS = 0.1
+WAIT_SHARE = 0.12
+
+T = TypeVar("T")
+
+
+class Failure(Enum):
+    """Why an attempt gave no answer that the caller can have."""
+
+    NOT_REACHED = "not-reached"
+    NOT_RUN = "not-run"
+    CONNECTION_BROKEN = "connection-broken"
+    STALLED = "stalled"
+    NOT_GENUINE = "not-genuine"
+    SERVER_ERROR = "server-error"
+
+    @property
+    def certainly_not_run(self) -> bool:
+        """Whether the upstream has surely not run the request."""
+        return self in (Failure.NOT_REACHED, Failure.NOT_RUN)
+
+
+class AttemptFailed(RequestError):
+    """An attempt ended without the answer, or without the rest of it.
+
+    :param head: answer of the upstream that the caller may get when nothing better comes.
+    """
+
+    def __init__(self, failure: Failure, head: AnswerHead | None = None, body: bytes = b"") -> None:
+        super().__init__(failure.value)
+        self.failure = failure
+        self.head = head
+        self.body = body
+
+
+class NothingServes(RequestError):
+    """No upstream can take the request now.
+
+    :param found: why, and when to come back.
+    """
+
+    def __init__(self, found: NoUpstream) -> None:
+        super().__init__(found.reason.value)
+        self.found = found
+
+
+class DeadlinePassed(RequestError):
+    """The time that the caller waits, or the route allows, has passed."""
+
+
+@dataclass(slots=True)
+class Tools:
+    """What serving a request needs of the instance."""
+
+    request_format: RequestFormat
+    selector: Selector
+    loads: LoadTable
+    pool: ChannelPool
+    log: DecisionLog
+    metrics: Metrics
+    allowance: Callable[[ServiceId], RetryAllowance]
+    instance_count: Callable[[], int]
+
+
+@dataclass(slots=True)
+class Sent:
+    """One attempt under way at one upstream."""
+
+    upstream: Upstream
+    exchange: PooledExchange
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Attempts:
+    """The attempts of one request, and what each of them rules out.
+
+    :param deadline: clock value after which no answer is wanted.
+    :param excluded: upstreams that are not asked again.
+    :param counted_runs: upstreams that may have run the request and still live.
+    """
+
+    tools: Tools
+    request: InboundRequest
+    route: Route
+    service: ServiceId
+    customer: Customer | None
+    deadline: float
+    excluded: set[UpstreamId] = field(default_factory=set)
+    counted_runs: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    last_failure: Failure | None = None
+
+    @property
+    def seconds_left(self) -> float:
+        """Seconds until nobody waits any more."""
+        return self.deadline - now()
+
+    @property
+    def priority(self) -> int:
+        """Urgency, where 0 comes first; the customer's goes before the route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    def choose(self, other_than: UpstreamId | None = None) -> Chosen | NoUpstream:
+        """Return the upstream for the next attempt.
+
+        :param other_than: an upstream that is left out besides those that have failed.
+        """
+        max_wait = max(self.route.objective, self.seconds_left * WAIT_SHARE)
+        excluded = self.excluded if other_than is None else {*self.excluded, other_than}
+        wanted = Wanted(self.service, self.request.model, excluded, max_wait)
+        return self.tools.selector.choose(wanted, now())
+
+    async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
+        """Send the request to an upstream.
+
+        :raises UpstreamNotReached: when no byte has left.
+        """
+        upstream = chosen.upstream
+        at = now()
+        details = SendDetails(
+            upstream,
+            self.seconds_left,
+            self.priority,
+            self.customer.customer if self.customer is not None else None,
+            last_event_id or self.request.last_event_id,
+        )
+        outgoing = self.tools.request_format.write_request(self.request, details)
+        max_idle = None if self.route.repeatable else FRESH_CONNECTION_SECONDS
+        self.sends += 1
+        self.tools.loads.sent(upstream.upstream_id, at)
+        self.tools.selector.count_sent(upstream, at)
+        try:
+            exchange = await self.tools.pool.begin(upstream.address, outgoing, max_idle)
+        except BaseException:
+            self.tools.loads.ended(upstream.upstream_id)
+            raise
+        self.may_have_run = True
+        self.counted_runs += 1
+        return Sent(upstream, exchange, now())
+
+    def close(self, sent: Sent) -> None:
+        """End an attempt, whatever became of it."""
+        sent.exchange.abort()
+        self.tools.loads.ended(sent.upstream.upstream_id)
+
+    def read_notes(self, sent: Sent, head: AnswerHead) -> AnswerNotes:
+        """Return what an answer says, and learn the upstream's load from it."""
+        notes = self.tools.request_format.read_answer(head)
+        if notes.load is not None:
+            self.tools.loads.reported(sent.upstream.upstream_id, notes.load, now())
+        return notes
+
+    def note_failure(self, failure: Failure, upstream: Upstream, was_sent: bool) -> None:
+        """Draw the conclusions of a failed attempt."""
+        self.last_failure = failure
+        upstream_id = upstream.upstream_id
+        self.excluded.add(upstream_id)
+        if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
+            self.counted_runs -= 1
+        if failure is Failure.NOT_RUN and self.counted_runs == 0:
+            self.may_have_run = False
+        pause = None
+        if failure in (Failure.SERVER_ERROR, Failure.NOT_GENUINE):
+            self.tools.loads.failed(upstream_id)
+        elif failure is not Failure.NOT_RUN:
+            pause = self.tools.loads.suspect(upstream_id, now())
+        self.tools.log.request(
+            "attempt-failed",
+            self.request.request_id,
+            upstream=upstream_id,
+            failure=failure.value,
+            avoided_for=pause,
+            sends=self.sends,
+            seconds_left=self.seconds_left,
+        )
+
+    def may_repeat(self, failure: Failure) -> bool:
+        """Return whether the request may be sent once more, and spend the budget for it."""
+        if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
+            return False
+        if not failure.certainly_not_run:
+            if not self.route.repeatable or self.counted_runs >= self.route.max_upstreams:
+                return False
+        if failure is Failure.NOT_REACHED:
+            return True
+        allowance = self.tools.allowance(self.service)
+        if not allowance.take(now(), self.tools.instance_count()):
+            self.tools.log.request("no-repeat-left", self.request.request_id)
+            return False
+        self.tools.metrics.repeats.labels(failure.value).inc()
+        return True
+
+    def could_repeat_elsewhere(self, current: Upstream) -> bool:
+        """Return whether an attempt that stalls could be made at another upstream."""
+        if not self.route.repeatable or self.counted_runs >= self.route.max_upstreams:
+            return False
+        if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
+            return False
+        return isinstance(self.choose(other_than=current.upstream_id), Chosen)
+
+
+async def within(seconds: float, call: Callable[[], Awaitable[T]]) -> T:
+    """Return the result of a call that must come in time.
+
+    When this process itself woke late, the call gets the time once more: its result may already
+    have arrived while the process stood still.
+
+    :raises TimeoutError: when it does not.
+    """
+    for _ in range(2):
+        began = now()
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                return await call()
+        except TimeoutError:
+            if now() - began < seconds + LATE_WAKE_SECONDS:
+                raise
+    raise TimeoutError
--- /dev/null
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -0,0 +1,87 @@
+"""What this instance believes of operators, upstreams and other instances, and how old it is."""
+
+from collections.abc import Iterable
+
+from cactuspass._clock import now
+from cactuspass.fleet._catalog import Catalog, CatalogIndex, Evacuations
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._upstreams import Upstream, UpstreamId, UpstreamView
+
+NEVER = float("-inf")
+
+
+class Beliefs:
+    """The last good state of each document; the catalog never goes back to a lower version.
+
+    :param min_instances: instances that run at least, for shares taken before any are known.
+    """
+
+    def __init__(self, log: DecisionLog, min_instances: int = 1) -> None:
+        self._log = log
+        self._min_instances = max(1, min_instances)
+        self.index: CatalogIndex | None = None
+        self.evacuations = Evacuations()
+        self.view = UpstreamView()
+        self.operators_read_at = NEVER
+        self.upstreams_read_at = NEVER
+        self.instance_count = self._min_instances
+
+    def accept_catalog(self, catalog: Catalog) -> bool:
+        """Put a catalog in force unless a higher version is; return whether it was."""
+        current = self.index.catalog.version if self.index is not None else None
+        if current is not None and catalog.version <= current:
+            if catalog.version < current:
+                self._log.alarm("catalog-older", version=catalog.version, in_force=current)
+            return False
+        self.index = CatalogIndex(catalog)
+        self._log.belief(
+            "catalog-in-force",
+            version=catalog.version,
+            replaced=current,
+            routes=len(catalog.routes),
+            customers=len(catalog.customers),
+        )
+        return True
+
+    def accept_evacuations(self, evacuations: Evacuations) -> None:
+        """Note the data centres whose upstreams get nothing."""
+        if evacuations == self.evacuations:
+            return
+        self.evacuations = evacuations
+        names = ",".join(sorted(evacuations.data_centres))
+        self._log.belief("evacuations-in-force", data_centres=names)
+
+    def accept_instance_count(self, count: int) -> None:
+        """Note how many instances are registered."""
+        count = max(self._min_instances, count)
+        if count != self.instance_count:
+            self._log.belief("instances-counted", count=count, before=self.instance_count)
+        self.instance_count = count
+
+    def accept_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
+        """Replace the upstreams."""
+        view = UpstreamView.of(upstreams)
+        self._log_upstream_changes(view, revision)
+        self.view = view
+
+    def operators_age(self) -> float:
+        """Return seconds since a read that surely showed all that was confirmed by then."""
+        return now() - self.operators_read_at
+
+    def _log_upstream_changes(self, view: UpstreamView, revision: int) -> None:
+        old, new = self.view.upstreams_by_id, view.upstreams_by_id
+        for upstream_id in sorted(old.keys() - new.keys()):
+            self._log.belief("upstream-gone", upstream=upstream_id, revision=revision)
+        for upstream_id in sorted(new.keys() - old.keys()):
+            self._log.belief("upstream-found", upstream=upstream_id, revision=revision)
+        for upstream_id in sorted(old.keys() & new.keys()):
+            self._log_change(upstream_id, old[upstream_id], new[upstream_id], revision)
+
+    def _log_change(
+        self, upstream_id: UpstreamId, old: Upstream, new: Upstream, revision: int
+    ) -> None:
+        if new.state is not old.state:
+            state = new.state.value
+            self._log.belief("upstream-state", upstream=upstream_id, state=state, revision=revision)
+        if new.born_ms != old.born_ms:
+            self._log.belief("upstream-restarted", upstream=upstream_id, revision=revision)
--- /dev/null
+++ b/src/cactuspass/fleet/_budgets.py
@@ -0,0 +1,81 @@
+"""Limits that all instances keep together, each with a fixed share."""
+
+from collections import deque
+
+SHARE_MARGIN = 0.8
+COLD_WINDOW_SECONDS = 1.0
+
+
+class SlidingCount:
+    """Counts what happened within a window that slides.
+
+    :param window: seconds.
+    """
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        """Count one."""
+        self._times.append(now)
+
+    def count(self, now: float) -> int:
+        """Return how many happened within the window that ends now."""
+        while self._times and self._times[0] <= now - self._window:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RetryAllowance:
+    """Bounds repeats to a ratio of the requests, plus this instance's part of a fixed amount.
+
+    :param ratio: repeats for each request.
+    :param fixed: repeats in a window whatever the requests, of all instances together.
+    :param window: seconds.
+    """
+
+    def __init__(self, ratio: float, fixed: float, window: float) -> None:
+        self._ratio = ratio
+        self._fixed = fixed
+        self._requests = SlidingCount(window)
+        self._repeats = SlidingCount(window)
+
+    def count_request(self, now: float) -> None:
+        """Count a request, which earns a part of a repeat."""
+        self._requests.add(now)
+
+    def left(self, now: float, instances: int) -> float:
+        """Return the repeats that may still be sent.
+
+        :param instances: instances that share the fixed amount.
+        """
+        earned = self._ratio * self._requests.count(now) + self._fixed / max(1, instances)
+        return earned * SHARE_MARGIN - self._repeats.count(now)
+
+    def take(self, now: float, instances: int) -> bool:
+        """Spend one repeat; return False when none is left."""
+        if self.left(now, instances) < 1:
+            return False
+        self._repeats.add(now)
+        return True
+
+
+class ColdAllowance:
+    """Bounds what this instance sends to an upstream while that is cold.
+
+    :param rate: requests in a second that all instances together may send.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._sent = SlidingCount(COLD_WINDOW_SECONDS)
+
+    def may_send(self, now: float, instances: int) -> bool:
+        """Return whether one more request may be sent."""
+        share = self._rate * SHARE_MARGIN / max(1, instances)
+        return self._sent.count(now) < max(1.0, share)
+
+    def count(self, now: float) -> None:
+        """Count a request that is sent."""
+        self._sent.add(now)
--- /dev/null
+++ b/src/cactuspass/fleet/_controller.py
@@ -0,0 +1,141 @@
+"""Gives the planner's orders while this instance leads, and asks upstreams for reports."""
+
+import asyncio
+from collections import Counter
+
+from cactuspass._clock import now
+from cactuspass._component import LoopComponent
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._catalog import Service
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._dispatch import RequestsSeen
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._orders import AddressedOrder, UpstreamControl
+from cactuspass.fleet._planner import GroupPlanner, Situation
+from cactuspass.fleet._presence import Presence, Term
+from cactuspass.fleet._probes import Probes
+from cactuspass.models import ModelId, ServiceId
+
+PLAN_SECONDS = 0.15
+
+
+class Controller(LoopComponent):
+    """Plans for every engine service while this instance leads.
+
+    :param requests_seen: tells whether any request has come.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        presence: Presence,
+        control: UpstreamControl,
+        probes: Probes,
+        log: DecisionLog,
+        metrics: Metrics,
+        requests_seen: RequestsSeen,
+    ) -> None:
+        super().__init__()
+        self._beliefs = beliefs
+        self._presence = presence
+        self._control = control
+        self._probes = probes
+        self._log = log
+        self._metrics = metrics
+        self._requests_seen = requests_seen
+        self._wake = asyncio.Event()
+        self._term: Term | None = None
+        self._planners_by_service: dict[ServiceId, GroupPlanner] = {}
+        self._orders: set[asyncio.Task[None]] = set()
+        self._lead_in = False
+
+    def wake(self) -> None:
+        """Plan soon, since something has changed."""
+        self._wake.set()
+
+    async def run_loop(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(PLAN_SECONDS):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass  # Time passing is a reason to plan, too.
+            self._wake.clear()
+            self._tick()
+
+    def _tick(self) -> None:
+        term = self._presence.term
+        if term != self._term:
+            self._begin_term(term)
+        if term is None or self._beliefs.index is None:
+            return
+        for service in self._beliefs.index.catalog.services_by_id.values():
+            if service.engine is not None:
+                self._plan(term, service)
+
+    def _begin_term(self, term: Term | None) -> None:
+        self._term = term
+        self._planners_by_service.clear()
+        self._probes.reset(enabled=term is not None)
+        self._metrics.leads.set(term is not None)
+        serving = any(group.serves for group in self._beliefs.view.groups_by_key.values())
+        self._lead_in = term is not None and not serving and not self._requests_seen.any
+
+    def _plan(self, term: Term, service: Service) -> None:
+        assert service.engine is not None
+        planner = self._planners_by_service.setdefault(service.service, GroupPlanner(Demand()))
+        planner.demand.observe(self._concurrency(service))
+        if self._requests_seen.any:
+            self._lead_in = False
+        situation = Situation(
+            now(),
+            service.service,
+            service.engine,
+            self._beliefs.view,
+            term.first_epoch,
+            self._probes.unreachable(),
+            self._probes.reachable(),
+            self._lead_in,
+        )
+        for addressed in planner.plan(situation):
+            self._start(planner, addressed)
+
+    def _concurrency(self, service: Service) -> dict[ModelId, float]:
+        """Return the requests at the open groups by model, by their last reports."""
+        found: Counter[ModelId] = Counter()
+        for group in self._beliefs.view.groups_by_key.values():
+            if group.service != service.service or not group.serves or group.model is None:
+                continue
+            assert group.head is not None
+            report = self._probes.report(group.head.upstream_id)
+            if report is not None:
+                found[group.model] += report.running + report.queued
+        return {model: float(count) for model, count in found.items()}
+
+    def _start(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
+        task = asyncio.create_task(self._give(planner, addressed))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _give(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
+        if self._presence.term != self._term or self._term is None:
+            return
+        began = now()
+        outcome = await self._control.give(addressed)
+        order = addressed.order
+        name = type(order).__name__.lower()
+        self._metrics.orders.labels(name, outcome.value).inc()
+        self._log.order(
+            name,
+            upstream=addressed.target.upstream_id,
+            group=getattr(order, "key", None) and order.key.group_id,  # type: ignore[union-attr]
+            model=getattr(order, "model", None),
+            reason=addressed.reason,
+            term=self._term.revision if self._term is not None else None,
+            outcome=outcome.value,
+            took=now() - began,
+        )
+        planner.note_outcome(addressed, outcome, now())
+        self._wake.set()
--- /dev/null
+++ b/src/cactuspass/fleet/_delivery.py
@@ -0,0 +1,34 @@
+"""The caller's side of a request: where its answer goes."""
+
+from abc import ABC, abstractmethod
+
+from cactuspass.fleet._channels import Header
+
+
+class Delivery(ABC):
+    """Writes one answer to a caller; the serving task is cancelled when the caller leaves."""
+
+    @property
+    @abstractmethod
+    def begun(self) -> bool:
+        """Whether the head of the answer has gone out."""
+
+    @abstractmethod
+    async def answer(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Write a whole answer."""
+
+    @abstractmethod
+    async def begin(self, status: int, headers: list[Header]) -> None:
+        """Write the head of an answer whose length is not known."""
+
+    @abstractmethod
+    async def send(self, chunk: bytes) -> None:
+        """Write a part of the body, and wait while the caller reads slowly."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End the body."""
+
+    @abstractmethod
+    def cut(self) -> None:
+        """Close the connection so that the answer does not look complete."""
--- /dev/null
+++ b/src/cactuspass/fleet/_front.py
@@ -0,0 +1,272 @@
+"""The listeners of an instance: callers, readiness and metrics, on tornado's HTTP server."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from http.client import responses
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+from cactuspass._clock import now
+from cactuspass.fleet._channels import Header
+from cactuspass.fleet._delivery import Delivery
+from cactuspass.fleet._dispatch import Dispatcher, malformed
+from cactuspass.fleet._inbound import MalformedRequest, RequestFormat
+from cactuspass.fleet._metrics import Metrics
+
+MAX_HEADER_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
+IDLE_SECONDS = 120.0
+BACKLOG = 512
+
+
+class ConnectionDelivery(Delivery):
+    """Writes an answer to one caller's connection.
+
+    :param closing: asked for each answer whether the connection should be given up after it.
+    """
+
+    def __init__(self, connection: HTTPConnection, closing: Callable[[], bool]) -> None:
+        self._connection = connection
+        self._closing = closing
+        self._begun = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the answer has gone out."""
+        return self._begun
+
+    async def answer(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Write a whole answer."""
+        framed = [*headers, ("Content-Length", str(len(body)))]
+        await self._write_head(status, framed, body or None)
+        self._connection.finish()
+
+    async def begin(self, status: int, headers: list[Header]) -> None:
+        """Write the head of an answer whose length is not known."""
+        await self._write_head(status, headers, None)
+
+    async def send(self, chunk: bytes) -> None:
+        """Write a part of the body, and wait while the caller reads slowly."""
+        await self._connection.write(chunk)
+
+    async def finish(self) -> None:
+        """End the body."""
+        self._connection.finish()
+
+    def cut(self) -> None:
+        """Close the connection so that the answer does not look complete."""
+        assert isinstance(self._connection, HTTP1Connection)
+        if self._connection.stream is not None:
+            self._connection.stream.close()
+
+    async def _write_head(self, status: int, headers: list[Header], chunk: bytes | None) -> None:
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self._closing():
+            fields["Connection"] = "close"
+        self._begun = True
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        await self._connection.write_headers(line, fields, chunk)
+
+
+class _Call(HTTPMessageDelegate):
+    """Reads one request of a caller and serves it in a task of its own."""
+
+    def __init__(self, front: "CallerFront", connection: HTTPConnection) -> None:
+        self._front = front
+        self._connection = connection
+        self._line: RequestStartLine | None = None
+        self._headers: tuple[Header, ...] = ()
+        self._chunks: list[bytes] = []
+        self._arrived_at = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Take the head of the request."""
+        assert isinstance(start_line, RequestStartLine)
+        self._line = start_line
+        self._headers = tuple(headers.get_all())
+        self._arrived_at = now()
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Take a part of the body."""
+        self._chunks.append(chunk)
+        return None
+
+    def finish(self) -> None:
+        """Serve the request, which is whole now."""
+        assert isinstance(self._connection, HTTP1Connection)
+        self._connection.set_close_callback(self._caller_left)
+        self._task = asyncio.create_task(self._serve())
+        self._front.track(self._task)
+
+    def on_connection_close(self) -> None:
+        """Take the loss of the connection."""
+        self._caller_left()
+
+    def _caller_left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self) -> None:
+        assert self._line is not None
+        delivery = ConnectionDelivery(self._connection, self._front.closing)
+        try:
+            await self._front.serve(
+                self._line, self._headers, b"".join(self._chunks), self._arrived_at, delivery
+            )
+        except StreamClosedError:
+            # The caller has left; the attempts have been ended on the way here.
+            return
+        except Exception:
+            delivery.cut()
+            raise
+
+
+class CallerFront(HTTPServerConnectionDelegate):
+    """Listens to callers.
+
+    :param address: ``host:port`` to listen on.
+    :param closing: whether connections should be given up after the next answer.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        dispatcher: Dispatcher,
+        request_format: RequestFormat,
+        metrics: Metrics,
+        closing: Callable[[], bool],
+        failed: Callable[[BaseException], None],
+    ) -> None:
+        self._address = address
+        self._dispatcher = dispatcher
+        self._request_format = request_format
+        self._metrics = metrics
+        self.closing = closing
+        self._failed = failed
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = HTTPServer(
+            self,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_SECONDS,
+            no_keep_alive=False,
+        )
+
+    def open(self) -> None:
+        """Begin to listen."""
+        self._server.add_sockets(bind(self._address))
+
+    async def close(self) -> None:
+        """Take no new connections and close those that are idle."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being served."""
+        return len(self._tasks)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of the next request of a connection."""
+        return _Call(self, request_conn)
+
+    def track(self, task: asyncio.Task[None]) -> None:
+        """Count a request until it ends."""
+        self._tasks.add(task)
+        self._metrics.in_flight.set(len(self._tasks))
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._metrics.in_flight.set(len(self._tasks))
+        if not task.cancelled() and task.exception() is not None:
+            self._failed(task.exception())  # type: ignore[arg-type]
+
+    async def serve(
+        self,
+        line: RequestStartLine,
+        headers: tuple[Header, ...],
+        body: bytes,
+        arrived_at: float,
+        delivery: Delivery,
+    ) -> None:
+        """Serve one request."""
+        try:
+            request = self._request_format.read_request(
+                line.method, line.path, headers, body, arrived_at
+            )
+        except MalformedRequest as error:
+            problem = malformed(str(error), error.status)
+            answered = self._request_format.problem_headers(problem, None)
+            await delivery.answer(problem.status, answered, problem.body())
+            return
+        await self._dispatcher.serve(request, delivery)
+
+
+class TextPage(HTTPMessageDelegate):
+    """Answers any request with a status and a text.
+
+    :param page: returns the status and the text.
+    """
+
+    def __init__(self, connection: HTTPConnection, page: Callable[[], tuple[int, bytes]]) -> None:
+        self._connection = connection
+        self._page = page
+
+    def finish(self) -> None:
+        """Answer the request."""
+        status, body = self._page()
+        fields = HTTPHeaders({"Content-Length": str(len(body)), "Content-Type": "text/plain"})
+        self._connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown")), fields, body
+        )
+        self._connection.finish()
+
+
+class PageServer(HTTPServerConnectionDelegate):
+    """Listens for requests that get a short text, such as readiness or metrics."""
+
+    def __init__(self, address: str, page: Callable[[], tuple[int, bytes]]) -> None:
+        self._address = address
+        self._page = page
+        self._server = HTTPServer(self)
+
+    def open(self) -> None:
+        """Begin to listen."""
+        self._server.add_sockets(bind(self._address))
+
+    def close(self) -> None:
+        """Take no new connections."""
+        self._server.stop()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of the next request of a connection."""
+        return TextPage(request_conn, self._page)
+
+
+def bind(address: str) -> list[socket.socket]:
+    """Return sockets that listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host, backlog=BACKLOG)
--- /dev/null
+++ b/src/cactuspass/fleet/_instance.py
@@ -0,0 +1,239 @@
+"""One instance: all parts that serve callers directly from any entry machine."""
+
+import asyncio
+import random
+import signal
+
+from cactuspass._application import Application
+from cactuspass._clock import now
+from cactuspass._component import Component
+from cactuspass.exceptions import SettingsError
+from cactuspass.fleet._attempts import Tools
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._budgets import RetryAllowance
+from cactuspass.fleet._channels import ChannelPool
+from cactuspass.fleet._controller import Controller
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._directory import Directory
+from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
+from cactuspass.fleet._front import CallerFront, PageServer
+from cactuspass.fleet._inbound import RequestFormat
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._orders import UpstreamControl
+from cactuspass.fleet._presence import Presence
+from cactuspass.fleet._probes import Probes
+from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
+from cactuspass.fleet._store import SharedStore
+from cactuspass.fleet._sync import OperatorSync, UpstreamSync
+from cactuspass.models import DataCentreId, EntryId, ServiceId
+
+READY_AGE_SECONDS = 3.0
+LEAVING_NOTICE_SECONDS = 2.6
+STOP_MARGIN_SECONDS = 0.6
+IDLE_CHECK_SECONDS = 0.05
+HOUSEKEEPING_SECONDS = 5.0
+
+
+class Adapter:
+    """What an instance needs of the platform.
+
+    :param control_pool: connections for orders and reports.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        directory: Directory,
+        control: UpstreamControl,
+        request_format: RequestFormat,
+    ) -> None:
+        self.store = store
+        self.directory = directory
+        self.control = control
+        self.request_format = request_format
+
+
+class Instance(Component):
+    """Serves callers until it is asked to stop."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        adapter: Adapter,
+        log: DecisionLog,
+        metrics: Metrics,
+        pool: ChannelPool,
+        settings_path: str | None = None,
+    ) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._log = log
+        self._metrics = metrics
+        self._pool = pool
+        self._stopping = False
+        self._began_at = now()
+        rng = random.Random()
+        data_centre = DataCentreId(settings.instance.data_centre)
+        self.beliefs = Beliefs(log, len(settings.instance.data_centres))
+        self._loads = LoadTable()
+        self._requests_seen = RequestsSeen()
+        self._allowances_by_service: dict[ServiceId, RetryAllowance] = {}
+        bounds = settings.bounds
+        selector = Selector(
+            self.beliefs, self._loads, data_centre, rng, bounds.cold_factor, bounds.cold_slack
+        )
+        tools = Tools(
+            adapter.request_format,
+            selector,
+            self._loads,
+            pool,
+            log,
+            metrics,
+            self._allowance,
+            lambda: self.beliefs.instance_count,
+        )
+        admission = Admission(self.beliefs, bounds.key_seconds)
+        dispatcher = Dispatcher(tools, self.beliefs, admission, rng, self._requests_seen)
+        self._front = CallerFront(
+            settings.listeners.callers,
+            dispatcher,
+            adapter.request_format,
+            metrics,
+            self._is_closing,
+            self._request_failed,
+        )
+        self._pages = [PageServer(settings.listeners.readiness, self._readiness)]
+        if settings.listeners.metrics is not None:
+            self._pages.append(PageServer(settings.listeners.metrics, self._metrics_page))
+        probes = Probes(self.beliefs, adapter.control, log)
+        entry_id = EntryId(settings.instance.name)
+        self._presence = Presence(
+            adapter.store, entry_id, self.beliefs, log, lambda: self._controller.wake()
+        )
+        self._controller = Controller(
+            self.beliefs,
+            self._presence,
+            adapter.control,
+            probes,
+            log,
+            metrics,
+            self._requests_seen,
+        )
+        self._application = Application(
+            (
+                OperatorSync(adapter.directory, self.beliefs, log),
+                UpstreamSync(adapter.directory, self.beliefs, log, self._controller.wake),
+                self._presence,
+                probes,
+                self._controller,
+            )
+        )
+
+    async def start(self) -> None:
+        """Begin to listen and to follow the store."""
+        for page in self._pages:
+            page.open()
+        self._front.open()
+        await self._application.start()
+        self._log.lifecycle(
+            "started",
+            data_centre=self._settings.instance.data_centre,
+            callers=self._settings.listeners.callers,
+            store=self._settings.store.address,
+        )
+
+    async def drain(self) -> None:
+        """Stop being ready, hand over the lead and let running requests finish."""
+        self._stopping = True
+        began = now()
+        self._log.lifecycle("stopping", in_flight=self._front.in_flight)
+        await self._presence.drain()
+        limit = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
+        while now() - began < limit:
+            noticed = now() - began >= LEAVING_NOTICE_SECONDS
+            if noticed and self._front.in_flight == 0:
+                break
+            await asyncio.sleep(IDLE_CHECK_SECONDS)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._application.stop()
+        await self._front.close()
+        for page in self._pages:
+            page.close()
+        self._pool.close()
+        self._log.lifecycle("stopped", in_flight=self._front.in_flight)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT; SIGHUP reads the settings again."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        while not stop.is_set():
+            try:
+                async with asyncio.timeout(HOUSEKEEPING_SECONDS):
+                    await stop.wait()
+            except TimeoutError:
+                self._loads.forget(now())
+        await self.drain()
+        await self.stop()
+
+    def reload(self) -> None:
+        """Read the settings again; what changed takes effect at the next start."""
+        if self._settings_path is None:
+            return
+        try:
+            changed = load_instance_settings(self._settings_path) != self._settings
+        except SettingsError as error:
+            self._log.alarm("settings-unreadable", reason=error)
+            return
+        self._log.lifecycle("settings-read", changed=changed)
+
+    def _allowance(self, service: ServiceId) -> RetryAllowance:
+        bounds = self._settings.bounds
+        if service not in self._allowances_by_service:
+            self._allowances_by_service[service] = RetryAllowance(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            )
+        return self._allowances_by_service[service]
+
+    def _is_closing(self) -> bool:
+        """Return whether callers had better open their next connection elsewhere."""
+        return self._stopping or not self._store_is_fresh()
+
+    def _store_is_fresh(self) -> bool:
+        return self.beliefs.operators_age() < READY_AGE_SECONDS
+
+    def _readiness(self) -> tuple[int, bytes]:
+        if self._stopping:
+            return 503, b"stopping\n"
+        if self.beliefs.index is None or not self.beliefs.view.upstreams_by_id:
+            return 503, b"starting\n"
+        if not self._store_is_fresh():
+            return 503, b"cut off from the store\n"
+        return 200, b"ready\n"
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        index = self.beliefs.index
+        self._metrics.catalog_version.set(index.catalog.version if index is not None else 0)
+        self._metrics.operators_age.set(self.beliefs.operators_age())
+        self._metrics.upstreams_age.set(now() - self.beliefs.upstreams_read_at)
+        self._metrics.connections_opened.set(self._pool.opened)
+        self._metrics.lines_dropped.set(self._log.dropped)
+        for service, allowance in self._allowances_by_service.items():
+            left = allowance.left(now(), self.beliefs.instance_count)
+            self._metrics.retries_left.labels(service).set(left)
+        self._metrics.groups.clear()
+        for group in self.beliefs.view.groups_by_key.values():
+            head = group.head
+            state = head.membership.state.value if head and head.membership else "headless"
+            self._metrics.groups.labels(group.model or "unknown", state).inc()
+        return 200, self._metrics.render()
+
+    def _request_failed(self, error: BaseException) -> None:
+        self._log.alarm("request-task-failed", error=f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/src/cactuspass/fleet/_metrics.py
@@ -0,0 +1,54 @@
+"""Counters, gauges and latency histograms of an instance, for the metrics address."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+LATENCY_BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+class Metrics:
+    """The metrics of one instance, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by route kind and how they ended", "kind", "outcome"
+        )
+        self.refusals = self._counter("refusals", "Refused requests by reason", "reason")
+        self.repeats = self._counter("repeats", "Requests sent once more, by cause", "cause")
+        self.resumed = self._counter("streams_resumed", "Streams that went on elsewhere", "cause")
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
+        )
+        self.orders = self._counter("orders", "Orders to upstreams", "order", "outcome")
+        self.first_byte = Histogram(
+            "cactuspass_first_byte_seconds",
+            "Time from the request's arrival to the first byte of its answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.groups = self._gauge("groups", "Groups by model and state", "model", "state")
+        self.in_flight = self._gauge("requests_in_flight", "Requests being served")
+        self.catalog_version = self._gauge("catalog_version", "Version of the catalog in force")
+        self.operators_age = self._gauge(
+            "operators_age_seconds", "Age of the last sure read of the operators' documents"
+        )
+        self.upstreams_age = self._gauge(
+            "upstreams_age_seconds", "Age of the last listing of the upstreams"
+        )
+        self.retries_left = self._gauge("retries_left", "Repeats that may be sent now", "service")
+        self.connections_opened = self._gauge(
+            "connections_opened", "Connections opened to upstreams since the start"
+        )
+        self.lines_dropped = self._gauge("log_lines_dropped", "Log lines that were dropped")
+        self.leads = self._gauge("leads", "1 while this instance gives orders to upstreams")
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"cactuspass_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"cactuspass_{name}", text, labels, registry=self.registry)
--- /dev/null
+++ b/src/cactuspass/fleet/_orders.py
@@ -0,0 +1,97 @@
+"""Orders to upstreams, and what the upstreams answer."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+
+from cactuspass.fleet._upstreams import GroupKey, Membership, Upstream, UpstreamId
+from cactuspass.models import ModelId
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """Become a member of a group; the first member is the head."""
+
+    key: GroupKey
+    model: ModelId
+    members: tuple[UpstreamId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Begin to take requests, as the head of a group."""
+
+    key: GroupKey
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """Take no more requests, as the head of a group.
+
+    :param cut: break off what is running instead of waiting for its end.
+    """
+
+    key: GroupKey
+    cut: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Load the weights of a model onto the host."""
+
+    model: ModelId
+
+
+Order = Join | Open | Close | Stage
+
+
+@dataclass(frozen=True, slots=True)
+class AddressedOrder:
+    """An order and the upstream that it is for, as it was when the order was decided.
+
+    :param reason: why the order is given, for the log.
+    """
+
+    target: Upstream
+    order: Order
+    reason: str
+
+
+class OrderOutcome(Enum):
+    """What became of an order."""
+
+    BEGUN = "begun"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    OUTDATED = "outdated"
+    NOT_REACHED = "not-reached"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """What an upstream says when asked, some hundred milliseconds old.
+
+    :param pace: factor on its times; above 1 is slow.
+    """
+
+    running: int
+    queued: int
+    pace: float
+    membership: Membership | None
+
+
+class UpstreamControl(ABC):
+    """Gives orders to upstreams and asks for their reports."""
+
+    @abstractmethod
+    async def give(self, addressed: AddressedOrder) -> OrderOutcome:
+        """Give one order, on the condition that no other was accepted since it was decided."""
+
+    @abstractmethod
+    async def report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
+        """Ask an upstream how it is.
+
+        :param timeout: seconds to wait for the answer.
+        :return: None when no sound answer came in time.
+        """
--- /dev/null
+++ b/src/cactuspass/fleet/_presence.py
@@ -0,0 +1,204 @@
+"""Which instances run, and which of them gives orders to upstreams."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cactuspass._clock import now
+from cactuspass._component import LoopComponent
+from cactuspass._platform import KeyValue, LeaseId, Write
+from cactuspass.exceptions import OutcomeUnknown, PlatformError
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._store import HistoryLost, LeaseEnded, SharedStore
+from cactuspass.models import EntryId
+
+PREFIX = "cactuspass/"
+LEADER_KEY = f"{PREFIX}leader"
+INSTANCES_PREFIX = f"{PREFIX}instances/"
+LEASE_SECONDS = 2
+RENEW_SECONDS = 0.5
+WATCH_WAIT_SECONDS = 3.0
+RETRY_SECONDS = 0.25
+CLOCK_MARGIN_SECONDS = 0.2
+EPOCHS_PER_TERM = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """The right to give orders, as long as the lease lasts.
+
+    :param revision: revision of the store at which the term began; later terms have higher ones.
+    """
+
+    revision: int
+
+    @property
+    def first_epoch(self) -> int:
+        """Epoch of the first group formed in this term, above all earlier ones."""
+        return self.revision * EPOCHS_PER_TERM
+
+
+class Presence(LoopComponent):
+    """Registers this instance and tries to lead when nobody does.
+
+    All keys hang on one lease. The right to lead is judged by this machine's clock from the
+    moment at which the last renewal was sent, so it ends here before it ends at the store.
+
+    :param term_changed: called when this instance begins or ceases to lead.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        instance: EntryId,
+        beliefs: Beliefs,
+        log: DecisionLog,
+        term_changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._instance = instance
+        self._beliefs = beliefs
+        self._log = log
+        self._term_changed = term_changed
+        self._lease: LeaseId | None = None
+        self._lease_until = float("-inf")
+        self._term: Term | None = None
+        self._stopping = False
+        self._watch_task: asyncio.Task[None] | None = None
+        self._keys: dict[str, KeyValue] = {}
+        self._revision = 0
+
+    async def start(self) -> None:
+        """Begin to register and to watch the others."""
+        await super().start()
+        self._watch_task = asyncio.create_task(self._watch_loop())
+
+    async def drain(self) -> None:
+        """Give up the lead at once, so that another instance takes it over."""
+        self._stopping = True
+        lease, self._lease = self._lease, None
+        self._end_term("stopping")
+        if lease is None:
+            return
+        try:
+            await self._store.revoke_lease(lease)
+        except PlatformError as error:
+            self._log.lifecycle("lease-not-ended", reason=error)
+
+    async def stop(self) -> None:
+        """End the loops."""
+        await super().stop()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+
+    @property
+    def term(self) -> Term | None:
+        """The term that this instance leads in, or None; asked before each order."""
+        if self._term is not None and now() > self._lease_until:
+            self._end_term("lease not renewed in time")
+        return self._term
+
+    async def run_loop(self) -> None:
+        """Keep the lease until cancelled."""
+        while not self._stopping:
+            try:
+                await self._keep_lease()
+                await asyncio.sleep(RENEW_SECONDS)
+            except LeaseEnded:
+                self._lease = None
+                self._end_term("lease ended")
+            except PlatformError as error:
+                self._log.belief("lease-call-failed", reason=error)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _keep_lease(self) -> None:
+        began = now()
+        if self._lease is None:
+            self._lease = await self._store.grant_lease(LEASE_SECONDS)
+            self._lease_until = began + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
+            key = f"{INSTANCES_PREFIX}{self._instance}"
+            value = json.dumps({"instance": self._instance}).encode()
+            await self._replace_own_key(key, value)
+            return
+        remaining = await self._store.keep_lease_alive(self._lease)
+        if remaining <= 0:
+            raise LeaseEnded("the lease has ended")
+        self._lease_until = began + remaining - CLOCK_MARGIN_SECONDS
+        await self._try_to_lead()
+
+    async def _replace_own_key(self, key: str, value: bytes) -> None:
+        known = (await self._store.read([key])).values_by_key[key]
+        await self._store.write([Write(key, value, known.mod_revision, self._lease)])
+
+    async def _try_to_lead(self) -> None:
+        """Take the lead when the last known state shows that nobody has it."""
+        if self._term is not None or self._revision == 0 or LEADER_KEY in self._keys:
+            return
+        if self._beliefs.index is None or self._stopping:
+            return
+        lease = self._lease
+        value = json.dumps({"instance": self._instance, "lease": lease}).encode()
+        try:
+            result = await self._store.write([Write(LEADER_KEY, value, 0, lease)])
+        except OutcomeUnknown:
+            found = (await self._store.read([LEADER_KEY])).values_by_key[LEADER_KEY]
+            if found.value == value:
+                self._begin_term(found.mod_revision)
+            return
+        leader = result.current.values_by_key[LEADER_KEY]
+        if result.accepted and lease == self._lease:
+            self._begin_term(leader.mod_revision)
+        elif not result.accepted and leader.value is not None:
+            self._keys[LEADER_KEY] = leader
+
+    def _begin_term(self, revision: int) -> None:
+        self._term = Term(revision)
+        self._log.belief("lead-taken", revision=revision, until=self._lease_until)
+        self._term_changed()
+
+    def _end_term(self, reason: str) -> None:
+        if self._term is None:
+            return
+        self._log.belief("lead-lost", revision=self._term.revision, reason=reason)
+        self._term = None
+        self._term_changed()
+
+    async def _watch_loop(self) -> None:
+        while True:
+            try:
+                await self._watch_once()
+            except HistoryLost:
+                self._revision = 0
+            except PlatformError:
+                # The lease loop logs that the store is away.
+                self._revision = 0
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _watch_once(self) -> None:
+        if self._revision == 0:
+            snapshot = await self._store.read_prefix(PREFIX)
+            self._keys = dict(snapshot.values_by_key)
+            self._revision = snapshot.revision
+        else:
+            changes = await self._store.watch(PREFIX, self._revision, WATCH_WAIT_SECONDS)
+            for change in changes.changed:
+                if change.value is None:
+                    self._keys.pop(change.key, None)
+                else:
+                    self._keys[change.key] = change
+            # A watch may stay silent though something has changed, so every quiet one is
+            # followed by a listing.
+            self._revision = changes.revision if changes.changed else 0
+        self._note_instances()
+
+    def _note_instances(self) -> None:
+        count = sum(key.startswith(INSTANCES_PREFIX) for key in self._keys)
+        self._beliefs.accept_instance_count(count)
+        leader = self._keys.get(LEADER_KEY)
+        if self._term is None or leader is None:
+            return
+        if leader.mod_revision > self._term.revision:
+            self._end_term("another instance leads")
--- /dev/null
+++ b/src/cactuspass/fleet/_probes.py
@@ -0,0 +1,119 @@
+"""Asks the members of serving groups for reports, to notice soon which of them are gone."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cactuspass._clock import now
+from cactuspass._component import LoopComponent
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._orders import UpstreamControl, UpstreamReport
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+
+PROBE_SECONDS = 0.45
+PROBE_TIMEOUT_SECONDS = 0.3
+MISSES_TO_DOUBT = 2
+VALID_SECONDS = 1.5
+MAX_UNREACHABLE_SHARE = 0.5
+FORGET_SECONDS = 8.0
+
+
+@dataclass(slots=True)
+class _Probed:
+    """What is known of one upstream.
+
+    :param misses: reports in a row that did not come.
+    """
+
+    upstream: Upstream
+    misses: int = 0
+    answered_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    report: UpstreamReport | None = None
+    wanted_at: float = field(default=0.0)
+
+
+class Probes(LoopComponent):
+    """Asks each member of a group that serves, while this instance leads."""
+
+    def __init__(self, beliefs: Beliefs, control: UpstreamControl, log: DecisionLog) -> None:
+        super().__init__()
+        self._beliefs = beliefs
+        self._control = control
+        self._log = log
+        self._enabled = False
+        self._probed_by_id: dict[UpstreamId, _Probed] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def reset(self, enabled: bool) -> None:
+        """Forget everything.
+
+        :param enabled: whether to ask from now on.
+        """
+        self._enabled = enabled
+        self._probed_by_id.clear()
+
+    def unreachable(self) -> frozenset[UpstreamId]:
+        """Return the upstreams that do not answer, unless it is this instance that is cut off."""
+        doubted = frozenset(
+            upstream_id
+            for upstream_id, probed in self._probed_by_id.items()
+            if probed.misses >= MISSES_TO_DOUBT
+        )
+        cut_off = len(doubted) > MAX_UNREACHABLE_SHARE * len(self._probed_by_id)
+        return frozenset() if cut_off else doubted
+
+    def reachable(self) -> frozenset[UpstreamId]:
+        """Return the upstreams that have answered just now."""
+        at = now()
+        return frozenset(
+            upstream_id
+            for upstream_id, probed in self._probed_by_id.items()
+            if at - probed.answered_at < VALID_SECONDS and probed.misses == 0
+        )
+
+    def report(self, upstream_id: UpstreamId) -> UpstreamReport | None:
+        """Return the last report of an upstream."""
+        probed = self._probed_by_id.get(upstream_id)
+        return probed.report if probed is not None else None
+
+    async def run_loop(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_SECONDS)
+            if self._enabled:
+                self._choose()
+                for probed in list(self._probed_by_id.values()):
+                    task = asyncio.create_task(self._ask(probed))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+
+    def _choose(self) -> None:
+        """Ask the members of serving groups, and for a while those that have left one."""
+        at = now()
+        for group in self._beliefs.view.groups_by_key.values():
+            if not group.serves:
+                continue
+            for member in group.members:
+                probed = self._probed_by_id.get(member.upstream_id)
+                if probed is None or probed.upstream.born_ms != member.born_ms:
+                    probed = _Probed(member)
+                    self._probed_by_id[member.upstream_id] = probed
+                probed.wanted_at = at
+        for upstream_id, probed in list(self._probed_by_id.items()):
+            if at - probed.wanted_at > FORGET_SECONDS:
+                del self._probed_by_id[upstream_id]
+
+    async def _ask(self, probed: _Probed) -> None:
+        report = await self._control.report(probed.upstream, PROBE_TIMEOUT_SECONDS)
+        upstream_id = probed.upstream.upstream_id
+        if report is None:
+            probed.misses += 1
+            if probed.misses == MISSES_TO_DOUBT:
+                self._log.belief("upstream-unreachable", upstream=upstream_id)
+            return
+        if probed.misses >= MISSES_TO_DOUBT:
+            self._log.belief("upstream-reachable", upstream=upstream_id)
+        probed.misses = 0
+        probed.answered_at = now()
+        probed.report = report
--- /dev/null
+++ b/src/cactuspass/fleet/_selection.py
@@ -0,0 +1,209 @@
+"""Chooses the upstream that a request is sent to, or the reason why there is none."""
+
+import random
+from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._budgets import ColdAllowance
+from cactuspass.fleet._catalog import EngineSpec, Service
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._upstreams import Group, Upstream, UpstreamId
+from cactuspass.models import DataCentreId, ModelId, ServiceId
+
+OTHER_DATA_CENTRE_PENALTY = 0.15
+INCOMPLETE_GROUP_PENALTY = 3.0
+FAILURE_WEIGHT = 6.0
+COLD_FACTOR_DEFAULT = 1.5
+COLD_SLACK_DEFAULT = 5.0
+TYPICAL_OUTPUT_TOKENS = 180.0
+
+
+class NoUpstreamReason(Enum):
+    """Why a request cannot be sent now."""
+
+    NONE_SERVES = "no-upstream-serves"
+    ALL_BUSY = "all-upstreams-busy"
+    ALL_COLD = "all-upstreams-cold"
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """The upstream to send to.
+
+    :param wait: estimated seconds until it begins to work on the request.
+    :param load: estimated requests there.
+    :param alternatives: other upstreams that could take it.
+    """
+
+    upstream: Upstream
+    wait: float
+    load: float
+    alternatives: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoUpstream:
+    """Nothing can take the request now.
+
+    :param retry_after: estimated seconds until something can.
+    """
+
+    reason: NoUpstreamReason
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs.
+
+    :param excluded: upstreams that have already failed it.
+    :param max_wait: longest acceptable wait in seconds.
+    """
+
+    service: ServiceId
+    model: ModelId | None
+    excluded: Collection[UpstreamId]
+    max_wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    upstream: Upstream
+    score: float
+    wait: float
+    load: float
+
+
+class Selector:
+    """Chooses by estimated load, distance and health.
+
+    :param data_centre: where this instance stands.
+    :param cold_factor: factor on the declared rate of a cold upstream.
+    :param cold_slack: requests in a second above that.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        loads: LoadTable,
+        data_centre: DataCentreId,
+        rng: random.Random,
+        cold_factor: float = COLD_FACTOR_DEFAULT,
+        cold_slack: float = COLD_SLACK_DEFAULT,
+    ) -> None:
+        self._beliefs = beliefs
+        self._loads = loads
+        self._data_centre = data_centre
+        self._rng = rng
+        self._cold_factor = cold_factor
+        self._cold_slack = cold_slack
+        self._cold_by_id: dict[UpstreamId, ColdAllowance] = {}
+
+    def choose(self, wanted: Wanted, at: float) -> Chosen | NoUpstream:
+        """Return the upstream that should take a request.
+
+        :param at: clock value now.
+        """
+        index = self._beliefs.index
+        service = index.catalog.services_by_id.get(wanted.service) if index else None
+        if service is None:
+            return NoUpstream(NoUpstreamReason.NONE_SERVES, 1.0)
+        usable = [
+            (upstream, group)
+            for upstream, group in self._offers(service, wanted.model)
+            if self._is_usable(upstream) and upstream.upstream_id not in wanted.excluded
+        ]
+        if not usable:
+            return NoUpstream(NoUpstreamReason.NONE_SERVES, 0.5)
+        warm = [(u, g) for u, g in usable if self._cold_permits(u, service, at)]
+        if not warm:
+            return NoUpstream(NoUpstreamReason.ALL_COLD, 0.3)
+        sound = [(u, g) for u, g in warm if not self._loads.load(u.upstream_id).is_suspect(at)]
+        candidates = [self._rate(u, g, service, at) for u, g in sound or warm]
+        best = min(candidates, key=lambda candidate: candidate.score)
+        if best.wait > wanted.max_wait:
+            return NoUpstream(NoUpstreamReason.ALL_BUSY, max(0.2, best.wait - wanted.max_wait))
+        others = len(candidates) - 1
+        return Chosen(best.upstream, best.wait, best.load, others)
+
+    def count_sent(self, upstream: Upstream, at: float) -> None:
+        """Count a request that goes to an upstream against its cold rate."""
+        allowance = self._cold_by_id.get(upstream.upstream_id)
+        if allowance is not None:
+            allowance.count(at)
+
+    def _offers(
+        self, service: Service, model: ModelId | None
+    ) -> Iterator[tuple[Upstream, Group | None]]:
+        view = self._beliefs.view
+        if service.engine is None:
+            for upstream in view.upstreams_by_id.values():
+                if upstream.service == service.service:
+                    yield upstream, None
+            return
+        for group in view.groups_by_key.values():
+            head = group.head
+            if head is None or not group.serves or group.service != service.service:
+                continue
+            if model is None or head.loaded == model:
+                yield head, group
+
+    def _is_usable(self, upstream: Upstream) -> bool:
+        evacuated = self._beliefs.evacuations.data_centres
+        return not upstream.draining and upstream.data_centre not in evacuated
+
+    def _cold_permits(self, upstream: Upstream, service: Service, at: float) -> bool:
+        if service.cold_requests_per_second <= 0 or at >= upstream.cold_until:
+            self._cold_by_id.pop(upstream.upstream_id, None)
+            return True
+        rate = service.cold_requests_per_second * self._cold_factor + self._cold_slack
+        allowance = self._cold_by_id.setdefault(upstream.upstream_id, ColdAllowance(rate))
+        return allowance.may_send(at, self._beliefs.instance_count)
+
+    def _rate(
+        self, upstream: Upstream, group: Group | None, service: Service, at: float
+    ) -> _Candidate:
+        load = self._loads.load(upstream.upstream_id)
+        estimate = load.estimate(at)
+        distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
+        jitter = self._rng.random() * 0.1
+        health = FAILURE_WEIGHT * load.failure_share
+        if service.engine is None or group is None:
+            slots = max(1, upstream.slots)
+            wait = max(0.0, estimate + 1 - slots) * load.latency / slots
+            score = (estimate + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
+            return _Candidate(upstream, score + jitter, wait, estimate)
+        pace = _pace(service.engine, upstream)
+        wait = queue_wait(service.engine, pace, estimate)
+        size = _size(service.engine, upstream)
+        whole = 0.0 if group.is_complete(size) else INCOMPLETE_GROUP_PENALTY
+        score = (estimate + 1) * pace / service.engine.slots * 4 + distance + health + whole
+        return _Candidate(upstream, score + jitter, wait, estimate)
+
+
+def _pace(engine: EngineSpec, head: Upstream) -> float:
+    spec = engine.models_by_id.get(head.loaded) if head.loaded is not None else None
+    return spec.pace if spec is not None else 1.0
+
+
+def _size(engine: EngineSpec, head: Upstream) -> int:
+    spec = engine.models_by_id.get(head.loaded) if head.loaded is not None else None
+    return spec.size if spec is not None else 1
+
+
+def queue_wait(engine: EngineSpec, pace: float, estimate: float) -> float:
+    """Return seconds until a group with so many requests begins the next one.
+
+    :param pace: factor on the group's times.
+    :param estimate: requests that run or wait there.
+    """
+    queued = max(0.0, estimate + 1 - engine.slots)
+    step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
+    return queued * TYPICAL_OUTPUT_TOKENS * step * pace / engine.slots
+
+
+def total_slots(engine: EngineSpec, groups: Iterable[Group]) -> int:
+    """Return the requests that open groups can run at once."""
+    return engine.slots * sum(group.serves for group in groups)
--- /dev/null
+++ b/src/cactuspass/fleet/_sync.py
@@ -0,0 +1,184 @@
+"""Keeps the beliefs of this instance in step with the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cactuspass._clock import now
+from cactuspass._component import LoopComponent
+from cactuspass._findings import Finding
+from cactuspass.exceptions import PlatformError
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._directory import Directory, UpstreamChanges, UpstreamListing
+from cactuspass.fleet._store import HistoryLost
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+
+OPERATORS_POLL_SECONDS = 0.8
+WATCH_WAIT_SECONDS = 2.0
+GATHER_SECONDS = 0.12
+RETRY_SECONDS = 0.2
+LAPSED_GRACE_SECONDS = 2.2
+OUTAGE_SECONDS = 1.0
+RELIST_SECONDS = 4.0
+
+
+class Dependency:
+    """Logs when something this instance depends on is lost or regained.
+
+    :param name: what it is.
+    """
+
+    def __init__(self, name: str, log: DecisionLog) -> None:
+        self._name = name
+        self._log = log
+        self.failing_since: float | None = None
+        self.regained_at = float("-inf")
+
+    def works(self) -> None:
+        """Note that it answered."""
+        if self.failing_since is None:
+            return
+        lasted = now() - self.failing_since
+        self._log.lifecycle("dependency-regained", dependency=self._name, lost_for=lasted)
+        if lasted >= OUTAGE_SECONDS:
+            self.regained_at = now()
+        self.failing_since = None
+
+    def fails(self, error: Exception) -> None:
+        """Note that it did not answer."""
+        if self.failing_since is not None:
+            return
+        self.failing_since = now()
+        self._log.lifecycle("dependency-lost", dependency=self._name, reason=error)
+
+
+def log_findings(log: DecisionLog, findings: tuple[Finding, ...], seen: set[str]) -> None:
+    """Log each mistake in a document once."""
+    for finding in findings:
+        text = str(finding)
+        if text not in seen:
+            seen.add(text)
+            log.alarm("document-unreadable", finding=text)
+
+
+class OperatorSync(LoopComponent):
+    """Reads the operators' documents again and again."""
+
+    def __init__(self, directory: Directory, beliefs: Beliefs, log: DecisionLog) -> None:
+        super().__init__()
+        self._directory = directory
+        self._beliefs = beliefs
+        self._log = log
+        self._dependency = Dependency("operators' documents", log)
+        self._seen_findings: set[str] = set()
+
+    async def run_loop(self) -> None:
+        """Read until cancelled."""
+        while True:
+            began = now()
+            pause = OPERATORS_POLL_SECONDS
+            try:
+                await self._read(began)
+            except PlatformError as error:
+                self._dependency.fails(error)
+                pause = RETRY_SECONDS
+            if self._beliefs.index is None:
+                pause = RETRY_SECONDS
+            await asyncio.sleep(max(0.05, pause * random.uniform(0.9, 1.0) - (now() - began)))
+
+    async def _read(self, began: float) -> None:
+        documents = await self._directory.read_operators()
+        self._dependency.works()
+        log_findings(self._log, documents.findings, self._seen_findings)
+        if documents.catalog is not None:
+            self._beliefs.accept_catalog(documents.catalog)
+        if not documents.findings:
+            self._beliefs.operators_read_at = began
+        self._beliefs.accept_evacuations(documents.evacuations)
+
+
+class UpstreamSync(LoopComponent):
+    """Follows the registry of upstreams by a listing and a watch.
+
+    Entries that lapse while the store is away are kept for a moment after its return, since
+    upstreams that live register again.
+
+    :param changed: called after each change.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        beliefs: Beliefs,
+        log: DecisionLog,
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        super().__init__()
+        self._directory = directory
+        self._beliefs = beliefs
+        self._log = log
+        self._changed = changed
+        self._dependency = Dependency("registry of upstreams", log)
+        self._seen_findings: set[str] = set()
+        self._revision = 0
+        self._listed_at = float("-inf")
+
+    async def run_loop(self) -> None:
+        """Follow the registry until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except HistoryLost as error:
+                self._log.belief("registry-history-lost", reason=error)
+                self._listed_at = float("-inf")
+            except PlatformError as error:
+                self._dependency.fails(error)
+                self._listed_at = float("-inf")
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow(self) -> None:
+        if now() - self._listed_at > RELIST_SECONDS:
+            await self._list()
+        changes = await self._directory.watch_upstreams(self._revision, WATCH_WAIT_SECONDS)
+        self._dependency.works()
+        self._take_changes(changes)
+        if changes.changed or changes.removed:
+            await asyncio.sleep(GATHER_SECONDS)
+
+    async def _list(self) -> None:
+        began = now()
+        listing = await self._directory.read_upstreams()
+        self._dependency.works()
+        log_findings(self._log, listing.findings, self._seen_findings)
+        self._listed_at = began
+        self._beliefs.upstreams_read_at = began
+        self._revision = listing.revision
+        self._replace({upstream.upstream_id: upstream for upstream in listing.upstreams})
+
+    def _take_changes(self, changes: UpstreamChanges) -> None:
+        log_findings(self._log, changes.findings, self._seen_findings)
+        self._revision = max(self._revision, changes.revision)
+        if not changes.changed and not changes.removed:
+            return
+        upstreams_by_id = dict(self._beliefs.view.upstreams_by_id)
+        for upstream_id in changes.removed:
+            upstreams_by_id.pop(upstream_id, None)
+        upstreams_by_id.update((upstream.upstream_id, upstream) for upstream in changes.changed)
+        self._replace(upstreams_by_id)
+
+    def _replace(self, upstreams_by_id: dict[UpstreamId, Upstream]) -> None:
+        known = self._beliefs.view.upstreams_by_id
+        if now() - self._dependency.regained_at < LAPSED_GRACE_SECONDS:
+            upstreams_by_id = {**known, **upstreams_by_id}
+            self._listed_at = min(
+                self._listed_at,
+                self._dependency.regained_at + LAPSED_GRACE_SECONDS - RELIST_SECONDS,
+            )
+        if upstreams_by_id == known:
+            return
+        self._beliefs.accept_upstreams(upstreams_by_id.values(), self._revision)
+        self._changed()
+
+
+__all__ = ["Dependency", "OperatorSync", "UpstreamListing", "UpstreamSync", "log_findings"]
--- /dev/null
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -0,0 +1,156 @@
+"""Upstreams as they describe themselves, and the groups that they form."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import groupby
+from typing import NewType
+
+from cactuspass.models import DataCentreId, FabricDomainId, GroupId, ModelId, ServiceId
+
+UpstreamId = NewType("UpstreamId", str)
+
+
+class UpstreamState(Enum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class MemberState(Enum):
+    """What an upstream says of its membership in a group."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+SERVING_STATES = frozenset({MemberState.OPEN, MemberState.CLOSING})
+
+
+@dataclass(frozen=True, slots=True)
+class GroupKey:
+    """One formation of a group; a later formation has a higher epoch."""
+
+    group_id: GroupId
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """The group that an upstream has joined; rank 0 is the head, which takes the requests."""
+
+    key: GroupKey
+    rank: int
+    state: MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One upstream as its registry entry describes it.
+
+    :param born_ms: start of the process, in Unix milliseconds.
+    :param cold_until: clock value until which it bears only a little load.
+    :param staged: models whose weights are on the host.
+    :param loaded: model that the upstream carries.
+    """
+
+    upstream_id: UpstreamId
+    service: ServiceId
+    address: str
+    data_centre: DataCentreId
+    slots: int = 1
+    state: UpstreamState = UpstreamState.READY
+    born_ms: int = 0
+    cold_until: float = 0.0
+    fabric_domain: FabricDomainId = FabricDomainId("")
+    staged: tuple[ModelId, ...] = ()
+    loaded: ModelId | None = None
+    membership: Membership | None = None
+
+    @property
+    def draining(self) -> bool:
+        """Whether it takes no new work."""
+        return self.state is UpstreamState.DRAINING
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Upstreams that report the same formation.
+
+    :param members_by_rank: the members that are known, which may be fewer than the model needs.
+    """
+
+    key: GroupKey
+    service: ServiceId
+    members_by_rank: dict[int, Upstream] = field(default_factory=dict)
+
+    @property
+    def head(self) -> Upstream | None:
+        """The member that takes the requests."""
+        return self.members_by_rank.get(0)
+
+    @property
+    def model(self) -> ModelId | None:
+        """The model that the members carry."""
+        return next((m.loaded for m in self.members_by_rank.values() if m.loaded), None)
+
+    @property
+    def members(self) -> tuple[Upstream, ...]:
+        """The known members by rank."""
+        return tuple(member for _, member in sorted(self.members_by_rank.items()))
+
+    def is_complete(self, size: int) -> bool:
+        """Return whether all members of a group of the given size are known and stay."""
+        return len(self.members_by_rank) == size and not any(m.draining for m in self.members)
+
+    def all_ready(self) -> bool:
+        """Return whether every known member has joined."""
+        states = {m.membership.state for m in self.members if m.membership is not None}
+        return states <= {MemberState.READY, MemberState.OPEN}
+
+    @property
+    def serves(self) -> bool:
+        """Whether the head takes requests."""
+        head = self.head
+        return (
+            head is not None
+            and head.membership is not None
+            and head.membership.state is MemberState.OPEN
+        )
+
+
+def _group_order(upstream: Upstream) -> tuple[str, int, int]:
+    membership = upstream.membership
+    assert membership is not None
+    return membership.key.group_id, membership.key.epoch, membership.rank
+
+
+def find_groups(upstreams: Iterable[Upstream]) -> dict[GroupKey, Group]:
+    """Return the groups that upstreams report, complete or not."""
+    members = sorted((u for u in upstreams if u.membership is not None), key=_group_order)
+    groups_by_key: dict[GroupKey, Group] = {}
+    for (group_id, epoch, _), same in groupby(members, _group_order):
+        for upstream in same:
+            key = GroupKey(GroupId(group_id), epoch)
+            group = groups_by_key.setdefault(key, Group(key, upstream.service))
+            assert upstream.membership is not None
+            group.members_by_rank[upstream.membership.rank] = upstream
+    return groups_by_key
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamView:
+    """The upstreams as of one revision of the registry."""
+
+    upstreams_by_id: Mapping[UpstreamId, Upstream] = field(default_factory=dict)
+    groups_by_key: Mapping[GroupKey, Group] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, upstreams: Iterable[Upstream]) -> "UpstreamView":
+        """Return the view of a set of upstreams."""
+        upstreams_by_id = {upstream.upstream_id: upstream for upstream in upstreams}
+        return cls(upstreams_by_id, find_groups(upstreams_by_id.values()))
--- /dev/null
+++ b/src/cactuspass/platform/_config_document.py
@@ -0,0 +1,185 @@
+"""Decodes the operators' manifest, once, into the product's catalog."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from cactuspass._findings import findings_of_errors
+from cactuspass.exceptions import DocumentError
+from cactuspass.fleet import (
+    CallerLimits,
+    Catalog,
+    Customer,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from cactuspass.models import CustomerId, ModelId, ServiceId
+from cactuspass.platform._names import CONFIG_KEY
+
+KIND_BY_NAME = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+Count = Annotated[int, Field(ge=0)]
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Split(_Document):
+    service: str
+    weight: float
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent", "stream"]
+    timeout_ms: float
+    goal_ms: float = 1000.0
+    priority: int = 0
+    service: str | None = None
+    split: tuple[_Split, ...] = ()
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+    def decode(self) -> Route:
+        """Return the route; ``service`` stands for a split with a single part."""
+        shares = tuple(ServiceShare(ServiceId(s.service), s.weight) for s in self.split)
+        if self.service is not None:
+            shares = (ServiceShare(ServiceId(self.service), 1.0),)
+        return Route(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            kind=KIND_BY_NAME[self.kind],
+            shares=shares,
+            timeout=self.timeout_ms / 1000,
+            objective=self.goal_ms / 1000,
+            max_upstreams=max(1, self.attempts),
+            priority=self.priority,
+            public=self.public,
+            resumable=self.resumable,
+            gap_objective=self.gap_aim_ms / 1000,
+        )
+
+
+class _Model(_Document):
+    name: str
+    size: Annotated[int, Field(ge=1)]
+    share: float = 0.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+    def decode(self) -> ModelSpec:
+        """Return the model; ``pace`` is a factor on times, not a speed."""
+        return ModelSpec(
+            ModelId(self.name), self.size, self.pace, self.share, self.load_s, self.warm_s
+        )
+
+
+class _Engine(_Document):
+    slots: Annotated[int, Field(ge=1)]
+    kv_capacity: Count = 0
+    stride: Annotated[int, Field(ge=1)] = 1
+    step_ms: float = 6.0
+    per_seq_ms: float = 0.0
+    read_per_s: float = 50_000.0
+    loads_per_s: float = 1.0
+    loads_at_once: Annotated[int, Field(ge=1)] = 1
+    form_ms: float = 0.0
+    models: tuple[_Model, ...] = ()
+
+    def decode(self) -> EngineSpec:
+        """Return the engine; all counts are those of a group, not of a server."""
+        models = [model.decode() for model in self.models]
+        return EngineSpec(
+            slots=self.slots,
+            models_by_id={model.model: model for model in models},
+            memory_tokens=self.kv_capacity,
+            step_seconds=self.step_ms / 1000,
+            step_seconds_per_request=self.per_seq_ms / 1000,
+            prompt_tokens_per_second=self.read_per_s,
+            events_stride=self.stride,
+            loads_per_second=self.loads_per_s,
+            loads_at_once=self.loads_at_once,
+            form_seconds=self.form_ms / 1000,
+        )
+
+
+class _Service(_Document):
+    name: str
+    health_path: str = "/health"
+    max_conns: Count = 64
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+    def decode(self) -> Service:
+        """Return the service."""
+        return Service(
+            ServiceId(self.name),
+            self.health_path,
+            self.max_conns,
+            self.cold_s,
+            self.cold_per_s,
+            self.engine.decode() if self.engine is not None else None,
+        )
+
+
+class _Tenant(_Document):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Limits(_Document):
+    header_bytes: Count = 16_384
+    body_bytes: Count = 4_194_304
+    header_ms: float = 3000.0
+    idle_ms: float = 15_000.0
+
+
+class _Manifest(_Document):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
+    limits: _Limits = _Limits()
+
+
+def decode_catalog(value: bytes) -> Catalog:
+    """Return the catalog that a manifest declares.
+
+    :raises DocumentError: with every mistake and its place.
+    """
+    try:
+        manifest = _Manifest.model_validate_json(value)
+    except ValidationError as error:
+        raise DocumentError(findings_of_errors(CONFIG_KEY, error.errors())) from error
+    limits = manifest.limits
+    return Catalog(
+        version=manifest.version,
+        routes=tuple(route.decode() for route in manifest.routes),
+        services_by_id={ServiceId(s.name): s.decode() for s in manifest.services},
+        customers=tuple(
+            Customer(CustomerId(tenant.name), tenant.api_keys, tenant.priority)
+            for tenant in manifest.tenants
+        ),
+        limits=CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_ms / 1000,
+            limits.idle_ms / 1000,
+        ),
+    )
--- /dev/null
+++ b/src/cactuspass/platform/_control.py
@@ -0,0 +1,88 @@
+"""Gives orders to servers and asks for their reports."""
+
+import asyncio
+import json
+from typing import Any
+
+from cactuspass.exceptions import AnswerCut, DocumentError, RunOutcomeUnknown, UpstreamNotReached
+from cactuspass.fleet import (
+    AddressedOrder,
+    ChannelPool,
+    Close,
+    Join,
+    Open,
+    OrderOutcome,
+    OutgoingRequest,
+    Stage,
+    Upstream,
+    UpstreamControl,
+    UpstreamReport,
+)
+from cactuspass.platform._names import EXPECT_INSTANCE
+from cactuspass.platform._server_entry import decode_report
+
+ORDER_TIMEOUT_SECONDS = 1.0
+OUTCOME_BY_STATUS = {
+    202: OrderOutcome.BEGUN,
+    200: OrderOutcome.HOLDS,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.OUTDATED,
+    421: OrderOutcome.NOT_REACHED,
+}
+
+
+class ServerControl(UpstreamControl):
+    """Speaks the servers' calls for orders and reports."""
+
+    def __init__(self, pool: ChannelPool) -> None:
+        self._pool = pool
+
+    async def give(self, addressed: AddressedOrder) -> OrderOutcome:
+        """Give one order."""
+        body = json.dumps(_order_body(addressed.order)).encode()
+        try:
+            status, _ = await self._call(
+                addressed.target, "POST", "/order", body, ORDER_TIMEOUT_SECONDS
+            )
+        except UpstreamNotReached:
+            return OrderOutcome.NOT_REACHED
+        except (RunOutcomeUnknown, AnswerCut, TimeoutError):
+            return OrderOutcome.UNKNOWN
+        return OUTCOME_BY_STATUS.get(status, OrderOutcome.CONFLICT)
+
+    async def report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
+        """Ask a server how it is."""
+        try:
+            status, content = await self._call(upstream, "GET", "/report", b"", timeout)
+            return decode_report(content) if status == 200 else None
+        except (UpstreamNotReached, RunOutcomeUnknown, AnswerCut, TimeoutError, DocumentError):
+            # The caller counts reports that did not come, and logs when they add up.
+            return None
+
+    async def _call(
+        self, server: Upstream, method: str, target: str, body: bytes, timeout: float
+    ) -> tuple[int, bytes]:
+        headers = [("Host", server.address), (EXPECT_INSTANCE, server.upstream_id)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        request = OutgoingRequest(method, target, headers, body)
+        exchange = None
+        try:
+            async with asyncio.timeout(timeout):
+                exchange = await self._pool.begin(server.address, request)
+                head = await exchange.head()
+                return head.status, await exchange.body()
+        finally:
+            if exchange is not None:
+                exchange.abort()
+
+
+def _order_body(order: Join | Open | Close | Stage) -> dict[str, Any]:
+    if isinstance(order, Stage):
+        return {"op": "stage", "model": order.model}
+    body: dict[str, Any] = {"group": order.key.group_id, "epoch": order.key.epoch}
+    if isinstance(order, Join):
+        return {"op": "join", **body, "model": order.model, "members": list(order.members)}
+    if isinstance(order, Open):
+        return {"op": "open", **body}
+    return {"op": "close", **body, "close_mode": "cut" if order.cut else "wait"}
--- /dev/null
+++ b/src/cactuspass/platform/_requests.py
@@ -0,0 +1,162 @@
+"""Translates requests and answers between callers, the product and servers."""
+
+from http import HTTPStatus
+
+from cactuspass._problems import CONTENT_TYPE, Problem
+from cactuspass._requests import Header
+from cactuspass.fleet import (
+    AnswerHead,
+    AnswerNotes,
+    IdCheck,
+    InboundRequest,
+    LoadReport,
+    MalformedRequest,
+    OutgoingRequest,
+    RequestFormat,
+    SendDetails,
+    UpstreamId,
+)
+from cactuspass.models import ModelId, RequestId
+from cactuspass.platform import _names as names
+
+MAX_PRIORITY = 9
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        names.API_KEY,
+        names.TENANT,
+        names.EXPECT_INSTANCE,
+        names.DEADLINE,
+        names.PRIORITY,
+        names.LAST_EVENT_ID,
+    )
+)
+ANSWER_ONLY_HEADERS = frozenset({names.SERVER_LOAD.lower(), names.NOT_RUN.lower()})
+
+
+class PlatformRequests(RequestFormat):
+    """Headers as the platform names them."""
+
+    def read_request(
+        self, method: str, target: str, headers: tuple[Header, ...], body: bytes, arrived_at: float
+    ) -> InboundRequest:
+        """Return the request that a caller sent."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        request_id = value_by_name.get(names.REQUEST_ID.lower(), "")
+        if not request_id:
+            raise MalformedRequest(f"{names.REQUEST_ID} is missing")
+        prompt, output = _tokens(value_by_name.get(names.TOKENS.lower()))
+        model = value_by_name.get(names.MODEL.lower())
+        return InboundRequest(
+            request_id=RequestId(request_id),
+            method=method,
+            target=target,
+            host=value_by_name.get("host", ""),
+            headers=_passed_on(headers, HOP_HEADERS | OWN_HEADERS),
+            body=body,
+            arrived_at=arrived_at,
+            patience=_patience(value_by_name.get(names.DEADLINE.lower())),
+            key=value_by_name.get(names.API_KEY.lower()),
+            model=ModelId(model) if model else None,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            last_event_id=value_by_name.get(names.LAST_EVENT_ID.lower()),
+        )
+
+    def write_request(self, request: InboundRequest, details: SendDetails) -> OutgoingRequest:
+        """Return the request as the server gets it."""
+        headers = [
+            *request.headers,
+            (names.DEADLINE, str(max(1, int(details.seconds_left * 1000)))),
+            (names.EXPECT_INSTANCE, details.upstream.upstream_id),
+            (names.PRIORITY, str(min(MAX_PRIORITY, max(0, details.priority)))),
+        ]
+        if details.customer is not None:
+            headers.append((names.TENANT, details.customer))
+        if details.last_event_id is not None:
+            headers.append((names.LAST_EVENT_ID, details.last_event_id))
+        check = IdCheck(names.REQUEST_ID.lower(), request.request_id)
+        return OutgoingRequest(request.method, request.target, headers, request.body, check)
+
+    def read_answer(self, head: AnswerHead) -> AnswerNotes:
+        """Return what the head of a server's answer says.
+
+        A 421 states, like the header, that the request has not run.
+        """
+        not_run = head.get(names.NOT_RUN.lower()) is not None
+        at_fault = head.get(names.AT_SERVER.lower())
+        return AnswerNotes(
+            not_run=not_run or head.status == HTTPStatus.MISDIRECTED_REQUEST,
+            genuine=head.get(names.STAMP.lower()) is not None,
+            load=_load(head.get(names.SERVER_LOAD.lower())),
+            at_fault=UpstreamId(at_fault) if at_fault else None,
+        )
+
+    def answer_headers(self, head: AnswerHead) -> list[Header]:
+        """Return the headers of a server's answer that the caller gets."""
+        return list(_passed_on(head.headers, HOP_HEADERS | ANSWER_ONLY_HEADERS))
+
+    def problem_headers(self, problem: Problem, request_id: RequestId | None) -> list[Header]:
+        """Return the headers of a problem; the platform reads fractions in Retry-After."""
+        headers = [("Content-Type", CONTENT_TYPE)]
+        if request_id is not None:
+            headers.append((names.REQUEST_ID, request_id))
+        if problem.retry_after is not None:
+            headers.append(("Retry-After", f"{problem.retry_after:.3f}"))
+        return headers
+
+
+def _passed_on(headers: tuple[Header, ...], left_out: frozenset[str]) -> tuple[Header, ...]:
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in left_out and name.lower() not in named
+    )
+
+
+def _patience(value: str | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value) / 1000)
+    except ValueError:
+        raise MalformedRequest(f"{names.DEADLINE} is not a number") from None
+
+
+def _tokens(value: str | None) -> tuple[int, int]:
+    """Return prompt tokens and the most output tokens; unreadable estimates count as none."""
+    if value is None:
+        return 0, 0
+    parts = value.split(",")
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        raise MalformedRequest(f"{names.TOKENS} is not two numbers")
+    return int(parts[0]), int(parts[1])
+
+
+def _load(value: str | None) -> LoadReport | None:
+    parts = (value or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return LoadReport(running, waiting, slots)
--- /dev/null
+++ b/src/cactuspass/platform/_server_entry.py
@@ -0,0 +1,99 @@
+"""Decodes what servers say of themselves: registry entries and reports."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, StrictInt, StrictStr, ValidationError
+
+from cactuspass._findings import findings_of_errors
+from cactuspass.exceptions import DocumentError
+from cactuspass.fleet import (
+    GroupKey,
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamId,
+    UpstreamReport,
+    UpstreamState,
+)
+from cactuspass.models import DataCentreId, FabricDomainId, GroupId, ModelId, ServiceId
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Group(_Document):
+    name: StrictStr
+    epoch: StrictInt
+    rank: Annotated[StrictInt, Field(ge=0)]
+    state: Literal["joining", "ready", "open", "closing", "broken"]
+
+    def decode(self) -> Membership:
+        """Return the membership."""
+        key = GroupKey(GroupId(self.name), self.epoch)
+        return Membership(key, self.rank, MemberState(self.state))
+
+
+class _Model(_Document):
+    name: StrictStr
+
+
+class _Entry(_Document):
+    service: StrictStr
+    address: Annotated[StrictStr, Field(pattern=r"^[0-9.]+:[0-9]+$")]
+    zone: StrictStr
+    slots: Annotated[StrictInt, Field(ge=0)]
+    state: Literal["ready", "draining"]
+    cold_ms: Annotated[float, Field(ge=0)]
+    born: StrictInt = 0
+    domain: StrictStr | None = None
+    staged: tuple[StrictStr, ...] = ()
+    models: tuple[_Model, ...] = ()
+    group: _Group | None = None
+
+
+class _Report(_Document):
+    running: Annotated[StrictInt, Field(ge=0)]
+    queued: Annotated[StrictInt, Field(ge=0)]
+    pace: float = 1.0
+    born: StrictInt = 0
+    group: _Group | None = None
+
+
+def decode_entry(server_id: str, value: bytes, read_at: float) -> Upstream:
+    """Return the upstream that a registry entry describes.
+
+    :param read_at: clock value; ``cold_ms`` counts from the writing, which is not much earlier.
+    :raises DocumentError: when the entry cannot be used.
+    """
+    try:
+        entry = _Entry.model_validate_json(value)
+    except ValidationError as error:
+        raise DocumentError(findings_of_errors(f"servers/{server_id}", error.errors())) from error
+    return Upstream(
+        upstream_id=UpstreamId(server_id),
+        service=ServiceId(entry.service),
+        address=entry.address,
+        data_centre=DataCentreId(entry.zone),
+        slots=entry.slots,
+        state=UpstreamState(entry.state),
+        born_ms=entry.born,
+        cold_until=read_at + entry.cold_ms / 1000 if entry.cold_ms > 0 else 0.0,
+        fabric_domain=FabricDomainId(entry.domain or ""),
+        staged=tuple(map(ModelId, entry.staged)),
+        loaded=ModelId(entry.models[0].name) if entry.models else None,
+        membership=entry.group.decode() if entry.group is not None else None,
+    )
+
+
+def decode_report(value: bytes) -> UpstreamReport:
+    """Return a server's answer to a request for its report.
+
+    :raises DocumentError: when the answer cannot be used.
+    """
+    try:
+        report = _Report.model_validate_json(value)
+    except ValidationError as error:
+        raise DocumentError(findings_of_errors("report", error.errors())) from error
+    membership = report.group.decode() if report.group is not None else None
+    return UpstreamReport(report.running, report.queued, report.pace, membership)
--- /dev/null
+++ b/src/cactuspass/platform/entry.py
@@ -0,0 +1,52 @@
+"""Starts an instance on the users' platform."""
+
+import asyncio
+import os
+import sys
+
+from cactuspass.exceptions import SettingsError
+from cactuspass.fleet import (
+    Adapter,
+    ChannelPool,
+    DecisionLog,
+    Instance,
+    Metrics,
+    load_instance_settings,
+)
+from cactuspass.platform._control import ServerControl
+from cactuspass.platform._directory import MetadataDirectory
+from cactuspass.platform._requests import PlatformRequests
+from cactuspass.platform._store import MetadataStore
+
+SETTINGS_VARIABLE = "CACTUSPASS_SETTINGS"
+EXIT_USAGE = 2
+
+
+def build_instance(path: str) -> Instance:
+    """Return the instance that a settings file describes.
+
+    :raises SettingsError: when the file cannot be read or has mistakes.
+    """
+    settings = load_instance_settings(path)
+    metrics = Metrics()
+    store = MetadataStore(settings.store.address, ChannelPool(), metrics)
+    adapter = Adapter(
+        store, MetadataDirectory(store), ServerControl(ChannelPool()), PlatformRequests()
+    )
+    log = DecisionLog(settings.instance.name)
+    return Instance(settings, adapter, log, metrics, ChannelPool(), path)
+
+
+def main() -> int:
+    """Run one instance until it is asked to stop; return the exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        print(f"{SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        instance = build_instance(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    asyncio.run(instance.run())
+    return 0
