--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -206,9 +206,9 @@
         """Return whether the request may be sent once more, and spend the budget for it."""
         if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
             return False
-        if not failure.certainly_not_run:
-            if not self.route.repeatable or self.counted_runs >= self.route.max_upstreams:
-                return False
+        runs_used_up = self.counted_runs >= self.route.max_upstreams
+        if not failure.certainly_not_run and (runs_used_up or not self.route.repeatable):
+            return False
         if failure is Failure.NOT_REACHED:
             return True
         allowance = self.tools.allowance(self.service)
--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -18,6 +18,7 @@
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_SECONDS = 0.15
+SETTLE_SECONDS = 0.7
 
 
 class Controller(LoopComponent):
@@ -49,6 +50,9 @@
         self._planners_by_service: dict[ServiceId, GroupPlanner] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._lead_in = False
+        self._registered_count = 0
+        self._registered_at = 0.0
+        self._serving_by_service: dict[ServiceId, Counter[ModelId | None]] = {}
 
     def wake(self) -> None:
         """Plan soon, since something has changed."""
@@ -89,6 +93,8 @@
         planner.demand.observe(self._concurrency(service))
         if self._requests_seen.any:
             self._lead_in = False
+        if self._lead_in and not self._registry_has_settled():
+            return
         situation = Situation(
             now(),
             service.service,
@@ -101,6 +107,38 @@
         )
         for addressed in planner.plan(situation):
             self._start(planner, addressed)
+        self._log_supply(service, planner)
+
+    def _registry_has_settled(self) -> bool:
+        """Return whether the upstreams that start together have all registered by now."""
+        count = len(self._beliefs.view.upstreams_by_id)
+        if count != self._registered_count:
+            self._registered_count = count
+            self._registered_at = now()
+        return count > 0 and now() - self._registered_at >= SETTLE_SECONDS
+
+    def _log_supply(self, service: Service, planner: GroupPlanner) -> None:
+        """Log how many groups serve each model whenever that changes."""
+        assert service.engine is not None
+        serving = Counter(
+            group.model
+            for group in self._beliefs.view.groups_by_key.values()
+            if group.service == service.service and group.serves
+        )
+        if serving == self._serving_by_service.get(service.service):
+            return
+        self._serving_by_service[service.service] = serving
+        for spec in service.engine.models_by_id.values():
+            self._log.belief(
+                "groups-serving",
+                service=service.service,
+                model=spec.model,
+                groups=serving[spec.model],
+                wanted=planner.demand.groups_wanted(
+                    service.engine, spec, len(self._beliefs.view.upstreams_by_id)
+                ),
+                free_hosts=planner.free_host_count,
+            )
 
     def _concurrency(self, service: Service) -> dict[ModelId, float]:
         """Return the requests at the open groups by model, by their last reports."""
--- a/src/cactuspass/fleet/_demand.py
+++ b/src/cactuspass/fleet/_demand.py
@@ -1,47 +1,47 @@
-"""Which model needs another group most."""
+"""How many groups each model should have."""
 
 from collections.abc import Mapping
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
 from cactuspass.models import ModelId
 
-MIN_DEMAND = 0.25
-SMOOTHING = 0.15
+SMOOTHING = 0.05
+MIN_OBSERVATIONS = 25
+HEADROOM = 2.2
+MIN_GROUPS = 2.0
+USED_SHARE = 0.8
 
 
 class Demand:
-    """Groups' worth of work for each model, from the requests seen at the open groups.
+    """Work for each model, from the requests seen at the open groups.
 
-    Before any were seen, the declared shares stand in.
+    Before enough was seen, the declared shares stand in.
     """
 
     def __init__(self) -> None:
         self._concurrency_by_model: dict[ModelId, float] = {}
+        self._observations = 0
 
     def observe(self, concurrency_by_model: Mapping[ModelId, float]) -> None:
         """Take the requests that run or wait at the groups of each model now."""
+        if not any(concurrency_by_model.values()):
+            return
+        self._observations += 1
         for model, concurrency in concurrency_by_model.items():
             known = self._concurrency_by_model.get(model, concurrency)
             self._concurrency_by_model[model] = known + SMOOTHING * (concurrency - known)
 
-    def groups_needed(self, engine: EngineSpec, spec: ModelSpec) -> float:
-        """Return how many groups the work of a model would keep full."""
-        if not any(self._concurrency_by_model.values()):
-            return spec.demand_share / spec.size
-        concurrency = self._concurrency_by_model.get(spec.model, 0.0)
-        return max(MIN_DEMAND, concurrency / engine.slots)
+    def groups_wanted(self, engine: EngineSpec, spec: ModelSpec, hosts: int) -> float:
+        """Return how many groups a model should have.
 
-    def shortest(
-        self, engine: EngineSpec, groups_by_model: Mapping[ModelId, int], among: list[ModelSpec]
-    ) -> ModelSpec:
-        """Return the model that one more group would help most.
-
-        :param groups_by_model: groups that serve or are being formed.
-        :param among: models to choose from, at least one.
+        :param hosts: upstreams that could be members.
         """
-
-        def need(spec: ModelSpec) -> float:
-            have = groups_by_model.get(spec.model, 0)
-            return self.groups_needed(engine, spec) / (have + 0.5)
-
-        return max(among, key=need)
+        total_share = sum(s.demand_share for s in engine.models_by_id.values()) or 1.0
+        share = spec.demand_share / total_share
+        declared = share * hosts * USED_SHARE / spec.size
+        if self._observations < MIN_OBSERVATIONS:
+            return max(MIN_GROUPS, declared)
+        concurrency = self._concurrency_by_model.get(spec.model)
+        if concurrency is None:
+            return max(MIN_GROUPS, declared)
+        return max(MIN_GROUPS, concurrency / engine.slots * HEADROOM)
--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -78,8 +78,7 @@
         if self._closing():
             fields["Connection"] = "close"
         self._begun = True
-        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        await self._connection.write_headers(line, fields, chunk)
+        await self._connection.write_headers(_start_line(status), fields, chunk)
 
 
 class _Call(HTTPMessageDelegate):
@@ -266,6 +265,10 @@
         return TextPage(request_conn, self._page)
 
 
+def _start_line(status: int) -> ResponseStartLine:
+    return ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+
+
 def bind(address: str) -> list[socket.socket]:
     """Return sockets that listen on ``host:port``."""
     host, _, port = address.rpartition(":")
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -20,13 +20,13 @@
 from cactuspass.models import FabricDomainId, GroupId, ModelId, ServiceId
 
 RESEND_SECONDS = 1.0
+SPARES_IN_DOMAIN = 2
 HOT_JOIN_SECONDS = 0.2
 PLAN_SLACK_SECONDS = 3.0
 LOAD_SLACK_FACTOR = 2.5
 UNREACHABLE_SECONDS = 2.0
 HEADLESS_WAIT_SECONDS = 0.3
 FORGET_SECONDS = 60.0
-LEAD_IN_LOADS_FACTOR = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +73,7 @@
     situation: Situation
     bound: set[UpstreamId] = field(default_factory=set)
     groups_by_model: Counter[ModelId] = field(default_factory=Counter)
+    host_count: int = 0
 
 
 class GroupPlanner:
@@ -83,6 +84,7 @@
 
     def __init__(self, demand: Demand) -> None:
         self.demand = demand
+        self.free_host_count = 0
         self._formations_by_key: dict[GroupKey, Formation] = {}
         self._schedule = LoadSchedule()
         self._next_epoch = 0
@@ -94,6 +96,10 @@
     def plan(self, situation: Situation) -> list[AddressedOrder]:
         """Return the orders to give now."""
         current = _Round(situation)
+        current.host_count = sum(
+            upstream.service == situation.service and not upstream.draining
+            for upstream in situation.view.upstreams_by_id.values()
+        )
         self._schedule.update(dict(situation.view.upstreams_by_id), situation.at)
         self._next_epoch = max(self._next_epoch, situation.first_epoch)
         orders = [
@@ -102,6 +108,7 @@
         orders += self._tend_formations(current)
         orders += self._form(current)
         orders += self._stage(current)
+        self.free_host_count = sum(map(len, self._free_hosts(current).values()))
         return orders
 
     def note_outcome(self, addressed: AddressedOrder, outcome: OrderOutcome, at: float) -> None:
@@ -283,21 +290,29 @@
             hosts_by_domain[upstream.fabric_domain].append(upstream)
         return hosts_by_domain
 
+    def _supply(self, spec: ModelSpec, current: _Round) -> float:
+        """Return the groups that a model has for each one that it should have."""
+        situation = current.situation
+        wanted = self.demand.groups_wanted(situation.engine, spec, current.host_count)
+        return current.groups_by_model[spec.model] / wanted
+
     def _choose_model(
         self, hosts: list[Upstream], current: _Round
     ) -> tuple[ModelSpec, list[Upstream]] | None:
         """Return the model for the next group of a domain, and its members."""
-        situation = current.situation
-        members_by_model: dict[ModelId, list[Upstream]] = {}
-        for spec in situation.engine.models_by_id.values():
+        feasible: list[tuple[float, ModelSpec, list[Upstream]]] = []
+        for spec in current.situation.engine.models_by_id.values():
             members = self._best_hosts(spec, hosts, current)
-            if members is not None:
-                members_by_model[spec.model] = members
-        if not members_by_model:
+            if members is None:
+                continue
+            supply = self._supply(spec, current)
+            if supply >= 1 and len(hosts) - spec.size < SPARES_IN_DOMAIN:
+                continue
+            feasible.append((supply, spec, members))
+        if not feasible:
             return None
-        specs = [situation.engine.models_by_id[model] for model in members_by_model]
-        spec = self.demand.shortest(situation.engine, current.groups_by_model, specs)
-        return spec, members_by_model[spec.model]
+        _, spec, members = min(feasible, key=lambda found: found[0])
+        return spec, members
 
     def _best_hosts(
         self, spec: ModelSpec, hosts: list[Upstream], current: _Round
@@ -321,8 +336,7 @@
     def _load_room(self, situation: Situation) -> int:
         engine = situation.engine
         if situation.lead_in:
-            at_once = int(engine.loads_at_once * LEAD_IN_LOADS_FACTOR)
-            return max(0, at_once - len(self._schedule.started_by_id))
+            return len(situation.view.upstreams_by_id)
         return self._schedule.room(engine.loads_at_once, engine.loads_per_second, situation.at)
 
     def _begin_formation(
@@ -342,37 +356,51 @@
         for host in to_load:
             self._schedule.start(host.upstream_id, spec.model, situation.at)
         join = Join(key, spec.model, formation.member_ids)
+        reason = f"{spec.model} has {self._supply(spec, current):.2f} of the wanted groups"
         for member in members:
-            yield self._order(member, join, f"{spec.model} is short of groups", current)
+            yield self._order(member, join, reason, current)
 
     # Hosts without weights.
 
     def _stage(self, current: _Round) -> Iterator[AddressedOrder]:
-        """Load weights onto free hosts that carry none, for the model that is shortest."""
+        """Load weights onto free hosts that carry none."""
         situation = current.situation
-        if situation.lead_in:
-            return
-        for _, hosts in sorted(self._free_hosts(current).items()):
+        for domain, hosts in sorted(self._free_hosts(current).items()):
             for host in hosts:
                 empty = not host.staged and self._schedule.loads(host.upstream_id) is None
                 if not empty or self._load_room(situation) <= 0:
                     continue
-                spec = self._model_to_stage(hosts, current)
+                spec = self._model_to_stage(domain, hosts, current)
                 self._schedule.start(host.upstream_id, spec.model, situation.at)
                 yield self._order(host, Stage(spec.model), "host has no weights", current)
 
-    def _model_to_stage(self, hosts: list[Upstream], current: _Round) -> ModelSpec:
-        """Return the model whose next group in a domain the host would bring nearest."""
-        engine = current.situation.engine
-        specs = list(engine.models_by_id.values())
+    def _model_to_stage(
+        self, domain: FabricDomainId, hosts: list[Upstream], current: _Round
+    ) -> ModelSpec:
+        """Return the model that a free host of a domain should carry.
+
+        A host that completes a group comes first, then one that replaces a lost member.
+        """
+        specs = list(current.situation.engine.models_by_id.values())
         prepared: Counter[ModelId] = Counter()
         for host in hosts:
             loading = self._schedule.loads(host.upstream_id)
             prepared.update([loading] if loading is not None else host.staged)
-        missing = {spec.model: spec.size - prepared[spec.model] % spec.size for spec in specs}
-        shortest = self.demand.shortest(engine, current.groups_by_model, specs)
-        nearest = min(specs, key=lambda spec: missing[spec.model])
-        return nearest if missing[nearest.model] < missing[shortest.model] - 1 else shortest
+        serving: Counter[ModelId] = Counter(
+            upstream.loaded
+            for upstream in current.situation.view.upstreams_by_id.values()
+            if upstream.fabric_domain == domain
+            and upstream.upstream_id in current.bound
+            and upstream.loaded is not None
+        )
+
+        def rank(spec: ModelSpec) -> tuple[float, float]:
+            missing = (-prepared[spec.model]) % spec.size
+            if prepared[spec.model] and missing:
+                return (-1.0 / missing, self._supply(spec, current))
+            return (0.0, (prepared[spec.model] + 0.5) / (serving[spec.model] + 0.5))
+
+        return min(specs, key=rank)
 
     # Small helpers.
 
