Load the model that is short onto hosts that cannot form a group as they are

Cause: after losses, free hosts carried weights of the model with groups enough; 20 of them idled while the other model was short.

--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -373,6 +373,43 @@
                 spec = self._model_to_stage(domain, hosts, current)
                 self._schedule.start(host.upstream_id, spec.model, situation.at)
                 yield self._order(host, Stage(spec.model), "host has no weights", current)
+            yield from self._convert(hosts, current)
+
+    def _convert(self, hosts: list[Upstream], current: _Round) -> Iterator[AddressedOrder]:
+        """Load a model that is short of groups onto hosts that cannot form a group as they are."""
+        situation = current.situation
+        specs = sorted(
+            situation.engine.models_by_id.values(), key=lambda spec: self._supply(spec, current)
+        )
+        by_model = self._prepared_hosts(hosts)
+        for spec in specs:
+            if self._supply(spec, current) >= 1:
+                return
+            missing = spec.size - len(by_model[spec.model]) % spec.size
+            stranded = [
+                host
+                for other in specs
+                if other is not spec
+                for host in by_model[other.model][: len(by_model[other.model]) % other.size]
+                if self._schedule.loads(host.upstream_id) is None
+            ]
+            if len(stranded) < missing or self._load_room(situation) < missing:
+                continue
+            for host in stranded[:missing]:
+                self._schedule.start(host.upstream_id, spec.model, situation.at)
+                yield self._order(host, Stage(spec.model), f"{spec.model} is short", current)
+            return
+
+    def _prepared_hosts(self, hosts: list[Upstream]) -> dict[ModelId, list[Upstream]]:
+        """Return free hosts by the model that they carry or are loading."""
+        by_model: dict[ModelId, list[Upstream]] = defaultdict(list)
+        for host in hosts:
+            model = self._schedule.loads(host.upstream_id)
+            if model is None and host.staged:
+                model = host.staged[-1]
+            if model is not None:
+                by_model[model].append(host)
+        return by_model
 
     def _model_to_stage(
         self, domain: FabricDomainId, hosts: list[Upstream], current: _Round
@@ -382,10 +419,7 @@
         A host that completes a group comes first, then one that replaces a lost member.
         """
         specs = list(current.situation.engine.models_by_id.values())
-        prepared: Counter[ModelId] = Counter()
-        for host in hosts:
-            loading = self._schedule.loads(host.upstream_id)
-            prepared.update([loading] if loading is not None else host.staged)
+        prepared = {model: len(found) for model, found in self._prepared_hosts(hosts).items()}
         serving: Counter[ModelId] = Counter(
             upstream.loaded
             for upstream in current.situation.view.upstreams_by_id.values()
@@ -395,10 +429,11 @@
         )
 
         def rank(spec: ModelSpec) -> tuple[float, float]:
-            missing = (-prepared[spec.model]) % spec.size
-            if prepared[spec.model] and missing:
+            count = prepared.get(spec.model, 0)
+            missing = -count % spec.size
+            if count and missing:
                 return (-1.0 / missing, self._supply(spec, current))
-            return (0.0, (prepared[spec.model] + 0.5) / (serving[spec.model] + 0.5))
+            return (0.0, (count + 0.5) / (serving[spec.model] + 0.5))
 
         return min(specs, key=rank)
 
