--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -103,6 +103,7 @@
             term.first_epoch,
             self._probes.unreachable(),
             self._probes.reachable(),
+            self._probes.reports(),
             self._lead_in,
         )
         for addressed in planner.plan(situation):
@@ -143,11 +144,12 @@
     def _concurrency(self, service: Service) -> dict[ModelId, float]:
         """Return the requests at the open groups by model, by their last reports."""
         found: Counter[ModelId] = Counter()
+        reports_by_id = self._probes.reports()
         for group in self._beliefs.view.groups_by_key.values():
             if group.service != service.service or not group.serves or group.model is None:
                 continue
             assert group.head is not None
-            report = self._probes.report(group.head.upstream_id)
+            report = reports_by_id.get(group.head.upstream_id)
             if report is not None:
                 found[group.model] += report.running + report.queued
         return {model: float(count) for model, count in found.items()}
--- /dev/null
+++ b/src/cactuspass/fleet/_forming.py
@@ -0,0 +1,111 @@
+"""Forms new groups out of free upstreams of one fabric domain."""
+
+from collections.abc import Iterator
+
+from cactuspass.fleet._catalog import ModelSpec
+from cactuspass.fleet._orders import AddressedOrder, Join
+from cactuspass.fleet._round import Formation, Round
+from cactuspass.fleet._upstreams import GroupKey, Upstream
+from cactuspass.models import GroupId
+
+SPARES_IN_DOMAIN = 2
+HOT_JOIN_SECONDS = 0.2
+PLAN_SLACK_SECONDS = 3.0
+LOAD_SLACK_FACTOR = 2.5
+
+
+def tend_formations(current: Round) -> Iterator[AddressedOrder]:
+    situation = current.situation
+    for key, formation in list(current.memory.formations_by_key.items()):
+        members = [situation.view.upstreams_by_id.get(i) for i in formation.member_ids]
+        present = [member for member in members if member is not None]
+        if _is_hopeless(formation, present, current):
+            del current.memory.formations_by_key[key]
+            continue
+        fresh = [m for m in present if m.upstream_id not in current.bound]
+        if fresh:
+            current.groups_by_model[formation.model] += 1
+        current.bind(tuple(present))
+        join = Join(key, formation.model, formation.member_ids)
+        for member in present:
+            joined = member.membership is not None and member.membership.key == key
+            if not joined and current.may_send(member, f"join {key}"):
+                yield current.order(member, join, "join was not answered")
+
+
+def _is_hopeless(formation: Formation, present: list[Upstream], current: Round) -> bool:
+    if len(present) < len(formation.members) or current.situation.at > formation.expected_by:
+        return True
+    if current.any_unreachable(tuple(present)):
+        return True
+    born_by_id = {member.upstream_id: member.born_ms for member in formation.members}
+    return any(m.draining or m.born_ms != born_by_id[m.upstream_id] for m in present)
+
+
+def form_groups(current: Round) -> Iterator[AddressedOrder]:
+    for _, hosts in sorted(current.free_hosts_by_domain().items()):
+        while (chosen := _choose_model(hosts, current)) is not None:
+            spec, members = chosen
+            to_load = sum(spec.model not in host.staged for host in members)
+            if to_load > current.load_room():
+                return
+            hosts = [host for host in hosts if host not in members]
+            yield from _begin_formation(spec, members, current)
+
+
+def _choose_model(hosts: list[Upstream], current: Round) -> tuple[ModelSpec, list[Upstream]] | None:
+    """Return the model for the next group of a domain, and its members."""
+    feasible: list[tuple[float, ModelSpec, list[Upstream]]] = []
+    for spec in current.situation.engine.models_by_id.values():
+        members = _best_hosts(spec, hosts, current)
+        if members is None:
+            continue
+        supply = current.supply(spec)
+        spares_only = len(hosts) - spec.size < SPARES_IN_DOMAIN
+        if current.situation.lead_in and supply >= 1 and spares_only:
+            continue
+        feasible.append((supply, spec, members))
+    if not feasible:
+        return None
+    _, spec, members = min(feasible, key=lambda found: found[0])
+    return spec, members
+
+
+def _best_hosts(spec: ModelSpec, hosts: list[Upstream], current: Round) -> list[Upstream] | None:
+    """Return the hosts that can form a group soonest, or None when too few can."""
+
+    def seconds(host: Upstream) -> float:
+        if host.loaded == spec.model:
+            return HOT_JOIN_SECONDS
+        if spec.model in host.staged:
+            return spec.warm_seconds
+        return spec.load_seconds
+
+    usable = [host for host in hosts if current.memory.schedule.loads(host.upstream_id) is None]
+    chosen = sorted(usable, key=lambda host: (seconds(host), host.upstream_id))[: spec.size]
+    if len(chosen) < spec.size:
+        return None
+    to_load = any(spec.model not in host.staged for host in chosen)
+    return chosen if current.situation.lead_in or not to_load else None
+
+
+def _begin_formation(
+    spec: ModelSpec, members: list[Upstream], current: Round
+) -> Iterator[AddressedOrder]:
+    situation = current.situation
+    current.memory.next_epoch += 1
+    key = GroupKey(GroupId(f"g{current.memory.next_epoch}"), current.memory.next_epoch)
+    to_load = [host for host in members if spec.model not in host.staged]
+    duration = spec.load_seconds * LOAD_SLACK_FACTOR if to_load else spec.warm_seconds
+    formation = Formation(
+        key, spec.model, tuple(members), situation.at + duration + PLAN_SLACK_SECONDS
+    )
+    current.memory.formations_by_key[key] = formation
+    current.bind(formation.members)
+    current.groups_by_model[spec.model] += 1
+    for host in to_load:
+        current.memory.schedule.start(host.upstream_id, spec.model, situation.at)
+    join = Join(key, spec.model, formation.member_ids)
+    reason = f"{spec.model} has {current.supply(spec):.2f} of the wanted groups"
+    for member in members:
+        yield current.order(member, join, reason)
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -72,10 +72,14 @@
             if at - probed.answered_at < VALID_SECONDS and probed.misses == 0
         )
 
-    def report(self, upstream_id: UpstreamId) -> UpstreamReport | None:
-        """Return the last report of an upstream."""
-        probed = self._probed_by_id.get(upstream_id)
-        return probed.report if probed is not None else None
+    def reports(self) -> dict[UpstreamId, UpstreamReport]:
+        """Return the last reports, of the upstreams that still answer."""
+        at = now()
+        return {
+            upstream_id: probed.report
+            for upstream_id, probed in self._probed_by_id.items()
+            if probed.report is not None and at - probed.answered_at < VALID_SECONDS
+        }
 
     async def run_loop(self) -> None:
         """Ask until cancelled."""
--- /dev/null
+++ b/src/cactuspass/fleet/_round.py
@@ -0,0 +1,167 @@
+"""Working state of one decision of the group planner, and what it remembers between them."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cactuspass.fleet._catalog import EngineSpec, ModelSpec
+from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._loading import LoadSchedule
+from cactuspass.fleet._orders import AddressedOrder, Order, OrderOutcome, Stage, UpstreamReport
+from cactuspass.fleet._upstreams import GroupKey, Upstream, UpstreamId, UpstreamView
+from cactuspass.models import FabricDomainId, ModelId, ServiceId
+
+RESEND_SECONDS = 1.0
+FORGET_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What the planner knows when it decides.
+
+    :param unreachable: upstreams that do not answer reports.
+    :param reachable: upstreams that have just answered one.
+    :param reports_by_id: their last reports.
+    :param lead_in: whether no request has come yet, so that loads are quick and free.
+    """
+
+    at: float
+    service: ServiceId
+    engine: EngineSpec
+    view: UpstreamView
+    first_epoch: int
+    unreachable: frozenset[UpstreamId] = frozenset()
+    reachable: frozenset[UpstreamId] = frozenset()
+    reports_by_id: Mapping[UpstreamId, UpstreamReport] = field(default_factory=dict)
+    lead_in: bool = False
+
+
+@dataclass(slots=True)
+class Formation:
+    """A group that this planner has ordered.
+
+    :param expected_by: clock value after which the formation is given up.
+    """
+
+    key: GroupKey
+    model: ModelId
+    members: tuple[Upstream, ...]
+    expected_by: float
+
+    @property
+    def member_ids(self) -> tuple[UpstreamId, ...]:
+        """Ids of the members by rank."""
+        return tuple(member.upstream_id for member in self.members)
+
+
+@dataclass(slots=True)
+class Headless:
+    """A group whose head has no registry entry.
+
+    :param head: the head as it was last seen; None when it never was.
+    :param since: clock value at which the head was first missed.
+    """
+
+    head: Upstream | None
+    since: float
+
+
+@dataclass(slots=True)
+class Memory:
+    """What the planner remembers between decisions.
+
+    :param members_by_key: the most members that each reported group was seen with.
+    :param close_outcomes_by_key: last outcome of an order to close.
+    """
+
+    demand: Demand
+    schedule: LoadSchedule = field(default_factory=LoadSchedule)
+    formations_by_key: dict[GroupKey, Formation] = field(default_factory=dict)
+    members_by_key: dict[GroupKey, tuple[Upstream, ...]] = field(default_factory=dict)
+    heads_by_key: dict[GroupKey, Upstream] = field(default_factory=dict)
+    headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
+    close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
+    sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
+    unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
+    next_epoch: int = 0
+
+    def forget(self, keys: set[GroupKey], at: float) -> None:
+        """Drop what is remembered of groups that nobody reports any more."""
+        for key in self.members_by_key.keys() - keys:
+            del self.members_by_key[key]
+            self.heads_by_key.pop(key, None)
+            self.headless_by_key.pop(key, None)
+            self.close_outcomes_by_key.pop(key, None)
+        old = [what for what, sent_at in self.sent_at.items() if at - sent_at > FORGET_SECONDS]
+        for what in old:
+            del self.sent_at[what]
+
+
+@dataclass(slots=True)
+class Round:
+    """Working state of one decision.
+
+    :param bound: upstreams that must not join another group now.
+    :param groups_by_model: groups that serve or are being formed.
+    """
+
+    situation: Situation
+    memory: Memory
+    bound: set[UpstreamId] = field(default_factory=set)
+    groups_by_model: Counter[ModelId] = field(default_factory=Counter)
+
+    def bind(self, members: Iterable[Upstream]) -> None:
+        """Keep upstreams from joining another group."""
+        self.bound.update(member.upstream_id for member in members)
+
+    def any_unreachable(self, members: Iterable[Upstream]) -> bool:
+        """Return whether an upstream does not answer."""
+        until_by_id = self.memory.unreachable_until
+        return any(
+            member.upstream_id in self.situation.unreachable
+            or until_by_id.get(member.upstream_id, 0.0) > self.situation.at
+            for member in members
+        )
+
+    def may_send(self, target: Upstream, what: str) -> bool:
+        """Return whether an order was not sent, or so long ago that it may be lost."""
+        sent_at = self.memory.sent_at.get((target.upstream_id, what))
+        return sent_at is None or self.situation.at - sent_at >= RESEND_SECONDS
+
+    def order(self, target: Upstream, order: Order, reason: str) -> AddressedOrder:
+        """Return an order, and remember when it was sent."""
+        name = type(order).__name__.lower()
+        what = name if isinstance(order, Stage) else f"{name} {order.key}"
+        self.memory.sent_at[(target.upstream_id, what)] = self.situation.at
+        return AddressedOrder(target, order, reason)
+
+    def hosts(self) -> list[Upstream]:
+        """Return the upstreams of the service that stay."""
+        return [
+            upstream
+            for upstream in self.situation.view.upstreams_by_id.values()
+            if upstream.service == self.situation.service and not upstream.draining
+        ]
+
+    def free_hosts_by_domain(self) -> dict[FabricDomainId, list[Upstream]]:
+        """Return the upstreams that may join a group now."""
+        hosts_by_domain: dict[FabricDomainId, list[Upstream]] = defaultdict(list)
+        for upstream in self.hosts():
+            if upstream.upstream_id in self.bound or self.any_unreachable((upstream,)):
+                continue
+            hosts_by_domain[upstream.fabric_domain].append(upstream)
+        return hosts_by_domain
+
+    def supply(self, spec: ModelSpec) -> float:
+        """Return the groups that a model has for each one that it should have."""
+        demand = self.memory.demand
+        wanted = demand.groups_wanted(self.situation.engine, spec, len(self.hosts()))
+        return self.groups_by_model[spec.model] / wanted
+
+    def load_room(self) -> int:
+        """Return how many loads from the weight store may begin now."""
+        engine = self.situation.engine
+        if self.situation.lead_in:
+            return len(self.situation.view.upstreams_by_id)
+        schedule = self.memory.schedule
+        return schedule.room(engine.loads_at_once, engine.loads_per_second, self.situation.at)
--- /dev/null
+++ b/src/cactuspass/fleet/_tending.py
@@ -0,0 +1,143 @@
+"""Opens groups that are ready, and closes those that have lost a member."""
+
+from collections.abc import Iterator
+
+from cactuspass.fleet._catalog import ModelSpec
+from cactuspass.fleet._orders import AddressedOrder, Close, Open, OrderOutcome
+from cactuspass.fleet._round import Headless, Round
+from cactuspass.fleet._upstreams import SERVING_STATES, Group, MemberState, Upstream
+
+HEAD_GONE_SECONDS = 0.3
+HEAD_UNKNOWN_SECONDS = 2.5
+HEAD_CLOSING_SECONDS = 3.0
+SURE_OUTCOMES = frozenset({OrderOutcome.CONFLICT, OrderOutcome.OUTDATED})
+
+
+def tend_groups(current: Round) -> Iterator[AddressedOrder]:
+    """Tend the groups that upstreams report, and bind the members that are not free."""
+    for group in _remember_groups(current):
+        yield from _tend_group(group, current)
+
+
+def _remember_groups(current: Round) -> list[Group]:
+    """Return the service's groups, and remember who was in them."""
+    situation, memory = current.situation, current.memory
+    groups = [
+        group
+        for group in current.situation.view.groups_by_key.values()
+        if group.service == situation.service
+    ]
+    for group in groups:
+        if group.head is not None:
+            memory.heads_by_key[group.key] = group.head
+            memory.headless_by_key.pop(group.key, None)
+        if len(group.members) >= len(memory.members_by_key.get(group.key, ())):
+            memory.members_by_key[group.key] = group.members
+    memory.forget({group.key for group in groups}, situation.at)
+    return groups
+
+
+def _tend_group(group: Group, current: Round) -> Iterator[AddressedOrder]:
+    head = group.head
+    if head is None or head.membership is None:
+        yield from _tend_headless(group, current)
+    elif head.membership.state in SERVING_STATES:
+        yield from _tend_serving(group, head, current)
+    elif head.membership.state is not MemberState.BROKEN:
+        yield from _tend_forming(group, head, current)
+
+
+def _tend_serving(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
+    assert head.membership is not None
+    current.bind(group.members)
+    model = group.model
+    spec = current.situation.engine.models_by_id.get(model) if model is not None else None
+    if model is None or spec is None:
+        return
+    current.memory.formations_by_key.pop(group.key, None)
+    reason, cut = _fault(group, spec, current)
+    if reason is None:
+        current.groups_by_model[model] += 1
+    elif head.membership.state is MemberState.OPEN and not current.any_unreachable((head,)):
+        order = Close(group.key, cut)
+        if current.may_send(head, f"close {group.key}"):
+            yield current.order(head, order, reason)
+
+
+def _fault(group: Group, spec: ModelSpec, current: Round) -> tuple[str | None, bool]:
+    """Return why a serving group must close, and whether what runs there is lost anyway."""
+    known = current.memory.members_by_key.get(group.key, group.members)
+    present = {member.upstream_id for member in group.members}
+    for member in known:
+        if member.upstream_id in current.situation.unreachable:
+            return f"member {member.upstream_id} does not answer", True
+        if member.upstream_id not in present and not _hidden(member, current):
+            return f"member {member.upstream_id} has left", True
+    if len(known) < spec.size:
+        return "members are missing", True
+    draining = next((m for m in group.members if m.draining), None)
+    if draining is not None:
+        return f"member {draining.upstream_id} drains", False
+    return None, False
+
+
+def _hidden(member: Upstream, current: Round) -> bool:
+    """Return whether a member has only lost its registry entry, and lives on."""
+    registered = member.upstream_id in current.situation.view.upstreams_by_id
+    return not registered and member.upstream_id in current.situation.reachable
+
+
+def _tend_forming(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
+    situation = current.situation
+    formation = current.memory.formations_by_key.get(group.key)
+    model = formation.model if formation is not None else group.model
+    spec = situation.engine.models_by_id.get(model) if model is not None else None
+    if spec is None or model is None:
+        return
+    whole = group.is_complete(spec.size) and not current.any_unreachable(group.members)
+    if not whole:
+        return
+    current.bind(group.members)
+    current.groups_by_model[model] += 1
+    listed = formation is None or formation.member_ids == tuple(
+        member.upstream_id for member in group.members
+    )
+    if listed and group.all_ready() and current.may_send(head, f"open {group.key}"):
+        yield current.order(head, Open(group.key), "all members ready")
+
+
+def _tend_headless(group: Group, current: Round) -> Iterator[AddressedOrder]:
+    """Tell a head whose entry has gone to close; its members are free once it surely has stopped.
+
+    A head that was never seen may only be late to register.
+    """
+    memory, at = current.memory, current.situation.at
+    if group.key in memory.formations_by_key:
+        return
+    head = memory.heads_by_key.get(group.key)
+    headless = memory.headless_by_key.setdefault(group.key, Headless(head, at))
+    if not _head_is_done(group, headless, current):
+        current.bind(group.members)
+        if head is not None and current.may_send(head, f"close {group.key}"):
+            yield current.order(head, Close(group.key, True), "head not registered")
+
+
+def _head_is_done(group: Group, headless: Headless, current: Round) -> bool:
+    """Return whether the head of a group has surely stopped to serve it."""
+    waited = current.situation.at - headless.since
+    if headless.head is None:
+        return waited >= HEAD_UNKNOWN_SECONDS
+    outcome = current.memory.close_outcomes_by_key.get(group.key)
+    if outcome is None:
+        return False
+    if outcome in SURE_OUTCOMES:
+        return True
+    if outcome is OrderOutcome.NOT_REACHED:
+        return waited >= HEAD_GONE_SECONDS
+    report = current.situation.reports_by_id.get(headless.head.upstream_id)
+    if report is None:
+        return waited >= HEAD_CLOSING_SECONDS
+    membership = report.membership
+    if membership is None or membership.key != group.key:
+        return True
+    return membership.state not in SERVING_STATES
