--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections import Counter
+from contextlib import suppress
 
 from cactuspass._clock import now
-from cactuspass._component import LoopComponent
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._catalog import Service
 from cactuspass.fleet._decision_log import DecisionLog
@@ -15,13 +15,14 @@
 from cactuspass.fleet._planner import GroupPlanner, Situation
 from cactuspass.fleet._presence import Presence, Term
 from cactuspass.fleet._probes import Probes
+from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_SECONDS = 0.15
 SETTLE_SECONDS = 0.7
 
 
-class Controller(LoopComponent):
+class Controller(RepeatingComponent):
     """Plans for every engine service while this instance leads.
 
     :param requests_seen: tells whether any request has come.
@@ -37,12 +38,11 @@
         metrics: Metrics,
         requests_seen: RequestsSeen,
     ) -> None:
-        super().__init__()
+        super().__init__(log)
         self._beliefs = beliefs
         self._presence = presence
         self._control = control
         self._probes = probes
-        self._log = log
         self._metrics = metrics
         self._requests_seen = requests_seen
         self._wake = asyncio.Event()
@@ -58,16 +58,13 @@
         """Plan soon, since something has changed."""
         self._wake.set()
 
-    async def run_loop(self) -> None:
-        """Plan until cancelled."""
-        while True:
-            try:
-                async with asyncio.timeout(PLAN_SECONDS):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass  # Time passing is a reason to plan, too.
-            self._wake.clear()
-            self._tick()
+    async def step(self) -> None:
+        """Plan when something has changed, and now and then without a change."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(PLAN_SECONDS):
+                await self._wake.wait()
+        self._wake.clear()
+        self._tick()
 
     def _tick(self) -> None:
         term = self._presence.term
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass._component import LoopComponent
 from cactuspass._platform import KeyValue, LeaseId, Write
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost, LeaseEnded, SharedStore
 from cactuspass.models import EntryId
 
@@ -40,7 +40,7 @@
         return self.revision * EPOCHS_PER_TERM
 
 
-class Presence(LoopComponent):
+class Presence(RepeatingComponent):
     """Registers this instance and tries to lead when nobody does.
 
     All keys hang on one lease. The right to lead is judged by this machine's clock from the
@@ -57,11 +57,10 @@
         log: DecisionLog,
         term_changed: Callable[[], None] = lambda: None,
     ) -> None:
-        super().__init__()
+        super().__init__(log)
         self._store = store
         self._instance = instance
         self._beliefs = beliefs
-        self._log = log
         self._term_changed = term_changed
         self._lease: LeaseId | None = None
         self._lease_until = float("-inf")
@@ -101,18 +100,20 @@
             self._end_term("lease not renewed in time")
         return self._term
 
-    async def run_loop(self) -> None:
-        """Keep the lease until cancelled."""
-        while not self._stopping:
-            try:
-                await self._keep_lease()
-                await asyncio.sleep(RENEW_SECONDS)
-            except LeaseEnded:
-                self._lease = None
-                self._end_term("lease ended")
-            except PlatformError as error:
-                self._log.belief("lease-call-failed", reason=error)
-                await asyncio.sleep(RETRY_SECONDS)
+    async def step(self) -> None:
+        """Keep the lease, and the lead if nobody else has it."""
+        if self._stopping:
+            await asyncio.sleep(RENEW_SECONDS)
+            return
+        try:
+            await self._keep_lease()
+            await asyncio.sleep(RENEW_SECONDS)
+        except LeaseEnded:
+            self._lease = None
+            self._end_term("lease ended")
+        except PlatformError as error:
+            self._log.belief("lease-call-failed", reason=error)
+            await asyncio.sleep(RETRY_SECONDS)
 
     async def _keep_lease(self) -> None:
         began = now()
@@ -134,26 +135,42 @@
         await self._store.write([Write(key, value, known.mod_revision, self._lease)])
 
     async def _try_to_lead(self) -> None:
-        """Take the lead when the last known state shows that nobody has it."""
-        if self._term is not None or self._revision == 0 or LEADER_KEY in self._keys:
+        """Take the lead when the last known state shows that nobody else has it.
+
+        A term that ended here, though the key outlived it, is followed by a new one with a higher
+        revision, so that no epoch is used twice.
+        """
+        if self._term is not None or self._revision == 0 or self._stopping:
+            return
+        if self._beliefs.index is None:
             return
-        if self._beliefs.index is None or self._stopping:
+        known = self._keys.get(LEADER_KEY)
+        if known is not None and known.value != self._leader_value():
             return
-        lease = self._lease
-        value = json.dumps({"instance": self._instance, "lease": lease}).encode()
+        expected = known.mod_revision if known is not None else 0
+        lease, value = self._lease, self._leader_value()
         try:
-            result = await self._store.write([Write(LEADER_KEY, value, 0, lease)])
+            result = await self._store.write([Write(LEADER_KEY, value, expected, lease)])
         except OutcomeUnknown:
-            found = (await self._store.read([LEADER_KEY])).values_by_key[LEADER_KEY]
-            if found.value == value:
-                self._begin_term(found.mod_revision)
+            await self._check_lead(value, expected)
             return
         leader = result.current.values_by_key[LEADER_KEY]
         if result.accepted and lease == self._lease:
+            self._keys[LEADER_KEY] = leader
             self._begin_term(leader.mod_revision)
         elif not result.accepted and leader.value is not None:
             self._keys[LEADER_KEY] = leader
 
+    async def _check_lead(self, value: bytes, revision_before: int) -> None:
+        """Find out whether a write took effect whose answer was lost."""
+        found = (await self._store.read([LEADER_KEY])).values_by_key[LEADER_KEY]
+        if found.value == value and found.mod_revision > revision_before:
+            self._begin_term(found.mod_revision)
+
+    def _leader_value(self) -> bytes:
+        """Return what this instance writes when it leads; no other lease writes the same."""
+        return json.dumps({"instance": self._instance, "lease": self._lease}).encode()
+
     def _begin_term(self, revision: int) -> None:
         self._term = Term(revision)
         self._log.belief("lead-taken", revision=revision, until=self._lease_until)
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 
 from cactuspass._clock import now
-from cactuspass._component import LoopComponent
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._orders import UpstreamControl, UpstreamReport
+from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 
 PROBE_SECONDS = 0.45
@@ -33,14 +33,13 @@
     wanted_at: float = field(default=0.0)
 
 
-class Probes(LoopComponent):
+class Probes(RepeatingComponent):
     """Asks each member of a group that serves, while this instance leads."""
 
     def __init__(self, beliefs: Beliefs, control: UpstreamControl, log: DecisionLog) -> None:
-        super().__init__()
+        super().__init__(log)
         self._beliefs = beliefs
         self._control = control
-        self._log = log
         self._enabled = False
         self._probed_by_id: dict[UpstreamId, _Probed] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,16 +80,16 @@
             if probed.report is not None and at - probed.answered_at < VALID_SECONDS
         }
 
-    async def run_loop(self) -> None:
-        """Ask until cancelled."""
-        while True:
-            await asyncio.sleep(PROBE_SECONDS)
-            if self._enabled:
-                self._choose()
-                for probed in list(self._probed_by_id.values()):
-                    task = asyncio.create_task(self._ask(probed))
-                    self._tasks.add(task)
-                    task.add_done_callback(self._tasks.discard)
+    async def step(self) -> None:
+        """Ask all that should be asked once."""
+        await asyncio.sleep(PROBE_SECONDS)
+        if not self._enabled:
+            return
+        self._choose()
+        for probed in list(self._probed_by_id.values()):
+            task = asyncio.create_task(self._ask(probed))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def _choose(self) -> None:
         """Ask the members of serving groups, and for a while those that have left one."""
--- /dev/null
+++ b/src/cactuspass/fleet/_repeating.py
@@ -0,0 +1,34 @@
+"""A part of the instance that repeats one step, and survives a step that fails."""
+
+import asyncio
+from abc import abstractmethod
+
+from cactuspass._component import LoopComponent
+from cactuspass.fleet._decision_log import DecisionLog
+
+PAUSE_AFTER_FAILURE_SECONDS = 0.2
+
+
+class RepeatingComponent(LoopComponent):
+    """Repeats a step until it is stopped; an unexpected error is logged and the step repeated."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        super().__init__()
+        self._log = log
+
+    async def run_loop(self) -> None:
+        """Repeat the step until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except Exception as error:
+                self._log.alarm(
+                    "step-failed",
+                    component=type(self).__name__,
+                    error=f"{type(error).__name__}: {error}",
+                )
+                await asyncio.sleep(PAUSE_AFTER_FAILURE_SECONDS)
+
+    @abstractmethod
+    async def step(self) -> None:
+        """Do one round of work, including the pause after it."""
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -158,10 +158,15 @@
         wanted = demand.groups_wanted(self.situation.engine, spec, len(self.hosts()))
         return self.groups_by_model[spec.model] / wanted
 
-    def load_room(self) -> int:
-        """Return how many loads from the weight store may begin now."""
+    def load_room(self, batches: int = 1) -> int:
+        """Return how many loads from the weight store may begin now.
+
+        :param batches: how many times the loads that run without slowing each other may run.
+        """
         engine = self.situation.engine
         if self.situation.lead_in:
             return len(self.situation.view.upstreams_by_id)
         schedule = self.memory.schedule
-        return schedule.room(engine.loads_at_once, engine.loads_per_second, self.situation.at)
+        return schedule.room(
+            engine.loads_at_once * batches, engine.loads_per_second, self.situation.at
+        )
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._orders import AddressedOrder, Stage
@@ -9,28 +10,61 @@
 from cactuspass.fleet._upstreams import Upstream
 from cactuspass.models import FabricDomainId, ModelId
 
+URGENT_BATCHES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """A load that would help a domain.
+
+    :param completes: whether a group can be formed as soon as it has ended.
+    """
+
+    host: Upstream
+    spec: ModelSpec
+    completes: bool
+    supply: float
+    reason: str
+
 
 def stage_hosts(current: Round) -> Iterator[AddressedOrder]:
-    """Load weights onto free hosts that carry none."""
-    situation = current.situation
+    """Load weights onto free hosts; loads that complete a group come first."""
+    loads: list[_Load] = []
     for domain, hosts in sorted(current.free_hosts_by_domain().items()):
-        for host in hosts:
-            empty = not host.staged and current.memory.schedule.loads(host.upstream_id) is None
-            if not empty or current.load_room() <= 0:
-                continue
-            spec = _model_to_stage(domain, hosts, current)
-            current.memory.schedule.start(host.upstream_id, spec.model, situation.at)
-            yield current.order(host, Stage(spec.model), "host has no weights")
-        yield from _convert(hosts, current)
-
-
-def _convert(hosts: list[Upstream], current: Round) -> Iterator[AddressedOrder]:
-    """Load a model that is short of groups onto hosts that cannot form a group as they are."""
-    situation = current.situation
-    specs = sorted(situation.engine.models_by_id.values(), key=lambda spec: current.supply(spec))
+        loads += _loads_for_empty(domain, hosts, current)
+        loads += _loads_for_stranded(hosts, current)
+    loads.sort(key=lambda load: (not load.completes, load.supply))
+    for load in loads:
+        batches = URGENT_BATCHES if load.completes else 1
+        if current.load_room(batches) > 0:
+            upstream_id = load.host.upstream_id
+            current.memory.schedule.start(upstream_id, load.spec.model, current.situation.at)
+            yield current.order(load.host, Stage(load.spec.model), load.reason)
+
+
+def _loads_for_empty(
+    domain: FabricDomainId, hosts: list[Upstream], current: Round
+) -> Iterator[_Load]:
+    """Yield a load for each free host without weights."""
+    prepared = _count_prepared(hosts, current)
+    for host in hosts:
+        if host.staged or current.memory.schedule.loads(host.upstream_id) is not None:
+            continue
+        spec = _model_to_stage(domain, prepared, current)
+        prepared[spec.model] += 1
+        completes = prepared[spec.model] % spec.size == 0
+        yield _Load(host, spec, completes, current.supply(spec), "host has no weights")
+
+
+def _loads_for_stranded(hosts: list[Upstream], current: Round) -> Iterator[_Load]:
+    """Yield loads of a model that is short, for hosts that cannot form a group as they are."""
+    specs = sorted(
+        current.situation.engine.models_by_id.values(), key=lambda spec: current.supply(spec)
+    )
     by_model = _prepared_hosts(hosts, current)
     for spec in specs:
-        if current.supply(spec) >= 1:
+        supply = current.supply(spec)
+        if supply >= 1:
             return
         missing = spec.size - len(by_model[spec.model]) % spec.size
         stranded = [
@@ -40,12 +74,15 @@
             for host in by_model[other.model][: len(by_model[other.model]) % other.size]
             if current.memory.schedule.loads(host.upstream_id) is None
         ]
-        if len(stranded) < missing or current.load_room() < missing:
-            continue
-        for host in stranded[:missing]:
-            current.memory.schedule.start(host.upstream_id, spec.model, situation.at)
-            yield current.order(host, Stage(spec.model), f"{spec.model} is short")
-        return
+        if len(stranded) >= missing:
+            for host in stranded[:missing]:
+                yield _Load(host, spec, missing == 1, supply, f"{spec.model} is short")
+            return
+
+
+def _count_prepared(hosts: list[Upstream], current: Round) -> Counter[ModelId]:
+    prepared = _prepared_hosts(hosts, current)
+    return Counter({model: len(found) for model, found in prepared.items()})
 
 
 def _prepared_hosts(hosts: list[Upstream], current: Round) -> dict[ModelId, list[Upstream]]:
@@ -60,17 +97,20 @@
     return by_model
 
 
-def _model_to_stage(domain: FabricDomainId, hosts: list[Upstream], current: Round) -> ModelSpec:
+def _model_to_stage(
+    domain: FabricDomainId, prepared: Counter[ModelId], current: Round
+) -> ModelSpec:
     """Return the model that a free host of a domain should carry.
 
     A host that completes a group comes first, then one that replaces a lost member.
+
+    :param prepared: free hosts that carry or load each model.
     """
     specs = list(current.situation.engine.models_by_id.values())
-    prepared = {model: len(found) for model, found in _prepared_hosts(hosts, current).items()}
     serving = _bound_hosts(domain, current)
 
     def rank(spec: ModelSpec) -> tuple[float, float]:
-        count = prepared.get(spec.model, 0)
+        count = prepared[spec.model]
         missing = -count % spec.size
         if count and missing == 1:
             return (-1.0, current.supply(spec))
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from cactuspass._clock import now
-from cactuspass._component import LoopComponent
 from cactuspass._findings import Finding
 from cactuspass.exceptions import PlatformError
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory, UpstreamChanges, UpstreamListing
+from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 
@@ -62,30 +62,28 @@
             log.alarm("document-unreadable", finding=text)
 
 
-class OperatorSync(LoopComponent):
+class OperatorSync(RepeatingComponent):
     """Reads the operators' documents again and again."""
 
     def __init__(self, directory: Directory, beliefs: Beliefs, log: DecisionLog) -> None:
-        super().__init__()
+        super().__init__(log)
         self._directory = directory
         self._beliefs = beliefs
-        self._log = log
         self._dependency = Dependency("operators' documents", log)
         self._seen_findings: set[str] = set()
 
-    async def run_loop(self) -> None:
-        """Read until cancelled."""
-        while True:
-            began = now()
-            pause = OPERATORS_POLL_SECONDS
-            try:
-                await self._read(began)
-            except PlatformError as error:
-                self._dependency.fails(error)
-                pause = RETRY_SECONDS
-            if self._beliefs.index is None:
-                pause = RETRY_SECONDS
-            await asyncio.sleep(max(0.05, pause * random.uniform(0.9, 1.0) - (now() - began)))
+    async def step(self) -> None:
+        """Read once, and pause until the next time."""
+        began = now()
+        pause = OPERATORS_POLL_SECONDS
+        try:
+            await self._read(began)
+        except PlatformError as error:
+            self._dependency.fails(error)
+            pause = RETRY_SECONDS
+        if self._beliefs.index is None:
+            pause = RETRY_SECONDS
+        await asyncio.sleep(max(0.05, pause * random.uniform(0.9, 1.0) - (now() - began)))
 
     async def _read(self, began: float) -> None:
         documents = await self._directory.read_operators()
@@ -98,7 +96,7 @@
         self._beliefs.accept_evacuations(documents.evacuations)
 
 
-class UpstreamSync(LoopComponent):
+class UpstreamSync(RepeatingComponent):
     """Follows the registry of upstreams by a listing and a watch.
 
     Entries that lapse while the store is away are kept for a moment after its return, since
@@ -114,7 +112,7 @@
         log: DecisionLog,
         changed: Callable[[], None] = lambda: None,
     ) -> None:
-        super().__init__()
+        super().__init__(log)
         self._directory = directory
         self._beliefs = beliefs
         self._log = log
@@ -124,18 +122,17 @@
         self._revision = 0
         self._listed_at = float("-inf")
 
-    async def run_loop(self) -> None:
-        """Follow the registry until cancelled."""
-        while True:
-            try:
-                await self._follow()
-            except HistoryLost as error:
-                self._log.belief("registry-history-lost", reason=error)
-                self._listed_at = float("-inf")
-            except PlatformError as error:
-                self._dependency.fails(error)
-                self._listed_at = float("-inf")
-                await asyncio.sleep(RETRY_SECONDS)
+    async def step(self) -> None:
+        """Wait for one set of changes."""
+        try:
+            await self._follow()
+        except HistoryLost as error:
+            self._log.belief("registry-history-lost", reason=error)
+            self._listed_at = float("-inf")
+        except PlatformError as error:
+            self._dependency.fails(error)
+            self._listed_at = float("-inf")
+            await asyncio.sleep(RETRY_SECONDS)
 
     async def _follow(self) -> None:
         if now() - self._listed_at > RELIST_SECONDS:
