--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -23,7 +23,7 @@
 MIN_SECONDS_LEFT = 0.1
 FRESH_CONNECTION_SECONDS = 1.5
 LATE_WAKE_SECONDS = 0.1
-WAIT_SHARE = 0.12
+WAIT_SHARE = 0.5
 
 T = TypeVar("T")
 
@@ -133,7 +133,7 @@
 
         :param other_than: an upstream that is left out besides those that have failed.
         """
-        max_wait = max(self.route.objective, self.seconds_left * WAIT_SHARE)
+        max_wait = self.route.objective * WAIT_SHARE
         excluded = self.excluded if other_than is None else {*self.excluded, other_than}
         wanted = Wanted(self.service, self.request.model, excluded, max_wait)
         return self.tools.selector.choose(wanted, now())
@@ -218,6 +218,17 @@
         self.tools.metrics.repeats.labels(failure.value).inc()
         return True
 
+    def note_silence(self, upstream: Upstream) -> None:
+        """Keep new work away from an upstream that is silent, though this attempt goes on."""
+        pause = self.tools.loads.suspect(upstream.upstream_id, now())
+        self.tools.log.request(
+            "upstream-silent",
+            self.request.request_id,
+            upstream=upstream.upstream_id,
+            avoided_for=pause,
+            seconds_left=self.seconds_left,
+        )
+
     def could_repeat_elsewhere(self, current: Upstream) -> bool:
         """Return whether an attempt that stalls could be made at another upstream."""
         if not self.route.repeatable or self.counted_runs >= self.route.max_upstreams:
--- a/src/cactuspass/fleet/_channels.py
+++ b/src/cactuspass/fleet/_channels.py
@@ -10,7 +10,7 @@
 
 from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
 
-CONNECT_TIMEOUT_SECONDS = 0.8
+CONNECT_TIMEOUT_SECONDS = 0.25
 READ_AHEAD_BYTES = 262_144
 KEEP_ALIVE_SHARE = 0.7
 DEFAULT_KEEP_SECONDS = 4.0
--- a/src/cactuspass/fleet/_plain.py
+++ b/src/cactuspass/fleet/_plain.py
@@ -102,6 +102,7 @@
             except TimeoutError:
                 if self._attempts.could_repeat_elsewhere(sent.upstream):
                     raise AttemptFailed(Failure.STALLED) from None
+                self._attempts.note_silence(sent.upstream)
 
     async def _within_deadline(self, sent: Sent) -> bytes:
         try:
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -1,6 +1,7 @@
 """Chooses the upstream that a request is sent to, or the reason why there is none."""
 
 import random
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -18,6 +19,8 @@
 COLD_FACTOR_DEFAULT = 1.5
 COLD_SLACK_DEFAULT = 5.0
 TYPICAL_OUTPUT_TOKENS = 180.0
+MIN_SUSPECTS_OF_CUT = 2
+SUSPECT_SHARE_OF_CUT = 0.5
 
 
 class NoUpstreamReason(Enum):
@@ -120,7 +123,7 @@
         warm = [(u, g) for u, g in usable if self._cold_permits(u, service, at)]
         if not warm:
             return NoUpstream(NoUpstreamReason.ALL_COLD, 0.3)
-        sound = [(u, g) for u, g in warm if not self._loads.load(u.upstream_id).is_suspect(at)]
+        sound = self._sound(warm, at)
         candidates = [self._rate(u, g, service, at) for u, g in sound or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > wanted.max_wait:
@@ -128,6 +131,33 @@
         others = len(candidates) - 1
         return Chosen(best.upstream, best.wait, best.load, others)
 
+    def _sound(
+        self, offers: list[tuple[Upstream, Group | None]], at: float
+    ) -> list[tuple[Upstream, Group | None]]:
+        """Return the offers that are not suspect, by themselves or by their data centre.
+
+        Where several upstreams of another data centre fail together, the way there is cut.
+        """
+        suspects = Counter(
+            upstream.data_centre
+            for upstream, _ in offers
+            if self._loads.load(upstream.upstream_id).is_suspect(at)
+        )
+        offered = Counter(upstream.data_centre for upstream, _ in offers)
+        cut_off = {
+            data_centre
+            for data_centre, count in suspects.items()
+            if count >= MIN_SUSPECTS_OF_CUT
+            and count >= SUSPECT_SHARE_OF_CUT * offered[data_centre]
+            and data_centre != self._data_centre
+        }
+        return [
+            (upstream, group)
+            for upstream, group in offers
+            if upstream.data_centre not in cut_off
+            and not self._loads.load(upstream.upstream_id).is_suspect(at)
+        ]
+
     def count_sent(self, upstream: Upstream, at: float) -> None:
         """Count a request that goes to an upstream against its cold rate."""
         allowance = self._cold_by_id.get(upstream.upstream_id)
--- a/src/cactuspass/fleet/_streams.py
+++ b/src/cactuspass/fleet/_streams.py
@@ -167,3 +167,4 @@
             except TimeoutError:
                 if self._attempts.could_repeat_elsewhere(sent.upstream):
                     raise AttemptFailed(Failure.STALLED) from None
+                self._attempts.note_silence(sent.upstream)
