--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -31,8 +31,9 @@
     """Load weights onto free hosts; loads that complete a group come first."""
     loads: list[_Load] = []
     for domain, hosts in sorted(current.free_hosts_by_domain().items()):
-        loads += _loads_for_empty(domain, hosts, current)
-        loads += _loads_for_stranded(hosts, current)
+        for_empty = list(_loads_for_empty(domain, hosts, current))
+        loads += for_empty
+        loads += _loads_for_stranded(hosts, for_empty, current)
     loads.sort(key=lambda load: (not load.completes, load.supply))
     for load in loads:
         batches = URGENT_BATCHES if load.completes else 1
@@ -56,12 +57,20 @@
         yield _Load(host, spec, completes, current.supply(spec), "host has no weights")
 
 
-def _loads_for_stranded(hosts: list[Upstream], current: Round) -> Iterator[_Load]:
-    """Yield loads of a model that is short, for hosts that cannot form a group as they are."""
+def _loads_for_stranded(
+    hosts: list[Upstream], planned: list[_Load], current: Round
+) -> Iterator[_Load]:
+    """Yield loads of a model that is short, for hosts that cannot form a group as they are.
+
+    :param planned: loads that will begin for other hosts of the domain.
+    """
     specs = sorted(
         current.situation.engine.models_by_id.values(), key=lambda spec: current.supply(spec)
     )
     by_model = _prepared_hosts(hosts, current)
+    for load in planned:
+        by_model[load.spec.model].append(load.host)
+    busy = {load.host.upstream_id for load in planned}
     for spec in specs:
         supply = current.supply(spec)
         if supply >= 1:
@@ -73,6 +82,7 @@
             if other is not spec
             for host in by_model[other.model][: len(by_model[other.model]) % other.size]
             if current.memory.schedule.loads(host.upstream_id) is None
+            and host.upstream_id not in busy
         ]
         if len(stranded) >= missing:
             for host in stranded[:missing]:
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -127,6 +127,8 @@
     waited = current.situation.at - headless.since
     if headless.head is None:
         return waited >= HEAD_UNKNOWN_SECONDS
+    if headless.head.upstream_id in current.situation.view.upstreams_by_id:
+        return True  # It is registered, and no longer in this group.
     outcome = current.memory.close_outcomes_by_key.get(group.key)
     if outcome is None:
         return False
--- /dev/null
+++ b/tests/fleet_path.py
@@ -0,0 +1,245 @@
+"""Scripted upstreams on loopback and a caller in memory, for tests of the request path."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import logbook
+
+from cactuspass._clock import now
+from cactuspass.fleet._attempts import Tools
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._budgets import RetryAllowance
+from cactuspass.fleet._catalog import Catalog, Customer, Route, RouteKind, Service, ServiceShare
+from cactuspass.fleet._channels import ChannelPool, Header
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._delivery import Delivery
+from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
+from cactuspass.fleet._inbound import InboundRequest
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.models import CustomerId, DataCentreId, RequestId, ServiceId
+from cactuspass.platform._requests import PlatformRequests
+
+HERE = DataCentreId("here")
+SERVICE = ServiceId("app")
+KEY = "key-1"
+STAMP = "Cactuspass-Server-Stamp: s1"
+
+
+class RecordingHandler(logbook.Handler):
+    """Keeps log lines in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Keep a line."""
+        self.lines.append(record.message)
+
+
+def quiet_log() -> tuple[DecisionLog, RecordingHandler]:
+    """Return a decision log and the lines that it keeps."""
+    handler = RecordingHandler()
+    return DecisionLog("test", handler), handler
+
+
+class MemoryDelivery(Delivery):
+    """Collects an answer as a caller would see it."""
+
+    def __init__(self) -> None:
+        self.status: int | None = None
+        self.headers: list[Header] = []
+        self.body = b""
+        self.whole = False
+        self.was_cut = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head has gone out."""
+        return self.status is not None
+
+    async def answer(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Take a whole answer."""
+        self.status, self.headers, self.body, self.whole = status, headers, body, True
+
+    async def begin(self, status: int, headers: list[Header]) -> None:
+        """Take the head of an answer."""
+        self.status, self.headers = status, headers
+
+    async def send(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self.body += chunk
+
+    async def finish(self) -> None:
+        """Take the end of the body."""
+        self.whole = True
+
+    def cut(self) -> None:
+        """Take the loss of the connection."""
+        self.was_cut = True
+
+    def header(self, name: str) -> str | None:
+        """Return a header of the answer."""
+        return next((v for k, v in self.headers if k.lower() == name.lower()), None)
+
+
+Script = Callable[[asyncio.StreamWriter, bytes], Awaitable[None]]
+
+
+@dataclass
+class ScriptedUpstream:
+    """A TCP server that answers its requests by one script each, the last one for all others."""
+
+    scripts: list[Script]
+    requests: list[bytes] = field(default_factory=list)
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Begin to listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening, and wait until the connections, which callers have closed, end."""
+        if self._server is not None:
+            self._server.close()
+        await asyncio.gather(*self._tasks)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                request = head + (await reader.readexactly(length) if length else b"")
+                number = len(self.requests)
+                self.requests.append(request)
+                await self.scripts[min(number, len(self.scripts) - 1)](writer, request)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        finally:
+            self._tasks.discard(task)
+
+
+def answer(status: str, body: bytes = b"", *headers: str) -> Script:
+    """Return a script that sends a whole answer."""
+
+    async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await writer.drain()
+
+    return run
+
+
+def events(ids: range) -> bytes:
+    """Return whole events with ids."""
+    return b"".join(f"id: {number}\ndata: x\n\n".encode() for number in ids)
+
+
+def stream(*chunks: bytes, end: bool = True, reset: bool = False) -> Script:
+    """Return a script that sends a chunked stream.
+
+    :param end: whether the stream is completed; otherwise the upstream falls silent.
+    :param reset: whether the connection is broken off instead.
+    """
+
+    async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
+        head = f"HTTP/1.1 200 OK\r\n{STAMP}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for chunk in chunks:
+            writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
+        if end:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        if reset:
+            writer.transport.abort()
+
+    return run
+
+
+class PathCase:
+    """An instance's request path without listeners, over scripted upstreams."""
+
+    def __init__(self, route: Route, upstreams: list[ScriptedUpstream]) -> None:
+        self.log, self.handler = quiet_log()
+        self.beliefs = Beliefs(self.log)
+        catalog = Catalog(
+            1,
+            (route,),
+            {SERVICE: Service(SERVICE)},
+            (Customer(CustomerId("customer-1"), (KEY,)),),
+        )
+        self.beliefs.accept_catalog(catalog)
+        self.beliefs.operators_read_at = now()
+        registered = [
+            Upstream(UpstreamId(f"u{number}"), SERVICE, upstream.address, HERE, slots=10 - number)
+            for number, upstream in enumerate(upstreams)
+        ]
+        self.beliefs.accept_upstreams(registered, 1)
+        self.loads = LoadTable()
+        self.pool = ChannelPool()
+        rng = random.Random(1)
+        allowance = RetryAllowance(0.2, 100, 10)
+        tools = Tools(
+            PlatformRequests(),
+            Selector(self.beliefs, self.loads, HERE, rng),
+            self.loads,
+            self.pool,
+            self.log,
+            Metrics(),
+            lambda service: allowance,
+            lambda: 1,
+        )
+        self.admission = Admission(self.beliefs, key_seconds=5.0)
+        self.dispatcher = Dispatcher(tools, self.beliefs, self.admission, rng, RequestsSeen())
+
+    async def serve(self, **changes: object) -> MemoryDelivery:
+        """Serve one request and return what its caller got."""
+        delivery = MemoryDelivery()
+        await self.dispatcher.serve(request(**changes), delivery)
+        return delivery
+
+
+def route(kind: RouteKind = RouteKind.IDEMPOTENT, **changes: object) -> Route:
+    """Return a route to the scripted upstreams."""
+    fields: dict[str, object] = {
+        "name": "r1",
+        "host": "a.example",
+        "prefix": "/p/",
+        "kind": kind,
+        "shares": (ServiceShare(SERVICE, 1.0),),
+        "timeout": 5.0,
+        "objective": 0.3,
+        "max_upstreams": 2,
+    }
+    return Route(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def request(**changes: object) -> InboundRequest:
+    """Return a request for that route."""
+    fields: dict[str, object] = {
+        "request_id": RequestId("q1"),
+        "method": "GET",
+        "target": "/p/x",
+        "host": "a.example",
+        "headers": (("Host", "a.example"), ("Cactuspass-Request-Id", "q1")),
+        "body": b"",
+        "arrived_at": now(),
+        "patience": 4.0,
+        "key": KEY,
+    }
+    return InboundRequest(**{**fields, **changes})  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,174 @@
+"""A small world of upstreams that carry out orders, for tests of the group planner."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from cactuspass.fleet._catalog import EngineSpec, ModelSpec
+from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._orders import AddressedOrder, Close, Join, Open, OrderOutcome, Stage
+from cactuspass.fleet._planner import GroupPlanner
+from cactuspass.fleet._round import Situation
+from cactuspass.fleet._upstreams import (
+    GroupKey,
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    UpstreamView,
+)
+from cactuspass.models import DataCentreId, FabricDomainId, ModelId, ServiceId
+
+SERVICE = ServiceId("llm")
+LARGE = ModelId("large")
+SMALL = ModelId("small")
+ENGINE = EngineSpec(
+    slots=13,
+    models_by_id={
+        LARGE: ModelSpec(LARGE, 4, 1.0, 0.57, 16.0, 1.6),
+        SMALL: ModelSpec(SMALL, 3, 0.6, 0.43, 12.0, 1.1),
+    },
+    loads_per_second=4.5,
+    loads_at_once=6,
+)
+HOT_SECONDS = 0.2
+
+
+def host(name: str, domain: str = "d0", staged: ModelId | None = None) -> Upstream:
+    """Return an upstream that belongs to no group."""
+    return Upstream(
+        UpstreamId(name),
+        SERVICE,
+        f"{name}:1",
+        DataCentreId("here"),
+        fabric_domain=FabricDomainId(domain),
+        staged=(staged,) if staged is not None else (),
+    )
+
+
+def hosts(count: int, domain: str = "d0", staged: ModelId | None = None) -> list[Upstream]:
+    """Return upstreams of one domain."""
+    return [host(f"{domain}-{number}", domain, staged) for number in range(count)]
+
+
+class EngineWorld:
+    """Upstreams that carry out orders after the time that these take, on a clock of its own.
+
+    :param registered: upstreams at the start.
+    :param lead_in: whether loads take a tenth of their time.
+    """
+
+    def __init__(self, registered: Iterable[Upstream], lead_in: bool = False) -> None:
+        self.at = 100.0
+        self.lead_in = lead_in
+        self.upstreams_by_id = {upstream.upstream_id: upstream for upstream in registered}
+        self.dead: set[UpstreamId] = set()
+        self.planner = GroupPlanner(Demand())
+        self.given: list[AddressedOrder] = []
+        self.first_epoch = 1
+        self._due: list[tuple[float, UpstreamId, Upstream]] = []
+
+    def situation(self) -> Situation:
+        """Return what a planner that sees all would know."""
+        answering = frozenset(self.upstreams_by_id) - self.dead
+        return Situation(
+            self.at,
+            SERVICE,
+            ENGINE,
+            UpstreamView.of(self.upstreams_by_id.values()),
+            self.first_epoch,
+            frozenset(self.dead),
+            answering,
+            lead_in=self.lead_in,
+        )
+
+    def run(self, seconds: float, step: float = 0.1) -> None:
+        """Plan and carry out orders for a while."""
+        end = self.at + seconds
+        while self.at < end:
+            self._settle()
+            for addressed in self.planner.plan(self.situation()):
+                self.given.append(addressed)
+                self.planner.note_outcome(addressed, self._carry_out(addressed), self.at)
+            self.at += step
+        self._settle()
+
+    def kill(self, upstream_id: UpstreamId) -> None:
+        """Let an upstream fall silent; its entry stays."""
+        self.dead.add(upstream_id)
+
+    def remove(self, upstream_id: UpstreamId) -> None:
+        """Remove an upstream's registry entry."""
+        del self.upstreams_by_id[upstream_id]
+
+    def drain(self, upstream_id: UpstreamId) -> None:
+        """Let an upstream announce that it leaves."""
+        upstream = self.upstreams_by_id[upstream_id]
+        self.upstreams_by_id[upstream_id] = replace(upstream, state=UpstreamState.DRAINING)
+
+    def serving(self, model: ModelId) -> list[GroupKey]:
+        """Return the groups of a model that serve."""
+        groups = UpstreamView.of(self.upstreams_by_id.values()).groups_by_key.values()
+        return [group.key for group in groups if group.serves and group.model == model]
+
+    def head_of(self, key: GroupKey) -> Upstream:
+        """Return the head of a group."""
+        head = UpstreamView.of(self.upstreams_by_id.values()).groups_by_key[key].head
+        assert head is not None
+        return head
+
+    def orders(self, kind: type) -> list[AddressedOrder]:
+        """Return the orders of a kind given so far."""
+        return [addressed for addressed in self.given if isinstance(addressed.order, kind)]
+
+    def _settle(self) -> None:
+        due = [entry for entry in self._due if entry[0] <= self.at]
+        self._due = [entry for entry in self._due if entry[0] > self.at]
+        for _, upstream_id, after in due:
+            if upstream_id in self.upstreams_by_id and upstream_id not in self.dead:
+                self.upstreams_by_id[upstream_id] = after
+
+    def _carry_out(self, addressed: AddressedOrder) -> OrderOutcome:
+        upstream = self.upstreams_by_id.get(addressed.target.upstream_id)
+        if upstream is None or upstream.upstream_id in self.dead:
+            return OrderOutcome.NOT_REACHED
+        order = addressed.order
+        if isinstance(order, Join):
+            self._join(upstream, order)
+        elif isinstance(order, Stage):
+            load = ENGINE.models_by_id[order.model].load_seconds * (0.1 if self.lead_in else 1)
+            after = replace(upstream, staged=(order.model,))
+            self._due.append((self.at + load, upstream.upstream_id, after))
+        else:
+            return self._open_or_close(upstream, order)
+        return OrderOutcome.BEGUN
+
+    def _join(self, upstream: Upstream, order: Join) -> None:
+        rank = order.members.index(upstream.upstream_id)
+        joining = Membership(order.key, rank, MemberState.JOINING)
+        self.upstreams_by_id[upstream.upstream_id] = replace(upstream, membership=joining)
+        after = replace(
+            upstream,
+            membership=replace(joining, state=MemberState.READY),
+            loaded=order.model,
+            staged=(order.model,),
+        )
+        self._due.append((self.at + self._join_seconds(upstream, order), after.upstream_id, after))
+
+    def _join_seconds(self, upstream: Upstream, order: Join) -> float:
+        spec = ENGINE.models_by_id[order.model]
+        if upstream.loaded == order.model:
+            return HOT_SECONDS
+        if order.model in upstream.staged:
+            return spec.warm_seconds
+        return spec.load_seconds * (0.1 if self.lead_in else 1)
+
+    def _open_or_close(self, upstream: Upstream, order: Open | Close) -> OrderOutcome:
+        membership = upstream.membership
+        if membership is None or membership.key != order.key:
+            return OrderOutcome.CONFLICT
+        wanted = MemberState.OPEN if isinstance(order, Open) else MemberState.READY
+        self.upstreams_by_id[upstream.upstream_id] = replace(
+            upstream, membership=replace(membership, state=wanted)
+        )
+        return OrderOutcome.BEGUN
--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,162 @@
+"""Limits that all instances keep together, and the choice of an upstream under load."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._budgets import ColdAllowance, RetryAllowance
+from cactuspass.fleet._catalog import Catalog, Evacuations, Service
+from cactuspass.fleet._inbound import LoadReport
+from cactuspass.fleet._loading import LoadSchedule
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._selection import Chosen, NoUpstream, NoUpstreamReason, Selector, Wanted
+from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamState
+from cactuspass.models import DataCentreId, GroupId, ModelId
+from tests.fleet_path import quiet_log
+from tests.fleet_world import ENGINE, LARGE, SERVICE, SMALL, host
+
+AT = 50.0
+THERE = DataCentreId("there")
+
+
+class AllowanceTest(unittest.TestCase):
+    """Shares of limits, summed over instances that do not talk to each other."""
+
+    def test_repeats_of_all_instances_stay_within_the_budget(self) -> None:
+        spent = 0
+        for _ in range(6):
+            allowance = RetryAllowance(0.2, 130, 10)
+            for _ in range(50):
+                allowance.count_request(AT)
+            spent += sum(allowance.take(AT, 6) for _ in range(500))
+        self.assertLessEqual(spent, 0.2 * 300 + 130)
+        self.assertGreater(spent, 100)
+
+    def test_repeats_come_back_as_the_window_slides(self) -> None:
+        allowance = RetryAllowance(0.0, 10, 10)
+        while allowance.take(AT, 1):
+            pass
+        self.assertFalse(allowance.take(AT + 9.9, 1))
+        self.assertTrue(allowance.take(AT + 10.1, 1))
+
+    def test_cold_upstream_gets_its_rate_from_all_instances_together(self) -> None:
+        sent = 0
+        for _ in range(6):
+            allowance = ColdAllowance(44)
+            while allowance.may_send(AT, 6):
+                allowance.count(AT)
+                sent += 1
+        self.assertLessEqual(sent, 44)
+
+    def test_loads_in_a_window_stay_below_the_stores_rate(self) -> None:
+        schedule = LoadSchedule()
+        begun = 0
+        for tick in range(50):
+            at = AT + tick / 10
+            while schedule.room(1000, 4.5, at) > 0:
+                schedule.start(host(f"h{begun}").upstream_id, SMALL, at)
+                begun += 1
+        self.assertLessEqual(begun, 4.5 * 5 * 1.1 + 3)
+
+
+def head(name: str, model: ModelId, domain: str = "d0", **changes: object) -> list[Upstream]:
+    """Return the members of a whole group that serves."""
+    key = GroupKey(GroupId(f"g-{name}"), 1)
+    size = ENGINE.models_by_id[model].size
+    members = [replace(host(f"{name}-{rank}", domain), loaded=model) for rank in range(size)]
+    return [
+        replace(
+            member,
+            membership=Membership(key, rank, MemberState.READY if rank else MemberState.OPEN),
+            **(changes if rank == 0 else {}),  # type: ignore[arg-type]
+        )
+        for rank, member in enumerate(members)
+    ]
+
+
+class SelectionTest(unittest.TestCase):
+    """Who gets a request, and when nobody does."""
+
+    def setUp(self) -> None:
+        log, _ = quiet_log()
+        self.beliefs = Beliefs(log)
+        service = Service(SERVICE, cold_requests_per_second=2, engine=ENGINE)
+        self.beliefs.accept_catalog(Catalog(1, services_by_id={SERVICE: service}))
+        self.loads = LoadTable()
+        self.selector = Selector(
+            self.beliefs, self.loads, DataCentreId("here"), random.Random(3), 1.0, 0.0
+        )
+
+    def register(self, *groups: list[Upstream]) -> None:
+        self.beliefs.accept_upstreams([u for group in groups for u in group], 1)
+
+    def choose(self, model: ModelId = SMALL, max_wait: float = 0.1) -> Chosen | NoUpstream:
+        return self.selector.choose(Wanted(SERVICE, model, (), max_wait), AT)
+
+    def chosen_ids(self, times: int = 20) -> set[str]:
+        found = [self.choose() for _ in range(times)]
+        return {c.upstream.upstream_id for c in found if isinstance(c, Chosen)}
+
+    def fill(self, upstream_id: str, running: int) -> None:
+        for group in self.beliefs.view.groups_by_key.values():
+            for member in group.members:
+                if member.upstream_id == upstream_id:
+                    self.loads.reported(member.upstream_id, LoadReport(running, 0, 13), AT)
+
+    def test_only_heads_of_the_model_are_asked(self) -> None:
+        self.register(head("a", SMALL), head("b", LARGE))
+        self.assertEqual(self.chosen_ids(), {"a-0"})
+
+    def test_burst_is_refused_at_once_when_the_wait_would_miss_the_objective(self) -> None:
+        self.register(head("a", SMALL))
+        self.fill("a-0", 20)
+        found = self.choose()
+        assert isinstance(found, NoUpstream)
+        self.assertIs(found.reason, NoUpstreamReason.ALL_BUSY)
+        self.assertGreater(found.retry_after, 0)
+
+    def test_less_loaded_head_is_preferred(self) -> None:
+        self.register(head("a", SMALL), head("b", SMALL))
+        self.fill("a-0", 9)
+        self.assertEqual(self.chosen_ids(), {"b-0"})
+
+    def test_suspect_head_gets_nothing_while_another_serves(self) -> None:
+        self.register(head("a", SMALL), head("b", SMALL))
+        self.loads.suspect(self.beliefs.view.upstreams_by_id.keys().__iter__().__next__(), AT)
+        self.assertEqual(self.chosen_ids(), {"b-0"})
+
+    def test_draining_head_and_evacuated_data_centre_get_nothing(self) -> None:
+        self.register(
+            head("a", SMALL, state=UpstreamState.DRAINING), head("b", SMALL, data_centre=THERE)
+        )
+        self.beliefs.accept_evacuations(Evacuations(frozenset({THERE})))
+        self.assertIsInstance(self.choose(), NoUpstream)
+
+    def test_closing_head_gets_nothing(self) -> None:
+        group = head("a", SMALL)
+        closing = replace(
+            group[0], membership=replace(group[0].membership, state=MemberState.CLOSING)
+        )
+        self.register([closing, *group[1:]])
+        self.assertIsInstance(self.choose(), NoUpstream)
+
+    def test_data_centre_whose_heads_fail_together_is_avoided_as_a_whole(self) -> None:
+        far = [head(f"f{n}", SMALL, data_centre=THERE) for n in range(4)]
+        self.register(*far, head("n", SMALL))
+        self.fill("n-0", 12)
+        self.loads.suspect(far[0][0].upstream_id, AT)
+        self.loads.suspect(far[1][0].upstream_id, AT)
+        self.assertEqual(self.chosen_ids(), {"n-0"})
+
+    def test_cold_head_gets_only_its_rate(self) -> None:
+        self.register(head("a", SMALL, cold_until=AT + 3))
+        sent = 0
+        while isinstance(found := self.choose(), Chosen):
+            self.selector.count_sent(found.upstream, AT)
+            sent += 1
+        self.assertLessEqual(sent, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fleet_path.py
@@ -0,0 +1,175 @@
+"""Answers over upstreams that break, stall, refuse or answer wrongly."""
+
+import unittest
+from unittest import mock
+
+from cactuspass.fleet import _streams
+from cactuspass.fleet._catalog import Route, RouteKind
+from tests.fleet_path import (
+    STAMP,
+    PathCase,
+    Script,
+    ScriptedUpstream,
+    answer,
+    events,
+    route,
+    stream,
+)
+
+NOT_RUN = "Cactuspass-Not-Run: 1"
+RESUMABLE = {"resumable": True, "gap_objective": 0.2}
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests, which starts upstreams in the order in which they are preferred."""
+
+    async def start(self, *scripts: list[Script]) -> list[ScriptedUpstream]:
+        upstreams = [ScriptedUpstream(list(each)) for each in scripts]
+        for upstream in upstreams:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        return upstreams
+
+    def case(self, chosen: Route, upstreams: list[ScriptedUpstream]) -> PathCase:
+        case = PathCase(chosen, upstreams)
+        self.addCleanup(case.pool.close)
+        return case
+
+
+class PlainAnswerTest(PathTest):
+    """Answers of one body."""
+
+    async def test_whole_answer_is_passed_on(self) -> None:
+        upstreams = await self.start([answer("200 OK", b"body", STAMP)])
+        got = await self.case(route(), upstreams).serve()
+        self.assertEqual((got.status, got.body, got.whole), (200, b"body", True))
+        self.assertEqual(got.header("Cactuspass-Server-Stamp"), "s1")
+
+    async def test_customer_is_named_and_its_key_kept_back(self) -> None:
+        upstreams = await self.start([answer("200 OK", b"body", STAMP)])
+        await self.case(route(), upstreams).serve()
+        [sent] = upstreams[0].requests
+        self.assertIn(b"Cactuspass-Tenant: customer-1", sent)
+        self.assertNotIn(b"key-1", sent)
+
+    async def test_server_error_of_an_idempotent_request_is_asked_elsewhere(self) -> None:
+        error = answer("500 Internal Server Error", b"e", STAMP)
+        upstreams = await self.start([error], [answer("200 OK", b"body", STAMP)])
+        got = await self.case(route(), upstreams).serve()
+        self.assertEqual((got.status, got.body), (200, b"body"))
+
+    async def test_the_last_server_error_is_passed_on_unchanged(self) -> None:
+        error = answer("500 Internal Server Error", b"", STAMP)
+        upstreams = await self.start([error], [error])
+        got = await self.case(route(), upstreams).serve()
+        self.assertEqual((got.status, got.header("Cactuspass-Server-Stamp")), (500, "s1"))
+
+    async def test_request_that_may_not_be_repeated_is_sent_once(self) -> None:
+        torn = stream(b"half", end=False, reset=True)
+        upstreams = await self.start([torn], [answer("200 OK", b"body", STAMP)])
+        got = await self.case(route(RouteKind.NON_IDEMPOTENT), upstreams).serve()
+        self.assertEqual(got.status, 502)
+        self.assertEqual(sum(len(u.requests) for u in upstreams), 1)
+
+    async def test_request_that_was_not_run_goes_to_another(self) -> None:
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        upstreams = await self.start([full], [answer("200 OK", b"body", STAMP)])
+        got = await self.case(route(RouteKind.NON_IDEMPOTENT), upstreams).serve()
+        self.assertEqual((got.status, got.body), (200, b"body"))
+
+    async def test_all_full_is_refused_with_a_time_to_return(self) -> None:
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        upstreams = await self.start([full])
+        got = await self.case(route(RouteKind.NON_IDEMPOTENT), upstreams).serve()
+        self.assertEqual(got.status, 503)
+        self.assertLess(float(got.header("Retry-After") or "9"), 4.0 / 3)
+
+    async def test_success_without_a_stamp_is_not_passed_on(self) -> None:
+        upstreams = await self.start([answer("200 OK", b"forged")])
+        got = await self.case(route(RouteKind.NON_IDEMPOTENT), upstreams).serve()
+        self.assertEqual(got.status, 502)
+
+    async def test_answer_to_another_request_is_left_out(self) -> None:
+        late = answer("200 OK", b"other", STAMP, "Cactuspass-Request-Id: q0")
+        own = answer("200 OK", b"own", STAMP, "Cactuspass-Request-Id: q1")
+
+        async def both(writer: object, request: bytes) -> None:
+            await late(writer, request)  # type: ignore[arg-type]
+            await own(writer, request)  # type: ignore[arg-type]
+
+        upstreams = await self.start([both])
+        got = await self.case(route(), upstreams).serve()
+        self.assertEqual(got.body, b"own")
+
+    async def test_connection_with_extra_bytes_is_not_used_again(self) -> None:
+        async def extra(writer: object, request: bytes) -> None:
+            await answer("200 OK", b"one", STAMP)(writer, request)  # type: ignore[arg-type]
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")  # type: ignore[attr-defined]
+
+        upstreams = await self.start([extra, answer("200 OK", b"two", STAMP)])
+        case = self.case(route(), upstreams)
+        await case.serve()
+        got = await case.serve()
+        self.assertEqual(got.body, b"two")
+        self.assertEqual(case.pool.opened, 2)
+
+
+class StreamTest(PathTest):
+    """Streams that go on at another upstream when one fails."""
+
+    async def test_broken_stream_is_resumed_without_loss_or_repeat(self) -> None:
+        torn = stream(events(range(1, 4)), b"id: 4\nda", end=False, reset=True)
+        rest = stream(events(range(4, 7)))
+        upstreams = await self.start([torn], [rest])
+        got = await self.case(route(RouteKind.STREAM, **RESUMABLE), upstreams).serve()
+        self.assertEqual((got.body, got.whole), (events(range(1, 7)), True))
+        self.assertIn(b"Last-Event-Id: 3", upstreams[1].requests[0])
+
+    async def test_silent_stream_is_resumed_elsewhere(self) -> None:
+        silent = stream(events(range(1, 3)), end=False)
+        upstreams = await self.start([silent], [stream(events(range(3, 5)))])
+        with mock.patch.object(_streams, "GAP_SECONDS", 0.02):
+            got = await self.case(route(RouteKind.STREAM, **RESUMABLE), upstreams).serve()
+        self.assertEqual((got.body, got.whole), (events(range(1, 5)), True))
+
+    async def test_stream_that_may_not_be_resumed_looks_cut(self) -> None:
+        torn = stream(events(range(1, 4)), end=False, reset=True)
+        upstreams = await self.start([torn], [stream(events(range(4, 7)))])
+        got = await self.case(route(RouteKind.STREAM), upstreams).serve()
+        self.assertTrue(got.was_cut)
+        self.assertFalse(got.whole)
+        self.assertEqual(got.body, events(range(1, 4)))
+        self.assertEqual(upstreams[1].requests, [])
+
+    async def test_stream_that_ends_inside_an_event_is_not_complete(self) -> None:
+        upstreams = await self.start([stream(events(range(1, 3)), b"id: 3\nda")])
+        got = await self.case(route(RouteKind.STREAM), upstreams).serve()
+        self.assertTrue(got.was_cut)
+
+    async def test_callers_own_resumption_is_passed_on(self) -> None:
+        upstreams = await self.start([stream(events(range(8, 9)))])
+        case = self.case(route(RouteKind.STREAM, **RESUMABLE), upstreams)
+        await case.serve(last_event_id="7")
+        self.assertIn(b"Last-Event-Id: 7", upstreams[0].requests[0])
+
+    async def test_full_head_before_the_first_event_is_replaced(self) -> None:
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        upstreams = await self.start([full], [stream(events(range(1, 3)))])
+        got = await self.case(route(RouteKind.STREAM), upstreams).serve()
+        self.assertEqual((got.status, got.body), (200, events(range(1, 3))))
+
+
+class DecisionLogTest(PathTest):
+    """Each attempt that failed leaves a line with the request's id."""
+
+    async def test_failed_attempt_and_refusal_are_logged(self) -> None:
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        case = self.case(route(), await self.start([full]))
+        await case.serve()
+        lines = [line for line in case.handler.lines if '"request": "q1"' in line]
+        self.assertTrue(any('"attempt-failed"' in line for line in lines))
+        self.assertTrue(any('"refused"' in line for line in lines))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fleet_planner.py
@@ -0,0 +1,156 @@
+"""Groups formed, closed and re-formed by the planner, in a world without network."""
+
+import unittest
+from dataclasses import replace
+
+from cactuspass.fleet._orders import Close, Join, Open, Stage
+from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
+from cactuspass.models import GroupId
+from tests.fleet_world import LARGE, SMALL, EngineWorld, host, hosts
+
+
+class LeadInTest(unittest.TestCase):
+    """Before the first request, loads are quick and free."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld([*hosts(9, "d0"), *hosts(9, "d1")], lead_in=True)
+        self.world.run(3.0)
+
+    def test_each_domain_serves_both_models(self) -> None:
+        self.assertEqual(len(self.world.serving(LARGE)), 2)
+        self.assertEqual(len(self.world.serving(SMALL)), 2)
+
+    def test_each_domain_has_a_spare_for_each_model(self) -> None:
+        free = [u for u in self.world.upstreams_by_id.values() if u.membership is None]
+        self.assertEqual(
+            sorted((u.fabric_domain, u.staged) for u in free),
+            [("d0", (LARGE,)), ("d0", (SMALL,)), ("d1", (LARGE,)), ("d1", (SMALL,))],
+        )
+
+    def test_a_head_opens_only_when_all_members_were_ready(self) -> None:
+        joins = [a.order for a in self.world.orders(Join)]
+        for addressed in self.world.orders(Open):
+            sizes = [len(j.members) for j in joins if j.key == addressed.order.key]
+            self.assertIn(len(sizes), (3, 4))
+
+
+class OpeningTest(unittest.TestCase):
+    """A group opens when every member is ready, and not before."""
+
+    def test_one_joining_member_keeps_the_head_closed(self) -> None:
+        world = EngineWorld(hosts(3, staged=SMALL))
+        world.run(0.3)
+        self.assertEqual(len(world.orders(Join)), 3)
+        late = world.orders(Join)[2].target.upstream_id
+        world._due = [entry for entry in world._due if entry[1] != late]
+        world.run(2.5)
+        self.assertEqual(world.orders(Open), [])
+
+
+class LostMemberTest(unittest.TestCase):
+    """A member of a serving group falls silent (dark crash of a joined upstream)."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld(hosts(4, staged=SMALL))
+        self.world.run(3.0)
+        [self.key] = self.world.serving(SMALL)
+        self.head = self.world.head_of(self.key).upstream_id
+
+    def test_survivors_and_the_spare_serve_again_within_two_seconds(self) -> None:
+        member = self.world.orders(Join)[0].order.members[1]
+        self.world.kill(member)
+        self.world.run(2.0)
+        self.assertEqual(len(self.world.serving(SMALL)), 1)
+        self.assertNotEqual(self.world.serving(SMALL), [self.key])
+        self.assertEqual(len(self.world.orders(Close)), 1)
+
+    def test_survivors_wait_while_a_silent_head_may_still_serve(self) -> None:
+        joins = len(self.world.orders(Join))
+        self.world.kill(self.head)
+        self.world.run(3.0)
+        self.assertEqual(len(self.world.orders(Join)), joins)
+
+    def test_survivors_are_free_once_the_head_is_neither_registered_nor_reached(self) -> None:
+        self.world.kill(self.head)
+        self.world.run(1.0)
+        self.world.remove(self.head)
+        self.world.run(2.5)
+        self.assertEqual(len(self.world.serving(SMALL)), 1)
+
+    def test_a_draining_member_lets_running_requests_finish(self) -> None:
+        self.world.drain(self.world.orders(Join)[0].order.members[2])
+        self.world.run(0.3)
+        [close] = self.world.orders(Close)
+        self.assertFalse(close.order.cut)
+
+    def test_a_member_that_only_lost_its_entry_stays(self) -> None:
+        member = self.world.orders(Join)[0].order.members[1]
+        known = self.world.situation()
+        self.world.remove(member)
+        situation = replace(self.world.situation(), reachable=known.reachable)
+        self.assertEqual(
+            [o for o in self.world.planner.plan(situation) if isinstance(o.order, Close)], []
+        )
+
+
+class HeadlessTest(unittest.TestCase):
+    """After a cut, members register again before their head (TWO on trouble-1 at 40.2 s)."""
+
+    def setUp(self) -> None:
+        key = GroupKey(GroupId("g7"), 7)
+        members = [
+            replace(
+                u,
+                loaded=SMALL,
+                membership=Membership(key, rank, MemberState.READY),
+            )
+            for rank, u in enumerate(hosts(3, staged=SMALL))
+        ]
+        self.head = replace(members[0], membership=Membership(key, 0, MemberState.OPEN))
+        spares = [host("s0", staged=SMALL), host("s1", staged=SMALL)]
+        self.world = EngineWorld([*members[1:], *spares])
+
+    def test_members_of_an_unknown_head_are_not_free_at_once(self) -> None:
+        self.world.run(2.0)
+        self.assertEqual(self.world.orders(Join), [])
+
+    def test_the_group_serves_on_when_its_head_returns(self) -> None:
+        self.world.run(1.5)
+        self.world.upstreams_by_id[self.head.upstream_id] = self.head
+        self.world.run(3.0)
+        self.assertEqual(self.world.serving(SMALL), [GroupKey(GroupId("g7"), 7)])
+        self.assertEqual(self.world.orders(Close), [])
+
+    def test_members_are_free_when_the_head_stays_away(self) -> None:
+        self.world.run(5.0)
+        self.assertEqual(len(self.world.serving(SMALL)), 1)
+
+
+class StagingTest(unittest.TestCase):
+    """Hosts without weights, and hosts with weights that help nobody."""
+
+    def test_an_empty_host_completes_a_group_before_it_becomes_a_spare(self) -> None:
+        world = EngineWorld([*hosts(3, staged=LARGE), host("new")])
+        world.run(0.2)
+        [stage] = world.orders(Stage)
+        self.assertEqual(stage.order.model, LARGE)
+
+    def test_stranded_hosts_load_the_model_that_is_short(self) -> None:
+        world = EngineWorld([*hosts(2, staged=SMALL), host("x", staged=LARGE)])
+        world.run(14.0)
+        self.assertEqual(len(world.serving(SMALL)), 1)
+
+    def test_loads_that_complete_a_group_come_first(self) -> None:
+        spares = [u for d in ("e0", "e1", "e2", "e3") for u in hosts(2, d)]
+        world = EngineWorld([*spares, *hosts(2, "z", staged=SMALL), host("z-new", "z")])
+        world.run(0.2)
+        self.assertEqual(world.orders(Stage)[0].target.upstream_id, "z-new")
+
+    def test_loads_stay_within_the_weight_stores_rate(self) -> None:
+        world = EngineWorld([u for n in range(12) for u in hosts(4, f"e{n}")])
+        world.run(5.0)
+        self.assertLessEqual(len(world.orders(Stage)), 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fleet_presence.py
@@ -0,0 +1,204 @@
+"""Who leads, when the store is away, slow, or loses answers."""
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+from unittest import mock
+
+from cactuspass._platform import KeyValue, LeaseId, Snapshot, Write, WriteResult
+from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
+from cactuspass.fleet import _presence
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._catalog import Catalog
+from cactuspass.fleet._presence import LEADER_KEY, Presence
+from cactuspass.fleet._store import Changes, SharedStore
+from cactuspass.models import EntryId
+from tests.fleet_path import quiet_log
+from tests.virtual_time import virtual_time
+
+
+def clock() -> float:
+    """Return the virtual time."""
+    return asyncio.get_running_loop().time()
+
+
+class MemoryStore(SharedStore):
+    """A store in memory with leases; one instance of it is shared by all test instances."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, tuple[bytes, int, LeaseId | None]] = {}
+        self.revision = 1
+        self.down = False
+        self.lose_next_write = False
+        self.leases_lapse = True
+        self._until: dict[LeaseId, float] = {}
+        self._next_lease = 1
+
+    def check(self) -> None:
+        """Let leases lapse, and refuse calls while the store is down."""
+        for lease, until in list(self._until.items()):
+            if clock() > until and self.leases_lapse:
+                del self._until[lease]
+                self.keys = {k: v for k, v in self.keys.items() if v[2] != lease}
+        if self.down:
+            raise PlatformUnavailable("down")
+
+    def key_value(self, key: str) -> KeyValue:
+        """Return a key."""
+        found = self.keys.get(key)
+        return KeyValue(key, None, 0) if found is None else KeyValue(key, found[0], found[1])
+
+    async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
+        """Read keys."""
+        self.check()
+        return Snapshot({key: self.key_value(key) for key in keys}, self.revision)
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read a prefix."""
+        self.check()
+        found = {key: self.key_value(key) for key in self.keys if key.startswith(prefix)}
+        return Snapshot(found, self.revision)
+
+    async def watch(self, prefix: str, after_revision: int, wait: float) -> Changes:
+        """Wait without ever hearing of a change."""
+        await asyncio.sleep(wait)
+        self.check()
+        return Changes((), after_revision)
+
+    async def write(self, writes: Sequence[Write]) -> WriteResult:
+        """Write all or nothing."""
+        self.check()
+        current = {write.key: self.key_value(write.key) for write in writes}
+        if any(current[w.key].mod_revision != w.expected_mod_revision for w in writes):
+            return WriteResult(False, Snapshot(current, self.revision))
+        self.revision += 1
+        for write in writes:
+            if write.value is not None:
+                self.keys[write.key] = (write.value, self.revision, write.lease)
+        if self.lose_next_write and any(w.key == LEADER_KEY for w in writes):
+            self.lose_next_write = False
+            raise OutcomeUnknown("the answer was lost")
+        found = {write.key: self.key_value(write.key) for write in writes}
+        return WriteResult(True, Snapshot(found, self.revision))
+
+    async def grant_lease(self, seconds: int) -> LeaseId:
+        """Create a lease."""
+        self.check()
+        lease = LeaseId(self._next_lease)
+        self._next_lease += 1
+        self._until[lease] = clock() + seconds
+        return lease
+
+    async def keep_lease_alive(self, lease: LeaseId) -> float:
+        """Renew a lease."""
+        self.check()
+        if lease not in self._until:
+            return 0.0
+        self._until[lease] = clock() + 2
+        return 2.0
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease."""
+        self.check()
+        self._until.pop(lease, None)
+        self.keys = {k: v for k, v in self.keys.items() if v[2] != lease}
+
+
+class PresenceTest(unittest.TestCase):
+    """At most one instance leads at any moment, and one does soon after each failure."""
+
+    async def start(self, store: MemoryStore, count: int) -> list[Presence]:
+        self.patch = mock.patch.object(_presence, "now", clock)
+        self.patch.start()
+        self.addCleanup(self.patch.stop)
+        instances = []
+        for number in range(count):
+            log, _ = quiet_log()
+            beliefs = Beliefs(log)
+            beliefs.accept_catalog(Catalog(1))
+            presence = Presence(store, EntryId(f"e{number}"), beliefs, log)
+            await presence.start()
+            instances.append(presence)
+        return instances
+
+    async def stop(self, instances: list[Presence]) -> None:
+        for presence in instances:
+            await presence.stop()
+
+    @staticmethod
+    def leaders(instances: list[Presence]) -> list[Presence]:
+        return [presence for presence in instances if presence.term is not None]
+
+    @virtual_time
+    async def test_one_of_three_leads(self) -> None:
+        instances = await self.start(MemoryStore(), 3)
+        await asyncio.sleep(8)
+        self.assertEqual(len(self.leaders(instances)), 1)
+        self.assertEqual(instances[0]._beliefs.instance_count, 3)
+        await self.stop(instances)
+
+    @virtual_time
+    async def test_lead_passes_on_when_its_holder_dies(self) -> None:
+        instances = await self.start(MemoryStore(), 3)
+        await asyncio.sleep(2)
+        [leader] = self.leaders(instances)
+        assert leader.term is not None
+        before = leader.term.first_epoch
+        await leader.stop()
+        others = [presence for presence in instances if presence is not leader]
+        await asyncio.sleep(6)
+        [successor] = self.leaders(others)
+        assert successor.term is not None
+        self.assertGreater(successor.term.first_epoch, before)
+        await self.stop(others)
+
+    @virtual_time
+    async def test_term_ends_by_the_own_clock_while_the_store_is_away(self) -> None:
+        store = MemoryStore()
+        instances = await self.start(store, 2)
+        await asyncio.sleep(2)
+        store.down = True
+        await asyncio.sleep(2.1)
+        self.assertEqual(self.leaders(instances), [])
+        await self.stop(instances)
+
+    @virtual_time
+    async def test_holder_leads_again_when_its_key_outlived_the_outage(self) -> None:
+        store = MemoryStore()
+        store.leases_lapse = False
+        instances = await self.start(store, 2)
+        await asyncio.sleep(2)
+        [leader] = self.leaders(instances)
+        assert leader.term is not None
+        before = leader.term.revision
+        store.down = True
+        await asyncio.sleep(4)
+        self.assertEqual(self.leaders(instances), [])
+        store.down = False
+        await asyncio.sleep(2)
+        [again] = self.leaders(instances)
+        assert again.term is not None
+        self.assertGreater(again.term.revision, before)
+        await self.stop(instances)
+
+    @virtual_time
+    async def test_lost_answer_of_the_deciding_write_is_looked_up(self) -> None:
+        store = MemoryStore()
+        store.lose_next_write = True
+        instances = await self.start(store, 1)
+        await asyncio.sleep(2)
+        self.assertEqual(self.leaders(instances), instances)
+        await self.stop(instances)
+
+    @virtual_time
+    async def test_shutdown_hands_over_at_once(self) -> None:
+        store = MemoryStore()
+        instances = await self.start(store, 1)
+        await asyncio.sleep(2)
+        await instances[0].drain()
+        self.assertEqual(store.keys, {})
+        await self.stop(instances)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fleet_sync.py
@@ -0,0 +1,109 @@
+"""Beliefs about upstreams while the store is away, and when it returns."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from cactuspass.exceptions import PlatformUnavailable
+from cactuspass.fleet import _sync
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._catalog import Evacuations
+from cactuspass.fleet._directory import (
+    Directory,
+    OperatorDocuments,
+    UpstreamChanges,
+    UpstreamListing,
+)
+from cactuspass.fleet._store import HistoryLost
+from cactuspass.fleet._sync import UpstreamSync
+from cactuspass.fleet._upstreams import Upstream
+from tests.fleet_path import quiet_log
+from tests.fleet_world import host
+from tests.test_fleet_presence import clock
+from tests.virtual_time import virtual_time
+
+
+class ScriptedDirectory(Directory):
+    """A registry whose content and troubles a test sets."""
+
+    def __init__(self, *upstreams: Upstream) -> None:
+        self.upstreams = list(upstreams)
+        self.down = False
+        self.history_lost = False
+        self.listings = 0
+
+    async def read_operators(self) -> OperatorDocuments:
+        """Read no documents."""
+        return OperatorDocuments(None, Evacuations(), 1)
+
+    async def read_upstreams(self) -> UpstreamListing:
+        """List the entries."""
+        if self.down:
+            raise PlatformUnavailable("down")
+        self.listings += 1
+        return UpstreamListing(tuple(self.upstreams), 1)
+
+    async def watch_upstreams(self, after_revision: int, wait: float) -> UpstreamChanges:
+        """Stay silent."""
+        if self.history_lost:
+            self.history_lost = False
+            raise HistoryLost("gone")
+        await asyncio.sleep(wait / 10)
+        if self.down:
+            raise PlatformUnavailable("down")
+        return UpstreamChanges((), (), after_revision)
+
+
+class UpstreamSyncTest(unittest.TestCase):
+    """Entries that lapse, return, or are gone."""
+
+    async def follow(self, directory: ScriptedDirectory) -> tuple[UpstreamSync, Beliefs]:
+        patch = mock.patch.object(_sync, "now", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        log, _ = quiet_log()
+        beliefs = Beliefs(log)
+        sync = UpstreamSync(directory, beliefs, log)
+        await sync.start()
+        await asyncio.sleep(1)
+        return sync, beliefs
+
+    @virtual_time
+    async def test_entries_that_lapsed_with_the_store_stay_for_two_seconds(self) -> None:
+        directory = ScriptedDirectory(host("a"), host("b"))
+        sync, beliefs = await self.follow(directory)
+        directory.down = True
+        await asyncio.sleep(5)
+        self.assertEqual(len(beliefs.view.upstreams_by_id), 2)
+        directory.down = False
+        directory.upstreams = [host("a")]
+        await asyncio.sleep(1.5)
+        self.assertEqual(len(beliefs.view.upstreams_by_id), 2)
+        await asyncio.sleep(2.5)
+        self.assertEqual(list(beliefs.view.upstreams_by_id), ["a"])
+        await sync.stop()
+
+    @virtual_time
+    async def test_entry_that_goes_while_the_store_answers_is_gone_at_the_next_listing(
+        self,
+    ) -> None:
+        directory = ScriptedDirectory(host("a"), host("b"))
+        sync, beliefs = await self.follow(directory)
+        directory.upstreams = [host("a")]
+        await asyncio.sleep(5)
+        self.assertEqual(list(beliefs.view.upstreams_by_id), ["a"])
+        await sync.stop()
+
+    @virtual_time
+    async def test_lost_history_leads_to_a_listing_at_once(self) -> None:
+        directory = ScriptedDirectory(host("a"))
+        sync, _ = await self.follow(directory)
+        before = directory.listings
+        directory.history_lost = True
+        await asyncio.sleep(0.5)
+        self.assertEqual(directory.listings, before + 1)
+        await sync.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
