--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -15,6 +15,7 @@
 
 
 def tend_formations(current: Round) -> Iterator[AddressedOrder]:
+    """Repeat joins that were not answered, and give up formations that cannot become whole."""
     situation = current.situation
     for key, formation in list(current.memory.formations_by_key.items()):
         members = [situation.view.upstreams_by_id.get(i) for i in formation.member_ids]
@@ -43,6 +44,7 @@
 
 
 def form_groups(current: Round) -> Iterator[AddressedOrder]:
+    """Order new groups, of the model that is shortest first."""
     for _, hosts in sorted(current.free_hosts_by_domain().items()):
         while (chosen := _choose_model(hosts, current)) is not None:
             spec, members = chosen
