--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -84,6 +84,7 @@
     metrics: Metrics
     allowance: Callable[[ServiceId], RetryAllowance]
     instance_count: Callable[[], int]
+    tell_silent: Callable[[UpstreamId], None]
 
 
 @dataclass(slots=True)
@@ -192,6 +193,7 @@
             self.tools.loads.failed(upstream_id)
         elif failure is not Failure.NOT_RUN:
             pause = self.tools.loads.suspect(upstream_id, now())
+            self.tools.tell_silent(upstream_id)
         self.tools.log.request(
             "attempt-failed",
             self.request.request_id,
@@ -221,6 +223,7 @@
     def note_silence(self, upstream: Upstream) -> None:
         """Keep new work away from an upstream that is silent, though this attempt goes on."""
         pause = self.tools.loads.suspect(upstream.upstream_id, now())
+        self.tools.tell_silent(upstream.upstream_id)
         self.tools.log.request(
             "upstream-silent",
             self.request.request_id,
--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -5,7 +5,7 @@
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import Catalog, CatalogIndex, Evacuations
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._upstreams import Upstream, UpstreamId, UpstreamView
+from cactuspass.fleet._upstreams import Group, GroupKey, Upstream, UpstreamId, UpstreamView
 
 NEVER = float("-inf")
 
@@ -22,9 +22,11 @@
         self.index: CatalogIndex | None = None
         self.evacuations = Evacuations()
         self.view = UpstreamView()
+        self._members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
         self.operators_read_at = NEVER
         self.upstreams_read_at = NEVER
         self.instance_count = self._min_instances
+        self.peer_addresses: tuple[str, ...] = ()
 
     def accept_catalog(self, catalog: Catalog) -> bool:
         """Put a catalog in force unless a higher version is; return whether it was."""
@@ -51,8 +53,9 @@
         names = ",".join(sorted(evacuations.data_centres))
         self._log.belief("evacuations-in-force", data_centres=names)
 
-    def accept_instance_count(self, count: int) -> None:
-        """Note how many instances are registered."""
+    def accept_instances(self, count: int, peer_addresses: tuple[str, ...]) -> None:
+        """Note how many instances are registered, and where they listen to each other."""
+        self.peer_addresses = peer_addresses
         count = max(self._min_instances, count)
         if count != self.instance_count:
             self._log.belief("instances-counted", count=count, before=self.instance_count)
@@ -63,6 +66,27 @@
         view = UpstreamView.of(upstreams)
         self._log_upstream_changes(view, revision)
         self.view = view
+        self._remember_members(view)
+
+    def is_whole(self, group: Group, size: int) -> bool:
+        """Return whether a group has all members, but for some that only lost their entries.
+
+        :param size: members that a group of this model has.
+        """
+        known = self._members_by_key.get(group.key, frozenset())
+        if len(known) != size:
+            return False
+        present = {member.upstream_id for member in group.members}
+        return not any(missing in self.view.upstreams_by_id for missing in known - present)
+
+    def _remember_members(self, view: UpstreamView) -> None:
+        """Remember the most members that each group was seen with."""
+        members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
+        for key, group in view.groups_by_key.items():
+            present = frozenset(member.upstream_id for member in group.members)
+            known = self._members_by_key.get(key, frozenset())
+            members_by_key[key] = present if len(present) >= len(known) else known
+        self._members_by_key = members_by_key
 
     def operators_age(self) -> float:
         """Return seconds since a read that surely showed all that was confirmed by then."""
--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -161,6 +161,7 @@
         self.closing = closing
         self._failed = failed
         self._tasks: set[asyncio.Task[None]] = set()
+        self.bound_address = ("", 0)
         self._server = HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -171,7 +172,10 @@
 
     def open(self) -> None:
         """Begin to listen."""
-        self._server.add_sockets(bind(self._address))
+        sockets = bind(self._address)
+        host, port = sockets[0].getsockname()
+        self.bound_address = (str(host), int(port))
+        self._server.add_sockets(sockets)
 
     async def close(self) -> None:
         """Take no new connections and close those that are idle."""
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -17,6 +17,7 @@
 from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
 from cactuspass.fleet._front import CallerFront, PageServer
+from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
@@ -27,7 +28,8 @@
 from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet._sync import OperatorSync, UpstreamSync
-from cactuspass.models import DataCentreId, EntryId, ServiceId
+from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 READY_AGE_SECONDS = 3.0
 LEAVING_NOTICE_SECONDS = 2.6
@@ -93,6 +95,7 @@
             metrics,
             self._allowance,
             lambda: self.beliefs.instance_count,
+            self._tell_silent,
         )
         admission = Admission(self.beliefs, bounds.key_seconds)
         dispatcher = Dispatcher(tools, self.beliefs, admission, rng, self._requests_seen)
@@ -104,13 +107,16 @@
             self._is_closing,
             self._request_failed,
         )
-        self._pages = [PageServer(settings.listeners.readiness, self._readiness)]
+        self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
-            self._pages.append(PageServer(settings.listeners.metrics, self._metrics_page))
-        probes = Probes(self.beliefs, adapter.control, log)
+            self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page))
+        self._probes = probes = Probes(self.beliefs, adapter.control, log)
+        probes.on_doubt(lambda: self._controller.wake())
         entry_id = EntryId(settings.instance.name)
+        peers = settings.listeners.peers
+        self._hints = Hints(peers, lambda: self.beliefs.peer_addresses, self._heard_hint, log)
         self._presence = Presence(
-            adapter.store, entry_id, self.beliefs, log, lambda: self._controller.wake()
+            adapter.store, entry_id, self.beliefs, log, lambda: self._controller.wake(), peers
         )
         self._controller = Controller(
             self.beliefs,
@@ -125,6 +131,7 @@
             (
                 OperatorSync(adapter.directory, self.beliefs, log),
                 UpstreamSync(adapter.directory, self.beliefs, log, self._controller.wake),
+                self._hints,
                 self._presence,
                 probes,
                 self._controller,
@@ -209,7 +216,18 @@
     def _store_is_fresh(self) -> bool:
         return self.beliefs.operators_age() < READY_AGE_SECONDS
 
-    def _readiness(self) -> tuple[int, bytes]:
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Host and port at which callers are served."""
+        return self._front.bound_address
+
+    def serving_groups(self) -> list[GroupId]:
+        """Return the groups that this instance believes to serve."""
+        groups = self.beliefs.view.groups_by_key.values()
+        return [group.key.group_id for group in groups if group.serves]
+
+    def readiness(self) -> tuple[int, bytes]:
+        """Return status and text for the balancer."""
         if self._stopping:
             return 503, b"stopping\n"
         if self.beliefs.index is None or not self.beliefs.view.upstreams_by_id:
@@ -218,7 +236,8 @@
             return 503, b"cut off from the store\n"
         return 200, b"ready\n"
 
-    def _metrics_page(self) -> tuple[int, bytes]:
+    def metrics_page(self) -> tuple[int, bytes]:
+        """Return status and text for the collector of metrics."""
         index = self.beliefs.index
         self._metrics.catalog_version.set(index.catalog.version if index is not None else 0)
         self._metrics.operators_age.set(self.beliefs.operators_age())
@@ -235,5 +254,14 @@
             self._metrics.groups.labels(group.model or "unknown", state).inc()
         return 200, self._metrics.render()
 
+    def _tell_silent(self, upstream_id: UpstreamId) -> None:
+        self._hints.tell(upstream_id)
+        self._probes.ask_soon(upstream_id)
+
+    def _heard_hint(self, upstream_id: UpstreamId) -> None:
+        if self._loads.suspect_by_hint(upstream_id, now()):
+            self._log.belief("upstream-doubted", upstream=upstream_id, by="hint")
+            self._probes.ask_soon(upstream_id)
+
     def _request_failed(self, error: BaseException) -> None:
         self._log.alarm("request-task-failed", error=f"{type(error).__name__}: {error}")
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -11,6 +11,7 @@
 SMOOTHING = 0.2
 FIRST_LATENCY_SECONDS = 0.05
 IDLE_FORGET_SECONDS = 30.0
+HEARD_SECONDS = 0.25
 
 
 @dataclass(slots=True)
@@ -19,6 +20,7 @@
 
     :param in_flight: requests of this instance that are at the upstream.
     :param reported: requests there by its last report, plus what was sent since.
+    :param heard_at: clock value at which a part of an answer last came.
     :param strikes: failures in a row.
     """
 
@@ -30,6 +32,7 @@
     latency: float = FIRST_LATENCY_SECONDS
     failure_share: float = 0.0
     last_used_at: float = 0.0
+    heard_at: float = float("-inf")
 
     def estimate(self, at: float) -> float:
         """Return the requests at the upstream, of all instances as far as is known."""
@@ -87,6 +90,18 @@
         load = self.load(upstream_id)
         load.failure_share += SMOOTHING * (1.0 - load.failure_share)
 
+    def heard(self, upstream_id: UpstreamId, at: float) -> None:
+        """Note that an upstream has sent a part of an answer."""
+        self.load(upstream_id).heard_at = at
+
+    def suspect_by_hint(self, upstream_id: UpstreamId, at: float) -> bool:
+        """Doubt an upstream that another instance finds silent, unless it was heard just now."""
+        load = self.load(upstream_id)
+        if at - load.heard_at < HEARD_SECONDS:
+            return False
+        load.suspect_until = max(load.suspect_until, at + SUSPECT_SECONDS)
+        return True
+
     def suspect(self, upstream_id: UpstreamId, at: float) -> float:
         """Keep new work away from an upstream for a while; return the seconds."""
         load = self.load(upstream_id)
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -2,12 +2,14 @@
 
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._forming import form_groups, tend_formations
-from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
+from cactuspass.fleet._orders import AddressedOrder, Close, Join, Open, OrderOutcome, Stage
 from cactuspass.fleet._round import Memory, Round, Situation
 from cactuspass.fleet._staging import stage_hosts
-from cactuspass.fleet._tending import tend_groups
+from cactuspass.fleet._tending import OPENING_SECONDS, tend_groups
+from cactuspass.fleet._upstreams import GroupKey
 
 UNREACHABLE_SECONDS = 2.0
+LATE_ORDER_SECONDS = 13.0  # an order without an answer may be carried out 12 s later
 REFUSED_OUTCOMES = frozenset(
     {OrderOutcome.CONFLICT, OrderOutcome.OUTDATED, OrderOutcome.NOT_REACHED}
 )
@@ -43,6 +45,8 @@
         upstream_id = addressed.target.upstream_id
         if outcome is OrderOutcome.NOT_REACHED:
             memory.unreachable_until[upstream_id] = at + UNREACHABLE_SECONDS
+        if isinstance(order, Open):
+            self._note_open(order.key, outcome, at)
         if isinstance(order, Close):
             memory.close_outcomes_by_key[order.key] = outcome
         refused = outcome in REFUSED_OUTCOMES
@@ -51,5 +55,12 @@
         if isinstance(order, Stage) and refused:
             memory.schedule.started_by_id.pop(upstream_id, None)
 
+    def _note_open(self, key: GroupKey, outcome: OrderOutcome, at: float) -> None:
+        if outcome in REFUSED_OUTCOMES:
+            self._memory.may_open_until.pop(key, None)
+            return
+        wait = LATE_ORDER_SECONDS if outcome is OrderOutcome.UNKNOWN else OPENING_SECONDS
+        self._memory.may_open_until[key] = at + wait
+
 
 __all__ = ["Demand", "GroupPlanner", "Situation"]
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -47,6 +47,7 @@
     moment at which the last renewal was sent, so it ends here before it ends at the store.
 
     :param term_changed: called when this instance begins or ceases to lead.
+    :param address: ``host:port`` at which this instance listens to others.
     """
 
     def __init__(
@@ -56,12 +57,14 @@
         beliefs: Beliefs,
         log: DecisionLog,
         term_changed: Callable[[], None] = lambda: None,
+        address: str | None = None,
     ) -> None:
         super().__init__(log)
         self._store = store
         self._instance = instance
         self._beliefs = beliefs
         self._term_changed = term_changed
+        self._address = address
         self._lease: LeaseId | None = None
         self._lease_until = float("-inf")
         self._term: Term | None = None
@@ -121,7 +124,7 @@
             self._lease = await self._store.grant_lease(LEASE_SECONDS)
             self._lease_until = began + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
             key = f"{INSTANCES_PREFIX}{self._instance}"
-            value = json.dumps({"instance": self._instance}).encode()
+            value = json.dumps({"instance": self._instance, "peers": self._address}).encode()
             await self._replace_own_key(key, value)
             return
         remaining = await self._store.keep_lease_alive(self._lease)
@@ -211,9 +214,19 @@
             self._revision = changes.revision if changes.changed else 0
         self._note_instances()
 
+    def _peer_address(self, registered: KeyValue) -> str | None:
+        """Return where a registered instance listens to others."""
+        try:
+            address = json.loads(registered.value or b"{}").get("peers")
+        except (ValueError, AttributeError) as error:
+            self._log.alarm("instance-unreadable", key=registered.key, reason=error)
+            return None
+        return address if isinstance(address, str) else None
+
     def _note_instances(self) -> None:
-        count = sum(key.startswith(INSTANCES_PREFIX) for key in self._keys)
-        self._beliefs.accept_instance_count(count)
+        registered = [v for key, v in self._keys.items() if key.startswith(INSTANCES_PREFIX)]
+        addresses = tuple(filter(None, map(self._peer_address, registered)))
+        self._beliefs.accept_instances(len(registered), addresses)
         leader = self._keys.get(LEADER_KEY)
         if self._term is None or leader is None:
             return
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -1,7 +1,9 @@
 """Asks the members of serving groups for reports, to notice soon which of them are gone."""
 
 import asyncio
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from cactuspass._clock import now
 from cactuspass.fleet._beliefs import Beliefs
@@ -11,7 +13,7 @@
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 
 PROBE_SECONDS = 0.45
-PROBE_TIMEOUT_SECONDS = 0.3
+PROBE_TIMEOUT_SECONDS = 0.2
 MISSES_TO_DOUBT = 2
 VALID_SECONDS = 1.5
 MAX_UNREACHABLE_SHARE = 0.5
@@ -34,7 +36,7 @@
 
 
 class Probes(RepeatingComponent):
-    """Asks each member of a group that serves, while this instance leads."""
+    """Asks each member of a group that serves or could, while this instance leads."""
 
     def __init__(self, beliefs: Beliefs, control: UpstreamControl, log: DecisionLog) -> None:
         super().__init__(log)
@@ -43,6 +45,11 @@
         self._enabled = False
         self._probed_by_id: dict[UpstreamId, _Probed] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._doubted: Callable[[], None] = lambda: None
+
+    def on_doubt(self, doubted: Callable[[], None]) -> None:
+        """Set what is called when extra questions have been answered or not."""
+        self._doubted = doubted
 
     def reset(self, enabled: bool) -> None:
         """Forget everything.
@@ -80,6 +87,16 @@
             if probed.report is not None and at - probed.answered_at < VALID_SECONDS
         }
 
+    def ask_soon(self, head_id: UpstreamId) -> None:
+        """Ask the members of a head's group now, since the head is said to be silent."""
+        if not self._enabled:
+            return
+        for group in self._beliefs.view.groups_by_key.values():
+            if group.serves and group.head is not None and group.head.upstream_id == head_id:
+                self._want(group.members)
+                for member in group.members:
+                    self._start(self._ask_twice(self._probed_by_id[member.upstream_id]))
+
     async def step(self) -> None:
         """Ask all that should be asked once."""
         await asyncio.sleep(PROBE_SECONDS)
@@ -87,26 +104,37 @@
             return
         self._choose()
         for probed in list(self._probed_by_id.values()):
-            task = asyncio.create_task(self._ask(probed))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._ask(probed))
 
     def _choose(self) -> None:
-        """Ask the members of serving groups, and for a while those that have left one."""
+        """Ask the members of groups, and for a while those that have left one."""
         at = now()
         for group in self._beliefs.view.groups_by_key.values():
-            if not group.serves:
-                continue
-            for member in group.members:
-                probed = self._probed_by_id.get(member.upstream_id)
-                if probed is None or probed.upstream.born_ms != member.born_ms:
-                    probed = _Probed(member)
-                    self._probed_by_id[member.upstream_id] = probed
-                probed.wanted_at = at
+            if group.serves or group.all_ready():
+                self._want(group.members)
         for upstream_id, probed in list(self._probed_by_id.items()):
             if at - probed.wanted_at > FORGET_SECONDS:
                 del self._probed_by_id[upstream_id]
 
+    def _want(self, members: Iterable[Upstream]) -> None:
+        for member in members:
+            probed = self._probed_by_id.get(member.upstream_id)
+            if probed is None or probed.upstream.born_ms != member.born_ms:
+                probed = _Probed(member)
+                self._probed_by_id[member.upstream_id] = probed
+            probed.wanted_at = now()
+
+    def _start(self, asking: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(asking)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_twice(self, probed: _Probed) -> None:
+        await self._ask(probed)
+        if probed.misses:
+            await self._ask(probed)
+        self._doubted()
+
     async def _ask(self, probed: _Probed) -> None:
         report = await self._control.report(probed.upstream, PROBE_TIMEOUT_SECONDS)
         upstream_id = probed.upstream.upstream_id
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -72,6 +72,8 @@
 
     :param members_by_key: the most members that each reported group was seen with.
     :param close_outcomes_by_key: last outcome of an order to close.
+    :param may_open_until: clock value until which an order to open may still take effect, though
+        the head is not seen to serve.
     """
 
     demand: Demand
@@ -81,6 +83,7 @@
     heads_by_key: dict[GroupKey, Upstream] = field(default_factory=dict)
     headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
+    may_open_until: dict[GroupKey, float] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
     next_epoch: int = 0
@@ -92,6 +95,7 @@
             self.heads_by_key.pop(key, None)
             self.headless_by_key.pop(key, None)
             self.close_outcomes_by_key.pop(key, None)
+            self.may_open_until.pop(key, None)
         old = [what for what, sent_at in self.sent_at.items() if at - sent_at > FORGET_SECONDS]
         for what in old:
             del self.sent_at[what]
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -177,7 +177,9 @@
             head = group.head
             if head is None or not group.serves or group.service != service.service:
                 continue
-            if model is None or head.loaded == model:
+            if model is not None and head.loaded != model:
+                continue
+            if self._beliefs.is_whole(group, _size(service.engine, head)):
                 yield head, group
 
     def _is_usable(self, upstream: Upstream) -> bool:
--- a/src/cactuspass/fleet/_settings.py
+++ b/src/cactuspass/fleet/_settings.py
@@ -40,11 +40,13 @@
     """Where this instance listens.
 
     :param metrics: address of the metrics page; None serves none.
+    :param peers: address at which other instances tell of silent upstreams; None hears nothing.
     """
 
     callers: Address
     readiness: Address
     metrics: Address | None = None
+    peers: Address | None = None
 
 
 class StoreSection(_Section):
--- a/src/cactuspass/fleet/_streams.py
+++ b/src/cactuspass/fleet/_streams.py
@@ -149,6 +149,7 @@
             if events:
                 await self._delivery.send(events)
             chunk = await self._wait(sent, sent.exchange.chunk, gap)
+            self._attempts.tools.loads.heard(sent.upstream.upstream_id, now())
             if not chunk:
                 break
             events = self._splitter.feed(chunk)
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -10,6 +10,7 @@
 HEAD_GONE_SECONDS = 0.3
 HEAD_UNKNOWN_SECONDS = 2.5
 HEAD_CLOSING_SECONDS = 3.0
+OPENING_SECONDS = 3.0
 SURE_OUTCOMES = frozenset({OrderOutcome.CONFLICT, OrderOutcome.OUTDATED})
 
 
@@ -55,6 +56,7 @@
     if model is None or spec is None:
         return
     current.memory.formations_by_key.pop(group.key, None)
+    current.memory.may_open_until.pop(group.key, None)
     reason, cut = _fault(group, spec, current)
     if reason is None:
         current.groups_by_model[model] += 1
@@ -96,14 +98,37 @@
         return
     whole = group.is_complete(spec.size) and not current.any_unreachable(group.members)
     if not whole:
+        yield from _hold_while_opening(group, head, current)
         return
     current.bind(group.members)
     current.groups_by_model[model] += 1
     listed = formation is None or formation.member_ids == tuple(
         member.upstream_id for member in group.members
     )
-    if listed and group.all_ready() and current.may_send(head, f"open {group.key}"):
-        yield current.order(head, Open(group.key), "all members ready")
+    if not listed or not group.all_ready() or not current.may_send(head, f"open {group.key}"):
+        return
+    if formation is None and not _all_answer(group, current):
+        return
+    current.memory.may_open_until[group.key] = situation.at + OPENING_SECONDS
+    yield current.order(head, Open(group.key), "all members ready")
+
+
+def _all_answer(group: Group, current: Round) -> bool:
+    """Return whether all members of an adopted group have answered just now.
+
+    The controller before may have closed it for a member that is dead and still registered.
+    """
+    return all(member.upstream_id in current.situation.reachable for member in group.members)
+
+
+def _hold_while_opening(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
+    """Close a head that was told to open before a member was lost, and keep the others bound."""
+    until = current.memory.may_open_until.get(group.key, 0.0)
+    if current.situation.at >= until:
+        return
+    current.bind(group.members)
+    if current.may_send(head, f"close {group.key}") and not current.any_unreachable((head,)):
+        yield current.order(head, Close(group.key, True), "a member was lost while it opened")
 
 
 def _tend_headless(group: Group, current: Round) -> Iterator[AddressedOrder]:
--- a/src/cactuspass/platform/entry.py
+++ b/src/cactuspass/platform/entry.py
@@ -10,6 +10,7 @@
     ChannelPool,
     DecisionLog,
     Instance,
+    InstanceSettings,
     Metrics,
     load_instance_settings,
 )
@@ -22,6 +23,13 @@
 EXIT_USAGE = 2
 
 
+def build_adapter(settings: InstanceSettings, metrics: Metrics) -> Adapter:
+    """Return the platform's side of an instance."""
+    store = MetadataStore(settings.store.address, ChannelPool(), metrics)
+    control = ServerControl(ChannelPool())
+    return Adapter(store, MetadataDirectory(store), control, PlatformRequests())
+
+
 def build_instance(path: str) -> Instance:
     """Return the instance that a settings file describes.
 
@@ -29,10 +37,7 @@
     """
     settings = load_instance_settings(path)
     metrics = Metrics()
-    store = MetadataStore(settings.store.address, ChannelPool(), metrics)
-    adapter = Adapter(
-        store, MetadataDirectory(store), ServerControl(ChannelPool()), PlatformRequests()
-    )
+    adapter = build_adapter(settings, metrics)
     log = DecisionLog(settings.instance.name)
     return Instance(settings, adapter, log, metrics, ChannelPool(), path)
 
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -191,6 +191,7 @@
         ]
         self.beliefs.accept_upstreams(registered, 1)
         self.loads = LoadTable()
+        self.told_silent: list[UpstreamId] = []
         self.pool = ChannelPool()
         rng = random.Random(1)
         allowance = RetryAllowance(0.2, 100, 10)
@@ -203,6 +204,7 @@
             Metrics(),
             lambda service: allowance,
             lambda: 1,
+            self.told_silent.append,
         )
         self.admission = Admission(self.beliefs, key_seconds=5.0)
         self.dispatcher = Dispatcher(tools, self.beliefs, self.admission, rng, RequestsSeen())
--- /dev/null
+++ b/tests/model_servers.py
@@ -0,0 +1,158 @@
+"""Stand-ins of the users' model servers, which join groups by order and stream events."""
+
+import asyncio
+import itertools
+import json
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from cactuspass_standins._stand_in import BreakableServer, bind_sockets
+from tests.metadata_store import MetadataStoreStandIn
+
+JOIN_SECONDS = 0.02
+EVENT_SECONDS = 0.005
+EVENTS = 20
+
+
+class ModelServerStandIn:
+    """One server: reports itself in the store, carries out orders, streams while it heads a group.
+
+    :param stalled: whether its streams stand still.
+    """
+
+    def __init__(self, server_id: str, store: MetadataStoreStandIn, service: str) -> None:
+        self.server_id = server_id
+        self.stalled = False
+        self.orders: list[dict[str, Any]] = []
+        self.runs: list[str] = []
+        self._store = store
+        self._service = service
+        self._group: dict[str, Any] | None = None
+        self._model: str | None = None
+        self._server: BreakableServer | None = None
+        self._pending: set[asyncio.Task[None]] = set()
+        self._born = next(_births)
+        self.address = ""
+
+    async def start(self, staged: list[str]) -> None:
+        """Listen on a free port and register."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self._staged = staged
+        rules = [
+            ("/order", OrderHandler, {"server": self}),
+            ("/report", ReportHandler, {"server": self}),
+            ("/.*", StreamHandler, {"server": self}),
+        ]
+        self._server = BreakableServer(Application(rules, log_function=lambda handler: None))
+        self._server.add_sockets(sockets)
+        await self.register()
+
+    def stop(self) -> None:
+        """Stop as a crash does: the entry stays."""
+        for task in self._pending:
+            task.cancel()
+        if self._server is not None:
+            self._server.stop()
+            self._server.break_connections()
+            self._server = None
+
+    async def register(self) -> None:
+        """Write the registry entry."""
+        entry = {
+            "service": self._service,
+            "address": self.address,
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_ms": 0,
+            "seq": 1,
+            "born": self._born,
+            "domain": "d0",
+            "staged": self._staged,
+            "models": [{"name": self._model, "version": 1}] if self._model else [],
+            "group": self._group,
+        }
+        await self._store.put(f"servers/{self.server_id}", entry)
+
+    @property
+    def serves(self) -> bool:
+        """Whether it heads an open group."""
+        return self._group is not None and self._group["state"] == "open"
+
+    async def carry_out(self, order: dict[str, Any]) -> int:
+        """Carry out an order; return the status."""
+        self.orders.append(order)
+        if order["op"] == "join":
+            rank = order["members"].index(self.server_id)
+            self._group = {"name": order["group"], "epoch": order["epoch"], "rank": rank}
+            self._group["state"] = "joining"
+            task = asyncio.create_task(self._become_ready(order["model"]))
+            self._pending.add(task)
+            task.add_done_callback(self._pending.discard)
+        elif self._group is None or self._group["epoch"] != order.get("epoch"):
+            return 409
+        else:
+            self._group["state"] = "open" if order["op"] == "open" else "ready"
+        await self.register()
+        return 202
+
+    async def _become_ready(self, model: str) -> None:
+        await asyncio.sleep(JOIN_SECONDS)
+        assert self._group is not None
+        self._group["state"] = "ready"
+        self._model = model
+        await self.register()
+
+
+_births = itertools.count(1_700_000_000_000)
+
+
+class ServerHandler(RequestHandler):
+    """Base of the handlers."""
+
+    def initialize(self, server: ModelServerStandIn) -> None:
+        """Keep the server."""
+        self.server = server
+
+
+class OrderHandler(ServerHandler):
+    """Takes orders."""
+
+    async def post(self) -> None:
+        """Carry out an order."""
+        self.set_status(await self.server.carry_out(json.loads(self.request.body)))
+
+
+class ReportHandler(ServerHandler):
+    """Tells how the server is."""
+
+    def get(self) -> None:
+        """Answer with a report."""
+        self.finish(json.dumps({"running": 0, "queued": 0, "pace": 1.0}))
+
+
+class StreamHandler(ServerHandler):
+    """Answers requests."""
+
+    async def post(self) -> None:
+        """Stream events from the one after the caller's last."""
+        if not self.server.serves:
+            self.set_status(421)
+            return
+        self.server.runs.append(self.request.headers["Cactuspass-Request-Id"])
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cactuspass-Server-Stamp", self.server.server_id)
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            while self.server.stalled:
+                await asyncio.sleep(EVENT_SECONDS)
+            self.write(f"id: {number}\ndata: x\n\n")
+            try:
+                await self.flush()
+            except StreamClosedError:
+                return
+            await asyncio.sleep(EVENT_SECONDS)
--- /dev/null
+++ b/tests/test_fleet_instance.py
@@ -0,0 +1,168 @@
+"""Whole instances between a caller, model servers and the metadata store, on loopback."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from cactuspass.fleet import ChannelPool, DecisionLog, Instance, Metrics, parse_instance_settings
+from cactuspass.platform.entry import build_adapter
+from tests.fleet_path import RecordingHandler, events
+from tests.metadata_store import MetadataStoreStandIn
+from tests.model_servers import EVENTS, ModelServerStandIn
+
+SERVICE = "llm"
+MODEL = "m0"
+KEY = "key-1"
+WAIT_SECONDS = 20.0
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "prefix": "/a/",
+            "kind": "stream",
+            "timeout_ms": 8000,
+            "goal_ms": 5000,
+            "service": SERVICE,
+            "attempts": 2,
+            "resumable": True,
+        }
+    ],
+    "services": [
+        {
+            "name": SERVICE,
+            "engine": {
+                "slots": 4,
+                "models": [{"name": MODEL, "size": 2, "share": 1.0, "load_s": 0.1, "warm_s": 0.1}],
+                "loads_per_s": 10,
+                "loads_at_once": 10,
+            },
+        }
+    ],
+    "tenants": [{"name": "t1", "api_keys": [KEY]}],
+}
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class InstanceTest(unittest.IsolatedAsyncioTestCase):
+    """One or two instances, four servers in one fabric domain."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStoreStandIn()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        await self.store.put("op/config", MANIFEST)
+        self.servers = [ModelServerStandIn(f"i-{n}", self.store, SERVICE) for n in range(4)]
+        for server in self.servers:
+            await server.start([MODEL])
+            self.addCleanup(server.stop)
+        self.lines: list[RecordingHandler] = []
+
+    async def start_instance(self, name: str) -> Instance:
+        """Return a running instance on free ports."""
+        text = f"""
+            [instance]
+            name = "{name}"
+            data_centre = "here"
+            [listeners]
+            callers = "127.0.0.1:0"
+            readiness = "127.0.0.1:0"
+            metrics = "127.0.0.1:0"
+            peers = "127.0.0.1:0"
+            [store]
+            address = "{self.store.address}"
+        """
+        settings = parse_instance_settings(text, "settings.toml")
+        handler = RecordingHandler()
+        self.lines.append(handler)
+        metrics = Metrics()
+        instance = Instance(
+            settings,
+            build_adapter(settings, metrics),
+            DecisionLog(name, handler),
+            metrics,
+            ChannelPool(),
+        )
+        await instance.start()
+        self.addAsyncCleanup(instance.stop)
+        return instance
+
+    def heads(self) -> list[ModelServerStandIn]:
+        """Return the servers that take requests."""
+        return [server for server in self.servers if server.serves]
+
+    async def ask(self, instance: Instance, key: str = KEY) -> HTTPResponse:
+        """Send a request to an instance."""
+        host, port = instance.caller_address
+        request = HTTPRequest(
+            f"http://{host}:{port}/a/x",
+            method="POST",
+            body=b"{}",
+            headers={
+                "Host": "a.example",
+                "Cactuspass-Request-Id": "q1",
+                "Cactuspass-Deadline-Ms": "8000",
+                "Cactuspass-Model": MODEL,
+                "Api-Key": key,
+            },
+        )
+        return await AsyncHTTPClient().fetch(request, raise_error=False)
+
+    async def test_groups_are_formed_and_a_stream_is_served(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(self.heads()) == 2 and len(instance.serving_groups()) == 2)
+        answer = await self.ask(instance)
+        self.assertEqual((answer.code, answer.body), (200, events(range(1, EVENTS + 1))))
+
+    async def test_stream_outlives_the_crash_of_its_head(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(instance.serving_groups()) == 2)
+        asking = asyncio.create_task(self.ask(instance))
+        await until(lambda: any(server.runs for server in self.servers))
+        next(server for server in self.servers if server.runs).stop()
+        answer = await asking
+        self.assertEqual((answer.code, answer.body), (200, events(range(1, EVENTS + 1))))
+
+    async def test_unknown_key_is_denied_and_its_request_not_run(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(instance.serving_groups()) == 2)
+        answer = await self.ask(instance, key="other")
+        self.assertEqual(answer.code, 401)
+        self.assertFalse(any(server.runs for server in self.servers))
+
+    async def test_one_of_two_instances_gives_the_orders(self) -> None:
+        instances = [await self.start_instance("e0"), await self.start_instance("e1")]
+        await until(lambda: all(len(i.serving_groups()) == 2 for i in instances))
+        leading = [
+            handler for handler in self.lines if any('"join"' in line for line in handler.lines)
+        ]
+        self.assertEqual(len(leading), 1)
+        for instance in instances:
+            self.assertEqual((await self.ask(instance)).code, 200)
+
+    async def test_instance_is_ready_only_when_it_knows_the_documents(self) -> None:
+        self.store.refusing = True
+        instance = await self.start_instance("e0")
+        self.assertEqual(instance.readiness()[0], 503)
+        self.store.refusing = False
+        await until(lambda: instance.readiness()[0] == 200)
+
+    async def test_metrics_page_shows_the_requests(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(instance.serving_groups()) == 2)
+        await self.ask(instance)
+        page = instance.metrics_page()[1].decode()
+        self.assertIn('cactuspass_requests_total{kind="stream",outcome="served"} 1.0', page)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -141,6 +141,22 @@
         self.register([closing, *group[1:]])
         self.assertIsInstance(self.choose(), NoUpstream)
 
+    def test_group_that_was_never_seen_whole_gets_nothing(self) -> None:
+        self.register(head("a", SMALL)[:2])
+        self.assertIsInstance(self.choose(), NoUpstream)
+
+    def test_member_that_only_lost_its_entry_does_not_stop_its_group(self) -> None:
+        group = head("a", SMALL)
+        self.register(group)
+        self.register(group[:2])
+        self.assertEqual(self.chosen_ids(), {"a-0"})
+
+    def test_member_that_left_for_another_group_stops_its_group(self) -> None:
+        group = head("a", SMALL)
+        self.register(group)
+        self.register(group[:2], [replace(group[2], membership=None)])
+        self.assertIsInstance(self.choose(), NoUpstream)
+
     def test_data_centre_whose_heads_fail_together_is_avoided_as_a_whole(self) -> None:
         far = [head(f"f{n}", SMALL, data_centre=THERE) for n in range(4)]
         self.register(*far, head("n", SMALL))
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -126,6 +126,54 @@
         self.assertEqual(len(self.world.serving(SMALL)), 1)
 
 
+class AdoptedTest(unittest.TestCase):
+    """A new controller finds what the one before has closed (TWO on trouble-2 at 8.4 s)."""
+
+    def setUp(self) -> None:
+        key = GroupKey(GroupId("g7"), 7)
+        self.members = [
+            replace(u, loaded=SMALL, membership=Membership(key, rank, MemberState.READY))
+            for rank, u in enumerate(hosts(3, staged=SMALL))
+        ]
+        self.world = EngineWorld(self.members)
+
+    def test_closed_group_with_a_dead_member_is_not_opened_again(self) -> None:
+        self.world.kill(self.members[2].upstream_id)
+        situation = replace(self.world.situation(), unreachable=frozenset())
+        orders = self.world.planner.plan(situation)
+        self.assertEqual([a for a in orders if isinstance(a.order, Open)], [])
+
+    def test_closed_group_whose_members_all_answer_is_opened(self) -> None:
+        self.world.run(0.2)
+        self.assertEqual(len(self.world.serving(SMALL)), 1)
+
+
+class OpeningThatIsNotSeenTest(unittest.TestCase):
+    """A head was told to open, the registry does not show it yet, and a member is lost."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld(hosts(5, staged=SMALL))
+        self.world.run(0.5)
+        self.members = self.world.orders(Join)[0].order.members
+        while not self.world.orders(Open):
+            before = dict(self.world.upstreams_by_id)
+            self.world.run(0.1)
+        self.world.upstreams_by_id.update({i: u for i, u in before.items() if i == self.members[0]})
+
+    def test_survivors_stay_bound_and_the_head_is_closed(self) -> None:
+        head = self.world.upstreams_by_id[self.members[0]]
+        membership = head.membership
+        assert membership is not None
+        ready = replace(membership, state=MemberState.READY)
+        self.world.upstreams_by_id[head.upstream_id] = replace(head, membership=ready)
+        joins = len(self.world.orders(Join))
+        self.world.remove(self.members[2])
+        orders = self.world.planner.plan(self.world.situation())
+        self.assertEqual([a for a in orders if isinstance(a.order, Join)], [])
+        self.assertEqual(len([a for a in orders if isinstance(a.order, Close)]), 1)
+        self.assertEqual(len(self.world.orders(Join)), joins)
+
+
 class StagingTest(unittest.TestCase):
     """Hosts without weights, and hosts with weights that help nobody."""
 
