--- a/src/cactuspass/cli.py
+++ b/src/cactuspass/cli.py
@@ -19,6 +19,7 @@
 from cactuspass._rows import row_set
 from cactuspass._statements import Query
 from cactuspass.exceptions import CactuspassError, CommandError
+from cactuspass.fleet._explain import explain, read_logs, timeline
 
 ENTRY_VARIABLE = "CACTUSPASS_ENTRY"
 TOKEN_VARIABLE = "CACTUSPASS_TOKEN"
@@ -125,6 +126,23 @@
         print(as_json(found) if json else as_table(found))
         _print_unreachable(answer.unreachable)
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell from decision logs what became of one request, and why.
+
+        :param request: id of the request.
+        :param files: log files of one or more instances.
+        """
+        for line in explain(str(request), read_logs(files)):
+            print(line)
+
+    def timeline(self, *files: str) -> None:
+        """Show the changes of belief and the orders that decision logs tell of.
+
+        :param files: log files of one or more instances.
+        """
+        for line in timeline(read_logs(files)):
+            print(line)
+
     def _client(self, entry: str, token: str) -> OperatorClient:
         address = entry or self._entry or os.environ.get(ENTRY_VARIABLE, "")
         secret = token or self._token or os.environ.get(TOKEN_VARIABLE, "")
--- a/src/cactuspass/fleet/_decision_log.py
+++ b/src/cactuspass/fleet/_decision_log.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+import time
 from collections import Counter, deque
 from typing import Any
 
@@ -104,7 +105,8 @@
         if bounded and not self._take_token(at):
             self.dropped_by_kind[kind] += 1
             return
-        line = {"at": round(at, 3), "instance": self._instance, "kind": kind, "event": event}
+        line: dict[str, Any] = {"time": round(time.time(), 3), "at": round(at, 3)}
+        line |= {"instance": self._instance, "kind": kind, "event": event}
         line.update((name, _plain(value)) for name, value in fields.items() if value is not None)
         self._logger.info(json.dumps(line))
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -130,7 +130,13 @@
         self._application = Application(
             (
                 OperatorSync(adapter.directory, self.beliefs, log),
-                UpstreamSync(adapter.directory, self.beliefs, log, self._controller.wake),
+                UpstreamSync(
+                    adapter.directory,
+                    self.beliefs,
+                    log,
+                    self._controller.wake,
+                    lambda: self._presence.term is not None,
+                ),
                 self._hints,
                 self._presence,
                 probes,
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -16,7 +16,8 @@
 
 OPERATORS_POLL_SECONDS = 0.8
 WATCH_WAIT_SECONDS = 2.0
-GATHER_SECONDS = 0.12
+GATHER_SECONDS = 0.25
+LEADER_GATHER_SECONDS = 0.1
 RETRY_SECONDS = 0.2
 LAPSED_GRACE_SECONDS = 2.2
 OUTAGE_SECONDS = 1.0
@@ -103,6 +104,7 @@
     upstreams that live register again.
 
     :param changed: called after each change.
+    :param leads: whether this instance gives orders, for which it needs fresher news.
     """
 
     def __init__(
@@ -111,12 +113,14 @@
         beliefs: Beliefs,
         log: DecisionLog,
         changed: Callable[[], None] = lambda: None,
+        leads: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__(log)
         self._directory = directory
         self._beliefs = beliefs
         self._log = log
         self._changed = changed
+        self._leads = leads
         self._dependency = Dependency("registry of upstreams", log)
         self._seen_findings: set[str] = set()
         self._revision = 0
@@ -141,7 +145,7 @@
         self._dependency.works()
         self._take_changes(changes)
         if changes.changed or changes.removed:
-            await asyncio.sleep(GATHER_SECONDS)
+            await asyncio.sleep(LEADER_GATHER_SECONDS if self._leads() else GATHER_SECONDS)
 
     async def _list(self) -> None:
         began = now()
