--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from http.client import responses
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -15,7 +15,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from cactuspass._clock import now
@@ -93,6 +93,11 @@
         self._arrived_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of a request has arrived."""
+        return self._line is None
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -161,6 +166,8 @@
         self.closing = closing
         self._failed = failed
         self._tasks: set[asyncio.Task[None]] = set()
+        self._calls_by_connection: dict[HTTP1ServerConnection, _Call] = {}
+        self._leaving = False
         self.bound_address = ("", 0)
         self._server = HTTPServer(
             self,
@@ -182,6 +189,14 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    def leave(self) -> None:
+        """Take no more requests: stop listening, and close each connection once it is idle."""
+        self._leaving = True
+        self._server.stop()
+        for connection, call in list(self._calls_by_connection.items()):
+            if call.idle and _nothing_has_arrived(connection.stream):
+                connection.stream.close()
+
     @property
     def in_flight(self) -> int:
         """Requests that are being served."""
@@ -191,7 +206,17 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
-        return _Call(self, request_conn)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        call = _Call(self, request_conn)
+        self._calls_by_connection[server_conn] = call
+        if self._leaving:
+            server_conn.stream.close()
+        return call
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has closed."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._calls_by_connection.pop(server_conn, None)
 
     def track(self, task: asyncio.Task[None]) -> None:
         """Count a request until it ends."""
@@ -269,6 +294,21 @@
         return TextPage(request_conn, self._page)
 
 
+def _nothing_has_arrived(stream: IOStream) -> bool:
+    """Return whether no byte of a request waits, neither in the stream nor in the kernel.
+
+    A process that was kept from running finds requests there that have been sent long before.
+    """
+    if stream.closed() or not stream.reading():
+        return False
+    try:
+        return stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 def _start_line(status: int) -> ResponseStartLine:
     return ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -158,16 +158,19 @@
         )
 
     async def drain(self) -> None:
-        """Stop being ready, hand over the lead and let running requests finish."""
+        """Stop being ready, hand over the lead and let running requests finish.
+
+        Callers may use open connections until the balancer has noticed; then idle ones are closed,
+        so that no request arrives which there is no time for.
+        """
         self._stopping = True
         began = now()
         self._log.lifecycle("stopping", in_flight=self._front.in_flight)
         await self._presence.drain()
+        await asyncio.sleep(max(0.0, LEAVING_NOTICE_SECONDS - (now() - began)))
+        self._front.leave()
         limit = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
-        while now() - began < limit:
-            noticed = now() - began >= LEAVING_NOTICE_SECONDS
-            if noticed and self._front.in_flight == 0:
-                break
+        while now() - began < limit and self._front.in_flight > 0:
             await asyncio.sleep(IDLE_CHECK_SECONDS)
 
     async def stop(self) -> None:
--- /dev/null
+++ b/tests/test_fleet_front.py
@@ -0,0 +1,89 @@
+"""Callers' connections while an instance leaves (LOST on a mixed day, roll_term, at 24.9 s)."""
+
+import asyncio
+import unittest
+
+from cactuspass.fleet._front import CallerFront
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.platform._requests import PlatformRequests
+from tests.fleet_path import STAMP, PathCase, ScriptedUpstream, answer, route
+
+REQUEST = (
+    b"GET /p/x HTTP/1.1\r\nHost: a.example\r\nCactuspass-Request-Id: q1\r\n"
+    b"Cactuspass-Deadline-Ms: 4000\r\nApi-Key: key-1\r\n\r\n"
+)
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """Idle connections are closed, requests in progress are finished."""
+
+    async def asyncSetUp(self) -> None:
+        self.release = asyncio.Event()
+        self.reached = asyncio.Event()
+
+        async def held(writer: asyncio.StreamWriter, request: bytes) -> None:
+            self.reached.set()
+            await self.release.wait()
+            await answer("200 OK", b"body", STAMP)(writer, request)
+
+        self.upstream = ScriptedUpstream([held])
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        case = PathCase(route(timeout=30.0), [self.upstream])
+        self.addCleanup(case.pool.close)
+        self.front = CallerFront(
+            "127.0.0.1:0",
+            case.dispatcher,
+            PlatformRequests(),
+            Metrics(),
+            lambda: True,
+            self.fail,
+        )
+        self.front.open()
+        self.addAsyncCleanup(self.front.close)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(*self.front.bound_address)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_idle_connection_is_closed(self) -> None:
+        reader, _ = await self.connect()
+        while not self.front._calls_by_connection:
+            await asyncio.sleep(0.001)
+        self.front.leave()
+        self.assertEqual(await reader.read(), b"")
+
+    async def test_request_that_has_arrived_unread_is_answered(self) -> None:
+        reader, writer = await self.connect()
+        while not self.front._calls_by_connection:
+            await asyncio.sleep(0.001)
+        writer.get_extra_info("socket")._sock.send(REQUEST)
+        self.front.leave()
+        self.release.set()
+        got = await reader.read()
+        self.assertTrue(got.endswith(b"body"))
+
+    async def test_request_in_progress_is_answered_and_its_connection_closed(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.reached.wait()
+        self.front.leave()
+        self.release.set()
+        got = await reader.read()
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 OK"))
+        self.assertIn(b"Connection: close", got)
+        self.assertTrue(got.endswith(b"body"))
+
+    async def test_caller_that_leaves_ends_the_work_at_the_upstream(self) -> None:
+        _, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.reached.wait()
+        writer.close()
+        while self.front.in_flight:
+            await asyncio.sleep(0.001)
+        self.release.set()
+
+
+if __name__ == "__main__":
+    unittest.main()
