--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -20,6 +20,8 @@
 from cactuspass.models import ServiceId
 
 MAX_SENDS = 4
+MAX_SENDS_OF_BEGUN = 8
+REJECTED_SECONDS = 0.15
 MIN_SECONDS_LEFT = 0.1
 FRESH_CONNECTION_SECONDS = 1.5
 LATE_WAKE_SECONDS = 0.1
@@ -102,6 +104,8 @@
 
     :param deadline: clock value after which no answer is wanted.
     :param excluded: upstreams that are not asked again.
+    :param rejected_at: when upstreams said that they have not run the request; they are asked again
+        only after a pause.
     :param counted_runs: upstreams that may have run the request and still live.
     """
 
@@ -112,6 +116,7 @@
     customer: Customer | None
     deadline: float
     excluded: set[UpstreamId] = field(default_factory=set)
+    rejected_at: dict[UpstreamId, float] = field(default_factory=dict)
     counted_runs: int = 0
     sends: int = 0
     may_have_run: bool = False
@@ -135,9 +140,13 @@
         :param other_than: an upstream that is left out besides those that have failed.
         """
         max_wait = self.route.objective * WAIT_SHARE
-        excluded = self.excluded if other_than is None else {*self.excluded, other_than}
+        at = now()
+        rejected = {i for i, when in self.rejected_at.items() if at - when < REJECTED_SECONDS}
+        excluded = self.excluded | rejected
+        if other_than is not None:
+            excluded.add(other_than)
         wanted = Wanted(self.service, self.request.model, excluded, max_wait)
-        return self.tools.selector.choose(wanted, now())
+        return self.tools.selector.choose(wanted, at)
 
     async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
         """Send the request to an upstream.
@@ -183,7 +192,10 @@
         """Draw the conclusions of a failed attempt."""
         self.last_failure = failure
         upstream_id = upstream.upstream_id
-        self.excluded.add(upstream_id)
+        if failure is Failure.NOT_RUN:
+            self.rejected_at[upstream_id] = now()
+        else:
+            self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
             self.counted_runs -= 1
         if failure is Failure.NOT_RUN and self.counted_runs == 0:
@@ -204,9 +216,13 @@
             seconds_left=self.seconds_left,
         )
 
-    def may_repeat(self, failure: Failure) -> bool:
-        """Return whether the request may be sent once more, and spend the budget for it."""
-        if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
+    def may_repeat(self, failure: Failure, begun: bool = False) -> bool:
+        """Return whether the request may be sent once more, and spend the budget for it.
+
+        :param begun: whether the caller has a part of the answer, which ends cut otherwise.
+        """
+        most = MAX_SENDS_OF_BEGUN if begun else MAX_SENDS
+        if self.sends >= most or self.seconds_left < MIN_SECONDS_LEFT:
             return False
         runs_used_up = self.counted_runs >= self.route.max_upstreams
         if not failure.certainly_not_run and (runs_used_up or not self.route.repeatable):
--- a/src/cactuspass/fleet/_streams.py
+++ b/src/cactuspass/fleet/_streams.py
@@ -54,7 +54,7 @@
                 await self._attempt(chosen)
                 return
             except AttemptFailed as error:
-                if not self._attempts.may_repeat(error.failure):
+                if not self._attempts.may_repeat(error.failure, self._delivery.begun):
                     raise
                 self._note_move(error.failure)
 
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from cactuspass.fleet import _streams
+from cactuspass.fleet import _attempts, _streams
 from cactuspass.fleet._catalog import Route, RouteKind
 from tests.fleet_path import (
     STAMP,
@@ -152,6 +152,14 @@
         await case.serve(last_event_id="7")
         self.assertIn(b"Last-Event-Id: 7", upstreams[0].requests[0])
 
+    async def test_begun_stream_waits_for_a_head_that_is_full_just_now(self) -> None:
+        torn = stream(events(range(1, 4)), end=False, reset=True)
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        upstreams = await self.start([torn], [full, full, stream(events(range(4, 7)))])
+        with mock.patch.object(_attempts, "REJECTED_SECONDS", 0.01):
+            got = await self.case(route(RouteKind.STREAM, **RESUMABLE), upstreams).serve()
+        self.assertEqual((got.body, got.whole), (events(range(1, 7)), True))
+
     async def test_full_head_before_the_first_event_is_replaced(self) -> None:
         full = answer("503 Service Unavailable", b"", NOT_RUN)
         upstreams = await self.start([full], [stream(events(range(1, 3)))])
