--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -134,18 +134,22 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def max_wait(self) -> float:
+        """Longest estimated wait in seconds at an upstream that is still accepted."""
+        return self.route.objective * WAIT_SHARE
+
     def choose(self, other_than: UpstreamId | None = None) -> Chosen | NoUpstream:
         """Return the upstream for the next attempt.
 
         :param other_than: an upstream that is left out besides those that have failed.
         """
-        max_wait = self.route.objective * WAIT_SHARE
         at = now()
         rejected = {i for i, when in self.rejected_at.items() if at - when < REJECTED_SECONDS}
         excluded = self.excluded | rejected
         if other_than is not None:
             excluded.add(other_than)
-        wanted = Wanted(self.service, self.request.model, excluded, max_wait)
+        wanted = Wanted(self.service, self.request.model, excluded, self.max_wait)
         return self.tools.selector.choose(wanted, at)
 
     async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -191,6 +191,7 @@
 
     def _log_end(self, event: str, attempts: Attempts, error: RequestError) -> None:
         failure = attempts.last_failure
+        found = error.found if isinstance(error, NothingServes) else None
         self._tools.log.request(
             event,
             attempts.request.request_id,
@@ -199,6 +200,9 @@
             model=attempts.request.model,
             reason=str(error) or type(error).__name__,
             last_failure=failure.value if failure is not None else None,
+            offers=found.offers if found is not None else None,
+            wait=found.wait if found is not None else None,
+            acceptable_wait=attempts.max_wait if found is not None else None,
             sends=attempts.sends,
             may_have_run=attempts.may_have_run,
             waited=now() - attempts.request.arrived_at,
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -51,10 +51,14 @@
     """Nothing can take the request now.
 
     :param retry_after: estimated seconds until something can.
+    :param offers: upstreams that serve what is wanted, busy, cold or not.
+    :param wait: estimated wait at the best of them in seconds.
     """
 
     reason: NoUpstreamReason
     retry_after: float
+    offers: int = 0
+    wait: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,12 +126,13 @@
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 0.5)
         warm = [(u, g) for u, g in usable if self._cold_permits(u, service, at)]
         if not warm:
-            return NoUpstream(NoUpstreamReason.ALL_COLD, 0.3)
+            return NoUpstream(NoUpstreamReason.ALL_COLD, 0.3, len(usable))
         sound = self._sound(warm, at)
         candidates = [self._rate(u, g, service, at) for u, g in sound or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > wanted.max_wait:
-            return NoUpstream(NoUpstreamReason.ALL_BUSY, max(0.2, best.wait - wanted.max_wait))
+            retry_after = max(0.2, best.wait - wanted.max_wait)
+            return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait)
         others = len(candidates) - 1
         return Chosen(best.upstream, best.wait, best.load, others)
 
