--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -22,6 +22,7 @@
 MAX_SENDS = 4
 MAX_SENDS_OF_BEGUN = 8
 REJECTED_SECONDS = 0.15
+SHARE_KEPT_FOR_BEGUN = 0.4
 MIN_SECONDS_LEFT = 0.1
 FRESH_CONNECTION_SECONDS = 1.5
 LATE_WAKE_SECONDS = 0.1
@@ -234,7 +235,8 @@
         if failure is Failure.NOT_REACHED:
             return True
         allowance = self.tools.allowance(self.service)
-        if not allowance.take(now(), self.tools.instance_count()):
+        kept_share = 0.0 if begun else SHARE_KEPT_FOR_BEGUN
+        if not allowance.take(now(), self.tools.instance_count(), kept_share):
             self.tools.log.request("no-repeat-left", self.request.request_id)
             return False
         self.tools.metrics.repeats.labels(failure.value).inc()
--- a/src/cactuspass/fleet/_budgets.py
+++ b/src/cactuspass/fleet/_budgets.py
@@ -50,12 +50,19 @@
 
         :param instances: instances that share the fixed amount.
         """
+        return self._total(now, instances) - self._repeats.count(now)
+
+    def _total(self, now: float, instances: int) -> float:
         earned = self._ratio * self._requests.count(now) + self._fixed / max(1, instances)
-        return earned * SHARE_MARGIN - self._repeats.count(now)
+        return earned * SHARE_MARGIN
+
+    def take(self, now: float, instances: int, kept_share: float = 0.0) -> bool:
+        """Spend one repeat; return False when none is left.
 
-    def take(self, now: float, instances: int) -> bool:
-        """Spend one repeat; return False when none is left."""
-        if self.left(now, instances) < 1:
+        :param kept_share: part of all repeats that is kept for more pressing ones.
+        """
+        kept = kept_share * self._total(now, instances)
+        if self.left(now, instances) - kept < 1:
             return False
         self._repeats.add(now)
         return True
--- a/src/cactuspass/fleet/_explain.py
+++ b/src/cactuspass/fleet/_explain.py
@@ -11,6 +11,8 @@
 CONTEXT_SECONDS = 3.0
 HEADER_FIELDS = frozenset({"time", "at", "instance", "kind", "event"})
 REQUEST_KIND = "request"
+EVENTS_FOR_ALL = frozenset({"groups-serving", "lead-taken", "lead-lost"})
+EVENTS_FOR_INSTANCE = frozenset({"catalog-in-force", "evacuations-in-force"})
 
 
 class LogUnreadable(CactuspassError):
@@ -106,13 +108,11 @@
 
 def _concerns_all(line: LogLine, own: LogLine) -> bool:
     """Return whether a line tells of something that touches every request of the instance."""
+    if line.event in EVENTS_FOR_ALL:
+        return True
     if line.instance != own.instance:
-        return line.event in ("lead-taken", "lead-lost")
-    return line.kind in ("lifecycle", "alarm") or line.event in (
-        "catalog-in-force",
-        "evacuations-in-force",
-        "groups-serving",
-    )
+        return False
+    return line.kind in ("lifecycle", "alarm") or line.event in EVENTS_FOR_INSTANCE
 
 
 def timeline(lines: list[LogLine]) -> Iterator[str]:
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -97,7 +97,7 @@
     def suspect_by_hint(self, upstream_id: UpstreamId, at: float) -> bool:
         """Doubt an upstream that another instance finds silent, unless it was heard just now."""
         load = self.load(upstream_id)
-        if at - load.heard_at < HEARD_SECONDS:
+        if at - load.heard_at < HEARD_SECONDS or load.is_suspect(at):
             return False
         load.suspect_until = max(load.suspect_until, at + SUSPECT_SECONDS)
         return True
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -33,6 +33,15 @@
         self.assertLessEqual(spent, 0.2 * 300 + 130)
         self.assertGreater(spent, 100)
 
+    def test_rejections_in_overload_leave_repeats_for_streams_that_have_begun(self) -> None:
+        allowance = RetryAllowance(0.0, 20, 10)
+        while allowance.take(AT, 1, kept_share=0.4):
+            pass
+        begun = 0
+        while allowance.take(AT, 1):
+            begun += 1
+        self.assertGreaterEqual(begun, 6)
+
     def test_repeats_come_back_as_the_window_slides(self) -> None:
         allowance = RetryAllowance(0.0, 10, 10)
         while allowance.take(AT, 1):
