--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -83,7 +83,7 @@
             return spec.warm_seconds
         return spec.load_seconds
 
-    usable = [host for host in hosts if current.memory.schedule.loads(host.upstream_id) is None]
+    usable = [host for host in hosts if not current.memory.schedule.is_loading(host.upstream_id)]
     chosen = sorted(usable, key=lambda host: (seconds(host), host.upstream_id))[: spec.size]
     if len(chosen) < spec.size:
         return None
--- a/src/cactuspass/fleet/_loading.py
+++ b/src/cactuspass/fleet/_loading.py
@@ -1,5 +1,6 @@
 """Keeps loads from the weight store within what it bears."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from cactuspass.fleet._budgets import SlidingCount
@@ -9,25 +10,39 @@
 LOAD_WINDOW_SECONDS = 5.0
 RATE_MARGIN = 0.9
 GIVE_UP_SECONDS = 40.0
+BUSY_SECONDS = 4.0
 
 
-@dataclass(slots=True)
-class LoadSchedule:
-    """Loads that were ordered and have not ended.
+@dataclass(frozen=True, slots=True)
+class LoadUnderWay:
+    """A load that was ordered and has not ended.
 
-    :param started_by_id: model and clock value of each load under way.
+    :param model: None when a controller before has ordered it, so that the model is not known.
+    :param until: clock value after which it is not believed in any more.
+    :param urgent: whether a group can be formed as soon as it has ended.
     """
 
-    started_by_id: dict[UpstreamId, tuple[ModelId, float]] = field(default_factory=dict)
+    model: ModelId | None
+    until: float
+    urgent: bool = False
+
+
+@dataclass(slots=True)
+class LoadSchedule:
+    """Loads under way by host, and how many began lately."""
+
+    under_way_by_id: dict[UpstreamId, LoadUnderWay] = field(default_factory=dict)
     recent: SlidingCount = field(default_factory=lambda: SlidingCount(LOAD_WINDOW_SECONDS))
 
-    def update(self, upstreams_by_id: dict[UpstreamId, Upstream], at: float) -> None:
+    def update(self, upstreams_by_id: Mapping[UpstreamId, Upstream], at: float) -> None:
         """Drop the loads that have ended or whose upstream is gone."""
-        for upstream_id, (model, started_at) in list(self.started_by_id.items()):
+        for upstream_id, load in list(self.under_way_by_id.items()):
             upstream = upstreams_by_id.get(upstream_id)
-            ended = upstream is None or model in upstream.staged
-            if ended or at - started_at > GIVE_UP_SECONDS:
-                del self.started_by_id[upstream_id]
+            ended = upstream is None or load.model in upstream.staged
+            if load.model is None and upstream is not None:
+                ended = bool(upstream.staged)
+            if ended or at > load.until:
+                del self.under_way_by_id[upstream_id]
 
     def room(self, at_once: int, per_second: float, at: float) -> int:
         """Return how many loads may begin now.
@@ -36,14 +51,33 @@
         :param per_second: loads that may begin in a second, over a few seconds.
         """
         window_room = int(per_second * LOAD_WINDOW_SECONDS * RATE_MARGIN) - self.recent.count(at)
-        return max(0, min(at_once - len(self.started_by_id), window_room))
+        return max(0, min(at_once - len(self.under_way_by_id), window_room))
+
+    @property
+    def any_urgent(self) -> bool:
+        """Whether a load is under way that a group waits for."""
+        return any(load.urgent for load in self.under_way_by_id.values())
 
-    def start(self, upstream_id: UpstreamId, model: ModelId, at: float) -> None:
+    def start(
+        self, upstream_id: UpstreamId, model: ModelId, at: float, urgent: bool = False
+    ) -> None:
         """Count a load that begins."""
-        self.started_by_id[upstream_id] = (model, at)
+        self.under_way_by_id[upstream_id] = LoadUnderWay(model, at + GIVE_UP_SECONDS, urgent)
         self.recent.add(at)
 
-    def loads(self, upstream_id: UpstreamId) -> ModelId | None:
-        """Return the model that a host is loading."""
-        started = self.started_by_id.get(upstream_id)
-        return started[0] if started is not None else None
+    def found_busy(self, upstream_id: UpstreamId, at: float) -> None:
+        """Note that a host is busy with an order of a controller before."""
+        self.under_way_by_id[upstream_id] = LoadUnderWay(None, at + BUSY_SECONDS)
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Drop a load that was refused."""
+        self.under_way_by_id.pop(upstream_id, None)
+
+    def is_loading(self, upstream_id: UpstreamId) -> bool:
+        """Return whether a host is loading."""
+        return upstream_id in self.under_way_by_id
+
+    def model(self, upstream_id: UpstreamId) -> ModelId | None:
+        """Return the model that a host is loading, if that is known."""
+        load = self.under_way_by_id.get(upstream_id)
+        return load.model if load is not None else None
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -30,7 +30,7 @@
         """Return the orders to give now."""
         memory = self._memory
         current = Round(situation, memory)
-        memory.schedule.update(dict(situation.view.upstreams_by_id), situation.at)
+        memory.schedule.update(situation.view.upstreams_by_id, situation.at)
         memory.next_epoch = max(memory.next_epoch, situation.first_epoch)
         orders = list(tend_groups(current))
         orders += tend_formations(current)
@@ -53,7 +53,9 @@
         if isinstance(order, Join) and refused:
             memory.formations_by_key.pop(order.key, None)
         if isinstance(order, Stage) and refused:
-            memory.schedule.started_by_id.pop(upstream_id, None)
+            memory.schedule.forget(upstream_id)
+            if outcome is OrderOutcome.CONFLICT:
+                memory.schedule.found_busy(upstream_id, at)
 
     def _note_open(self, key: GroupKey, outcome: OrderOutcome, at: float) -> None:
         if outcome in REFUSED_OUTCOMES:
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -162,15 +162,14 @@
         wanted = demand.groups_wanted(self.situation.engine, spec, len(self.hosts()))
         return self.groups_by_model[spec.model] / wanted
 
-    def load_room(self, batches: int = 1) -> int:
+    def load_room(self, share: float = 1.0) -> int:
         """Return how many loads from the weight store may begin now.
 
-        :param batches: how many times the loads that run without slowing each other may run.
+        :param share: part of the loads that run without slowing each other; may be above 1.
         """
         engine = self.situation.engine
         if self.situation.lead_in:
             return len(self.situation.view.upstreams_by_id)
         schedule = self.memory.schedule
-        return schedule.room(
-            engine.loads_at_once * batches, engine.loads_per_second, self.situation.at
-        )
+        at_once = max(1, int(engine.loads_at_once * share))
+        return schedule.room(at_once, engine.loads_per_second, self.situation.at)
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -10,7 +10,8 @@
 from cactuspass.fleet._upstreams import Upstream
 from cactuspass.models import FabricDomainId, ModelId
 
-URGENT_BATCHES = 2
+URGENT_SHARE = 2.0
+SHARE_BESIDE_URGENT = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,11 +36,13 @@
         loads += for_empty
         loads += _loads_for_stranded(hosts, for_empty, current)
     loads.sort(key=lambda load: (not load.completes, load.supply))
+    schedule, at = current.memory.schedule, current.situation.at
     for load in loads:
-        batches = URGENT_BATCHES if load.completes else 1
-        if current.load_room(batches) > 0:
-            upstream_id = load.host.upstream_id
-            current.memory.schedule.start(upstream_id, load.spec.model, current.situation.at)
+        share = URGENT_SHARE if load.completes else 1.0
+        if not load.completes and schedule.any_urgent:
+            share = SHARE_BESIDE_URGENT
+        if current.load_room(share) > 0:
+            schedule.start(load.host.upstream_id, load.spec.model, at, load.completes)
             yield current.order(load.host, Stage(load.spec.model), load.reason)
 
 
@@ -49,7 +52,7 @@
     """Yield a load for each free host without weights."""
     prepared = _count_prepared(hosts, current)
     for host in hosts:
-        if host.staged or current.memory.schedule.loads(host.upstream_id) is not None:
+        if host.staged or current.memory.schedule.is_loading(host.upstream_id):
             continue
         spec = _model_to_stage(domain, prepared, current)
         prepared[spec.model] += 1
@@ -81,7 +84,7 @@
             for other in specs
             if other is not spec
             for host in by_model[other.model][: len(by_model[other.model]) % other.size]
-            if current.memory.schedule.loads(host.upstream_id) is None
+            if not current.memory.schedule.is_loading(host.upstream_id)
             and host.upstream_id not in busy
         ]
         if len(stranded) >= missing:
@@ -99,8 +102,9 @@
     """Return free hosts by the model that they carry or are loading."""
     by_model: dict[ModelId, list[Upstream]] = defaultdict(list)
     for host in hosts:
-        model = current.memory.schedule.loads(host.upstream_id)
-        if model is None and host.staged:
+        schedule = current.memory.schedule
+        model = schedule.model(host.upstream_id)
+        if host.staged and not schedule.is_loading(host.upstream_id):
             model = host.staged[-1]
         if model is not None:
             by_model[model].append(host)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -56,6 +56,8 @@
 
     :param registered: upstreams at the start.
     :param lead_in: whether loads take a tenth of their time.
+
+    Upstreams in ``dead`` answer nothing; those in ``busy`` refuse to load.
     """
 
     def __init__(self, registered: Iterable[Upstream], lead_in: bool = False) -> None:
@@ -63,6 +65,7 @@
         self.lead_in = lead_in
         self.upstreams_by_id = {upstream.upstream_id: upstream for upstream in registered}
         self.dead: set[UpstreamId] = set()
+        self.busy: set[UpstreamId] = set()
         self.planner = GroupPlanner(Demand())
         self.given: list[AddressedOrder] = []
         self.first_epoch = 1
@@ -135,6 +138,8 @@
         order = addressed.order
         if isinstance(order, Join):
             self._join(upstream, order)
+        elif isinstance(order, Stage) and upstream.upstream_id in self.busy:
+            return OrderOutcome.CONFLICT
         elif isinstance(order, Stage):
             load = ENGINE.models_by_id[order.model].load_seconds * (0.1 if self.lead_in else 1)
             after = replace(upstream, staged=(order.model,))
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -194,6 +194,18 @@
         world.run(0.2)
         self.assertEqual(world.orders(Stage)[0].target.upstream_id, "z-new")
 
+    def test_spares_wait_while_a_group_waits_for_its_load(self) -> None:
+        spares = [u for n in range(6) for u in hosts(2, f"e{n}")]
+        world = EngineWorld([*spares, *hosts(2, "z", staged=SMALL), host("z-new", "z")])
+        world.run(0.5)
+        self.assertLessEqual(len(world.orders(Stage)), 3)
+
+    def test_host_that_another_controller_has_made_busy_is_not_asked_again_at_once(self) -> None:
+        world = EngineWorld([host("new")])
+        world.busy.add(world.situation().view.upstreams_by_id["new"].upstream_id)
+        world.run(3.0)
+        self.assertEqual(len(world.orders(Stage)), 1)
+
     def test_loads_stay_within_the_weight_stores_rate(self) -> None:
         world = EngineWorld([u for n in range(12) for u in hosts(4, f"e{n}")])
         world.run(5.0)
