--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
 from cactuspass._component import Component
+from cactuspass._header_limit import AnsweringServer
 from cactuspass._problems import Problem, RunState, bad_request, problem_of
 from cactuspass._requests import SERVICE_PREFIX, Answer, CallerRequest
 from cactuspass.exceptions import AnswerCut, CactuspassError, RequestError
@@ -101,7 +101,7 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server: HTTPServer | None = None
+        self._server: AnsweringServer | None = None
         self.running = 0
         self.port = 0
 
@@ -110,7 +110,7 @@
         host, _, port = self._settings.listen.rpartition(":")
         sockets = bind_sockets(int(port), host)
         self.port = sockets[0].getsockname()[1]
-        self._server = HTTPServer(
+        self._server = AnsweringServer(
             self._application,
             max_body_size=self._settings.body_bytes,
             max_header_size=self._settings.header_bytes,
--- /dev/null
+++ b/src/cactuspass/_header_limit.py
@@ -0,0 +1,73 @@
+"""An HTTP server that answers an over-large head with a problem instead of silence."""
+
+from http import HTTPStatus
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream, UnsatisfiableReadError
+
+from cactuspass._problems import Problem, RunState
+
+DRAIN_BYTES = 1_048_576
+READ_BYTES = 65_536
+
+PROBLEM = Problem(
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    "header-too-large",
+    "The request cannot be served",
+    "the head of the request is over the limit",
+    RunState.NOT_RUN,
+)
+
+
+def answer_bytes(problem: Problem) -> bytes:
+    """Return a problem as a whole answer that ends its connection."""
+    body = problem.body()
+    status = HTTPStatus(problem.status)
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Connection: close"]
+    lines += [f"{name}: {value}" for name, value in problem.headers().items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class AnsweringStream(IOStream):
+    """A caller's connection; the library closes it without a word when a head is too large."""
+
+    def close(self, exc_info: Any = False) -> None:
+        """Close the connection, after an answer if the head was too large."""
+        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
+            self._answer()
+        super().close(exc_info)
+
+    def _answer(self) -> None:
+        try:
+            self.socket.send(answer_bytes(PROBLEM))
+            self._drop_what_has_arrived()
+        except OSError:
+            # The caller has left or does not read; there is nobody to answer.
+            return
+
+    def _drop_what_has_arrived(self) -> None:
+        """Read on a little, since closing with unread bytes would reset the answer."""
+        dropped = 0
+        while dropped < DRAIN_BYTES:
+            try:
+                chunk = self.socket.recv(READ_BYTES)
+            except BlockingIOError:
+                return
+            if not chunk:
+                return
+            dropped += len(chunk)
+
+
+class AnsweringServer(HTTPServer):
+    """Serves callers over connections that answer an over-large head."""
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a new connection."""
+        answering = AnsweringStream(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        super().handle_stream(answering, address)
--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -19,6 +19,7 @@
 from tornado.netutil import bind_sockets
 
 from cactuspass._clock import now
+from cactuspass._header_limit import AnsweringServer
 from cactuspass.fleet._channels import Header
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._dispatch import Dispatcher, malformed
@@ -169,7 +170,7 @@
         self._calls_by_connection: dict[HTTP1ServerConnection, _Call] = {}
         self._leaving = False
         self.bound_address = ("", 0)
-        self._server = HTTPServer(
+        self._server = AnsweringServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
