--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -16,7 +16,7 @@
     Service,
     ServiceShare,
 )
-from cactuspass.fleet._channels import AnswerHead, ChannelPool, IdCheck, OutgoingRequest
+from cactuspass.fleet._channels import AnswerHead, IdCheck
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import (
     Directory,
@@ -44,6 +44,7 @@
     UpstreamControl,
     UpstreamReport,
 )
+from cactuspass.fleet._pool import ChannelPool, OutgoingRequest
 from cactuspass.fleet._settings import (
     InstanceSettings,
     load_instance_settings,
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -10,11 +10,12 @@
 from cactuspass.exceptions import RequestError
 from cactuspass.fleet._budgets import RetryAllowance
 from cactuspass.fleet._catalog import Customer, Route
-from cactuspass.fleet._channels import AnswerHead, ChannelPool, PooledExchange
+from cactuspass.fleet._channels import AnswerHead
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, RequestFormat, SendDetails
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._pool import ChannelPool, PooledExchange
 from cactuspass.fleet._selection import Chosen, NoUpstream, Selector, Wanted
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -80,25 +80,18 @@
     """How the engines of a service work.
 
     :param slots: requests that one group runs at once.
-    :param memory_tokens: prompt and output tokens that a group can hold.
     :param step_seconds: time of one step that makes a token for each running request.
     :param step_seconds_per_request: added to a step by each running request.
-    :param prompt_tokens_per_second: rate at which prompts are read.
-    :param events_stride: tokens in one event of a stream.
     :param loads_per_second: loads from the weight store that may begin in a second.
     :param loads_at_once: loads that run together without slowing each other.
     """
 
     slots: int
     models_by_id: dict[ModelId, ModelSpec]
-    memory_tokens: int = 0
     step_seconds: float = 0.006
     step_seconds_per_request: float = 0.0
-    prompt_tokens_per_second: float = 50_000.0
-    events_stride: int = 1
     loads_per_second: float = 1.0
     loads_at_once: int = 1
-    form_seconds: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +106,6 @@
     service: ServiceId
     health_path: str = "/health"
     max_connections: int = 64
-    cold_seconds: float = 0.0
     cold_requests_per_second: float = 0.0
     engine: EngineSpec | None = None
 
--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -12,10 +12,11 @@
 from cactuspass.fleet._dispatch import RequestsSeen
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import AddressedOrder, UpstreamControl
-from cactuspass.fleet._planner import GroupPlanner, Situation
+from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._presence import Presence, Term
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._repeating import RepeatingComponent
+from cactuspass.fleet._round import Situation
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_SECONDS = 0.15
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -20,7 +20,7 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain import PlainRun
 from cactuspass.fleet._streams import StreamRun
-from cactuspass.models import RequestId, ServiceId
+from cactuspass.models import ServiceId
 
 CERTAIN_SECONDS = 2.5
 RETRY_AFTER_SECONDS = 0.5
@@ -229,6 +229,3 @@
 def malformed(detail: str, status: int) -> Problem:
     """Return the problem of a request that cannot be understood."""
     return not_run("malformed", detail, None, status)
-
-
-__all__ = ["Admission", "Dispatcher", "NotAdmitted", "RequestId", "malformed"]
--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -1,12 +1,10 @@
-"""The listeners of an instance: callers, readiness and metrics, on tornado's HTTP server."""
+"""The listener of an instance for callers, on tornado's HTTP server."""
 
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from http.client import responses
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -16,7 +14,6 @@
     ResponseStartLine,
 )
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
 
 from cactuspass._clock import now
 from cactuspass._header_limit import AnsweringServer
@@ -25,11 +22,11 @@
 from cactuspass.fleet._dispatch import Dispatcher, malformed
 from cactuspass.fleet._inbound import MalformedRequest, RequestFormat
 from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._pages import bind, start_line
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 16_777_216
 IDLE_SECONDS = 120.0
-BACKLOG = 512
 
 
 class ConnectionDelivery(Delivery):
@@ -79,7 +76,7 @@
         if self._closing():
             fields["Connection"] = "close"
         self._begun = True
-        await self._connection.write_headers(_start_line(status), fields, chunk)
+        await self._connection.write_headers(start_line(status), fields, chunk)
 
 
 class _Call(HTTPMessageDelegate):
@@ -252,49 +249,6 @@
         await self._dispatcher.serve(request, delivery)
 
 
-class TextPage(HTTPMessageDelegate):
-    """Answers any request with a status and a text.
-
-    :param page: returns the status and the text.
-    """
-
-    def __init__(self, connection: HTTPConnection, page: Callable[[], tuple[int, bytes]]) -> None:
-        self._connection = connection
-        self._page = page
-
-    def finish(self) -> None:
-        """Answer the request."""
-        status, body = self._page()
-        fields = HTTPHeaders({"Content-Length": str(len(body)), "Content-Type": "text/plain"})
-        self._connection.write_headers(
-            ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown")), fields, body
-        )
-        self._connection.finish()
-
-
-class PageServer(HTTPServerConnectionDelegate):
-    """Listens for requests that get a short text, such as readiness or metrics."""
-
-    def __init__(self, address: str, page: Callable[[], tuple[int, bytes]]) -> None:
-        self._address = address
-        self._page = page
-        self._server = HTTPServer(self)
-
-    def open(self) -> None:
-        """Begin to listen."""
-        self._server.add_sockets(bind(self._address))
-
-    def close(self) -> None:
-        """Take no new connections."""
-        self._server.stop()
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        """Return the reader of the next request of a connection."""
-        return TextPage(request_conn, self._page)
-
-
 def _nothing_has_arrived(stream: IOStream) -> bool:
     """Return whether no byte of a request waits, neither in the stream nor in the kernel.
 
@@ -308,13 +262,3 @@
         return True
     except OSError:
         return False
-
-
-def _start_line(status: int) -> ResponseStartLine:
-    return ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-
-
-def bind(address: str) -> list[socket.socket]:
-    """Return sockets that listen on ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return bind_sockets(int(port), host, backlog=BACKLOG)
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -5,8 +5,9 @@
 
 from cactuspass._problems import Problem
 from cactuspass.exceptions import RequestError
-from cactuspass.fleet._channels import AnswerHead, Header, OutgoingRequest
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._channels import AnswerHead, Header
+from cactuspass.fleet._pool import OutgoingRequest
+from cactuspass.fleet._upstreams import Upstream
 from cactuspass.models import CustomerId, ModelId, RequestId
 
 
@@ -82,13 +83,11 @@
 
     :param not_run: whether the upstream states that it has not run the request.
     :param genuine: whether the answer comes from the upstream's application.
-    :param at_fault: upstream that the answer blames, when it isn't the one that was asked.
     """
 
     not_run: bool
     genuine: bool
     load: LoadReport | None = None
-    at_fault: UpstreamId | None = None
 
 
 class RequestFormat(ABC):
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from dataclasses import dataclass
 
 from cactuspass._application import Application
 from cactuspass._clock import now
@@ -11,17 +12,18 @@
 from cactuspass.fleet._attempts import Tools
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._budgets import RetryAllowance
-from cactuspass.fleet._channels import ChannelPool
 from cactuspass.fleet._controller import Controller
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
-from cactuspass.fleet._front import CallerFront, PageServer
+from cactuspass.fleet._front import CallerFront
 from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import UpstreamControl
+from cactuspass.fleet._pages import PageServer
+from cactuspass.fleet._pool import ChannelPool
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._selection import Selector
@@ -38,23 +40,14 @@
 HOUSEKEEPING_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
 class Adapter:
-    """What an instance needs of the platform.
+    """What an instance needs of the platform."""
 
-    :param control_pool: connections for orders and reports.
-    """
-
-    def __init__(
-        self,
-        store: SharedStore,
-        directory: Directory,
-        control: UpstreamControl,
-        request_format: RequestFormat,
-    ) -> None:
-        self.store = store
-        self.directory = directory
-        self.control = control
-        self.request_format = request_format
+    store: SharedStore
+    directory: Directory
+    control: UpstreamControl
+    request_format: RequestFormat
 
 
 class Instance(Component):
--- /dev/null
+++ b/src/cactuspass/fleet/_pages.py
@@ -0,0 +1,71 @@
+"""Listeners that answer with a short text, and what all listeners share."""
+
+import socket
+from collections.abc import Callable
+from http.client import responses
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+)
+from tornado.netutil import bind_sockets
+
+BACKLOG = 512
+
+
+def start_line(status: int) -> ResponseStartLine:
+    """Return the first line of an answer."""
+    return ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+
+
+def bind(address: str) -> list[socket.socket]:
+    """Return sockets that listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host, backlog=BACKLOG)
+
+
+class TextPage(HTTPMessageDelegate):
+    """Answers any request with a status and a text.
+
+    :param page: returns the status and the text.
+    """
+
+    def __init__(self, connection: HTTPConnection, page: Callable[[], tuple[int, bytes]]) -> None:
+        self._connection = connection
+        self._page = page
+
+    def finish(self) -> None:
+        """Answer the request."""
+        status, body = self._page()
+        fields = HTTPHeaders({"Content-Length": str(len(body)), "Content-Type": "text/plain"})
+        self._connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown")), fields, body
+        )
+        self._connection.finish()
+
+
+class PageServer(HTTPServerConnectionDelegate):
+    """Listens for requests that get a short text, such as readiness or metrics."""
+
+    def __init__(self, address: str, page: Callable[[], tuple[int, bytes]]) -> None:
+        self._address = address
+        self._page = page
+        self._server = HTTPServer(self)
+
+    def open(self) -> None:
+        """Begin to listen."""
+        self._server.add_sockets(bind(self._address))
+
+    def close(self) -> None:
+        """Take no new connections."""
+        self._server.stop()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of the next request of a connection."""
+        return TextPage(request_conn, self._page)
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -63,6 +63,3 @@
             return
         wait = LATE_ORDER_SECONDS if outcome is OrderOutcome.UNKNOWN else OPENING_SECONDS
         self._memory.may_open_until[key] = at + wait
-
-
-__all__ = ["Demand", "GroupPlanner", "Situation"]
--- /dev/null
+++ b/src/cactuspass/fleet/_pool.py
@@ -0,0 +1,151 @@
+"""Connections by address, kept between requests."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cactuspass.exceptions import UpstreamNotReached
+from cactuspass.fleet._channels import AnswerHead, Channel, Exchange, Header, IdCheck
+
+CONNECT_TIMEOUT_SECONDS = 0.25
+KEEP_ALIVE_SHARE = 0.7
+MAX_IDLE_PER_ADDRESS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A request as it goes on the wire, but for its framing.
+
+    :param check: header by which the answer must name the request, if it names one.
+    """
+
+    method: str
+    target: str
+    headers: Sequence[Header]
+    body: bytes = b""
+    check: IdCheck | None = None
+
+    def encode(self) -> bytes:
+        """Return the bytes of the request."""
+        lines = [f"{self.method} {self.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in self.headers]
+        if self.body or self.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            lines.append(f"Content-Length: {len(self.body)}")
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
+
+
+class ChannelPool:
+    """Opens connections by address and keeps idle ones.
+
+    :param connect_timeout: seconds to wait for a new connection.
+    """
+
+    def __init__(self, connect_timeout: float = CONNECT_TIMEOUT_SECONDS) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle_by_address: dict[str, list[Channel]] = {}
+        self.opened = 0
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for channels in self._idle_by_address.values():
+            for channel in channels:
+                channel.abort()
+        self._idle_by_address.clear()
+
+    async def begin(
+        self, address: str, request: OutgoingRequest, max_idle: float | None = None
+    ) -> "PooledExchange":
+        """Send a request on an idle connection or a new one.
+
+        :param max_idle: seconds that a reused connection may have been idle at most.
+        :raises UpstreamNotReached: when no byte of the request has left.
+        """
+        channel = self._take_idle(address, max_idle) or await self._connect(address)
+        exchange = channel.begin(request.encode(), request.check, request.method == "HEAD")
+        return PooledExchange(self, address, channel, exchange)
+
+    def _take_idle(self, address: str, max_idle: float | None) -> Channel | None:
+        idle = self._idle_by_address.get(address, [])
+        now = asyncio.get_running_loop().time()
+        while idle:
+            channel = idle.pop()
+            limit = channel.keep_seconds * KEEP_ALIVE_SHARE
+            limit = limit if max_idle is None else min(limit, max_idle)
+            if channel.open and now - channel.idle_since <= limit:
+                return channel
+            channel.abort()
+        return None
+
+    async def _connect(self, address: str) -> Channel:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                _, channel = await loop.create_connection(Channel, host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            detail = f"{address} cannot be reached: {error or type(error).__name__}"
+            raise UpstreamNotReached(detail) from error
+        self.opened += 1
+        return channel
+
+    def give_back(self, address: str, channel: Channel) -> None:
+        """Keep a connection whose exchange has ended, if it may be used again."""
+        idle = self._idle_by_address.setdefault(address, [])
+        if channel.open and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(channel)
+        else:
+            channel.abort()
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections of an address that has gone."""
+        for channel in self._idle_by_address.pop(address, []):
+            channel.abort()
+
+
+class PooledExchange:
+    """An exchange whose connection returns to its pool at the end."""
+
+    def __init__(
+        self, pool: ChannelPool, address: str, channel: Channel, exchange: Exchange
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._channel: Channel | None = channel
+        self._exchange = exchange
+
+    async def head(self) -> AnswerHead:
+        """Return the head of the answer.
+
+        :raises RunOutcomeUnknown: when the connection broke before the head was whole.
+        """
+        return await self._exchange.head()
+
+    async def chunk(self) -> bytes:
+        """Return the next part of the body; empty at its end.
+
+        :raises AnswerCut: when the connection broke before the end.
+        """
+        chunk = await self._exchange.chunk()
+        if not chunk:
+            self._release()
+        return chunk
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        :raises AnswerCut: when the connection broke before the end.
+        """
+        body = await self._exchange.body()
+        self._release()
+        return body
+
+    def abort(self) -> None:
+        """Close the connection unless the answer has ended."""
+        if self._channel is not None:
+            self._channel.abort()
+            self._channel = None
+
+    def _release(self) -> None:
+        if self._channel is not None:
+            self._pool.give_back(self._address, self._channel)
+            self._channel = None
--- /dev/null
+++ b/src/cactuspass/fleet/_runs.py
@@ -0,0 +1,95 @@
+"""What runs of requests have in common: one attempt after the other until the answer is whole."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
+from cactuspass.fleet._attempts import (
+    AttemptFailed,
+    Attempts,
+    DeadlinePassed,
+    Failure,
+    Sent,
+    within,
+)
+from cactuspass.fleet._delivery import Delivery
+from cactuspass.fleet._selection import Chosen
+
+T = TypeVar("T")
+
+
+class Run(ABC):
+    """Brings the answer of one request to its caller."""
+
+    def __init__(self, attempts: Attempts, delivery: Delivery) -> None:
+        self._attempts = attempts
+        self._delivery = delivery
+
+    @abstractmethod
+    async def run(self) -> None:
+        """Deliver the answer.
+
+        :raises NothingServes: when no upstream can take the request.
+        :raises DeadlinePassed: when the time has passed.
+        :raises AttemptFailed: when the last attempt failed and no other may be made.
+        """
+
+    @abstractmethod
+    async def _receive(self, sent: Sent, chosen: Chosen) -> None:
+        """Take the answer of one attempt.
+
+        :raises AttemptFailed: when it isn't one that the caller can have.
+        :raises RunOutcomeUnknown: when the connection broke before the head of the answer.
+        :raises AnswerCut: when it broke later.
+        """
+
+    async def _attempt(self, chosen: Chosen, last_event_id: str | None = None) -> None:
+        """Make one attempt, and draw the conclusions if it fails.
+
+        :raises AttemptFailed: when it gave no whole answer.
+        """
+        attempts = self._attempts
+        try:
+            sent = await attempts.send(chosen, last_event_id)
+        except UpstreamNotReached:
+            attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
+            raise AttemptFailed(Failure.NOT_REACHED) from None
+        try:
+            await self._receive(sent, chosen)
+        except AttemptFailed as error:
+            attempts.note_failure(error.failure, chosen.upstream, was_sent=True)
+            raise
+        except (RunOutcomeUnknown, AnswerCut):
+            attempts.note_failure(Failure.CONNECTION_BROKEN, chosen.upstream, was_sent=True)
+            raise AttemptFailed(Failure.CONNECTION_BROKEN) from None
+        finally:
+            attempts.close(sent)
+
+    async def _wait(self, sent: Sent, call: Callable[[], Awaitable[T]], patience: float) -> T:
+        """Wait for a part of the answer; a silence ends the attempt if it can be made elsewhere.
+
+        :param patience: seconds after which the upstream counts as silent.
+        :raises AttemptFailed: when the upstream is silent and another could take the request.
+        :raises DeadlinePassed: when the time of the request has passed.
+        """
+        while True:
+            left = self._attempts.seconds_left
+            if left <= 0:
+                raise DeadlinePassed
+            try:
+                return await within(min(left, patience), call)
+            except TimeoutError:
+                if self._attempts.could_repeat_elsewhere(sent.upstream):
+                    raise AttemptFailed(Failure.STALLED) from None
+                self._attempts.note_silence(sent.upstream)
+
+    async def _within_deadline(self, call: Callable[[], Awaitable[T]]) -> T:
+        """Wait for a part of the answer as long as anybody does.
+
+        :raises DeadlinePassed: when the time of the request has passed.
+        """
+        try:
+            return await within(self._attempts.seconds_left, call)
+        except TimeoutError:
+            raise DeadlinePassed from None
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -239,8 +239,3 @@
     queued = max(0.0, estimate + 1 - engine.slots)
     step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
     return queued * TYPICAL_OUTPUT_TOKENS * step * pace / engine.slots
-
-
-def total_slots(engine: EngineSpec, groups: Iterable[Group]) -> int:
-    """Return the requests that open groups can run at once."""
-    return engine.slots * sum(group.serves for group in groups)
--- a/src/cactuspass/fleet/_streams.py
+++ b/src/cactuspass/fleet/_streams.py
@@ -2,22 +2,19 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 from cactuspass._clock import now
-from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
 from cactuspass.fleet._attempts import (
     AttemptFailed,
     Attempts,
-    DeadlinePassed,
     Failure,
     NothingServes,
     Sent,
-    within,
 )
 from cactuspass.fleet._channels import AnswerHead
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._events import EventSplitter
+from cactuspass.fleet._runs import Run, T
 from cactuspass.fleet._selection import Chosen
 
 FIRST_EVENT_SECONDS = 0.7
@@ -29,15 +26,11 @@
 PROMPT_TOKENS_PER_SECOND = 20_000.0
 
 
-T = TypeVar("T")
-
-
-class StreamRun:
+class StreamRun(Run):
     """Brings the events of one request to its caller, each once and in order."""
 
     def __init__(self, attempts: Attempts, delivery: Delivery) -> None:
-        self._attempts = attempts
-        self._delivery = delivery
+        super().__init__(attempts, delivery)
         self._splitter = EventSplitter(attempts.request.last_event_id)
         self._resumed = False
 
@@ -51,7 +44,7 @@
         while True:
             chosen = await self._choose()
             try:
-                await self._attempt(chosen)
+                await self._attempt(chosen, self._splitter.last_id)
                 return
             except AttemptFailed as error:
                 if not self._attempts.may_repeat(error.failure, self._delivery.begun):
@@ -82,37 +75,16 @@
                 raise NothingServes(found)
             await asyncio.sleep(RESUME_POLL_SECONDS)
 
-    async def _attempt(self, chosen: Chosen) -> None:
-        attempts = self._attempts
-        try:
-            sent = await attempts.send(chosen, self._splitter.last_id)
-        except UpstreamNotReached:
-            attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
-            raise AttemptFailed(Failure.NOT_REACHED) from None
-        try:
-            await self._receive(sent, chosen)
-        except AttemptFailed as error:
-            attempts.note_failure(error.failure, chosen.upstream, was_sent=True)
-            raise
-        finally:
-            attempts.close(sent)
-
     async def _receive(self, sent: Sent, chosen: Chosen) -> None:
-        try:
-            head = await self._wait_first(sent, chosen, sent.exchange.head)
-            await self._check_head(sent, head)
-            first = await self._first_events(sent, chosen)
-            if not self._delivery.begun:
-                headers = self._attempts.tools.request_format.answer_headers(head)
-                await self._delivery.begin(head.status, headers)
-                self._attempts.tools.loads.succeeded(
-                    sent.upstream.upstream_id, now() - sent.sent_at
-                )
-            await self._pass_on(sent, first)
-        except RunOutcomeUnknown:
-            raise AttemptFailed(Failure.CONNECTION_BROKEN) from None
-        except AnswerCut:
-            raise AttemptFailed(Failure.CONNECTION_BROKEN) from None
+        head = await self._wait_first(sent, chosen, sent.exchange.head)
+        await self._check_head(sent, head)
+        first = await self._first_events(sent, chosen)
+        if not self._delivery.begun:
+            headers = self._attempts.tools.request_format.answer_headers(head)
+            await self._delivery.begin(head.status, headers)
+            latency = now() - sent.sent_at
+            self._attempts.tools.loads.succeeded(sent.upstream.upstream_id, latency)
+        await self._pass_on(sent, first)
 
     async def _check_head(self, sent: Sent, head: AnswerHead) -> None:
         notes = self._attempts.read_notes(sent, head)
@@ -124,7 +96,7 @@
             return
         if not notes.genuine:
             raise AttemptFailed(Failure.NOT_GENUINE)
-        body = await within(self._attempts.seconds_left, sent.exchange.body)
+        body = await self._within_deadline(sent.exchange.body)
         raise AttemptFailed(Failure.SERVER_ERROR, head, body)
 
     async def _first_events(self, sent: Sent, chosen: Chosen) -> bytes:
@@ -156,16 +128,3 @@
         if self._splitter.rest:
             raise AttemptFailed(Failure.CONNECTION_BROKEN)
         await self._delivery.finish()
-
-    async def _wait(self, sent: Sent, call: Callable[[], Awaitable[T]], patience: float) -> T:
-        """Wait for a part of the answer; a silence ends the attempt if it can be made elsewhere."""
-        while True:
-            left = self._attempts.seconds_left
-            if left <= 0:
-                raise DeadlinePassed
-            try:
-                return await within(min(left, patience), call)
-            except TimeoutError:
-                if self._attempts.could_repeat_elsewhere(sent.upstream):
-                    raise AttemptFailed(Failure.STALLED) from None
-                self._attempts.note_silence(sent.upstream)
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -9,7 +9,7 @@
 from cactuspass.exceptions import PlatformError
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._directory import Directory, UpstreamChanges, UpstreamListing
+from cactuspass.fleet._directory import Directory, UpstreamChanges
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
@@ -180,6 +180,3 @@
             return
         self._beliefs.accept_upstreams(upstreams_by_id.values(), self._revision)
         self._changed()
-
-
-__all__ = ["Dependency", "OperatorSync", "UpstreamListing", "UpstreamSync", "log_findings"]
--- a/src/cactuspass/platform/_config_document.py
+++ b/src/cactuspass/platform/_config_document.py
@@ -90,14 +90,10 @@
 
 class _Engine(_Document):
     slots: Annotated[int, Field(ge=1)]
-    kv_capacity: Count = 0
-    stride: Annotated[int, Field(ge=1)] = 1
     step_ms: float = 6.0
     per_seq_ms: float = 0.0
-    read_per_s: float = 50_000.0
     loads_per_s: float = 1.0
     loads_at_once: Annotated[int, Field(ge=1)] = 1
-    form_ms: float = 0.0
     models: tuple[_Model, ...] = ()
 
     def decode(self) -> EngineSpec:
@@ -106,14 +102,10 @@
         return EngineSpec(
             slots=self.slots,
             models_by_id={model.model: model for model in models},
-            memory_tokens=self.kv_capacity,
             step_seconds=self.step_ms / 1000,
             step_seconds_per_request=self.per_seq_ms / 1000,
-            prompt_tokens_per_second=self.read_per_s,
-            events_stride=self.stride,
             loads_per_second=self.loads_per_s,
             loads_at_once=self.loads_at_once,
-            form_seconds=self.form_ms / 1000,
         )
 
 
@@ -121,7 +113,6 @@
     name: str
     health_path: str = "/health"
     max_conns: Count = 64
-    cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
 
@@ -131,7 +122,6 @@
             ServiceId(self.name),
             self.health_path,
             self.max_conns,
-            self.cold_s,
             self.cold_per_s,
             self.engine.decode() if self.engine is not None else None,
         )
--- a/src/cactuspass/platform/_names.py
+++ b/src/cactuspass/platform/_names.py
@@ -12,7 +12,6 @@
 STAMP = "Cactuspass-Server-Stamp"
 NOT_RUN = "Cactuspass-Not-Run"
 SERVER_LOAD = "Cactuspass-Server-Load"
-AT_SERVER = "At-Server"
 
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -14,7 +14,6 @@
     OutgoingRequest,
     RequestFormat,
     SendDetails,
-    UpstreamId,
 )
 from cactuspass.models import ModelId, RequestId
 from cactuspass.platform import _names as names
@@ -99,12 +98,10 @@
         A 421 states, like the header, that the request has not run.
         """
         not_run = head.get(names.NOT_RUN.lower()) is not None
-        at_fault = head.get(names.AT_SERVER.lower())
         return AnswerNotes(
             not_run=not_run or head.status == HTTPStatus.MISDIRECTED_REQUEST,
             genuine=head.get(names.STAMP.lower()) is not None,
             load=_load(head.get(names.SERVER_LOAD.lower())),
-            at_fault=UpstreamId(at_fault) if at_fault else None,
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -12,13 +12,14 @@
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._budgets import RetryAllowance
 from cactuspass.fleet._catalog import Catalog, Customer, Route, RouteKind, Service, ServiceShare
-from cactuspass.fleet._channels import ChannelPool, Header
+from cactuspass.fleet._channels import Header
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._pool import ChannelPool
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, RequestId, ServiceId
