Say 'not run' only when no attempt may have run

Cause: an attempt that broke off was taken from the count of runs that bars a repeat, and a rejection after it cleared the mark that the request may have run; found by reading. Runs that may have happened are now counted apart. Test seen red: test_refusal_after_a_lost_answer_does_not_say_not_run.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -109,6 +109,7 @@
     :param rejected_at: when upstreams said that they have not run the request; they are asked again
         only after a pause.
     :param counted_runs: upstreams that may have run the request and still live.
+    :param possible_runs: upstreams that may have run the request, whether they live or not.
     """
 
     tools: Tools
@@ -121,9 +122,14 @@
     rejected_at: dict[UpstreamId, float] = field(default_factory=dict)
     counted_runs: int = 0
     sends: int = 0
-    may_have_run: bool = False
+    possible_runs: int = 0
     last_failure: Failure | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request, so that no refusal is true any more."""
+        return self.possible_runs > 0
+
     @property
     def seconds_left(self) -> float:
         """Seconds until nobody waits any more."""
@@ -178,7 +184,7 @@
         except BaseException:
             self.tools.loads.ended(upstream.upstream_id)
             raise
-        self.may_have_run = True
+        self.possible_runs += 1
         self.counted_runs += 1
         return Sent(upstream, exchange, now())
 
@@ -204,8 +210,8 @@
             self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
             self.counted_runs -= 1
-        if failure is Failure.NOT_RUN and self.counted_runs == 0:
-            self.may_have_run = False
+        if was_sent and failure is Failure.NOT_RUN:
+            self.possible_runs -= 1
         pause = None
         if failure in (Failure.SERVER_ERROR, Failure.NOT_GENUINE):
             self.tools.loads.failed(upstream_id)
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -84,6 +84,13 @@
         self.assertEqual(got.status, 503)
         self.assertLess(float(got.header("Retry-After") or "9"), 4.0 / 3)
 
+    async def test_refusal_after_a_lost_answer_does_not_say_not_run(self) -> None:
+        torn = stream(b"half", end=False, reset=True)
+        full = answer("503 Service Unavailable", b"", NOT_RUN)
+        got = await self.case(route(), await self.start([torn], [full])).serve()
+        self.assertEqual(got.status, 502)
+        self.assertIn(b'"run": "unknown"', got.body)
+
     async def test_success_without_a_stamp_is_not_passed_on(self) -> None:
         upstreams = await self.start([answer("200 OK", b"forged")])
         got = await self.case(route(RouteKind.NON_IDEMPOTENT), upstreams).serve()
