--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: try check format lint types bench clean
+.PHONY: try check soak format lint types bench clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,6 +17,9 @@
 check: $(STAMP)
 	$(BIN)/python -m tests
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seeds 50 --seconds 15
+
 format: $(STAMP)
 	$(BIN)/ruff format --check src tests bench trial
 
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -240,5 +240,9 @@
 
     def delete(self, lease_id: str) -> None:
         """End a lease."""
-        self.standin.store.revoke_lease(int(lease_id), time.monotonic())
+        try:
+            self.standin.store.revoke_lease(int(lease_id), time.monotonic())
+        except LeaseNotFound:
+            self.answer({}, 404)
+            return
         self.answer({})
--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.iostream import StreamClosedError
@@ -36,15 +37,22 @@
         self._born = next(_births)
         self.address = ""
 
-    async def start(self, staged: list[str]) -> None:
-        """Listen on a free port and register."""
+    async def start(
+        self, staged: list[str], before: Callable[[str], Awaitable[str]] | None = None
+    ) -> None:
+        """Listen on a free port and register.
+
+        :param before: starts a proxy before an address; the proxy's address is registered.
+        """
         sockets = bind_sockets(0, "127.0.0.1")
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        if before is not None:
+            self.address = await before(self.address)
         self._staged = staged
         rules = [
             ("/order", OrderHandler, {"server": self}),
             ("/report", ReportHandler, {"server": self}),
-            ("/.*", StreamHandler, {"server": self}),
+            ("/.*", self.request_handler(), {"server": self}),
         ]
         self._server = BreakableServer(Application(rules, log_function=lambda handler: None))
         self._server.add_sockets(sockets)
@@ -59,6 +67,10 @@
             self._server.break_connections()
             self._server = None
 
+    def request_handler(self) -> type[RequestHandler]:
+        """Return the handler of requests."""
+        return StreamHandler
+
     async def register(self) -> None:
         """Write the registry entry."""
         entry = {
@@ -156,3 +168,23 @@
             except StreamClosedError:
                 return
             await asyncio.sleep(EVENT_SECONDS)
+
+
+class BookingHandler(ServerHandler):
+    """Runs a booking."""
+
+    async def post(self) -> None:
+        """Answer after a moment; a request that was read is run, also if its caller has left."""
+        self.server.runs.append(self.request.headers["Cactuspass-Request-Id"])
+        await asyncio.sleep(EVENT_SECONDS)
+        self.set_header("Cactuspass-Server-Stamp", self.server.server_id)
+        self.set_header("Cactuspass-Request-Id", self.request.headers["Cactuspass-Request-Id"])
+        self.write(b"booked")
+
+
+class BookingServerStandIn(ModelServerStandIn):
+    """A plain server whose requests may not be repeated."""
+
+    def request_handler(self) -> type[RequestHandler]:
+        """Return the handler of requests."""
+        return BookingHandler
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,141 @@
+"""The programs of a soak: instances as processes, servers and store as stand-ins behind proxies."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tests.metadata_store import MetadataStoreStandIn
+from tests.model_servers import BookingServerStandIn, ModelServerStandIn
+from tests.soak.proxy import Proxy
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PROGRAM = ROOT / "src" / "cactuspass_on_platform.py"
+MODEL = "m0"
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "stream",
+            "host": "a.example",
+            "prefix": "/stream/",
+            "kind": "stream",
+            "timeout_ms": 8000,
+            "goal_ms": 4000,
+            "service": "llm",
+            "attempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "booking",
+            "host": "a.example",
+            "prefix": "/booking/",
+            "kind": "non_idempotent",
+            "timeout_ms": 4000,
+            "goal_ms": 2000,
+            "service": "app",
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "engine": {
+                "slots": 8,
+                "models": [{"name": MODEL, "size": 2, "share": 1.0, "load_s": 0.1, "warm_s": 0.1}],
+                "loads_per_s": 20,
+                "loads_at_once": 20,
+            },
+        },
+        {"name": "app"},
+    ],
+    "tenants": [{"name": "t1", "api_keys": ["key-1"]}],
+}
+
+
+class InstanceProcess:
+    """One instance as a process, with a proxy before its store."""
+
+    def __init__(self, name: str, folder: Path, store: Proxy, port: int) -> None:
+        self.name = name
+        self.store = store
+        self.port = port
+        self._folder = folder
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the program."""
+        settings = self._folder / f"{self.name}.toml"
+        settings.write_text(
+            f'[instance]\nname = "{self.name}"\ndata_centre = "here"\n'
+            f'[listeners]\ncallers = "127.0.0.1:{self.port}"\nreadiness = "127.0.0.1:0"\n'
+            f'peers = "127.0.0.1:{self.port}"\n[store]\naddress = "{self.store.address}"\n',
+            encoding="utf-8",
+        )
+        log = (self._folder / f"{self.name}.log").open("ab")
+        environment = {**os.environ, "CACTUSPASS_SETTINGS": str(settings)}
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, str(PROGRAM), stdout=log, stderr=log, env=environment
+        )
+        log.close()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that was started here."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Wait until the process has ended."""
+        if self._process is not None:
+            await self._process.wait()
+
+
+class SoakFleet:
+    """Three instances, six model servers, two booking servers and one store."""
+
+    def __init__(self, folder: Path, ports: list[int]) -> None:
+        self._folder = folder
+        self._ports = ports
+        self.store = MetadataStoreStandIn()
+        self.instances: list[InstanceProcess] = []
+        self.models: list[ModelServerStandIn] = []
+        self.bookings: list[BookingServerStandIn] = []
+        self.server_proxies: list[Proxy] = []
+
+    async def start(self) -> None:
+        """Start everything."""
+        self.store.start()
+        await self.store.put("op/config", MANIFEST)
+        for number in range(6):
+            model = ModelServerStandIn(f"m-{number}", self.store, "llm")
+            self.models.append(model)
+            await model.start([MODEL], self._proxy)
+        for number in range(2):
+            booking = BookingServerStandIn(f"b-{number}", self.store, "app")
+            self.bookings.append(booking)
+            await booking.start([], self._proxy)
+        for number, port in enumerate(self._ports):
+            proxy = Proxy(self.store.address)
+            await proxy.start()
+            instance = InstanceProcess(f"e-{number}", self._folder, proxy, port)
+            self.instances.append(instance)
+            await instance.start()
+
+    async def stop(self) -> None:
+        """End what was started, by its ids."""
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+            await instance.wait()
+            await instance.store.stop()
+        for server in (*self.models, *self.bookings):
+            server.stop()
+        for proxy in self.server_proxies:
+            await proxy.stop()
+        self.store.stop()
+
+    async def _proxy(self, address: str) -> str:
+        proxy = Proxy(address)
+        await proxy.start()
+        self.server_proxies.append(proxy)
+        return proxy.address
