--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -98,5 +98,5 @@
                 await asyncio.sleep(self.delay)
             writer.write(data)
             await writer.drain()
-        if writer.can_write_eof():
+        if not writer.transport.is_closing():
             writer.write_eof()
