Drop state that nothing reads; decide the outcome of a failed request once

Two branches of a failed request gave the same problem, two lookups read the same model, and the members of a domain were counted again for each empty host. No behaviour is changed.

--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -173,17 +173,14 @@
         await self._refuse(attempts.request, delivery, problem, kind)
 
     def _problem(self, attempts: Attempts, error: RequestError) -> Problem:
-        if attempts.may_have_run and not attempts.route.repeatable:
+        if attempts.may_have_run:
             status = 504 if isinstance(error, DeadlinePassed) else 502
             return unknown_outcome("outcome-unknown", str(error) or "no answer in time", status)
-        if isinstance(error, NothingServes) and not attempts.may_have_run:
+        if isinstance(error, NothingServes):
             after = self._retry_after(attempts, error.found.retry_after)
             return not_run(error.found.reason.value, str(error), after)
-        if not attempts.may_have_run:
-            after = self._retry_after(attempts, RETRY_AFTER_SECONDS)
-            return not_run("not-reached", str(error) or "no upstream in time", after)
-        status = 504 if isinstance(error, DeadlinePassed) else 502
-        return unknown_outcome("outcome-unknown", str(error) or "no answer in time", status)
+        after = self._retry_after(attempts, RETRY_AFTER_SECONDS)
+        return not_run("not-reached", str(error) or "no upstream in time", after)
 
     def _retry_after(self, attempts: Attempts, estimate: float) -> float:
         spread = estimate * (1 + RETRY_SPREAD * self._rng.random())
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -68,7 +68,6 @@
         self._metrics = metrics
         self._pool = pool
         self._stopping = False
-        self._began_at = now()
         rng = random.Random()
         data_centre = DataCentreId(settings.instance.data_centre)
         self.beliefs = Beliefs(log, len(settings.instance.data_centres))
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from cactuspass._clock import now
@@ -30,9 +30,8 @@
     upstream: Upstream
     misses: int = 0
     answered_at: float = float("-inf")
-    asked_at: float = float("-inf")
     report: UpstreamReport | None = None
-    wanted_at: float = field(default=0.0)
+    wanted_at: float = 0.0
 
 
 class Probes(RepeatingComponent):
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -8,7 +8,7 @@
 
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._budgets import ColdAllowance
-from cactuspass.fleet._catalog import EngineSpec, Service
+from cactuspass.fleet._catalog import EngineSpec, ModelSpec, Service
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._upstreams import Group, Upstream, UpstreamId
 from cactuspass.models import DataCentreId, ModelId, ServiceId
@@ -36,14 +36,10 @@
     """The upstream to send to.
 
     :param wait: estimated seconds until it begins to work on the request.
-    :param load: estimated requests there.
-    :param alternatives: other upstreams that could take it.
     """
 
     upstream: Upstream
     wait: float
-    load: float
-    alternatives: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +76,6 @@
     upstream: Upstream
     score: float
     wait: float
-    load: float
 
 
 class Selector:
@@ -133,8 +128,7 @@
         if best.wait > wanted.max_wait:
             retry_after = max(0.2, best.wait - wanted.max_wait)
             return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait)
-        others = len(candidates) - 1
-        return Chosen(best.upstream, best.wait, best.load, others)
+        return Chosen(best.upstream, best.wait)
 
     def _sound(
         self, offers: list[tuple[Upstream, Group | None]], at: float
@@ -184,7 +178,7 @@
                 continue
             if model is not None and head.loaded != model:
                 continue
-            if self._beliefs.is_whole(group, _size(service.engine, head)):
+            if self._beliefs.is_whole(group, _loaded_spec(service.engine, head).size):
                 yield head, group
 
     def _is_usable(self, upstream: Upstream) -> bool:
@@ -211,23 +205,18 @@
             slots = max(1, upstream.slots)
             wait = max(0.0, estimate + 1 - slots) * load.latency / slots
             score = (estimate + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
-            return _Candidate(upstream, score + jitter, wait, estimate)
-        pace = _pace(service.engine, upstream)
-        wait = queue_wait(service.engine, pace, estimate)
-        size = _size(service.engine, upstream)
-        whole = 0.0 if group.is_complete(size) else INCOMPLETE_GROUP_PENALTY
-        score = (estimate + 1) * pace / service.engine.slots * 4 + distance + health + whole
-        return _Candidate(upstream, score + jitter, wait, estimate)
-
-
-def _pace(engine: EngineSpec, head: Upstream) -> float:
-    spec = engine.models_by_id.get(head.loaded) if head.loaded is not None else None
-    return spec.pace if spec is not None else 1.0
-
-
-def _size(engine: EngineSpec, head: Upstream) -> int:
-    spec = engine.models_by_id.get(head.loaded) if head.loaded is not None else None
-    return spec.size if spec is not None else 1
+            return _Candidate(upstream, score + jitter, wait)
+        spec = _loaded_spec(service.engine, upstream)
+        wait = queue_wait(service.engine, spec.pace, estimate)
+        whole = 0.0 if group.is_complete(spec.size) else INCOMPLETE_GROUP_PENALTY
+        score = (estimate + 1) * spec.pace / service.engine.slots * 4 + distance + health + whole
+        return _Candidate(upstream, score + jitter, wait)
+
+
+def _loaded_spec(engine: EngineSpec, head: Upstream) -> ModelSpec:
+    """Return the model that a head carries; an undeclared one counts as a group of one."""
+    model = head.loaded or ModelId("")
+    return engine.models_by_id.get(model) or ModelSpec(model, size=1)
 
 
 def queue_wait(engine: EngineSpec, pace: float, estimate: float) -> float:
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -51,10 +51,11 @@
 ) -> Iterator[_Load]:
     """Yield a load for each free host without weights."""
     prepared = _count_prepared(hosts, current)
+    serving = _bound_hosts(domain, current)
     for host in hosts:
         if host.staged or current.memory.schedule.is_loading(host.upstream_id):
             continue
-        spec = _model_to_stage(domain, prepared, current)
+        spec = _model_to_stage(serving, prepared, current)
         prepared[spec.model] += 1
         completes = prepared[spec.model] % spec.size == 0
         yield _Load(host, spec, completes, current.supply(spec), "host has no weights")
@@ -112,16 +113,15 @@
 
 
 def _model_to_stage(
-    domain: FabricDomainId, prepared: Counter[ModelId], current: Round
+    serving: Counter[ModelId], prepared: Counter[ModelId], current: Round
 ) -> ModelSpec:
     """Return the model that a free host of a domain should carry.
 
     A host that completes a group comes first, then one that replaces a lost member.
 
+    :param serving: members of the domain's groups for each model.
     :param prepared: free hosts that carry or load each model.
     """
-    specs = list(current.situation.engine.models_by_id.values())
-    serving = _bound_hosts(domain, current)
 
     def rank(spec: ModelSpec) -> tuple[float, float]:
         count = prepared[spec.model]
@@ -130,7 +130,7 @@
             return (-1.0, current.supply(spec))
         return (0.0, (count + 0.5) / (serving[spec.model] + 0.5))
 
-    return min(specs, key=rank)
+    return min(current.situation.engine.models_by_id.values(), key=rank)
 
 
 def _bound_hosts(domain: FabricDomainId, current: Round) -> Counter[ModelId]:
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -118,7 +118,6 @@
         super().__init__(log)
         self._directory = directory
         self._beliefs = beliefs
-        self._log = log
         self._changed = changed
         self._leads = leads
         self._dependency = Dependency("registry of upstreams", log)
