Guard the watch of the instances' keys like the other loops; ask one place which groups serve

The loop that follows the keys of all instances was the one that ended in silence on an unexpected error, since it stood beside the component that repeats failed steps. It is such a component now. Nothing else is changed. Test seen red: test_watch_goes_on_after_an_unexpected_error.

--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from cactuspass._clock import now
@@ -40,6 +40,21 @@
         return self.revision * EPOCHS_PER_TERM
 
 
+class _KeyWatch(RepeatingComponent):
+    """Follows the keys of all instances.
+
+    :param watch_once: waits for one set of changes.
+    """
+
+    def __init__(self, watch_once: Callable[[], Awaitable[None]], log: DecisionLog) -> None:
+        super().__init__(log)
+        self._watch_once = watch_once
+
+    async def step(self) -> None:
+        """Wait for one set of changes."""
+        await self._watch_once()
+
+
 class Presence(RepeatingComponent):
     """Registers this instance and tries to lead when nobody does.
 
@@ -69,14 +84,14 @@
         self._lease_until = float("-inf")
         self._term: Term | None = None
         self._stopping = False
-        self._watch_task: asyncio.Task[None] | None = None
+        self._key_watch = _KeyWatch(self._watch_once, log)
         self._keys: dict[str, KeyValue] = {}
         self._revision = 0
 
     async def start(self) -> None:
         """Begin to register and to watch the others."""
         await super().start()
-        self._watch_task = asyncio.create_task(self._watch_loop())
+        await self._key_watch.start()
 
     async def drain(self) -> None:
         """Give up the lead at once, so that another instance takes it over."""
@@ -93,8 +108,7 @@
     async def stop(self) -> None:
         """End the loops."""
         await super().stop()
-        if self._watch_task is not None:
-            self._watch_task.cancel()
+        await self._key_watch.stop()
 
     @property
     def term(self) -> Term | None:
@@ -186,18 +200,18 @@
         self._term = None
         self._term_changed()
 
-    async def _watch_loop(self) -> None:
-        while True:
-            try:
-                await self._watch_once()
-            except HistoryLost:
-                self._revision = 0
-            except PlatformError:
-                # The lease loop logs that the store is away.
-                self._revision = 0
-                await asyncio.sleep(RETRY_SECONDS)
-
     async def _watch_once(self) -> None:
+        try:
+            await self._read_keys()
+        except HistoryLost:
+            self._revision = 0
+        except PlatformError:
+            # The lease loop logs that the store is away.
+            self._revision = 0
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _read_keys(self) -> None:
+        """List the keys of all instances, or wait for a change of one."""
         if self._revision == 0:
             snapshot = await self._store.read_prefix(PREFIX)
             self._keys = dict(snapshot.values_by_key)
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -172,9 +172,9 @@
                 if upstream.service == service.service:
                     yield upstream, None
             return
-        for group in view.groups_by_key.values():
+        for group in view.serving_groups(service.service):
             head = group.head
-            if head is None or not group.serves or group.service != service.service:
+            if head is None:
                 continue
             if model is not None and head.loaded != model:
                 continue
--- a/src/cactuspass/fleet/_upstreams.py
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -149,6 +149,11 @@
     upstreams_by_id: Mapping[UpstreamId, Upstream] = field(default_factory=dict)
     groups_by_key: Mapping[GroupKey, Group] = field(default_factory=dict)
 
+    def serving_groups(self, service: ServiceId) -> list[Group]:
+        """Return the groups of a service whose head takes requests."""
+        groups = self.groups_by_key.values()
+        return [group for group in groups if group.service == service and group.serves]
+
     @classmethod
     def of(cls, upstreams: Iterable[Upstream]) -> "UpstreamView":
         """Return the view of a set of upstreams."""
--- a/tests/test_fleet_presence.py
+++ b/tests/test_fleet_presence.py
@@ -1,6 +1,7 @@
 """Who leads, when the store is away, slow, or loses answers."""
 
 import asyncio
+import itertools
 import unittest
 from collections.abc import Sequence
 from unittest import mock
@@ -190,6 +191,23 @@
         self.assertEqual(self.leaders(instances), instances)
         await self.stop(instances)
 
+    @virtual_time
+    async def test_watch_goes_on_after_an_unexpected_error(self) -> None:
+        store = MemoryStore()
+        read_prefix = store.read_prefix
+        calls = itertools.count()
+
+        async def fail_once(prefix: str) -> Snapshot:
+            if next(calls) == 0:
+                raise RuntimeError("unexpected")
+            return await read_prefix(prefix)
+
+        with mock.patch.object(store, "read_prefix", fail_once):
+            instances = await self.start(store, 1)
+            await asyncio.sleep(2)
+        self.assertEqual(self.leaders(instances), instances)
+        await self.stop(instances)
+
     @virtual_time
     async def test_shutdown_hands_over_at_once(self) -> None:
         store = MemoryStore()
