Give each fabric domain a model of its own where a data centre has domains enough

Ruled out: the rate of loads (20 in 5 s allowed, 3 used), the ceiling of the schedule. Change: before the first request a domain forms only the model allotted to it, until that has the groups that it should have.

--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterator
 
+from cactuspass.fleet._allotment import allot_models
 from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._orders import AddressedOrder, Join
 from cactuspass.fleet._round import Formation, Round
 from cactuspass.fleet._upstreams import GroupKey, Upstream
-from cactuspass.models import GroupId
+from cactuspass.models import GroupId, ModelId
 
 SPARES_IN_DOMAIN = 2
 HOT_JOIN_SECONDS = 0.2
@@ -45,8 +46,10 @@
 
 def form_groups(current: Round) -> Iterator[AddressedOrder]:
     """Order new groups, of the model that is shortest first."""
-    for _, hosts in sorted(current.free_hosts_by_domain().items()):
-        while (chosen := _choose_model(hosts, current)) is not None:
+    model_by_domain = allot_models(current) if current.situation.lead_in else {}
+    for domain, hosts in sorted(current.free_hosts_by_domain().items()):
+        own_model = model_by_domain.get(domain)
+        while (chosen := _choose_model(hosts, own_model, current)) is not None:
             spec, members = chosen
             to_load = sum(spec.model not in host.staged for host in members)
             if to_load > current.load_room():
@@ -55,10 +58,19 @@
             yield from _begin_formation(spec, members, current)
 
 
-def _choose_model(hosts: list[Upstream], current: Round) -> tuple[ModelSpec, list[Upstream]] | None:
-    """Return the model for the next group of a domain, and its members."""
+def _choose_model(
+    hosts: list[Upstream], own_model: ModelId | None, current: Round
+) -> tuple[ModelSpec, list[Upstream]] | None:
+    """Return the model for the next group of a domain, and its members.
+
+    :param own_model: model that the domain serves before any other.
+    """
+    specs_by_id = current.situation.engine.models_by_id
+    specs = list(specs_by_id.values())
+    if own_model is not None and current.supply(specs_by_id[own_model]) < 1:
+        specs = [specs_by_id[own_model]]
     feasible: list[tuple[float, ModelSpec, list[Upstream]]] = []
-    for spec in current.situation.engine.models_by_id.values():
+    for spec in specs:
         members = _best_hosts(spec, hosts, current)
         if members is None:
             continue
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -2,6 +2,7 @@
 
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._forming import form_groups, tend_formations
+from cactuspass.fleet._inventory import describe_free_hosts
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, Open, OrderOutcome, Stage
 from cactuspass.fleet._round import Memory, Round, Situation
 from cactuspass.fleet._staging import stage_hosts
@@ -24,6 +25,7 @@
     def __init__(self, demand: Demand) -> None:
         self.demand = demand
         self.free_host_count = 0
+        self.free_hosts = ""
         self._memory = Memory(demand)
 
     def plan(self, situation: Situation) -> list[AddressedOrder]:
@@ -37,6 +39,7 @@
         orders += form_groups(current)
         orders += stage_hosts(current)
         self.free_host_count = sum(map(len, current.free_hosts_by_domain().values()))
+        self.free_hosts = describe_free_hosts(current)
         return orders
 
     def note_outcome(self, addressed: AddressedOrder, outcome: OrderOutcome, at: float) -> None:
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -158,9 +158,11 @@
 
     def supply(self, spec: ModelSpec) -> float:
         """Return the groups that a model has for each one that it should have."""
-        demand = self.memory.demand
-        wanted = demand.groups_wanted(self.situation.engine, spec, len(self.hosts()))
-        return self.groups_by_model[spec.model] / wanted
+        return self.groups_by_model[spec.model] / self.groups_wanted(spec)
+
+    def groups_wanted(self, spec: ModelSpec) -> float:
+        """Return how many groups a model should have."""
+        return self.memory.demand.groups_wanted(self.situation.engine, spec, len(self.hosts()))
 
     def load_room(self, share: float = 1.0) -> int:
         """Return how many loads from the weight store may begin now.
