Learn from reports which hosts load; give a domain its own model up to 1.5 of the wanted groups

A third domain with the second model had been mixed in the lead-in, since the declared shares called for no more groups of it. Ruled out: a restart of the load by a repeated order (a host loaded 16 s in spite of one). Change: reports say whether a host is busy; hosts without a group are asked too; a load begins only on a host that has just reported; an unknown load counts for the model that its domain carries. A domain prefers its own model until that has 1.5 of the groups that it should have.

--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -1,6 +1,6 @@
 """What this instance believes of operators, upstreams and other instances, and how old it is."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import Catalog, CatalogIndex, Evacuations
@@ -79,6 +79,14 @@
         present = {member.upstream_id for member in group.members}
         return not any(missing in self.view.upstreams_by_id for missing in known - present)
 
+    def engine_hosts(self) -> Iterator[Upstream]:
+        """Return the upstreams of all services whose engines form groups."""
+        services_by_id = self.index.catalog.services_by_id if self.index is not None else {}
+        for upstream in self.view.upstreams_by_id.values():
+            service = services_by_id.get(upstream.service)
+            if service is not None and service.engine is not None:
+                yield upstream
+
     def _remember_members(self, view: UpstreamView) -> None:
         """Remember the most members that each group was seen with."""
         members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -10,6 +10,7 @@
 from cactuspass.models import GroupId, ModelId
 
 SPARES_IN_DOMAIN = 2
+OWN_MODEL_SUPPLY = 1.5  # declared shares are no sure guide to the demand
 HOT_JOIN_SECONDS = 0.2
 PLAN_SLACK_SECONDS = 3.0
 LOAD_SLACK_FACTOR = 2.5
@@ -67,7 +68,7 @@
     """
     specs_by_id = current.situation.engine.models_by_id
     specs = list(specs_by_id.values())
-    if own_model is not None and current.supply(specs_by_id[own_model]) < 1:
+    if own_model is not None and current.supply(specs_by_id[own_model]) < OWN_MODEL_SUPPLY:
         specs = [specs_by_id[own_model]]
     feasible: list[tuple[float, ModelSpec, list[Upstream]]] = []
     for spec in specs:
--- a/src/cactuspass/fleet/_loading.py
+++ b/src/cactuspass/fleet/_loading.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass, field
 
 from cactuspass.fleet._budgets import SlidingCount
+from cactuspass.fleet._orders import UpstreamReport
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ModelId
 
 LOAD_WINDOW_SECONDS = 5.0
 RATE_MARGIN = 0.9
 GIVE_UP_SECONDS = 40.0
-BUSY_SECONDS = 4.0
+BEGIN_SECONDS = 4.0  # until then reports may not show a load yet
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,14 +19,22 @@
     """A load that was ordered and has not ended.
 
     :param model: None when a controller before has ordered it, so that the model is not known.
+    :param begun_at: clock value at which it was ordered or noticed.
     :param until: clock value after which it is not believed in any more.
     :param urgent: whether a group can be formed as soon as it has ended.
     """
 
     model: ModelId | None
+    begun_at: float
     until: float
     urgent: bool = False
 
+    def has_ended(self, host: Upstream, report: UpstreamReport | None, at: float) -> bool:
+        """Return whether the host has the weights, or does not load them any more."""
+        if at > self.until or (self.model is not None and self.model in host.staged):
+            return True
+        return report is not None and not report.busy and at - self.begun_at > BEGIN_SECONDS
+
 
 @dataclass(slots=True)
 class LoadSchedule:
@@ -34,15 +43,24 @@
     under_way_by_id: dict[UpstreamId, LoadUnderWay] = field(default_factory=dict)
     recent: SlidingCount = field(default_factory=lambda: SlidingCount(LOAD_WINDOW_SECONDS))
 
-    def update(self, upstreams_by_id: Mapping[UpstreamId, Upstream], at: float) -> None:
-        """Drop the loads that have ended or whose upstream is gone."""
+    def update(
+        self,
+        upstreams_by_id: Mapping[UpstreamId, Upstream],
+        reports_by_id: Mapping[UpstreamId, UpstreamReport],
+        at: float,
+    ) -> None:
+        """Drop the loads that have ended, and note those that another controller has ordered."""
         for upstream_id, load in list(self.under_way_by_id.items()):
             upstream = upstreams_by_id.get(upstream_id)
-            ended = upstream is None or load.model in upstream.staged
-            if load.model is None and upstream is not None:
-                ended = bool(upstream.staged)
-            if ended or at > load.until:
+            report = reports_by_id.get(upstream_id)
+            if upstream is None or load.has_ended(upstream, report, at):
                 del self.under_way_by_id[upstream_id]
+        for upstream_id, report in reports_by_id.items():
+            upstream = upstreams_by_id.get(upstream_id)
+            if upstream is None or upstream.membership is not None or not report.busy:
+                continue
+            if self.model(upstream_id) is None:
+                self.found_busy(upstream_id, at)
 
     def room(self, at_once: int, per_second: float, at: float) -> int:
         """Return how many loads may begin now.
@@ -62,12 +80,14 @@
         self, upstream_id: UpstreamId, model: ModelId, at: float, urgent: bool = False
     ) -> None:
         """Count a load that begins."""
-        self.under_way_by_id[upstream_id] = LoadUnderWay(model, at + GIVE_UP_SECONDS, urgent)
+        self.under_way_by_id[upstream_id] = LoadUnderWay(model, at, at + GIVE_UP_SECONDS, urgent)
         self.recent.add(at)
 
     def found_busy(self, upstream_id: UpstreamId, at: float) -> None:
         """Note that a host is busy with an order of a controller before."""
-        self.under_way_by_id[upstream_id] = LoadUnderWay(None, at + BUSY_SECONDS)
+        known = self.under_way_by_id.get(upstream_id)
+        begun_at = known.begun_at if known is not None else at
+        self.under_way_by_id[upstream_id] = LoadUnderWay(None, begun_at, at + BEGIN_SECONDS)
 
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drop a load that was refused."""
--- a/src/cactuspass/fleet/_orders.py
+++ b/src/cactuspass/fleet/_orders.py
@@ -73,12 +73,14 @@
     """What an upstream says when asked, some hundred milliseconds old.
 
     :param pace: factor on its times; above 1 is slow.
+    :param busy: whether it carries out an order, such as to load weights.
     """
 
     running: int
     queued: int
     pace: float
     membership: Membership | None
+    busy: bool = False
 
 
 class UpstreamControl(ABC):
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -32,7 +32,8 @@
         """Return the orders to give now."""
         memory = self._memory
         current = Round(situation, memory)
-        memory.schedule.update(situation.view.upstreams_by_id, situation.at)
+        upstreams_by_id = situation.view.upstreams_by_id
+        memory.schedule.update(upstreams_by_id, situation.reports_by_id, situation.at)
         memory.next_epoch = max(memory.next_epoch, situation.first_epoch)
         orders = list(tend_groups(current))
         orders += tend_formations(current)
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -1,4 +1,4 @@
-"""Asks the members of serving groups for reports, to notice soon which of them are gone."""
+"""Asks the hosts of groups for reports, to notice soon which are gone and what they do."""
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
@@ -35,7 +35,7 @@
 
 
 class Probes(RepeatingComponent):
-    """Asks each member of a group that serves or could, while this instance leads."""
+    """Asks each upstream that is or could be in a group, while this instance leads."""
 
     def __init__(self, beliefs: Beliefs, control: UpstreamControl, log: DecisionLog) -> None:
         super().__init__(log)
@@ -106,11 +106,9 @@
             self._start(self._ask(probed))
 
     def _choose(self) -> None:
-        """Ask the members of groups, and for a while those that have left one."""
+        """Ask the hosts of engine services, and for a while those that are not registered."""
         at = now()
-        for group in self._beliefs.view.groups_by_key.values():
-            if group.serves or group.all_ready():
-                self._want(group.members)
+        self._want(self._beliefs.engine_hosts())
         for upstream_id, probed in list(self._probed_by_id.items()):
             if at - probed.wanted_at > FORGET_SECONDS:
                 del self._probed_by_id[upstream_id]
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -37,7 +37,7 @@
         loads += _loads_for_stranded(hosts, for_empty, current)
     loads.sort(key=lambda load: (not load.completes, load.supply))
     schedule, at = current.memory.schedule, current.situation.at
-    for load in loads:
+    for load in filter(lambda load: _may_begin(load.host, current), loads):
         share = URGENT_SHARE if load.completes else 1.0
         if not load.completes and schedule.any_urgent:
             share = SHARE_BESIDE_URGENT
@@ -46,6 +46,15 @@
             yield current.order(load.host, Stage(load.spec.model), load.reason)
 
 
+def _may_begin(host: Upstream, current: Round) -> bool:
+    """Return whether a host is known to load nothing.
+
+    A controller before may have ordered a load, which only the host's report shows.
+    """
+    situation = current.situation
+    return situation.lead_in or host.upstream_id in situation.reachable
+
+
 def _loads_for_empty(
     domain: FabricDomainId, hosts: list[Upstream], current: Round
 ) -> Iterator[_Load]:
@@ -104,14 +113,23 @@
     by_model: dict[ModelId, list[Upstream]] = defaultdict(list)
     for host in hosts:
         schedule = current.memory.schedule
-        model = schedule.model(host.upstream_id)
-        if host.staged and not schedule.is_loading(host.upstream_id):
-            model = host.staged[-1]
+        if schedule.is_loading(host.upstream_id):
+            model = schedule.model(host.upstream_id) or _common_model(host.fabric_domain, current)
+        else:
+            model = host.staged[-1] if host.staged else None
         if model is not None:
             by_model[model].append(host)
     return by_model
 
 
+def _common_model(domain: FabricDomainId, current: Round) -> ModelId | None:
+    """Return the model that most hosts of a domain carry."""
+    carried = Counter(
+        host.staged[-1] for host in current.hosts() if host.fabric_domain == domain and host.staged
+    )
+    return next((model for model, _ in carried.most_common(1)), None)
+
+
 def _model_to_stage(
     serving: Counter[ModelId], prepared: Counter[ModelId], current: Round
 ) -> ModelSpec:
--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -56,6 +56,7 @@
     running: Annotated[StrictInt, Field(ge=0)]
     queued: Annotated[StrictInt, Field(ge=0)]
     pace: float = 1.0
+    busy: bool = False
     born: StrictInt = 0
     group: _Group | None = None
 
@@ -96,4 +97,4 @@
     except ValidationError as error:
         raise DocumentError(findings_of_errors("report", error.errors())) from error
     membership = report.group.decode() if report.group is not None else None
-    return UpstreamReport(report.running, report.queued, report.pace, membership)
+    return UpstreamReport(report.running, report.queued, report.pace, membership, report.busy)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -5,7 +5,15 @@
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
 from cactuspass.fleet._demand import Demand
-from cactuspass.fleet._orders import AddressedOrder, Close, Join, Open, OrderOutcome, Stage
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Close,
+    Join,
+    Open,
+    OrderOutcome,
+    Stage,
+    UpstreamReport,
+)
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._round import Situation
 from cactuspass.fleet._upstreams import (
@@ -61,7 +69,8 @@
     :param registered: upstreams at the start.
     :param lead_in: whether loads take a tenth of their time.
 
-    Upstreams in ``dead`` answer nothing; those in ``busy`` refuse to load.
+    Upstreams in ``dead`` answer nothing; those in ``busy`` refuse to load, though their reports do
+    not show it yet.
     """
 
     def __init__(self, registered: Iterable[Upstream], lead_in: bool = False) -> None:
@@ -86,9 +95,20 @@
             self.first_epoch,
             frozenset(self.dead),
             answering,
+            {upstream_id: self._report(upstream_id) for upstream_id in answering},
             lead_in=self.lead_in,
         )
 
+    def _report(self, upstream_id: UpstreamId) -> UpstreamReport:
+        carries_out = any(due_id == upstream_id for _, due_id, _ in self._due)
+        membership = self.upstreams_by_id[upstream_id].membership
+        return UpstreamReport(0, 0, 1.0, membership, carries_out)
+
+    def replace_controller(self) -> None:
+        """Let a controller that knows nothing take over, with higher epochs."""
+        self.planner = GroupPlanner(Demand())
+        self.first_epoch += 10_000
+
     def run(self, seconds: float, step: float = 0.1) -> None:
         """Plan and carry out orders for a while."""
         end = self.at + seconds
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -229,5 +229,30 @@
         self.assertLessEqual(len(world.orders(Stage)), 12)
 
 
-if __name__ == "__main__":
-    unittest.main()
+class LoadsOfTheControllerBeforeTest(unittest.TestCase):
+    """Controllers follow each other within seconds, while hosts load (rolling restarts)."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld([*hosts(3, staged=LARGE), host("empty")])
+        self.world.run(1.0)
+        self.world.replace_controller()
+
+    def test_no_load_is_ordered_again(self) -> None:
+        self.world.run(8.0)
+        self.assertEqual(len(self.world.orders(Stage)), 1)
+
+    def test_the_group_is_formed_when_the_load_has_ended(self) -> None:
+        self.world.run(18.0)
+        self.assertEqual(len(self.world.serving(LARGE)), 1)
+
+    def test_hosts_whose_group_waits_for_a_load_keep_their_weights(self) -> None:
+        self.world.run(8.0)
+        loaded = {addressed.target.upstream_id for addressed in self.world.orders(Stage)}
+        self.assertEqual(loaded, {"empty"})
+
+    def test_a_load_that_was_never_begun_is_ordered_again(self) -> None:
+        world = EngineWorld([*hosts(3, staged=LARGE), host("empty")])
+        world.run(0.2)
+        world._due.clear()
+        world.run(5.0)
+        self.assertEqual(len(world.orders(Stage)), 2)
