Tell peers at once when a held group takes requests again

Cause: the part of the state whose change sends a heartbeat at once held whether a group serves, not whether it may be sent to. A group that ceases to leave (its spare has taken the rank), or whose settle time passes, was told with the next heartbeat, up to 1 s later; meanwhile other entries refused with 'no group can be sent to'. That is what tests.test_leaving_upstreams saw beside load. Ruled out: the operators' view (it asks the holder, which knows). Change: summary and urgent state decide by one function. Two tests, both red before.

--- a/src/cactuspass/_entry_state.py
+++ b/src/cactuspass/_entry_state.py
@@ -13,7 +13,7 @@
 from cactuspass._peer_messages import Documents, Heartbeat
 from cactuspass._peers import PeerState
 from cactuspass._right import SILENT_PLATFORM_SECONDS
-from cactuspass._summaries import summaries
+from cactuspass._summaries import summaries, takes_requests
 from cactuspass._tables import Tables
 from cactuspass.exceptions import DocumentError
 from cactuspass.models import Configuration, EntryId, InstanceRole, TakeOut
@@ -63,7 +63,11 @@
             None if tables.placement is None else tables.placement.version,
             tables.local.draining,
             tuple(tables.pending_take_outs_by_tag),
-            tuple(row.group_id for row in tables.held_groups_by_id.values() if row.serving),
+            tuple(
+                row.group_id
+                for row in tables.held_groups_by_id.values()
+                if takes_requests(row, self._clock())
+            ),
         )
 
     def documents(self) -> Documents:
--- a/src/cactuspass/_summaries.py
+++ b/src/cactuspass/_summaries.py
@@ -20,6 +20,11 @@
     )
 
 
+def takes_requests(row: HeldGroupRow, now: float) -> bool:
+    """Return whether peers may forward requests for a held group now."""
+    return row.serving and not row.leaving and row.held_from <= now
+
+
 def _waiting(tables: Tables, model: str) -> int:
     """Return the number of requests that wait here for a model."""
     rows = tables.requests_by_id.values()
@@ -37,7 +42,7 @@
         group_id=row.group_id,
         model=row.model,
         boot_id=group_boot(tables, row),
-        serving=row.serving and not row.leaving and row.held_from <= now,
+        serving=takes_requests(row, now),
         free=room_of(tables, row).requests,
         queued=queued,
         ramp=bearable_requests(tables, row),
--- a/tests/test_entry_state.py
+++ b/tests/test_entry_state.py
@@ -9,8 +9,16 @@
 from cactuspass._messages import Input, PlacementRead
 from cactuspass._peer_link import PeerLink
 from cactuspass._peer_messages import Documents, Heartbeat
-from cactuspass._tables import LocalRow, Tables
-from cactuspass.models import DataCentreId, EntryId, Incarnation, Placement
+from cactuspass._tables import HeldGroupRow, LocalRow, Tables
+from cactuspass.models import (
+    DataCentreId,
+    EntryId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    KindId,
+    Placement,
+)
 
 HERE = DataCentreId("a")
 NEWER = Heartbeat(0, (), 7, True, False, ())
@@ -34,6 +42,24 @@
         self.link = cast(PeerLink, SimpleNamespace(hello=hello))
         self.documents = Documents(HERE, b"", encode_placement(Placement(HERE, 7)))
 
+    def hold_group(self) -> HeldGroupRow:
+        row = HeldGroupRow(GroupId("g"), "m", KindId("k"), None, (InstanceId("i"),), serving=True)
+        self.tables.held_groups_by_id[row.group_id] = row
+        return row
+
+    def test_peers_learn_at_once_that_a_group_has_ceased_to_leave(self) -> None:
+        row = self.hold_group()
+        row.leaving = True
+        told = self.state.urgent_state()
+        row.leaving = False
+        self.assertNotEqual(self.state.urgent_state(), told)
+
+    def test_peers_learn_at_once_that_a_group_has_settled(self) -> None:
+        self.hold_group().held_from = 10.5
+        told = self.state.urgent_state()
+        self.now = 10.5
+        self.assertNotEqual(self.state.urgent_state(), told)
+
     def test_newer_placement_is_read_from_a_platform_that_answers(self) -> None:
         self.tables.local.platform_ok_at = 9.5
         self.state.wants_documents(self.link, NEWER)
