--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -103,6 +103,7 @@
             self._probes.reachable(),
             self._probes.reports(),
             self._lead_in,
+            self._beliefs.evacuations.data_centres,
         )
         for addressed in planner.plan(situation):
             self._start(planner, addressed)
--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -27,7 +27,7 @@
             continue
         fresh = [m for m in present if m.upstream_id not in current.bound]
         if fresh:
-            current.groups_by_model[formation.model] += 1
+            current.count_group(formation.model, fresh)
         current.bind(tuple(present))
         join = Join(key, formation.model, formation.member_ids)
         for member in present:
@@ -117,7 +117,7 @@
     )
     current.memory.formations_by_key[key] = formation
     current.bind(formation.members)
-    current.groups_by_model[spec.model] += 1
+    current.count_group(spec.model, members)
     for host in to_load:
         current.memory.schedule.start(host.upstream_id, spec.model, situation.at)
     join = Join(key, spec.model, formation.member_ids)
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -9,7 +9,7 @@
 from cactuspass.fleet._loading import LoadSchedule
 from cactuspass.fleet._orders import AddressedOrder, Order, OrderOutcome, Stage, UpstreamReport
 from cactuspass.fleet._upstreams import GroupKey, Upstream, UpstreamId, UpstreamView
-from cactuspass.models import FabricDomainId, ModelId, ServiceId
+from cactuspass.models import DataCentreId, FabricDomainId, ModelId, ServiceId
 
 RESEND_SECONDS = 1.0
 FORGET_SECONDS = 60.0
@@ -23,6 +23,7 @@
     :param reachable: upstreams that have just answered one.
     :param reports_by_id: their last reports.
     :param lead_in: whether no request has come yet, so that loads are quick and free.
+    :param evacuated: data centres whose upstreams get no requests until operators take that back.
     """
 
     at: float
@@ -34,6 +35,7 @@
     reachable: frozenset[UpstreamId] = frozenset()
     reports_by_id: Mapping[UpstreamId, UpstreamReport] = field(default_factory=dict)
     lead_in: bool = False
+    evacuated: frozenset[DataCentreId] = frozenset()
 
 
 @dataclass(slots=True)
@@ -106,7 +108,7 @@
     """Working state of one decision.
 
     :param bound: upstreams that must not join another group now.
-    :param groups_by_model: groups that serve or are being formed.
+    :param groups_by_model: groups that serve or are being formed, where requests may go.
     """
 
     situation: Situation
@@ -118,6 +120,15 @@
         """Keep upstreams from joining another group."""
         self.bound.update(member.upstream_id for member in members)
 
+    def count_group(self, model: ModelId, members: Iterable[Upstream]) -> None:
+        """Count a group towards what its model has, unless it stands where no request goes."""
+        if not any(self.is_evacuated(member) for member in members):
+            self.groups_by_model[model] += 1
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Return whether an upstream gets no requests by the operators' word."""
+        return upstream.data_centre in self.situation.evacuated
+
     def any_unreachable(self, members: Iterable[Upstream]) -> bool:
         """Return whether an upstream does not answer."""
         until_by_id = self.memory.unreachable_until
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -29,13 +29,13 @@
 
 
 def stage_hosts(current: Round) -> Iterator[AddressedOrder]:
-    """Load weights onto free hosts; loads that complete a group come first."""
+    """Load weights onto free hosts; first those that complete a group which may get requests."""
     loads: list[_Load] = []
     for domain, hosts in sorted(current.free_hosts_by_domain().items()):
         for_empty = list(_loads_for_empty(domain, hosts, current))
         loads += for_empty
         loads += _loads_for_stranded(hosts, for_empty, current)
-    loads.sort(key=lambda load: (not load.completes, load.supply))
+    loads.sort(key=lambda load: (current.is_evacuated(load.host), not load.completes, load.supply))
     schedule, at = current.memory.schedule, current.situation.at
     for load in filter(lambda load: _may_begin(load.host, current), loads):
         share = URGENT_SHARE if load.completes else 1.0
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -59,7 +59,7 @@
     current.memory.may_open_until.pop(group.key, None)
     reason, cut = _fault(group, spec, current)
     if reason is None:
-        current.groups_by_model[model] += 1
+        current.count_group(model, group.members)
     elif head.membership.state is MemberState.OPEN and not current.any_unreachable((head,)):
         order = Close(group.key, cut)
         if current.may_send(head, f"close {group.key}"):
@@ -101,7 +101,7 @@
         yield from _hold_while_opening(group, head, current)
         return
     current.bind(group.members)
-    current.groups_by_model[model] += 1
+    current.count_group(model, group.members)
     listed = formation is None or formation.member_ids == tuple(
         member.upstream_id for member in group.members
     )
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -79,6 +79,7 @@
         self.upstreams_by_id = {upstream.upstream_id: upstream for upstream in registered}
         self.dead: set[UpstreamId] = set()
         self.busy: set[UpstreamId] = set()
+        self.evacuated: frozenset[DataCentreId] = frozenset()
         self.planner = GroupPlanner(Demand())
         self.given: list[AddressedOrder] = []
         self.first_epoch = 1
@@ -97,6 +98,7 @@
             answering,
             {upstream_id: self._report(upstream_id) for upstream_id in answering},
             lead_in=self.lead_in,
+            evacuated=self.evacuated,
         )
 
     def _report(self, upstream_id: UpstreamId) -> UpstreamReport:
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -3,9 +3,12 @@
 import unittest
 from dataclasses import replace
 
+from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._orders import Close, Join, Open, Stage
+from cactuspass.fleet._round import Memory, Round
+from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
-from cactuspass.models import GroupId
+from cactuspass.models import DataCentreId, GroupId
 from tests.fleet_world import LARGE, SMALL, EngineWorld, host, hosts
 
 
@@ -256,3 +259,29 @@
         world._due.clear()
         world.run(5.0)
         self.assertEqual(len(world.orders(Stage)), 2)
+
+
+class EvacuatedTest(unittest.TestCase):
+    """A data centre gets no requests while operators empty it, for seconds or for the day."""
+
+    def setUp(self) -> None:
+        away = [
+            *hosts(3, "d1", SMALL, "away"),
+            *hosts(3, "d2", SMALL, "away"),
+            *hosts(3, "d3", LARGE, "away"),
+            *(host(f"away-{number}", "d3", None, "away") for number in range(6)),
+        ]
+        here = [*hosts(3, "d0", SMALL), *hosts(3, "d4", LARGE), host("here", "d4")]
+        self.world = EngineWorld([*away, *here])
+        self.world.evacuated = frozenset({DataCentreId("away")})
+        self.world.run(3.0)
+
+    def test_its_groups_are_formed_but_do_not_count_as_supply(self) -> None:
+        self.assertEqual(len(self.world.serving(SMALL)), 3)
+        counted = Round(self.world.situation(), Memory(Demand()))
+        list(tend_groups(counted))
+        self.assertEqual(counted.groups_by_model[SMALL], 1)
+
+    def test_weights_are_loaded_elsewhere_first(self) -> None:
+        first = self.world.orders(Stage)[0]
+        self.assertEqual(first.target.upstream_id, "here")
