Send a late stream's request to a second upstream as well; the first that brings events goes on

Cause: a group that loses a member stands still while its head takes requests; a silent stream was taken elsewhere after 0.45 s and a first event awaited 0.7 s and more, over the pauses of 0.2 and 0.3 s that users accept. Ruled out: the wait for the resumed stream (60 to 150 ms in the logs). Change: after 1.8 times the longest pause of a full working group (from the engine's own figures), unless another stream hears from the same head, the request goes to a second upstream; the loser is cancelled, and a head from which nothing was heard meanwhile is avoided. It spends the retry allowance but for a quarter. The upstreams that may have run a request are a set now, so that it can go back to one of them. The body of an answer survives a wait that is repeated after a late wake.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -24,6 +24,7 @@
 MAX_SENDS_OF_BEGUN = 8
 REJECTED_SECONDS = 0.15
 SHARE_KEPT_FOR_BEGUN = 0.4
+SHARE_KEPT_FROM_HEDGES = 0.25
 MIN_SECONDS_LEFT = 0.1
 FRESH_CONNECTION_SECONDS = 1.5
 LATE_WAKE_SECONDS = 0.1
@@ -98,6 +99,7 @@
     upstream: Upstream
     exchange: PooledExchange
     sent_at: float
+    closed: bool = False
 
 
 @dataclass(slots=True)
@@ -108,7 +110,8 @@
     :param excluded: upstreams that are not asked again.
     :param rejected_at: when upstreams said that they have not run the request; they are asked again
         only after a pause.
-    :param counted_runs: upstreams that may have run the request and still live.
+    :param ran_at: upstreams that may have run the request and still live; at most as many as the
+        route allows.
     :param possible_runs: upstreams that may have run the request, whether they live or not.
     """
 
@@ -120,7 +123,7 @@
     deadline: float
     excluded: set[UpstreamId] = field(default_factory=set)
     rejected_at: dict[UpstreamId, float] = field(default_factory=dict)
-    counted_runs: int = 0
+    ran_at: set[UpstreamId] = field(default_factory=set)
     sends: int = 0
     possible_runs: int = 0
     last_failure: Failure | None = None
@@ -157,7 +160,8 @@
         excluded = self.excluded | rejected
         if other_than is not None:
             excluded.add(other_than)
-        wanted = Wanted(self.service, self.request.model, excluded, self.max_wait)
+        only = self.ran_at if len(self.ran_at) >= self.route.max_upstreams else None
+        wanted = Wanted(self.service, self.request.model, excluded, self.max_wait, only)
         return self.tools.selector.choose(wanted, at)
 
     async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
@@ -185,11 +189,14 @@
             self.tools.loads.ended(upstream.upstream_id)
             raise
         self.possible_runs += 1
-        self.counted_runs += 1
+        self.ran_at.add(upstream.upstream_id)
         return Sent(upstream, exchange, now())
 
     def close(self, sent: Sent) -> None:
-        """End an attempt, whatever became of it."""
+        """End an attempt, whatever became of it; once is enough."""
+        if sent.closed:
+            return
+        sent.closed = True
         sent.exchange.abort()
         self.tools.loads.ended(sent.upstream.upstream_id)
 
@@ -209,7 +216,7 @@
         else:
             self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
-            self.counted_runs -= 1
+            self.ran_at.discard(upstream_id)
         if was_sent and failure is Failure.NOT_RUN:
             self.possible_runs -= 1
         pause = None
@@ -236,7 +243,7 @@
         most = MAX_SENDS_OF_BEGUN if begun else MAX_SENDS
         if self.sends >= most or self.seconds_left < MIN_SECONDS_LEFT:
             return False
-        runs_used_up = self.counted_runs >= self.route.max_upstreams
+        runs_used_up = self._runs_used_up()
         if not failure.certainly_not_run and (runs_used_up or not self.route.repeatable):
             return False
         if failure is Failure.NOT_REACHED:
@@ -263,12 +270,33 @@
 
     def could_repeat_elsewhere(self, current: Upstream) -> bool:
         """Return whether an attempt that stalls could be made at another upstream."""
-        if not self.route.repeatable or self.counted_runs >= self.route.max_upstreams:
+        if not self.route.repeatable or self._runs_used_up(current.upstream_id):
             return False
         if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
             return False
         return isinstance(self.choose(other_than=current.upstream_id), Chosen)
 
+    def choose_hedge(self, current: Upstream) -> Chosen | None:
+        """Return where to send the request beside an attempt that is late, and spend the budget.
+
+        :return: None when it may not be sent, or nothing could take it.
+        """
+        if not self.could_repeat_elsewhere(current):
+            return None
+        found = self.choose(other_than=current.upstream_id)
+        allowance = self.tools.allowance(self.service)
+        if not isinstance(found, Chosen):
+            return None
+        if not allowance.take(now(), self.tools.instance_count(), SHARE_KEPT_FROM_HEDGES):
+            return None
+        return found
+
+    def _runs_used_up(self, current: UpstreamId | None = None) -> bool:
+        """Return whether no upstream but the current one may run the request any more."""
+        if len(self.ran_at) < self.route.max_upstreams:
+            return False
+        return not self.ran_at - self.excluded - {current}
+
 
 async def within(seconds: float, call: Callable[[], Awaitable[T]]) -> T:
     """Return the result of a call that must come in time.
--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -84,6 +84,9 @@
     :param step_seconds_per_request: added to a step by each running request.
     :param loads_per_second: loads from the weight store that may begin in a second.
     :param loads_at_once: loads that run together without slowing each other.
+    :param steps_per_event: steps that are made before their tokens go out as one event.
+    :param prompt_tokens_per_step: most prompt tokens that are read beside one event's steps.
+    :param prompt_tokens_per_second: speed of reading prompts.
     """
 
     slots: int
@@ -92,6 +95,18 @@
     step_seconds_per_request: float = 0.0
     loads_per_second: float = 1.0
     loads_at_once: int = 1
+    steps_per_event: int = 1
+    prompt_tokens_per_step: int = 2048
+    prompt_tokens_per_second: float = 20_000.0
+
+    def longest_pause(self, pace: float) -> float:
+        """Return seconds between two events of a stream at a full group that works.
+
+        :param pace: factor on the group's times.
+        """
+        step = self.step_seconds + self.slots * self.step_seconds_per_request
+        reading = self.prompt_tokens_per_step / self.prompt_tokens_per_second
+        return pace * (self.steps_per_event * step + reading)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/_channels.py
+++ b/src/cactuspass/fleet/_channels.py
@@ -23,6 +23,11 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the request succeeded."""
+        return 200 <= self.status < 300
+
     def get(self, name: str) -> str | None:
         """Return the first header of a name, given in lower case."""
         return next((value for key, value in self.headers if key == name), None)
@@ -49,6 +54,7 @@
         self._bodiless = bodiless
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
+        self._parts: list[bytes] = []
         self._held_bytes = 0
         self._ended = False
         self._error: Exception | None = None
@@ -83,14 +89,13 @@
         return chunk
 
     async def body(self) -> bytes:
-        """Return the whole body.
+        """Return the whole body; a call that was cancelled may be made again.
 
         :raises AnswerCut: when the connection broke before the end.
         """
-        parts: list[bytes] = []
         while part := await self.chunk():
-            parts.append(part)
-        return b"".join(parts)
+            self._parts.append(part)
+        return b"".join(self._parts)
 
     def abort(self) -> None:
         """Close the connection unless the answer has ended."""
--- /dev/null
+++ b/src/cactuspass/fleet/_legs.py
@@ -0,0 +1,76 @@
+"""One attempt at a stream, and the reading of its events."""
+
+from dataclasses import dataclass
+
+from cactuspass._clock import now
+from cactuspass.fleet._attempts import AttemptFailed, Attempts, Failure, Sent
+from cactuspass.fleet._channels import AnswerHead
+from cactuspass.fleet._events import EventSplitter
+from cactuspass.fleet._selection import Chosen
+
+
+@dataclass(slots=True)
+class Leg:
+    """One attempt at a stream, or at what is left of it.
+
+    Reading may be cancelled and begun again; what has come is kept here.
+
+    :param splitter: finds the ends of events, and holds the id of the last one read.
+    :param head: head of the answer, once it has come.
+    :param checked: whether the head is that of a stream which the caller can have.
+    :param events: whole events that were read and not yet delivered.
+    :param ended: whether the stream has ended.
+    """
+
+    attempts: Attempts
+    sent: Sent
+    chosen: Chosen
+    splitter: EventSplitter
+    head: AnswerHead | None = None
+    checked: bool = False
+    events: bytes = b""
+    ended: bool = False
+
+    def take_events(self) -> bytes:
+        """Return the events that were read since the last call."""
+        events, self.events = self.events, b""
+        return events
+
+    async def read_begin(self) -> None:
+        """Read up to the first whole event, or to the head of an answer that is no success.
+
+        :raises RunOutcomeUnknown: when the connection broke before the head was whole.
+        :raises AnswerCut: when it broke later.
+        """
+        self.head = await self.sent.exchange.head()
+        while self.head.is_success and not self.events and not self.ended:
+            await self.read()
+
+    async def read(self) -> None:
+        """Read the next part of the stream.
+
+        :raises AnswerCut: when the connection broke before the end.
+        """
+        chunk = await self.sent.exchange.chunk()
+        self.attempts.tools.loads.heard(self.sent.upstream.upstream_id, now())
+        if chunk:
+            self.events += self.splitter.feed(chunk)
+        else:
+            self.ended = True
+
+    async def check(self) -> None:
+        """Check that the answer is a stream which the caller can have.
+
+        :raises AttemptFailed: when it is not.
+        """
+        if self.checked:
+            return
+        assert self.head is not None
+        notes = self.attempts.read_notes(self.sent, self.head)
+        if notes.not_run:
+            raise AttemptFailed(Failure.NOT_RUN, self.head)
+        if not notes.genuine:
+            raise AttemptFailed(Failure.NOT_GENUINE)
+        if not self.head.is_success:
+            raise AttemptFailed(Failure.SERVER_ERROR, self.head, await self.sent.exchange.body())
+        self.checked = True
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -16,6 +16,9 @@
         self.refusals = self._counter("refusals", "Refused requests by reason", "reason")
         self.repeats = self._counter("repeats", "Requests sent once more, by cause", "cause")
         self.resumed = self._counter("streams_resumed", "Streams that went on elsewhere", "cause")
+        self.hedges = self._counter(
+            "hedges", "Requests sent to a second upstream while the first was late", "outcome"
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
--- a/src/cactuspass/fleet/_plain.py
+++ b/src/cactuspass/fleet/_plain.py
@@ -45,7 +45,14 @@
                 if self._delivery.begun or not self._attempts.may_repeat(error.failure):
                     raise
 
-    async def _receive(self, sent: Sent, chosen: Chosen) -> None:
+    async def _attempt(self, chosen: Chosen) -> None:
+        sent = await self._send(chosen)
+        try:
+            await self._conclude(sent, lambda: self._receive(sent))
+        finally:
+            self._attempts.close(sent)
+
+    async def _receive(self, sent: Sent) -> None:
         latency = self._attempts.tools.loads.load(sent.upstream.upstream_id).latency
         patience = max(ASK_AGAIN_SECONDS, latency * ASK_AGAIN_FACTOR)
         head = await self._wait(sent, sent.exchange.head, patience)
--- a/src/cactuspass/fleet/_runs.py
+++ b/src/cactuspass/fleet/_runs.py
@@ -35,36 +35,31 @@
         :raises AttemptFailed: when the last attempt failed and no other may be made.
         """
 
-    @abstractmethod
-    async def _receive(self, sent: Sent, chosen: Chosen) -> None:
-        """Take the answer of one attempt.
-
-        :raises AttemptFailed: when it isn't one that the caller can have.
-        :raises RunOutcomeUnknown: when the connection broke before the head of the answer.
-        :raises AnswerCut: when it broke later.
-        """
-
-    async def _attempt(self, chosen: Chosen, last_event_id: str | None = None) -> None:
-        """Make one attempt, and draw the conclusions if it fails.
+    async def _send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
+        """Send the request to an upstream.
 
-        :raises AttemptFailed: when it gave no whole answer.
+        :raises AttemptFailed: when it was not reached.
         """
-        attempts = self._attempts
         try:
-            sent = await attempts.send(chosen, last_event_id)
+            return await self._attempts.send(chosen, last_event_id)
         except UpstreamNotReached:
-            attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
+            self._attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
             raise AttemptFailed(Failure.NOT_REACHED) from None
+
+    async def _conclude(self, sent: Sent, receive: Callable[[], Awaitable[T]]) -> T:
+        """Take the answer of an attempt, and draw the conclusions if that fails.
+
+        :param receive: takes the answer; fails as the methods of an exchange do.
+        :raises AttemptFailed: when it isn't one that the caller can have, or not whole.
+        """
         try:
-            await self._receive(sent, chosen)
+            return await receive()
         except AttemptFailed as error:
-            attempts.note_failure(error.failure, chosen.upstream, was_sent=True)
+            self._attempts.note_failure(error.failure, sent.upstream, was_sent=True)
             raise
         except (RunOutcomeUnknown, AnswerCut):
-            attempts.note_failure(Failure.CONNECTION_BROKEN, chosen.upstream, was_sent=True)
+            self._attempts.note_failure(Failure.CONNECTION_BROKEN, sent.upstream, was_sent=True)
             raise AttemptFailed(Failure.CONNECTION_BROKEN) from None
-        finally:
-            attempts.close(sent)
 
     async def _wait(self, sent: Sent, call: Callable[[], Awaitable[T]], patience: float) -> T:
         """Wait for a part of the answer; a silence ends the attempt if it can be made elsewhere.
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -36,10 +36,13 @@
     """The upstream to send to.
 
     :param wait: estimated seconds until it begins to work on the request.
+    :param longest_pause: seconds between two events of a stream there, while it works; None when
+        that is not known.
     """
 
     upstream: Upstream
     wait: float
+    longest_pause: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +66,20 @@
 
     :param excluded: upstreams that have already failed it.
     :param max_wait: longest acceptable wait in seconds.
+    :param only: upstreams that alone may take it; None for all.
     """
 
     service: ServiceId
     model: ModelId | None
     excluded: Collection[UpstreamId]
     max_wait: float
+    only: Collection[UpstreamId] | None = None
+
+    def admits(self, upstream_id: UpstreamId) -> bool:
+        """Return whether an upstream may take the request."""
+        if self.only is not None and upstream_id not in self.only:
+            return False
+        return upstream_id not in self.excluded
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +87,7 @@
     upstream: Upstream
     score: float
     wait: float
+    longest_pause: float | None = None
 
 
 class Selector:
@@ -115,7 +127,7 @@
         usable = [
             (upstream, group)
             for upstream, group in self._offers(service, wanted.model)
-            if self._is_usable(upstream) and upstream.upstream_id not in wanted.excluded
+            if self._is_usable(upstream) and wanted.admits(upstream.upstream_id)
         ]
         if not usable:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 0.5)
@@ -128,7 +140,7 @@
         if best.wait > wanted.max_wait:
             retry_after = max(0.2, best.wait - wanted.max_wait)
             return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait)
-        return Chosen(best.upstream, best.wait)
+        return Chosen(best.upstream, best.wait, best.longest_pause)
 
     def _sound(
         self, offers: list[tuple[Upstream, Group | None]], at: float
@@ -210,7 +222,8 @@
         wait = queue_wait(service.engine, spec.pace, estimate)
         whole = 0.0 if group.is_complete(spec.size) else INCOMPLETE_GROUP_PENALTY
         score = (estimate + 1) * spec.pace / service.engine.slots * 4 + distance + health + whole
-        return _Candidate(upstream, score + jitter, wait)
+        pause = service.engine.longest_pause(spec.pace)
+        return _Candidate(upstream, score + jitter, wait, pause)
 
 
 def _loaded_spec(engine: EngineSpec, head: Upstream) -> ModelSpec:
--- a/src/cactuspass/fleet/_streams.py
+++ b/src/cactuspass/fleet/_streams.py
@@ -4,17 +4,17 @@
 from collections.abc import Awaitable, Callable
 
 from cactuspass._clock import now
-from cactuspass.fleet._attempts import (
-    AttemptFailed,
-    Attempts,
-    Failure,
-    NothingServes,
-    Sent,
-)
-from cactuspass.fleet._channels import AnswerHead
+from cactuspass.fleet._attempts import AttemptFailed, Attempts, Failure, NothingServes, within
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._events import EventSplitter
-from cactuspass.fleet._runs import Run, T
+from cactuspass.fleet._hedges import (
+    Race,
+    is_heard,
+    silence_before_first_event,
+    silence_between_events,
+)
+from cactuspass.fleet._legs import Leg
+from cactuspass.fleet._runs import Run
 from cactuspass.fleet._selection import Chosen
 
 FIRST_EVENT_SECONDS = 0.7
@@ -31,7 +31,7 @@
 
     def __init__(self, attempts: Attempts, delivery: Delivery) -> None:
         super().__init__(attempts, delivery)
-        self._splitter = EventSplitter(attempts.request.last_event_id)
+        self._last_id = attempts.request.last_event_id
         self._resumed = False
 
     async def run(self) -> None:
@@ -44,24 +44,23 @@
         while True:
             chosen = await self._choose()
             try:
-                await self._attempt(chosen, self._splitter.last_id)
+                await self._deliver(await self._open(chosen))
                 return
             except AttemptFailed as error:
                 if not self._attempts.may_repeat(error.failure, self._delivery.begun):
                     raise
-                self._note_move(error.failure)
+                self._note_move(error.failure.value)
 
-    def _note_move(self, failure: Failure) -> None:
+    def _note_move(self, cause: str) -> None:
         if not self._delivery.begun:
             return
         self._resumed = True
-        self._splitter.restart()
-        self._attempts.tools.metrics.resumed.labels(failure.value).inc()
+        self._attempts.tools.metrics.resumed.labels(cause).inc()
         self._attempts.tools.log.request(
             "stream-resumed",
             self._attempts.request.request_id,
-            cause=failure.value,
-            after_event=self._splitter.last_id,
+            cause=cause,
+            after_event=self._last_id,
         )
 
     async def _choose(self) -> Chosen:
@@ -75,56 +74,136 @@
                 raise NothingServes(found)
             await asyncio.sleep(RESUME_POLL_SECONDS)
 
-    async def _receive(self, sent: Sent, chosen: Chosen) -> None:
-        head = await self._wait_first(sent, chosen, sent.exchange.head)
-        await self._check_head(sent, head)
-        first = await self._first_events(sent, chosen)
-        if not self._delivery.begun:
-            headers = self._attempts.tools.request_format.answer_headers(head)
-            await self._delivery.begin(head.status, headers)
-            latency = now() - sent.sent_at
-            self._attempts.tools.loads.succeeded(sent.upstream.upstream_id, latency)
-        await self._pass_on(sent, first)
-
-    async def _check_head(self, sent: Sent, head: AnswerHead) -> None:
-        notes = self._attempts.read_notes(sent, head)
-        if notes.not_run:
-            raise AttemptFailed(Failure.NOT_RUN, head)
-        if 200 <= head.status < 300:
-            if not notes.genuine:
-                raise AttemptFailed(Failure.NOT_GENUINE)
-            return
-        if not notes.genuine:
-            raise AttemptFailed(Failure.NOT_GENUINE)
-        body = await self._within_deadline(sent.exchange.body)
-        raise AttemptFailed(Failure.SERVER_ERROR, head, body)
+    async def _open(self, chosen: Chosen) -> Leg:
+        """Ask an upstream for the events that the caller does not have yet.
 
-    async def _first_events(self, sent: Sent, chosen: Chosen) -> bytes:
-        """Return the first whole events, or what there is when the stream ends before one."""
-        while True:
-            chunk = await self._wait_first(sent, chosen, sent.exchange.chunk)
-            if not chunk:
-                return b""
-            if events := self._splitter.feed(chunk):
-                return events
-
-    async def _wait_first(self, sent: Sent, chosen: Chosen, call: Callable[[], Awaitable[T]]) -> T:
-        """Wait for the begin of the answer as long as its prompt and the queue explain."""
-        prompt = self._attempts.request.prompt_tokens / PROMPT_TOKENS_PER_SECOND
-        expected = (chosen.wait + prompt) * FIRST_EVENT_FACTOR + FIRST_EVENT_SECONDS
-        patience = max(0.05, sent.sent_at + expected - now())
-        return await self._wait(sent, call, patience)
+        :raises AttemptFailed: when it was not reached.
+        """
+        sent = await self._send(chosen, self._last_id)
+        return Leg(self._attempts, sent, chosen, EventSplitter(self._last_id))
+
+    async def _deliver(self, leg: Leg) -> None:
+        """Pass on the events of an attempt, and of those that overtake it."""
+        current: Leg | None = leg
+        while current is not None:
+            current = await self._pass_on_and_close(current)
 
-    async def _pass_on(self, sent: Sent, events: bytes) -> None:
+    async def _pass_on_and_close(self, leg: Leg) -> Leg | None:
+        try:
+            return await self._conclude(leg.sent, lambda: self._pass_on(leg))
+        finally:
+            self._attempts.close(leg.sent)
+
+    async def _pass_on(self, leg: Leg) -> Leg | None:
+        """Pass on the events of one attempt.
+
+        :return: the attempt that has overtaken this one; None when the stream is complete.
+        """
+        if leg.head is None:
+            late_after = silence_before_first_event(leg)
+            rival = await self._read(leg, leg.read_begin, self._first_patience(leg), late_after)
+            if rival is not None:
+                return rival
+        await self._begin_answer(leg)
         gap = LATER_GAP_SECONDS if self._resumed else GAP_SECONDS
-        while True:
-            if events:
-                await self._delivery.send(events)
-            chunk = await self._wait(sent, sent.exchange.chunk, gap)
-            self._attempts.tools.loads.heard(sent.upstream.upstream_id, now())
-            if not chunk:
-                break
-            events = self._splitter.feed(chunk)
-        if self._splitter.rest:
+        late_after = silence_between_events(leg)
+        while await self._send_events(leg):
+            rival = await self._read(leg, leg.read, gap, late_after)
+            if rival is not None:
+                return rival
+        if leg.splitter.rest:
             raise AttemptFailed(Failure.CONNECTION_BROKEN)
         await self._delivery.finish()
+        return None
+
+    def _first_patience(self, leg: Leg) -> float:
+        """Return how long the prompt and the queue explain that nothing has come."""
+        prompt = self._attempts.request.prompt_tokens / PROMPT_TOKENS_PER_SECOND
+        return (leg.chosen.wait + prompt) * FIRST_EVENT_FACTOR + FIRST_EVENT_SECONDS
+
+    async def _begin_answer(self, leg: Leg) -> None:
+        await self._within_deadline(leg.check)
+        if self._delivery.begun:
+            return
+        assert leg.head is not None
+        headers = self._attempts.tools.request_format.answer_headers(leg.head)
+        await self._delivery.begin(leg.head.status, headers)
+        latency = now() - leg.sent.sent_at
+        self._attempts.tools.loads.succeeded(leg.sent.upstream.upstream_id, latency)
+
+    async def _send_events(self, leg: Leg) -> bool:
+        """Pass on the events that were read; return whether more are to come."""
+        if events := leg.take_events():
+            self._last_id = leg.splitter.last_id
+            await self._delivery.send(events)
+        return not leg.ended
+
+    # Attempts beside each other.
+
+    async def _read(
+        self,
+        leg: Leg,
+        call: Callable[[], Awaitable[None]],
+        patience: float,
+        late_after: float | None,
+    ) -> Leg | None:
+        """Read on; send the request to a second upstream as well while nothing comes.
+
+        :param patience: seconds after which the upstream counts as silent.
+        :param late_after: seconds after which the second attempt begins; None makes none.
+        :return: the other attempt when it has brought the next events first.
+        """
+        waited = 0.0
+        while late_after is not None and waited + late_after < patience:
+            since = now()
+            try:
+                await within(min(late_after, self._attempts.seconds_left), call)
+                return None
+            except TimeoutError:
+                waited += late_after
+            chosen = (
+                None if is_heard(leg, since) else self._attempts.choose_hedge(leg.sent.upstream)
+            )
+            if chosen is not None:
+                return await self._race(leg, call, chosen, patience - waited)
+        await self._wait(leg.sent, call, patience - waited)
+        return None
+
+    async def _race(
+        self, leg: Leg, call: Callable[[], Awaitable[None]], chosen: Chosen, patience: float
+    ) -> Leg | None:
+        began = now()
+        race = Race(self._attempts, leg, call, lambda: self._open_rival(chosen))
+        winner = await race.run(patience)
+        upstream_id = leg.sent.upstream.upstream_id
+        self._attempts.tools.metrics.hedges.labels("lost" if winner is None else "won").inc()
+        self._attempts.tools.log.request(
+            "hedged",
+            self._attempts.request.request_id,
+            late=upstream_id,
+            rival=chosen.upstream.upstream_id,
+            outcome="late came first" if winner is None else "rival came first",
+            took=now() - began,
+            after_event=self._last_id,
+        )
+        if winner is None:
+            return None
+        self._resumed = self._delivery.begun
+        if not is_heard(leg, began):
+            self._attempts.note_silence(leg.sent.upstream)
+        return winner
+
+    async def _open_rival(self, chosen: Chosen) -> Leg:
+        """Send the request to another upstream, and read the begin of the answer."""
+        rival = await self._open(chosen)
+        try:
+            await self._conclude(rival.sent, lambda: _read_and_check(rival))
+        except BaseException:
+            self._attempts.close(rival.sent)
+            raise
+        return rival
+
+
+async def _read_and_check(leg: Leg) -> None:
+    await leg.read_begin()
+    await leg.check()
--- a/src/cactuspass/platform/_config_document.py
+++ b/src/cactuspass/platform/_config_document.py
@@ -94,10 +94,16 @@
     per_seq_ms: float = 0.0
     loads_per_s: float = 1.0
     loads_at_once: Annotated[int, Field(ge=1)] = 1
+    stride: Annotated[int, Field(ge=1)] = 1
+    chunk: Annotated[int, Field(ge=1)] = 2048
+    read_per_s: Annotated[float, Field(gt=0)] = 20_000.0
     models: tuple[_Model, ...] = ()
 
     def decode(self) -> EngineSpec:
-        """Return the engine; all counts are those of a group, not of a server."""
+        """Return the engine; all counts are those of a group, not of a server.
+
+        ``stride`` counts steps, ``chunk`` prompt tokens, and ``read_per_s`` prompt tokens too.
+        """
         models = [model.decode() for model in self.models]
         return EngineSpec(
             slots=self.slots,
@@ -106,6 +112,9 @@
             step_seconds_per_request=self.per_seq_ms / 1000,
             loads_per_second=self.loads_per_s,
             loads_at_once=self.loads_at_once,
+            steps_per_event=self.stride,
+            prompt_tokens_per_step=self.chunk,
+            prompt_tokens_per_second=self.read_per_s,
         )
 
 
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -114,6 +114,11 @@
             self._server.close()
         await asyncio.gather(*self._tasks)
 
+    async def wait_idle(self) -> None:
+        """Wait until all connections have ended."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
