--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -134,7 +134,7 @@
                 number = len(self.requests)
                 self.requests.append(request)
                 await self.scripts[min(number, len(self.scripts) - 1)](writer, request)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             writer.close()
         finally:
             self._tasks.discard(task)
--- a/tests/test_fleet_hedges.py
+++ b/tests/test_fleet_hedges.py
@@ -25,6 +25,14 @@
 FULL = answer("503 Service Unavailable", b"", "Cactuspass-Not-Run: 1")
 RESUMABLE = route(RouteKind.STREAM, resumable=True, gap_objective=0.2)
 LATE_AFTER_SECONDS = 0.02
+LONGER_THAN_THE_CALLER_WAITS = 60.0
+GIVE_UP_SECONDS = 5.0
+
+
+async def happens(event: asyncio.Event) -> None:
+    """Wait for an event that a second attempt brings about."""
+    async with asyncio.timeout(GIVE_UP_SECONDS):
+        await event.wait()
 
 
 def pausing(before: bytes, pause: asyncio.Event, after: bytes) -> Script:
@@ -33,7 +41,7 @@
     async def run(writer: asyncio.StreamWriter, got: bytes) -> None:
         head = f"HTTP/1.1 200 OK\r\n{STAMP}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
         writer.write(head + _chunk(before))
-        await pause.wait()
+        await happens(pause)
         writer.write(_chunk(after) + b"0\r\n\r\n")
         await writer.drain()
 
@@ -61,6 +69,10 @@
             patch = mock.patch.object(_streams, name, lambda leg: LATE_AFTER_SECONDS)
             patch.start()
             self.addCleanup(patch.stop)
+        for name in ("FIRST_EVENT_SECONDS", "GAP_SECONDS", "LATER_GAP_SECONDS"):
+            patch = mock.patch.object(_streams, name, LONGER_THAN_THE_CALLER_WAITS)
+            patch.start()
+            self.addCleanup(patch.stop)
 
     async def case(self, *scripts: Script) -> PathCase:
         self.upstreams = [ScriptedUpstream([script]) for script in scripts]
@@ -115,7 +127,7 @@
 
         async def breaking(writer: asyncio.StreamWriter, got: bytes) -> None:
             await stream(events(range(1, 4)), end=False)(writer, got)
-            await asked.wait()
+            await happens(asked)
             writer.transport.abort()
 
         async def second(writer: asyncio.StreamWriter, got: bytes) -> None:
@@ -157,7 +169,7 @@
         asked = asyncio.Event()
         case = await self.case(stream(events(range(1, 4)), end=False), setting(asked))
         serving = asyncio.create_task(case.dispatcher.serve(request(), Caller()))
-        await asked.wait()
+        await happens(asked)
         serving.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await serving
