Close groups with a slow member, and leave slow hosts out of new ones

Ruled out: the choice of heads, which sees the load but not the pace. Change: from a pace of 2.5 on a member makes its group close without cutting what runs; slow hosts are not free, and a group with one is not opened again.

--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -12,6 +12,7 @@
 from cactuspass.models import DataCentreId, FabricDomainId, ModelId, ServiceId
 
 RESEND_SECONDS = 1.0
+SLOW_PACE = 2.5
 FORGET_SECONDS = 60.0
 
 
@@ -138,6 +139,11 @@
             for member in members
         )
 
+    def is_slow(self, upstream: Upstream) -> bool:
+        """Return whether an upstream would slow down a whole group."""
+        report = self.situation.reports_by_id.get(upstream.upstream_id)
+        return report is not None and report.pace >= SLOW_PACE
+
     def may_send(self, target: Upstream, what: str) -> bool:
         """Return whether an order was not sent, or so long ago that it may be lost."""
         sent_at = self.memory.sent_at.get((target.upstream_id, what))
@@ -164,6 +170,8 @@
         for upstream in self.hosts():
             if upstream.upstream_id in self.bound or self.any_unreachable((upstream,)):
                 continue
+            if self.is_slow(upstream):
+                continue
             hosts_by_domain[upstream.fabric_domain].append(upstream)
         return hosts_by_domain
 
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -80,6 +80,9 @@
     draining = next((m for m in group.members if m.draining), None)
     if draining is not None:
         return f"member {draining.upstream_id} drains", False
+    slow = next(filter(current.is_slow, group.members), None)
+    if slow is not None:
+        return f"member {slow.upstream_id} is slow", False
     return None, False
 
 
@@ -96,8 +99,10 @@
     spec = situation.engine.models_by_id.get(model) if model is not None else None
     if spec is None or model is None:
         return
-    whole = group.is_complete(spec.size) and not current.any_unreachable(group.members)
-    if not whole:
+    sound = not current.any_unreachable(group.members) and not any(
+        map(current.is_slow, group.members)
+    )
+    if not sound or not group.is_complete(spec.size):
         yield from _hold_while_opening(group, head, current)
         return
     current.bind(group.members)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -79,6 +79,7 @@
         self.upstreams_by_id = {upstream.upstream_id: upstream for upstream in registered}
         self.dead: set[UpstreamId] = set()
         self.busy: set[UpstreamId] = set()
+        self.pace_by_id: dict[UpstreamId, float] = {}
         self.evacuated: frozenset[DataCentreId] = frozenset()
         self.planner = GroupPlanner(Demand())
         self.given: list[AddressedOrder] = []
@@ -104,7 +105,8 @@
     def _report(self, upstream_id: UpstreamId) -> UpstreamReport:
         carries_out = any(due_id == upstream_id for _, due_id, _ in self._due)
         membership = self.upstreams_by_id[upstream_id].membership
-        return UpstreamReport(0, 0, 1.0, membership, carries_out)
+        pace = self.pace_by_id.get(upstream_id, 1.0)
+        return UpstreamReport(0, 0, pace, membership, carries_out)
 
     def replace_controller(self) -> None:
         """Let a controller that knows nothing take over, with higher epochs."""
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -113,6 +113,35 @@
         )
 
 
+class SlowMemberTest(unittest.TestCase):
+    """A group runs at the pace of its slowest member (an upstream that turns slow)."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld(hosts(4, staged=SMALL))
+        self.world.run(3.0)
+        self.slow = self.world.orders(Join)[0].order.members[1]
+        self.world.pace_by_id[self.slow] = 5.0
+        self.world.run(2.5)
+
+    def test_the_others_serve_again_without_it(self) -> None:
+        [key] = self.world.serving(SMALL)
+        join = next(a.order for a in self.world.orders(Join) if a.order.key == key)
+        self.assertNotIn(self.slow, join.members)
+
+    def test_running_requests_may_finish(self) -> None:
+        [close] = self.world.orders(Close)
+        self.assertFalse(close.order.cut)
+
+    def test_it_serves_again_when_it_has_its_pace_back(self) -> None:
+        self.world.kill(self.world.head_of(self.world.serving(SMALL)[0]).upstream_id)
+        self.world.remove(self.world.dead.copy().pop())
+        self.world.pace_by_id.clear()
+        self.world.run(3.0)
+        [key] = self.world.serving(SMALL)
+        join = next(a.order for a in self.world.orders(Join) if a.order.key == key)
+        self.assertIn(self.slow, join.members)
+
+
 class HeadlessTest(unittest.TestCase):
     """After a cut, members register again before their head (TWO on trouble-1 at 40.2 s)."""
 
