Enforce the manifest's limits of callers; hold answers without a length no further than others

An answer without a length was held whole. Change: the newest limits are in force on every connection within half a second: 431, 413 and 408 as typed problems that say 'not run'; idle connections are kept a quarter longer than promised. Request bodies are still read whole, now up to the limit. Tests: tests.test_fleet_caller_limits.

--- a/src/cactuspass/_header_limit.py
+++ b/src/cactuspass/_answering_server.py
@@ -1,4 +1,4 @@
-"""An HTTP server that answers an over-large head with a problem instead of silence."""
+"""An HTTP server that answers callers who break a limit with a problem instead of silence."""
 
 from http import HTTPStatus
 from typing import Any
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
+from cactuspass._clock import now
 from cactuspass._problems import Problem, RunState
 
 DRAIN_BYTES = 1_048_576
@@ -33,15 +34,34 @@
 class AnsweringStream(IOStream):
     """A caller's connection; the library closes it without a word when a head is too large."""
 
+    first_byte_at: float | None = None
+
+    def await_request(self) -> None:
+        """Expect the first byte of the next request."""
+        self.first_byte_at = None
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what has arrived, and note when the first byte of a request came."""
+        count = super().read_from_fd(buf)
+        if count and self.first_byte_at is None:
+            self.first_byte_at = now()
+        return count
+
     def close(self, exc_info: Any = False) -> None:
         """Close the connection, after an answer if the head was too large."""
         if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
-            self._answer()
+            self._answer(PROBLEM)
         super().close(exc_info)
 
-    def _answer(self) -> None:
+    def answer_and_close(self, problem: Problem) -> None:
+        """Answer a request that is not read to its end."""
+        if not self.closed():
+            self._answer(problem)
+        super().close()
+
+    def _answer(self, problem: Problem) -> None:
         try:
-            self.socket.send(answer_bytes(PROBLEM))
+            self.socket.send(answer_bytes(problem))
             self._drop_what_has_arrived()
         except OSError:
             # The caller has left or does not read; there is nobody to answer.
--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -14,9 +14,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from cactuspass._answering_server import AnsweringServer
 from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
 from cactuspass._component import Component
-from cactuspass._header_limit import AnsweringServer
 from cactuspass._problems import Problem, RunState, bad_request, problem_of
 from cactuspass._requests import SERVICE_PREFIX, Answer, CallerRequest
 from cactuspass.exceptions import AnswerCut, CactuspassError, RequestError
--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from cactuspass._clock import now
-from cactuspass.fleet._catalog import Catalog, CatalogIndex, Evacuations
+from cactuspass.fleet._catalog import CallerLimits, Catalog, CatalogIndex, Evacuations
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._upstreams import Group, GroupKey, Upstream, UpstreamId, UpstreamView
 
@@ -79,6 +79,10 @@
         present = {member.upstream_id for member in group.members}
         return not any(missing in self.view.upstreams_by_id for missing in known - present)
 
+    def caller_limits(self) -> CallerLimits:
+        """Return what callers may send, by the catalog in force."""
+        return self.index.catalog.limits if self.index is not None else CallerLimits()
+
     def engine_hosts(self) -> Iterator[Upstream]:
         """Return the upstreams of all services whose engines form groups."""
         services_by_id = self.index.catalog.services_by_id if self.index is not None else {}
--- a/src/cactuspass/fleet/_front.py
+++ b/src/cactuspass/fleet/_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
@@ -15,8 +16,10 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from cactuspass._answering_server import AnsweringServer, AnsweringStream
 from cactuspass._clock import now
-from cactuspass._header_limit import AnsweringServer
+from cactuspass._problems import Problem
+from cactuspass.fleet._catalog import CallerLimits
 from cactuspass.fleet._channels import Header
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._dispatch import Dispatcher, malformed
@@ -24,9 +27,9 @@
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pages import bind, start_line
 
-MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 16_777_216
-IDLE_SECONDS = 120.0
+IDLE_FACTOR = 1.25  # a caller may send at the very end of the time that it was promised
+LOOK_SECONDS = 0.5
+MAX_BODY_BYTES = 2**40  # checked here, by the newest limit
 
 
 class ConnectionDelivery(Delivery):
@@ -88,6 +91,7 @@
         self._line: RequestStartLine | None = None
         self._headers: tuple[Header, ...] = ()
         self._chunks: list[bytes] = []
+        self._body_bytes = 0
         self._arrived_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -104,13 +108,43 @@
         self._line = start_line
         self._headers = tuple(headers.get_all())
         self._arrived_at = now()
+        length = headers.get("Content-Length", "0")
+        if length.isdigit():
+            self._check_size(int(length))
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the body."""
         self._chunks.append(chunk)
+        self._body_bytes += len(chunk)
+        self._check_size(self._body_bytes)
         return None
 
+    def _check_size(self, body_bytes: int) -> None:
+        limit = self._front.limits().body_bytes
+        if body_bytes > limit:
+            self._chunks.clear()
+            detail = f"the body of the request is over the limit of {limit} bytes"
+            self._end_with(malformed(detail, HTTPStatus.REQUEST_ENTITY_TOO_LARGE))
+
+    def check_age(self) -> None:
+        """Refuse a request whose head takes too long to arrive."""
+        assert isinstance(self._connection, HTTP1Connection)
+        stream = self._connection.stream
+        if not self.idle or not isinstance(stream, AnsweringStream):
+            return
+        limit = self._front.limits().header_seconds
+        if stream.first_byte_at is not None and now() - stream.first_byte_at > limit:
+            detail = f"the head of the request took over {limit} s"
+            self._end_with(malformed(detail, HTTPStatus.REQUEST_TIMEOUT))
+
+    def _end_with(self, problem: Problem) -> None:
+        assert isinstance(self._connection, HTTP1Connection)
+        stream = self._connection.stream
+        if isinstance(stream, AnsweringStream):
+            self._front.count_refusal(problem)
+            stream.answer_and_close(problem)
+
     def finish(self) -> None:
         """Serve the request, which is whole now."""
         assert isinstance(self._connection, HTTP1Connection)
@@ -146,6 +180,7 @@
 
     :param address: ``host:port`` to listen on.
     :param closing: whether connections should be given up after the next answer.
+    :param limits: returns what callers may send and how long they may take.
     """
 
     def __init__(
@@ -156,6 +191,7 @@
         metrics: Metrics,
         closing: Callable[[], bool],
         failed: Callable[[BaseException], None],
+        limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
         self._address = address
         self._dispatcher = dispatcher
@@ -163,17 +199,18 @@
         self._metrics = metrics
         self.closing = closing
         self._failed = failed
+        self.limits = limits
+        self._looking: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls_by_connection: dict[HTTP1ServerConnection, _Call] = {}
         self._leaving = False
         self.bound_address = ("", 0)
         self._server = AnsweringServer(
             self,
-            max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_SECONDS,
             no_keep_alive=False,
         )
+        self._apply_limits()
 
     def open(self) -> None:
         """Begin to listen."""
@@ -181,9 +218,30 @@
         host, port = sockets[0].getsockname()
         self.bound_address = (str(host), int(port))
         self._server.add_sockets(sockets)
+        self._looking = asyncio.create_task(self._look_after_connections())
+
+    async def _look_after_connections(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            self._apply_limits()
+            for call in list(self._calls_by_connection.values()):
+                call.check_age()
+
+    def _apply_limits(self) -> None:
+        """Put the newest limits in force, also for connections that are open."""
+        limits = self.limits()
+        parameters = self._server.conn_params
+        parameters.max_header_size = limits.header_bytes
+        parameters.header_timeout = limits.idle_seconds * IDLE_FACTOR + limits.header_seconds
+
+    def count_refusal(self, problem: Problem) -> None:
+        """Count a request that was not read to its end."""
+        self._metrics.refusals.labels(problem.code).inc()
 
     async def close(self) -> None:
         """Take no new connections and close those that are idle."""
+        if self._looking is not None:
+            self._looking.cancel()
         self._server.stop()
         await self._server.close_all_connections()
 
@@ -206,6 +264,8 @@
         """Return the reader of the next request of a connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         call = _Call(self, request_conn)
+        if isinstance(server_conn.stream, AnsweringStream):
+            server_conn.stream.await_request()
         self._calls_by_connection[server_conn] = call
         if self._leaving:
             server_conn.stream.close()
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -98,6 +98,7 @@
             metrics,
             self._is_closing,
             self._request_failed,
+            self.beliefs.caller_limits,
         )
         self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
--- a/src/cactuspass/fleet/_plain.py
+++ b/src/cactuspass/fleet/_plain.py
@@ -61,11 +61,12 @@
             raise AttemptFailed(Failure.NOT_RUN, head)
         if not notes.genuine:
             raise AttemptFailed(Failure.NOT_GENUINE)
-        length = head.get("content-length") or "0"
-        if head.status < 500 and length.isdigit() and int(length) > MAX_HELD_BYTES:
-            await self._pass_on(sent, head)
+        parts: list[bytes] = []
+        is_whole = await self._within_deadline(lambda: _read_ahead(sent, parts))
+        if head.status < 500 and not is_whole:
+            await self._pass_on(sent, head, parts)
             return
-        body = await self._within_deadline(sent.exchange.body)
+        body = b"".join(parts) + await self._within_deadline(sent.exchange.body)
         if head.status >= 500:
             raise AttemptFailed(Failure.SERVER_ERROR, head, body)
         upstream_id = sent.upstream.upstream_id
@@ -73,9 +74,25 @@
         headers = self._attempts.tools.request_format.answer_headers(head)
         await self._delivery.answer(head.status, headers, body)
 
-    async def _pass_on(self, sent: Sent, head: AnswerHead) -> None:
+    async def _pass_on(self, sent: Sent, head: AnswerHead, parts: list[bytes]) -> None:
+        """Pass on an answer that is too large to be held, its first parts at once."""
         headers = self._attempts.tools.request_format.answer_headers(head)
         await self._delivery.begin(head.status, headers)
+        for part in parts:
+            await self._delivery.send(part)
         while chunk := await self._within_deadline(sent.exchange.chunk):
             await self._delivery.send(chunk)
         await self._delivery.finish()
+
+
+async def _read_ahead(sent: Sent, parts: list[bytes]) -> bool:
+    """Read an answer's body as far as it may be held; return whether that is all of it.
+
+    :param parts: takes what was read; kept when the call is cancelled and made again.
+    """
+    while sum(map(len, parts)) <= MAX_HELD_BYTES:
+        part = await sent.exchange.chunk()
+        if not part:
+            return True
+        parts.append(part)
+    return False
--- /dev/null
+++ b/tests/test_fleet_caller_limits.py
@@ -0,0 +1,113 @@
+"""What callers may send and how long they may take, by the newest catalog."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from cactuspass.fleet import _front, _plain
+from cactuspass.fleet._catalog import CallerLimits
+from cactuspass.fleet._front import CallerFront
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.platform._requests import PlatformRequests
+from tests.fleet_path import STAMP, PathCase, ScriptedUpstream, answer, route, stream
+
+HEAD = (
+    b"POST /p/x HTTP/1.1\r\nHost: a.example\r\nCactuspass-Request-Id: q1\r\n"
+    b"Cactuspass-Deadline-Ms: 4000\r\nApi-Key: key-1\r\nConnection: close\r\n"
+)
+LIMITS = CallerLimits(header_bytes=400, body_bytes=8, header_seconds=5.0, idle_seconds=10.0)
+
+
+class CallerLimitsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.limits = LIMITS
+        self.upstream = ScriptedUpstream([answer("200 OK", b"body", STAMP)])
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        case = PathCase(route(timeout=30.0), [self.upstream])
+        self.addCleanup(case.pool.close)
+        look = mock.patch.object(_front, "LOOK_SECONDS", 0.005)
+        look.start()
+        self.addCleanup(look.stop)
+        self.front = CallerFront(
+            "127.0.0.1:0",
+            case.dispatcher,
+            PlatformRequests(),
+            Metrics(),
+            lambda: True,
+            self.fail,
+            lambda: self.limits,
+        )
+        self.front.open()
+        self.addAsyncCleanup(self.front.close)
+
+    async def send(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*self.front.bound_address)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return await reader.read()
+
+    async def test_request_within_the_limits_is_served(self) -> None:
+        got = await self.send(HEAD + b"Content-Length: 8\r\n\r\n12345678")
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 OK"))
+
+    async def test_longer_body_is_refused_by_its_declared_length(self) -> None:
+        got = await self.send(HEAD + b"Content-Length: 9\r\n\r\n")
+        self.assertTrue(got.startswith(b"HTTP/1.1 413 "))
+        self.assertIn(b'"run": "not-run"', got)
+        self.assertEqual(self.upstream.requests, [])
+
+    async def test_longer_body_in_chunks_is_refused(self) -> None:
+        chunks = b"5\r\n12345\r\n" * 2
+        got = await self.send(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+        self.assertTrue(got.startswith(b"HTTP/1.1 413 "))
+
+    async def test_larger_head_is_refused(self) -> None:
+        got = await self.send(HEAD + b"X: " + b"x" * 400 + b"\r\n\r\n")
+        self.assertTrue(got.startswith(b"HTTP/1.1 431 "))
+
+    async def test_head_that_takes_too_long_is_refused(self) -> None:
+        self.limits = replace(LIMITS, header_seconds=0.02)
+        got = await self.send(HEAD)
+        self.assertTrue(got.startswith(b"HTTP/1.1 408 "))
+
+    async def test_idle_connection_is_kept_for_the_promised_time(self) -> None:
+        self.assertGreaterEqual(self.front._server.conn_params.header_timeout or 0.0, 10.0)
+
+    async def test_idle_connection_is_closed_later(self) -> None:
+        self.limits = replace(LIMITS, header_seconds=0.01, idle_seconds=0.01)
+        while (self.front._server.conn_params.header_timeout or 10.0) >= 10.0:
+            await asyncio.sleep(0.001)
+        self.assertEqual(await self.send(b""), b"")
+
+    async def test_newer_limits_are_in_force_for_an_open_connection(self) -> None:
+        reader, writer = await asyncio.open_connection(*self.front.bound_address)
+        self.addCleanup(writer.close)
+        self.limits = replace(LIMITS, body_bytes=1000)
+        writer.write(HEAD + b"Content-Length: 9\r\n\r\n123456789")
+        self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 200 OK"))
+
+
+class AnswerWithoutLengthTest(unittest.IsolatedAsyncioTestCase):
+    """Answers whose length is not told are held only as far as others."""
+
+    async def test_large_one_is_passed_on_as_it_comes(self) -> None:
+        upstream = ScriptedUpstream([stream(b"12345", b"678", b"9")])
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        case = PathCase(route(), [upstream])
+        self.addCleanup(case.pool.close)
+        with mock.patch.object(_plain, "MAX_HELD_BYTES", 6):
+            got = await case.serve()
+        self.assertEqual((got.status, got.body, got.whole), (200, b"123456789", True))
+
+    async def test_large_one_that_breaks_off_looks_cut(self) -> None:
+        upstream = ScriptedUpstream([stream(b"12345", b"678", end=False, reset=True)])
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        case = PathCase(route(), [upstream])
+        self.addCleanup(case.pool.close)
+        with mock.patch.object(_plain, "MAX_HELD_BYTES", 6):
+            got = await case.serve()
+        self.assertFalse(got.whole)
