Let one instance in sixteen of a data centre follow the store for the others

Ruled out: stale reads (a draining upstream must be seen within its bound), a slower watch for all (half of the calls would stay, and each instance would decode all beats). Change: the registered instances name the sources by rendezvous hashing; the others ask one over a WebSocket in CBOR and get what changed, with its age. Freshness is counted from the question, never younger than the source's reading. A source that does not answer within 0.8 s, leads to the store again at once; a source whose own reading is older than 1.6 s hands on nothing; a leader and whoever would lead read the store themselves. Tests: tests.test_fleet_feed, tests.test_fleet_presence.

--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -1,10 +1,13 @@
 """What this instance believes of operators, upstreams and other instances, and how old it is."""
 
+import asyncio
 from collections.abc import Iterable, Iterator
+from contextlib import suppress
 
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import CallerLimits, Catalog, CatalogIndex, Evacuations
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._upstreams import Group, GroupKey, Upstream, UpstreamId, UpstreamView
 
 NEVER = float("-inf")
@@ -26,7 +29,9 @@
         self.operators_read_at = NEVER
         self.upstreams_read_at = NEVER
         self.instance_count = self._min_instances
-        self.peer_addresses: tuple[str, ...] = ()
+        self.peers: tuple[Peer, ...] = ()
+        self.revision = 0
+        self._changed = asyncio.Event()
 
     def accept_catalog(self, catalog: Catalog) -> bool:
         """Put a catalog in force unless a higher version is; return whether it was."""
@@ -36,6 +41,7 @@
                 self._log.alarm("catalog-older", version=catalog.version, in_force=current)
             return False
         self.index = CatalogIndex(catalog)
+        self._note_change()
         self._log.belief(
             "catalog-in-force",
             version=catalog.version,
@@ -50,22 +56,46 @@
         if evacuations == self.evacuations:
             return
         self.evacuations = evacuations
+        self._note_change()
         names = ",".join(sorted(evacuations.data_centres))
         self._log.belief("evacuations-in-force", data_centres=names)
 
-    def accept_instances(self, count: int, peer_addresses: tuple[str, ...]) -> None:
-        """Note how many instances are registered, and where they listen to each other."""
-        self.peer_addresses = peer_addresses
-        count = max(self._min_instances, count)
+    def accept_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Note which instances are registered."""
+        if peers == self.peers:
+            return
+        self.peers = peers
+        self._note_change()
+        count = max(self._min_instances, len(peers))
         if count != self.instance_count:
             self._log.belief("instances-counted", count=count, before=self.instance_count)
         self.instance_count = count
 
+    @property
+    def peer_addresses(self) -> tuple[str, ...]:
+        """Where the registered instances listen to each other."""
+        return tuple(peer.address for peer in self.peers if peer.address is not None)
+
+    async def wait_for_change(self, seconds: float) -> None:
+        """Wait until something that other instances would want to know has changed.
+
+        :param seconds: longest time to wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+
+    def _note_change(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     def accept_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
         """Replace the upstreams."""
         view = UpstreamView.of(upstreams)
         self._log_upstream_changes(view, revision)
         self.view = view
+        self.revision = revision
+        self._note_change()
         self._remember_members(view)
 
     def is_whole(self, group: Group, size: int) -> bool:
--- /dev/null
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -0,0 +1,144 @@
+"""Learns from another instance what is in the store, and returns to the store without it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from cactuspass._clock import now
+from cactuspass.exceptions import DocumentError
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._feed_messages import News, decode_news
+from cactuspass.fleet._peers import Peer, choose_sources, order_sources
+from cactuspass.fleet._repeating import RepeatingComponent
+from cactuspass.models import DataCentreId, EntryId
+
+QUESTION = b""
+CONNECT_SECONDS = 0.3
+ANSWER_SECONDS = 0.8
+AVOID_SECONDS = 3.0
+LOOK_SECONDS = 0.25
+MAX_NEWS_BYTES = 16 * 1024 * 1024
+ERRORS = (OSError, TimeoutError, WebSocketException, DocumentError)
+
+
+class FeedFollower(RepeatingComponent):
+    """Follows a source of this data centre, unless this instance has to follow the store itself.
+
+    :param must_follow_store: whether this instance needs the store's own word, as a leader does.
+    :param changed: called when upstreams have changed.
+    """
+
+    def __init__(
+        self,
+        instance: EntryId,
+        data_centre: DataCentreId,
+        beliefs: Beliefs,
+        must_follow_store: Callable[[], bool],
+        changed: Callable[[], None],
+        log: DecisionLog,
+    ) -> None:
+        super().__init__(log)
+        self._instance = instance
+        self._data_centre = data_centre
+        self._beliefs = beliefs
+        self._must_follow_store = must_follow_store
+        self._changed = changed
+        self._avoided_until: dict[EntryId, float] = {}
+        self._fed_until = float("-inf")
+
+    @property
+    def is_fed(self) -> bool:
+        """Whether a source has answered just now, so that the store need not be read."""
+        return now() < self._fed_until and not self._must_follow_store()
+
+    async def step(self) -> None:
+        """Follow one source as long as it answers."""
+        source = self._choose()
+        if source is None:
+            await asyncio.sleep(LOOK_SECONDS)
+            return
+        try:
+            await self._follow(source)
+        except ERRORS as error:
+            self._fed_until = float("-inf")
+            self._avoided_until[source.instance] = now() + AVOID_SECONDS
+            self._log.lifecycle(
+                "dependency-lost",
+                dependency=f"feed from {source.instance}",
+                reason=str(error) or type(error).__name__,
+            )
+
+    def _choose(self) -> Peer | None:
+        """Return the source to ask; None when this instance is one, or none is known to answer."""
+        if self._must_follow_store() or self._beliefs.index is None:
+            return None
+        sources = choose_sources(self._beliefs.peers, self._data_centre)
+        if any(source.instance == self._instance for source in sources):
+            return None
+        at = now()
+        return next(
+            (
+                source
+                for source in order_sources(sources, self._instance)
+                if self._avoided_until.get(source.instance, 0.0) <= at
+            ),
+            None,
+        )
+
+    async def _follow(self, source: Peer) -> None:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            connection = await connect(
+                f"ws://{source.address}/",
+                compression=None,
+                max_size=MAX_NEWS_BYTES,
+                ping_interval=None,
+                close_timeout=CONNECT_SECONDS,
+                proxy=None,
+            )
+        try:
+            is_first = True
+            while self._choose() == source:
+                await self._ask(connection)
+                if is_first:
+                    self._log.lifecycle(
+                        "dependency-regained", dependency=f"feed from {source.instance}"
+                    )
+                is_first = False
+        finally:
+            connection.transport.abort()
+
+    async def _ask(self, connection: ClientConnection) -> None:
+        asked_at = now()
+        async with asyncio.timeout(ANSWER_SECONDS):
+            await connection.send(QUESTION)
+            data = await connection.recv(decode=False)
+        self._accept(decode_news(data), asked_at)
+        self._fed_until = now() + ANSWER_SECONDS
+
+    def _accept(self, news: News, asked_at: float) -> None:
+        """Take news; what it says was read at the latest when the answer was written."""
+        beliefs = self._beliefs
+        written_at = asked_at + news.held_for
+        if news.catalog is not None:
+            beliefs.accept_catalog(news.catalog)
+        beliefs.accept_evacuations(news.evacuations)
+        beliefs.accept_peers(news.peers)
+        operators_read_at = written_at - news.operators_age
+        beliefs.operators_read_at = max(beliefs.operators_read_at, operators_read_at)
+        beliefs.upstreams_read_at = max(beliefs.upstreams_read_at, written_at - news.upstreams_age)
+        if not news.complete and not news.changed and not news.removed:
+            return
+        seconds_by_id = {cold.upstream_id: cold.seconds for cold in news.cold}
+        upstreams_by_id = {} if news.complete else dict(beliefs.view.upstreams_by_id)
+        for upstream_id in news.removed:
+            upstreams_by_id.pop(upstream_id, None)
+        for upstream in news.changed:
+            seconds = seconds_by_id.get(upstream.upstream_id)
+            cold_until = now() + seconds if seconds is not None else 0.0
+            upstreams_by_id[upstream.upstream_id] = replace(upstream, cold_until=cold_until)
+        beliefs.accept_upstreams(upstreams_by_id.values(), news.revision)
+        self._changed()
--- /dev/null
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -0,0 +1,69 @@
+"""What an instance that follows the store tells one that does not."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+
+from cactuspass._findings import findings_of_errors
+from cactuspass.exceptions import DocumentError
+from cactuspass.fleet._catalog import Catalog, Evacuations
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class ColdUpstream:
+    """An upstream that is cold for some more seconds; clock values differ between instances."""
+
+    upstream_id: UpstreamId
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What has changed since the last news on the same connection.
+
+    :param complete: whether these are the first news, which hold everything.
+    :param held_for: seconds between the question and this answer.
+    :param operators_age: seconds since the source last read the operators' documents.
+    :param upstreams_age: seconds since it last listed the upstreams.
+    :param catalog: None when it is the same as before.
+    :param changed: upstreams that are new or differ; their ``cold_until`` means nothing.
+    :param revision: revision of the store that the upstreams are known to.
+    """
+
+    complete: bool
+    held_for: float
+    operators_age: float
+    upstreams_age: float
+    catalog: Catalog | None
+    evacuations: Evacuations
+    peers: tuple[Peer, ...]
+    changed: tuple[Upstream, ...]
+    removed: tuple[UpstreamId, ...]
+    cold: tuple[ColdUpstream, ...]
+    revision: int
+
+
+_ADAPTER: TypeAdapter[News] = TypeAdapter(News)
+
+
+def encode_news(news: News) -> bytes:
+    """Return news as CBOR."""
+    return cbor2.dumps(_ADAPTER.dump_python(news, mode="json"))
+
+
+def decode_news(data: bytes) -> News:
+    """Return the news that a message holds.
+
+    :raises DocumentError: when it cannot be understood, with every mistake and its place.
+    """
+    try:
+        body: Any = cbor2.loads(data)
+        return _ADAPTER.validate_python(body)
+    except ValidationError as error:
+        raise DocumentError(findings_of_errors("news", error.errors())) from error
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise DocumentError(findings_of_errors("news", [])) from error
--- /dev/null
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -0,0 +1,131 @@
+"""Hands on what this instance learns from the store to instances that ask for it."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed
+
+from cactuspass._clock import now
+from cactuspass._component import Component
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._feed_messages import ColdUpstream, News, encode_news
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+
+HOLD_SECONDS = 0.4
+MAX_AGE_SECONDS = 1.6
+MAX_QUESTION_BYTES = 64
+NOT_FOLLOWING_CODE = 4000
+
+
+class NewsWriter:
+    """Finds what one follower does not know yet."""
+
+    def __init__(self, beliefs: Beliefs) -> None:
+        self._beliefs = beliefs
+        self._is_first = True
+        self._version: int | None = None
+        self._upstreams_by_id: Mapping[UpstreamId, Upstream] = {}
+
+    def write(self, held_for: float) -> News:
+        """Return the news since the last call."""
+        beliefs = self._beliefs
+        known, current = self._upstreams_by_id, beliefs.view.upstreams_by_id
+        self._upstreams_by_id = current
+        changed = tuple(u for i, u in current.items() if known.get(i) != u)
+        catalog = beliefs.index.catalog if beliefs.index is not None else None
+        version = catalog.version if catalog is not None else None
+        is_known = version == self._version
+        self._version = version
+        is_first, self._is_first = self._is_first, False
+        at = now()
+        return News(
+            complete=is_first,
+            held_for=held_for,
+            operators_age=beliefs.operators_age(),
+            upstreams_age=at - beliefs.upstreams_read_at,
+            catalog=None if is_known else catalog,
+            evacuations=beliefs.evacuations,
+            peers=beliefs.peers,
+            changed=changed,
+            removed=tuple(known.keys() - current.keys()),
+            cold=tuple(
+                ColdUpstream(upstream.upstream_id, upstream.cold_until - at)
+                for upstream in changed
+                if upstream.cold_until > at
+            ),
+            revision=beliefs.revision,
+        )
+
+
+class FeedSource(Component):
+    """Answers followers while this instance follows the store itself.
+
+    :param address: ``host:port`` to listen on; None listens nowhere.
+    :param follows: whether this instance reads the store itself.
+    """
+
+    def __init__(
+        self,
+        address: str | None,
+        beliefs: Beliefs,
+        follows: Callable[[], bool],
+        log: DecisionLog,
+    ) -> None:
+        self._address = address
+        self._beliefs = beliefs
+        self._follows = follows
+        self._log = log
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        if self._address is None:
+            return
+        host, _, port = self._address.rpartition(":")
+        self._server = await serve(
+            self._serve,
+            host,
+            int(port),
+            compression=None,
+            max_size=MAX_QUESTION_BYTES,
+            ping_interval=None,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    @property
+    def port(self) -> int | None:
+        """Port that is listened on."""
+        if self._server is None:
+            return None
+        return int(next(iter(self._server.sockets)).getsockname()[1])
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        writer = NewsWriter(self._beliefs)
+        is_first = True
+        try:
+            async for _ in connection:
+                asked_at = now()
+                if not is_first:
+                    await self._beliefs.wait_for_change(HOLD_SECONDS)
+                if not self._is_current():
+                    await connection.close(NOT_FOLLOWING_CODE, "does not follow the store")
+                    return
+                await connection.send(encode_news(writer.write(now() - asked_at)))
+                is_first = False
+        except ConnectionClosed as error:
+            self._log.belief("follower-gone", peer=_name(connection), reason=error)
+
+    def _is_current(self) -> bool:
+        return self._follows() and self._beliefs.operators_age() < MAX_AGE_SECONDS
+
+
+def _name(connection: ServerConnection) -> Any:
+    address = connection.remote_address
+    return address[0] if address else None
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -16,6 +16,8 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestsSeen
+from cactuspass.fleet._feed_follower import FeedFollower
+from cactuspass.fleet._feed_source import FeedSource
 from cactuspass.fleet._front import CallerFront
 from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
@@ -108,8 +110,24 @@
         entry_id = EntryId(settings.instance.name)
         peers = settings.listeners.peers
         self._hints = Hints(peers, lambda: self.beliefs.peer_addresses, self._heard_hint, log)
+        self._feed = FeedFollower(
+            entry_id,
+            data_centre,
+            self.beliefs,
+            self._must_follow_store,
+            lambda: self._controller.wake(),
+            log,
+        )
+        source = FeedSource(peers, self.beliefs, lambda: not self._feed.is_fed, log)
         self._presence = Presence(
-            adapter.store, entry_id, self.beliefs, log, lambda: self._controller.wake(), peers
+            adapter.store,
+            entry_id,
+            self.beliefs,
+            log,
+            lambda: self._controller.wake(),
+            data_centre,
+            peers,
+            self._is_fed,
         )
         self._controller = Controller(
             self.beliefs,
@@ -122,14 +140,17 @@
         )
         self._application = Application(
             (
-                OperatorSync(adapter.directory, self.beliefs, log),
+                source,
+                OperatorSync(adapter.directory, self.beliefs, log, self._is_fed),
                 UpstreamSync(
                     adapter.directory,
                     self.beliefs,
                     log,
                     self._controller.wake,
                     lambda: self._presence.term is not None,
+                    self._is_fed,
                 ),
+                self._feed,
                 self._hints,
                 self._presence,
                 probes,
@@ -211,6 +232,14 @@
             )
         return self._allowances_by_service[service]
 
+    def _is_fed(self) -> bool:
+        """Return whether another instance hands on what is in the store."""
+        return self._feed.is_fed
+
+    def _must_follow_store(self) -> bool:
+        """Return whether this instance needs the store's own word: it leads, or ends."""
+        return self._stopping or self._presence.term is not None
+
     def _is_closing(self) -> bool:
         """Return whether callers had better open their next connection elsewhere."""
         return self._stopping or not self._store_is_fresh()
--- /dev/null
+++ b/src/cactuspass/fleet/_peers.py
@@ -0,0 +1,44 @@
+"""The registered instances, and which of them follow the store for the others."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from cactuspass.models import DataCentreId, EntryId
+
+FOLLOWERS_PER_SOURCE = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A registered instance.
+
+    :param address: ``host:port`` at which it listens to others; None when it does not.
+    """
+
+    instance: EntryId
+    data_centre: DataCentreId
+    address: str | None
+
+
+def choose_sources(peers: Iterable[Peer], data_centre: DataCentreId) -> list[Peer]:
+    """Return the instances of a data centre that follow the store for the others there.
+
+    All instances that know the same peers choose the same ones (rendezvous hashing).
+    """
+    local = [peer for peer in peers if peer.data_centre == data_centre and peer.address]
+    count = math.ceil(len(local) / FOLLOWERS_PER_SOURCE)
+    return sorted(local, key=lambda peer: _weight(data_centre, peer.instance))[:count]
+
+
+def order_sources(sources: Iterable[Peer], instance: EntryId) -> list[Peer]:
+    """Return sources in the order in which an instance should ask them.
+
+    Instances differ in their order, so that the followers spread over the sources.
+    """
+    return sorted(sources, key=lambda source: _weight(instance, source.instance))
+
+
+def _weight(place: str, instance: str) -> bytes:
+    return blake2b(f"{place}/{instance}".encode(), digest_size=8).digest()
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -10,9 +10,11 @@
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost, LeaseEnded, SharedStore
-from cactuspass.models import EntryId
+from cactuspass.fleet._sync import FED_PAUSE_SECONDS, never
+from cactuspass.models import DataCentreId, EntryId
 
 PREFIX = "cactuspass/"
 LEADER_KEY = f"{PREFIX}leader"
@@ -23,6 +25,7 @@
 RETRY_SECONDS = 0.25
 CLOCK_MARGIN_SECONDS = 0.2
 EPOCHS_PER_TERM = 10_000
+NOWHERE = DataCentreId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +65,10 @@
     moment at which the last renewal was sent, so it ends here before it ends at the store.
 
     :param term_changed: called when this instance begins or ceases to lead.
+    :param data_centre: where this instance stands.
     :param address: ``host:port`` at which this instance listens to others.
+    :param is_fed: whether another instance hands on who is registered; this one does not try to
+        lead then.
     """
 
     def __init__(
@@ -72,14 +78,18 @@
         beliefs: Beliefs,
         log: DecisionLog,
         term_changed: Callable[[], None] = lambda: None,
+        data_centre: DataCentreId = NOWHERE,
         address: str | None = None,
+        is_fed: Callable[[], bool] = never,
     ) -> None:
         super().__init__(log)
         self._store = store
         self._instance = instance
         self._beliefs = beliefs
         self._term_changed = term_changed
+        self._data_centre = data_centre
         self._address = address
+        self._is_fed = is_fed
         self._lease: LeaseId | None = None
         self._lease_until = float("-inf")
         self._term: Term | None = None
@@ -138,7 +148,13 @@
             self._lease = await self._store.grant_lease(LEASE_SECONDS)
             self._lease_until = began + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
             key = f"{INSTANCES_PREFIX}{self._instance}"
-            value = json.dumps({"instance": self._instance, "peers": self._address}).encode()
+            value = json.dumps(
+                {
+                    "instance": self._instance,
+                    "data_centre": self._data_centre,
+                    "peers": self._address,
+                }
+            ).encode()
             await self._replace_own_key(key, value)
             return
         remaining = await self._store.keep_lease_alive(self._lease)
@@ -201,6 +217,10 @@
         self._term_changed()
 
     async def _watch_once(self) -> None:
+        if self._is_fed():
+            self._revision = 0
+            await asyncio.sleep(FED_PAUSE_SECONDS)
+            return
         try:
             await self._read_keys()
         except HistoryLost:
@@ -228,19 +248,21 @@
             self._revision = changes.revision if changes.changed else 0
         self._note_instances()
 
-    def _peer_address(self, registered: KeyValue) -> str | None:
-        """Return where a registered instance listens to others."""
+    def _peer(self, registered: KeyValue) -> Peer:
+        """Return a registered instance; one whose value cannot be read only counts."""
+        name = EntryId(registered.key.removeprefix(INSTANCES_PREFIX))
         try:
-            address = json.loads(registered.value or b"{}").get("peers")
+            value = json.loads(registered.value or b"{}")
+            address = value.get("peers")
+            data_centre = value.get("data_centre")
         except (ValueError, AttributeError) as error:
             self._log.alarm("instance-unreadable", key=registered.key, reason=error)
-            return None
-        return address if isinstance(address, str) else None
+            return Peer(name, NOWHERE, None)
+        return Peer(name, DataCentreId(str(data_centre)), address and str(address))
 
     def _note_instances(self) -> None:
         registered = [v for key, v in self._keys.items() if key.startswith(INSTANCES_PREFIX)]
-        addresses = tuple(filter(None, map(self._peer_address, registered)))
-        self._beliefs.accept_instances(len(registered), addresses)
+        self._beliefs.accept_peers(tuple(map(self._peer, registered)))
         leader = self._keys.get(LEADER_KEY)
         if self._term is None or leader is None:
             return
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -22,6 +22,12 @@
 LAPSED_GRACE_SECONDS = 2.2
 OUTAGE_SECONDS = 1.0
 RELIST_SECONDS = 4.0
+FED_PAUSE_SECONDS = 0.1
+
+
+def never() -> bool:
+    """Return that no other instance hands on what is in the store."""
+    return False
 
 
 class Dependency:
@@ -64,10 +70,20 @@
 
 
 class OperatorSync(RepeatingComponent):
-    """Reads the operators' documents again and again."""
+    """Reads the operators' documents again and again.
+
+    :param is_fed: whether another instance hands them on, so that they need not be read.
+    """
 
-    def __init__(self, directory: Directory, beliefs: Beliefs, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        beliefs: Beliefs,
+        log: DecisionLog,
+        is_fed: Callable[[], bool] = never,
+    ) -> None:
         super().__init__(log)
+        self._is_fed = is_fed
         self._directory = directory
         self._beliefs = beliefs
         self._dependency = Dependency("operators' documents", log)
@@ -75,6 +91,9 @@
 
     async def step(self) -> None:
         """Read once, and pause until the next time."""
+        if self._is_fed():
+            await asyncio.sleep(FED_PAUSE_SECONDS)
+            return
         began = now()
         pause = OPERATORS_POLL_SECONDS
         try:
@@ -105,6 +124,7 @@
 
     :param changed: called after each change.
     :param leads: whether this instance gives orders, for which it needs fresher news.
+    :param is_fed: whether another instance hands the upstreams on, so that they need not be read.
     """
 
     def __init__(
@@ -114,8 +134,10 @@
         log: DecisionLog,
         changed: Callable[[], None] = lambda: None,
         leads: Callable[[], bool] = lambda: False,
+        is_fed: Callable[[], bool] = never,
     ) -> None:
         super().__init__(log)
+        self._is_fed = is_fed
         self._directory = directory
         self._beliefs = beliefs
         self._changed = changed
@@ -127,6 +149,10 @@
 
     async def step(self) -> None:
         """Wait for one set of changes."""
+        if self._is_fed():
+            self._listed_at = float("-inf")
+            await asyncio.sleep(FED_PAUSE_SECONDS)
+            return
         try:
             await self._follow()
         except HistoryLost as error:
--- /dev/null
+++ b/tests/test_fleet_feed.py
@@ -0,0 +1,210 @@
+"""Many instances, of which a few follow the store and hand on what they learn.
+
+The pattern of large deployments: each call to the store costs, and a registry of hundreds of
+upstreams changes all the time.
+"""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from cactuspass._clock import now
+from cactuspass.exceptions import DocumentError
+from cactuspass.fleet import _feed_follower
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._catalog import Catalog, Evacuations, Service
+from cactuspass.fleet._feed_follower import FeedFollower
+from cactuspass.fleet._feed_messages import decode_news, encode_news
+from cactuspass.fleet._feed_source import FeedSource, NewsWriter
+from cactuspass.fleet._peers import FOLLOWERS_PER_SOURCE, Peer, choose_sources, order_sources
+from cactuspass.models import DataCentreId, EntryId
+from tests.fleet_path import quiet_log, route
+from tests.fleet_world import ENGINE, LARGE, SERVICE, SMALL, host
+
+HERE = DataCentreId("here")
+THERE = DataCentreId("there")
+
+
+def peers(count: int, data_centre: DataCentreId = HERE) -> list[Peer]:
+    """Return registered instances of one data centre."""
+    return [
+        Peer(EntryId(f"{data_centre}-{number}"), data_centre, f"127.0.0.1:{number + 1}")
+        for number in range(count)
+    ]
+
+
+def catalog(version: int) -> Catalog:
+    """Return a catalog with one route and one engine service."""
+    return Catalog(version, (route(),), {SERVICE: Service(SERVICE, engine=ENGINE)})
+
+
+class SourcesTest(unittest.TestCase):
+    """Which instances follow the store is known to all of them without a word."""
+
+    def test_one_in_sixteen_follows_for_its_own_data_centre(self) -> None:
+        everyone = peers(2 * FOLLOWERS_PER_SOURCE + 1) + peers(3, THERE)
+        self.assertEqual(len(choose_sources(everyone, HERE)), 3)
+        self.assertEqual({p.data_centre for p in choose_sources(everyone, THERE)}, {THERE})
+
+    def test_the_order_of_registration_does_not_matter(self) -> None:
+        everyone = peers(40)
+        self.assertEqual(choose_sources(everyone, HERE), choose_sources(everyone[::-1], HERE))
+
+    def test_another_instance_replaces_only_the_one_that_has_gone(self) -> None:
+        everyone = peers(40)
+        gone = choose_sources(everyone, HERE)[0]
+        left = set(choose_sources([p for p in everyone if p != gone], HERE))
+        self.assertEqual(len(left - set(choose_sources(everyone, HERE))), 1)
+
+    def test_followers_spread_over_the_sources(self) -> None:
+        everyone = peers(40)
+        sources = choose_sources(everyone, HERE)
+        first = [order_sources(sources, peer.instance)[0] for peer in everyone]
+        self.assertEqual(set(first), set(sources))
+
+    def test_instance_without_an_address_is_no_source(self) -> None:
+        silent = [replace(peer, address=None) for peer in peers(3)]
+        self.assertEqual(choose_sources(silent, HERE), [])
+
+
+class NewsTest(unittest.TestCase):
+    """What a follower learns, and how old it takes it to be."""
+
+    def setUp(self) -> None:
+        log, _ = quiet_log()
+        self.source, self.follower = Beliefs(log), Beliefs(log)
+        self.source.accept_catalog(catalog(3))
+        self.source.operators_read_at = now() - 0.5
+        self.source.accept_upstreams([host("a", staged=LARGE), host("b", staged=SMALL)], 9)
+        self.source.accept_peers(tuple(peers(2)))
+        self.writer = NewsWriter(self.source)
+        feed = FeedFollower(
+            EntryId("e"), HERE, self.follower, lambda: False, lambda: None, quiet_log()[0]
+        )
+        self.accept = feed._accept
+
+    def hand_on(self, held_for: float = 0.0) -> None:
+        news = decode_news(encode_news(self.writer.write(held_for)))
+        self.accept(news, now() - held_for)
+
+    def test_the_first_news_hold_everything(self) -> None:
+        self.follower.accept_upstreams([host("gone")], 4)
+        self.hand_on()
+        self.assertEqual(self.follower.view, self.source.view)
+        assert self.follower.index is not None
+        self.assertEqual(self.follower.index.catalog, catalog(3))
+        self.assertEqual(self.follower.peers, self.source.peers)
+
+    def test_later_news_hold_what_has_changed(self) -> None:
+        self.hand_on()
+        self.source.accept_evacuations(Evacuations(frozenset({THERE})))
+        self.source.accept_upstreams([host("a", staged=SMALL), host("c")], 10)
+        news = self.writer.write(0.0)
+        self.assertIsNone(news.catalog)
+        self.assertEqual({u.upstream_id for u in news.changed}, {"a", "c"})
+        self.accept(decode_news(encode_news(news)), now())
+        self.assertEqual(self.follower.view, self.source.view)
+        self.assertEqual(self.follower.evacuations, self.source.evacuations)
+
+    def test_a_catalog_never_goes_back(self) -> None:
+        self.follower.accept_catalog(catalog(4))
+        self.hand_on()
+        assert self.follower.index is not None
+        self.assertEqual(self.follower.index.catalog.version, 4)
+
+    def test_news_are_taken_to_be_no_younger_than_the_reading(self) -> None:
+        self.hand_on(held_for=0.3)
+        self.assertLessEqual(self.follower.operators_read_at, self.source.operators_read_at + 0.01)
+
+    def test_an_upstream_stays_cold_for_the_time_that_is_left(self) -> None:
+        self.source.accept_upstreams([replace(host("a"), cold_until=now() + 2.0)], 10)
+        self.hand_on()
+        [upstream] = self.follower.view.upstreams_by_id.values()
+        self.assertAlmostEqual(upstream.cold_until - now(), 2.0, delta=0.5)
+
+    def test_a_message_that_cannot_be_read_is_an_error_with_its_place(self) -> None:
+        for data in (b"", b"\xff", b"\xa1\x61a\x01"):
+            with self.subTest(data=data), self.assertRaises(DocumentError):
+                decode_news(data)
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    """A follower on loopback, whose source leaves, falls behind or is replaced."""
+
+    async def asyncSetUp(self) -> None:
+        self.log, self.handler = quiet_log()
+        self.beliefs = Beliefs(self.log)
+        self.beliefs.accept_catalog(catalog(1))
+        self.leads = False
+        self.follower = FeedFollower(
+            EntryId("e"), HERE, self.beliefs, lambda: self.leads, lambda: None, self.log
+        )
+        self.follows = True
+        self.known = Beliefs(self.log)
+        self.known.accept_catalog(catalog(2))
+        self.known.operators_read_at = now()
+        self.source = await self.start_source()
+        await self.follower.start()
+        self.addAsyncCleanup(self.follower.stop)
+
+    async def start_source(self) -> FeedSource:
+        source = FeedSource("127.0.0.1:0", self.known, lambda: self.follows, self.log)
+        await source.start()
+        self.addAsyncCleanup(source.stop)
+        registered = (Peer(EntryId("s"), HERE, f"127.0.0.1:{source.port}"),)
+        self.known.accept_peers(registered)
+        self.beliefs.accept_peers(registered)
+        return source
+
+    async def until(self, fed: bool) -> None:
+        while self.follower.is_fed is not fed:
+            self.known.operators_read_at = now() if fed else self.known.operators_read_at
+            await asyncio.sleep(0.001)
+
+    async def test_it_learns_what_the_source_knows(self) -> None:
+        await self.until(fed=True)
+        assert self.beliefs.index is not None
+        self.assertEqual(self.beliefs.index.catalog.version, 2)
+
+    async def test_changes_come_at_once(self) -> None:
+        await self.until(fed=True)
+        self.known.accept_upstreams([host("a")], 5)
+        while not self.beliefs.view.upstreams_by_id:
+            await asyncio.sleep(0.001)
+
+    async def test_the_store_is_read_again_when_the_source_has_gone(self) -> None:
+        await self.until(fed=True)
+        await self.source.stop()
+        await self.until(fed=False)
+        self.assertTrue(any("dependency-lost" in line for line in self.handler.lines))
+
+    async def test_a_source_that_lost_the_store_hands_on_nothing(self) -> None:
+        await self.until(fed=True)
+        self.known.operators_read_at = now() - 10
+        self.known.accept_upstreams([host("a")], 5)
+        await self.until(fed=False)
+
+    async def test_a_source_that_is_fed_itself_hands_on_nothing(self) -> None:
+        await self.until(fed=True)
+        self.follows = False
+        await self.until(fed=False)
+
+    async def test_a_leader_reads_the_store_itself(self) -> None:
+        await self.until(fed=True)
+        self.leads = True
+        self.assertFalse(self.follower.is_fed)
+
+    async def test_a_source_does_not_follow(self) -> None:
+        own = (Peer(EntryId("e"), HERE, "127.0.0.1:1"),)
+        self.known.accept_peers(own)
+        self.beliefs.accept_peers(own)
+        self.assertIsNone(self.follower._choose())
+
+    async def test_a_source_that_fails_is_not_asked_again_at_once(self) -> None:
+        await self.until(fed=True)
+        await self.source.stop()
+        await self.until(fed=False)
+        while not self.follower._avoided_until:
+            await asyncio.sleep(0.001)
+        self.assertIsNone(self.follower._choose())
+        self.assertGreater(_feed_follower.AVOID_SECONDS, _feed_follower.ANSWER_SECONDS)
--- a/tests/test_fleet_presence.py
+++ b/tests/test_fleet_presence.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from unittest import mock
 
 from cactuspass._platform import KeyValue, LeaseId, Snapshot, Write, WriteResult
@@ -13,6 +13,7 @@
 from cactuspass.fleet._catalog import Catalog
 from cactuspass.fleet._presence import LEADER_KEY, Presence
 from cactuspass.fleet._store import Changes, SharedStore
+from cactuspass.fleet._sync import never
 from cactuspass.models import EntryId
 from tests.fleet_path import quiet_log
 from tests.virtual_time import virtual_time
@@ -108,7 +109,9 @@
 class PresenceTest(unittest.TestCase):
     """At most one instance leads at any moment, and one does soon after each failure."""
 
-    async def start(self, store: MemoryStore, count: int) -> list[Presence]:
+    async def start(
+        self, store: MemoryStore, count: int, is_fed: Callable[[], bool] = never
+    ) -> list[Presence]:
         self.patch = mock.patch.object(_presence, "now", clock)
         self.patch.start()
         self.addCleanup(self.patch.stop)
@@ -117,7 +120,7 @@
             log, _ = quiet_log()
             beliefs = Beliefs(log)
             beliefs.accept_catalog(Catalog(1))
-            presence = Presence(store, EntryId(f"e{number}"), beliefs, log)
+            presence = Presence(store, EntryId(f"e{number}"), beliefs, log, is_fed=is_fed)
             await presence.start()
             instances.append(presence)
         return instances
@@ -138,6 +141,17 @@
         self.assertEqual(instances[0]._beliefs.instance_count, 3)
         await self.stop(instances)
 
+    @virtual_time
+    async def test_instance_leads_only_when_it_reads_the_store_itself(self) -> None:
+        fed = True
+        instances = await self.start(MemoryStore(), 2, lambda: fed)
+        await asyncio.sleep(6)
+        self.assertEqual(self.leaders(instances), [])
+        fed = False
+        await asyncio.sleep(6)
+        self.assertEqual(len(self.leaders(instances)), 1)
+        await self.stop(instances)
+
     @virtual_time
     async def test_lead_passes_on_when_its_holder_dies(self) -> None:
         instances = await self.start(MemoryStore(), 3)
