Ask sources of other data centres before the store; give the soak's instances a port for the feed

Change: sources elsewhere are asked when none here answers; who is fed renews a failed lease once a second.

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import chain
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
@@ -26,7 +27,7 @@
 
 
 class FeedFollower(RepeatingComponent):
-    """Follows a source of this data centre, unless this instance has to follow the store itself.
+    """Follows a source, best of this data centre, unless this instance has to follow the store.
 
     :param must_follow_store: whether this instance needs the store's own word, as a leader does.
     :param changed: called when upstreams have changed.
@@ -76,18 +77,21 @@
         """Return the source to ask; None when this instance is one, or none is known to answer."""
         if self._must_follow_store() or self._beliefs.index is None:
             return None
-        sources = choose_sources(self._beliefs.peers, self._data_centre)
-        if any(source.instance == self._instance for source in sources):
+        local = choose_sources(self._beliefs.peers, self._data_centre)
+        if any(source.instance == self._instance for source in local):
             return None
         at = now()
-        return next(
-            (
-                source
-                for source in order_sources(sources, self._instance)
-                if self._avoided_until.get(source.instance, 0.0) <= at
-            ),
-            None,
-        )
+        for source in chain(order_sources(local, self._instance), self._remote_sources()):
+            if self._avoided_until.get(source.instance, 0.0) <= at:
+                return source
+        return None
+
+    def _remote_sources(self) -> list[Peer]:
+        """Return the sources of other data centres, which are asked when none here answers."""
+        peers = self._beliefs.peers
+        elsewhere = {peer.data_centre for peer in peers} - {self._data_centre}
+        sources = chain.from_iterable(choose_sources(peers, other) for other in elsewhere)
+        return order_sources(sources, self._instance)
 
     async def _follow(self, source: Peer) -> None:
         async with asyncio.timeout(CONNECT_SECONDS):
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -23,6 +23,7 @@
 RENEW_SECONDS = 0.5
 WATCH_WAIT_SECONDS = 5.0
 RETRY_SECONDS = 0.25
+FED_RETRY_SECONDS = 1.0  # who is fed does not try to lead
 CLOCK_MARGIN_SECONDS = 0.2
 EPOCHS_PER_TERM = 10_000
 NOWHERE = DataCentreId("")
@@ -140,7 +141,7 @@
             self._end_term("lease ended")
         except PlatformError as error:
             self._log.belief("lease-call-failed", reason=error)
-            await asyncio.sleep(RETRY_SECONDS)
+            await asyncio.sleep(FED_RETRY_SECONDS if self._is_fed() else RETRY_SECONDS)
 
     async def _keep_lease(self) -> None:
         began = now()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -54,12 +54,17 @@
 
 
 class InstanceProcess:
-    """One instance as a process, with a proxy before its store."""
+    """One instance as a process, with a proxy before its store.
 
-    def __init__(self, name: str, folder: Path, store: Proxy, port: int) -> None:
+    :param port: port for callers.
+    :param peer_port: port for other instances.
+    """
+
+    def __init__(self, name: str, folder: Path, store: Proxy, port: int, peer_port: int) -> None:
         self.name = name
         self.store = store
         self.port = port
+        self._peer_port = peer_port
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
 
@@ -69,7 +74,7 @@
         settings.write_text(
             f'[instance]\nname = "{self.name}"\ndata_centre = "here"\n'
             f'[listeners]\ncallers = "127.0.0.1:{self.port}"\nreadiness = "127.0.0.1:0"\n'
-            f'peers = "127.0.0.1:{self.port}"\n[store]\naddress = "{self.store.address}"\n',
+            f'peers = "127.0.0.1:{self._peer_port}"\n[store]\naddress = "{self.store.address}"\n',
             encoding="utf-8",
         )
         log = (self._folder / f"{self.name}.log").open("ab")
@@ -91,7 +96,10 @@
 
 
 class SoakFleet:
-    """Three instances, six model servers, two booking servers and one store."""
+    """Three instances, six model servers, two booking servers and one store.
+
+    :param ports: two ports for each instance.
+    """
 
     def __init__(self, folder: Path, ports: list[int]) -> None:
         self._folder = folder
@@ -114,10 +122,11 @@
             booking = BookingServerStandIn(f"b-{number}", self.store, "app")
             self.bookings.append(booking)
             await booking.start([], self._proxy)
-        for number, port in enumerate(self._ports):
+        pairs = zip(self._ports[::2], self._ports[1::2], strict=True)
+        for number, (port, peer_port) in enumerate(pairs):
             proxy = Proxy(self.store.address)
             await proxy.start()
-            instance = InstanceProcess(f"e-{number}", self._folder, proxy, port)
+            instance = InstanceProcess(f"e-{number}", self._folder, proxy, port, peer_port)
             self.instances.append(instance)
             await instance.start()
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,7 +32,7 @@
     def __init__(self, seed: int, seconds: float, folder: Path) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
-        self.fleet = SoakFleet(folder, free_ports(3))
+        self.fleet = SoakFleet(folder, free_ports(6))
         self.ledger = Ledger()
         self.faults: list[str] = []
 
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -205,6 +205,13 @@
         self.beliefs.accept_peers(own)
         self.assertIsNone(self.follower._choose())
 
+    async def test_a_source_elsewhere_is_asked_when_none_here_answers(self) -> None:
+        await self.until(fed=True)
+        elsewhere = Peer(EntryId("far"), THERE, "127.0.0.1:1")
+        self.beliefs.accept_peers((*self.known.peers, elsewhere))
+        self.follower._avoided_until[self.known.peers[0].instance] = now() + 60
+        self.assertEqual(self.follower._choose(), elsewhere)
+
     async def test_a_source_that_fails_is_not_asked_again_at_once(self) -> None:
         await self.until(fed=True)
         await self.source.stop()
