Describe free hosts only when they are logged; name what makes news unreadable

News that are no CBOR gave an error without a text (seen: an empty message); it names the message and the reason now, and the test asks for it. No other behaviour changes.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -134,7 +134,7 @@
                 wanted=planner.demand.groups_wanted(
                     service.engine, spec, len(self._beliefs.view.upstreams_by_id)
                 ),
-                free_hosts=planner.free_hosts,
+                free_hosts=planner.free_hosts(),
             )
 
     def _concurrency(self, service: Service) -> dict[ModelId, float]:
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -6,7 +6,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from cactuspass._findings import findings_of_errors
+from cactuspass._findings import Finding, findings_of_errors
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet._catalog import Catalog, Evacuations
 from cactuspass.fleet._peers import Peer
@@ -66,4 +66,4 @@
     except ValidationError as error:
         raise DocumentError(findings_of_errors("news", error.errors())) from error
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
-        raise DocumentError(findings_of_errors("news", [])) from error
+        raise DocumentError((Finding("news", "", str(error)),)) from error
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -24,8 +24,7 @@
 
     def __init__(self, demand: Demand) -> None:
         self.demand = demand
-        self.free_host_count = 0
-        self.free_hosts = ""
+        self._last_round: Round | None = None
         self._memory = Memory(demand)
 
     def plan(self, situation: Situation) -> list[AddressedOrder]:
@@ -39,10 +38,13 @@
         orders += tend_formations(current)
         orders += form_groups(current)
         orders += stage_hosts(current)
-        self.free_host_count = sum(map(len, current.free_hosts_by_domain().values()))
-        self.free_hosts = describe_free_hosts(current)
+        self._last_round = current
         return orders
 
+    def free_hosts(self) -> str:
+        """Return for a log line which hosts the last decision left without a group."""
+        return describe_free_hosts(self._last_round) if self._last_round is not None else ""
+
     def note_outcome(self, addressed: AddressedOrder, outcome: OrderOutcome, at: float) -> None:
         """Draw the conclusions of an order's outcome."""
         memory, order = self._memory, addressed.order
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -126,8 +126,9 @@
 
     def test_a_message_that_cannot_be_read_is_an_error_with_its_place(self) -> None:
         for data in (b"", b"\xff", b"\xa1\x61a\x01"):
-            with self.subTest(data=data), self.assertRaises(DocumentError):
+            with self.subTest(data=data), self.assertRaises(DocumentError) as caught:
                 decode_news(data)
+            self.assertIn("news", str(caught.exception))
 
 
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
