Say in the log of a join what is known of the group that the host was in

The line now names the old group, its head, what registry and report last said of it, and what became of the order to close it, so that 'head never seen', 'not registered and not reached' and 'registered as closed' can be told apart. No decision changes.

--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -4,6 +4,7 @@
 
 from cactuspass.fleet._allotment import allot_models
 from cactuspass.fleet._catalog import ModelSpec
+from cactuspass.fleet._inventory import describe_release
 from cactuspass.fleet._orders import AddressedOrder, Join
 from cactuspass.fleet._round import Formation, Round
 from cactuspass.fleet._upstreams import GroupKey, Upstream
@@ -123,4 +124,4 @@
     join = Join(key, spec.model, formation.member_ids)
     reason = f"{spec.model} has {current.supply(spec):.2f} of the wanted groups"
     for member in members:
-        yield current.order(member, join, reason)
+        yield current.order(member, join, f"{reason}; {describe_release(member, current)}")
--- a/src/cactuspass/fleet/_inventory.py
+++ b/src/cactuspass/fleet/_inventory.py
@@ -1,7 +1,8 @@
-"""Says in a log line which upstreams serve in no group, and what they could become."""
+"""Says in log lines which upstreams serve in no group, why, and what they could become."""
 
 from collections import Counter
 
+from cactuspass.fleet._orders import UpstreamReport
 from cactuspass.fleet._round import Round
 from cactuspass.fleet._upstreams import Upstream
 
@@ -27,3 +28,30 @@
     if schedule.is_loading(host.upstream_id):
         return f"loading {schedule.model(host.upstream_id) or 'an unknown model'}"
     return host.staged[-1] if host.staged else "empty"
+
+
+def describe_release(host: Upstream, current: Round) -> str:
+    """Return for a log line what is known of the group that a free host was in."""
+    membership = host.membership
+    if membership is None:
+        return "host is in no group"
+    group = current.situation.view.groups_by_key[membership.key]
+    head = group.head or current.memory.heads_by_key.get(membership.key)
+    if head is None:
+        return f"host left {membership.key.group_id}, head never seen"
+    registered = current.situation.view.upstreams_by_id.get(head.upstream_id)
+    report = current.situation.reports_by_id.get(head.upstream_id)
+    closed = current.memory.close_outcomes_by_key.get(membership.key)
+    return (
+        f"host left {membership.key.group_id}, head {head.upstream_id}"
+        f" registry {_membership_text(registered)}, report {_membership_text(report)},"
+        f" order to close {closed.value if closed is not None else 'not given'}"
+    )
+
+
+def _membership_text(source: Upstream | UpstreamReport | None) -> str:
+    if source is None:
+        return "missing"
+    if source.membership is None:
+        return "no group"
+    return f"{source.membership.key.group_id} {source.membership.state.value}"
