--- a/tests/leader_world.py
+++ b/tests/leader_world.py
@@ -54,6 +54,13 @@
     NOT_REACHED = float("-inf")
 
 
+Script = Callable[[AddressedOrder], Fate | None]
+
+
+def undecided(addressed: AddressedOrder) -> None:
+    """Leave the fate of every order open."""
+
+
 @dataclass(slots=True)
 class Probed:
     """What a leader knows of a host from asking it."""
@@ -123,6 +130,7 @@
     """An order world, its registry and the leaders that follow each other.
 
     :param unregistered: hosts whose writes do not reach the registry.
+    :param script: says what becomes of an order, or None to leave that to ``fates``.
     :param fates: what becomes of the next orders; all others are answered.
     """
 
@@ -132,6 +140,7 @@
         self.truth = OrderWorld(Host(i, specs, (MODEL,), born_ms=1) for i in ids)
         self.unregistered: set[UpstreamId] = set()
         self.fates: deque[Fate] = deque()
+        self.script: Script = undecided
         self.given: list[AddressedOrder] = []
         self._entries: dict[UpstreamId, Upstream] = {}
         self._heard_at: dict[UpstreamId, float] = {}
@@ -208,6 +217,7 @@
         self.truth.alone.clear()
         self.truth.dark.clear()
         self.fates.clear()
+        self.script = undecided
         for host in self.truth.alive():
             host.pace = 1.0
         leader = self.leader if self.leader is not None else self.change_leader()
@@ -312,12 +322,20 @@
         for addressed in orders:
             self.truth.later(seconds, lambda a=addressed: self._send(leader, a))  # type: ignore[misc]
 
+    def _draw_fate(self, addressed: AddressedOrder, cut: bool) -> Fate:
+        """Return what becomes of an order.
+
+        :param cut: whether its sender does not reach the host; no answer can come back then.
+        """
+        fate = self.script(addressed)
+        if fate is None:
+            fate = self.fates.popleft() if self.fates else Fate.ANSWERED
+        return Fate.NOT_REACHED if cut and fate is Fate.ANSWERED else fate
+
     def _send(self, leader: Leader, addressed: AddressedOrder) -> None:
         self.given.append(addressed)
-        fate = self.fates.popleft() if self.fates else Fate.ANSWERED
         host_id = addressed.target.upstream_id
-        if host_id in leader.cut_from:
-            fate = Fate.NOT_REACHED
+        fate = self._draw_fate(addressed, cut=host_id in leader.cut_from)
         what = f"{type(addressed.order).__name__} {getattr(addressed.order, 'key', None)}"
         self.truth.log.append(
             f"{self.at:.2f} term {leader.first_epoch} sends {host_id} {what}, {fate.name}:"
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -24,6 +24,7 @@
 FINISH_SECONDS = 1.5
 STALL_SECONDS = 6.0
 STEP_SECONDS = 0.05
+ROUNDING_SECONDS = 1e-6
 
 Formed = tuple[GroupKey, tuple[UpstreamId, ...]]
 
@@ -228,7 +229,7 @@
     def step(self) -> None:
         """Let a little time pass."""
         self.at += STEP_SECONDS
-        while self._late and self._late[0][0] <= self.at:
+        while self._late and self._late[0][0] <= self.at + ROUNDING_SECONDS:
             heappop(self._late)[2]()
         for host in self.alive():
             self._settle(host)
