Let a host join a group only out of no group, by an order that names its state

Cause: the planner concluded from what it did not see. A host counted as free when its head was not registered, not reached within 0.3 s, never seen by this term for 2.5 s, or closed in a report that may be older than an open; and a join without an answer stayed valid for 12 s, while the host's old group could be opened again, since an epoch only bars what is lower than the host has seen. One class of fault: the evidence and the order are not tied together, so that any delay, cut or change of leader between them breaks the rule.

Change: a new order, Leave. A host that no group keeps leaves its group first, and counts as free only by its own answer or report. Each order names how many orders the host has accepted (the precondition of the platform's orders), taken from the same report or answer as the membership: the host refuses it with 409 when anything was carried out since. So a join, whenever it arrives and whoever sent it, is carried out by a host in no group or not at all. Timers remain only where they decide when it is worth to make a host leave. The wait of 13 s for late opens is gone, being needless.

Ruled out: longer timers (a head that is cut off cannot be told from a dead one), rising epochs alone (the old group is always lower), a close before the join (a late open undoes it).

The planner's test of an opening that is not seen asked for a bound survivor and a close; it asks now for what makes that safe: no join, and orders to leave that name the state with the open counted. Its world refuses any join out of another group, and its leader's epochs lie above the adopted ones, as a term's always do. A report without its number or its lifetime cannot be used.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -168,6 +168,7 @@
             group=getattr(order, "key", None) and order.key.group_id,  # type: ignore[union-attr]
             model=getattr(order, "model", None),
             reason=addressed.reason,
+            expected_sequence=addressed.expected_sequence,
             term=self._term.revision if self._term is not None else None,
             outcome=outcome.value,
             took=now() - began,
--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -4,7 +4,6 @@
 
 from cactuspass.fleet._allotment import allot_models
 from cactuspass.fleet._catalog import ModelSpec
-from cactuspass.fleet._inventory import describe_release
 from cactuspass.fleet._orders import AddressedOrder, Join
 from cactuspass.fleet._round import Formation, Round
 from cactuspass.fleet._upstreams import GroupKey, Upstream
@@ -32,9 +31,16 @@
         current.bind(tuple(present))
         join = Join(key, formation.model, formation.member_ids)
         for member in present:
-            joined = member.membership is not None and member.membership.key == key
-            if not joined and current.may_send(member, f"join {key}"):
-                yield current.order(member, join, "join was not answered")
+            if not _has_joined(member, key, current) and current.may_send(member, f"join {key}"):
+                sequence = formation.sequences_by_id[member.upstream_id]
+                reason = "join was not answered"
+                yield current.order_in_state(member, join, reason, sequence)
+
+
+def _has_joined(member: Upstream, key: GroupKey, current: Round) -> bool:
+    known = current.memory.ledger.state(member)
+    memberships = (member.membership, known.membership if known is not None else None)
+    return any(membership is not None and membership.key == key for membership in memberships)
 
 
 def _is_hopeless(formation: Formation, present: list[Upstream], current: Round) -> bool:
@@ -43,7 +49,20 @@
     if current.any_unreachable(tuple(present)):
         return True
     born_by_id = {member.upstream_id: member.born_ms for member in formation.members}
-    return any(m.draining or m.born_ms != born_by_id[m.upstream_id] for m in present)
+    return any(
+        member.draining
+        or member.born_ms != born_by_id[member.upstream_id]
+        or _accepted_another_order(formation, member, current)
+        for member in present
+    )
+
+
+def _accepted_another_order(formation: Formation, member: Upstream, current: Round) -> bool:
+    """Return whether a member cannot join any more, since its order expects an older state."""
+    known = current.memory.ledger.state(member)
+    if known is None or known.sequence <= formation.sequences_by_id[member.upstream_id]:
+        return False
+    return not _has_joined(member, formation.key, current)
 
 
 def form_groups(current: Round) -> Iterator[AddressedOrder]:
@@ -113,8 +132,13 @@
     key = GroupKey(GroupId(f"g{current.memory.next_epoch}"), current.memory.next_epoch)
     to_load = [host for host in members if spec.model not in host.staged]
     duration = spec.load_seconds * LOAD_SLACK_FACTOR if to_load else spec.warm_seconds
+    states = [current.memory.ledger.states_by_id[member.upstream_id] for member in members]
     formation = Formation(
-        key, spec.model, tuple(members), situation.at + duration + PLAN_SLACK_SECONDS
+        key,
+        spec.model,
+        tuple(members),
+        situation.at + duration + PLAN_SLACK_SECONDS,
+        {m.upstream_id: state.sequence for m, state in zip(members, states, strict=True)},
     )
     current.memory.formations_by_key[key] = formation
     current.bind(formation.members)
@@ -124,4 +148,4 @@
     join = Join(key, spec.model, formation.member_ids)
     reason = f"{spec.model} has {current.supply(spec):.2f} of the wanted groups"
     for member in members:
-        yield current.order(member, join, f"{reason}; {describe_release(member, current)}")
+        yield current.order(member, join, reason)
--- a/src/cactuspass/fleet/_inventory.py
+++ b/src/cactuspass/fleet/_inventory.py
@@ -4,7 +4,7 @@
 
 from cactuspass.fleet._orders import UpstreamReport
 from cactuspass.fleet._round import Round
-from cactuspass.fleet._upstreams import Upstream
+from cactuspass.fleet._upstreams import GroupKey, Upstream
 
 
 def describe_free_hosts(current: Round) -> str:
@@ -30,21 +30,19 @@
     return host.staged[-1] if host.staged else "empty"
 
 
-def describe_release(host: Upstream, current: Round) -> str:
-    """Return for a log line what is known of the group that a free host was in."""
-    membership = host.membership
-    if membership is None:
-        return "host is in no group"
-    group = current.situation.view.groups_by_key[membership.key]
-    head = group.head or current.memory.heads_by_key.get(membership.key)
+def describe_release(key: GroupKey, current: Round) -> str:
+    """Return for a log line what is known of a group that its members are made to leave."""
+    group = current.situation.view.groups_by_key.get(key)
+    seen = group.head if group is not None else None
+    head = seen or current.memory.heads_by_key.get(key)
     if head is None:
-        return f"host left {membership.key.group_id}, head never seen"
+        return "head never seen"
     registered = current.situation.view.upstreams_by_id.get(head.upstream_id)
     report = current.situation.reports_by_id.get(head.upstream_id)
-    closed = current.memory.close_outcomes_by_key.get(membership.key)
+    closed = current.memory.close_outcomes_by_key.get(key)
     return (
-        f"host left {membership.key.group_id}, head {head.upstream_id}"
-        f" registry {_membership_text(registered)}, report {_membership_text(report)},"
+        f"head {head.upstream_id}: registry {_membership_text(registered)},"
+        f" report {_membership_text(report)},"
         f" order to close {closed.value if closed is not None else 'not given'}"
     )
 
--- a/src/cactuspass/fleet/_orders.py
+++ b/src/cactuspass/fleet/_orders.py
@@ -35,6 +35,13 @@
     cut: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Be a member of no group any more, whatever its head does."""
+
+    key: GroupKey
+
+
 @dataclass(frozen=True, slots=True)
 class Stage:
     """Load the weights of a model onto the host."""
@@ -42,7 +49,7 @@
     model: ModelId
 
 
-Order = Join | Open | Close | Stage
+Order = Join | Open | Close | Leave | Stage
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,11 +57,14 @@
     """An order and the upstream that it is for, as it was when the order was decided.
 
     :param reason: why the order is given, for the log.
+    :param expected_sequence: the upstream refuses the order unless it has accepted exactly so many
+        orders in this lifetime; None accepts any number.
     """
 
     target: Upstream
     order: Order
     reason: str
+    expected_sequence: int | None = None
 
 
 class OrderOutcome(Enum):
@@ -74,13 +84,17 @@
 
     :param pace: factor on its times; above 1 is slow.
     :param busy: whether it carries out an order, such as to load weights.
+    :param sequence: orders that it has accepted in this lifetime.
+    :param born_ms: start of this lifetime, in Unix milliseconds.
     """
 
     running: int
     queued: int
     pace: float
     membership: Membership | None
-    busy: bool = False
+    busy: bool
+    sequence: int
+    born_ms: int
 
 
 class UpstreamControl(ABC):
@@ -88,7 +102,7 @@
 
     @abstractmethod
     async def give(self, addressed: AddressedOrder) -> OrderOutcome:
-        """Give one order, on the condition that no other was accepted since it was decided."""
+        """Give one order; the upstream checks the number of orders that it expects."""
 
     @abstractmethod
     async def report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -1,16 +1,18 @@
 """Decides which orders make whole groups out of the upstreams of an engine service."""
 
+from dataclasses import replace
+
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._forming import form_groups, tend_formations
 from cactuspass.fleet._inventory import describe_free_hosts
-from cactuspass.fleet._orders import AddressedOrder, Close, Join, Open, OrderOutcome, Stage
+from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
+from cactuspass.fleet._releasing import release_hosts
 from cactuspass.fleet._round import Memory, Round, Situation
 from cactuspass.fleet._staging import stage_hosts
-from cactuspass.fleet._tending import OPENING_SECONDS, tend_groups
-from cactuspass.fleet._upstreams import GroupKey
+from cactuspass.fleet._tending import tend_groups
+from cactuspass.fleet._upstreams import UpstreamId
 
 UNREACHABLE_SECONDS = 2.0
-LATE_ORDER_SECONDS = 13.0  # an order without an answer may be carried out 12 s later
 REFUSED_OUTCOMES = frozenset(
     {OrderOutcome.CONFLICT, OrderOutcome.OUTDATED, OrderOutcome.NOT_REACHED}
 )
@@ -19,7 +21,9 @@
 class GroupPlanner:
     """Forms, opens, closes and re-forms groups; one controller at a time uses it.
 
-    A member is free for another group only when the head of its group was seen to serve no more.
+    A host joins a group only out of no group: each order names how many orders the host has
+    accepted, and a host refuses it when that has changed. So no belief about a head, however old
+    or wrong, lets a host be a member of two groups, and neither does an order that comes late.
     """
 
     def __init__(self, demand: Demand) -> None:
@@ -30,13 +34,16 @@
     def plan(self, situation: Situation) -> list[AddressedOrder]:
         """Return the orders to give now."""
         memory = self._memory
-        current = Round(situation, memory)
+        at, reports_by_id = situation.at, situation.reports_by_id
         upstreams_by_id = situation.view.upstreams_by_id
-        memory.schedule.update(upstreams_by_id, situation.reports_by_id, situation.at)
+        memory.schedule.update(upstreams_by_id, reports_by_id, at)
+        memory.ledger.update(upstreams_by_id, reports_by_id, at)
+        current = Round(replace(situation, view=memory.ledger.corrected(situation.view)), memory)
         memory.next_epoch = max(memory.next_epoch, situation.first_epoch)
         orders = list(tend_groups(current))
         orders += tend_formations(current)
         orders += form_groups(current)
+        orders += release_hosts(current)
         orders += stage_hosts(current)
         self._last_round = current
         return orders
@@ -51,21 +58,25 @@
         upstream_id = addressed.target.upstream_id
         if outcome is OrderOutcome.NOT_REACHED:
             memory.unreachable_until[upstream_id] = at + UNREACHABLE_SECONDS
-        if isinstance(order, Open):
-            self._note_open(order.key, outcome, at)
+        memory.ledger.note_outcome(addressed, outcome, at)
         if isinstance(order, Close):
             memory.close_outcomes_by_key[order.key] = outcome
         refused = outcome in REFUSED_OUTCOMES
         if isinstance(order, Join) and refused:
-            memory.formations_by_key.pop(order.key, None)
+            self._note_refused_join(order, upstream_id, outcome)
         if isinstance(order, Stage) and refused:
             memory.schedule.forget(upstream_id)
             if outcome is OrderOutcome.CONFLICT:
                 memory.schedule.found_busy(upstream_id, at)
 
-    def _note_open(self, key: GroupKey, outcome: OrderOutcome, at: float) -> None:
-        if outcome in REFUSED_OUTCOMES:
-            self._memory.may_open_until.pop(key, None)
+    def _note_refused_join(
+        self, order: Join, upstream_id: UpstreamId, outcome: OrderOutcome
+    ) -> None:
+        """Give the formation up, unless the host may have refused since it has joined already."""
+        formation = self._memory.formations_by_key.get(order.key)
+        if formation is None:
+            return
+        if outcome is OrderOutcome.CONFLICT and upstream_id not in formation.refused_by:
+            formation.refused_by.add(upstream_id)
             return
-        wait = LATE_ORDER_SECONDS if outcome is OrderOutcome.UNKNOWN else OPENING_SECONDS
-        self._memory.may_open_until[key] = at + wait
+        del self._memory.formations_by_key[order.key]
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -6,8 +6,16 @@
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
 from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._ledger import Ledger
 from cactuspass.fleet._loading import LoadSchedule
-from cactuspass.fleet._orders import AddressedOrder, Order, OrderOutcome, Stage, UpstreamReport
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Close,
+    Order,
+    OrderOutcome,
+    Stage,
+    UpstreamReport,
+)
 from cactuspass.fleet._upstreams import GroupKey, Upstream, UpstreamId, UpstreamView
 from cactuspass.models import DataCentreId, FabricDomainId, ModelId, ServiceId
 
@@ -44,12 +52,16 @@
     """A group that this planner has ordered.
 
     :param expected_by: clock value after which the formation is given up.
+    :param sequences_by_id: orders that each member had accepted before it was told to join.
+    :param refused_by: members that have refused to join, perhaps since they already have.
     """
 
     key: GroupKey
     model: ModelId
     members: tuple[Upstream, ...]
     expected_by: float
+    sequences_by_id: dict[UpstreamId, int]
+    refused_by: set[UpstreamId] = field(default_factory=set)
 
     @property
     def member_ids(self) -> tuple[UpstreamId, ...]:
@@ -75,18 +87,16 @@
 
     :param members_by_key: the most members that each reported group was seen with.
     :param close_outcomes_by_key: last outcome of an order to close.
-    :param may_open_until: clock value until which an order to open may still take effect, though
-        the head is not seen to serve.
     """
 
     demand: Demand
     schedule: LoadSchedule = field(default_factory=LoadSchedule)
+    ledger: Ledger = field(default_factory=Ledger)
     formations_by_key: dict[GroupKey, Formation] = field(default_factory=dict)
     members_by_key: dict[GroupKey, tuple[Upstream, ...]] = field(default_factory=dict)
     heads_by_key: dict[GroupKey, Upstream] = field(default_factory=dict)
     headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
-    may_open_until: dict[GroupKey, float] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
     next_epoch: int = 0
@@ -98,7 +108,6 @@
             self.heads_by_key.pop(key, None)
             self.headless_by_key.pop(key, None)
             self.close_outcomes_by_key.pop(key, None)
-            self.may_open_until.pop(key, None)
         old = [what for what, sent_at in self.sent_at.items() if at - sent_at > FORGET_SECONDS]
         for what in old:
             del self.sent_at[what]
@@ -150,11 +159,27 @@
         return sent_at is None or self.situation.at - sent_at >= RESEND_SECONDS
 
     def order(self, target: Upstream, order: Order, reason: str) -> AddressedOrder:
-        """Return an order, and remember when it was sent."""
+        """Return an order that is carried out only in the last known state of its target."""
+        known = self.memory.ledger.state(target)
+        return self.order_in_state(target, order, reason, known.sequence if known else None)
+
+    def order_in_state(
+        self, target: Upstream, order: Order, reason: str, sequence: int | None
+    ) -> AddressedOrder:
+        """Return an order, and remember when it was sent.
+
+        :param sequence: orders that the target must have accepted; None for any number.
+        """
         name = type(order).__name__.lower()
         what = name if isinstance(order, Stage) else f"{name} {order.key}"
         self.memory.sent_at[(target.upstream_id, what)] = self.situation.at
-        return AddressedOrder(target, order, reason)
+        return AddressedOrder(target, order, reason, sequence)
+
+    def order_to_close(self, head: Upstream, close: Close, reason: str) -> AddressedOrder:
+        """Return an order to close, in any state if the head has refused it in the known one."""
+        if self.memory.ledger.refused_lately(head, self.situation.at):
+            return self.order_in_state(head, close, reason, None)
+        return self.order(head, close, reason)
 
     def hosts(self) -> list[Upstream]:
         """Return the upstreams of the service that stay."""
@@ -165,16 +190,23 @@
         ]
 
     def free_hosts_by_domain(self) -> dict[FabricDomainId, list[Upstream]]:
-        """Return the upstreams that may join a group now."""
+        """Return the upstreams that are in no group and may join one now."""
         hosts_by_domain: dict[FabricDomainId, list[Upstream]] = defaultdict(list)
-        for upstream in self.hosts():
-            if upstream.upstream_id in self.bound or self.any_unreachable((upstream,)):
-                continue
-            if self.is_slow(upstream):
-                continue
-            hosts_by_domain[upstream.fabric_domain].append(upstream)
+        for upstream in self.unbound_hosts():
+            if self.memory.ledger.is_free(upstream, self.situation.at):
+                hosts_by_domain[upstream.fabric_domain].append(upstream)
         return hosts_by_domain
 
+    def unbound_hosts(self) -> list[Upstream]:
+        """Return the upstreams that no group keeps, and that could serve in one."""
+        return [
+            upstream
+            for upstream in self.hosts()
+            if upstream.upstream_id not in self.bound
+            and not self.any_unreachable((upstream,))
+            and not self.is_slow(upstream)
+        ]
+
     def supply(self, spec: ModelSpec) -> float:
         """Return the groups that a model has for each one that it should have."""
         return self.groups_by_model[spec.model] / self.groups_wanted(spec)
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -10,7 +10,6 @@
 HEAD_GONE_SECONDS = 0.3
 HEAD_UNKNOWN_SECONDS = 2.5
 HEAD_CLOSING_SECONDS = 3.0
-OPENING_SECONDS = 3.0
 SURE_OUTCOMES = frozenset({OrderOutcome.CONFLICT, OrderOutcome.OUTDATED})
 
 
@@ -56,14 +55,13 @@
     if model is None or spec is None:
         return
     current.memory.formations_by_key.pop(group.key, None)
-    current.memory.may_open_until.pop(group.key, None)
     reason, cut = _fault(group, spec, current)
     if reason is None:
         current.count_group(model, group.members)
     elif head.membership.state is MemberState.OPEN and not current.any_unreachable((head,)):
         order = Close(group.key, cut)
         if current.may_send(head, f"close {group.key}"):
-            yield current.order(head, order, reason)
+            yield current.order_to_close(head, order, reason)
 
 
 def _fault(group: Group, spec: ModelSpec, current: Round) -> tuple[str | None, bool]:
@@ -103,7 +101,6 @@
         map(current.is_slow, group.members)
     )
     if not sound or not group.is_complete(spec.size):
-        yield from _hold_while_opening(group, head, current)
         return
     current.bind(group.members)
     current.count_group(model, group.members)
@@ -112,9 +109,10 @@
     )
     if not listed or not group.all_ready() or not current.may_send(head, f"open {group.key}"):
         return
+    if current.memory.ledger.state(head) is None:
+        return
     if formation is None and not _all_answer(group, current):
         return
-    current.memory.may_open_until[group.key] = situation.at + OPENING_SECONDS
     yield current.order(head, Open(group.key), "all members ready")
 
 
@@ -126,16 +124,6 @@
     return all(member.upstream_id in current.situation.reachable for member in group.members)
 
 
-def _hold_while_opening(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
-    """Close a head that was told to open before a member was lost, and keep the others bound."""
-    until = current.memory.may_open_until.get(group.key, 0.0)
-    if current.situation.at >= until:
-        return
-    current.bind(group.members)
-    if current.may_send(head, f"close {group.key}") and not current.any_unreachable((head,)):
-        yield current.order(head, Close(group.key, True), "a member was lost while it opened")
-
-
 def _tend_headless(group: Group, current: Round) -> Iterator[AddressedOrder]:
     """Tell a head whose entry has gone to close; its members are free once it surely has stopped.
 
@@ -149,7 +137,7 @@
     if not _head_is_done(group, headless, current):
         current.bind(group.members)
         if head is not None and current.may_send(head, f"close {group.key}"):
-            yield current.order(head, Close(group.key, True), "head not registered")
+            yield current.order_to_close(head, Close(group.key, True), "head not registered")
 
 
 def _head_is_done(group: Group, headless: Headless, current: Round) -> bool:
--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -8,9 +8,10 @@
 from cactuspass.fleet import (
     AddressedOrder,
     ChannelPool,
-    Close,
     Join,
+    Leave,
     Open,
+    Order,
     OrderOutcome,
     OutgoingRequest,
     Stage,
@@ -39,7 +40,10 @@
 
     async def give(self, addressed: AddressedOrder) -> OrderOutcome:
         """Give one order."""
-        body = json.dumps(_order_body(addressed.order)).encode()
+        document = _order_body(addressed.order)
+        if addressed.expected_sequence is not None:
+            document["precondition"] = addressed.expected_sequence
+        body = json.dumps(document).encode()
         try:
             status, _ = await self._call(
                 addressed.target, "POST", "/order", body, ORDER_TIMEOUT_SECONDS
@@ -77,7 +81,7 @@
                 exchange.abort()
 
 
-def _order_body(order: Join | Open | Close | Stage) -> dict[str, Any]:
+def _order_body(order: Order) -> dict[str, Any]:
     if isinstance(order, Stage):
         return {"op": "stage", "model": order.model}
     body: dict[str, Any] = {"group": order.key.group_id, "epoch": order.key.epoch}
@@ -85,4 +89,6 @@
         return {"op": "join", **body, "model": order.model, "members": list(order.members)}
     if isinstance(order, Open):
         return {"op": "open", **body}
+    if isinstance(order, Leave):
+        return {"op": "leave", **body}
     return {"op": "close", **body, "close_mode": "cut" if order.cut else "wait"}
--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -57,7 +57,8 @@
     queued: Annotated[StrictInt, Field(ge=0)]
     pace: float = 1.0
     busy: bool = False
-    born: StrictInt = 0
+    seq: Annotated[StrictInt, Field(ge=0)]  # orders accepted; a registry entry counts beats
+    born: StrictInt
     group: _Group | None = None
 
 
@@ -97,4 +98,12 @@
     except ValidationError as error:
         raise DocumentError(findings_of_errors("report", error.errors())) from error
     membership = report.group.decode() if report.group is not None else None
-    return UpstreamReport(report.running, report.queued, report.pace, membership, report.busy)
+    return UpstreamReport(
+        running=report.running,
+        queued=report.queued,
+        pace=report.pace,
+        membership=membership,
+        busy=report.busy,
+        sequence=report.seq,
+        born_ms=report.born,
+    )
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -1,5 +1,6 @@
 """A small world of upstreams that carry out orders, for tests of the group planner."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -9,7 +10,9 @@
     AddressedOrder,
     Close,
     Join,
+    Leave,
     Open,
+    Order,
     OrderOutcome,
     Stage,
     UpstreamReport,
@@ -83,7 +86,8 @@
         self.evacuated: frozenset[DataCentreId] = frozenset()
         self.planner = GroupPlanner(Demand())
         self.given: list[AddressedOrder] = []
-        self.first_epoch = 1
+        self.first_epoch = 10_000
+        self.sequences_by_id: Counter[UpstreamId] = Counter()
         self._due: list[tuple[float, UpstreamId, Upstream]] = []
 
     def situation(self) -> Situation:
@@ -106,7 +110,8 @@
         carries_out = any(due_id == upstream_id for _, due_id, _ in self._due)
         membership = self.upstreams_by_id[upstream_id].membership
         pace = self.pace_by_id.get(upstream_id, 1.0)
-        return UpstreamReport(0, 0, pace, membership, carries_out)
+        sequence = self.sequences_by_id[upstream_id]
+        return UpstreamReport(0, 0, pace, membership, carries_out, sequence, 0)
 
     def replace_controller(self) -> None:
         """Let a controller that knows nothing take over, with higher epochs."""
@@ -167,9 +172,18 @@
         upstream = self.upstreams_by_id.get(addressed.target.upstream_id)
         if upstream is None or upstream.upstream_id in self.dead:
             return OrderOutcome.NOT_REACHED
-        order = addressed.order
+        if addressed.expected_sequence not in (None, self.sequences_by_id[upstream.upstream_id]):
+            return OrderOutcome.CONFLICT
+        outcome = self._begin(upstream, addressed.order)
+        if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+            self.sequences_by_id[upstream.upstream_id] += 1
+        return outcome
+
+    def _begin(self, upstream: Upstream, order: Order) -> OrderOutcome:
         if isinstance(order, Join):
             self._join(upstream, order)
+        elif isinstance(order, Leave):
+            return self._leave(upstream, order)
         elif isinstance(order, Stage) and upstream.upstream_id in self.busy:
             return OrderOutcome.CONFLICT
         elif isinstance(order, Stage):
@@ -181,6 +195,8 @@
         return OrderOutcome.BEGUN
 
     def _join(self, upstream: Upstream, order: Join) -> None:
+        if upstream.membership is not None and upstream.membership.key != order.key:
+            raise AssertionError(f"{upstream.upstream_id} joins {order.key} out of another group")
         rank = order.members.index(upstream.upstream_id)
         joining = Membership(order.key, rank, MemberState.JOINING)
         self.upstreams_by_id[upstream.upstream_id] = replace(upstream, membership=joining)
@@ -192,6 +208,13 @@
         )
         self._due.append((self.at + self._join_seconds(upstream, order), after.upstream_id, after))
 
+    def _leave(self, upstream: Upstream, order: Leave) -> OrderOutcome:
+        if upstream.membership is None or upstream.membership.key != order.key:
+            return OrderOutcome.CONFLICT
+        self._due = [entry for entry in self._due if entry[1] != upstream.upstream_id]
+        self.upstreams_by_id[upstream.upstream_id] = replace(upstream, membership=None)
+        return OrderOutcome.HOLDS
+
     def _join_seconds(self, upstream: Upstream, order: Join) -> float:
         spec = ENGINE.models_by_id[order.model]
         if upstream.loaded == order.model:
--- a/tests/leader_world.py
+++ b/tests/leader_world.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 from enum import Enum
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
@@ -38,7 +38,6 @@
 LAPSE_SECONDS = 3.0
 VIEW_LAG_SECONDS = 0.1
 EPOCHS_OF_A_TERM = 10_000
-REPORTED = frozenset(one.name for one in fields(UpstreamReport))
 
 
 class Fate(Enum):
@@ -343,8 +342,7 @@
         )
 
         def arrive() -> OrderOutcome:
-            expected_seq = getattr(addressed, "expected_seq", None)
-            return self.truth.carry_out(host_id, addressed.order, expected_seq)
+            return self.truth.carry_out(host_id, addressed.order, addressed.expected_sequence)
 
         def note(outcome: OrderOutcome, seconds: float) -> None:
             self.truth.later(
@@ -382,13 +380,12 @@
 def make_report(host: Host, at: float) -> UpstreamReport:
     """Return what a host says of itself when asked."""
     place = host.place
-    said = {
-        "running": 0,
-        "queued": 0,
-        "pace": host.pace,
-        "membership": place.membership if place is not None else None,
-        "busy": host.is_busy(at),
-        "seq": host.seq,
-        "born_ms": host.born_ms,
-    }
-    return UpstreamReport(**{name: value for name, value in said.items() if name in REPORTED})  # type: ignore[arg-type]
+    return UpstreamReport(
+        running=0,
+        queued=0,
+        pace=host.pace,
+        membership=place.membership if place is not None else None,
+        busy=host.is_busy(at),
+        sequence=host.seq,
+        born_ms=host.born_ms,
+    )
--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -35,6 +35,7 @@
         self._server: BreakableServer | None = None
         self._pending: set[asyncio.Task[None]] = set()
         self._born = next(_births)
+        self._accepted = 0
         self.address = ""
 
     async def start(
@@ -98,6 +99,27 @@
     async def carry_out(self, order: dict[str, Any]) -> int:
         """Carry out an order; return the status."""
         self.orders.append(order)
+        if order.get("precondition", self._accepted) != self._accepted:
+            return 409
+        status = self._begin(order)
+        if status in (200, 202):
+            self._accepted += 1
+            await self.register()
+        return status
+
+    def report(self) -> dict[str, Any]:
+        """Return the answer to a request for a report."""
+        return {
+            "running": 0,
+            "queued": 0,
+            "pace": 1.0,
+            "busy": bool(self._pending),
+            "group": self._group,
+            "seq": self._accepted,
+            "born": self._born,
+        }
+
+    def _begin(self, order: dict[str, Any]) -> int:
         if order["op"] == "join":
             rank = order["members"].index(self.server_id)
             self._group = {"name": order["group"], "epoch": order["epoch"], "rank": rank}
@@ -107,9 +129,13 @@
             task.add_done_callback(self._pending.discard)
         elif self._group is None or self._group["epoch"] != order.get("epoch"):
             return 409
+        elif order["op"] == "leave":
+            for task in self._pending:
+                task.cancel()
+            self._group = None
+            return 200
         else:
             self._group["state"] = "open" if order["op"] == "open" else "ready"
-        await self.register()
         return 202
 
     async def _become_ready(self, model: str) -> None:
@@ -144,7 +170,7 @@
 
     def get(self) -> None:
         """Answer with a report."""
-        self.finish(json.dumps({"running": 0, "queued": 0, "pace": 1.0}))
+        self.finish(json.dumps(self.server.report()))
 
 
 class StreamHandler(ServerHandler):
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 
 from cactuspass.fleet._catalog import ModelSpec
-from cactuspass.fleet._orders import Close, Join, Open, OrderOutcome, Stage
+from cactuspass.fleet._orders import Close, Join, Leave, Open, OrderOutcome, Stage
 from cactuspass.fleet._upstreams import (
     SERVING_STATES,
     GroupKey,
@@ -122,7 +122,9 @@
             outcome = self._stage(order, at)
         else:
             outcome = self._change(order, at)
-        if outcome is OrderOutcome.BEGUN:
+        if outcome is OrderOutcome.BEGUN or (
+            outcome is OrderOutcome.HOLDS and isinstance(order, Leave)
+        ):
             self.seq += 1
         return outcome
 
@@ -163,9 +165,9 @@
             return _open(place, at)
         if isinstance(order, Close):
             return _close(place, order, at)
-        assert type(order).__name__ == "Leave", order
+        assert isinstance(order, Leave)
         self.place = None
-        return OrderOutcome.BEGUN
+        return OrderOutcome.HOLDS
 
     def settle(self, at: float) -> None:
         """Finish what is due."""
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -120,6 +120,8 @@
     async def test_groups_are_formed_and_a_stream_is_served(self) -> None:
         instance = await self.start_instance("e0")
         await until(lambda: len(self.heads()) == 2 and len(instance.serving_groups()) == 2)
+        orders = [order for server in self.servers for order in server.orders]
+        self.assertTrue(all("precondition" in order for order in orders))
         answer = await self.ask(instance)
         self.assertEqual((answer.code, answer.body), (200, events(range(1, EVENTS + 1))))
 
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from cactuspass.fleet._demand import Demand
-from cactuspass.fleet._orders import Close, Join, Open, Stage
+from cactuspass.fleet._orders import Close, Join, Leave, Open, Stage
 from cactuspass.fleet._round import Memory, Round
 from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
@@ -209,18 +209,23 @@
             self.world.run(0.1)
         self.world.upstreams_by_id.update({i: u for i, u in before.items() if i == self.members[0]})
 
-    def test_survivors_stay_bound_and_the_head_is_closed(self) -> None:
+    def test_survivors_leave_before_they_join_and_the_head_only_as_it_was_told_to_open(
+        self,
+    ) -> None:
         head = self.world.upstreams_by_id[self.members[0]]
         membership = head.membership
         assert membership is not None
         ready = replace(membership, state=MemberState.READY)
         self.world.upstreams_by_id[head.upstream_id] = replace(head, membership=ready)
-        joins = len(self.world.orders(Join))
         self.world.remove(self.members[2])
         orders = self.world.planner.plan(self.world.situation())
         self.assertEqual([a for a in orders if isinstance(a.order, Join)], [])
-        self.assertEqual(len([a for a in orders if isinstance(a.order, Close)]), 1)
-        self.assertEqual(len(self.world.orders(Join)), joins)
+        expected_by_id = {
+            addressed.target.upstream_id: addressed.expected_sequence
+            for addressed in orders
+            if isinstance(addressed.order, Leave)
+        }
+        self.assertEqual(expected_by_id, {self.members[0]: 2, self.members[1]: 1})
 
 
 class StagingTest(unittest.TestCase):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -39,6 +39,7 @@
     "group": {"name": "g7", "epoch": 12, "rank": 0, "state": "open"},
     "seq": 4,
 }
+REPORT = {"running": 3, "queued": 1, "pace": 2.5, "seq": 9, "born": 1_700_000_000_000}
 MANIFEST = {
     "version": 7,
     "routes": [
@@ -130,8 +131,14 @@
                 decode_entry("i-1", value, 0.0)
 
     def test_report_is_decoded(self) -> None:
-        report = decode_report(encode({"running": 3, "queued": 1, "pace": 2.5, "seq": 9}))
+        report = decode_report(encode(REPORT))
         self.assertEqual((report.running, report.queued, report.pace), (3, 1, 2.5))
+        self.assertEqual((report.sequence, report.born_ms), (9, 1_700_000_000_000))
+
+    def test_report_that_does_not_say_which_state_it_is_of_cannot_be_used(self) -> None:
+        for name in ("seq", "born"):
+            with self.subTest(missing=name), self.assertRaises(DocumentError):
+                decode_report(encode({key: REPORT[key] for key in REPORT if key != name}))
 
 
 class HeaderTest(unittest.TestCase):
