Log orders when they are sent, and formations that are given up

Each order has a line of its own now when it is sent, with the members of a join and the state that it expects, and a formation that is given up says why. No decision changes.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -11,7 +11,7 @@
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._dispatch import RequestsSeen
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._orders import AddressedOrder, UpstreamControl
+from cactuspass.fleet._orders import AddressedOrder, Join, Stage, UpstreamControl
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._presence import Presence, Term
 from cactuspass.fleet._probes import Probes
@@ -107,6 +107,14 @@
         )
         for addressed in planner.plan(situation):
             self._start(planner, addressed)
+        for given_up in planner.given_up():
+            self._log.belief(
+                "formation-given-up",
+                group=given_up.key.group_id,
+                model=given_up.model,
+                reason=given_up.reason,
+                term=term.revision,
+            )
         self._log_supply(service, planner)
 
     def _registry_has_settled(self) -> bool:
@@ -157,21 +165,30 @@
     async def _give(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
         if self._presence.term != self._term or self._term is None:
             return
+        term = self._term
+        name = type(addressed.order).__name__.lower()
+        self._log_order(f"{name}-sent", term, addressed, reason=addressed.reason)
         began = now()
         outcome = await self._control.give(addressed)
-        order = addressed.order
-        name = type(order).__name__.lower()
         self._metrics.orders.labels(name, outcome.value).inc()
+        took = now() - began
+        self._log_order(name, term, addressed, outcome=outcome.value, took=took)
+        planner.note_outcome(addressed, outcome, now())
+        self._wake.set()
+
+    def _log_order(
+        self, event: str, term: Term, addressed: AddressedOrder, **fields: str | float
+    ) -> None:
+        """Log an order that is sent or answered; one that is sent may be carried out much later."""
+        order = addressed.order
+        key = None if isinstance(order, Stage) else order.key
         self._log.order(
-            name,
+            event,
             upstream=addressed.target.upstream_id,
-            group=getattr(order, "key", None) and order.key.group_id,  # type: ignore[union-attr]
-            model=getattr(order, "model", None),
-            reason=addressed.reason,
+            group=key.group_id if key is not None else None,
+            model=order.model if isinstance(order, Join | Stage) else None,
+            members=",".join(order.members) if isinstance(order, Join) else None,
             expected_sequence=addressed.expected_sequence,
-            term=self._term.revision if self._term is not None else None,
-            outcome=outcome.value,
-            took=now() - began,
+            term=term.revision,
+            **fields,
         )
-        planner.note_outcome(addressed, outcome, now())
-        self._wake.set()
--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -22,8 +22,9 @@
     for key, formation in list(current.memory.formations_by_key.items()):
         members = [situation.view.upstreams_by_id.get(i) for i in formation.member_ids]
         present = [member for member in members if member is not None]
-        if _is_hopeless(formation, present, current):
-            del current.memory.formations_by_key[key]
+        fault = _fault(formation, present, current)
+        if fault is not None:
+            current.memory.give_up(key, fault)
             continue
         fresh = [m for m in present if m.upstream_id not in current.bound]
         if fresh:
@@ -43,18 +44,22 @@
     return any(membership is not None and membership.key == key for membership in memberships)
 
 
-def _is_hopeless(formation: Formation, present: list[Upstream], current: Round) -> bool:
-    if len(present) < len(formation.members) or current.situation.at > formation.expected_by:
-        return True
-    if current.any_unreachable(tuple(present)):
-        return True
-    born_by_id = {member.upstream_id: member.born_ms for member in formation.members}
-    return any(
-        member.draining
-        or member.born_ms != born_by_id[member.upstream_id]
-        or _accepted_another_order(formation, member, current)
-        for member in present
-    )
+def _fault(formation: Formation, present: list[Upstream], current: Round) -> str | None:
+    """Return why a formation cannot become whole, or None when it may."""
+    if len(present) < len(formation.members):
+        return "a member is not registered"
+    if current.situation.at > formation.expected_by:
+        return "it took too long"
+    for member, before in zip(present, formation.members, strict=True):
+        if current.any_unreachable((member,)):
+            return f"{member.upstream_id} does not answer"
+        if member.draining:
+            return f"{member.upstream_id} drains"
+        if member.born_ms != before.born_ms:
+            return f"{member.upstream_id} was restarted"
+        if _accepted_another_order(formation, member, current):
+            return f"{member.upstream_id} has accepted another order"
+    return None
 
 
 def _accepted_another_order(formation: Formation, member: Upstream, current: Round) -> bool:
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -7,7 +7,7 @@
 from cactuspass.fleet._inventory import describe_free_hosts
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
 from cactuspass.fleet._releasing import release_hosts
-from cactuspass.fleet._round import Memory, Round, Situation
+from cactuspass.fleet._round import GivenUp, Memory, Round, Situation
 from cactuspass.fleet._staging import stage_hosts
 from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import UpstreamId
@@ -48,6 +48,11 @@
         self._last_round = current
         return orders
 
+    def given_up(self) -> list[GivenUp]:
+        """Return the formations that were given up since the last call."""
+        found, self._memory.given_up = self._memory.given_up, []
+        return found
+
     def free_hosts(self) -> str:
         """Return for a log line which hosts the last decision left without a group."""
         return describe_free_hosts(self._last_round) if self._last_round is not None else ""
@@ -79,4 +84,4 @@
         if outcome is OrderOutcome.CONFLICT and upstream_id not in formation.refused_by:
             formation.refused_by.add(upstream_id)
             return
-        del self._memory.formations_by_key[order.key]
+        self._memory.give_up(order.key, f"{upstream_id} refused to join: {outcome.value}")
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -69,6 +69,18 @@
         return tuple(member.upstream_id for member in self.members)
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """A formation that cannot become whole.
+
+    :param reason: for the log.
+    """
+
+    key: GroupKey
+    model: ModelId
+    reason: str
+
+
 @dataclass(slots=True)
 class Headless:
     """A group whose head has no registry entry.
@@ -100,6 +112,13 @@
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
     next_epoch: int = 0
+    given_up: list[GivenUp] = field(default_factory=list)
+
+    def give_up(self, key: GroupKey, reason: str) -> None:
+        """Drop a formation."""
+        formation = self.formations_by_key.pop(key, None)
+        if formation is not None:
+            self.given_up.append(GivenUp(key, formation.model, reason))
 
     def forget(self, keys: set[GroupKey], at: float) -> None:
         """Drop what is remembered of groups that nobody reports any more."""
