Ask for a member that lost its registry entry before a new leader closes its group

A new leader knew of a group only what the registry showed at that moment, took a missing entry for the end of the member, and asked nobody.

Now each instance remembers the members and heads of the groups that it sees before it leads (GroupHistory); the leader asks members without an entry for their reports, and closes the group when one does not answer. A group that was never seen whole has 2.2 s to register, as long as lapsed entries may take to come back.

Three tests, each red before: with an earlier view the group stays open for 10 s and closes when the member does not answer; without one nothing is closed for 2 s.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -1,7 +1,8 @@
 """Gives the planner's orders while this instance leads, and asks upstreams for reports."""
 
 import asyncio
-from collections import Counter
+import itertools
+from collections import Counter, defaultdict
 from contextlib import suppress
 
 from cactuspass._clock import now
@@ -10,6 +11,7 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._dispatch import RequestsSeen
+from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import AddressedOrder, Join, Stage, UpstreamControl
 from cactuspass.fleet._planner import GroupPlanner
@@ -17,6 +19,7 @@
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._round import Situation
+from cactuspass.fleet._upstreams import Upstream
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_SECONDS = 0.15
@@ -49,6 +52,7 @@
         self._wake = asyncio.Event()
         self._term: Term | None = None
         self._planners_by_service: dict[ServiceId, GroupPlanner] = {}
+        self._histories_by_service: defaultdict[ServiceId, GroupHistory] = defaultdict(GroupHistory)
         self._orders: set[asyncio.Task[None]] = set()
         self._lead_in = False
         self._registered_count = 0
@@ -71,10 +75,15 @@
         term = self._presence.term
         if term != self._term:
             self._begin_term(term)
-        if term is None or self._beliefs.index is None:
+        if self._beliefs.index is None:
             return
         for service in self._beliefs.index.catalog.services_by_id.values():
-            if service.engine is not None:
+            if service.engine is None:
+                continue
+            if term is None:
+                groups = self._beliefs.view.groups_of(service.service)
+                self._histories_by_service[service.service].observe(groups, now())
+            else:
                 self._plan(term, service)
 
     def _begin_term(self, term: Term | None) -> None:
@@ -87,7 +96,10 @@
 
     def _plan(self, term: Term, service: Service) -> None:
         assert service.engine is not None
-        planner = self._planners_by_service.setdefault(service.service, GroupPlanner(Demand()))
+        history = self._histories_by_service[service.service]
+        planner = self._planners_by_service.setdefault(
+            service.service, GroupPlanner(Demand(), history)
+        )
         planner.demand.observe(self._concurrency(service))
         if self._requests_seen.any:
             self._lead_in = False
@@ -115,8 +127,15 @@
                 reason=given_up.reason,
                 term=term.revision,
             )
+        self._probes.want(self._unregistered_members(history))
         self._log_supply(service, planner)
 
+    def _unregistered_members(self, history: GroupHistory) -> list[Upstream]:
+        """Return members of groups that have lost their registry entries, and may live on."""
+        members = itertools.chain.from_iterable(history.members_by_key.values())
+        registered = self._beliefs.view.upstreams_by_id
+        return [member for member in members if member.upstream_id not in registered]
+
     def _registry_has_settled(self) -> bool:
         """Return whether the upstreams that start together have all registered by now."""
         count = len(self._beliefs.view.upstreams_by_id)
--- a/src/cactuspass/fleet/_inventory.py
+++ b/src/cactuspass/fleet/_inventory.py
@@ -34,7 +34,7 @@
     """Return for a log line what is known of a group that its members are made to leave."""
     group = current.situation.view.groups_by_key.get(key)
     seen = group.head if group is not None else None
-    head = seen or current.memory.heads_by_key.get(key)
+    head = seen or current.memory.history.heads_by_key.get(key)
     if head is None:
         return "head never seen"
     registered = current.situation.view.upstreams_by_id.get(head.upstream_id)
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -4,6 +4,7 @@
 
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._forming import form_groups, tend_formations
+from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._inventory import describe_free_hosts
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
 from cactuspass.fleet._releasing import release_hosts
@@ -26,10 +27,10 @@
     or wrong, lets a host be a member of two groups, and neither does an order that comes late.
     """
 
-    def __init__(self, demand: Demand) -> None:
+    def __init__(self, demand: Demand, history: GroupHistory | None = None) -> None:
         self.demand = demand
         self._last_round: Round | None = None
-        self._memory = Memory(demand)
+        self._memory = Memory(demand, history if history is not None else GroupHistory())
 
     def plan(self, situation: Situation) -> list[AddressedOrder]:
         """Return the orders to give now."""
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -92,7 +92,7 @@
             return
         for group in self._beliefs.view.groups_by_key.values():
             if group.serves and group.head is not None and group.head.upstream_id == head_id:
-                self._want(group.members)
+                self.want(group.members)
                 for member in group.members:
                     self._start(self._ask_twice(self._probed_by_id[member.upstream_id]))
 
@@ -108,12 +108,13 @@
     def _choose(self) -> None:
         """Ask the hosts of engine services, and for a while those that are not registered."""
         at = now()
-        self._want(self._beliefs.engine_hosts())
+        self.want(self._beliefs.engine_hosts())
         for upstream_id, probed in list(self._probed_by_id.items()):
             if at - probed.wanted_at > FORGET_SECONDS:
                 del self._probed_by_id[upstream_id]
 
-    def _want(self, members: Iterable[Upstream]) -> None:
+    def want(self, members: Iterable[Upstream]) -> None:
+        """Ask these upstreams from now on, for a while also when they are not registered."""
         for member in members:
             probed = self._probed_by_id.get(member.upstream_id)
             if probed is None or probed.upstream.born_ms != member.born_ms:
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -6,6 +6,7 @@
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
 from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._ledger import Ledger
 from cactuspass.fleet._loading import LoadSchedule
 from cactuspass.fleet._orders import (
@@ -97,16 +98,14 @@
 class Memory:
     """What the planner remembers between decisions.
 
-    :param members_by_key: the most members that each reported group was seen with.
     :param close_outcomes_by_key: last outcome of an order to close.
     """
 
     demand: Demand
+    history: GroupHistory
     schedule: LoadSchedule = field(default_factory=LoadSchedule)
     ledger: Ledger = field(default_factory=Ledger)
     formations_by_key: dict[GroupKey, Formation] = field(default_factory=dict)
-    members_by_key: dict[GroupKey, tuple[Upstream, ...]] = field(default_factory=dict)
-    heads_by_key: dict[GroupKey, Upstream] = field(default_factory=dict)
     headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
@@ -122,11 +121,10 @@
 
     def forget(self, keys: set[GroupKey], at: float) -> None:
         """Drop what is remembered of groups that nobody reports any more."""
-        for key in self.members_by_key.keys() - keys:
-            del self.members_by_key[key]
-            self.heads_by_key.pop(key, None)
-            self.headless_by_key.pop(key, None)
-            self.close_outcomes_by_key.pop(key, None)
+        for key in self.headless_by_key.keys() - keys:
+            del self.headless_by_key[key]
+        for key in self.close_outcomes_by_key.keys() - keys:
+            del self.close_outcomes_by_key[key]
         old = [what for what, sent_at in self.sent_at.items() if at - sent_at > FORGET_SECONDS]
         for what in old:
             del self.sent_at[what]
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -10,6 +10,7 @@
 HEAD_GONE_SECONDS = 0.3
 HEAD_UNKNOWN_SECONDS = 2.5
 HEAD_CLOSING_SECONDS = 3.0
+REGISTER_SECONDS = 2.2  # entries that lapsed are back about 2 s after the registry's return
 SURE_OUTCOMES = frozenset({OrderOutcome.CONFLICT, OrderOutcome.OUTDATED})
 
 
@@ -22,17 +23,11 @@
 def _remember_groups(current: Round) -> list[Group]:
     """Return the service's groups, and remember who was in them."""
     situation, memory = current.situation, current.memory
-    groups = [
-        group
-        for group in current.situation.view.groups_by_key.values()
-        if group.service == situation.service
-    ]
+    groups = situation.view.groups_of(situation.service)
+    memory.history.observe(groups, situation.at)
     for group in groups:
         if group.head is not None:
-            memory.heads_by_key[group.key] = group.head
             memory.headless_by_key.pop(group.key, None)
-        if len(group.members) >= len(memory.members_by_key.get(group.key, ())):
-            memory.members_by_key[group.key] = group.members
     memory.forget({group.key for group in groups}, situation.at)
     return groups
 
@@ -66,14 +61,16 @@
 
 def _fault(group: Group, spec: ModelSpec, current: Round) -> tuple[str | None, bool]:
     """Return why a serving group must close, and whether what runs there is lost anyway."""
-    known = current.memory.members_by_key.get(group.key, group.members)
+    history = current.memory.history
+    known = history.members_by_key[group.key]
     present = {member.upstream_id for member in group.members}
     for member in known:
         if member.upstream_id in current.situation.unreachable:
             return f"member {member.upstream_id} does not answer", True
         if member.upstream_id not in present and not _hidden(member, current):
             return f"member {member.upstream_id} has left", True
-    if len(known) < spec.size:
+    seen_for = current.situation.at - history.first_seen_at[group.key]
+    if len(known) < spec.size and seen_for >= REGISTER_SECONDS:
         return "members are missing", True
     draining = next((m for m in group.members if m.draining), None)
     if draining is not None:
@@ -85,9 +82,10 @@
 
 
 def _hidden(member: Upstream, current: Round) -> bool:
-    """Return whether a member has only lost its registry entry, and lives on."""
-    registered = member.upstream_id in current.situation.view.upstreams_by_id
-    return not registered and member.upstream_id in current.situation.reachable
+    """Return whether a member may only have lost its registry entry, and live on."""
+    situation = current.situation
+    registered = member.upstream_id in situation.view.upstreams_by_id
+    return not registered and member.upstream_id not in situation.unreachable
 
 
 def _tend_forming(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
@@ -132,7 +130,7 @@
     memory, at = current.memory, current.situation.at
     if group.key in memory.formations_by_key:
         return
-    head = memory.heads_by_key.get(group.key)
+    head = memory.history.heads_by_key.get(group.key)
     headless = memory.headless_by_key.setdefault(group.key, Headless(head, at))
     if not _head_is_done(group, headless, current):
         current.bind(group.members)
--- a/src/cactuspass/fleet/_upstreams.py
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -149,10 +149,13 @@
     upstreams_by_id: Mapping[UpstreamId, Upstream] = field(default_factory=dict)
     groups_by_key: Mapping[GroupKey, Group] = field(default_factory=dict)
 
+    def groups_of(self, service: ServiceId) -> list[Group]:
+        """Return the groups of a service, complete or not."""
+        return [group for group in self.groups_by_key.values() if group.service == service]
+
     def serving_groups(self, service: ServiceId) -> list[Group]:
         """Return the groups of a service whose head takes requests."""
-        groups = self.groups_by_key.values()
-        return [group for group in groups if group.service == service and group.serves]
+        return [group for group in self.groups_of(service) if group.serves]
 
     @classmethod
     def of(cls, upstreams: Iterable[Upstream]) -> "UpstreamView":
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -4,12 +4,14 @@
 from dataclasses import replace
 
 from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._orders import Close, Join, Leave, Open, Stage
+from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._round import Memory, Round
 from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
 from cactuspass.models import DataCentreId, GroupId
-from tests.fleet_world import LARGE, SMALL, EngineWorld, host, hosts
+from tests.fleet_world import LARGE, SERVICE, SMALL, EngineWorld, host, hosts
 
 
 class LeadInTest(unittest.TestCase):
@@ -197,6 +199,39 @@
         self.assertEqual(len(self.world.serving(SMALL)), 1)
 
 
+class UnregisteredMemberTest(unittest.TestCase):
+    """A controller takes over while a member of a group that serves has lost its registry entry."""
+
+    def setUp(self) -> None:
+        key = GroupKey(GroupId("g7"), 7)
+        states = (MemberState.OPEN, MemberState.READY, MemberState.READY)
+        self.members = [
+            replace(u, loaded=SMALL, membership=Membership(key, rank, state))
+            for rank, (u, state) in enumerate(zip(hosts(3, staged=SMALL), states, strict=True))
+        ]
+        self.world = EngineWorld(self.members)
+        self.history = GroupHistory()
+        self.history.observe(self.world.situation().view.groups_of(SERVICE), self.world.at)
+        self.world.remove(self.members[2].upstream_id)
+
+    def test_group_serves_on_while_the_member_may_live(self) -> None:
+        self.world.planner = GroupPlanner(Demand(), self.history)
+        self.world.run(10.0)
+        self.assertEqual(self.world.orders(Close), [])
+
+    def test_group_closes_when_the_member_does_not_answer(self) -> None:
+        self.world.planner = GroupPlanner(Demand(), self.history)
+        self.world.kill(self.members[2].upstream_id)
+        self.world.run(0.2)
+        self.assertEqual(len(self.world.orders(Close)), 1)
+
+    def test_group_that_was_never_seen_whole_has_time_to_register(self) -> None:
+        self.world.run(2.0)
+        self.assertEqual(self.world.orders(Close), [])
+        self.world.run(0.5)
+        self.assertEqual(len(self.world.orders(Close)), 1)
+
+
 class OpeningThatIsNotSeenTest(unittest.TestCase):
     """A head was told to open, the registry does not show it yet, and a member is lost."""
 
@@ -312,7 +347,7 @@
 
     def test_its_groups_are_formed_but_do_not_count_as_supply(self) -> None:
         self.assertEqual(len(self.world.serving(SMALL)), 3)
-        counted = Round(self.world.situation(), Memory(Demand()))
+        counted = Round(self.world.situation(), Memory(Demand(), GroupHistory()))
         list(tend_groups(counted))
         self.assertEqual(counted.groups_by_model[SMALL], 1)
 
