--- /dev/null
+++ b/tests/test_fleet_review.py
@@ -0,0 +1,237 @@
+"""Orders, answers and views that are not tied to the state or the lifetime that they speak of."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._ledger import Ledger
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Close,
+    Join,
+    Leave,
+    OrderOutcome,
+    Stage,
+    UpstreamReport,
+)
+from cactuspass.fleet._planner import GroupPlanner
+from cactuspass.fleet._pool import ChannelPool
+from cactuspass.fleet._round import Situation
+from cactuspass.fleet._upstreams import (
+    GroupKey,
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamId,
+    UpstreamView,
+)
+from cactuspass.models import GroupId, ServiceId
+from cactuspass.platform._control import ServerControl
+from tests.fleet_world import ENGINE, SERVICE, SMALL, host, hosts
+from tests.leader_world import Fate
+from tests.test_fleet_two_groups import (
+    HEAD,
+    SECOND,
+    THIRD,
+    TwoGroupsCase,
+    first_fate_of,
+)
+
+KEY = GroupKey(GroupId("g7"), 7)
+AT = 50.0
+
+
+class LifetimeTest(unittest.TestCase):
+    """An upstream starts again under its id, and its number of orders starts anew."""
+
+    def test_answer_of_the_life_before_is_not_counted_for_the_new_one(self) -> None:
+        # Guards against a number of one lifetime that is taken for that of the next.
+        before = replace(host("x"), born_ms=5)
+        after = replace(before, born_ms=6)
+        report = UpstreamReport(0, 0, 1.0, None, False, 0, 6)
+        ledger = Ledger()
+        ledger.update({after.upstream_id: after}, {after.upstream_id: report}, AT)
+        late = AddressedOrder(before, Stage(SMALL), "test", 0)
+        ledger.note_outcome(late, OrderOutcome.BEGUN, AT)
+        state = ledger.state(after)
+        assert state is not None
+        self.assertEqual(state.sequence, 0)
+
+
+class SameIdTest(TwoGroupsCase):
+    """Orders to one life of an upstream that the next one under its id carries out."""
+
+    def _script(self, addressed: AddressedOrder) -> Fate | None:
+        """Let the first and the last join of the head come late, and no repeat of these."""
+        if not isinstance(addressed.order, Join) or addressed.target.upstream_id != HEAD:
+            return None
+        fate = {self.first: Fate.LATE_12, self.last: Fate.LATE_5}.get(addressed.order.key.epoch)
+        if addressed.order.key.epoch in self.sent:
+            return Fate.LOST if fate is not None else None
+        self.sent.add(addressed.order.key.epoch)
+        return fate
+
+    def test_joins_of_the_life_before_do_not_take_the_next_one_out_of_an_open_group(self) -> None:
+        # Guards against a number of orders that the next lifetime reaches again.
+        self.first, self.last, self.sent = 2, 5, set[int]()
+        self.world.script = self._script
+        hosts_by_id, spare = self.truth.hosts_by_id, UpstreamId("h7")
+        self.until_given(Join, HEAD)
+        first_at = self.world.at
+        self.until(lambda: hosts_by_id[SECOND].place is not None)
+        self.world.run(0.5)
+        hosts_by_id[SECOND].pace = hosts_by_id[THIRD].pace = 5.0
+        self.until(lambda: hosts_by_id[HEAD].place is not None)
+        self.truth.kill(spare)
+        self.until(lambda: hosts_by_id[HEAD].place is None)
+        self.truth.restart(spare)
+        self.until(lambda: self.last in self.sent)
+        self.world.run(first_at + Fate.LATE_12.value - 0.1 - self.world.at)
+        self.truth.restart(HEAD)
+        self.until(lambda: hosts_by_id[HEAD].place is not None, 0.2)
+        hosts_by_id[SECOND].pace = hosts_by_id[THIRD].pace = 1.0
+        self.world.run(10.0)
+        self.assertEqual(self.truth.violations, [], "\n".join(self.truth.log))
+
+
+class ExtraAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A server sends an answer too many on a connection that is kept."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer each request; before the second answer comes one that belongs to no request."""
+        for extra in (b"", _answer(200, "another")):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(
+                line.lower().split(": ", 1) for line in head.splitlines()[1:] if ": " in line
+            )
+            await reader.readexactly(int(fields.get("content-length", 0)))
+            own = _answer(409, fields.get("cactuspass-request-id"))
+            writer.write(extra + own)
+        writer.close()
+
+    async def test_answer_that_belongs_to_no_order_does_not_show_that_a_host_has_left(self) -> None:
+        # Guards against a host that counts as free by an answer to something else.
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        target = replace(host("x"), address=address)
+        pool = ChannelPool()
+        control = ServerControl(pool)
+        try:
+            for _ in range(2):
+                outcome = await control.give(AddressedOrder(target, Leave(KEY), "test", 3))
+            self.assertIn(outcome, (OrderOutcome.CONFLICT, OrderOutcome.UNKNOWN))
+        finally:
+            pool.close()
+            server.close()
+
+
+def _answer(status: int, request_id: str | None) -> bytes:
+    named = f"Cactuspass-Request-Id: {request_id}\r\n" if request_id is not None else ""
+    return f"HTTP/1.1 {status} Is\r\n{named}Content-Length: 0\r\n\r\n".encode()
+
+
+class PendingLeaveTest(TwoGroupsCase):
+    """A member is made to leave a group that the same leader opens meanwhile."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start()
+        self.stood_still: list[str] = []
+
+    def watch(self, seconds: float) -> None:
+        """Let time pass, and note each head that serves though a living member has left."""
+
+        def noted() -> bool:
+            for head in self.truth.alive():
+                place = head.place
+                if place is None or not head.serves(place.key):
+                    continue
+                for member in place.members:
+                    there = self.truth.hosts_by_id[member].place
+                    if there is None or there.key != place.key:
+                        self.stood_still.append(f"{self.truth.at:.2f} {place.key} lacks {member}")
+            return False
+
+        self.world.run_until(noted, seconds)
+
+    def test_group_is_not_opened_while_its_members_may_still_be_made_to_leave(self) -> None:
+        # Guards against an order to leave that is carried out after the group serves again.
+        def script(addressed: AddressedOrder) -> Fate | None:
+            return Fate.LATE_5 if isinstance(addressed.order, Leave) else None
+
+        self.world.script = script
+        self.truth.hosts_by_id[THIRD].pace = 5.0
+        self.until_given(Leave, SECOND)
+        self.truth.hosts_by_id[THIRD].pace = 1.0
+        self.watch(12.0)
+        self.assertEqual(self.stood_still[:1], [], "\n".join(self.truth.log))
+        self.assertEqual(self.truth.violations, [])
+
+    def test_adopted_group_is_not_opened_without_a_member_that_reports_to_have_left(self) -> None:
+        # Guards against opening a group by an entry though the member itself says that it left.
+        self.world.script = first_fate_of(Leave, Fate.LOST, HEAD)
+        self.truth.hosts_by_id[THIRD].pace = 5.0
+        self.until_given(Close, HEAD)
+        self.world.unregistered.add(SECOND)
+        self.until(lambda: self.truth.hosts_by_id[SECOND].place is None)
+        self.truth.hosts_by_id[THIRD].pace = 1.0
+        self.world.run(0.5)
+        self.world.change_leader()
+        self.watch(2.0)
+        self.assertEqual(self.stood_still[:1], [], "\n".join(self.truth.log))
+        self.assertEqual(self.truth.violations, [])
+
+
+class PartialViewTest(TwoGroupsCase):
+    """A leader takes over while the entry of one member of a serving group is missing."""
+
+    def test_group_that_serves_is_not_cut_since_an_entry_is_missing(self) -> None:
+        # Guards against taking a missing entry for the end of a member, and cutting its group.
+        self.start()
+        self.world.unregistered.add(THIRD)
+        self.world.run(4.0)
+        before = len(self.world.orders(Close))
+        self.assertEqual(before, 0)
+        self.world.change_leader()
+        self.world.run(0.5)
+        self.assertEqual(self.world.orders(Close), [], "\n".join(self.truth.log))
+
+
+class TwoServicesTest(unittest.TestCase):
+    """Two services whose engines form groups."""
+
+    def test_groups_of_two_services_are_never_taken_for_one(self) -> None:
+        # Guards against one name and epoch for groups of two services.
+        other = ServiceId("other")
+        mine = hosts(3, "d0", SMALL)
+        theirs = [replace(u, service=other) for u in hosts(3, "d1", SMALL)]
+        members: list[Upstream] = []
+        for service, registered in ((SERVICE, mine), (other, theirs)):
+            members += _joined(service, registered, [*mine, *theirs])
+        groups = UpstreamView.of(members).groups_by_key.values()
+        self.assertEqual(sorted(len(group.members) for group in groups), [3, 3])
+        for group in groups:
+            self.assertEqual({member.service for member in group.members}, {group.service})
+
+
+def _joined(
+    service: ServiceId, registered: list[Upstream], everyone: list[Upstream]
+) -> list[Upstream]:
+    """Return a service's upstreams after the first joins that a term's planner orders."""
+    reports = {u.upstream_id: UpstreamReport(0, 0, 1.0, None, False, 0, 0) for u in everyone}
+    view = UpstreamView.of(everyone)
+    situation = Situation(AT, service, ENGINE, view, 10_000, reports_by_id=reports)
+    by_id = {u.upstream_id: u for u in registered}
+    joined = []
+    for addressed in GroupPlanner(Demand()).plan(situation):
+        order = addressed.order
+        if isinstance(order, Join):
+            rank = order.members.index(addressed.target.upstream_id)
+            membership = Membership(order.key, rank, MemberState.READY)
+            joined.append(replace(by_id[addressed.target.upstream_id], membership=membership))
+    return joined
+
+
+if __name__ == "__main__":
+    unittest.main()
