Give each order on a connection of its own

Cause: an order and its answer carry no id that ties them together, and connections were reused. An answer too many of an earlier exchange, which servers in trouble send, would have been read as the answer to an order; a host that refused to leave would have counted as free (found in review). Test red before: ExtraAnswerTest (HOLDS instead of CONFLICT). An id in the order was ruled out, since servers are only sent ids of callers' requests.

--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -23,6 +23,7 @@
 from cactuspass.platform._server_entry import decode_report
 
 ORDER_TIMEOUT_SECONDS = 1.0
+NEW_CONNECTION = 0.0  # seconds idle; an answer to an order names no request that it belongs to
 OUTCOME_BY_STATUS = {
     202: OrderOutcome.BEGUN,
     200: OrderOutcome.HOLDS,
@@ -46,7 +47,7 @@
         body = json.dumps(document).encode()
         try:
             status, _ = await self._call(
-                addressed.target, "POST", "/order", body, ORDER_TIMEOUT_SECONDS
+                addressed.target, "POST", "/order", body, ORDER_TIMEOUT_SECONDS, NEW_CONNECTION
             )
         except UpstreamNotReached:
             return OrderOutcome.NOT_REACHED
@@ -64,7 +65,13 @@
             return None
 
     async def _call(
-        self, server: Upstream, method: str, target: str, body: bytes, timeout: float
+        self,
+        server: Upstream,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: float,
+        max_idle: float | None = None,
     ) -> tuple[int, bytes]:
         headers = [("Host", server.address), (EXPECT_INSTANCE, server.upstream_id)]
         if body:
@@ -73,7 +80,7 @@
         exchange = None
         try:
             async with asyncio.timeout(timeout):
-                exchange = await self._pool.begin(server.address, request)
+                exchange = await self._pool.begin(server.address, request, max_idle)
                 head = await exchange.head()
                 return head.status, await exchange.body()
         finally:
--- a/tests/test_fleet_review.py
+++ b/tests/test_fleet_review.py
@@ -101,7 +101,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer each request; before the second answer comes one that belongs to no request."""
         for extra in (b"", _answer(200, "another")):
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            try:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            except asyncio.IncompleteReadError:
+                break
             fields = dict(
                 line.lower().split(": ", 1) for line in head.splitlines()[1:] if ": " in line
             )
