Name groups after their service, and close in any state a head that has refused in the known one

Test red before: TwoServicesTest. The second order to a head that has refused to close was meant to name no state, but the memory of the refusal had ended before a second order was allowed; it is taken from the last outcome now.

--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -133,8 +133,9 @@
     spec: ModelSpec, members: list[Upstream], current: Round
 ) -> Iterator[AddressedOrder]:
     situation = current.situation
-    current.memory.next_epoch += 1
-    key = GroupKey(GroupId(f"g{current.memory.next_epoch}"), current.memory.next_epoch)
+    epoch = max(current.memory.last_epoch, situation.first_epoch) + 1
+    current.memory.last_epoch = epoch
+    key = GroupKey(GroupId(f"{situation.service}-{epoch}"), epoch)
     to_load = [host for host in members if spec.model not in host.staged]
     duration = spec.load_seconds * LOAD_SLACK_FACTOR if to_load else spec.warm_seconds
     states = [current.memory.ledger.states_by_id[member.upstream_id] for member in members]
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -22,6 +22,8 @@
 class GroupPlanner:
     """Forms, opens, closes and re-forms groups; one controller at a time uses it.
 
+    :param history: what was seen of the groups before this term.
+
     A host joins a group only out of no group: each order names how many orders the host has
     accepted, and a host refuses it when that has changed. So no belief about a head, however old
     or wrong, lets a host be a member of two groups, and neither does an order that comes late.
@@ -30,7 +32,7 @@
     def __init__(self, demand: Demand, history: GroupHistory | None = None) -> None:
         self.demand = demand
         self._last_round: Round | None = None
-        self._memory = Memory(demand, history if history is not None else GroupHistory())
+        self._memory = Memory(demand, history or GroupHistory())
 
     def plan(self, situation: Situation) -> list[AddressedOrder]:
         """Return the orders to give now."""
@@ -40,7 +42,6 @@
         memory.schedule.update(upstreams_by_id, reports_by_id, at)
         memory.ledger.update(upstreams_by_id, reports_by_id, at)
         current = Round(replace(situation, view=memory.ledger.corrected(situation.view)), memory)
-        memory.next_epoch = max(memory.next_epoch, situation.first_epoch)
         orders = list(tend_groups(current))
         orders += tend_formations(current)
         orders += form_groups(current)
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -110,7 +110,7 @@
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
-    next_epoch: int = 0
+    last_epoch: int = 0
     given_up: list[GivenUp] = field(default_factory=list)
 
     def give_up(self, key: GroupKey, reason: str) -> None:
@@ -194,7 +194,7 @@
 
     def order_to_close(self, head: Upstream, close: Close, reason: str) -> AddressedOrder:
         """Return an order to close, in any state if the head has refused it in the known one."""
-        if self.memory.ledger.refused_lately(head, self.situation.at):
+        if self.memory.close_outcomes_by_key.get(close.key) is OrderOutcome.CONFLICT:
             return self.order_in_state(head, close, reason, None)
         return self.order(head, close, reason)
 
