Open only a group that this leader has formed; take all others apart and form them anew

What would have been seen: a group stands still, since a member leaves it after it was opened, or a host is taken out of an open group by an old join that its next lifetime carries out.

Cause: a group that was closed, or formed by the leader before, was opened again when its members showed ready. Orders to its members may be on their way that the opener has given up or never knew: leaves that change no number at the head, joins of the lifetime before under the same id.

Now a head is opened only for the formation that this leader has ordered and not given up, in the state that it knows. A head that reports to be open counts as open though its entry still says ready.

--- a/src/cactuspass/fleet/_ledger.py
+++ b/src/cactuspass/fleet/_ledger.py
@@ -1,9 +1,17 @@
 """What the leader knows of the orders that each host has accepted."""
 
+import operator
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from cactuspass.fleet._orders import AddressedOrder, Join, Leave, OrderOutcome, UpstreamReport
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Close,
+    Join,
+    Leave,
+    OrderOutcome,
+    UpstreamReport,
+)
 from cactuspass.fleet._upstreams import Membership, MemberState, Upstream, UpstreamId, UpstreamView
 
 REPORT_LAG_SECONDS = 1.5  # until then a report may be older than an answered order
@@ -92,22 +100,24 @@
         return known is not None and at - known.refused_at < RETRY_SECONDS
 
     def corrected(self, view: UpstreamView) -> UpstreamView:
-        """Return the view without the memberships that hosts were made to leave."""
-        stale = {host.upstream_id for host in view.upstreams_by_id.values() if self._has_left(host)}
-        if not stale:
-            return view
-        return UpstreamView.of(
-            replace(host, membership=None) if host.upstream_id in stale else host
-            for host in view.upstreams_by_id.values()
-        )
-
-    def _has_left(self, host: Upstream) -> bool:
-        known = self.state(host)
-        return (
-            known is not None
-            and host.membership is not None
-            and host.membership.key.epoch <= known.left_epoch
-        )
+        """Return the view with what the hosts themselves have said since.
+
+        They have left groups that it shows them in, or opened some that it shows as ready.
+        """
+        hosts = list(map(self._corrected_host, view.upstreams_by_id.values()))
+        unchanged = all(map(operator.is_, hosts, view.upstreams_by_id.values()))
+        return view if unchanged else UpstreamView.of(hosts)
+
+    def _corrected_host(self, host: Upstream) -> Upstream:
+        known, shown = self.state(host), host.membership
+        if known is None or shown is None:
+            return host
+        if shown.key.epoch <= known.left_epoch:
+            return replace(host, membership=None)
+        said = known.membership
+        if said is None or said.key != shown.key or shown.state is not MemberState.READY:
+            return host
+        return replace(host, membership=said) if said.state is MemberState.OPEN else host
 
 
 def _has_begun(addressed: AddressedOrder, outcome: OrderOutcome) -> bool:
@@ -126,4 +136,6 @@
     if isinstance(order, Join):
         rank = order.members.index(addressed.target.upstream_id)
         return replace(state, membership=Membership(order.key, rank, MemberState.JOINING))
+    if isinstance(order, Close) and known.membership is not None:
+        return replace(state, membership=replace(known.membership, state=MemberState.CLOSING))
     return state
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -4,7 +4,7 @@
 
 from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._orders import AddressedOrder, Close, Open, OrderOutcome
-from cactuspass.fleet._round import Headless, Round
+from cactuspass.fleet._round import Formation, Headless, Round
 from cactuspass.fleet._upstreams import SERVING_STATES, Group, MemberState, Upstream
 
 HEAD_GONE_SECONDS = 0.3
@@ -89,6 +89,10 @@
 
 
 def _tend_forming(group: Group, head: Upstream, current: Round) -> Iterator[AddressedOrder]:
+    """Open a group that this leader forms; members of others leave it once they are ready.
+
+    What else was ordered there, and may still be carried out, is not known.
+    """
     situation = current.situation
     formation = current.memory.formations_by_key.get(group.key)
     model = formation.model if formation is not None else group.model
@@ -100,26 +104,23 @@
     )
     if not sound or not group.is_complete(spec.size):
         return
+    if formation is None and group.all_ready():
+        return
     current.bind(group.members)
     current.count_group(model, group.members)
-    listed = formation is None or formation.member_ids == tuple(
-        member.upstream_id for member in group.members
+    if formation is not None and _may_open(group, head, formation, current):
+        yield current.order(head, Open(group.key), "all members ready")
+
+
+def _may_open(group: Group, head: Upstream, formation: Formation, current: Round) -> bool:
+    """Return whether the members are ready that this leader has told to join, and no others."""
+    member_ids = tuple(member.upstream_id for member in group.members)
+    return (
+        formation.member_ids == member_ids
+        and group.all_ready()
+        and current.memory.ledger.state(head) is not None
+        and current.may_send(head, f"open {group.key}")
     )
-    if not listed or not group.all_ready() or not current.may_send(head, f"open {group.key}"):
-        return
-    if current.memory.ledger.state(head) is None:
-        return
-    if formation is None and not _all_answer(group, current):
-        return
-    yield current.order(head, Open(group.key), "all members ready")
-
-
-def _all_answer(group: Group, current: Round) -> bool:
-    """Return whether all members of an adopted group have answered just now.
-
-    The controller before may have closed it for a member that is dead and still registered.
-    """
-    return all(member.upstream_id in current.situation.reachable for member in group.members)
 
 
 def _tend_headless(group: Group, current: Round) -> Iterator[AddressedOrder]:
