Count an answer to an order only for the lifetime that it was given to

Cause: the ledger compared numbers of orders alone, so an answer of the life before counted for the next one under the same id, and paired a number with a membership that it never had (found in review). Test red before: LifetimeTest (sequence 1 instead of 0).

--- a/src/cactuspass/fleet/_ledger.py
+++ b/src/cactuspass/fleet/_ledger.py
@@ -77,7 +77,9 @@
         """Draw what an answered order says of the host's state."""
         upstream_id = addressed.target.upstream_id
         known = self.states_by_id.get(upstream_id)
-        if known is None or known.sequence != addressed.expected_sequence:
+        if known is None or known.born_ms != addressed.target.born_ms:
+            return
+        if known.sequence != addressed.expected_sequence:
             return
         if outcome is OrderOutcome.CONFLICT:
             self.states_by_id[upstream_id] = replace(known, refused_at=at)
