--- a/tests/leader_world.py
+++ b/tests/leader_world.py
@@ -149,7 +149,7 @@
         self._reports: deque[dict[UpstreamId, Said]] = deque(
             maxlen=int(REPORT_LAG_SECONDS / STEP_SECONDS)
         )
-        self.leader: Leader | None = Leader(GroupPlanner(Demand()), 1)
+        self.leader = Leader(GroupPlanner(Demand()), 1)
         self._last_epoch = 1
 
     @property
@@ -175,7 +175,7 @@
         self._look()
         self._register()
         leader = self.leader
-        if leader is None or leader.frozen_until > self.at:
+        if leader.frozen_until > self.at:
             return
         if not leader.blind:
             leader.view = self._registry_before(leader.lag)
@@ -200,8 +200,6 @@
         :param term_ends_after: until another leader follows, if it is still frozen then.
         """
         leader = self.leader
-        if leader is None:
-            return
         leader.freezes_for = seconds
 
         def end_term() -> None:
@@ -220,7 +218,7 @@
         self.script = undecided
         for host in self.truth.alive():
             host.pace = 1.0
-        leader = self.leader if self.leader is not None else self.change_leader()
+        leader = self.leader
         leader.blind = False
         leader.cut_from.clear()
         leader.lag = VIEW_LAG_SECONDS
--- a/tests/test_fleet_two_groups.py
+++ b/tests/test_fleet_two_groups.py
@@ -97,14 +97,12 @@
 
     def test_head_that_only_the_leader_does_not_reach(self) -> None:
         # Guards against taking a refused connection of the leader's for the end of the head.
-        assert self.world.leader is not None
         self.world.leader.cut_from.add(HEAD)
         self.world.unregistered.add(HEAD)
         self.assert_safe()
 
     def test_head_that_this_term_has_never_seen(self) -> None:
         # Guards against taking the silence of a head that is not registered for its end.
-        assert self.world.leader is not None
         self.world.leader.frozen_until = self.world.at + 60.0
         self.world.unregistered.add(HEAD)
         self.world.run(4.0)
@@ -120,7 +118,6 @@
 
     def test_head_that_was_told_to_close_and_never_answered(self) -> None:
         # Guards against taking the age of an unanswered close for its success.
-        assert self.world.leader is not None
         self.world.leader.cut_from.add(HEAD)
         self.world.unregistered.add(HEAD)
         self.world.script = fates_of(Close, Fate.LOST)
@@ -154,7 +151,6 @@
     def test_head_that_a_leader_with_a_standing_view_has_opened(self) -> None:
         # Guards against taking the age of an opening for its failure.
         self.until_given(Open, HEAD)
-        assert self.world.leader is not None
         self.world.leader.blind = True
         self.until_state(HEAD, MemberState.OPEN)
         self.world.script = fates_of(Close, Fate.LOST)
