--- a/tests/order_troubles.py
+++ b/tests/order_troubles.py
@@ -18,12 +18,14 @@
 
 HOSTS = tuple(UpstreamId(f"h{number}") for number in range(8))
 SLOW_PACE = 5.0
+RETURN_SECONDS = 0.25
 LASTS = (0.5, 1.5, 3.0, 6.0, 12.0, 40.0)
 WAITS = (0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0)
 LAGS = (0.1, 0.5, 1.5)
 TERMS = (1.0, 3.0, 8.0)
 MAX_FATES = 8
 STRIKES_OF_A_WALK = 15
+SAMPLE_SECONDS = 0.1
 RECOVERY_SECONDS = 60.0
 
 
@@ -38,6 +40,8 @@
     CUT_FROM_LEADER = "cut-from-leader"
     SLOW = "slow"
     DRAINED = "drained"
+    STORE_DOWN = "store-down"
+    LEADER_CUT_OFF = "leader-cut-off"
     LEADER_BLIND = "leader-blind"
     LEADER_CHANGED = "leader-changed"
     LEADER_FROZEN = "leader-frozen"
@@ -69,6 +73,7 @@
             Trouble.LEADER_FROZEN: f"{self.lasts}, term ends after {self.term}",
             Trouble.ORDERS: " ".join(fate.name for fate in self.fates),
             Trouble.LEADER_BLIND: f"{self.lasts}",
+            Trouble.LEADER_CUT_OFF: f"{self.lasts}",
         }
         return f"{self.trouble.value} {details.get(self.trouble, f'{self.host} {self.lasts}')}"
 
@@ -95,15 +100,30 @@
         world.truth.later(blow.lasts, lambda: setattr(leader, "blind", False))
     elif trouble in (Trouble.KILLED, Trouble.RESTARTED, Trouble.SLOW, Trouble.DRAINED):
         _strike_process(world, blow)
+    elif trouble is Trouble.STORE_DOWN:
+        _take_store_down(world, blow)
     else:
         cut = {
             Trouble.UNREGISTERED: world.unregistered,
             Trouble.ALONE: world.truth.alone,
             Trouble.DARK: world.truth.dark,
             Trouble.CUT_FROM_LEADER: leader.cut_from,
+            Trouble.LEADER_CUT_OFF: leader.cut_from,
         }[trouble]
-        cut.add(host)
-        world.truth.later(blow.lasts, lambda: cut.discard(host))
+        struck = set(HOSTS) if trouble is Trouble.LEADER_CUT_OFF else {host}
+        cut |= struck
+        world.truth.later(blow.lasts, lambda: cut.difference_update(struck))
+
+
+def _take_store_down(world: LeaderWorld, blow: Strike) -> None:
+    """Let no host write its entry; afterwards they return one after the other."""
+    first = HOSTS.index(blow.host)
+    for number, host in enumerate(HOSTS):
+        world.unregistered.add(host)
+        turn = (number - first) * 3 % len(HOSTS)
+        world.truth.later(
+            blow.lasts + turn * RETURN_SECONDS, lambda host=host: world.unregistered.discard(host)
+        )
 
 
 def _strike_process(world: LeaderWorld, blow: Strike) -> None:
@@ -149,25 +169,38 @@
     )
 
 
-def walk(seed: int) -> tuple[list[str], list[str]]:
-    """Strike a world again and again, and let it recover.
+@dataclass(slots=True)
+class Walk:
+    """What came of one seed.
 
-    :return: what broke, and what happened.
+    :param broken: what broke a rule, or that hosts were left unused in the end.
+    :param serving: groups that served, summed over all samples.
     """
+
+    broken: list[str]
+    log: list[str]
+    serving: int = 0
+    samples: int = 0
+
+
+def walk(seed: int) -> Walk:
+    """Strike a world again and again, and let it recover."""
     draw = random.Random(seed)
     troubles = draw.sample(list(Trouble), draw.randint(2, 4))
     world = deepcopy(started_world())
-    truth = world.truth
+    done = Walk(world.truth.violations, world.truth.log)
     for _ in range(STRIKES_OF_A_WALK):
         blow = draw_strike(draw, troubles)
-        truth.log.append(f"{world.at:.2f} {blow}")
+        done.log.append(f"{world.at:.2f} {blow}")
         strike(world, blow)
-        world.run_until(lambda: bool(truth.violations), blow.wait)
-        if truth.violations:
-            return truth.violations, truth.log
-    if not recover(world):
-        return [f"STUCK: {len(world.serving())} groups serve"], truth.log
-    return truth.violations, truth.log
+        end = world.at + blow.wait
+        while world.at < end:
+            world.run(SAMPLE_SECONDS)
+            done.serving += len(world.serving())
+            done.samples += 1
+    if not recover(world) and not done.broken:
+        done.broken.append(f"STUCK: {len(world.serving())} groups serve")
+    return done
 
 
 def main() -> int:
@@ -176,16 +209,18 @@
     parser.add_argument("--seeds", type=int, default=500)
     parser.add_argument("--first", type=int, default=0)
     asked = parser.parse_args()
-    broken = Counter[str]()
+    kinds = Counter[str]()
+    serving = samples = 0
     for seed in range(asked.first, asked.first + asked.seeds):
-        violations, log = walk(seed)
-        if violations:
-            broken[violations[0].split(":")[0]] += 1
-            print(f"seed {seed}: {violations[0]}")
+        done = walk(seed)
+        serving, samples = serving + done.serving, samples + done.samples
+        if done.broken:
+            kinds[done.broken[0].split(":")[0]] += 1
+            print(f"seed {seed}: {done.broken[0]}")
         if asked.seeds == 1:
-            print("\n".join(log))
-    print(f"{asked.seeds} walks, broken: {dict(broken)}")
-    return 1 if broken else 0
+            print("\n".join(done.log))
+    print(f"{asked.seeds} walks, {serving / samples:.3f} groups served, broken: {dict(kinds)}")
+    return 1 if kinds else 0
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet_order_machine.py
+++ b/tests/test_fleet_order_machine.py
@@ -136,8 +136,8 @@
     def test_no_walk_breaks_a_rule_or_leaves_hosts_unused(self) -> None:
         # Guards against hosts in two groups, as the machine does, on draws of another kind.
         for seed in range(WALKS):
-            broken, log = walk(seed)
-            self.assertEqual(broken, [], "\n".join([f"seed {seed}", *log]))
+            done = walk(seed)
+            self.assertEqual(done.broken, [], "\n".join([f"seed {seed}", *done.log]))
 
 
 class OrderMachineTest(unittest.TestCase):
