Judge admission by the ages alone in its tests, not by the machine's uptime

Cause: the test took the real boot clock t and asked for (t + 9) - t == 9. Where t and t + 9 lie on two sides of a power of two (here: t just below 256 s after the machine's start), the sum is rounded to the coarser grid, and the difference is off by up to half of it. The code under test was right. Now the clock is scripted: the clock since the start has gone on by nine seconds, the monotonic one has not, and the age must be exactly 9. The ages around the 5 s of a key (4.9, 5.0) were set from the real clock too, so that a process kept waiting for 0.1 s turned 200 into 503; they are scripted as well. Ruled out: a fault in operators_age (one subtraction of what was set).

--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -1,14 +1,16 @@
 """Which requests are passed on, by the newest documents and their age."""
 
+import time
 import unittest
 from unittest import mock
 
-from cactuspass._clock import now
 from cactuspass.fleet._catalog import Catalog, CatalogIndex, Customer, RouteKind
 from cactuspass.fleet._dispatch import NotAdmitted
 from cactuspass.models import CustomerId
 from tests.fleet_path import PathCase, request, route
 
+AT = 1024.0
+
 
 class AdmissionTest(unittest.TestCase):
     """Routes and keys."""
@@ -17,9 +19,10 @@
         self.case = PathCase(route(), [])
 
     def status(self, age: float = 0.0, **changes: object) -> int:
-        self.case.beliefs.operators_read_at = now() - age
+        self.case.beliefs.operators_read_at = AT - age
         try:
-            self.case.admission.admit(request(**changes))
+            with mock.patch("cactuspass.fleet._beliefs.now", lambda: AT):
+                self.case.admission.admit(request(**changes))
         except NotAdmitted as error:
             return error.problem.status
         return 200
@@ -70,8 +73,11 @@
         self.assertEqual(beliefs.index.catalog.version, 7)
 
     def test_time_of_suspension_counts(self) -> None:
+        """The machine slept for nine seconds, which only the clock since its start counts."""
         beliefs = PathCase(route(), []).beliefs
-        with mock.patch("cactuspass.fleet._beliefs.now", lambda: beliefs.operators_read_at + 9):
+        beliefs.operators_read_at = AT
+        clocks = {time.CLOCK_BOOTTIME: AT + 9, time.CLOCK_MONOTONIC: AT}
+        with mock.patch("time.clock_gettime", clocks.__getitem__):
             self.assertEqual(beliefs.operators_age(), 9)
 
 
