Take the final event of an engine's stream by its line, not by its text

Seen in a reading of how an answer can end without its last event as if complete: a stream counted as whole when "data: [DONE]" stood anywhere in its last 64 bytes, also within the text of another event. A model that writes these words in its last token before an early end gave a whole answer to its caller. Evidence: test_final_event_within_a_text_is_none failed before with `AssertionError: AnswerCut not raised`; the module's 7 tests pass now. Why it works: a JSON event holds no line break, so the final event is known by a line of its own.

--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -16,6 +16,7 @@
 from tornado.tcpclient import TCPClient
 
 from cactuspass._byte_queue import ByteQueue, BytesAccount
+from cactuspass._final_event import StreamTail
 from cactuspass._requests import Answer, Header
 from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
 
@@ -24,8 +25,6 @@
 MAX_ANSWER_BYTES = 1 << 40
 READ_CHUNK_BYTES = 16_384
 IDLE_CONNECTIONS_PER_ADDRESS = 64
-END_OF_STREAM = b"data: [DONE]"
-TAIL_BYTES = 64
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
@@ -40,7 +39,7 @@
         self._is_event_stream = False
         self._has_length = False
         self._has_body = False
-        self._tail = b""
+        self._tail = StreamTail()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -70,13 +69,13 @@
         """Take a part of the body; the connection waits while the queue is full."""
         self._has_body = True
         if self._is_event_stream:
-            self._tail = (self._tail + chunk)[-TAIL_BYTES:]
+            self._tail.add(chunk)
         return self._queue.put(chunk)
 
     def finish(self) -> None:
         """Take the end of the body, which is whole only if its form says so."""
         if self._is_event_stream and self._expect_done_event:
-            whole = END_OF_STREAM in self._tail
+            whole = self._tail.has_final_line
         else:
             whole = self._has_length or not self._has_body
         if whole:
--- a/tests/test_upstream_exchange.py
+++ b/tests/test_upstream_exchange.py
@@ -78,6 +78,19 @@
         with self.assertRaises(AnswerCut):
             await self.read(answer)
 
+    # Guards against a stream that lacks its end as whole because its text names the final event.
+    async def test_final_event_within_a_text_is_none(self) -> None:
+        event = b'data: {"text": "data: [DONE]"}\n\n'
+
+        async def reply(writer: asyncio.StreamWriter) -> None:
+            writer.write(CHUNKED_HEAD + b"%x\r\n%s\r\n0\r\n\r\n" % (len(event), event))
+            await writer.drain()
+
+        self.reply = reply
+        answer = await self.send()
+        with self.assertRaises(AnswerCut):
+            await self.read(answer)
+
     async def test_whole_stream_ends_normally(self) -> None:
         async def reply(writer: asyncio.StreamWriter) -> None:
             writer.write(CHUNKED_HEAD + b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
