Bound what an upstream may send for one answer on the direct path

Seen in tests of our own: an upstream that sends a header, a head, heads of information, chunk extensions or trailers until the caller closes was read until the time of the request was over, and all headers, an event without its end, and the body of an error were held meanwhile. Bounded already: the time of each wait (patience, then the request's deadline), what is read ahead of a slow caller (READ_AHEAD_BYTES), plain answers held to be repeated (MAX_HELD_BYTES), bytes beyond the announced length (the connection is closed, the answer is whole without them). Beyond one the connection is closed, the error is AnswerOversize (or has it as its cause), a log line answer-oversize says which, and the attempt counts as one whose connection broke. A change of protocol (101), which the parser raises past its own errors, ends the exchange as well. Evidence: tests.test_endless_answers.

--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -86,6 +86,10 @@
     """The answer broke off before its end."""
 
 
+class AnswerOversize(AnswerCut):
+    """An upstream sent more than an answer, or a part of one, may have."""
+
+
 class UpstreamNotReached(UpstreamError):
     """No byte of the request left for the upstream."""
 
--- a/src/cactuspass/fleet/_channels.py
+++ b/src/cactuspass/fleet/_channels.py
@@ -7,8 +7,15 @@
 
 import httptools
 
-from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
-
+from cactuspass.exceptions import (
+    AnswerCut,
+    AnswerOversize,
+    RunOutcomeUnknown,
+    UpstreamNotReached,
+)
+from cactuspass.fleet._answer_bounds import AnswerBounds
+
+MAX_BODY_BYTES = 1_048_576
 READ_AHEAD_BYTES = 262_144
 DEFAULT_KEEP_SECONDS = 4.0
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -55,6 +62,7 @@
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
         self._parts: list[bytes] = []
+        self._parts_bytes = 0
         self._held_bytes = 0
         self._ended = False
         self._error: Exception | None = None
@@ -88,13 +96,20 @@
             self._channel.resume_reading()
         return chunk
 
-    async def body(self) -> bytes:
+    async def body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body; a call that was cancelled may be made again.
 
+        :param max_bytes: bytes above which the answer is given up.
+        :raises AnswerOversize: when the body is larger.
         :raises AnswerCut: when the connection broke before the end.
         """
         while part := await self.chunk():
             self._parts.append(part)
+            self._parts_bytes += len(part)
+            if self._parts_bytes > max_bytes:
+                self._parts.clear()
+                self._channel.abort()
+                raise AnswerOversize(f"a body of more than {max_bytes} bytes to be held")
         return b"".join(self._parts)
 
     def abort(self) -> None:
@@ -164,6 +179,7 @@
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._bounds = AnswerBounds()
         self._headers: list[Header] = []
         self._head: AnswerHead | None = None
         self._skipped = False
@@ -183,8 +199,14 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+            self._bounds.add_received(len(data))
+        except httptools.HttpParserCallbackError as error:
+            # The parser wraps what its callbacks raise.
+            self._break(error.__context__ if isinstance(error.__context__, Exception) else error)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._break(ConnectionError(f"bytes that are no answer: {error}"))
+        except AnswerOversize as error:
+            self._break(error)
 
     def eof_received(self) -> bool:
         """Take the end of the connection, which also ends a body without a length."""
@@ -202,11 +224,13 @@
         """Take the begin of an answer."""
         self._headers = []
         self._head = None
+        self._bounds.begin_head()
         if self._exchange is None:
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
+        self._bounds.add_header(name, value)
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -234,7 +258,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        if self._exchange is not None and not self._skipped:
+        if self._skipped:
+            self._bounds.add_skipped(len(body))
+        elif self._exchange is not None:
+            self._bounds.add_body(len(body))
             self._exchange.take_chunk(body)
 
     def on_message_complete(self) -> None:
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 
 from cactuspass.exceptions import UpstreamNotReached
-from cactuspass.fleet._channels import AnswerHead, Channel, Exchange, Header, IdCheck
+from cactuspass.fleet._channels import (
+    MAX_BODY_BYTES,
+    AnswerHead,
+    Channel,
+    Exchange,
+    Header,
+    IdCheck,
+)
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 KEEP_ALIVE_SHARE = 0.7
@@ -130,12 +137,14 @@
             self._release()
         return chunk
 
-    async def body(self) -> bytes:
+    async def body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body.
 
+        :param max_bytes: bytes above which the answer is given up.
+        :raises AnswerOversize: when the body is larger.
         :raises AnswerCut: when the connection broke before the end.
         """
-        body = await self._exchange.body()
+        body = await self._exchange.body(max_bytes)
         self._release()
         return body
 
--- a/src/cactuspass/fleet/_runs.py
+++ b/src/cactuspass/fleet/_runs.py
@@ -4,7 +4,12 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
+from cactuspass.exceptions import (
+    AnswerCut,
+    AnswerOversize,
+    RunOutcomeUnknown,
+    UpstreamNotReached,
+)
 from cactuspass.fleet._attempts import (
     AttemptFailed,
     Attempts,
@@ -57,10 +62,22 @@
         except AttemptFailed as error:
             self._attempts.note_failure(error.failure, sent.upstream, was_sent=True)
             raise
-        except (RunOutcomeUnknown, AnswerCut):
+        except (RunOutcomeUnknown, AnswerCut) as error:
+            self._note_oversize(sent, error)
             self._attempts.note_failure(Failure.CONNECTION_BROKEN, sent.upstream, was_sent=True)
             raise AttemptFailed(Failure.CONNECTION_BROKEN) from None
 
+    def _note_oversize(self, sent: Sent, error: RunOutcomeUnknown | AnswerCut) -> None:
+        """Log that an answer was given up because the upstream sent too much."""
+        cause = error if isinstance(error, AnswerOversize) else error.__cause__
+        if isinstance(cause, AnswerOversize):
+            self._attempts.tools.log.request(
+                "answer-oversize",
+                self._attempts.request.request_id,
+                upstream=sent.upstream.upstream_id,
+                reason=str(cause),
+            )
+
     async def _wait(self, sent: Sent, call: Callable[[], Awaitable[T]], patience: float) -> T:
         """Wait for a part of the answer; a silence ends the attempt if it can be made elsewhere.
 
--- a/src/cactuspass/platform/_store.py
+++ b/src/cactuspass/platform/_store.py
@@ -29,6 +29,7 @@
 
 CALL_TIMEOUT_SECONDS = 1.5
 MAX_PAGES = 200
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class MetadataStore(SharedStore):
@@ -151,7 +152,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS + wait):
                 exchange = await self._pool.begin(self._address, request)
                 head = await exchange.head()
-                content = await exchange.body()
+                content = await exchange.body(MAX_ANSWER_BYTES)
         except UpstreamNotReached as error:
             raise PlatformUnavailable(str(error)) from error
         except (RunOutcomeUnknown, AnswerCut, TimeoutError) as error:
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -19,7 +19,7 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._pool import ChannelPool
+from cactuspass.fleet._pool import CONNECT_TIMEOUT_SECONDS, ChannelPool
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, RequestId, ServiceId
@@ -178,9 +178,17 @@
 
 
 class PathCase:
-    """An instance's request path without listeners, over scripted upstreams."""
+    """An instance's request path without listeners, over scripted upstreams.
 
-    def __init__(self, route: Route, upstreams: list[ScriptedUpstream]) -> None:
+    :param connect_timeout: seconds for a connection, for tests that keep this process busy.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        upstreams: list[ScriptedUpstream],
+        connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> None:
         self.log, self.handler = quiet_log()
         self.beliefs = Beliefs(self.log)
         catalog = Catalog(
@@ -198,7 +206,7 @@
         self.beliefs.accept_upstreams(registered, 1)
         self.loads = LoadTable()
         self.told_silent: list[UpstreamId] = []
-        self.pool = ChannelPool()
+        self.pool = ChannelPool(connect_timeout)
         rng = random.Random(1)
         allowance = RetryAllowance(0.2, 100, 10)
         tools = Tools(
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,267 @@
+"""Upstreams that send bytes without end until the caller closes."""
+
+import asyncio
+import tracemalloc
+import unittest
+from collections.abc import Iterator
+from itertools import chain, repeat
+from unittest import mock
+
+from cactuspass.exceptions import AnswerCut, AnswerOversize, RunOutcomeUnknown
+from cactuspass.fleet._answer_bounds import MAX_FRAMING_BYTES
+from cactuspass.fleet._catalog import RouteKind
+from cactuspass.fleet._channels import READ_AHEAD_BYTES, Channel, Exchange
+from cactuspass.fleet._events import MAX_EVENT_BYTES
+from cactuspass.fleet._plain import MAX_HELD_BYTES
+from tests.fleet_path import (
+    STAMP,
+    MemoryDelivery,
+    PathCase,
+    Script,
+    ScriptedUpstream,
+    answer,
+    events,
+    route,
+    stream,
+)
+
+READ_BYTES = 65_536
+CONNECT_SECONDS = 5.0
+REQUESTS = 20
+MOST_TRIES = 50
+FILL = b"x" * READ_BYTES
+HEAD = f"HTTP/1.1 200 OK\r\n{STAMP}\r\n".encode()
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FAILED = CHUNKED.replace(b"200 OK", b"500 Failed")
+CHUNK = b"%x\r\n%s\r\n" % (READ_BYTES, FILL)
+MANY_HEADERS = b"X-Fill: x\r\n" * 5000
+MORE_BYTES = 64 * READ_BYTES
+ENDLESS_HEADS = {
+    "header without end": (HEAD + b"X-Fill: ", FILL),
+    "head without end": (HEAD, MANY_HEADERS),
+    "informational heads without end": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "answers to others without end": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nCactuspass-Request-Id: q0\r\nContent-Length: %d\r\n\r\n%s"
+        % (READ_BYTES, FILL),
+    ),
+}
+ENDLESS_FRAMING = {
+    "chunk extension without end": (CHUNKED + b"1;x=", FILL),
+    "extensions without end": (CHUNKED, b"1;x=%s\r\nx\r\n" % FILL),
+    "trailer without end": (CHUNKED + b"1\r\nx\r\n0\r\nX-Fill: ", FILL),
+    "trailers without end": (CHUNKED + b"1\r\nx\r\n0\r\n", MANY_HEADERS),
+}
+ENDLESS_BODIES = {
+    "error without end": (FAILED, CHUNK),
+    "body beyond its length": (HEAD + b"Content-Length: 3\r\n\r\nown", FILL),
+}
+ENDLESS_EVENTS = {
+    "event without end": (CHUNKED + b"c\r\nid: 1\ndata: \r\n", CHUNK),
+}
+ENDLESS_CHUNKS = (CHUNKED, CHUNK)
+
+
+class FakeTransport(asyncio.Transport):
+    """Takes a request and knows whether the connection was given up."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.was_aborted = False
+
+    def write(self, data: object) -> None:
+        """Take bytes."""
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection was given up."""
+        return self.was_aborted
+
+    def pause_reading(self) -> None:
+        """Take the wish; the test reads what has come at once."""
+
+    def resume_reading(self) -> None:
+        """Take the wish."""
+
+    def abort(self) -> None:
+        """Give up."""
+        self.was_aborted = True
+
+
+def reads(begin: bytes, more: bytes) -> Iterator[bytes]:
+    """Return what is read from a connection, without end."""
+    return filter(None, chain([begin], repeat(more)))
+
+
+def endless(begin: bytes, more: bytes) -> Script:
+    """Return a script that sends until its connection is closed."""
+
+    async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
+        for data in reads(begin, more):
+            writer.write(data)
+            await writer.drain()
+
+    return run
+
+
+class ChannelBoundTest(unittest.IsolatedAsyncioTestCase):
+    """One connection, without a socket: bytes taken until it is given up, and with which error."""
+
+    def begin(self) -> tuple[Channel, FakeTransport, Exchange]:
+        channel, transport = Channel(), FakeTransport()
+        channel.connection_made(transport)
+        return channel, transport, channel.begin(b"", None, False)
+
+    def feed(self, channel: Channel, transport: FakeTransport, begin: bytes, more: bytes) -> int:
+        """Feed bytes until the connection is given up; return their number."""
+        taken = 0
+        for data in reads(begin, more):
+            if transport.was_aborted or taken > MORE_BYTES:
+                break
+            channel.data_received(data)
+            taken += len(data)
+        return taken
+
+    # Guards against a head, header or run of other answers that is collected until memory ends.
+    async def test_endless_head_is_given_up_with_a_typed_error(self) -> None:
+        for name in ("header without end", "head without end", "informational heads without end"):
+            with self.subTest(name):
+                channel, transport, exchange = self.begin()
+                taken = self.feed(channel, transport, *ENDLESS_HEADS[name])
+                self.assertTrue(transport.was_aborted)
+                self.assertLessEqual(taken, MAX_FRAMING_BYTES + 2 * READ_BYTES)
+                with self.assertRaises(RunOutcomeUnknown) as caught:
+                    await exchange.head()
+                self.assertIsInstance(caught.exception.__cause__, AnswerOversize)
+
+    # Guards against a body that never ends because its framing does not.
+    async def test_endless_framing_is_given_up_with_a_typed_error(self) -> None:
+        for name, sent in ENDLESS_FRAMING.items():
+            with self.subTest(name):
+                channel, transport, exchange = self.begin()
+                taken = self.feed(channel, transport, *sent)
+                self.assertTrue(transport.was_aborted)
+                self.assertLessEqual(taken, MAX_FRAMING_BYTES + 3 * READ_BYTES)
+                await exchange.head()
+                with self.assertRaises(AnswerCut) as caught:
+                    await exchange.body()
+                self.assertIsInstance(caught.exception.__cause__, AnswerOversize)
+
+    # Guards against a body to be held that is collected until memory ends.
+    async def test_endless_body_is_given_up_where_it_is_held(self) -> None:
+        channel, transport, exchange = self.begin()
+        self.feed(channel, transport, *ENDLESS_CHUNKS)
+        channel.connection_lost(None)
+        with self.assertRaises(AnswerOversize):
+            await exchange.body()
+        self.assertTrue(transport.was_aborted)
+
+    # Guards against a body that is passed on for ever.
+    async def test_endless_body_is_given_up_where_it_is_passed_on(self) -> None:
+        channel, transport, exchange = self.begin()
+        with mock.patch("cactuspass.fleet._answer_bounds.MAX_ANSWER_BYTES", 4 * READ_BYTES):
+            taken = self.feed(channel, transport, *ENDLESS_CHUNKS)
+        self.assertTrue(transport.was_aborted)
+        self.assertLessEqual(taken, 6 * READ_BYTES)
+        with self.assertRaises(AnswerCut) as caught:
+            while await exchange.chunk():
+                pass
+        self.assertIsInstance(caught.exception.__cause__, AnswerOversize)
+
+    async def test_tiny_chunks_are_no_breach(self) -> None:
+        channel, transport, exchange = self.begin()
+        channel.data_received(CHUNKED)
+        for _ in range(MAX_FRAMING_BYTES // READ_BYTES + 4):
+            channel.data_received(b"1\r\nx\r\n" * (READ_BYTES // 6))
+        channel.data_received(b"0\r\n\r\n")
+        self.assertFalse(transport.was_aborted)
+        self.assertEqual(set(await exchange.body()), set(b"x"))
+
+    # Guards against a change of protocol, which the parser reports in a way of its own.
+    async def test_upgrade_is_no_answer(self) -> None:
+        channel, transport, exchange = self.begin()
+        head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+        channel.data_received(head + FILL)
+        self.assertTrue(transport.was_aborted)
+        with self.assertRaises(RunOutcomeUnknown):
+            await exchange.head()
+
+
+class EndlessUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """Real sockets: several such upstreams at once beside a good one."""
+
+    async def start(self, *scripts: Script) -> list[ScriptedUpstream]:
+        """Start an upstream for each script; it does the same at each request."""
+        upstreams = [ScriptedUpstream([script]) for script in scripts]
+        for upstream in upstreams:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        return upstreams
+
+    async def serve_many(
+        self, kind: RouteKind, good: Script, bad: list[tuple[bytes, bytes]]
+    ) -> tuple[list[MemoryDelivery], int]:
+        """Serve requests at once, and then until one is served well.
+
+        :return: what callers got, and the most bytes that were held at once.
+        """
+        upstreams = await self.start(good, *[endless(*sent) for sent in bad])
+        case = PathCase(route(kind, max_upstreams=len(upstreams)), upstreams, CONNECT_SECONDS)
+        self.addCleanup(case.pool.close)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        got = await asyncio.gather(*[case.serve() for _ in range(REQUESTS)])
+        _, most = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        for _ in range(MOST_TRIES):
+            got.append(await case.serve())
+            if got[-1].whole and got[-1].status == 200:
+                break
+        return got, most
+
+    # Guards against bytes without end that fill memory or reach a caller as a whole answer.
+    async def test_plain_answers_without_end_beside_good_ones(self) -> None:
+        bad = [*ENDLESS_HEADS.values(), *ENDLESS_FRAMING.values(), (FAILED, CHUNK)]
+        good = answer("200 OK", b"good", STAMP, "Connection: close")
+        for kind in (RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT):
+            with self.subTest(kind):
+                got, most = await self.serve_many(kind, good, bad)
+                whole = [item for item in got if item.whole and item.status == 200]
+                self.assertTrue(whole)
+                self.assertEqual({item.body for item in whole}, {b"good"})
+                others = {item.status for item in got if item not in whole}
+                self.assertLessEqual(others, {502, 503, 504})
+                self.assertLess(most, REQUESTS * (2 * MAX_HELD_BYTES + 4 * READ_AHEAD_BYTES))
+
+    # Guards against an event without end that is held until memory ends.
+    async def test_streams_without_end_beside_good_ones(self) -> None:
+        bad = [*ENDLESS_EVENTS.values(), *ENDLESS_HEADS.values(), *ENDLESS_FRAMING.values()]
+        good = stream(events(range(1, 5)))
+        got, most = await self.serve_many(RouteKind.STREAM, good, bad)
+        whole = [item for item in got if item.whole and item.status == 200]
+        self.assertTrue(whole)
+        self.assertEqual({item.body for item in whole}, {events(range(1, 5))})
+        self.assertLess(most, REQUESTS * (2 * MAX_EVENT_BYTES + 4 * READ_AHEAD_BYTES))
+
+    async def test_body_beyond_its_length_is_left_out_and_its_connection_closed(self) -> None:
+        upstreams = await self.start(endless(*ENDLESS_BODIES["body beyond its length"]))
+        case = PathCase(route(), upstreams)
+        self.addCleanup(case.pool.close)
+        for _ in range(2):
+            got = await case.serve()
+            self.assertEqual((got.whole, got.body), (True, b"own"))
+        await upstreams[0].wait_idle()
+        self.assertEqual(case.pool.opened, 2)
+
+    # A body without end is passed on at the caller's pace until the time of the request is over.
+    async def test_body_of_endless_chunks_ends_cut_at_the_deadline(self) -> None:
+        upstreams = await self.start(endless(*ENDLESS_CHUNKS))
+        case = PathCase(route(timeout=0.3), upstreams)
+        self.addCleanup(case.pool.close)
+        got = await case.serve()
+        self.assertTrue(got.was_cut)
+        self.assertFalse(got.whole)
+        await upstreams[0].wait_idle()
+
+
+if __name__ == "__main__":
+    unittest.main()
