End a stream whose final event has gone out as whole, however its source ends

Cause: the entry takes an answer as whole by the end of its body. Where the connection to the peer (or to the engine) breaks after "data: [DONE]" has been passed on and before the end of the body came, it added an error event and closed the connection: a whole answer and an error in one, of which clients that stop at the final event see one and others the other. The window is one step of the engine's loop, longer the busier the machine is, and the module kills, freezes and cuts off holders while streams run. Now the entry remembers the last bytes that it has passed on. Where a stream of an engine ends with the whole final event, nothing is missing, and it is ended as whole. Streams of plain services, whose events are their own, still need the end of their body; a part of the final event is no end. Evidence: test_stream_that_breaks_off_after_its_final_event_is_whole failed before with `AssertionError: b'error' unexpectedly found in ... data: [DONE] ... {"error": {"message": "the connection broke"`. Ruled out by reading: an answer that ends without its final event (the reader of the engine's answer demands it, the hop passes on an end only after it); another request's answer (the request id is compared, connections of requests that may not be repeated are not reused); an end written by a cancelled task (giving up the answer closes the caller's connection first).

--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -17,6 +17,7 @@
 from cactuspass._answering_server import AnsweringServer
 from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
 from cactuspass._component import Component
+from cactuspass._final_event import StreamTail
 from cactuspass._problems import Problem, RunState, bad_request, problem_of
 from cactuspass._requests import SERVICE_PREFIX, Answer, CallerRequest
 from cactuspass.exceptions import AnswerCut, CactuspassError, RequestError
@@ -243,14 +244,18 @@
         try:
             answer = await self.door.serve(request, raw.header(IDEMPOTENCY_HEADER))
             first_byte_seconds = time.monotonic() - started_at
-            whole = await self._relay(answer)
+            whole = await self._relay(answer, request)
         except RequestError as error:
             self.write_problem(problem_of(error))
         finally:
             self.door.observe(CallOutcome(request, first_byte_seconds, whole))
 
-    async def _relay(self, answer: Answer) -> bool:
-        """Pass the answer on; return whether all of it was."""
+    async def _relay(self, answer: Answer, request: CallerRequest) -> bool:
+        """Pass the answer on; return whether all of it was.
+
+        An engine's stream whose final event has gone out lacks nothing, however it ends.
+        """
+        tail = StreamTail()
         self.set_status(answer.status)
         self.clear_header("Content-Type")
         for name, value in answer.headers:
@@ -265,7 +270,10 @@
             async for chunk in answer.body.chunks():
                 self.write(chunk)
                 await self.flush()
+                tail.add(chunk)
         except CactuspassError as error:
+            if self._is_event_stream() and not request.is_service and tail.is_complete:
+                return True
             await self._cut(error)
             return False
         except StreamClosedError:
@@ -278,7 +286,7 @@
 
     async def _cut(self, error: CactuspassError) -> None:
         """End a broken answer so that it cannot look whole."""
-        if str(self._headers.get("Content-Type", "")).startswith("text/event-stream"):
+        if self._is_event_stream():
             problem = problem_of(AnswerCut(str(error)))
             event = {"error": {"message": problem.detail, "type": problem.code}}
             self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
@@ -286,6 +294,10 @@
                 await self.flush()
         self._close()
 
+    def _is_event_stream(self) -> bool:
+        """Return whether the answer is a stream of events."""
+        return str(self._headers.get("Content-Type", "")).startswith("text/event-stream")
+
     def _close(self) -> None:
         """Close the connection without the end that a whole answer has."""
         connection = self.request.connection
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -88,6 +88,56 @@
         self.assertIn(b'"type": "answer-cut"', received)
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
+    async def stream(self) -> bytes:
+        """Return all that the caller of a stream receives until the connection is closed."""
+        request = b'{"model": "assistant", "stream": true}'
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+            b"Connection: close\r\nContent-Length: %d\r\n\r\n%s" % (len(request), request)
+        )
+        received = await reader.read()
+        writer.close()
+        return received
+
+    # Guards against an error after the final event, which makes a whole answer say two things.
+    async def test_stream_that_breaks_off_after_its_final_event_is_whole(self) -> None:
+        for chunks in (
+            [b"data: 1\n\n", b"data: [DONE]\n\n"],
+            [b"data: 1\n\ndata: [DO", b"NE]\n\n"],
+        ):
+            self.door.queue = ByteQueue(1000)
+            for chunk in chunks:
+                self.door.queue.put_nowait(chunk)
+            self.door.queue.fail(AnswerCut("the connection broke"))
+            received = await self.stream()
+            self.assertNotIn(b"error", received)
+            self.assertTrue(received.endswith(b"0\r\n\r\n"), received)
+            self.assertTrue(self.door.outcomes[-1].whole)
+
+    # Guards against a stream whose text names the final event, or that lacks its end, as whole.
+    async def test_only_the_whole_final_event_completes_a_stream(self) -> None:
+        for last in (b'data: {"text": "data: [DONE]', b"data: [DONE]", b"data: [DONE]\n"):
+            self.door.queue = ByteQueue(1000)
+            self.door.queue.put_nowait(b"data: 1\n\n" + last)
+            self.door.queue.fail(AnswerCut("the connection broke"))
+            received = await self.stream()
+            self.assertIn(b'"type": "answer-cut"', received)
+            self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
+    # A plain service's events are its own; only the end of the body says that they are complete.
+    async def test_stream_of_a_plain_service_is_whole_by_its_end_only(self) -> None:
+        self.door.queue.put_nowait(b"data: [DONE]\n\n")
+        self.door.queue.fail(AnswerCut("the connection broke"))
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(
+            b"GET /services/lending/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n\r\n"
+        )
+        received = await reader.read()
+        writer.close()
+        self.assertIn(b'"type": "answer-cut"', received)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
     async def test_refusal_is_a_problem_with_retry_after(self) -> None:
         self.door.error = RequestRefused(RefusalReason.QUEUE_FULL, 2.5)
         response = await self.post("/v1/completions", b'{"model": "assistant"}')
