Show how a false answer ended, not only its text

The outcome of a stream that "looks whole but is not" told its text alone, so that an error after the final event could not be told from a missing end. It shows the last bytes of the body and whether the connection broke as well. No check changes.

--- a/tests/group_traffic.py
+++ b/tests/group_traffic.py
@@ -16,6 +16,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 SHORT_ANSWER_TOKENS = 12
 DONE = "[DONE]"
+SHOWN_BYTES = 300
 
 
 class Ending(Enum):
@@ -110,7 +111,8 @@
         return Outcome(Ending.WHOLE, exchange.request_id)
     if DONE not in events and (has_error or exchange.is_broken):
         return Outcome(Ending.CUT, exchange.request_id)
-    return Outcome(Ending.FALSE, exchange.request_id, text)
+    end = f"connection broken: {exchange.is_broken}, end: {exchange.body[-SHOWN_BYTES:]!r}"
+    return Outcome(Ending.FALSE, exchange.request_id, f"{text}; {end}")
 
 
 class Traffic:
