Tell an error in a stream between events only

Found in a reading of how streams end: where an answer broke off within an event, the entry wrote its error event behind the part, so that both became one line that no caller can read (`data: {"adata: {"error"`), and an event that had its line but not its end got the error as a second line of its data. Now such a stream is only cut: the connection closes without the end of the body, and a reader of events drops the part. Between events the error is told as before. Evidence: test_error_is_told_between_events_only failed before with `AssertionError: False is not true` on `data: {"a ... data: {"error"`. test_only_the_whole_final_event_completes_a_stream asked for the error after a part of an event; it now asks that nothing follows the part and that the answer does not count as whole. Checks: the 10 tests of test_callers and the 10 of test_answers, test_slow_readers and test_outage pass.

--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -274,7 +274,7 @@
         except CactuspassError as error:
             if self._is_event_stream() and not request.is_service and tail.is_complete:
                 return True
-            await self._cut(error)
+            await self._cut(error, tail)
             return False
         except StreamClosedError:
             answer.body.cancel(AnswerCut("the caller left"))
@@ -284,9 +284,12 @@
             raise
         return True
 
-    async def _cut(self, error: CactuspassError) -> None:
-        """End a broken answer so that it cannot look whole."""
-        if self._is_event_stream():
+    async def _cut(self, error: CactuspassError, tail: StreamTail) -> None:
+        """End a broken answer so that it cannot look whole.
+
+        After a part of an event, an error would be read as the rest of it.
+        """
+        if self._is_event_stream() and tail.is_between_events:
             problem = problem_of(AnswerCut(str(error)))
             event = {"error": {"message": problem.detail, "type": problem.code}}
             self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
--- a/src/cactuspass/_final_event.py
+++ b/src/cactuspass/_final_event.py
@@ -28,6 +28,6 @@
         return _LAST_EVENT.search(self._bytes) is not None
 
     @property
-    def is_between_lines(self) -> bool:
-        """Whether the next byte begins a line."""
-        return self._bytes.endswith(b"\n")
+    def is_between_events(self) -> bool:
+        """Whether no event has begun that lacks its end."""
+        return self._bytes == b"\n" or self._bytes.endswith((b"\n\n", b"\n\r\n"))
