Bound how long an upstream of the own interface may take for an answer

Missing was the time: a head or a body that trickles, or an upstream that falls silent within a body, kept its caller for as long as the connection stood; and an instance that sent a part of a line now and then on its event connection counted as alive. Now there are MAX_HEAD_SECONDS, MAX_SILENCE_SECONDS (between parts of a body; the time for which a slow reader fills the queue does not count) and MAX_ANSWER_SECONDS, after which the connection is closed with RunOutcomeUnknown or AnswerCut "the upstream took too long". Event connections have no end, but a line of theirs has to end within SILENCE_SECONDS.

--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from functools import partial
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -23,16 +24,42 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_HEADER_BYTES = 65_536
 MAX_ANSWER_BYTES = 1 << 40
+MAX_HEAD_SECONDS = 3_600.0
+MAX_SILENCE_SECONDS = 600.0
+MAX_ANSWER_SECONDS = 86_400.0
 READ_CHUNK_BYTES = 16_384
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerTimes:
+    """Seconds after which an answer is given up.
+
+    :param head: from the request to the head, which may come only once the answer is written.
+    :param silence: between two parts of the body, while nothing waits for the reader.
+    :param whole: from the request to the end.
+    """
+
+    head: float = MAX_HEAD_SECONDS
+    silence: float = MAX_SILENCE_SECONDS
+    whole: float = MAX_ANSWER_SECONDS
+
+
 class _AnswerReader(HTTPMessageDelegate):
-    """Collects the head of an answer and passes its body into a queue."""
+    """Collects the head of an answer and passes its body into a queue.
+
+    :param times: bounds in seconds; an answer that is no watch ends by the last of them.
+    """
 
-    def __init__(self, queue: ByteQueue, expect_done_event: bool) -> None:
+    def __init__(
+        self, queue: ByteQueue, expect_done_event: bool, times: AnswerTimes, is_watch: bool
+    ) -> None:
         loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._silence = times.silence
+        self._end_at = None if is_watch else loop.time() + times.whole
+        self.limit = asyncio.timeout(times.head)
         self.head: asyncio.Future[tuple[int, HTTPHeaders]] = loop.create_future()
         self._queue = queue
         self._expect_done_event = expect_done_event
@@ -53,6 +80,7 @@
         self._has_length = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not self.head.done():
             self.head.set_result((start_line.code, headers))
+        self._expect_more()
         return None
 
     def echoes(self, request_id: str | None) -> bool:
@@ -70,7 +98,21 @@
         self._has_body = True
         if self._is_event_stream:
             self._tail.add(chunk)
-        return self._queue.put(chunk)
+        return self._put(chunk)
+
+    async def _put(self, chunk: bytes) -> None:
+        """Pass a part on; the time that the queue is full is not the upstream's."""
+        if not self.limit.expired():
+            self.limit.reschedule(self._end_at)
+        await self._queue.put(chunk)
+        self._expect_more()
+
+    def _expect_more(self) -> None:
+        """Allow the upstream its silence from now on."""
+        if not self.limit.expired():
+            silent_at = self._loop.time() + self._silence
+            ends = [silent_at] if self._end_at is None else [silent_at, self._end_at]
+            self.limit.reschedule(min(ends))
 
     def finish(self) -> None:
         """Take the end of the body, which is whole only if its form says so."""
@@ -85,16 +127,22 @@
 
     def on_connection_close(self) -> None:
         """Take the loss of the connection."""
+        is_late = self.limit.expired()
+        detail = "the upstream took too long" if is_late else "the upstream closed the connection"
         if not self.head.done():
-            self.head.set_exception(RunOutcomeUnknown("the upstream closed the connection"))
+            self.head.set_exception(RunOutcomeUnknown(detail))
             self.head.exception()
-        self._queue.fail(AnswerCut("the upstream closed the connection"))
+        self._queue.fail(AnswerCut(detail))
 
 
 class UpstreamClient:
-    """Sends requests to upstreams and keeps idle connections for repeatable ones."""
+    """Sends requests to upstreams and keeps idle connections for repeatable ones.
+
+    :param times: bounds of each answer in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, times: AnswerTimes | None = None) -> None:
+        self._times = times or AnswerTimes()
         self._tcp = TCPClient()
         self._idle_by_address: dict[str, list[IOStream]] = {}
 
@@ -119,6 +167,7 @@
         account: BytesAccount | None = None,
         may_send: Callable[[], bool] = lambda: True,
         expect_done_event: bool = False,
+        is_watch: bool = False,
     ) -> Answer:
         """Send one request and return its answer as soon as the head has arrived.
 
@@ -126,15 +175,17 @@
         :param queue_limit: bytes of the body held before the upstream is made to wait.
         :param may_send: asked at the last moment before the first byte leaves.
         :param expect_done_event: whether an event stream is whole only with its final event.
+        :param is_watch: whether the answer goes on for as long as it is read.
         :raises UpstreamNotReached: when no byte has left.
-        :raises RunOutcomeUnknown: when the connection broke before the head arrived.
+        :raises RunOutcomeUnknown: when the connection broke before the head arrived, or the head
+            did not arrive in time.
         """
         stream = await self._connect(address, reuse=repeatable)
         if not may_send():
             self._keep(address, stream)
             raise UpstreamNotReached("the group may not be used any more")
         queue = ByteQueue(queue_limit, account)
-        reader = _AnswerReader(queue, expect_done_event)
+        reader = _AnswerReader(queue, expect_done_event, self._times, is_watch)
         task = asyncio.create_task(
             self._exchange(address, stream, reader, method, path, headers, body, repeatable)
         )
@@ -203,9 +254,11 @@
         try:
             connection.write_headers(RequestStartLine(method, path, "HTTP/1.1"), sent, body or None)
             connection.finish()
-            open_after = await connection.read_response(reader)
+            async with reader.limit:
+                open_after = await connection.read_response(reader)
         except (StreamClosedError, OSError):
-            reader.on_connection_close()
+            # A TimeoutError is an OSError too.
+            stream.close()
             return
         finally:
             reader.on_connection_close()
--- a/src/cactuspass/_upstream_events.py
+++ b/src/cactuspass/_upstream_events.py
@@ -160,6 +160,7 @@
                     b"",
                     repeatable=False,
                     queue_limit=EVENT_QUEUE_BYTES,
+                    is_watch=True,
                 )
             self._streams_by_instance[order.instance_id] = answer
             async for event in _events(answer):
@@ -203,10 +204,19 @@
         )
 
 
+def _check_length(pending: bytes) -> None:
+    """Check that an event which has begun is not too long.
+
+    :raises ValueError: when it is.
+    """
+    if len(pending) - pending.rfind(b"\n") > MAX_EVENT_BYTES:
+        raise ValueError("event is too long")
+
+
 async def _events(answer: Answer) -> AsyncIterator[dict[str, Any]]:
     """Yield the JSON objects of a stream of server-sent events.
 
-    :raises TimeoutError: when the stream is silent for too long.
+    :raises TimeoutError: when no line has ended for too long.
     :raises ValueError: when an event is malformed or too long.
     """
     pending = b""
@@ -214,12 +224,12 @@
     while True:
         try:
             async with asyncio.timeout(SILENCE_SECONDS):
-                pending += await anext(chunks)
+                while b"\n" not in pending:
+                    pending += await anext(chunks)
+                    _check_length(pending)
         except StopAsyncIteration:
             return
         *lines, pending = pending.split(b"\n")
-        if len(pending) > MAX_EVENT_BYTES:
-            raise ValueError("event is too long")
         for line in lines:
             if line.startswith(b"data:"):
                 event = json.loads(line[5:])
