Use no host of a domain while others of it are about to be free

What callers saw: too few groups of the larger model.

Cause: survivors of a broken group answer one after the other that they have left it. Between two answers the planner saw three stranded hosts where a moment later four, with the domain's spare, could have formed a group, and had six of them load the other model (9.74 s). The same at the beginning of a term, when reports come in one by one.

A domain waits now for the answers of all hosts that were told to leave, 0.2 s at most, and for the first reports of a term, 0.7 s at most. Test red before: ReleasedOneByOneTest (three loads ordered).

--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -37,6 +37,8 @@
     def plan(self, situation: Situation) -> list[AddressedOrder]:
         """Return the orders to give now."""
         memory = self._memory
+        if self._last_round is None:
+            memory.began_at = situation.at
         at, reports_by_id = situation.at, situation.reports_by_id
         upstreams_by_id = situation.view.upstreams_by_id
         memory.schedule.update(upstreams_by_id, reports_by_id, at)
@@ -44,8 +46,8 @@
         current = Round(replace(situation, view=memory.ledger.corrected(situation.view)), memory)
         orders = list(tend_groups(current))
         orders += tend_formations(current)
-        orders += form_groups(current)
         orders += release_hosts(current)
+        orders += form_groups(current)
         orders += stage_hosts(current)
         self._last_round = current
         return orders
--- a/src/cactuspass/fleet/_releasing.py
+++ b/src/cactuspass/fleet/_releasing.py
@@ -7,6 +7,9 @@
 from cactuspass.fleet._round import Round
 from cactuspass.fleet._upstreams import SERVING_STATES, GroupKey
 
+ANSWER_SECONDS = 0.2
+FIRST_REPORTS_SECONDS = 0.7
+
 
 def release_hosts(current: Round) -> Iterator[AddressedOrder]:
     """Tell hosts that no group keeps to leave the groups that they are still members of.
@@ -17,10 +20,17 @@
     ledger, at = current.memory.ledger, current.situation.at
     for host in current.unbound_hosts():
         known = ledger.state(host)
+        if known is None and at - current.memory.began_at < FIRST_REPORTS_SECONDS:
+            current.releasing.add(host.fabric_domain)
         if known is None or known.membership is None or ledger.refused_lately(host, at):
             continue
         key = known.membership.key
-        if not _serves(key, current) and current.may_send(host, f"leave {key}"):
+        if _serves(key, current):
+            continue
+        first_at = current.memory.released_at.setdefault((host.upstream_id, key), at)
+        if at - first_at < ANSWER_SECONDS:
+            current.releasing.add(host.fabric_domain)
+        if current.may_send(host, f"leave {key}"):
             yield current.order(host, Leave(key), describe_release(key, current))
 
 
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
 from cactuspass.fleet._demand import Demand
@@ -20,6 +21,8 @@
 from cactuspass.fleet._upstreams import GroupKey, Upstream, UpstreamId, UpstreamView
 from cactuspass.models import DataCentreId, FabricDomainId, ModelId, ServiceId
 
+K = TypeVar("K")
+
 RESEND_SECONDS = 1.0
 SLOW_PACE = 2.5
 FORGET_SECONDS = 60.0
@@ -98,16 +101,20 @@
 class Memory:
     """What the planner remembers between decisions.
 
+    :param began_at: clock value of the first decision.
     :param close_outcomes_by_key: last outcome of an order to close.
+    :param released_at: when hosts were first told to leave their groups.
     """
 
     demand: Demand
     history: GroupHistory
+    began_at: float = float("-inf")
     schedule: LoadSchedule = field(default_factory=LoadSchedule)
     ledger: Ledger = field(default_factory=Ledger)
     formations_by_key: dict[GroupKey, Formation] = field(default_factory=dict)
     headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
+    released_at: dict[tuple[UpstreamId, GroupKey], float] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
     last_epoch: int = 0
@@ -125,9 +132,14 @@
             del self.headless_by_key[key]
         for key in self.close_outcomes_by_key.keys() - keys:
             del self.close_outcomes_by_key[key]
-        old = [what for what, sent_at in self.sent_at.items() if at - sent_at > FORGET_SECONDS]
-        for what in old:
-            del self.sent_at[what]
+        _forget_old(self.sent_at, at)
+        _forget_old(self.released_at, at)
+
+
+def _forget_old(times: dict[K, float], at: float) -> None:
+    old = [what for what, then in times.items() if at - then > FORGET_SECONDS]
+    for what in old:
+        del times[what]
 
 
 @dataclass(slots=True)
@@ -135,12 +147,14 @@
     """Working state of one decision.
 
     :param bound: upstreams that must not join another group now.
+    :param releasing: fabric domains in which hosts will be free in a moment.
     :param groups_by_model: groups that serve or are being formed, where requests may go.
     """
 
     situation: Situation
     memory: Memory
     bound: set[UpstreamId] = field(default_factory=set)
+    releasing: set[FabricDomainId] = field(default_factory=set)
     groups_by_model: Counter[ModelId] = field(default_factory=Counter)
 
     def bind(self, members: Iterable[Upstream]) -> None:
@@ -207,9 +221,14 @@
         ]
 
     def free_hosts_by_domain(self) -> dict[FabricDomainId, list[Upstream]]:
-        """Return the upstreams that are in no group and may join one now."""
+        """Return the upstreams that are in no group and may join one now.
+
+        A domain waits for all hosts that it is about to have, so that none is used alone.
+        """
         hosts_by_domain: dict[FabricDomainId, list[Upstream]] = defaultdict(list)
         for upstream in self.unbound_hosts():
+            if upstream.fabric_domain in self.releasing:
+                continue
             if self.memory.ledger.is_free(upstream, self.situation.at):
                 hosts_by_domain[upstream.fabric_domain].append(upstream)
         return hosts_by_domain
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -122,13 +122,22 @@
         """Plan and carry out orders for a while."""
         end = self.at + seconds
         while self.at < end:
-            self._settle()
-            for addressed in self.planner.plan(self.situation()):
-                self.given.append(addressed)
-                self.planner.note_outcome(addressed, self._carry_out(addressed), self.at)
+            for addressed in self.decide():
+                self.answer(addressed)
             self.at += step
         self._settle()
 
+    def decide(self) -> list[AddressedOrder]:
+        """Return the orders that the planner gives now."""
+        self._settle()
+        orders = self.planner.plan(self.situation())
+        self.given += orders
+        return orders
+
+    def answer(self, addressed: AddressedOrder) -> None:
+        """Carry out an order and tell the planner."""
+        self.planner.note_outcome(addressed, self._carry_out(addressed), self.at)
+
     def kill(self, upstream_id: UpstreamId) -> None:
         """Let an upstream fall silent; its entry stays."""
         self.dead.add(upstream_id)
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -5,7 +5,7 @@
 
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._group_history import GroupHistory
-from cactuspass.fleet._orders import Close, Join, Leave, Open, Stage
+from cactuspass.fleet._orders import AddressedOrder, Close, Join, Leave, Open, Stage
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._round import Memory, Round
 from cactuspass.fleet._tending import tend_groups
@@ -302,6 +302,33 @@
         self.assertLessEqual(len(world.orders(Stage)), 12)
 
 
+class ReleasedOneByOneTest(unittest.TestCase):
+    """Survivors of a broken group answer one after the other that they have left it."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld([*hosts(5, "d0", LARGE), *hosts(2, "d1", SMALL)])
+        self.world.run(4.0)
+        [key] = self.world.serving(LARGE)
+        members = self.world.situation().view.groups_by_key[key].members
+        self.world.kill(members[3].upstream_id)
+        self.leaves: list[AddressedOrder] = []
+        while not self.leaves:
+            self.world.at += 0.1
+            orders = self.world.decide()
+            self.leaves = [a for a in orders if isinstance(a.order, Leave)]
+            for other in orders:
+                if other not in self.leaves:
+                    self.world.answer(other)
+
+    def test_no_host_is_used_while_others_of_its_domain_have_not_answered(self) -> None:
+        # Guards against loads for hosts that could form a group a moment later.
+        for leave in self.leaves[:-1]:
+            self.world.answer(leave)
+            orders = self.world.planner.plan(self.world.situation())
+            used = [a for a in orders if isinstance(a.order, Join | Stage)]
+            self.assertEqual(used, [])
+
+
 class LoadsOfTheControllerBeforeTest(unittest.TestCase):
     """Controllers follow each other within seconds, while hosts load (rolling restarts)."""
 
