--- a/tests/test_fleet_review.py
+++ b/tests/test_fleet_review.py
@@ -2,9 +2,20 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 from dataclasses import replace
-
+from unittest import mock
+
+from cactuspass._clock import now
+from cactuspass._platform import Snapshot
+from cactuspass.fleet import _presence
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._budgets import RetryAllowance
+from cactuspass.fleet._catalog import Catalog
 from cactuspass.fleet._demand import Demand
+from cactuspass.fleet._directory import UpstreamChanges
+from cactuspass.fleet._feed_follower import FeedFollower
+from cactuspass.fleet._feed_source import NewsWriter
 from cactuspass.fleet._ledger import Ledger
 from cactuspass.fleet._orders import (
     AddressedOrder,
@@ -15,21 +26,28 @@
     Stage,
     UpstreamReport,
 )
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._pool import ChannelPool
+from cactuspass.fleet._presence import LEADER_KEY, NOWHERE, Presence
 from cactuspass.fleet._round import Situation
+from cactuspass.fleet._sync import UpstreamSync
 from cactuspass.fleet._upstreams import (
     GroupKey,
     Membership,
     MemberState,
     Upstream,
     UpstreamId,
+    UpstreamState,
     UpstreamView,
 )
-from cactuspass.models import GroupId, ServiceId
+from cactuspass.models import EntryId, GroupId, ServiceId
 from cactuspass.platform._control import ServerControl
+from tests.fleet_path import quiet_log
 from tests.fleet_world import ENGINE, SERVICE, SMALL, host, hosts
 from tests.leader_world import Fate
+from tests.test_fleet_presence import MemoryStore, clock
+from tests.test_fleet_sync import ScriptedDirectory
 from tests.test_fleet_two_groups import (
     HEAD,
     SECOND,
@@ -37,6 +55,7 @@
     TwoGroupsCase,
     first_fate_of,
 )
+from tests.virtual_time import virtual_time
 
 KEY = GroupKey(GroupId("g7"), 7)
 AT = 50.0
@@ -198,6 +217,94 @@
         self.assertEqual(self.world.orders(Close), [], "\n".join(self.truth.log))
 
 
+class OlderNewsTest(unittest.TestCase):
+    """An instance learns from a source, then from another that is behind or from its own watch."""
+
+    def setUp(self) -> None:
+        log, _ = quiet_log()
+        self.beliefs = Beliefs(log)
+        self.ready = host("a")
+        self.draining = replace(self.ready, state=UpstreamState.DRAINING)
+
+    def test_source_that_is_behind_does_not_take_back_that_an_upstream_drains(self) -> None:
+        # Guards against news that are older than what is believed already.
+        behind = Beliefs(quiet_log()[0])
+        behind.accept_upstreams([self.ready], 9)
+        self.beliefs.accept_upstreams([self.draining], 10)
+        follower = FeedFollower(
+            EntryId("e"), NOWHERE, self.beliefs, lambda: False, lambda: None, quiet_log()[0]
+        )
+        follower._accept(NewsWriter(behind).write(0.0), now())
+        self.assertTrue(self.beliefs.view.upstreams_by_id[self.ready.upstream_id].draining)
+
+    def test_late_answer_of_the_own_watch_does_not_take_back_what_a_source_told(self) -> None:
+        # Guards against changes that are older than what is believed already.
+        self.beliefs.accept_upstreams([self.draining], 10)
+        directory = ScriptedDirectory()
+        sync = UpstreamSync(directory, self.beliefs, quiet_log()[0])
+        sync._take_changes(UpstreamChanges((self.ready,), (), 9))
+        self.assertTrue(self.beliefs.view.upstreams_by_id[self.ready.upstream_id].draining)
+
+
+class LapsedInstancesTest(unittest.TestCase):
+    """Instances whose entries have lapsed with the store, and that serve on."""
+
+    def test_shares_of_instances_that_are_registering_again_stay_within_the_limit(self) -> None:
+        # Guards against taking an instance whose entry has lapsed for one that has gone.
+        limit = 100.0
+        everyone = tuple(Peer(EntryId(f"e{n}"), NOWHERE, None) for n in range(6))
+        left = 0.0
+        for _ in everyone:
+            beliefs = Beliefs(quiet_log()[0], min_instances=3)
+            beliefs.accept_peers(everyone)
+            beliefs.accept_peers(everyone[:1])
+            left += RetryAllowance(0.0, limit, 10.0).left(AT, beliefs.instance_count)
+        self.assertLessEqual(left, limit)
+
+
+class SlowReadStore(MemoryStore):
+    """A store whose answers to reads of who leads come late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads_begun = asyncio.Event()
+        self.answers = asyncio.Event()
+
+    async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
+        """Read now, and answer when the test lets it."""
+        found = await super().read(keys, keys_only)
+        if LEADER_KEY in keys:
+            self.reads_begun.set()
+            await self.answers.wait()
+        return found
+
+
+class LateAnswerTest(unittest.TestCase):
+    """An instance stops while it looks up whether it leads."""
+
+    @virtual_time
+    async def test_instance_that_stops_does_not_lead_by_an_answer_from_before(self) -> None:
+        # Guards against a term that begins after its lease was given up.
+        patch = mock.patch.object(_presence, "now", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        store = SlowReadStore()
+        store.lose_next_write = True
+        beliefs = Beliefs(quiet_log()[0])
+        beliefs.accept_catalog(Catalog(1))
+        presence = Presence(store, EntryId("e"), beliefs, quiet_log()[0])
+        await presence.start()
+        async with asyncio.timeout(10):
+            await store.reads_begun.wait()
+        await presence.drain()
+        self.assertEqual(store.keys, {})
+        store.answers.set()
+        await asyncio.sleep(0.1)
+        term = presence.term
+        await presence.stop()
+        self.assertIsNone(term)
+
+
 class TwoServicesTest(unittest.TestCase):
     """Two services whose engines form groups."""
 
