Show that a load refused for its number makes a host count as busy

A refusal of an order says either that it does not fit or that the host has accepted other orders than known. The planner takes each refused load for a host that loads by an order of a controller before: the host is not used for 4 s, and takes a place among the loads under way. Red: test_host_that_refuses_a_number_is_not_taken_for_one_that_loads ([] != [1]).

--- a/tests/test_fleet_review.py
+++ b/tests/test_fleet_review.py
@@ -44,7 +44,7 @@
 from cactuspass.models import EntryId, GroupId, ServiceId
 from cactuspass.platform._control import ServerControl
 from tests.fleet_path import quiet_log
-from tests.fleet_world import ENGINE, SERVICE, SMALL, host, hosts
+from tests.fleet_world import ENGINE, SERVICE, SMALL, EngineWorld, host, hosts
 from tests.leader_world import Fate
 from tests.test_fleet_presence import MemoryStore, clock
 from tests.test_fleet_sync import ScriptedDirectory
@@ -305,6 +305,23 @@
         self.assertIsNone(term)
 
 
+class RefusedLoadTest(unittest.TestCase):
+    """A load is refused since the host has carried out a late order meanwhile."""
+
+    def test_host_that_refuses_a_number_is_not_taken_for_one_that_loads(self) -> None:
+        # Guards against reading a refusal for the number of orders as that of a busy host.
+        world = EngineWorld([host("x")])
+        situation = world.situation()
+        world.sequences_by_id[UpstreamId("x")] += 1
+        [addressed] = world.planner.plan(situation)
+        self.assertIsInstance(addressed.order, Stage)
+        outcome = world._carry_out(addressed)
+        self.assertIs(outcome, OrderOutcome.CONFLICT)
+        world.planner.note_outcome(addressed, outcome, world.at)
+        world.run(2.0)
+        self.assertEqual([a.expected_sequence for a in world.orders(Stage)], [1])
+
+
 class TwoServicesTest(unittest.TestCase):
     """Two services whose engines form groups."""
 
