--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -1,6 +1,7 @@
 """What this instance believes of operators, upstreams and other instances, and how old it is."""
 
 import asyncio
+from collections import deque
 from collections.abc import Iterable, Iterator
 from contextlib import suppress
 
@@ -11,6 +12,7 @@
 from cactuspass.fleet._upstreams import Group, GroupKey, Upstream, UpstreamId, UpstreamView
 
 NEVER = float("-inf")
+INSTANCE_GRACE_SECONDS = 4.0  # two leases: one to lapse, one to register again
 
 
 class Beliefs:
@@ -28,7 +30,7 @@
         self._members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
         self.operators_read_at = NEVER
         self.upstreams_read_at = NEVER
-        self.instance_count = self._min_instances
+        self._counts: deque[tuple[float, int]] = deque()
         self.peers: tuple[Peer, ...] = ()
         self.revision = 0
         self._changed = asyncio.Event()
@@ -64,12 +66,23 @@
         """Note which instances are registered."""
         if peers == self.peers:
             return
+        if len(peers) != len(self.peers):
+            self._log.belief("instances-counted", count=len(peers), before=len(self.peers))
+        self._counts.append((now(), len(self.peers)))
         self.peers = peers
         self._note_change()
-        count = max(self._min_instances, len(peers))
-        if count != self.instance_count:
-            self._log.belief("instances-counted", count=count, before=self.instance_count)
-        self.instance_count = count
+
+    @property
+    def instance_count(self) -> int:
+        """Instances among which common limits are shared.
+
+        One whose entry is missing counts for a while, since it may serve on.
+        """
+        since = now() - INSTANCE_GRACE_SECONDS
+        while self._counts and self._counts[0][0] < since:
+            self._counts.popleft()
+        lately = max((count for _, count in self._counts), default=0)
+        return max(self._min_instances, len(self.peers), lately)
 
     @property
     def peer_addresses(self) -> tuple[str, ...]:
@@ -90,7 +103,10 @@
         changed.set()
 
     def accept_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
-        """Replace the upstreams."""
+        """Replace the upstreams, unless what is believed is newer."""
+        if revision < self.revision:
+            self._log.belief("upstreams-older", revision=revision, believed=self.revision)
+            return
         view = UpstreamView.of(upstreams)
         self._log_upstream_changes(view, revision)
         self.view = view
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -69,7 +69,7 @@
             memory.unreachable_until[upstream_id] = at + UNREACHABLE_SECONDS
         memory.ledger.note_outcome(addressed, outcome, at)
         if isinstance(order, Close):
-            memory.close_outcomes_by_key[order.key] = outcome
+            self._note_close(order, addressed.expected_sequence, outcome)
         refused = outcome in REFUSED_OUTCOMES
         if isinstance(order, Join) and refused:
             self._note_refused_join(order, upstream_id, outcome)
@@ -78,6 +78,12 @@
             if outcome is OrderOutcome.CONFLICT:
                 memory.schedule.found_busy(upstream_id, at)
 
+    def _note_close(self, order: Close, expected: int | None, outcome: OrderOutcome) -> None:
+        if outcome is OrderOutcome.CONFLICT and expected is not None:
+            self._memory.closes_refused.add(order.key)
+        else:
+            self._memory.close_outcomes_by_key[order.key] = outcome
+
     def _note_refused_join(
         self, order: Join, upstream_id: UpstreamId, outcome: OrderOutcome
     ) -> None:
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -189,7 +189,7 @@
             await self._check_lead(value, expected)
             return
         leader = result.current.values_by_key[LEADER_KEY]
-        if result.accepted and lease == self._lease:
+        if result.accepted and value == self._leader_value():
             self._keys[LEADER_KEY] = leader
             self._begin_term(leader.mod_revision)
         elif not result.accepted and leader.value is not None:
@@ -198,7 +198,8 @@
     async def _check_lead(self, value: bytes, revision_before: int) -> None:
         """Find out whether a write took effect whose answer was lost."""
         found = (await self._store.read([LEADER_KEY])).values_by_key[LEADER_KEY]
-        if found.value == value and found.mod_revision > revision_before:
+        holds_lease = value == self._leader_value()
+        if holds_lease and found.value == value and found.mod_revision > revision_before:
             self._begin_term(found.mod_revision)
 
     def _leader_value(self) -> bytes:
--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -103,6 +103,7 @@
 
     :param began_at: clock value of the first decision.
     :param close_outcomes_by_key: last outcome of an order to close.
+    :param closes_refused: groups whose heads were not in the state that an order to close named.
     :param released_at: when hosts were first told to leave their groups.
     """
 
@@ -114,6 +115,7 @@
     formations_by_key: dict[GroupKey, Formation] = field(default_factory=dict)
     headless_by_key: dict[GroupKey, Headless] = field(default_factory=dict)
     close_outcomes_by_key: dict[GroupKey, OrderOutcome] = field(default_factory=dict)
+    closes_refused: set[GroupKey] = field(default_factory=set)
     released_at: dict[tuple[UpstreamId, GroupKey], float] = field(default_factory=dict)
     sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until: dict[UpstreamId, float] = field(default_factory=dict)
@@ -132,6 +134,7 @@
             del self.headless_by_key[key]
         for key in self.close_outcomes_by_key.keys() - keys:
             del self.close_outcomes_by_key[key]
+        self.closes_refused &= keys
         _forget_old(self.sent_at, at)
         _forget_old(self.released_at, at)
 
@@ -190,7 +193,12 @@
         return sent_at is None or self.situation.at - sent_at >= RESEND_SECONDS
 
     def order(self, target: Upstream, order: Order, reason: str) -> AddressedOrder:
-        """Return an order that is carried out only in the last known state of its target."""
+        """Return an order that is carried out only in the last known state of its target.
+
+        To load weights does no harm in any state.
+        """
+        if isinstance(order, Stage):
+            return self.order_in_state(target, order, reason, None)
         known = self.memory.ledger.state(target)
         return self.order_in_state(target, order, reason, known.sequence if known else None)
 
@@ -208,7 +216,7 @@
 
     def order_to_close(self, head: Upstream, close: Close, reason: str) -> AddressedOrder:
         """Return an order to close, in any state if the head has refused it in the known one."""
-        if self.memory.close_outcomes_by_key.get(close.key) is OrderOutcome.CONFLICT:
+        if close.key in self.memory.closes_refused:
             return self.order_in_state(head, close, reason, None)
         return self.order(head, close, reason)
 
