Let orders take time to arrive, and late joins meet every moment of a leave and a new life

Orders arrived in the very instant of their decision, so that a host could not change between the report on which a join rests and the join itself. They now travel 0.05 s, or 0.5 s where drawn.

--- a/tests/leader_world.py
+++ b/tests/leader_world.py
@@ -31,7 +31,7 @@
     loads_at_once=6,
 )
 PLAN_SECONDS = 0.15
-ANSWER_SECONDS = 0.05
+TRAVEL_SECONDS = 0.05
 REFUSAL_SECONDS = 0.5
 ORDER_TIMEOUT_SECONDS = 1.0
 REPORT_LAG_SECONDS = 0.2
@@ -42,10 +42,11 @@
 
 
 class Fate(Enum):
-    """What becomes of an order on its way; the value is its delay in seconds, if it is late."""
+    """What becomes of an order; the value is the time in seconds after which it arrives."""
 
-    ANSWERED = 0.0
-    ANSWER_LOST = 0.01
+    ANSWERED = TRAVEL_SECONDS
+    SLOW = 0.5
+    ANSWER_LOST = TRAVEL_SECONDS + STEP_SECONDS
     LATE_2 = 2.0
     LATE_5 = 5.0
     LATE_8 = 8.0
@@ -328,7 +329,7 @@
         fate = self.script(addressed)
         if fate is None:
             fate = self.fates.popleft() if self.fates else Fate.ANSWERED
-        return Fate.NOT_REACHED if cut and fate is Fate.ANSWERED else fate
+        return Fate.NOT_REACHED if cut and fate in (Fate.ANSWERED, Fate.SLOW) else fate
 
     def _send(self, leader: Leader, addressed: AddressedOrder) -> None:
         self.given.append(addressed)
@@ -349,10 +350,13 @@
                 seconds, lambda: leader.planner.note_outcome(addressed, outcome, self.at)
             )
 
-        if fate is Fate.ANSWERED:
+        def arrive_and_answer() -> None:
             outcome = arrive()
             reached = outcome is not OrderOutcome.NOT_REACHED
-            note(outcome, ANSWER_SECONDS if reached else REFUSAL_SECONDS)
+            note(outcome, TRAVEL_SECONDS if reached else REFUSAL_SECONDS)
+
+        if fate in (Fate.ANSWERED, Fate.SLOW):
+            self.truth.later(fate.value, arrive_and_answer)
         elif fate is Fate.NOT_REACHED:
             note(OrderOutcome.NOT_REACHED, REFUSAL_SECONDS)
         else:
--- a/tests/test_fleet_two_groups.py
+++ b/tests/test_fleet_two_groups.py
@@ -247,16 +247,31 @@
         self.truth.hosts_by_id[THIRD].pace = 1.0
         self.assert_safe(12.0)
 
+    def _start_with_late_join(self, arrives_after: float) -> None:
+        """Let groups serve, though an order of the first joins is still on its way.
+
+        :param arrives_after: seconds from now until it arrives.
+        """
+        self.world = LeaderWorld()
+        self.truth = self.world.truth
+        self.world.script = first_fate_of(Join, Fate.LATE_12, THIRD)
+        self.until_given(Join, THIRD)
+        arrives_at = self.world.at + Fate.LATE_12.value
+        self.until(lambda: len(self.world.serving()) == 2)
+        self.world.run(arrives_at - arrives_after - self.world.at)
+
     def test_join_that_the_next_life_of_a_member_carries_out(self) -> None:
         # Guards against taking a member that has just started for one without a group.
-        for offset in OFFSETS:
-            self.world = LeaderWorld()
-            self.truth = self.world.truth
-            self.world.script = first_fate_of(Join, Fate.LATE_12, THIRD)
-            self.until_given(Join, THIRD)
-            joined_at = self.world.at
-            self.until(lambda: len(self.world.serving()) == 2)
+        for offset in range(30):
+            self._start_with_late_join(offset * STEP_SECONDS)
             self.world.script = fates_of(Close, Fate.LOST)
-            self.world.run(joined_at + Fate.LATE_12.value - 0.5 + offset - self.world.at)
             self.truth.restart(THIRD)
             self.assert_safe(5.0)
+
+    def test_join_that_a_member_carries_out_after_it_has_left(self) -> None:
+        # Guards against joining a member away by what it said before an earlier join arrived.
+        for offset in range(20, 70):
+            self._start_with_late_join(offset * 2 * STEP_SECONDS)
+            self.world.leader.cut_from.add(HEAD)
+            self.world.unregistered.add(HEAD)
+            self.assert_safe(10.0)
