Show members that leave a group which opens while the leader changes

The head refuses, since its number has risen; the others leave. The head serves alone for 1.3 s: the order to close is refused for its number too, and the next one waits for 1.2 s.

--- a/tests/test_fleet_review.py
+++ b/tests/test_fleet_review.py
@@ -22,6 +22,7 @@
     Close,
     Join,
     Leave,
+    Open,
     OrderOutcome,
     Stage,
     UpstreamReport,
@@ -45,7 +46,8 @@
 from cactuspass.platform._control import ServerControl
 from tests.fleet_path import quiet_log
 from tests.fleet_world import ENGINE, SERVICE, SMALL, EngineWorld, host, hosts
-from tests.leader_world import Fate
+from tests.leader_world import Fate, LeaderWorld
+from tests.order_world import STEP_SECONDS
 from tests.test_fleet_presence import MemoryStore, clock
 from tests.test_fleet_sync import ScriptedDirectory
 from tests.test_fleet_two_groups import (
@@ -150,12 +152,11 @@
     return f"HTTP/1.1 {status} Is\r\n{named}Content-Length: 0\r\n\r\n".encode()
 
 
-class PendingLeaveTest(TwoGroupsCase):
-    """A member is made to leave a group that the same leader opens meanwhile."""
+class StandingStillCase(TwoGroupsCase):
+    """Notes the heads that serve though a member has left."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.start()
         self.stood_still: list[str] = []
 
     def watch(self, seconds: float) -> None:
@@ -174,6 +175,31 @@
 
         self.world.run_until(noted, seconds)
 
+
+class HandoverTest(StandingStillCase):
+    """The leader changes while a head that it has told to open still says that it is ready."""
+
+    def test_members_do_not_leave_a_group_that_opens_at_that_moment(self) -> None:
+        # Guards against members that leave though their head, which has opened, refused to.
+        for steps in range(8):
+            self.world = LeaderWorld()
+            self.truth = self.world.truth
+            self.until_given(Open, HEAD)
+            self.world.run(steps * STEP_SECONDS)
+            self.world.change_leader()
+            self.watch(5.0)
+            with self.subTest(steps=steps):
+                self.assertEqual(self.stood_still[:1], [], "\n".join(self.truth.log))
+            self.stood_still.clear()
+
+
+class PendingLeaveTest(StandingStillCase):
+    """A member is made to leave a group that the same leader opens meanwhile."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start()
+
     def test_group_is_not_opened_while_its_members_may_still_be_made_to_leave(self) -> None:
         # Guards against an order to leave that is carried out after the group serves again.
         def script(addressed: AddressedOrder) -> Fate | None:
