Tell a head to leave its group before the other members

What callers would have seen: a group that has just opened stands still for 1.3 s, where the leader changes within 0.15 s of the order to open (found in review, with a test that was red).

Cause: the new leader saw the head ready, by a report from before the order, and told all members to leave at once. The head refused, since its number of orders had risen, and the others left.

The head is told first now; the others follow once it has left, is known in another group, or has not answered for 2 s. Tests: HandoverTest red before.

--- a/src/cactuspass/fleet/_releasing.py
+++ b/src/cactuspass/fleet/_releasing.py
@@ -1,14 +1,17 @@
 """Lets hosts leave groups that serve no more, before they join others."""
 
 from collections.abc import Iterator
+from itertools import groupby
 
 from cactuspass.fleet._inventory import describe_release
+from cactuspass.fleet._ledger import HostState
 from cactuspass.fleet._orders import AddressedOrder, Leave
 from cactuspass.fleet._round import Round
-from cactuspass.fleet._upstreams import SERVING_STATES, GroupKey
+from cactuspass.fleet._upstreams import SERVING_STATES, GroupKey, Upstream
 
 ANSWER_SECONDS = 0.2
 FIRST_REPORTS_SECONDS = 0.7
+HEAD_ANSWER_SECONDS = 2.0
 
 
 def release_hosts(current: Round) -> Iterator[AddressedOrder]:
@@ -17,23 +20,76 @@
     What is known of a group's head may be old or wrong. Once a host has answered that it left, it
     is in no group, whatever its head does.
     """
-    ledger, at = current.memory.ledger, current.situation.at
+    _await_first_reports(current)
+    for key, members in groupby(sorted(_members(current), key=_group_order), _key):
+        if not _serves(key, current):
+            yield from _release(key, dict(members), current)
+
+
+def _await_first_reports(current: Round) -> None:
+    """Keep domains from being used in part while the reports of a new term come in."""
+    if current.situation.at - current.memory.began_at >= FIRST_REPORTS_SECONDS:
+        return
     for host in current.unbound_hosts():
-        known = ledger.state(host)
-        if known is None and at - current.memory.began_at < FIRST_REPORTS_SECONDS:
+        if current.memory.ledger.state(host) is None:
             current.releasing.add(host.fabric_domain)
-        if known is None or known.membership is None or ledger.refused_lately(host, at):
-            continue
-        key = known.membership.key
-        if _serves(key, current):
+
+
+def _members(current: Round) -> Iterator[tuple[Upstream, HostState]]:
+    """Yield the hosts that no group keeps, though they know themselves to be in one."""
+    ledger = current.memory.ledger
+    for host in current.unbound_hosts():
+        known = ledger.state(host)
+        if known is not None and known.membership is not None:
+            yield host, known
+
+
+def _key(member: tuple[Upstream, HostState]) -> GroupKey:
+    membership = member[1].membership
+    assert membership is not None
+    return membership.key
+
+
+def _group_order(member: tuple[Upstream, HostState]) -> tuple[str, int]:
+    key = _key(member)
+    return key.group_id, key.epoch
+
+
+def _release(
+    key: GroupKey, states_by_host: dict[Upstream, HostState], current: Round
+) -> Iterator[AddressedOrder]:
+    """Tell the head to leave, and the other members once it has.
+
+    The head refuses if it has accepted an order to open, and would stand still alone.
+    """
+    head = next((host for host, known in states_by_host.items() if _is_head(known)), None)
+    waits_for_head = head is not None and not _is_overdue(head, key, current)
+    for host in states_by_host:
+        _note_release(host, key, current)
+        if host is not head and waits_for_head:
             continue
-        first_at = current.memory.released_at.setdefault((host.upstream_id, key), at)
-        if at - first_at < ANSWER_SECONDS:
-            current.releasing.add(host.fabric_domain)
-        if current.may_send(host, f"leave {key}"):
+        refused = current.memory.ledger.refused_lately(host, current.situation.at)
+        if not refused and current.may_send(host, f"leave {key}"):
             yield current.order(host, Leave(key), describe_release(key, current))
 
 
+def _is_head(known: HostState) -> bool:
+    return known.membership is not None and known.membership.rank == 0
+
+
+def _is_overdue(host: Upstream, key: GroupKey, current: Round) -> bool:
+    """Return whether a host was told to leave, and has not answered for long."""
+    first_at = current.memory.released_at.get((host.upstream_id, key), current.situation.at)
+    return current.situation.at - first_at >= HEAD_ANSWER_SECONDS
+
+
+def _note_release(host: Upstream, key: GroupKey, current: Round) -> None:
+    at = current.situation.at
+    first_at = current.memory.released_at.setdefault((host.upstream_id, key), at)
+    if at - first_at < ANSWER_SECONDS:
+        current.releasing.add(host.fabric_domain)
+
+
 def _serves(key: GroupKey, current: Round) -> bool:
     """Return whether the head of a group is seen to serve, though not all members are seen."""
     group = current.situation.view.groups_by_key.get(key)
