Show later news that build on earlier ones which were not taken

What the follower has and the source has not stays for good: 'gone' in the test. A follower that was cut off and keeps lapsed entries for a moment by its own listing, whose revision is that of the whole store and so nearly always above the source's, comes into this state.

--- a/tests/test_fleet_review.py
+++ b/tests/test_fleet_review.py
@@ -15,7 +15,7 @@
 from cactuspass.fleet._catalog import Catalog
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._directory import UpstreamChanges
-from cactuspass.fleet._feed_follower import FeedFollower
+from cactuspass.fleet._feed_follower import ERRORS, FeedFollower
 from cactuspass.fleet._feed_source import NewsWriter
 from cactuspass.fleet._ledger import Ledger
 from cactuspass.fleet._orders import (
@@ -265,6 +265,25 @@
         follower._accept(NewsWriter(behind).write(0.0), now())
         self.assertTrue(self.beliefs.view.upstreams_by_id[self.ready.upstream_id].draining)
 
+    def test_news_after_those_of_a_source_that_was_behind_leave_nothing_out(self) -> None:
+        # Guards against later news that build on earlier ones which were not taken.
+        gone, other = host("gone"), host("other")
+        self.beliefs.accept_upstreams([self.ready, gone], 10)
+        behind = Beliefs(quiet_log()[0])
+        behind.accept_upstreams([self.ready], 9)
+        follower = FeedFollower(
+            EntryId("e"), NOWHERE, self.beliefs, lambda: False, lambda: None, quiet_log()[0]
+        )
+        writer = NewsWriter(behind)
+        for upstreams, revision in (((self.ready,), 9), ((self.ready, other), 11)):
+            behind.accept_upstreams(upstreams, revision)
+            try:
+                follower._accept(writer.write(0.0), now())
+            except ERRORS:
+                writer = NewsWriter(behind)  # It connects anew, and is told everything.
+                follower._accept(writer.write(0.0), now())
+        self.assertEqual(self.beliefs.view, behind.view)
+
     def test_late_answer_of_the_own_watch_does_not_take_back_what_a_source_told(self) -> None:
         # Guards against changes that are older than what is believed already.
         self.beliefs.accept_upstreams([self.draining], 10)
