--- a/src/cactuspass/exceptions.py
+++ b/src/cactuspass/exceptions.py
@@ -90,6 +90,10 @@
     """No byte of the request left for the upstream."""
 
 
+class SendWithdrawn(UpstreamNotReached):
+    """The upstream could be reached, but takes no request any more."""
+
+
 class SettingsError(ConfigurationError):
     """The settings file has mistakes.
 
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -17,6 +17,7 @@
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import ChannelPool, PooledExchange
 from cactuspass.fleet._selection import Chosen, NoUpstream, Selector, Wanted
+from cactuspass.fleet._statements import Statements
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
 
@@ -37,6 +38,7 @@
     """Why an attempt gave no answer that the caller can have."""
 
     NOT_REACHED = "not-reached"
+    WITHDRAWN = "withdrawn"
     NOT_RUN = "not-run"
     CONNECTION_BROKEN = "connection-broken"
     STALLED = "stalled"
@@ -46,7 +48,12 @@
     @property
     def certainly_not_run(self) -> bool:
         """Whether the upstream has surely not run the request."""
-        return self in (Failure.NOT_REACHED, Failure.NOT_RUN)
+        return self in (Failure.NOT_REACHED, Failure.WITHDRAWN, Failure.NOT_RUN)
+
+    @property
+    def never_sent(self) -> bool:
+        """Whether no byte has left, so that another attempt is no repeat."""
+        return self in (Failure.NOT_REACHED, Failure.WITHDRAWN)
 
 
 class AttemptFailed(RequestError):
@@ -90,6 +97,7 @@
     allowance: Callable[[ServiceId], RetryAllowance]
     instance_count: Callable[[], int]
     tell_silent: Callable[[UpstreamId], None]
+    statements: Statements
 
 
 @dataclass(slots=True)
@@ -167,6 +175,7 @@
     async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
         """Send the request to an upstream.
 
+        :raises SendWithdrawn: when the upstream takes no request any more; no byte has left.
         :raises UpstreamNotReached: when no byte has left.
         """
         upstream = chosen.upstream
@@ -184,7 +193,12 @@
         self.tools.loads.sent(upstream.upstream_id, at)
         self.tools.selector.count_sent(upstream, at)
         try:
-            exchange = await self.tools.pool.begin(upstream.address, outgoing, max_idle)
+            exchange = await self.tools.pool.begin(
+                upstream.address,
+                outgoing,
+                max_idle,
+                lambda: self.tools.selector.is_open_to_work(upstream),
+            )
         except BaseException:
             self.tools.loads.ended(upstream.upstream_id)
             raise
@@ -201,8 +215,12 @@
         self.tools.loads.ended(sent.upstream.upstream_id)
 
     def read_notes(self, sent: Sent, head: AnswerHead) -> AnswerNotes:
-        """Return what an answer says, and learn the upstream's load from it."""
+        """Return what an answer says, and learn from it how the upstream is.
+
+        To be called as soon as the head is there, since the upstream may want no other request.
+        """
         notes = self.tools.request_format.read_answer(head)
+        self.tools.statements.take(sent.upstream, notes, self.request.request_id)
         if notes.load is not None:
             self.tools.loads.reported(sent.upstream.upstream_id, notes.load, now())
         return notes
@@ -222,7 +240,7 @@
         pause = None
         if failure in (Failure.SERVER_ERROR, Failure.NOT_GENUINE):
             self.tools.loads.failed(upstream_id)
-        elif failure is not Failure.NOT_RUN:
+        elif failure not in (Failure.NOT_RUN, Failure.WITHDRAWN):
             pause = self.tools.loads.suspect(upstream_id, now())
             self.tools.tell_silent(upstream_id)
         self.tools.log.request(
@@ -246,7 +264,7 @@
         runs_used_up = self._runs_used_up()
         if not failure.certainly_not_run and (runs_used_up or not self.route.repeatable):
             return False
-        if failure is Failure.NOT_REACHED:
+        if failure.never_sent:
             return True
         allowance = self.tools.allowance(self.service)
         kept_share = 0.0 if begun else SHARE_KEPT_FOR_BEGUN
--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -7,8 +7,16 @@
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import CallerLimits, Catalog, CatalogIndex, Evacuations
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._departures import Departures
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._upstreams import Group, GroupKey, Upstream, UpstreamId, UpstreamView
+from cactuspass.fleet._upstreams import (
+    Group,
+    GroupKey,
+    Lifetime,
+    Upstream,
+    UpstreamId,
+    UpstreamView,
+)
 
 NEVER = float("-inf")
 
@@ -16,6 +24,9 @@
 class Beliefs:
     """The last good state of each document; the catalog never goes back to a lower version.
 
+    What follows the registry compares with ``registered_by_id``; what gives work to upstreams
+    asks ``view``, in which those that leave by their own word are draining.
+
     :param min_instances: instances that run at least, for shares taken before any are known.
     """
 
@@ -25,6 +36,8 @@
         self.index: CatalogIndex | None = None
         self.evacuations = Evacuations()
         self.view = UpstreamView()
+        self.departures = Departures()
+        self.registered_by_id: dict[UpstreamId, Upstream] = {}
         self._members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
         self.operators_read_at = NEVER
         self.upstreams_read_at = NEVER
@@ -90,14 +103,37 @@
         changed.set()
 
     def accept_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
-        """Replace the upstreams."""
-        view = UpstreamView.of(upstreams)
+        """Replace the upstreams; those that leave stay so until another lifetime is listed."""
+        self.registered_by_id = {upstream.upstream_id: upstream for upstream in upstreams}
+        registered = self.registered_by_id.values()
+        for departure in self.departures.end(registered):
+            upstream_id = departure.lifetime.upstream_id
+            self._log.belief("upstream-left", upstream=upstream_id, since=departure.since)
+        view = UpstreamView.of(self.departures.apply(registered))
         self._log_upstream_changes(view, revision)
         self.view = view
         self.revision = revision
         self._note_change()
         self._remember_members(view)
 
+    def note_leaving(self, lifetime: Lifetime) -> bool:
+        """Note that an upstream leaves, by its own word; return whether that is news."""
+        listed = self.registered_by_id.get(lifetime.upstream_id)
+        if listed is not None and listed.born_ms > lifetime.born_ms:
+            return False
+        if not self.departures.add(lifetime, now()):
+            return False
+        self.view = UpstreamView.of(self.departures.apply(self.registered_by_id.values()))
+        self._note_change()
+        return True
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream takes no new work, by the registry or by its own word."""
+        if upstream.lifetime in self.departures:
+            return True
+        current = self.view.upstreams_by_id.get(upstream.upstream_id)
+        return current is not None and current.lifetime == upstream.lifetime and current.draining
+
     def is_whole(self, group: Group, size: int) -> bool:
         """Return whether a group has all members, but for some that only lost their entries.
 
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -15,6 +15,7 @@
 from cactuspass.fleet._feed_messages import News, decode_news
 from cactuspass.fleet._peers import Peer, choose_sources, order_sources
 from cactuspass.fleet._repeating import RepeatingComponent
+from cactuspass.fleet._upstreams import Lifetime
 from cactuspass.models import DataCentreId, EntryId
 
 QUESTION = b""
@@ -31,6 +32,7 @@
 
     :param must_follow_store: whether this instance needs the store's own word, as a leader does.
     :param changed: called when upstreams have changed.
+    :param heard_leaving: called with each lifetime that leaves by its own word.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         must_follow_store: Callable[[], bool],
         changed: Callable[[], None],
         log: DecisionLog,
+        heard_leaving: Callable[[Lifetime], object] | None = None,
     ) -> None:
         super().__init__(log)
         self._instance = instance
@@ -48,6 +51,7 @@
         self._beliefs = beliefs
         self._must_follow_store = must_follow_store
         self._changed = changed
+        self._heard_leaving = heard_leaving or beliefs.note_leaving
         self._avoided_until: dict[EntryId, float] = {}
         self._fed_until = float("-inf")
 
@@ -131,13 +135,15 @@
             beliefs.accept_catalog(news.catalog)
         beliefs.accept_evacuations(news.evacuations)
         beliefs.accept_peers(news.peers)
+        for lifetime in news.leaving:
+            self._heard_leaving(lifetime)
         operators_read_at = written_at - news.operators_age
         beliefs.operators_read_at = max(beliefs.operators_read_at, operators_read_at)
         beliefs.upstreams_read_at = max(beliefs.upstreams_read_at, written_at - news.upstreams_age)
         if not news.complete and not news.changed and not news.removed:
             return
         seconds_by_id = {cold.upstream_id: cold.seconds for cold in news.cold}
-        upstreams_by_id = {} if news.complete else dict(beliefs.view.upstreams_by_id)
+        upstreams_by_id = {} if news.complete else dict(beliefs.registered_by_id)
         for upstream_id in news.removed:
             upstreams_by_id.pop(upstream_id, None)
         for upstream in news.changed:
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -10,7 +10,7 @@
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet._catalog import Catalog, Evacuations
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +32,8 @@
     :param catalog: None when it is the same as before.
     :param changed: upstreams that are new or differ; their ``cold_until`` means nothing.
     :param revision: revision of the store that the upstreams are known to.
+    :param leaving: lifetimes that leave by their own word and were not told of before; what
+        ``changed`` says of them is the registry's word.
     """
 
     complete: bool
@@ -45,6 +47,7 @@
     removed: tuple[UpstreamId, ...]
     cold: tuple[ColdUpstream, ...]
     revision: int
+    leaving: tuple[Lifetime, ...] = ()
 
 
 _ADAPTER: TypeAdapter[News] = TypeAdapter(News)
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -11,7 +11,7 @@
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import ColdUpstream, News, encode_news
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 
 HOLD_SECONDS = 0.4
 MAX_AGE_SECONDS = 1.6
@@ -27,13 +27,16 @@
         self._is_first = True
         self._version: int | None = None
         self._upstreams_by_id: Mapping[UpstreamId, Upstream] = {}
+        self._told_leaving: frozenset[Lifetime] = frozenset()
 
     def write(self, held_for: float) -> News:
         """Return the news since the last call."""
         beliefs = self._beliefs
-        known, current = self._upstreams_by_id, beliefs.view.upstreams_by_id
+        known, current = self._upstreams_by_id, beliefs.registered_by_id
         self._upstreams_by_id = current
         changed = tuple(u for i, u in current.items() if known.get(i) != u)
+        leaving = beliefs.departures.lifetimes
+        told_leaving, self._told_leaving = self._told_leaving, frozenset(leaving)
         catalog = beliefs.index.catalog if beliefs.index is not None else None
         version = catalog.version if catalog is not None else None
         is_known = version == self._version
@@ -56,6 +59,7 @@
                 if upstream.cold_until > at
             ),
             revision=beliefs.revision,
+            leaving=tuple(lifetime for lifetime in leaving if lifetime not in told_leaving),
         )
 
 
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -1,11 +1,13 @@
-"""Hints between instances that an upstream has fallen silent, sent as datagrams.
+"""Hints between instances on upstreams that are silent or leave, sent as datagrams.
 
-A hint may be lost, late or wrong. It only makes its receiver look sooner: an instance that has
-heard from the upstream itself ignores it.
+A hint may be lost or late. That an upstream is silent only makes the receiver look sooner: an
+instance that has heard from the upstream itself ignores it. That one leaves is the upstream's own
+word, told twice.
 """
 
 import asyncio
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any, cast
 
 import cbor2
@@ -13,13 +15,16 @@
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 
 REPEAT_SECONDS = 0.3
 MAX_DATAGRAM_BYTES = 512
 KIND_FIELD = "kind"
 UPSTREAM_FIELD = "upstream"
+BORN_FIELD = "born_ms"
 SILENT_KIND = "silent"
+LEAVING_KIND = "leaving"
+FORGET_TOLD_SECONDS = 5.0
 
 Address = tuple[str, int]
 
@@ -31,24 +36,49 @@
 
 def decode_silence(datagram: bytes) -> UpstreamId | None:
     """Return the upstream that a datagram tells of; None when it cannot be read."""
+    body = _decode(datagram, SILENT_KIND)
+    return UpstreamId(body[UPSTREAM_FIELD]) if body is not None else None
+
+
+def encode_leaving(lifetime: Lifetime) -> bytes:
+    """Return the datagram that tells of an upstream that leaves."""
+    fields = {UPSTREAM_FIELD: lifetime.upstream_id, BORN_FIELD: lifetime.born_ms}
+    return cbor2.dumps({KIND_FIELD: LEAVING_KIND, **fields})
+
+
+def decode_leaving(datagram: bytes) -> Lifetime | None:
+    """Return the lifetime that a datagram says leaves; None when it says no such thing."""
+    body = _decode(datagram, LEAVING_KIND)
+    born_ms = body.get(BORN_FIELD) if body is not None else None
+    if body is None or not isinstance(born_ms, int) or isinstance(born_ms, bool):
+        return None
+    return Lifetime(UpstreamId(body[UPSTREAM_FIELD]), born_ms)
+
+
+def _decode(datagram: bytes, kind: str) -> dict[str, Any] | None:
+    """Return the fields of a hint of a kind, which names an upstream; None for other bytes."""
     if len(datagram) > MAX_DATAGRAM_BYTES:
         return None
     try:
         body = cbor2.loads(datagram)
     except (cbor2.CBORDecodeError, ValueError, RecursionError):
         return None
-    if not isinstance(body, dict) or body.get(KIND_FIELD) != SILENT_KIND:
+    if not isinstance(body, dict) or body.get(KIND_FIELD) != kind:
         return None
-    upstream_id = body.get(UPSTREAM_FIELD)
-    return UpstreamId(upstream_id) if isinstance(upstream_id, str) else None
+    return body if isinstance(body.get(UPSTREAM_FIELD), str) else None
+
+
+def _ignore(lifetime: Lifetime) -> None:
+    """Take no notice of an upstream that leaves."""
 
 
 class Hints(Component, asyncio.DatagramProtocol):
-    """Tells the other instances of silent upstreams, and hears from them.
+    """Tells the other instances of upstreams that are silent or leave, and hears from them.
 
     :param address: ``host:port`` to listen on; None neither tells nor hears.
     :param peers: returns the addresses of all instances.
-    :param heard: called with the upstream that another instance tells of.
+    :param heard: called with the upstream that another instance finds silent.
+    :param heard_leaving: called with the lifetime that another instance was told leaves.
     """
 
     def __init__(
@@ -57,13 +87,15 @@
         peers: Callable[[], Iterable[str]],
         heard: Callable[[UpstreamId], None],
         log: DecisionLog,
+        heard_leaving: Callable[[Lifetime], None] = _ignore,
     ) -> None:
         self._address = address
         self._peers = peers
         self._heard = heard
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
-        self._told_at: dict[UpstreamId, float] = {}
+        self._heard_leaving = heard_leaving
+        self._told_at: dict[bytes, float] = {}
 
     async def start(self) -> None:
         """Begin to listen."""
@@ -91,24 +123,43 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Take a hint."""
-        upstream_id = decode_silence(data)
-        if upstream_id is None:
+        upstream_id, leaving = decode_silence(data), decode_leaving(data)
+        if upstream_id is not None:
+            self._heard(upstream_id)
+        elif leaving is not None:
+            self._heard_leaving(leaving)
+        else:
             self._log.belief("hint-unreadable", peer=addr[0], size=len(data))
-            return
-        self._heard(upstream_id)
 
     def error_received(self, exc: Exception) -> None:
         """Take note that a peer's port is closed; its instance has gone."""
         self._log.belief("hint-not-delivered", reason=exc)
 
     def tell(self, upstream_id: UpstreamId) -> None:
-        """Tell the other instances, unless they were told a moment ago."""
+        """Tell the other instances of a silent upstream, unless they were told a moment ago."""
+        self._tell(encode_silence(upstream_id))
+
+    def tell_leaving(self, lifetime: Lifetime) -> None:
+        """Tell the other instances of an upstream that leaves, and once more a moment later."""
+        datagram = encode_leaving(lifetime)
+        if self._tell(datagram):
+            loop = asyncio.get_running_loop()
+            loop.call_later(REPEAT_SECONDS, partial(self._send, datagram))
+
+    def _tell(self, datagram: bytes) -> bool:
+        """Send a datagram unless it was sent a moment ago; return whether it was sent now."""
         at = now()
-        if self._transport is None or at - self._told_at.get(upstream_id, 0.0) < REPEAT_SECONDS:
+        if self._transport is None or at - self._told_at.get(datagram, 0.0) < REPEAT_SECONDS:
+            return False
+        known = self._told_at.items()
+        self._told_at = {told: when for told, when in known if at - when < FORGET_TOLD_SECONDS}
+        self._told_at[datagram] = at
+        self._send(datagram)
+        return True
+
+    def _send(self, datagram: bytes) -> None:
+        if self._transport is None or self._transport.is_closing():
             return
-        self._told_at = {known: told for known, told in self._told_at.items() if at - told < 5.0}
-        self._told_at[upstream_id] = at
-        datagram = encode_silence(upstream_id)
         for peer in self._peers():
             if peer != self._address:
                 self._transport.sendto(datagram, _parse(peer))
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -83,11 +83,13 @@
 
     :param not_run: whether the upstream states that it has not run the request.
     :param genuine: whether the answer comes from the upstream's application.
+    :param leaving: whether the upstream says that it takes no new work until its process ends.
     """
 
     not_run: bool
     genuine: bool
     load: LoadReport | None = None
+    leaving: bool = False
 
 
 class RequestFormat(ABC):
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -30,6 +30,7 @@
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
+from cactuspass.fleet._statements import Statements
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet._sync import OperatorSync, UpstreamSync
 from cactuspass.fleet._upstreams import UpstreamId
@@ -80,6 +81,14 @@
         selector = Selector(
             self.beliefs, self._loads, data_centre, rng, bounds.cold_factor, bounds.cold_slack
         )
+        self._statements = Statements(
+            self.beliefs,
+            pool,
+            log,
+            metrics,
+            lambda lifetime: self._hints.tell_leaving(lifetime),
+            lambda: self._controller.wake(),
+        )
         tools = Tools(
             adapter.request_format,
             selector,
@@ -90,6 +99,7 @@
             self._allowance,
             lambda: self.beliefs.instance_count,
             self._tell_silent,
+            self._statements,
         )
         admission = Admission(self.beliefs, bounds.key_seconds)
         dispatcher = Dispatcher(tools, self.beliefs, admission, rng, self._requests_seen)
@@ -109,7 +119,13 @@
         probes.on_doubt(lambda: self._controller.wake())
         entry_id = EntryId(settings.instance.name)
         peers = settings.listeners.peers
-        self._hints = Hints(peers, lambda: self.beliefs.peer_addresses, self._heard_hint, log)
+        self._hints = Hints(
+            peers,
+            lambda: self.beliefs.peer_addresses,
+            self._heard_hint,
+            log,
+            self._statements.hear_leaving,
+        )
         self._feed = FeedFollower(
             entry_id,
             data_centre,
@@ -117,6 +133,7 @@
             self._must_follow_store,
             lambda: self._controller.wake(),
             log,
+            self._statements.hear_leaving,
         )
         source = FeedSource(peers, self.beliefs, lambda: not self._feed.is_fed, log)
         self._presence = Presence(
--- a/src/cactuspass/fleet/_legs.py
+++ b/src/cactuspass/fleet/_legs.py
@@ -6,6 +6,7 @@
 from cactuspass.fleet._attempts import AttemptFailed, Attempts, Failure, Sent
 from cactuspass.fleet._channels import AnswerHead
 from cactuspass.fleet._events import EventSplitter
+from cactuspass.fleet._inbound import AnswerNotes
 from cactuspass.fleet._selection import Chosen
 
 
@@ -17,6 +18,7 @@
 
     :param splitter: finds the ends of events, and holds the id of the last one read.
     :param head: head of the answer, once it has come.
+    :param notes: what that head says.
     :param checked: whether the head is that of a stream which the caller can have.
     :param events: whole events that were read and not yet delivered.
     :param ended: whether the stream has ended.
@@ -27,6 +29,7 @@
     chosen: Chosen
     splitter: EventSplitter
     head: AnswerHead | None = None
+    notes: AnswerNotes | None = None
     checked: bool = False
     events: bytes = b""
     ended: bool = False
@@ -43,6 +46,8 @@
         :raises AnswerCut: when it broke later.
         """
         self.head = await self.sent.exchange.head()
+        if self.notes is None:
+            self.notes = self.attempts.read_notes(self.sent, self.head)
         while self.head.is_success and not self.events and not self.ended:
             await self.read()
 
@@ -65,12 +70,12 @@
         """
         if self.checked:
             return
-        assert self.head is not None
-        notes = self.attempts.read_notes(self.sent, self.head)
+        head, notes = self.head, self.notes
+        assert head is not None and notes is not None
         if notes.not_run:
-            raise AttemptFailed(Failure.NOT_RUN, self.head)
+            raise AttemptFailed(Failure.NOT_RUN, head)
         if not notes.genuine:
             raise AttemptFailed(Failure.NOT_GENUINE)
-        if not self.head.is_success:
-            raise AttemptFailed(Failure.SERVER_ERROR, self.head, await self.sent.exchange.body())
+        if not head.is_success:
+            raise AttemptFailed(Failure.SERVER_ERROR, head, await self.sent.exchange.body())
         self.checked = True
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -19,6 +19,9 @@
         self.hedges = self._counter(
             "hedges", "Requests sent to a second upstream while the first was late", "outcome"
         )
+        self.leaving = self._counter(
+            "upstreams_leaving", "Upstreams that leave by their own word, by who heard it", "source"
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -1,10 +1,10 @@
 """Connections by address, kept between requests."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from cactuspass.exceptions import UpstreamNotReached
+from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._channels import AnswerHead, Channel, Exchange, Header, IdCheck
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -12,6 +12,11 @@
 MAX_IDLE_PER_ADDRESS = 32
 
 
+def always() -> bool:
+    """Return that a request may still go."""
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
     """A request as it goes on the wire, but for its framing.
@@ -53,19 +58,28 @@
         self._idle_by_address.clear()
 
     async def begin(
-        self, address: str, request: OutgoingRequest, max_idle: float | None = None
+        self,
+        address: str,
+        request: OutgoingRequest,
+        max_idle: float | None = None,
+        may_go: Callable[[], bool] = always,
     ) -> "PooledExchange":
         """Send a request on an idle connection or a new one.
 
         :param max_idle: seconds that a reused connection may have been idle at most.
+        :param may_go: asked once there is a connection, whether the request may still be sent.
+        :raises SendWithdrawn: when it may not; no byte has left.
         :raises UpstreamNotReached: when no byte of the request has left.
         """
-        channel = self._take_idle(address, max_idle) or await self._connect(address)
+        lot = self._idle_by_address.setdefault(address, [])
+        channel = self._take_idle(lot, max_idle) or await self._connect(address)
+        if not may_go():
+            self.give_back(address, lot, channel)
+            raise SendWithdrawn(f"{address} takes no request any more")
         exchange = channel.begin(request.encode(), request.check, request.method == "HEAD")
-        return PooledExchange(self, address, channel, exchange)
+        return PooledExchange(self, lot, address, channel, exchange)
 
-    def _take_idle(self, address: str, max_idle: float | None) -> Channel | None:
-        idle = self._idle_by_address.get(address, [])
+    def _take_idle(self, idle: list[Channel], max_idle: float | None) -> Channel | None:
         now = asyncio.get_running_loop().time()
         while idle:
             channel = idle.pop()
@@ -88,16 +102,20 @@
         self.opened += 1
         return channel
 
-    def give_back(self, address: str, channel: Channel) -> None:
-        """Keep a connection whose exchange has ended, if it may be used again."""
-        idle = self._idle_by_address.setdefault(address, [])
-        if channel.open and len(idle) < MAX_IDLE_PER_ADDRESS:
-            idle.append(channel)
+    def give_back(self, address: str, lot: list[Channel], channel: Channel) -> None:
+        """Keep a connection whose exchange has ended, if it may be used again.
+
+        :param lot: idle connections of the address as its exchange began; others have taken their
+            place when the address has been forgotten meanwhile.
+        """
+        is_known = self._idle_by_address.get(address) is lot
+        if is_known and channel.open and len(lot) < MAX_IDLE_PER_ADDRESS:
+            lot.append(channel)
         else:
             channel.abort()
 
     def forget(self, address: str) -> None:
-        """Close the idle connections of an address that has gone."""
+        """Close the connections of an address as they become idle, and those that are."""
         for channel in self._idle_by_address.pop(address, []):
             channel.abort()
 
@@ -106,9 +124,15 @@
     """An exchange whose connection returns to its pool at the end."""
 
     def __init__(
-        self, pool: ChannelPool, address: str, channel: Channel, exchange: Exchange
+        self,
+        pool: ChannelPool,
+        lot: list[Channel],
+        address: str,
+        channel: Channel,
+        exchange: Exchange,
     ) -> None:
         self._pool = pool
+        self._lot = lot
         self._address = address
         self._channel: Channel | None = channel
         self._exchange = exchange
@@ -147,5 +171,5 @@
 
     def _release(self) -> None:
         if self._channel is not None:
-            self._pool.give_back(self._address, self._channel)
+            self._pool.give_back(self._address, self._lot, self._channel)
             self._channel = None
--- a/src/cactuspass/fleet/_runs.py
+++ b/src/cactuspass/fleet/_runs.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
+from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._attempts import (
     AttemptFailed,
     Attempts,
@@ -42,9 +42,12 @@
         """
         try:
             return await self._attempts.send(chosen, last_event_id)
+        except SendWithdrawn:
+            failure = Failure.WITHDRAWN
         except UpstreamNotReached:
-            self._attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
-            raise AttemptFailed(Failure.NOT_REACHED) from None
+            failure = Failure.NOT_REACHED
+        self._attempts.note_failure(failure, chosen.upstream, was_sent=False)
+        raise AttemptFailed(failure)
 
     async def _conclude(self, sent: Sent, receive: Callable[[], Awaitable[T]]) -> T:
         """Take the answer of an attempt, and draw the conclusions if that fails.
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -169,6 +169,10 @@
             and not self._loads.load(upstream.upstream_id).is_suspect(at)
         ]
 
+    def is_open_to_work(self, upstream: Upstream) -> bool:
+        """Return whether a request for an upstream that was chosen may still be sent."""
+        return not self._beliefs.is_leaving(upstream)
+
     def count_sent(self, upstream: Upstream, at: float) -> None:
         """Count a request that goes to an upstream against its cold rate."""
         allowance = self._cold_by_id.get(upstream.upstream_id)
--- /dev/null
+++ b/src/cactuspass/fleet/_statements.py
@@ -0,0 +1,74 @@
+"""What upstreams say of themselves in their answers, and what follows from it at once."""
+
+from collections.abc import Callable
+
+from cactuspass.fleet._beliefs import Beliefs
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._inbound import AnswerNotes
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._pool import ChannelPool
+from cactuspass.fleet._upstreams import Lifetime, Upstream
+from cactuspass.models import RequestId
+
+ANSWER_SOURCE = "answer"
+HINT_SOURCE = "hint"
+
+
+class Statements:
+    """Takes the statements of upstreams, heard in an answer or from another instance.
+
+    :param tell_leaving: tells the other instances of an upstream that leaves.
+    :param changed: called after a change of what upstreams may get.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        pool: ChannelPool,
+        log: DecisionLog,
+        metrics: Metrics,
+        tell_leaving: Callable[[Lifetime], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self._beliefs = beliefs
+        self._pool = pool
+        self._log = log
+        self._metrics = metrics
+        self._tell_leaving = tell_leaving
+        self._changed = changed
+
+    def take(self, upstream: Upstream, notes: AnswerNotes, request: RequestId) -> None:
+        """Take what an answer says of its upstream.
+
+        :param request: the request that was answered.
+        """
+        if notes.leaving:
+            self._tell_leaving(upstream.lifetime)
+            self._note_leaving(upstream.lifetime, ANSWER_SOURCE, request, upstream.address)
+
+    def hear_leaving(self, lifetime: Lifetime) -> None:
+        """Take another instance's word that an upstream leaves."""
+        self._note_leaving(lifetime, HINT_SOURCE, None, None)
+
+    def _note_leaving(
+        self, lifetime: Lifetime, source: str, request: RequestId | None, address: str | None
+    ) -> None:
+        if not self._beliefs.note_leaving(lifetime):
+            return
+        listed = self._beliefs.registered_by_id.get(lifetime.upstream_id)
+        is_listed = listed is not None and listed.lifetime == lifetime
+        if address is None and listed is not None and is_listed:
+            address = listed.address
+        if address is not None:
+            self._pool.forget(address)
+        self._metrics.leaving.labels(source).inc()
+        self._log.belief(
+            "upstream-leaving",
+            upstream=lifetime.upstream_id,
+            service=listed.service if listed is not None else None,
+            born_ms=lifetime.born_ms,
+            by=source,
+            request=request,
+            since=self._beliefs.departures.since(lifetime),
+        )
+        self._changed()
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -187,14 +187,14 @@
         self._revision = max(self._revision, changes.revision)
         if not changes.changed and not changes.removed:
             return
-        upstreams_by_id = dict(self._beliefs.view.upstreams_by_id)
+        upstreams_by_id = dict(self._beliefs.registered_by_id)
         for upstream_id in changes.removed:
             upstreams_by_id.pop(upstream_id, None)
         upstreams_by_id.update((upstream.upstream_id, upstream) for upstream in changes.changed)
         self._replace(upstreams_by_id)
 
     def _replace(self, upstreams_by_id: dict[UpstreamId, Upstream]) -> None:
-        known = self._beliefs.view.upstreams_by_id
+        known = self._beliefs.registered_by_id
         if now() - self._dependency.regained_at < LAPSED_GRACE_SECONDS:
             upstreams_by_id = {**known, **upstreams_by_id}
             self._listed_at = min(
--- a/src/cactuspass/fleet/_upstreams.py
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -48,6 +48,17 @@
     state: MemberState
 
 
+@dataclass(frozen=True, slots=True)
+class Lifetime:
+    """One run of an upstream, from the start of its process to its end.
+
+    :param born_ms: start of the process, in Unix milliseconds.
+    """
+
+    upstream_id: UpstreamId
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """One upstream as its registry entry describes it.
@@ -71,6 +82,11 @@
     loaded: ModelId | None = None
     membership: Membership | None = None
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """The run that this entry describes."""
+        return Lifetime(self.upstream_id, self.born_ms)
+
     @property
     def draining(self) -> bool:
         """Whether it takes no new work."""
--- a/src/cactuspass/platform/_names.py
+++ b/src/cactuspass/platform/_names.py
@@ -11,6 +11,7 @@
 PRIORITY = "Cactuspass-Request-Priority"
 STAMP = "Cactuspass-Server-Stamp"
 NOT_RUN = "Cactuspass-Not-Run"
+SERVER_LEAVING = "Server-Leaving"
 SERVER_LOAD = "Cactuspass-Server-Load"
 
 OPERATORS_PREFIX = "op/"
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -19,6 +19,7 @@
 from cactuspass.platform import _names as names
 
 MAX_PRIORITY = 9
+LEAVING_VALUE = "1"
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -102,6 +103,7 @@
             not_run=not_run or head.status == HTTPStatus.MISDIRECTED_REQUEST,
             genuine=head.get(names.STAMP.lower()) is not None,
             load=_load(head.get(names.SERVER_LOAD.lower())),
+            leaving=(head.get(names.SERVER_LEAVING.lower()) or "").strip() == LEAVING_VALUE,
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -21,7 +21,8 @@
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import ChannelPool
 from cactuspass.fleet._selection import Selector
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._statements import Statements
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 
@@ -156,7 +157,9 @@
     return b"".join(f"id: {number}\ndata: x\n\n".encode() for number in ids)
 
 
-def stream(*chunks: bytes, end: bool = True, reset: bool = False) -> Script:
+def stream(
+    *chunks: bytes, end: bool = True, reset: bool = False, headers: tuple[str, ...] = ()
+) -> Script:
     """Return a script that sends a chunked stream.
 
     :param end: whether the stream is completed; otherwise the upstream falls silent.
@@ -164,8 +167,8 @@
     """
 
     async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
-        head = f"HTTP/1.1 200 OK\r\n{STAMP}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        writer.write(head.encode())
+        lines = ["HTTP/1.1 200 OK", STAMP, "Transfer-Encoding: chunked", *headers]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for chunk in chunks:
             writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
         if end:
@@ -198,7 +201,9 @@
         self.beliefs.accept_upstreams(registered, 1)
         self.loads = LoadTable()
         self.told_silent: list[UpstreamId] = []
+        self.told_leaving: list[Lifetime] = []
         self.pool = ChannelPool()
+        self.metrics = metrics = Metrics()
         rng = random.Random(1)
         allowance = RetryAllowance(0.2, 100, 10)
         tools = Tools(
@@ -207,10 +212,13 @@
             self.loads,
             self.pool,
             self.log,
-            Metrics(),
+            metrics,
             lambda service: allowance,
             lambda: 1,
             self.told_silent.append,
+            Statements(
+                self.beliefs, self.pool, self.log, metrics, self.told_leaving.append, lambda: None
+            ),
         )
         self.admission = Admission(self.beliefs, key_seconds=5.0)
         self.dispatcher = Dispatcher(tools, self.beliefs, self.admission, rng, RequestsSeen())
