Send nothing new to an upstream from the answer on in which it says that it leaves

Callers saw requests go to a server for as long as the registry called it ready, though its own answers said otherwise; near its end these broke off.

Cause: the header Server-Leaving was not read.

Left as it was: the header is passed on to callers like any other.

--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -29,6 +30,7 @@
 HERE = DataCentreId("here")
 SERVICE = ServiceId("app")
 KEY = "key-1"
+MUCH_FAILED = 0.9
 STAMP = "Cactuspass-Server-Stamp: s1"
 
 
@@ -259,3 +261,21 @@
         "key": KEY,
     }
     return InboundRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class PreferredOrderCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that start upstreams, of which the first is preferred by far."""
+
+    async def start(self, chosen: Route, *scripts: list[Script]) -> PathCase:
+        self.upstreams = [ScriptedUpstream(list(each)) for each in scripts]
+        for upstream in self.upstreams:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        case = PathCase(chosen, self.upstreams)
+        self.addCleanup(case.pool.close)
+        for later in list(case.beliefs.view.upstreams_by_id)[1:]:
+            case.loads.load(later).failure_share = MUCH_FAILED
+        return case
+
+    def arrivals(self) -> list[int]:
+        return [len(upstream.requests) for upstream in self.upstreams]
--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -21,11 +21,13 @@
     """One server: reports itself in the store, carries out orders, streams while it heads a group.
 
     :param stalled: whether its streams stand still.
+    :param leaving: whether all its answers say that it leaves.
     """
 
     def __init__(self, server_id: str, store: MetadataStoreStandIn, service: str) -> None:
         self.server_id = server_id
         self.stalled = False
+        self.leaving = False
         self.orders: list[dict[str, Any]] = []
         self.runs: list[str] = []
         self._store = store
@@ -130,6 +132,11 @@
         """Keep the server."""
         self.server = server
 
+    def prepare(self) -> None:
+        """Say what holds for all answers."""
+        if self.server.leaving:
+            self.set_header("Server-Leaving", "1")
+
 
 class OrderHandler(ServerHandler):
     """Takes orders."""
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -156,6 +156,22 @@
         self.store.refusing = False
         await until(lambda: instance.readiness()[0] == 200)
 
+    # The registry may learn late, or never, that a server leaves; its answers say so at once.
+    async def test_head_that_says_it_leaves_gets_no_more_and_its_group_is_closed(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(instance.serving_groups()) == 2)
+        leaving = self.heads()[0]
+        leaving.leaving = True
+        while not leaving.runs:
+            self.assertEqual((await self.ask(instance)).code, 200)
+        await until(lambda: any(order["op"] == "close" for order in leaving.orders))
+        self.assertEqual(leaving.orders[-1]["close_mode"], "wait")
+        for _ in range(4):
+            self.assertEqual((await self.ask(instance)).code, 200)
+        self.assertEqual(len(leaving.runs), 1)
+        page = instance.metrics_page()[1].decode()
+        self.assertIn('cactuspass_upstreams_leaving_total{source="answer"} 1.0', page)
+
     async def test_metrics_page_shows_the_requests(self) -> None:
         instance = await self.start_instance("e0")
         await until(lambda: len(instance.serving_groups()) == 2)
