Leave an upstream alone for as long as it asks when it turns a request away

Callers were refused with a time to return at which nothing had room, and servers that asked for quiet got request after request from the same instance.

Cause: Retry-After of a 503 was not read. The adapter decodes it into a typed field; nothing goes to that lifetime of the upstream before the time has passed, not even a request whose connection is just being opened. Then one request tries, and each one that is answered makes room for one more, until eight have been. A time that cannot be read (negative, a date, no number) counts as 1 s, one above 60 s as 60 s, both with the text in the log line; an earlier time is never shortened. Others are used meanwhile. When all that could serve want quiet, callers are told at once when the first of them ends; when some are full instead, the earlier of the two. A rejection without the header stays what it was: not run, and asked again soon. It is this instance's own belief, since upstreams ask each instance by itself.

--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -29,6 +29,7 @@
     InboundRequest,
     LoadReport,
     MalformedRequest,
+    QuietAsked,
     RequestFormat,
     SendDetails,
 )
@@ -93,6 +94,7 @@
     "OperatorDocuments",
     "OrderOutcome",
     "OutgoingRequest",
+    "QuietAsked",
     "RequestFormat",
     "Route",
     "RouteKind",
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -4,10 +4,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from http import HTTPStatus
 from typing import TypeVar
 
 from cactuspass._clock import now
-from cactuspass.exceptions import RequestError
+from cactuspass.exceptions import RequestError, SendWithdrawn
 from cactuspass.fleet._budgets import RetryAllowance
 from cactuspass.fleet._catalog import Customer, Route
 from cactuspass.fleet._channels import AnswerHead
@@ -16,6 +17,7 @@
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import ChannelPool, PooledExchange
+from cactuspass.fleet._quiet import Trial
 from cactuspass.fleet._selection import Chosen, NoUpstream, Selector, Wanted
 from cactuspass.fleet._statements import Statements
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
@@ -107,8 +109,18 @@
     upstream: Upstream
     exchange: PooledExchange
     sent_at: float
+    trial: Trial | None = None
     closed: bool = False
 
+    def end_trial(self, is_answered: bool = False) -> None:
+        """Note what became of a request that went to an upstream after its quiet."""
+        if self.trial is None:
+            return
+        if is_answered:
+            self.trial.answered()
+        else:
+            self.trial.ended()
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -164,12 +176,10 @@
         :param other_than: an upstream that is left out besides those that have failed.
         """
         at = now()
-        rejected = {i for i, when in self.rejected_at.items() if at - when < REJECTED_SECONDS}
-        excluded = self.excluded | rejected
-        if other_than is not None:
-            excluded.add(other_than)
+        full = {i for i, when in self.rejected_at.items() if at - when < REJECTED_SECONDS}
+        excluded = self.excluded if other_than is None else self.excluded | {other_than}
         only = self.ran_at if len(self.ran_at) >= self.route.max_upstreams else None
-        wanted = Wanted(self.service, self.request.model, excluded, self.max_wait, only)
+        wanted = Wanted(self.service, self.request.model, excluded, self.max_wait, only, full)
         return self.tools.selector.choose(wanted, at)
 
     async def send(self, chosen: Chosen, last_event_id: str | None = None) -> Sent:
@@ -190,21 +200,26 @@
         outgoing = self.tools.request_format.write_request(self.request, details)
         max_idle = None if self.route.repeatable else FRESH_CONNECTION_SECONDS
         self.sends += 1
+        if self.tools.selector.quiet.wait(upstream.lifetime, at):
+            raise SendWithdrawn(f"{upstream.upstream_id} wants no more requests now")
         self.tools.loads.sent(upstream.upstream_id, at)
         self.tools.selector.count_sent(upstream, at)
+        trial = self.tools.selector.quiet.begin(upstream.lifetime)
         try:
             exchange = await self.tools.pool.begin(
                 upstream.address,
                 outgoing,
                 max_idle,
-                lambda: self.tools.selector.is_open_to_work(upstream),
+                lambda: self.tools.selector.is_open_to_work(upstream, now()),
             )
         except BaseException:
+            if trial is not None:
+                trial.ended()
             self.tools.loads.ended(upstream.upstream_id)
             raise
         self.possible_runs += 1
         self.ran_at.add(upstream.upstream_id)
-        return Sent(upstream, exchange, now())
+        return Sent(upstream, exchange, now(), trial)
 
     def close(self, sent: Sent) -> None:
         """End an attempt, whatever became of it; once is enough."""
@@ -212,6 +227,7 @@
             return
         sent.closed = True
         sent.exchange.abort()
+        sent.end_trial()
         self.tools.loads.ended(sent.upstream.upstream_id)
 
     def read_notes(self, sent: Sent, head: AnswerHead) -> AnswerNotes:
@@ -221,6 +237,8 @@
         """
         notes = self.tools.request_format.read_answer(head)
         self.tools.statements.take(sent.upstream, notes, self.request.request_id)
+        turned_away = notes.not_run or head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        sent.end_trial(is_answered=not turned_away)
         if notes.load is not None:
             self.tools.loads.reported(sent.upstream.upstream_id, notes.load, now())
         return notes
@@ -231,7 +249,7 @@
         upstream_id = upstream.upstream_id
         if failure is Failure.NOT_RUN:
             self.rejected_at[upstream_id] = now()
-        else:
+        elif failure is not Failure.WITHDRAWN:
             self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
             self.ran_at.discard(upstream_id)
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -19,6 +19,7 @@
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain import PlainRun
+from cactuspass.fleet._selection import Chosen, NoUpstream, NoUpstreamReason
 from cactuspass.fleet._streams import StreamRun
 from cactuspass.models import ServiceId
 
@@ -176,15 +177,22 @@
         if attempts.may_have_run:
             status = 504 if isinstance(error, DeadlinePassed) else 502
             return unknown_outcome("outcome-unknown", str(error) or "no answer in time", status)
+        found = error.found if isinstance(error, NothingServes) else attempts.choose()
+        if isinstance(found, NoUpstream) and found.reason is NoUpstreamReason.ALL_QUIET:
+            return not_run(found.reason.value, str(error), self._spread(found.retry_after))
         if isinstance(error, NothingServes):
             after = self._retry_after(attempts, error.found.retry_after)
             return not_run(error.found.reason.value, str(error), after)
-        after = self._retry_after(attempts, RETRY_AFTER_SECONDS)
+        after = self._retry_after(attempts, _seconds_until_room(found))
         return not_run("not-reached", str(error) or "no upstream in time", after)
 
     def _retry_after(self, attempts: Attempts, estimate: float) -> float:
-        spread = estimate * (1 + RETRY_SPREAD * self._rng.random())
-        return max(0.05, min(spread, attempts.seconds_left * MAX_RETRY_SHARE))
+        """Return when to come back; no later than the caller can still be served."""
+        return max(0.05, min(self._spread(estimate), attempts.seconds_left * MAX_RETRY_SHARE))
+
+    def _spread(self, estimate: float) -> float:
+        """Return a time to come back that differs between callers."""
+        return estimate * (1 + RETRY_SPREAD * self._rng.random())
 
     def _log_end(self, event: str, attempts: Attempts, error: RequestError) -> None:
         failure = attempts.last_failure
@@ -223,6 +231,13 @@
         await delivery.answer(problem.status, headers, problem.body())
 
 
+def _seconds_until_room(found: Chosen | NoUpstream) -> float:
+    """Return when a request that failed before it ran had better come back."""
+    if isinstance(found, Chosen) or found.reason is NoUpstreamReason.NONE_SERVES:
+        return RETRY_AFTER_SECONDS
+    return found.retry_after
+
+
 def malformed(detail: str, status: int) -> Problem:
     """Return the problem of a request that cannot be understood."""
     return not_run("malformed", detail, None, status)
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -77,6 +77,18 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class QuietAsked:
+    """The time for which an upstream that turns a request away wants no other.
+
+    :param seconds: None when the time cannot be read.
+    :param text: the time as it was written.
+    """
+
+    seconds: float | None
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerNotes:
     """What the head of an answer says besides its status.
@@ -84,12 +96,14 @@
     :param not_run: whether the upstream states that it has not run the request.
     :param genuine: whether the answer comes from the upstream's application.
     :param leaving: whether the upstream says that it takes no new work until its process ends.
+    :param quiet: None when the upstream asks for none.
     """
 
     not_run: bool
     genuine: bool
     load: LoadReport | None = None
     leaving: bool = False
+    quiet: QuietAsked | None = None
 
 
 class RequestFormat(ABC):
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -83,12 +83,14 @@
         )
         self._statements = Statements(
             self.beliefs,
+            selector.quiet,
             pool,
             log,
             metrics,
             lambda lifetime: self._hints.tell_leaving(lifetime),
             lambda: self._controller.wake(),
         )
+        self._quiet = selector.quiet
         tools = Tools(
             adapter.request_format,
             selector,
@@ -227,6 +229,7 @@
                     await stop.wait()
             except TimeoutError:
                 self._loads.forget(now())
+                self._quiet.forget(now())
         await self.drain()
         await self.stop()
 
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -22,6 +22,11 @@
         self.leaving = self._counter(
             "upstreams_leaving", "Upstreams that leave by their own word, by who heard it", "source"
         )
+        self.quiet = self._counter(
+            "upstreams_quiet",
+            "Times of quiet that upstreams asked for, by how they were taken",
+            "taken",
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -10,6 +10,7 @@
 from cactuspass.fleet._budgets import ColdAllowance
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec, Service
 from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._quiet import QuietTable
 from cactuspass.fleet._upstreams import Group, Upstream, UpstreamId
 from cactuspass.models import DataCentreId, ModelId, ServiceId
 
@@ -21,6 +22,9 @@
 TYPICAL_OUTPUT_TOKENS = 180.0
 MIN_SUSPECTS_OF_CUT = 2
 SUSPECT_SHARE_OF_CUT = 0.5
+FULL_SECONDS = 0.5
+NEVER_SECONDS = float("inf")
+COLD_SECONDS = 0.3
 
 
 class NoUpstreamReason(Enum):
@@ -29,6 +33,7 @@
     NONE_SERVES = "no-upstream-serves"
     ALL_BUSY = "all-upstreams-busy"
     ALL_COLD = "all-upstreams-cold"
+    ALL_QUIET = "all-upstreams-quiet"
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +72,7 @@
     :param excluded: upstreams that have already failed it.
     :param max_wait: longest acceptable wait in seconds.
     :param only: upstreams that alone may take it; None for all.
+    :param full: upstreams that have just turned it away.
     """
 
     service: ServiceId
@@ -74,6 +80,7 @@
     excluded: Collection[UpstreamId]
     max_wait: float
     only: Collection[UpstreamId] | None = None
+    full: Collection[UpstreamId] = frozenset()
 
     def admits(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream may take the request."""
@@ -114,6 +121,7 @@
         self._cold_factor = cold_factor
         self._cold_slack = cold_slack
         self._cold_by_id: dict[UpstreamId, ColdAllowance] = {}
+        self.quiet = QuietTable()
 
     def choose(self, wanted: Wanted, at: float) -> Chosen | NoUpstream:
         """Return the upstream that should take a request.
@@ -129,16 +137,24 @@
             for upstream, group in self._offers(service, wanted.model)
             if self._is_usable(upstream) and wanted.admits(upstream.upstream_id)
         ]
-        if not usable:
-            return NoUpstream(NoUpstreamReason.NONE_SERVES, 0.5)
-        warm = [(u, g) for u, g in usable if self._cold_permits(u, service, at)]
+        quiet_for = {u.upstream_id: self.quiet.wait(u.lifetime, at) for u, _ in usable}
+        quiet_ends = min(filter(None, quiet_for.values()), default=NEVER_SECONDS)
+        open_now = [
+            (u, g)
+            for u, g in usable
+            if not quiet_for[u.upstream_id] and u.upstream_id not in wanted.full
+        ]
+        if not open_now:
+            return _none_open(quiet_for, quiet_ends)
+        warm = [(u, g) for u, g in open_now if self._cold_permits(u, service, at)]
         if not warm:
-            return NoUpstream(NoUpstreamReason.ALL_COLD, 0.3, len(usable))
+            retry_after = min(COLD_SECONDS, quiet_ends)
+            return NoUpstream(NoUpstreamReason.ALL_COLD, retry_after, len(usable))
         sound = self._sound(warm, at)
         candidates = [self._rate(u, g, service, at) for u, g in sound or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > wanted.max_wait:
-            retry_after = max(0.2, best.wait - wanted.max_wait)
+            retry_after = min(max(0.2, best.wait - wanted.max_wait), quiet_ends)
             return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait)
         return Chosen(best.upstream, best.wait, best.longest_pause)
 
@@ -169,9 +185,10 @@
             and not self._loads.load(upstream.upstream_id).is_suspect(at)
         ]
 
-    def is_open_to_work(self, upstream: Upstream) -> bool:
+    def is_open_to_work(self, upstream: Upstream, at: float) -> bool:
         """Return whether a request for an upstream that was chosen may still be sent."""
-        return not self._beliefs.is_leaving(upstream)
+        is_quiet = self.quiet.is_quiet(upstream.lifetime, at)
+        return not is_quiet and not self._beliefs.is_leaving(upstream)
 
     def count_sent(self, upstream: Upstream, at: float) -> None:
         """Count a request that goes to an upstream against its cold rate."""
@@ -230,6 +247,20 @@
         return _Candidate(upstream, score + jitter, wait, pause)
 
 
+def _none_open(quiet_for: Mapping[UpstreamId, float], quiet_ends: float) -> NoUpstream:
+    """Return why none of the upstreams that could serve may be asked now.
+
+    :param quiet_for: seconds for which each of them is left alone; 0 for one that is full.
+    :param quiet_ends: the least of these that is not 0.
+    """
+    if all(quiet_for.values()) and quiet_for:
+        return NoUpstream(NoUpstreamReason.ALL_QUIET, quiet_ends, len(quiet_for))
+    if any(quiet_for.values()):
+        retry_after = min(FULL_SECONDS, quiet_ends)
+        return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(quiet_for))
+    return NoUpstream(NoUpstreamReason.NONE_SERVES, FULL_SECONDS)
+
+
 def _loaded_spec(engine: EngineSpec, head: Upstream) -> ModelSpec:
     """Return the model that a head carries; an undeclared one counts as a group of one."""
     model = head.loaded or ModelId("")
--- a/src/cactuspass/fleet/_statements.py
+++ b/src/cactuspass/fleet/_statements.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 
+from cactuspass._clock import now
 from cactuspass.fleet._beliefs import Beliefs
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._inbound import AnswerNotes
+from cactuspass.fleet._inbound import AnswerNotes, QuietAsked
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import ChannelPool
+from cactuspass.fleet._quiet import QuietTable, bounded
 from cactuspass.fleet._upstreams import Lifetime, Upstream
 from cactuspass.models import RequestId
 
 ANSWER_SOURCE = "answer"
 HINT_SOURCE = "hint"
+LOGGED_EXTENSION_SECONDS = 0.5
 
 
 class Statements:
@@ -24,6 +27,7 @@
     def __init__(
         self,
         beliefs: Beliefs,
+        quiet: QuietTable,
         pool: ChannelPool,
         log: DecisionLog,
         metrics: Metrics,
@@ -31,6 +35,7 @@
         changed: Callable[[], None],
     ) -> None:
         self._beliefs = beliefs
+        self._quiet = quiet
         self._pool = pool
         self._log = log
         self._metrics = metrics
@@ -45,6 +50,8 @@
         if notes.leaving:
             self._tell_leaving(upstream.lifetime)
             self._note_leaving(upstream.lifetime, ANSWER_SOURCE, request, upstream.address)
+        if notes.quiet is not None:
+            self._note_quiet(upstream, notes.quiet, request)
 
     def hear_leaving(self, lifetime: Lifetime) -> None:
         """Take another instance's word that an upstream leaves."""
@@ -72,3 +79,25 @@
             since=self._beliefs.departures.since(lifetime),
         )
         self._changed()
+
+    def _note_quiet(self, upstream: Upstream, asked: QuietAsked, request: RequestId) -> None:
+        """Leave an upstream alone; log it unless many answers ask for much the same time."""
+        at = now()
+        was_quiet = self._quiet.is_quiet(upstream.lifetime, at)
+        seconds = bounded(asked)
+        longer_by = self._quiet.ask(upstream.lifetime, seconds, at)
+        if was_quiet and longer_by < LOGGED_EXTENSION_SECONDS:
+            return
+        is_as_asked = seconds == asked.seconds
+        taken = "as-asked" if is_as_asked else "unreadable" if asked.seconds is None else "bounded"
+        self._metrics.quiet.labels(taken).inc()
+        self._log.belief(
+            "upstream-quiet",
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            born_ms=upstream.born_ms,
+            seconds=seconds,
+            asked=None if is_as_asked else asked.text,
+            request=request,
+            since=at,
+        )
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -1,5 +1,6 @@
 """Translates requests and answers between callers, the product and servers."""
 
+import re
 from http import HTTPStatus
 
 from cactuspass._problems import CONTENT_TYPE, Problem
@@ -12,6 +13,7 @@
     LoadReport,
     MalformedRequest,
     OutgoingRequest,
+    QuietAsked,
     RequestFormat,
     SendDetails,
 )
@@ -20,6 +22,8 @@
 
 MAX_PRIORITY = 9
 LEAVING_VALUE = "1"
+SECONDS_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?")
+MAX_QUIET_TEXT = 64
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -104,6 +108,7 @@
             genuine=head.get(names.STAMP.lower()) is not None,
             load=_load(head.get(names.SERVER_LOAD.lower())),
             leaving=(head.get(names.SERVER_LEAVING.lower()) or "").strip() == LEAVING_VALUE,
+            quiet=_quiet(head),
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
@@ -116,7 +121,7 @@
         if request_id is not None:
             headers.append((names.REQUEST_ID, request_id))
         if problem.retry_after is not None:
-            headers.append(("Retry-After", f"{problem.retry_after:.3f}"))
+            headers.append((names.RETRY_AFTER, f"{problem.retry_after:.3f}"))
         return headers
 
 
@@ -153,6 +158,15 @@
     return int(parts[0]), int(parts[1])
 
 
+def _quiet(head: AnswerHead) -> QuietAsked | None:
+    """Return the quiet that a server asks for; its seconds may be a fraction, and no date."""
+    text = head.get(names.RETRY_AFTER.lower())
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE or text is None:
+        return None
+    is_number = SECONDS_PATTERN.fullmatch(text.strip()) is not None
+    return QuietAsked(float(text) if is_number else None, text[:MAX_QUIET_TEXT])
+
+
 def _load(value: str | None) -> LoadReport | None:
     parts = (value or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -208,9 +208,10 @@
         self.metrics = metrics = Metrics()
         rng = random.Random(1)
         allowance = RetryAllowance(0.2, 100, 10)
+        self.selector = selector = Selector(self.beliefs, self.loads, HERE, rng)
         tools = Tools(
             PlatformRequests(),
-            Selector(self.beliefs, self.loads, HERE, rng),
+            selector,
             self.loads,
             self.pool,
             self.log,
@@ -219,7 +220,13 @@
             lambda: 1,
             self.told_silent.append,
             Statements(
-                self.beliefs, self.pool, self.log, metrics, self.told_leaving.append, lambda: None
+                self.beliefs,
+                selector.quiet,
+                self.pool,
+                self.log,
+                metrics,
+                self.told_leaving.append,
+                lambda: None,
             ),
         )
         self.admission = Admission(self.beliefs, key_seconds=5.0)
--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -22,12 +22,15 @@
 
     :param stalled: whether its streams stand still.
     :param leaving: whether all its answers say that it leaves.
+    :param quiet: seconds, as written, for which it wants nothing; it then turns requests away.
     """
 
     def __init__(self, server_id: str, store: MetadataStoreStandIn, service: str) -> None:
         self.server_id = server_id
         self.stalled = False
         self.leaving = False
+        self.quiet: str | None = None
+        self.turned_away = 0
         self.orders: list[dict[str, Any]] = []
         self.runs: list[str] = []
         self._store = store
@@ -137,6 +140,13 @@
         if self.server.leaving:
             self.set_header("Server-Leaving", "1")
 
+    def turn_away(self) -> None:
+        """Answer that the request was not run, and ask for quiet."""
+        self.server.turned_away += 1
+        self.set_status(503)
+        self.set_header("Cactuspass-Not-Run", "1")
+        self.set_header("Retry-After", str(self.server.quiet))
+
 
 class OrderHandler(ServerHandler):
     """Takes orders."""
@@ -162,6 +172,9 @@
         if not self.server.serves:
             self.set_status(421)
             return
+        if self.server.quiet is not None:
+            self.turn_away()
+            return
         self.server.runs.append(self.request.headers["Cactuspass-Request-Id"])
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cactuspass-Server-Stamp", self.server.server_id)
@@ -182,6 +195,9 @@
 
     async def post(self) -> None:
         """Answer after a moment; a request that was read is run, also if its caller has left."""
+        if self.server.quiet is not None:
+            self.turn_away()
+            return
         self.server.runs.append(self.request.headers["Cactuspass-Request-Id"])
         await asyncio.sleep(EVENT_SECONDS)
         self.set_header("Cactuspass-Server-Stamp", self.server.server_id)
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -172,6 +172,23 @@
         page = instance.metrics_page()[1].decode()
         self.assertIn('cactuspass_upstreams_leaving_total{source="answer"} 1.0', page)
 
+    async def test_heads_that_ask_for_quiet_are_left_alone_and_callers_are_told(
+        self,
+    ) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(instance.serving_groups()) == 2)
+        for head in self.heads():
+            head.quiet = "30"
+        while sum(server.turned_away for server in self.servers) < 2:
+            self.assertEqual((await self.ask(instance)).code, 503)
+        for _ in range(4):
+            answer = await self.ask(instance)
+            self.assertEqual(answer.code, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 8.0)
+        self.assertEqual(sum(server.turned_away for server in self.servers), 2)
+        page = instance.metrics_page()[1].decode()
+        self.assertIn('cactuspass_upstreams_quiet_total{taken="as-asked"} 2.0', page)
+
     async def test_metrics_page_shows_the_requests(self) -> None:
         instance = await self.start_instance("e0")
         await until(lambda: len(instance.serving_groups()) == 2)
