Show in a request's story what upstreams had said of themselves when it was decided

A refusal for quiet that was asked for 20 s before could not be explained: the story held only the 3 s around the request. Lines of upstreams that leave or want quiet are shown as long as they held for the instance and the request's service. Seen red: 'upstream-leaving' not found; quiet False != True; an attempt's upstream not found.

--- a/src/cactuspass/fleet/_explain.py
+++ b/src/cactuspass/fleet/_explain.py
@@ -12,6 +12,9 @@
 HEADER_FIELDS = frozenset({"time", "at", "instance", "kind", "event"})
 REQUEST_KIND = "request"
 EVENTS_FOR_ALL = frozenset({"groups-serving", "lead-taken", "lead-lost"})
+LEAVING_EVENT = "upstream-leaving"
+LEFT_EVENT = "upstream-left"
+QUIET_EVENT = "upstream-quiet"
 EVENTS_FOR_INSTANCE = frozenset({"catalog-in-force", "evacuations-in-force"})
 
 
@@ -93,6 +96,7 @@
         yield f"no line names request {request_id}; a request that went well leaves none"
         return
     upstreams = {line.fields["upstream"] for line in own if "upstream" in line.fields}
+    services = {line.fields["service"] for line in own if "service" in line.fields}
     groups = {
         line.fields["group"]
         for line in lines
@@ -102,10 +106,32 @@
     for line in lines:
         is_own = line.fields.get(REQUEST_KIND) == request_id
         about = line.kind != REQUEST_KIND and first <= line.time <= last
-        if is_own or (about and (line.mentions(upstreams | groups) or _concerns_all(line, own[0]))):
+        if (
+            is_own
+            or (about and (line.mentions(upstreams | groups) or _concerns_all(line, own[0])))
+            or (line.mentions(upstreams | services) and _is_in_force(line, own[0], lines))
+        ):
             yield f"{'>' if is_own else ' '} {line.render()}"
 
 
+def _is_in_force(line: LogLine, own: LogLine, lines: list[LogLine]) -> bool:
+    """Return whether a line tells what an upstream said of itself, and that held for a request.
+
+    :param own: first line of the request.
+    """
+    if line.instance != own.instance or line.time > own.time:
+        return False
+    if line.event == QUIET_EVENT:
+        return own.time <= line.time + float(line.fields.get("seconds", 0.0))
+    return line.event == LEAVING_EVENT and not any(
+        later.event == LEFT_EVENT
+        and later.instance == line.instance
+        and later.fields.get("upstream") == line.fields.get("upstream")
+        and line.time <= later.time <= own.time
+        for later in lines
+    )
+
+
 def _concerns_all(line: LogLine, own: LogLine) -> bool:
     """Return whether a line tells of something that touches every request of the instance."""
     if line.event in EVENTS_FOR_ALL:
--- a/tests/test_fleet_explain.py
+++ b/tests/test_fleet_explain.py
@@ -3,7 +3,14 @@
 import unittest
 from pathlib import Path
 
-from cactuspass.fleet._explain import LogUnreadable, explain, parse_line, read_logs, timeline
+from cactuspass.fleet._explain import (
+    LogLine,
+    LogUnreadable,
+    explain,
+    parse_line,
+    read_logs,
+    timeline,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 LOGS = ROOT / "tests" / "golden" / "decision_logs"
@@ -52,6 +59,52 @@
         self.assertIn("leaves none", story("nobody", "cut.log"))
 
 
+class StatementTest(unittest.TestCase):
+    """What upstreams said of themselves is shown as long as it held, however long ago it was."""
+
+    def line(self, time: float, event: str, instance: str = "e0", **fields: object) -> LogLine:
+        kind = "request" if event in ("refused", "attempt-failed") else "belief"
+        return LogLine(time, time, instance, kind, event, fields)
+
+    def told(self, *lines: LogLine) -> str:
+        refused = self.line(100.0, "refused", request="q2", service="app")
+        ordered = sorted((*lines, refused), key=lambda line: line.time)
+        return "\n".join(explain("q2", ordered))
+
+    def test_quiet_of_the_service_is_shown_until_it_ends(self) -> None:
+        fields = {"upstream": "u0", "service": "app", "request": "q1"}
+        for seconds, is_shown in ((30.0, True), (5.0, False)):
+            with self.subTest(seconds=seconds):
+                told = self.told(self.line(80.0, "upstream-quiet", seconds=seconds, **fields))
+                self.assertEqual("upstream-quiet" in told, is_shown)
+
+    def test_leaving_is_shown_until_the_upstream_has_left(self) -> None:
+        leaving = self.line(10.0, "upstream-leaving", upstream="u0", service="app", request="q1")
+        left = self.line(60.0, "upstream-left", upstream="u0")
+        self.assertIn("upstream-leaving", self.told(leaving))
+        self.assertNotIn("upstream-leaving", self.told(leaving, left))
+        other = self.line(60.0, "upstream-left", upstream="u1")
+        self.assertIn("upstream-leaving", self.told(leaving, other))
+
+    def test_what_other_instances_believed_is_left_out(self) -> None:
+        fields = {"upstream": "u0", "service": "app", "seconds": 30.0}
+        told = self.told(self.line(80.0, "upstream-quiet", instance="e1", **fields))
+        self.assertNotIn("upstream-quiet", told)
+
+    def test_upstreams_of_other_services_are_left_out(self) -> None:
+        fields = {"upstream": "u0", "service": "other", "seconds": 30.0}
+        self.assertNotIn("upstream-quiet", self.told(self.line(80.0, "upstream-quiet", **fields)))
+
+    def test_upstream_of_an_attempt_is_known_without_its_service(self) -> None:
+        leaving = self.line(10.0, "upstream-leaving", upstream="u0", request="q1")
+        attempt = self.line(99.0, "attempt-failed", request="q2", upstream="u0")
+        self.assertIn("upstream-leaving", self.told(leaving, attempt))
+
+    def test_request_that_brought_a_belief_is_told_so(self) -> None:
+        leaving = self.line(10.0, "upstream-leaving", upstream="u0", request="q1")
+        self.assertIn("> ", "\n".join(explain("q1", [leaving])))
+
+
 class ReadingTest(unittest.TestCase):
     """Files as they come."""
 
