--- a/src/cactuspass/fleet/_beliefs.py
+++ b/src/cactuspass/fleet/_beliefs.py
@@ -121,8 +121,12 @@
         listed = self.registered_by_id.get(lifetime.upstream_id)
         if listed is not None and listed.born_ms > lifetime.born_ms:
             return False
-        if not self.departures.add(lifetime, now()):
+        if lifetime in self.departures:
             return False
+        forgotten = self.departures.add(lifetime, now())
+        if forgotten is not None:
+            upstream_id = forgotten.lifetime.upstream_id
+            self._log.alarm("leaving-forgotten", upstream=upstream_id, since=forgotten.since)
         self.view = UpstreamView.of(self.departures.apply(self.registered_by_id.values()))
         self._note_change()
         return True
--- a/src/cactuspass/fleet/_departures.py
+++ b/src/cactuspass/fleet/_departures.py
@@ -29,14 +29,13 @@
     def __init__(self) -> None:
         self._by_lifetime: dict[Lifetime, Departure] = {}
 
-    def add(self, lifetime: Lifetime, at: float) -> bool:
-        """Note that a lifetime leaves; return whether that is news."""
-        if lifetime in self._by_lifetime:
-            return False
+    def add(self, lifetime: Lifetime, at: float) -> Departure | None:
+        """Note that a lifetime leaves; return the oldest if there was no room for it beside."""
+        oldest = None
         if len(self._by_lifetime) >= MAX_DEPARTURES:
-            del self._by_lifetime[next(iter(self._by_lifetime))]
+            oldest = self._by_lifetime.pop(next(iter(self._by_lifetime)))
         self._by_lifetime[lifetime] = Departure(lifetime, at)
-        return True
+        return oldest
 
     def __contains__(self, lifetime: Lifetime) -> bool:
         return lifetime in self._by_lifetime
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -8,7 +8,6 @@
 
 from cactuspass.fleet import _departures
 from cactuspass.fleet._beliefs import Beliefs
-from cactuspass.fleet._departures import Departures
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_messages import decode_news, encode_news
 from cactuspass.fleet._feed_source import NewsWriter
@@ -86,12 +85,15 @@
 class BoundTest(unittest.TestCase):
     """How many lifetimes are remembered."""
 
-    def test_the_oldest_is_forgotten_first(self) -> None:
-        departures = Departures()
+    def test_the_oldest_is_forgotten_first_and_not_silently(self) -> None:
+        log, handler = quiet_log()
+        beliefs = Beliefs(log)
         for number in range(_departures.MAX_DEPARTURES + 1):
-            departures.add(Lifetime(UpstreamId(f"u{number}"), 1), 0.0)
-        self.assertEqual(len(departures.lifetimes), _departures.MAX_DEPARTURES)
-        self.assertNotIn(Lifetime(UpstreamId("u0"), 1), departures)
+            beliefs.note_leaving(Lifetime(UpstreamId(f"u{number}"), 1))
+        self.assertEqual(len(beliefs.departures.lifetimes), _departures.MAX_DEPARTURES)
+        self.assertNotIn(Lifetime(UpstreamId("u0"), 1), beliefs.departures)
+        [line] = [line for line in handler.lines if '"leaving-forgotten"' in line]
+        self.assertIn('"u0"', line)
 
 
 class HintTest(unittest.IsolatedAsyncioTestCase):
