--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -29,6 +29,7 @@
     InboundRequest,
     LoadReport,
     MalformedRequest,
+    QuietAsked,
     RequestFormat,
     SendDetails,
 )
@@ -97,6 +98,7 @@
     "OperatorDocuments",
     "OrderOutcome",
     "OutgoingRequest",
+    "QuietAsked",
     "RequestFormat",
     "Route",
     "RouteKind",
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -19,6 +19,14 @@
         self.hedges = self._counter(
             "hedges", "Requests sent to a second upstream while the first was late", "outcome"
         )
+        self.leaving = self._counter(
+            "upstreams_leaving", "Upstreams that leave by their own word, by who heard it", "source"
+        )
+        self.quiet = self._counter(
+            "upstreams_quiet",
+            "Times of quiet that upstreams asked for, by how they were taken",
+            "taken",
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
--- a/src/cactuspass/fleet/_runs.py
+++ b/src/cactuspass/fleet/_runs.py
@@ -8,6 +8,7 @@
     AnswerCut,
     AnswerOversize,
     RunOutcomeUnknown,
+    SendWithdrawn,
     UpstreamNotReached,
 )
 from cactuspass.fleet._attempts import (
@@ -47,9 +48,12 @@
         """
         try:
             return await self._attempts.send(chosen, last_event_id)
+        except SendWithdrawn:
+            failure = Failure.WITHDRAWN
         except UpstreamNotReached:
-            self._attempts.note_failure(Failure.NOT_REACHED, chosen.upstream, was_sent=False)
-            raise AttemptFailed(Failure.NOT_REACHED) from None
+            failure = Failure.NOT_REACHED
+        self._attempts.note_failure(failure, chosen.upstream, was_sent=False)
+        raise AttemptFailed(failure)
 
     async def _conclude(self, sent: Sent, receive: Callable[[], Awaitable[T]]) -> T:
         """Take the answer of an attempt, and draw the conclusions if that fails.
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -21,13 +22,15 @@
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import CONNECT_TIMEOUT_SECONDS, ChannelPool
 from cactuspass.fleet._selection import Selector
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._statements import Statements
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 
 HERE = DataCentreId("here")
 SERVICE = ServiceId("app")
 KEY = "key-1"
+MUCH_FAILED = 0.9
 STAMP = "Cactuspass-Server-Stamp: s1"
 
 
@@ -156,7 +159,9 @@
     return b"".join(f"id: {number}\ndata: x\n\n".encode() for number in ids)
 
 
-def stream(*chunks: bytes, end: bool = True, reset: bool = False) -> Script:
+def stream(
+    *chunks: bytes, end: bool = True, reset: bool = False, headers: tuple[str, ...] = ()
+) -> Script:
     """Return a script that sends a chunked stream.
 
     :param end: whether the stream is completed; otherwise the upstream falls silent.
@@ -164,8 +169,8 @@
     """
 
     async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
-        head = f"HTTP/1.1 200 OK\r\n{STAMP}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        writer.write(head.encode())
+        lines = ["HTTP/1.1 200 OK", STAMP, "Transfer-Encoding: chunked", *headers]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for chunk in chunks:
             writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
         if end:
@@ -206,19 +211,31 @@
         self.beliefs.accept_upstreams(registered, 1)
         self.loads = LoadTable()
         self.told_silent: list[UpstreamId] = []
+        self.told_leaving: list[Lifetime] = []
         self.pool = ChannelPool(connect_timeout)
+        self.metrics = metrics = Metrics()
         rng = random.Random(1)
         allowance = RetryAllowance(0.2, 100, 10)
+        self.selector = selector = Selector(self.beliefs, self.loads, HERE, rng)
         tools = Tools(
             PlatformRequests(),
-            Selector(self.beliefs, self.loads, HERE, rng),
+            selector,
             self.loads,
             self.pool,
             self.log,
-            Metrics(),
+            metrics,
             lambda service: allowance,
             lambda: 1,
             self.told_silent.append,
+            Statements(
+                self.beliefs,
+                selector.quiet,
+                self.pool,
+                self.log,
+                metrics,
+                self.told_leaving.append,
+                lambda: None,
+            ),
         )
         self.admission = Admission(self.beliefs, key_seconds=5.0)
         self.dispatcher = Dispatcher(tools, self.beliefs, self.admission, rng, RequestsSeen())
@@ -259,3 +276,21 @@
         "key": KEY,
     }
     return InboundRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class PreferredOrderCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that start upstreams, of which the first is preferred by far."""
+
+    async def start(self, chosen: Route, *scripts: list[Script]) -> PathCase:
+        self.upstreams = [ScriptedUpstream(list(each)) for each in scripts]
+        for upstream in self.upstreams:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        case = PathCase(chosen, self.upstreams)
+        self.addCleanup(case.pool.close)
+        for later in list(case.beliefs.view.upstreams_by_id)[1:]:
+            case.loads.load(later).failure_share = MUCH_FAILED
+        return case
+
+    def arrivals(self) -> list[int]:
+        return [len(upstream.requests) for upstream in self.upstreams]
