--- a/src/cactuspass/fleet/_round.py
+++ b/src/cactuspass/fleet/_round.py
@@ -151,7 +151,7 @@
 class Round:
     """Working state of one decision.
 
-    :param bound: upstreams that must not join another group now.
+    :param bound: upstreams that are to stay in the groups that they are in or will join.
     :param releasing: fabric domains in which hosts will be free in a moment.
     :param groups_by_model: groups that serve or are being formed, where requests may go.
     """
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -7,9 +7,9 @@
 from cactuspass.fleet._round import Formation, Headless, Round
 from cactuspass.fleet._upstreams import SERVING_STATES, Group, MemberState, Upstream
 
-HEAD_GONE_SECONDS = 0.3
-HEAD_UNKNOWN_SECONDS = 2.5
-HEAD_CLOSING_SECONDS = 3.0
+UNREACHED_HEAD_SECONDS = 0.3
+UNSEEN_HEAD_SECONDS = 2.5
+SILENT_HEAD_SECONDS = 3.0
 REGISTER_SECONDS = 2.2  # entries that lapsed are back about 2 s after the registry's return
 SURE_OUTCOMES = frozenset({OrderOutcome.CONFLICT, OrderOutcome.OUTDATED})
 
@@ -124,26 +124,26 @@
 
 
 def _tend_headless(group: Group, current: Round) -> Iterator[AddressedOrder]:
-    """Tell a head whose entry has gone to close; its members are free once it surely has stopped.
+    """Tell a head whose entry has gone to close, and keep its members for as long as it may return.
 
-    A head that was never seen may only be late to register.
+    How long decides only what is lost if it does return: members that left are in no group.
     """
     memory, at = current.memory, current.situation.at
     if group.key in memory.formations_by_key:
         return
     head = memory.history.heads_by_key.get(group.key)
     headless = memory.headless_by_key.setdefault(group.key, Headless(head, at))
-    if not _head_is_done(group, headless, current):
+    if not _is_worth_leaving(group, headless, current):
         current.bind(group.members)
         if head is not None and current.may_send(head, f"close {group.key}"):
             yield current.order_to_close(head, Close(group.key, True), "head not registered")
 
 
-def _head_is_done(group: Group, headless: Headless, current: Round) -> bool:
-    """Return whether the head of a group has surely stopped to serve it."""
+def _is_worth_leaving(group: Group, headless: Headless, current: Round) -> bool:
+    """Return whether members had better leave a head that has no registry entry."""
     waited = current.situation.at - headless.since
     if headless.head is None:
-        return waited >= HEAD_UNKNOWN_SECONDS
+        return waited >= UNSEEN_HEAD_SECONDS
     if headless.head.upstream_id in current.situation.view.upstreams_by_id:
         return True  # It is registered, and no longer in this group.
     outcome = current.memory.close_outcomes_by_key.get(group.key)
@@ -152,10 +152,10 @@
     if outcome in SURE_OUTCOMES:
         return True
     if outcome is OrderOutcome.NOT_REACHED:
-        return waited >= HEAD_GONE_SECONDS
+        return waited >= UNREACHED_HEAD_SECONDS
     report = current.situation.reports_by_id.get(headless.head.upstream_id)
     if report is None:
-        return waited >= HEAD_CLOSING_SECONDS
+        return waited >= SILENT_HEAD_SECONDS
     membership = report.membership
     if membership is None or membership.key != group.key:
         return True
