Let some instances alone send to a cold upstream where there are more than it bears

Where the common rate gives each instance less than one a second, as many instances as it bears whole requests are chosen for each upstream by rendezvous hashing, and the others send nothing there until it is warm.

--- a/src/cactuspass/fleet/_budgets.py
+++ b/src/cactuspass/fleet/_budgets.py
@@ -79,9 +79,20 @@
         self._sent = SlidingCount(COLD_WINDOW_SECONDS)
 
     def may_send(self, now: float, instances: int) -> bool:
-        """Return whether one more request may be sent."""
-        share = self._rate * SHARE_MARGIN / max(1, instances)
-        return self._sent.count(now) < max(1.0, share)
+        """Return whether one more request may be sent.
+
+        :param instances: instances that share the rate.
+        """
+        return self._sent.count(now) < max(1.0, self.whole / max(1, instances))
+
+    def is_unused(self, now: float) -> bool:
+        """Return whether this instance has sent nothing in the last second."""
+        return self._sent.count(now) == 0
+
+    @property
+    def whole(self) -> float:
+        """Requests in a second of all instances together."""
+        return self._rate * SHARE_MARGIN
 
     def count(self, now: float) -> None:
         """Count a request that is sent."""
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -78,8 +78,15 @@
         self._requests_seen = RequestsSeen()
         self._allowances_by_service: dict[ServiceId, RetryAllowance] = {}
         bounds = settings.bounds
+        entry_id = EntryId(settings.instance.name)
         selector = Selector(
-            self.beliefs, self._loads, data_centre, rng, bounds.cold_factor, bounds.cold_slack
+            self.beliefs,
+            self._loads,
+            data_centre,
+            rng,
+            bounds.cold_factor,
+            bounds.cold_slack,
+            entry_id,
         )
         self._statements = Statements(
             self.beliefs,
@@ -119,7 +126,6 @@
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page))
         self._probes = probes = Probes(self.beliefs, adapter.control, log)
         probes.on_doubt(lambda: self._controller.wake())
-        entry_id = EntryId(settings.instance.name)
         peers = settings.listeners.peers
         self._hints = Hints(
             peers,
--- a/src/cactuspass/fleet/_peers.py
+++ b/src/cactuspass/fleet/_peers.py
@@ -32,6 +32,12 @@
     return sorted(local, key=lambda peer: _weight(data_centre, peer.instance))[:count]
 
 
+def choose_senders(peers: Iterable[Peer], upstream: str, count: int) -> set[EntryId]:
+    """Return the instances that may send to an upstream where it bears less than all at once."""
+    ordered = sorted(peers, key=lambda peer: _weight(upstream, peer.instance))
+    return {peer.instance for peer in ordered[:count]}
+
+
 def order_sources(sources: Iterable[Peer], instance: EntryId) -> list[Peer]:
     """Return sources in the order in which an instance should ask them.
 
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -10,9 +10,10 @@
 from cactuspass.fleet._budgets import ColdAllowance
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec, Service
 from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._peers import choose_senders
 from cactuspass.fleet._quiet import QuietTable
 from cactuspass.fleet._upstreams import Group, Upstream, UpstreamId
-from cactuspass.models import DataCentreId, ModelId, ServiceId
+from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
 INCOMPLETE_GROUP_PENALTY = 3.0
@@ -103,6 +104,7 @@
     :param data_centre: where this instance stands.
     :param cold_factor: factor on the declared rate of a cold upstream.
     :param cold_slack: requests in a second above that.
+    :param instance: this instance.
     """
 
     def __init__(
@@ -113,7 +115,9 @@
         rng: random.Random,
         cold_factor: float = COLD_FACTOR_DEFAULT,
         cold_slack: float = COLD_SLACK_DEFAULT,
+        instance: EntryId | None = None,
     ) -> None:
+        self._instance = instance
         self._beliefs = beliefs
         self._loads = loads
         self._data_centre = data_centre
@@ -224,7 +228,13 @@
             return True
         rate = service.cold_requests_per_second * self._cold_factor + self._cold_slack
         allowance = self._cold_by_id.setdefault(upstream.upstream_id, ColdAllowance(rate))
-        return allowance.may_send(at, self._beliefs.instance_count)
+        instances = self._beliefs.instance_count
+        if allowance.whole >= instances:
+            return allowance.may_send(at, instances)
+        # Less than one request a second for each: some instances send, the others do not.
+        count = max(1, int(allowance.whole))
+        senders = choose_senders(self._beliefs.peers, upstream.upstream_id, count)
+        return self._instance in senders and allowance.is_unused(at)
 
     def _rate(
         self, upstream: Upstream, group: Group | None, service: Service, at: float
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -10,9 +10,10 @@
 from cactuspass.fleet._inbound import LoadReport
 from cactuspass.fleet._loading import LoadSchedule
 from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._selection import Chosen, NoUpstream, NoUpstreamReason, Selector, Wanted
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamState
-from cactuspass.models import DataCentreId, GroupId, ModelId
+from cactuspass.models import DataCentreId, EntryId, GroupId, ModelId
 from tests.fleet_path import quiet_log
 from tests.fleet_world import ENGINE, LARGE, SERVICE, SMALL, host
 
@@ -182,6 +183,22 @@
             sent += 1
         self.assertLessEqual(sent, 2)
 
+    def test_more_instances_than_a_cold_head_bears_keep_its_rate_together(self) -> None:
+        # Guards against one request a second of each instance, however many they are.
+        peers = tuple(Peer(EntryId(f"e{n}"), THERE, None) for n in range(88))
+        self.beliefs.accept_peers(peers)
+        self.register(head("a", SMALL, cold_until=AT + 3))
+        sent = 0
+        for peer in peers:
+            selector = Selector(
+                self.beliefs, self.loads, THERE, random.Random(3), 1.5, 5.0, peer.instance
+            )
+            while isinstance(found := selector.choose(Wanted(SERVICE, SMALL, (), 0.1), AT), Chosen):
+                selector.count_sent(found.upstream, AT)
+                sent += 1
+        self.assertGreaterEqual(sent, 6)
+        self.assertLessEqual(sent, 8)  # 2 a second, with factor and slack
+
 
 if __name__ == "__main__":
     unittest.main()
