Let the clock of the tests of quiet stand still, and end connections that a failed test leaves open

Which test failed was not printed, since the run had to be ended. Cause: these tests went by the real clock. Their clock is scripted now. Connections that stay open for 10 s after a test are ended and fail it.

--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -31,6 +31,7 @@
 SERVICE = ServiceId("app")
 KEY = "key-1"
 MUCH_FAILED = 0.9
+STOP_SECONDS = 10.0
 STAMP = "Cactuspass-Server-Stamp: s1"
 
 
@@ -112,10 +113,18 @@
         self.address = f"{host}:{port}"
 
     async def stop(self) -> None:
-        """Stop listening, and wait until the connections, which callers have closed, end."""
+        """Stop listening, and wait until the connections end.
+
+        :raises AssertionError: when callers have left some open, as after a failure.
+        """
         if self._server is not None:
             self._server.close()
-        await asyncio.gather(*self._tasks)
+        if self._tasks:
+            _, open_still = await asyncio.wait(self._tasks, timeout=STOP_SECONDS)
+            for task in open_still:
+                task.cancel()
+            if open_still:
+                raise AssertionError(f"{len(open_still)} connections were left open")
 
     async def wait_idle(self) -> None:
         """Wait until all connections have ended."""
--- a/tests/test_quiet_by_answer.py
+++ b/tests/test_quiet_by_answer.py
@@ -31,7 +31,16 @@
 
 
 class QuietTest(PreferredOrderCase):
-    """An upstream that turns a request away may say for how long it wants nothing."""
+    """An upstream that turns a request away may say for how long it wants nothing.
+
+    The clock stands still unless a test moves it, however busy the machine is.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.at = now()
+        patch = mock.patch("time.clock_gettime", lambda clock_id: self.at)
+        patch.start()
+        self.addCleanup(patch.stop)
 
     async def test_nothing_goes_there_before_the_time_has_passed(self) -> None:
         fine = answer("200 OK", b"body", STAMP)
@@ -72,17 +81,14 @@
             await go_on.wait()
             await fine(writer, got)
 
-        case = await self.start(route(), [busy("0.05"), slowly, fine])
+        case = await self.start(route(), [busy("2"), slowly, fine])
         self.addCleanup(go_on.set)
         await case.serve()
-
-        async def serve_after_the_pause() -> MemoryDelivery:
-            while (got := await case.serve()).status == 503:
-                await asyncio.sleep(0)
-            return got
-
+        self.at += 1.9
+        self.assertEqual((await case.serve()).status, 503)
+        self.at += 0.2
         async with asyncio.timeout(GIVE_UP_SECONDS):
-            trying = asyncio.create_task(serve_after_the_pause())
+            trying = asyncio.create_task(case.serve())
             while self.arrivals() == [1]:
                 await asyncio.sleep(0.001)
             self.assertEqual((await case.serve()).status, 503)
