Let the soak's faults come in series, change configurations, flood connections; callers keep theirs

A caller no longer gives its connection up when the instance says close; a fault is drawn one to three times in a row, each beginning before the last has ended; a new configuration is a fault of its own; a proxy may send bytes without end in place of answers, of servers and of the store. A restart that meets another of the same instance starts it once. A proxy's end of a connection that is already gone raised an unhandled OSError (Errno 107); it is an end like the others. The hand-run soak prints the most memory that an instance had.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,7 +18,11 @@
     broken = 0
     for seed in range(first, first + seeds):
         found = asyncio.run(soak(seed, seconds))
-        print(f"seed {seed}: {len(found.faults)} faults; {dict(found.ledger.outcomes)}", flush=True)
+        print(
+            f"seed {seed}: {len(found.faults)} faults; {dict(found.ledger.outcomes)}; "
+            f"at most {found.peak_memory} KiB in an instance",
+            flush=True,
+        )
         for violation in found.ledger.violations:
             print(f"  broken: {violation}", flush=True)
         broken += bool(found.ledger.violations)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -34,7 +34,10 @@
 
 
 class Caller:
-    """Sends requests to one instance over a kept connection, one after the other."""
+    """Sends requests to one instance, one after the other.
+
+    It uses its connection until that is gone, whatever the instance says about closing it.
+    """
 
     def __init__(self, port: int, name: str, ledger: Ledger, rng: random.Random) -> None:
         self._port = port
@@ -88,7 +91,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         status = int(head.split(b" ", 2)[1])
         body, whole = await self._body(reader, head.lower())
-        if not whole or b"connection: close" in head.lower():
+        if not whole:
             self.close()
         return status, body, whole
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import cast
 
 from tests.metadata_store import MetadataStoreStandIn
 from tests.model_servers import BookingServerStandIn, ModelServerStandIn
@@ -67,6 +68,7 @@
         self._peer_port = peer_port
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
 
     async def start(self) -> None:
         """Start the program."""
@@ -77,18 +79,32 @@
             f'peers = "127.0.0.1:{self._peer_port}"\n[store]\naddress = "{self.store.address}"\n',
             encoding="utf-8",
         )
-        log = (self._folder / f"{self.name}.log").open("ab")
         environment = {**os.environ, "CACTUSPASS_SETTINGS": str(settings)}
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable, str(PROGRAM), stdout=log, stderr=log, env=environment
-        )
-        log.close()
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, str(PROGRAM), stdout=log, stderr=log, env=environment
+            )
+
+    def peak_memory(self) -> int:
+        """Return the most KiB of memory that the process has had; 0 when it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        return next(int(line.split()[1]) for line in status.splitlines() if "VmHWM" in line)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process that was started here."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    async def restart(self) -> None:
+        """Start the program again once it has ended; only one of several that wait does so."""
+        ended = self._process
+        await self.wait()
+        async with self._starting:
+            if self._process is ended:
+                await self.start()
+
     async def wait(self) -> None:
         """Wait until the process has ended."""
         if self._process is not None:
@@ -143,6 +159,17 @@
             await proxy.stop()
         self.store.stop()
 
+    async def configure(self, version: int, goal_factor: float) -> None:
+        """Put a configuration in force.
+
+        :param goal_factor: factor of the routes' objectives.
+        """
+        routes = [
+            {**route, "goal_ms": int(route["goal_ms"] * goal_factor)}  # type: ignore[operator]
+            for route in cast(list[dict[str, object]], MANIFEST["routes"])
+        ]
+        await self.store.put("op/config", {**MANIFEST, "version": version, "routes": routes})
+
     async def _proxy(self, address: str) -> str:
         proxy = Proxy(address)
         await proxy.start()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,9 +1,16 @@
-"""A loopback proxy whose connections can be delayed, reset, silenced or cut one way."""
+"""A loopback proxy whose connections can be delayed, reset, silenced, cut one way or flooded."""
 
 import asyncio
+import itertools
 from enum import Enum
 
 CHUNK_BYTES = 65_536
+ENDLESS_BEGINS = (
+    b"HTTP/1.1 200 OK\r\nX-Fill: ",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+    b"HTTP/1.1 500 Failed\r\nContent-Length: 1000000000000\r\n\r\n",
+    b"",
+)
 
 
 class Trouble(Enum):
@@ -14,6 +21,7 @@
     RESET = "reset"
     SILENCE = "silence"
     CUT_ANSWERS = "cut-answers"
+    ENDLESS = "endless"
 
 
 class Proxy:
@@ -27,6 +35,7 @@
         self.trouble = Trouble.NONE
         self.delay = 0.0
         self.address = ""
+        self._begins = itertools.cycle(ENDLESS_BEGINS)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -77,7 +86,7 @@
             await asyncio.gather(
                 self._pump(reader, back, is_answer=False), self._pump(there, writer, is_answer=True)
             )
-        except (ConnectionError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError):
             # The trouble, or the end of the soak, has closed one side.
             pass
         finally:
@@ -94,9 +103,20 @@
                 await asyncio.sleep(0.05)
             if self.trouble is Trouble.CUT_ANSWERS and is_answer:
                 continue
+            if self.trouble is Trouble.ENDLESS and is_answer:
+                await self._send_without_end(writer)
             if self.trouble is Trouble.DELAY:
                 await asyncio.sleep(self.delay)
             writer.write(data)
             await writer.drain()
         if not writer.transport.is_closing():
             writer.write_eof()
+
+    async def _send_without_end(self, writer: asyncio.StreamWriter) -> None:
+        """Send bytes in place of answers until the other side closes or the trouble ends."""
+        writer.write(next(self._begins))
+        while self.trouble is Trouble.ENDLESS:
+            writer.write(b"x" * CHUNK_BYTES)
+            await writer.drain()
+            await asyncio.sleep(0)
+        raise ConnectionAbortedError
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,8 @@
 RECOVERY_SECONDS = 60.0
 FAULT_SECONDS = (0.3, 3.0)
 PAUSE_SECONDS = (0.2, 1.5)
+SERIES = (1, 1, 1, 2, 3)
+GOAL_FACTORS = (0.5, 1.0, 2.0)
 
 
 def free_ports(count: int) -> list[int]:
@@ -35,6 +37,8 @@
         self.fleet = SoakFleet(folder, free_ports(6))
         self.ledger = Ledger()
         self.faults: list[str] = []
+        self.peak_memory = 0
+        self._version = 1
 
     async def run(self) -> list[str]:
         """Run the soak; return the promises that were broken."""
@@ -52,6 +56,7 @@
             await asyncio.gather(*calling)
             await self._recover()
             self.ledger.check_runs(self.fleet)
+            self.peak_memory = max(each.peak_memory() for each in self.fleet.instances)
         finally:
             await self.fleet.stop()
         return self.ledger.violations
@@ -70,9 +75,28 @@
         await asyncio.gather(*running)
 
     async def _fault(self) -> None:
-        lasts = self._rng.uniform(*FAULT_SECONDS)
-        kinds = (self._pause, self._restart, self._trouble_store, self._trouble_server)
-        await self._rng.choice(kinds)(lasts)
+        """Make one fault, or a series of one kind, each beginning before the last has ended."""
+        kinds = (
+            self._pause,
+            self._restart,
+            self._trouble_store,
+            self._trouble_server,
+            self._change,
+        )
+        kind = self._rng.choice(kinds)
+        series: list[asyncio.Task[None]] = []
+        for _ in range(self._rng.choice(SERIES)):
+            lasts = self._rng.uniform(*FAULT_SECONDS)
+            series.append(asyncio.create_task(kind(lasts)))
+            await asyncio.sleep(lasts * self._rng.random())
+        await asyncio.gather(*series)
+
+    async def _change(self, lasts: float) -> None:
+        """Put another configuration in force, and let it be for a while."""
+        self._version += 1
+        self.faults.append(f"configuration {self._version}")
+        await self.fleet.configure(self._version, self._rng.choice(GOAL_FACTORS))
+        await asyncio.sleep(lasts)
 
     async def _pause(self, lasts: float) -> None:
         instance = self._instance("pause", lasts)
@@ -85,8 +109,7 @@
         instance = self._instance(f"restart by {number.name}", lasts)
         instance.send(signal.SIGCONT)
         instance.send(number)
-        await instance.wait()
-        await instance.start()
+        await instance.restart()
 
     async def _trouble_store(self, lasts: float) -> None:
         instance = self._instance("store", lasts)
