Keep the time to return after a failed attempt as it was where no upstream wants quiet

With the change for quiet, a request that was turned away and then found the others busy was told when these have room (0.2 s at least) instead of 0.5 s. Nothing asked for that, and it could bring callers back to another refusal. Now only the end of a quiet shortens the 0.5 s. Seen red by returning 0.5 s always.

--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -233,9 +233,9 @@
 
 def _seconds_until_room(found: Chosen | NoUpstream) -> float:
     """Return when a request that failed before it ran had better come back."""
-    if isinstance(found, Chosen) or found.reason is NoUpstreamReason.NONE_SERVES:
+    if isinstance(found, Chosen):
         return RETRY_AFTER_SECONDS
-    return found.retry_after
+    return min(RETRY_AFTER_SECONDS, found.quiet_ends)
 
 
 def malformed(detail: str, status: int) -> Problem:
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -57,12 +57,14 @@
     :param retry_after: estimated seconds until something can.
     :param offers: upstreams that serve what is wanted, busy, cold or not.
     :param wait: estimated wait at the best of them in seconds.
+    :param quiet_ends: seconds until the first of those that want quiet can be asked.
     """
 
     reason: NoUpstreamReason
     retry_after: float
     offers: int = 0
     wait: float | None = None
+    quiet_ends: float = NEVER_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,13 +151,17 @@
         warm = [(u, g) for u, g in open_now if self._cold_permits(u, service, at)]
         if not warm:
             retry_after = min(COLD_SECONDS, quiet_ends)
-            return NoUpstream(NoUpstreamReason.ALL_COLD, retry_after, len(usable))
+            return NoUpstream(
+                NoUpstreamReason.ALL_COLD, retry_after, len(usable), quiet_ends=quiet_ends
+            )
         sound = self._sound(warm, at)
         candidates = [self._rate(u, g, service, at) for u, g in sound or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > wanted.max_wait:
             retry_after = min(max(0.2, best.wait - wanted.max_wait), quiet_ends)
-            return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait)
+            return NoUpstream(
+                NoUpstreamReason.ALL_BUSY, retry_after, len(usable), best.wait, quiet_ends
+            )
         return Chosen(best.upstream, best.wait, best.longest_pause)
 
     def _sound(
@@ -254,10 +260,14 @@
     :param quiet_ends: the least of these that is not 0.
     """
     if all(quiet_for.values()) and quiet_for:
-        return NoUpstream(NoUpstreamReason.ALL_QUIET, quiet_ends, len(quiet_for))
+        return NoUpstream(
+            NoUpstreamReason.ALL_QUIET, quiet_ends, len(quiet_for), quiet_ends=quiet_ends
+        )
     if any(quiet_for.values()):
         retry_after = min(FULL_SECONDS, quiet_ends)
-        return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, len(quiet_for))
+        return NoUpstream(
+            NoUpstreamReason.ALL_BUSY, retry_after, len(quiet_for), quiet_ends=quiet_ends
+        )
     return NoUpstream(NoUpstreamReason.NONE_SERVES, FULL_SECONDS)
 
 
--- a/tests/test_fleet_quiet.py
+++ b/tests/test_fleet_quiet.py
@@ -154,14 +154,14 @@
         for number, seconds in enumerate((5.0, 3.0, 40.0)):
             self.ask(number, seconds)
         found = self.choose(AT + 1.0)
-        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_QUIET, 2.0, 3))
+        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_QUIET, 2.0, 3, None, 2.0))
 
     def test_full_ones_may_have_room_before_quiet_ones_end(self) -> None:
         self.ask(0, 5.0)
         found = self.choose(AT, full=(1, 2))
-        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_BUSY, 0.5, 3))
+        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_BUSY, 0.5, 3, None, 5.0))
         found = self.choose(AT + 4.75, full=(1, 2))
-        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_BUSY, 0.25, 3))
+        self.assertEqual(found, NoUpstream(NoUpstreamReason.ALL_BUSY, 0.25, 3, None, 0.25))
 
     def test_quiet_that_ends_before_a_busy_one_has_room(self) -> None:
         self.ask(0, 0.4)
