--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -5,7 +5,8 @@
 from cactuspass.fleet._allotment import allot_models
 from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._orders import AddressedOrder, Join
-from cactuspass.fleet._round import Formation, Round
+from cactuspass.fleet._planner_memory import Formation
+from cactuspass.fleet._round import Round
 from cactuspass.fleet._upstreams import GroupKey, Upstream
 from cactuspass.models import GroupId, ModelId
 
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -7,8 +7,9 @@
 from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._inventory import describe_free_hosts
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
+from cactuspass.fleet._planner_memory import GivenUp, Memory
 from cactuspass.fleet._releasing import release_hosts
-from cactuspass.fleet._round import GivenUp, Memory, Round, Situation
+from cactuspass.fleet._round import Round, Situation
 from cactuspass.fleet._staging import stage_hosts
 from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import UpstreamId
@@ -75,11 +76,18 @@
         if isinstance(order, Join) and refused:
             self._note_refused_join(order, upstream_id, outcome)
         if isinstance(order, Stage) and refused:
-            memory.schedule.forget(upstream_id)
-            if outcome is OrderOutcome.CONFLICT:
-                memory.schedule.found_busy(upstream_id, at)
-                if addressed.expected_sequence is not None:
-                    memory.loads_refused_by_id[upstream_id] = addressed.expected_sequence
+            self._note_refused_load(addressed, outcome, at)
+
+    def _note_refused_load(
+        self, addressed: AddressedOrder, outcome: OrderOutcome, at: float
+    ) -> None:
+        memory, upstream_id = self._memory, addressed.target.upstream_id
+        memory.schedule.forget(upstream_id)
+        if outcome is not OrderOutcome.CONFLICT:
+            return
+        memory.schedule.found_busy(upstream_id, at)
+        if addressed.expected_sequence is not None:
+            memory.loads_refused_by_id[upstream_id] = addressed.expected_sequence
 
     def _review_refused_loads(self) -> None:
         """Take no host for a busy one that has refused a load only for the number of orders."""
--- a/src/cactuspass/fleet/_tending.py
+++ b/src/cactuspass/fleet/_tending.py
@@ -4,7 +4,8 @@
 
 from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._orders import AddressedOrder, Close, Open, OrderOutcome
-from cactuspass.fleet._round import Formation, Headless, Round
+from cactuspass.fleet._planner_memory import Formation, Headless
+from cactuspass.fleet._round import Round
 from cactuspass.fleet._upstreams import SERVING_STATES, Group, MemberState, Upstream
 
 UNREACHED_HEAD_SECONDS = 0.3
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -7,7 +7,8 @@
 from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, Leave, Open, Stage
 from cactuspass.fleet._planner import GroupPlanner
-from cactuspass.fleet._round import Memory, Round
+from cactuspass.fleet._planner_memory import Memory
+from cactuspass.fleet._round import Round
 from cactuspass.fleet._tending import tend_groups
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
 from cactuspass.models import DataCentreId, GroupId
