--- a/tests/test_endless_exchange.py
+++ b/tests/test_endless_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import tracemalloc
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from itertools import count
 from typing import cast
 from unittest import mock
@@ -105,43 +105,41 @@
         while len(self.closed) < connections:
             await asyncio.sleep(STEP_SECONDS)
 
-    # Guards against heads without end, which would fill memory.
-    async def test_heads_without_end_beside_good_answers(self) -> None:
+    async def assert_held_flat(
+        self,
+        kinds: Iterable[tuple[bytes, bytes]],
+        ask: Callable[[UpstreamClient, str], Awaitable[object]],
+        error: type[Exception],
+    ) -> None:
+        """Ask upstreams without end beside a good one.
+
+        :param kinds: what each upstream sends.
+        :param error: what each of them must end with.
+        """
         client = self.client()
-        bad = [await self.start(*sent) for sent in ENDLESS_HEADS.values()]
+        bad = [await self.start(*sent) for sent in kinds]
         good = await self.start_good()
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         found = await asyncio.gather(
-            *[self.send(client, address) for address in bad * 4],
+            *[ask(client, address) for address in bad * 4],
             *[self.whole(client, good) for _ in range(4)],
             return_exceptions=True,
         )
         _, most = tracemalloc.get_traced_memory()
         for outcome in found[:-4]:
-            self.assertIsInstance(outcome, RunOutcomeUnknown)
+            self.assertIsInstance(outcome, error)
         self.assertEqual(found[-4:], [14] * 4)
         self.assertLess(most, len(found) * HELD_BYTES)
         await self.wait_closed(len(found) - 4)
 
+    # Guards against heads without end, which would fill memory.
+    async def test_heads_without_end_beside_good_answers(self) -> None:
+        await self.assert_held_flat(ENDLESS_HEADS.values(), self.send, RunOutcomeUnknown)
+
     # Guards against the end of a body that never comes, which would fill memory.
     async def test_bodies_without_end_beside_good_answers(self) -> None:
-        client = self.client()
-        bad = [await self.start(*sent) for sent in ENDLESS_BODIES.values()]
-        good = await self.start_good()
-        tracemalloc.start()
-        self.addCleanup(tracemalloc.stop)
-        found = await asyncio.gather(
-            *[self.whole(client, address) for address in bad * 4],
-            *[self.whole(client, good) for _ in range(4)],
-            return_exceptions=True,
-        )
-        _, most = tracemalloc.get_traced_memory()
-        for outcome in found[:-4]:
-            self.assertIsInstance(outcome, AnswerCut)
-        self.assertEqual(found[-4:], [14] * 4)
-        self.assertLess(most, len(found) * HELD_BYTES)
-        await self.wait_closed(len(found) - 4)
+        await self.assert_held_flat(ENDLESS_BODIES.values(), self.whole, AnswerCut)
 
     # A body without end is taken at its reader's pace; its connection is closed with its reader.
     async def test_endless_body_is_held_in_part_and_closed_with_its_reader(self) -> None:
