--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from unittest import mock
 
 import logbook
 
@@ -301,5 +302,26 @@
             case.loads.load(later).failure_share = MUCH_FAILED
         return case
 
+    async def serve_elsewhere_if(self, learn: Callable[[PathCase, Upstream], object]) -> PathCase:
+        """Let an instance learn something of its choice once a request has a connection there.
+
+        The request, which may not be sent twice, has to go to the other upstream.
+        """
+        fine = answer("200 OK", b"body", STAMP)
+        case = await self.start(route(RouteKind.NON_IDEMPOTENT), [fine], [fine])
+        first = case.beliefs.view.upstreams_by_id[UpstreamId("u0")]
+        connect = case.pool._connect
+
+        async def connect_slowly(address: str) -> object:
+            channel = await connect(address)
+            if address == first.address:
+                learn(case, first)
+            return channel
+
+        with mock.patch.object(case.pool, "_connect", connect_slowly):
+            got = await case.serve()
+        self.assertEqual((got.status, self.arrivals()), (200, [0, 1]))
+        return case
+
     def arrivals(self) -> list[int]:
         return [len(upstream.requests) for upstream in self.upstreams]
--- a/tests/test_leaving_by_answer.py
+++ b/tests/test_leaving_by_answer.py
@@ -133,20 +133,9 @@
 
     # Connecting takes time, in which another answer may say that the upstream leaves.
     async def test_request_that_waits_for_its_connection_does_not_go_there(self) -> None:
-        fine = answer("200 OK", b"body", STAMP)
-        case = await self.start(route(RouteKind.NON_IDEMPOTENT), [fine], [fine])
-        first = case.beliefs.view.upstreams_by_id[FIRST]
-        connect = case.pool._connect
-
-        async def connect_slowly(address: str) -> object:
-            channel = await connect(address)
-            if address == first.address:
-                case.beliefs.note_leaving(first.lifetime)
-            return channel
-
-        with mock.patch.object(case.pool, "_connect", connect_slowly):
-            got = await case.serve()
-        self.assertEqual((got.status, self.arrivals()), (200, [0, 1]))
+        case = await self.serve_elsewhere_if(
+            lambda case, first: case.beliefs.note_leaving(first.lifetime)
+        )
         self.assertEqual(case.told_silent, [])
 
     async def test_belief_is_logged_with_the_request_that_brought_it(self) -> None:
--- a/tests/test_quiet_by_answer.py
+++ b/tests/test_quiet_by_answer.py
@@ -7,7 +7,6 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn
-from cactuspass.fleet._catalog import RouteKind
 from cactuspass.fleet._selection import Chosen
 from cactuspass.fleet._upstreams import UpstreamId
 from tests.fleet_path import (
@@ -148,20 +147,9 @@
 
     # Connecting takes time, in which another answer may ask for quiet.
     async def test_request_that_waits_for_its_connection_does_not_go_there(self) -> None:
-        fine = answer("200 OK", b"body", STAMP)
-        case = await self.start(route(RouteKind.NON_IDEMPOTENT), [fine], [fine])
-        first = case.beliefs.view.upstreams_by_id[FIRST]
-        connect = case.pool._connect
-
-        async def connect_slowly(address: str) -> object:
-            channel = await connect(address)
-            if address == first.address:
-                case.selector.quiet.ask(first.lifetime, 9.0, now())
-            return channel
-
-        with mock.patch.object(case.pool, "_connect", connect_slowly):
-            self.assertEqual((await case.serve()).status, 200)
-        self.assertEqual(self.arrivals(), [0, 1])
+        await self.serve_elsewhere_if(
+            lambda case, first: case.selector.quiet.ask(first.lifetime, 9.0, now())
+        )
 
     async def test_belief_is_logged_with_the_request_that_brought_it(self) -> None:
         case = await self.start(route(), [busy("2.5")])
