Do not take a load under way for the one that was refused before

From the closing read: where a host had refused a load, and one was begun later, the first report with its new number dropped the begun load from the schedule, and the planner ordered it again. Callers saw nothing; a host that is loading refuses the order. The note of the refusal ends with the next answered load now. Test red before: three orders to load where two are due.

--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -75,8 +75,10 @@
         refused = outcome in REFUSED_OUTCOMES
         if isinstance(order, Join) and refused:
             self._note_refused_join(order, upstream_id, outcome)
-        if isinstance(order, Stage) and refused:
-            self._note_refused_load(addressed, outcome, at)
+        if isinstance(order, Stage):
+            memory.loads_refused_by_id.pop(upstream_id, None)
+            if refused:
+                self._note_refused_load(addressed, outcome, at)
 
     def _note_refused_load(
         self, addressed: AddressedOrder, outcome: OrderOutcome, at: float
--- a/tests/test_fleet_order_states.py
+++ b/tests/test_fleet_order_states.py
@@ -371,6 +371,17 @@
         world.run(2.0)
         self.assertEqual([a.expected_sequence for a in world.orders(Stage)], [1])
 
+    def test_load_that_begins_later_is_not_dropped_for_an_earlier_refusal(self) -> None:
+        # Guards against a load under way that is taken for the one that was refused.
+        world = EngineWorld([host("x")])
+        world.busy.add(UpstreamId("x"))
+        world.run(1.0)
+        world.busy.clear()
+        while len(world.orders(Stage)) < 2:
+            world.run(0.1)
+        world.run(1.0)
+        self.assertEqual(len(world.orders(Stage)), 2)
+
 
 class TwoServicesTest(unittest.TestCase):
     """Two services whose engines form groups."""
