Back off from upstreams that reject requests, longer with each rejected trial

The closed head rejected every request at once and reported no load; it was the best choice for every request of every instance. Change: a rejection starts a backoff of 0.15 s that doubles with each rejected trial up to 2.4 s; one trial request follows, more as it is accepted (the table that requested backoffs use already).

--- a/src/cactuspass/fleet/_backoff.py
+++ b/src/cactuspass/fleet/_backoff.py
@@ -1,4 +1,9 @@
-"""Backoffs that upstreams request: when each accepts requests again, and how many at once."""
+"""Backoffs after rejections: when each upstream accepts requests again, and how many at once.
+
+An upstream may request a backoff. One that rejects a request without a backoff gets one that grows
+with each further rejection: a head whose group is closed or broken rejects at once and reports no
+load, so that without a backoff it would look like the best choice for every request.
+"""
 
 from dataclasses import dataclass
 
@@ -11,6 +16,8 @@
 MAX_TRIAL_LIMIT = 8
 TRIAL_RETRY_SECONDS = 0.2
 EXPIRY_SECONDS = 300.0
+FIRST_REJECTION_BACKOFF_SECONDS = 0.15
+MAX_REJECTION_BACKOFF_SECONDS = 2.4
 
 
 def clamp_backoff(requested: RequestedBackoff) -> float:
@@ -27,11 +34,13 @@
     :param until: clock value before which no request is sent to the upstream.
     :param limit: number of trial requests that may wait for their response head at once.
     :param unanswered: number of trial requests that wait for it now.
+    :param rejections: rejected trial requests since the last one that succeeded.
     """
 
     until: float
     limit: int = FIRST_TRIAL_LIMIT
     unanswered: int = 0
+    rejections: int = 0
 
 
 class TrialRequest:
@@ -46,6 +55,7 @@
         """Record that the upstream accepted the request, and raise the limit by one."""
         if self._open:
             self._backoff.limit += 1
+            self._backoff.rejections = 0
         self.end()
 
     def end(self) -> None:
@@ -56,7 +66,7 @@
 
 
 class BackoffTable:
-    """Backoffs by lifetime of the upstream, as requested in responses to this instance."""
+    """Backoffs by lifetime of the upstream, from its responses to this instance."""
 
     def __init__(self) -> None:
         self._backoffs_by_lifetime: dict[Lifetime, _Backoff] = {}
@@ -69,9 +79,26 @@
         until = at + seconds
         known = self._backoffs_by_lifetime.get(lifetime)
         before = max(at, known.until) if known is not None else at
-        self._backoffs_by_lifetime[lifetime] = _Backoff(max(until, before))
+        rejections = known.rejections if known is not None else 0
+        self._backoffs_by_lifetime[lifetime] = _Backoff(max(until, before), rejections=rejections)
         return max(0.0, until - before)
 
+    def record_rejection(self, lifetime: Lifetime, at: float) -> float:
+        """Back off from an upstream that has rejected a request; return for how many seconds.
+
+        Rejections of requests that were sent before a backoff in progress return 0 and change
+        nothing.
+        """
+        if self.is_backing_off(lifetime, at):
+            return 0.0
+        known = self._backoffs_by_lifetime.get(lifetime)
+        rejections = known.rejections if known is not None else 0
+        seconds = min(
+            MAX_REJECTION_BACKOFF_SECONDS, FIRST_REJECTION_BACKOFF_SECONDS * 2.0**rejections
+        )
+        self._backoffs_by_lifetime[lifetime] = _Backoff(at + seconds, rejections=rejections + 1)
+        return seconds
+
     def is_backing_off(self, lifetime: Lifetime, at: float) -> bool:
         """Return whether an upstream must not be sent any request."""
         backoff = self._backoffs_by_lifetime.get(lifetime)
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -31,6 +31,11 @@
             "Times of quiet that upstreams asked for, by how they were taken",
             "taken",
         )
+        self.rejections = Counter(
+            "cactuspass_upstream_rejections",
+            "Backoffs from upstreams that rejected a request",
+            registry=self.registry,
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
--- a/src/cactuspass/fleet/_upstream_notices.py
+++ b/src/cactuspass/fleet/_upstream_notices.py
@@ -1,4 +1,4 @@
-"""Applies what upstreams announce in their responses: departures and requested backoffs."""
+"""Applies what upstreams state in their responses: departures, backoffs and rejections."""
 
 from collections.abc import Callable
 
@@ -52,6 +52,8 @@
             self._apply_leaving(upstream.lifetime, ANSWER_SOURCE, request, upstream.address)
         if notes.backoff is not None:
             self._apply_backoff(upstream, notes.backoff, request)
+        if notes.not_run:
+            self._apply_rejection(upstream, notes, request)
 
     def apply_leaving_hint(self, lifetime: Lifetime) -> None:
         """Apply another instance's hint that an upstream is leaving."""
@@ -106,3 +108,19 @@
             request=request,
             since=at,
         )
+
+    def _apply_rejection(self, upstream: Upstream, notes: AnswerNotes, request: RequestId) -> None:
+        """Back off from an upstream that has rejected a request, and log each longer backoff."""
+        seconds = self._backoff.record_rejection(upstream.lifetime, now())
+        if not seconds:
+            return
+        self._metrics.rejections.inc()
+        self._log.state_change(
+            "upstream-rejects",
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            seconds=seconds,
+            running=notes.load.running if notes.load is not None else None,
+            waiting=notes.load.waiting if notes.load is not None else None,
+            request=request,
+        )
