--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections import Counter
 from dataclasses import dataclass
 
 from cactuspass._application import Application
@@ -83,6 +84,7 @@
         self._metrics = metrics
         self._pool = pool
         self._stopping = False
+        self._logged_store_calls: Counter[str] = Counter()
         rng = random.Random()
         data_centre = DataCentreId(settings.instance.data_centre)
         self.cluster_state = ClusterState(log, len(settings.instance.data_centres))
@@ -250,6 +252,7 @@
             except TimeoutError:
                 self._loads.remove_idle(now())
                 self._backoff.remove_expired(now())
+                self._log_store_calls()
         await self.drain()
         await self.stop()
 
@@ -267,6 +270,14 @@
             return
         self._log.lifecycle("settings-read", changed=changed)
 
+    def _log_store_calls(self) -> None:
+        """Log the calls to the store since the last such line, by kind."""
+        counts = self._metrics.store_calls_by_kind()
+        made = counts - self._logged_store_calls
+        self._logged_store_calls = counts
+        if made:
+            self._log.lifecycle("store-calls", follows=self._uses_feed(), **made)
+
     def _retry_budget(self, service: ServiceId) -> RetryBudget:
         bounds = self._settings.bounds
         if service not in self._retry_budgets_by_service:
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of an instance."""
 
+from collections import Counter as Counts
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 LATENCY_BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
@@ -63,6 +65,15 @@
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines that were dropped")
         self.leads = self._gauge("leads", "1 while this instance gives orders to upstreams")
 
+    def store_calls_by_kind(self) -> Counts[str]:
+        """Return the number of calls to the store since the start, by kind."""
+        counts: Counts[str] = Counts()
+        for metric in self.store_calls.collect():
+            for sample in metric.samples:
+                if sample.name.endswith("_total"):
+                    counts[sample.labels["call"]] += int(sample.value)
+        return counts
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
