Register instances with long leases, and lead with a short one of its own

Cause: every instance renewed a lease of 2 s twice a second (2,745 renewals in 75 s at 23 instances; 390 a second at 195), although only the leader's key needs a short one. Each restart also read its key first. Change: the registration has a lease of 20 s, renewed every 5 to 6.5 s, with growing pauses after failures; only an instance that takes the lead grants a lease of 2 s. Followers of the feed list the keys once. An instance that dies stays counted for shares up to 20 s: too long, never too short; those that use its feed learn of its end from the connection.

--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from cactuspass._clock import now
@@ -11,19 +12,18 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._registration import INSTANCES_PREFIX, KEY_PREFIX, Registration
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost, LeaseEnded, SharedStore
 from cactuspass.fleet._sync import FEED_CHECK_SECONDS, no_feed
 from cactuspass.models import DataCentreId, EntryId
 
-KEY_PREFIX = "cactuspass/"
 LEADER_KEY = f"{KEY_PREFIX}leader"
-INSTANCES_PREFIX = f"{KEY_PREFIX}instances/"
 LEASE_SECONDS = 2
 RENEW_SECONDS = 0.5
 WATCH_WAIT_SECONDS = 5.0
 RETRY_SECONDS = 0.25
-RETRY_WITH_FEED_SECONDS = 1.0  # an instance that uses the feed does not try to become leader
+BATCH_SECONDS = 0.3  # pause after a change, so that the next watch returns several
 CLOCK_MARGIN_SECONDS = 0.2  # the term ends here this long before the lease
 EPOCHS_PER_TERM = 10_000
 UNKNOWN_DATA_CENTRE = DataCentreId("")
@@ -64,15 +64,16 @@
 class Presence(RepeatingComponent):
     """Registers this instance, and acquires leadership when no other instance holds it.
 
-    All keys are attached to one lease. The lease is counted on the local clock from the moment at
-    which the last renewal was sent, so a term ends here before the lease ends in the store.
+    The leader key is attached to a short lease of its own, which only the leader has. It is counted
+    on the local clock from the moment at which the last renewal was sent, so a term ends here
+    before the lease ends in the store.
 
     :param on_term_change: called when a term of this instance begins or ends.
     :param data_centre: data centre of this instance.
     :param address: ``host:port`` at which this instance accepts connections of other instances;
         None when it accepts none.
     :param uses_feed: whether another instance provides the list of registered instances; this
-        instance then neither watches the keys nor tries to acquire leadership.
+        instance then lists the keys only once, and does not try to acquire leadership.
     """
 
     def __init__(
@@ -91,8 +92,7 @@
         self._instance = instance
         self._cluster_state = cluster_state
         self._on_term_change = on_term_change
-        self._data_centre = data_centre
-        self._address = address
+        self._registration = Registration(store, Peer(instance, data_centre, address), log)
         self._uses_feed = uses_feed
         self._lease: LeaseId | None = None
         self._lease_until = float("-inf")
@@ -100,16 +100,20 @@
         self._stopping = False
         self._key_watch = _KeyWatch(self._watch_once, log)
         self._keys: dict[str, KeyValue] = {}
+        self._keys_listed = False
         self._revision = 0
+        self._wake = asyncio.Event()
 
     async def start(self) -> None:
         """Start to register this instance and to watch the keys of all instances."""
+        await self._registration.start()
         await super().start()
         await self._key_watch.start()
 
     async def drain(self) -> None:
-        """End the term and revoke the lease, so that another instance can take over at once."""
+        """End the term and revoke the leases, so that another instance can take over at once."""
         self._stopping = True
+        await self._registration.drain()
         lease, self._lease = self._lease, None
         self._end_term("stopping")
         if lease is None:
@@ -120,9 +124,10 @@
             self._log.lifecycle("lease-not-ended", reason=error)
 
     async def stop(self) -> None:
-        """Stop both loops."""
+        """Stop all loops."""
         await super().stop()
         await self._key_watch.stop()
+        await self._registration.stop()
 
     @property
     def term(self) -> Term | None:
@@ -135,44 +140,68 @@
         return self._term
 
     async def step(self) -> None:
-        """Renew the lease, and try to acquire leadership if no other instance holds it."""
-        if self._stopping:
-            await asyncio.sleep(RENEW_SECONDS)
-            return
+        """Renew the lease of the leader key, or acquire leadership if no other instance holds it.
+
+        Without a lease, the step is repeated as soon as a key has changed.
+        """
         try:
-            await self._keep_lease()
-            await asyncio.sleep(RENEW_SECONDS)
+            if self._lease is not None:
+                await self._keep_lease()
+            elif self._may_acquire_leadership():
+                await self._grant_lease()
+            await self._sleep_until_change()
         except LeaseEnded:
             self._lease = None
             self._end_term("lease ended")
         except PlatformError as error:
             self._log.state_change("lease-call-failed", reason=error)
-            await asyncio.sleep(RETRY_WITH_FEED_SECONDS if self._uses_feed() else RETRY_SECONDS)
+            await asyncio.sleep(RETRY_SECONDS)
 
-    async def _keep_lease(self) -> None:
+    async def _sleep_until_change(self) -> None:
+        """Sleep for ``RENEW_SECONDS``; without a lease, until a key has changed at the latest."""
+        if self._lease is not None:
+            await asyncio.sleep(RENEW_SECONDS)
+            return
+        self._wake.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RENEW_SECONDS):
+                await self._wake.wait()
+
+    async def _grant_lease(self) -> None:
         began = now()
-        if self._lease is None:
-            self._lease = await self._store.grant_lease(LEASE_SECONDS)
-            self._lease_until = began + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
-            key = f"{INSTANCES_PREFIX}{self._instance}"
-            value = json.dumps(
-                {
-                    "instance": self._instance,
-                    "data_centre": self._data_centre,
-                    "peers": self._address,
-                }
-            ).encode()
-            await self._write_own_key(key, value)
+        self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        self._lease_until = began + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
+        await self._try_acquire_leadership()
+
+    async def _keep_lease(self) -> None:
+        """Renew the lease; revoke it when it is of no use, since another instance leads."""
+        assert self._lease is not None
+        if self.term is None and (self._uses_feed() or self._is_led_by_another()):
+            lease, self._lease = self._lease, None
+            await self._store.revoke_lease(lease)
             return
+        began = now()
         remaining = await self._store.keep_lease_alive(self._lease)
         if remaining <= 0:
             raise LeaseEnded("the lease has ended")
         self._lease_until = began + remaining - CLOCK_MARGIN_SECONDS
         await self._try_acquire_leadership()
 
-    async def _write_own_key(self, key: str, value: bytes) -> None:
-        known = (await self._store.read([key])).values_by_key[key]
-        await self._store.write([Write(key, value, known.mod_revision, self._lease)])
+    def _may_acquire_leadership(self) -> bool:
+        """Return whether the keys are known and show no other leader."""
+        if self._term is not None or self._revision == 0 or self._stopping:
+            return False
+        if self._uses_feed() or self._cluster_state.catalog_index is None:
+            return False
+        return not self._is_led_by_another()
+
+    def _is_led_by_another(self) -> bool:
+        """Return whether the last known leader key is another instance's.
+
+        A key with the lease of this instance is left from a term that has ended here.
+        """
+        known = self._keys.get(LEADER_KEY)
+        return known is not None and known.value != self._leader_value()
 
     async def _try_acquire_leadership(self) -> None:
         """Write the leader key if, by the last known state, no other instance holds it.
@@ -180,13 +209,9 @@
         When a term has ended here but its key still exists, the key is written again. This starts
         a new term with a higher revision, so that no epoch is used twice.
         """
-        if self._term is not None or self._revision == 0 or self._stopping:
-            return
-        if self._cluster_state.catalog_index is None:
+        if not self._may_acquire_leadership():
             return
         known = self._keys.get(LEADER_KEY)
-        if known is not None and known.value != self._leader_value():
-            return
         expected = known.mod_revision if known is not None else 0
         lease, value = self._lease, self._leader_value()
         try:
@@ -228,12 +253,14 @@
         self._on_term_change()
 
     async def _watch_once(self) -> None:
-        if self._uses_feed():
+        if self._uses_feed() and self._keys_listed:
             self._revision = 0
             await asyncio.sleep(FEED_CHECK_SECONDS)
             return
         try:
             await self._read_keys()
+            if self._revision:
+                await asyncio.sleep(BATCH_SECONDS)
         except HistoryLost:
             self._revision = 0
         except PlatformError:
@@ -247,6 +274,7 @@
             snapshot = await self._store.read_prefix(KEY_PREFIX)
             self._keys = dict(snapshot.values_by_key)
             self._revision = snapshot.revision
+            self._keys_listed = True
         else:
             changes = await self._store.watch(KEY_PREFIX, self._revision, WATCH_WAIT_SECONDS)
             for change in changes.changed:
@@ -258,6 +286,7 @@
             # returned none.
             self._revision = changes.revision if changes.changed else 0
         self._update_instances()
+        self._wake.set()
 
     def _peer(self, registered: KeyValue) -> Peer:
         """Return the instance that a key registers.
