Let two instances read the store, and the sources of the feed follow them

Change: sources have one order over all data centres; the first two read the store, later ones follow an earlier one, all others a source of their data centre. A newcomer waits up to 1.5 s for the feed. A follower whose source fails takes the next one before it reads the store. A reader whose own reads fail follows another one for 3 s. Ages add up over the steps, and a state older than 2 s is not passed on. The list of instances is sent only when it has changed.

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -1,12 +1,13 @@
 """Client of the feed, by which an instance receives the store's contents from another one.
 
-While no source responds, the instance reads the store itself.
+Few instances read the store. The sources of each data centre follow one of these, and all other
+instances follow a source of their data centre. An instance that finds none to follow reads the
+store itself.
 """
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
-from itertools import chain
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
@@ -16,7 +17,13 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import FeedUpdate, decode_feed_update
-from cactuspass.fleet._peers import Peer, choose_sources, order_sources
+from cactuspass.fleet._peers import (
+    STORE_READERS,
+    Peer,
+    choose_sources,
+    order_readers,
+    order_sources,
+)
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._upstreams import Lifetime
 from cactuspass.models import DataCentreId, EntryId
@@ -26,6 +33,9 @@
 RESPONSE_TIMEOUT_SECONDS = 0.8
 FAILED_SOURCE_PAUSE_SECONDS = 3.0  # time before a source that has failed is tried again
 SOURCE_CHECK_SECONDS = 0.25
+STARTUP_WAIT_SECONDS = 1.5  # time to find a source before the store is read instead
+READ_FAILED_AGE_SECONDS = 1.4  # older documents mean that this instance's own reads fail
+FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
@@ -63,13 +73,36 @@
         self._on_leaving = on_leaving or cluster_state.mark_leaving
         self._avoided_until_by_id: dict[EntryId, float] = {}
         self._active_until = float("-inf")
+        self._startup_until = float("-inf")
+        self._own_reads_failed_until = float("-inf")
         self._source_was_behind = False
+        self._ordered_peers: tuple[Peer, ...] = ()
+        self._local_sources: list[Peer] = []
+        self._readers: list[Peer] = []
+
+    async def start(self) -> None:
+        """Start to look for a source."""
+        self._startup_until = now() + STARTUP_WAIT_SECONDS
+        await super().start()
 
     @property
     def is_active(self) -> bool:
         """Whether updates arrive from a source, so that the store need not be read."""
         return now() < self._active_until and not self._must_read_store()
 
+    @property
+    def is_expected(self) -> bool:
+        """Whether updates arrive, or are likely to arrive soon, so that reading can wait.
+
+        After the start, that is the case until the other instances are known and until a source
+        has had time to answer.
+        """
+        if self.is_active:
+            return True
+        if self._must_read_store() or now() >= self._startup_until:
+            return False
+        return not self._cluster_state.peers or self._choose_source() is not None
+
     async def step(self) -> None:
         """Receive updates from one source until it fails or is no longer the preferred one."""
         source = self._choose_source()
@@ -81,8 +114,9 @@
         except FeedUpdateIncomplete:
             return  # The next step connects again and gets a complete update.
         except FEED_ERRORS as error:
-            self._active_until = float("-inf")
             self._avoided_until_by_id[source.instance] = now() + FAILED_SOURCE_PAUSE_SECONDS
+            if self._choose_source() is None:
+                self._active_until = float("-inf")
             self._log.lifecycle(
                 "dependency-lost",
                 dependency=f"feed from {source.instance}",
@@ -92,26 +126,54 @@
     def _choose_source(self) -> Peer | None:
         """Return the preferred source that has not failed recently.
 
-        :return: None when there is none, when this instance is a source itself or has to read the
-            store, or when it has no catalog yet.
+        :return: None when there is none, or when this instance has to read the store.
         """
-        if self._must_read_store() or self._cluster_state.catalog_index is None:
-            return None
-        local = choose_sources(self._cluster_state.peers, self._data_centre)
-        if any(source.instance == self._instance for source in local):
+        if self._must_read_store():
             return None
         at = now()
-        for source in chain(order_sources(local, self._instance), self._remote_sources()):
+        for source in self._ordered_sources():
+            if source.instance == self._instance:
+                return None
             if self._avoided_until_by_id.get(source.instance, 0.0) <= at:
                 return source
         return None
 
-    def _remote_sources(self) -> list[Peer]:
-        """Return the sources of other data centres, for use when no local one responds."""
+    def _ordered_sources(self) -> list[Peer]:
+        """Return the sources in the order of preference; from this instance on, none is followed.
+
+        A source follows only those that come before it in the order of readers, so that no two
+        sources follow each other for long. A reader whose own reads fail follows any other.
+        """
+        self._update_order()
+        local, readers = self._local_sources, self._readers
+        if all(source.instance != self._instance for source in local):
+            remote = [reader for reader in readers if reader not in local]
+            return [*order_sources(local, self._instance), *remote]
+        first, later = readers[:STORE_READERS], readers[STORE_READERS:]
+        if all(reader.instance != self._instance for reader in first):
+            return [*order_sources(first, self._instance), *later]
+        others = [reader for reader in readers if reader.instance != self._instance]
+        return others if self._do_own_reads_fail() else []
+
+    def _update_order(self) -> None:
+        """Choose the sources anew if the registered instances have changed."""
         peers = self._cluster_state.peers
-        elsewhere = {peer.data_centre for peer in peers} - {self._data_centre}
-        sources = chain.from_iterable(choose_sources(peers, other) for other in elsewhere)
-        return order_sources(sources, self._instance)
+        if peers is self._ordered_peers:
+            return
+        self._ordered_peers = peers
+        self._local_sources = choose_sources(peers, self._data_centre)
+        self._readers = order_readers(peers)
+
+    def _do_own_reads_fail(self) -> bool:
+        """Return whether this instance could not read the store a moment ago.
+
+        It then follows another one for a while before it tries to read the store again.
+        """
+        at, age = now(), self._cluster_state.operators_age()
+        is_starting = at < self._startup_until
+        if at >= self._own_reads_failed_until and age > READ_FAILED_AGE_SECONDS and not is_starting:
+            self._own_reads_failed_until = at + FOLLOW_AFTER_FAILED_READS_SECONDS
+        return at < self._own_reads_failed_until
 
     async def _follow(self, source: Peer) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
@@ -154,7 +216,8 @@
         if update.catalog is not None:
             cluster_state.accept_catalog(update.catalog)
         cluster_state.accept_evacuations(update.evacuations)
-        cluster_state.accept_peers(update.peers)
+        if update.peers is not None:
+            cluster_state.accept_peers(update.peers)
         for lifetime in update.leaving:
             self._on_leaving(lifetime)
         operators_read_at = written_at - update.operators_age
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -28,13 +28,14 @@
 class FeedUpdate:
     """Changes since the last update on the same connection.
 
-    Evacuations and peers are always complete.
+    Evacuations are always complete.
 
     :param complete: whether this is the first update, which contains the whole state.
     :param held_for: seconds between the request and this response.
     :param operators_age: seconds since the source last read the operators' documents.
     :param upstreams_age: seconds since the source last listed the upstreams.
     :param catalog: None when it has not changed.
+    :param peers: all registered instances; None when they have not changed.
     :param changed: new or changed upstreams; their ``cold_until`` is invalid and replaced by
         ``cold``.
     :param revision: revision of the store up to which the upstreams are known.
@@ -48,7 +49,7 @@
     upstreams_age: float
     catalog: Catalog | None
     evacuations: Evacuations
-    peers: tuple[Peer, ...]
+    peers: tuple[Peer, ...] | None
     changed: tuple[Upstream, ...]
     removed: tuple[UpstreamId, ...]
     cold: tuple[ColdUpstream, ...]
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -1,6 +1,9 @@
-"""Server of the feed, which provides the store's contents to other instances."""
+"""Server of the feed, which provides the store's contents to other instances.
 
-from collections.abc import Callable, Mapping
+A source may itself follow another one; what it sends states how old it is.
+"""
+
+from collections.abc import Mapping
 from typing import Any
 
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -11,24 +14,26 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import ColdUpstream, FeedUpdate, encode_feed_update
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 
 MAX_HOLD_SECONDS = 0.4  # longest wait for a change before an update is sent
-MAX_STORE_AGE_SECONDS = 1.6  # beyond this age of its own state, a source sends no updates
+MAX_STORE_AGE_SECONDS = 2.0  # beyond this age of its own state, a source sends no updates
 MAX_REQUEST_BYTES = 64
-NOT_READING_STORE_CODE = 4000  # WebSocket close code
+NOT_CURRENT_CODE = 4000  # WebSocket close code
 
 
 class FeedUpdateWriter:
     """Builds the updates for one follower.
 
-    Catalog and upstreams are included only when they have changed since the previous update.
+    Catalog, peers and upstreams are included only when they have changed since the previous update.
     """
 
     def __init__(self, cluster_state: ClusterState) -> None:
         self._cluster_state = cluster_state
         self._is_first = True
         self._version: int | None = None
+        self._peers: tuple[Peer, ...] | None = None
         self._upstreams_by_id: Mapping[UpstreamId, Upstream] = {}
         self._sent_leaving: frozenset[Lifetime] = frozenset()
 
@@ -49,6 +54,8 @@
         version = catalog.version if catalog is not None else None
         is_catalog_unchanged = version == self._version
         self._version = version
+        are_peers_unchanged = cluster_state.peers is self._peers
+        self._peers = cluster_state.peers
         is_first, self._is_first = self._is_first, False
         at = now()
         return FeedUpdate(
@@ -58,7 +65,7 @@
             upstreams_age=at - cluster_state.upstreams_read_at,
             catalog=None if is_catalog_unchanged else catalog,
             evacuations=cluster_state.evacuations,
-            peers=cluster_state.peers,
+            peers=None if are_peers_unchanged else cluster_state.peers,
             changed=changed,
             removed=tuple(known.keys() - current.keys()),
             cold=tuple(
@@ -72,22 +79,19 @@
 
 
 class FeedSource(Component):
-    """Sends updates to followers while this instance reads the store itself.
+    """Sends updates to followers while the state of this instance is recent.
 
     :param address: ``host:port`` to listen on; with None the source does not listen.
-    :param reads_store: whether this instance reads the store itself.
     """
 
     def __init__(
         self,
         address: str | None,
         cluster_state: ClusterState,
-        reads_store: Callable[[], bool],
         log: DecisionLog,
     ) -> None:
         self._address = address
         self._cluster_state = cluster_state
-        self._reads_store = reads_store
         self._log = log
         self._server: Server | None = None
 
@@ -126,17 +130,14 @@
                 received_at = now()
                 if not is_first:
                     await self._cluster_state.wait_for_change(MAX_HOLD_SECONDS)
-                if not self._is_current():
-                    await connection.close(NOT_READING_STORE_CODE, "does not follow the store")
+                if self._cluster_state.operators_age() >= MAX_STORE_AGE_SECONDS:
+                    await connection.close(NOT_CURRENT_CODE, "has no recent state of the store")
                     return
                 await connection.send(encode_feed_update(writer.write(now() - received_at)))
                 is_first = False
         except ConnectionClosed as error:
             self._log.state_change("follower-gone", peer=_peer_host(connection), reason=error)
 
-    def _is_current(self) -> bool:
-        return self._reads_store() and self._cluster_state.operators_age() < MAX_STORE_AGE_SECONDS
-
 
 def _peer_host(connection: ServerConnection) -> Any:
     address = connection.remote_address
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -159,7 +159,7 @@
             log,
             self._notices.apply_leaving_hint,
         )
-        source = FeedSource(peers, self.cluster_state, lambda: not self._feed.is_active, log)
+        source = FeedSource(peers, self.cluster_state, log)
         self._presence = Presence(
             adapter.store,
             entry_id,
@@ -287,8 +287,8 @@
         return self._retry_budgets_by_service[service]
 
     def _uses_feed(self) -> bool:
-        """Return whether another instance supplies the contents of the store."""
-        return self._feed.is_active
+        """Return whether another instance supplies the contents of the store, or soon will."""
+        return self._feed.is_expected
 
     def _must_read_store(self) -> bool:
         """Return whether this instance must read the store itself: it leads, or it is stopping."""
--- a/src/cactuspass/fleet/_peers.py
+++ b/src/cactuspass/fleet/_peers.py
@@ -4,10 +4,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import chain
 
 from cactuspass.models import DataCentreId, EntryId
 
 FOLLOWERS_PER_SOURCE = 16
+STORE_READERS = 2  # one can fail without a gap
+READERS_PLACE = "store"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +36,18 @@
     return sorted(local, key=lambda peer: _weight(data_centre, peer.instance))[:count]
 
 
+def order_readers(peers: Iterable[Peer]) -> list[Peer]:
+    """Return the sources of all data centres in the order in which they should read the store.
+
+    The first ``STORE_READERS`` read it. Each later one follows an earlier one, and reads the store
+    only when none of them can be followed.
+    """
+    everyone = list(peers)
+    data_centres = {peer.data_centre for peer in everyone}
+    sources = chain.from_iterable(choose_sources(everyone, place) for place in data_centres)
+    return sorted(sources, key=lambda peer: _weight(READERS_PLACE, peer.instance))
+
+
 def choose_senders(peers: Iterable[Peer], upstream: str, count: int) -> set[EntryId]:
     """Return the instances that may send to an upstream whose limit is too low for all.
 
