Let a time that an upstream asks for go before the backoff after a rejection

Cause: the backoff after rejections also lengthened one of 0 s that the upstream had asked for itself. Change: it applies only to rejections without a time. tests.test_quiet_by_answer said that such a rejection starts no backoff; it now says that it starts a short one, after which the upstream is tried, and that it is logged with the request.

--- a/src/cactuspass/fleet/_upstream_notices.py
+++ b/src/cactuspass/fleet/_upstream_notices.py
@@ -52,7 +52,7 @@
             self._apply_leaving(upstream.lifetime, ANSWER_SOURCE, request, upstream.address)
         if notes.backoff is not None:
             self._apply_backoff(upstream, notes.backoff, request)
-        if notes.not_run:
+        elif notes.not_run:
             self._apply_rejection(upstream, notes, request)
 
     def apply_leaving_hint(self, lifetime: Lifetime) -> None:
--- a/tests/test_quiet_by_answer.py
+++ b/tests/test_quiet_by_answer.py
@@ -7,6 +7,7 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn
+from cactuspass.fleet._backoff import FIRST_REJECTION_BACKOFF_SECONDS
 from cactuspass.fleet._selection import Selection
 from cactuspass.fleet._upstreams import UpstreamId
 from tests.fleet_path import (
@@ -125,6 +126,7 @@
         self.addCleanup(released.set)
         for _ in range(2):
             self.assertEqual((await case.serve()).status, 503)
+        await asyncio.sleep(FIRST_REJECTION_BACKOFF_SECONDS)
         trial = asyncio.create_task(case.serve())
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await reached.wait()
@@ -168,13 +170,17 @@
                 self.assertEqual((await case.serve()).status, 503)
                 self.assertEqual(self.arrivals(), [1])
 
-    # A "not run" response of an engine has no Retry-After; the engine is retried soon, as usual.
-    async def test_rejection_without_a_time_starts_no_backoff(self) -> None:
+    # A "not run" response of an engine has no Retry-After; the engine is tried again soon.
+    async def test_rejection_without_a_time_starts_a_short_backoff(self) -> None:
         full = answer("503 Service Unavailable", b"", NOT_RUN)
         case = await self.start(route(), [full, answer("200 OK", b"body", STAMP)])
         await case.serve()
-        with mock.patch("cactuspass.fleet._attempts.REJECTION_PAUSE_SECONDS", 0.0):
-            self.assertEqual((await case.serve()).status, 200)
+        self.assertEqual((await case.serve()).status, 503)
+        self.assertEqual(self.arrivals(), [1])
+        await asyncio.sleep(FIRST_REJECTION_BACKOFF_SECONDS)
+        self.assertEqual((await case.serve()).status, 200)
+        [line] = [line for line in case.handler.lines if '"upstream-rejects"' in line]
+        self.assertIn('"request": "q1"', line)
 
     async def test_retry_after_in_a_response_other_than_503_starts_no_backoff(self) -> None:
         success = answer("200 OK", b"body", STAMP, "Retry-After: 9")
