Probe hosts as often as their state needs

Change: hosts that join, leave, restart or missed a probe are asked every 0.45 s, heads every 1.2 s, free hosts every 1.8 s, other members of serving groups every 3 s, spread over time. A hint of an instance still has a whole group probed at once. A report is dropped when its host has been sent an order. If more than 15% of the hosts seem lost, all others are probed before this is believed.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -205,6 +205,7 @@
         self._metrics.orders.labels(name, outcome.value).inc()
         took = now() - began
         self._log_order(name, term, addressed, outcome=outcome.value, took=took)
+        self._probes.discard_report(addressed.target.upstream_id)
         planner.record_outcome(addressed, outcome, now())
         self._wake.set()
 
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -1,8 +1,14 @@
-"""Periodic probes of the hosts of engine services for reachability and load reports."""
+"""Probes of the hosts of engine services for reachability and load reports, as often as needed.
+
+A host whose membership is changing is probed often, one that has only to be alive rarely: callers
+notice first when a member of a serving group is lost, and instances then ask for a probe at once.
+"""
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from cactuspass._clock import now
@@ -10,16 +16,45 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._orders import UpstreamControl, UpstreamReport
 from cactuspass.fleet._repeating import RepeatingComponent
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._upstreams import Upstream, UpstreamId, UpstreamView
 
 PROBE_INTERVAL_SECONDS = 0.45
+STEP_SECONDS = 0.15
+MIN_SPREAD = 0.6
 PROBE_TIMEOUT_SECONDS = 0.2
 UNREACHABLE_AFTER_MISSES = 2  # consecutive probes without a report
 REPORT_VALID_SECONDS = 1.5
+REPORT_VALID_INTERVALS = 1.25  # a report stays valid until the next one is due, and a little longer
 MAX_UNREACHABLE_SHARE = 0.5  # of the targets; if more do not respond, this instance may be cut off
+# Of the targets; if more do not respond, all others are probed before this is believed.
+SWEEP_UNREACHABLE_SHARE = 0.15
 TARGET_EXPIRY_SECONDS = 8.0  # time for which an upstream stays a target without being named again
 
 
+class ProbeNeed(Enum):
+    """What a host is probed for; the value is the interval in seconds."""
+
+    CHANGE = PROBE_INTERVAL_SECONDS  # it joins, leaves or restarts, or has missed a probe
+    LOAD = 1.2  # it is the head of a serving group
+    CHOICE = 1.8  # it is in no group and may be chosen for one
+    LIFE = 3.0  # it is another member of a serving group
+
+
+def probe_needs(view: UpstreamView) -> dict[UpstreamId, ProbeNeed]:
+    """Return why each host is probed, by the registry; a host not in the result is changing."""
+    needs_by_id = {
+        upstream.upstream_id: ProbeNeed.CHOICE
+        for upstream in view.upstreams_by_id.values()
+        if upstream.membership is None and not upstream.draining
+    }
+    for group in view.groups_by_key.values():
+        if not group.serves:
+            continue
+        for rank, member in group.members_by_rank.items():
+            needs_by_id[member.upstream_id] = ProbeNeed.LIFE if rank else ProbeNeed.LOAD
+    return needs_by_id
+
+
 @dataclass(slots=True)
 class _ProbeState:
     """Probe results of one upstream.
@@ -27,6 +62,9 @@
     :param misses: consecutive probes without a report.
     :param answered_at: clock value of the last report.
     :param targeted_at: clock value at which the upstream was last named as a target.
+    :param probed_at: clock value at which the last probe was sent.
+    :param spread: factor on the interval, so that not all hosts are probed at once.
+    :param need: what the upstream is probed for now.
     """
 
     upstream: Upstream
@@ -34,6 +72,23 @@
     answered_at: float = float("-inf")
     report: UpstreamReport | None = None
     targeted_at: float = 0.0
+    probed_at: float = float("-inf")
+    spread: float = 1.0
+    need: ProbeNeed = ProbeNeed.CHANGE
+
+    def is_due(self, at: float) -> bool:
+        """Return whether the interval since the last probe has passed.
+
+        After a missed probe, and until there is a report, it is the shortest interval.
+        """
+        is_known = self.report is not None and self.misses == 0
+        interval = self.need.value * self.spread if is_known else PROBE_INTERVAL_SECONDS
+        return at - self.probed_at >= interval
+
+    def is_valid(self, at: float) -> bool:
+        """Return whether the last report is recent enough to be used."""
+        valid = max(REPORT_VALID_SECONDS, REPORT_VALID_INTERVALS * self.need.value)
+        return self.report is not None and at - self.answered_at < valid
 
 
 class Probes(RepeatingComponent):
@@ -49,6 +104,7 @@
         self._states_by_id: dict[UpstreamId, _ProbeState] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_recheck: Callable[[], None] = lambda: None
+        self._sweep_began_at: float | None = None
 
     def set_recheck_callback(self, callback: Callable[[], None]) -> None:
         """Set the function to call after each recheck that ``probe_group_now`` has started."""
@@ -61,6 +117,7 @@
         """
         self._enabled = enabled
         self._states_by_id.clear()
+        self._sweep_began_at = None
 
     def unreachable_ids(self) -> frozenset[UpstreamId]:
         """Return the upstreams that do not respond to probes.
@@ -68,13 +125,34 @@
         The result is empty when more than ``MAX_UNREACHABLE_SHARE`` of the targets do not respond,
         since this instance is then more likely to be cut off than the upstreams.
         """
-        unreachable = frozenset(
+        unreachable = self._missing_ids()
+        if len(unreachable) > MAX_UNREACHABLE_SHARE * len(self._states_by_id):
+            return frozenset()
+        if self._needs_sweep(unreachable) and not self._is_sweep_done():
+            return frozenset()
+        return unreachable
+
+    def _missing_ids(self) -> frozenset[UpstreamId]:
+        return frozenset(
             upstream_id
             for upstream_id, state in self._states_by_id.items()
             if state.misses >= UNREACHABLE_AFTER_MISSES
         )
-        is_cut_off = len(unreachable) > MAX_UNREACHABLE_SHARE * len(self._states_by_id)
-        return frozenset() if is_cut_off else unreachable
+
+    def _needs_sweep(self, missing: frozenset[UpstreamId]) -> bool:
+        """Return whether so many hosts do not respond that this instance may be cut off.
+
+        Hosts are probed at different times, so after a cut only some have missed probes yet.
+        """
+        return len(missing) > SWEEP_UNREACHABLE_SHARE * len(self._states_by_id)
+
+    def _is_sweep_done(self) -> bool:
+        """Return whether each host has responded since the sweep began, or is missing."""
+        began_at = self._sweep_began_at
+        return began_at is not None and all(
+            state.misses >= UNREACHABLE_AFTER_MISSES or state.answered_at >= began_at
+            for state in self._states_by_id.values()
+        )
 
     def reachable_ids(self) -> frozenset[UpstreamId]:
         """Return the upstreams whose last probe succeeded and whose report is still valid."""
@@ -82,7 +160,7 @@
         return frozenset(
             upstream_id
             for upstream_id, state in self._states_by_id.items()
-            if at - state.answered_at < REPORT_VALID_SECONDS and state.misses == 0
+            if state.is_valid(at) and state.misses == 0
         )
 
     def reports_by_id(self) -> dict[UpstreamId, UpstreamReport]:
@@ -91,7 +169,7 @@
         return {
             upstream_id: state.report
             for upstream_id, state in self._states_by_id.items()
-            if state.report is not None and at - state.answered_at < REPORT_VALID_SECONDS
+            if state.report is not None and state.is_valid(at)
         }
 
     def probe_group_now(self, head_id: UpstreamId) -> None:
@@ -107,20 +185,40 @@
                 for member in group.members:
                     self._start_task(self._probe_with_retry(self._states_by_id[member.upstream_id]))
 
+    def discard_report(self, upstream_id: UpstreamId) -> None:
+        """Drop the last report of a host that has been sent an order, and probe it soon."""
+        state = self._states_by_id.get(upstream_id)
+        if state is not None:
+            state.report = None
+
     async def step(self) -> None:
-        """Wait for the probe interval, then probe all targets once."""
-        await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+        """Wait for a part of the shortest interval, then probe all targets that are due."""
+        await asyncio.sleep(STEP_SECONDS)
         if not self._enabled:
             return
         self._update_targets()
+        at = now()
+        is_sweeping = self._update_sweep(at)
         for state in list(self._states_by_id.values()):
-            self._start_task(self._probe(state))
+            is_fast_due = at - state.probed_at >= PROBE_INTERVAL_SECONDS
+            if state.is_due(at) or (is_sweeping and is_fast_due):
+                self._start_task(self._probe(state))
+
+    def _update_sweep(self, at: float) -> bool:
+        """Begin or end a sweep of all hosts; return whether one is under way."""
+        if not self._needs_sweep(self._missing_ids()):
+            self._sweep_began_at = None
+        elif self._sweep_began_at is None:
+            self._sweep_began_at = at
+        return self._sweep_began_at is not None and not self._is_sweep_done()
 
     def _update_targets(self) -> None:
         """Add the hosts of engine services and remove the targets that have expired."""
         at = now()
         self.add_targets(self._cluster_state.engine_hosts())
+        needs_by_id = probe_needs(self._cluster_state.view)
         for upstream_id, state in list(self._states_by_id.items()):
+            state.need = needs_by_id.get(upstream_id, ProbeNeed.CHANGE)
             if at - state.targeted_at > TARGET_EXPIRY_SECONDS:
                 del self._states_by_id[upstream_id]
 
@@ -149,6 +247,8 @@
         self._on_recheck()
 
     async def _probe(self, state: _ProbeState) -> None:
+        state.probed_at = now()
+        state.spread = random.uniform(MIN_SPREAD, 1.0)
         report = await self._control.fetch_report(state.upstream, PROBE_TIMEOUT_SECONDS)
         upstream_id = state.upstream.upstream_id
         if report is None:
