Plan and choose by indexes that are made once for each view

Cause: a planning round listed all hosts 63 times and copied each report; each choice of an upstream scanned all groups and their members; each change of the registry sorted all hosts. Change: hosts and hosts of a domain once a round, unchanged reports skipped, groups found in one pass, serving upstreams once for each view, only changed entries compared for the log.

--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -101,6 +101,11 @@
     prompt_tokens_per_step: int = 2048
     prompt_tokens_per_second: float = 20_000.0
 
+    def model_spec(self, model: ModelId | None) -> ModelSpec:
+        """Return the declaration of a model; an undeclared one has groups of one member."""
+        model = model or ModelId("")
+        return self.models_by_id.get(model) or ModelSpec(model, size=1)
+
     def max_event_gap(self, pace: float) -> float:
         """Return the longest expected seconds between two events of a stream at a full group.
 
--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -4,9 +4,17 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from contextlib import suppress
+from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass.fleet._catalog import CallerLimits, Catalog, CatalogIndex, Evacuations
+from cactuspass.fleet._catalog import (
+    CallerLimits,
+    Catalog,
+    CatalogIndex,
+    Evacuations,
+    ModelSpec,
+    Service,
+)
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._departures import Departures
 from cactuspass.fleet._peers import Peer
@@ -18,11 +26,27 @@
     UpstreamId,
     UpstreamView,
 )
+from cactuspass.models import ServiceId
 
 NEVER = float("-inf")
 INSTANCE_GRACE_SECONDS = 4.0  # two lease periods: one to expire, one to register again
 
 
+@dataclass(frozen=True, slots=True)
+class ServingUpstream:
+    """An upstream that accepts requests of a service.
+
+    :param group: the group that it is the head of; None for a service without engines.
+    :param spec: the model that the group serves.
+    :param is_complete: whether all members of the group are registered and none drains.
+    """
+
+    upstream: Upstream
+    group: Group | None = None
+    spec: ModelSpec | None = None
+    is_complete: bool = True
+
+
 class ClusterState:
     """The last valid state of each document; the catalog never reverts to a lower version.
 
@@ -48,6 +72,9 @@
         self._recent_counts: deque[tuple[float, int]] = deque()
         self.peers: tuple[Peer, ...] = ()
         self.revision = 0
+        self._serving_by_service: dict[ServiceId, list[ServingUpstream]] = {}
+        self._serving_view: UpstreamView | None = None
+        self._serving_catalog: CatalogIndex | None = None
         self._changed = asyncio.Event()
 
     def accept_catalog(self, catalog: Catalog) -> bool:
@@ -160,6 +187,32 @@
         current = self.view.upstreams_by_id.get(upstream.upstream_id)
         return current is not None and current.lifetime == upstream.lifetime and current.draining
 
+    def serving_upstreams(self, service: Service) -> list[ServingUpstream]:
+        """Return the upstreams of a service that accept requests, for groups their heads.
+
+        They are found once for each view and catalog.
+        """
+        if self._serving_view is not self.view or self._serving_catalog is not self.catalog_index:
+            self._serving_view, self._serving_catalog = self.view, self.catalog_index
+            self._serving_by_service.clear()
+        found = self._serving_by_service.get(service.service)
+        if found is None:
+            found = self._serving_by_service[service.service] = self._find_serving(service)
+        return found
+
+    def _find_serving(self, service: Service) -> list[ServingUpstream]:
+        if service.engine is None:
+            upstreams = self.view.upstreams_by_id.values()
+            return [ServingUpstream(u) for u in upstreams if u.service == service.service]
+        found = []
+        for group in self.view.serving_groups(service.service):
+            assert group.head is not None
+            spec = service.engine.model_spec(group.head.loaded)
+            if self.has_all_members(group, spec.size):
+                is_complete = group.is_complete(spec.size)
+                found.append(ServingUpstream(group.head, group, spec, is_complete))
+        return found
+
     def has_all_members(self, group: Group, size: int) -> bool:
         """Return whether a group has all its members.
 
@@ -209,7 +262,8 @@
             self._log.state_change("upstream-gone", upstream=upstream_id, revision=revision)
         for upstream_id in sorted(new.keys() - old.keys()):
             self._log.state_change("upstream-found", upstream=upstream_id, revision=revision)
-        for upstream_id in sorted(old.keys() & new.keys()):
+        changed_ids = [i for i, upstream in new.items() if i in old and old[i] is not upstream]
+        for upstream_id in sorted(changed_ids):
             self._log_change(upstream_id, old[upstream_id], new[upstream_id], revision)
 
     def _log_change(
--- a/src/cactuspass/fleet/_host_states.py
+++ b/src/cactuspass/fleet/_host_states.py
@@ -28,7 +28,7 @@
 
     :param born_ms: start of the lifetime that the state belongs to, in Unix milliseconds.
     :param sequence: number of orders that the host had accepted in this lifetime.
-    :param updated_at: clock value of the report or answer.
+    :param updated_at: clock value of the answer, or of the first report that said this.
     :param from_order: whether the state comes from an answered order, and not from a report.
     :param last_left_epoch: epoch of the last group that the host has left by order; 0 if none.
     :param refused_at: clock value at which the host last refused an order because it had accepted
@@ -43,6 +43,15 @@
     last_left_epoch: int = 0
     refused_at: float = float("-inf")
 
+    def is_confirmed_by(self, report: UpstreamReport) -> bool:
+        """Return whether this state comes from a report and a later one says the same."""
+        return (
+            not self.from_order
+            and self.sequence == report.sequence
+            and self.membership == report.membership
+            and self.born_ms == report.born_ms
+        )
+
 
 @dataclass(slots=True)
 class HostStateTable:
@@ -65,6 +74,8 @@
 
     def _apply_report(self, upstream_id: UpstreamId, report: UpstreamReport, at: float) -> None:
         known = self.states_by_id.get(upstream_id)
+        if known is not None and known.is_confirmed_by(report):
+            return
         state = HostState(report.born_ms, report.sequence, report.membership, at)
         if known is None or report.born_ms != known.born_ms:
             self.states_by_id[upstream_id] = state
--- a/src/cactuspass/fleet/_planning_round.py
+++ b/src/cactuspass/fleet/_planning_round.py
@@ -64,6 +64,8 @@
     reserved_ids: set[UpstreamId] = field(default_factory=set)
     releasing_domains: set[FabricDomainId] = field(default_factory=set)
     group_counts_by_model: Counter[ModelId] = field(default_factory=Counter)
+    _hosts: list[Upstream] | None = None
+    _hosts_by_domain: defaultdict[FabricDomainId, list[Upstream]] | None = None
 
     def reserve(self, members: Iterable[Upstream]) -> None:
         """Reserve hosts for their groups, so that they join no other group in this round."""
@@ -128,11 +130,21 @@
 
     def hosts(self) -> list[Upstream]:
         """Return the upstreams of the service that do not drain."""
-        return [
-            upstream
-            for upstream in self.planner_input.view.upstreams_by_id.values()
-            if upstream.service == self.planner_input.service and not upstream.draining
-        ]
+        if self._hosts is None:
+            self._hosts = [
+                upstream
+                for upstream in self.planner_input.view.upstreams_by_id.values()
+                if upstream.service == self.planner_input.service and not upstream.draining
+            ]
+        return self._hosts
+
+    def hosts_of(self, domain: FabricDomainId) -> list[Upstream]:
+        """Return the hosts of a fabric domain."""
+        if self._hosts_by_domain is None:
+            self._hosts_by_domain = defaultdict(list)
+            for host in self.hosts():
+                self._hosts_by_domain[host.fabric_domain].append(host)
+        return self._hosts_by_domain.get(domain, [])
 
     def free_hosts_by_domain(self) -> dict[FabricDomainId, list[Upstream]]:
         """Return the hosts that are in no group and may join one now, by fabric domain.
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -2,17 +2,17 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 from cactuspass.fleet._backoff import BackoffTable
 from cactuspass.fleet._budgets import ColdRateLimit
-from cactuspass.fleet._catalog import EngineSpec, ModelSpec, Service
-from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._catalog import EngineSpec, Service
+from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import choose_senders
-from cactuspass.fleet._upstreams import Group, Upstream, UpstreamId
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
@@ -142,20 +142,26 @@
         if service is None:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 1.0)
         eligible = [
-            (upstream, group)
-            for upstream, group in self._serving_upstreams(service, request.model)
-            if self._is_eligible(upstream) and request.allows(upstream.upstream_id)
+            serving
+            for serving in self._cluster_state.serving_upstreams(service)
+            if _serves_model(serving, request.model)
+            and self._is_eligible(serving.upstream)
+            and request.allows(serving.upstream.upstream_id)
         ]
-        backoff_by_id = {u.upstream_id: self.backoff.delay(u.lifetime, at) for u, _ in eligible}
+        backoff_by_id = {
+            serving.upstream.upstream_id: self.backoff.delay(serving.upstream.lifetime, at)
+            for serving in eligible
+        }
         backoff_remaining = min(filter(None, backoff_by_id.values()), default=NO_BACKOFF_SECONDS)
         available = [
-            (u, g)
-            for u, g in eligible
-            if not backoff_by_id[u.upstream_id] and u.upstream_id not in request.full
+            serving
+            for serving in eligible
+            if not backoff_by_id[serving.upstream.upstream_id]
+            and serving.upstream.upstream_id not in request.full
         ]
         if not available:
             return _no_upstream(backoff_by_id, backoff_remaining)
-        warm = [(u, g) for u, g in available if self._cold_limit_allows(u, service, at)]
+        warm = [s for s in available if self._cold_limit_allows(s.upstream, service, at)]
         if not warm:
             retry_after = min(COLD_RETRY_SECONDS, backoff_remaining)
             return NoUpstream(
@@ -165,7 +171,7 @@
                 backoff_remaining=backoff_remaining,
             )
         healthy = self._without_suspects(warm, at)
-        candidates = [self._score(u, g, service, at) for u, g in healthy or warm]
+        candidates = [self._score(serving, service, at) for serving in healthy or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > request.max_wait:
             retry_after = min(max(0.2, best.wait - request.max_wait), backoff_remaining)
@@ -175,19 +181,20 @@
         return Selection(best.upstream, best.wait, best.max_event_gap)
 
     def _without_suspects(
-        self, upstreams: list[tuple[Upstream, Group | None]], at: float
-    ) -> list[tuple[Upstream, Group | None]]:
+        self, candidates: list[ServingUpstream], at: float
+    ) -> list[ServingUpstream]:
         """Return the upstreams that are neither suspect nor in an unreachable data centre.
 
         When several upstreams of another data centre fail at the same time, the network path to
         that data centre counts as cut, and all its upstreams are left out.
         """
+        upstreams = [serving.upstream for serving in candidates]
         suspects = Counter(
             upstream.data_centre
-            for upstream, _ in upstreams
+            for upstream in upstreams
             if self._loads.load(upstream.upstream_id).is_suspect(at)
         )
-        total = Counter(upstream.data_centre for upstream, _ in upstreams)
+        total = Counter(upstream.data_centre for upstream in upstreams)
         unreachable = {
             data_centre
             for data_centre, count in suspects.items()
@@ -196,10 +203,10 @@
             and data_centre != self._data_centre
         }
         return [
-            (upstream, group)
-            for upstream, group in upstreams
-            if upstream.data_centre not in unreachable
-            and not self._loads.load(upstream.upstream_id).is_suspect(at)
+            serving
+            for serving in candidates
+            if serving.upstream.data_centre not in unreachable
+            and not self._loads.load(serving.upstream.upstream_id).is_suspect(at)
         ]
 
     def accepts_requests(self, upstream: Upstream, at: float) -> bool:
@@ -213,24 +220,6 @@
         if rate_limit is not None:
             rate_limit.count(at)
 
-    def _serving_upstreams(
-        self, service: Service, model: ModelId | None
-    ) -> Iterator[tuple[Upstream, Group | None]]:
-        view = self._cluster_state.view
-        if service.engine is None:
-            for upstream in view.upstreams_by_id.values():
-                if upstream.service == service.service:
-                    yield upstream, None
-            return
-        for group in view.serving_groups(service.service):
-            head = group.head
-            if head is None:
-                continue
-            if model is not None and head.loaded != model:
-                continue
-            if self._cluster_state.has_all_members(group, _loaded_spec(service.engine, head).size):
-                yield head, group
-
     def _is_eligible(self, upstream: Upstream) -> bool:
         evacuated = self._cluster_state.evacuations.data_centres
         return not upstream.draining and upstream.data_centre not in evacuated
@@ -249,22 +238,20 @@
         senders = choose_senders(self._cluster_state.peers, upstream.upstream_id, count)
         return self._instance in senders and rate_limit.is_unused(at)
 
-    def _score(
-        self, upstream: Upstream, group: Group | None, service: Service, at: float
-    ) -> _Candidate:
+    def _score(self, serving: ServingUpstream, service: Service, at: float) -> _Candidate:
+        upstream, spec = serving.upstream, serving.spec
         load = self._loads.load(upstream.upstream_id)
         estimate = load.estimate(at)
         distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
         jitter = self._rng.random() * 0.1
         health = FAILURE_WEIGHT * load.failure_share
-        if service.engine is None or group is None:
+        if service.engine is None or spec is None:
             slots = max(1, upstream.slots)
             wait = max(0.0, estimate + 1 - slots) * load.latency / slots
             score = (estimate + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
             return _Candidate(upstream, score + jitter, wait)
-        spec = _loaded_spec(service.engine, upstream)
         wait = queue_wait(service.engine, spec.pace, estimate)
-        missing = 0.0 if group.is_complete(spec.size) else INCOMPLETE_GROUP_PENALTY
+        missing = 0.0 if serving.is_complete else INCOMPLETE_GROUP_PENALTY
         score = (estimate + 1) * spec.pace / service.engine.slots * 4 + distance + health + missing
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return _Candidate(upstream, score + jitter, wait, max_event_gap)
@@ -294,10 +281,9 @@
     return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
 
 
-def _loaded_spec(engine: EngineSpec, head: Upstream) -> ModelSpec:
-    """Return the model loaded on a group's head; an undeclared model has a group size of one."""
-    model = head.loaded or ModelId("")
-    return engine.models_by_id.get(model) or ModelSpec(model, size=1)
+def _serves_model(serving: ServingUpstream, model: ModelId | None) -> bool:
+    """Return whether an upstream serves a model; any one does if the request names none."""
+    return serving.group is None or model is None or serving.upstream.loaded == model
 
 
 def queue_wait(engine: EngineSpec, pace: float, estimate: float) -> float:
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -148,9 +148,7 @@
 def _most_common_model(domain: FabricDomainId, planning_round: PlanningRound) -> ModelId | None:
     """Return the model whose weights most hosts of a domain have."""
     host_counts = Counter(
-        host.staged[-1]
-        for host in planning_round.hosts()
-        if host.fabric_domain == domain and host.staged
+        host.staged[-1] for host in planning_round.hosts_of(domain) if host.staged
     )
     return next((model for model, _ in host_counts.most_common(1)), None)
 
@@ -190,7 +188,7 @@
     }
     models = (
         model_by_id.get(host.upstream_id, host.loaded)
-        for host in planning_round.hosts()
-        if host.fabric_domain == domain and host.upstream_id in planning_round.reserved_ids
+        for host in planning_round.hosts_of(domain)
+        if host.upstream_id in planning_round.reserved_ids
     )
     return Counter(model for model in models if model is not None)
--- a/src/cactuspass/fleet/_upstreams.py
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from itertools import groupby
 from typing import NewType
 
 from cactuspass.models import DataCentreId, FabricDomainId, GroupId, ModelId, ServiceId
@@ -141,23 +140,22 @@
         )
 
 
-def _group_order(upstream: Upstream) -> tuple[str, int, int]:
-    membership = upstream.membership
-    assert membership is not None
-    return membership.key.group_id, membership.key.epoch, membership.rank
+def _group_order(key: GroupKey) -> tuple[str, int]:
+    return key.group_id, key.epoch
 
 
 def find_groups(upstreams: Iterable[Upstream]) -> dict[GroupKey, Group]:
     """Return the groups that upstreams report, including incomplete ones."""
-    members = sorted((u for u in upstreams if u.membership is not None), key=_group_order)
     groups_by_key: dict[GroupKey, Group] = {}
-    for (group_id, epoch, _), same in groupby(members, _group_order):
-        for upstream in same:
-            key = GroupKey(GroupId(group_id), epoch)
-            group = groups_by_key.setdefault(key, Group(key, upstream.service))
-            assert upstream.membership is not None
-            group.members_by_rank[upstream.membership.rank] = upstream
-    return groups_by_key
+    for upstream in upstreams:
+        membership = upstream.membership
+        if membership is None:
+            continue
+        group = groups_by_key.get(membership.key)
+        if group is None:
+            group = groups_by_key[membership.key] = Group(membership.key, upstream.service)
+        group.members_by_rank[membership.rank] = upstream
+    return {key: groups_by_key[key] for key in sorted(groups_by_key, key=_group_order)}
 
 
 @dataclass(frozen=True, slots=True)
