--- a/tests/test_quiet_by_answer.py
+++ b/tests/test_quiet_by_answer.py
@@ -126,7 +126,7 @@
         self.addCleanup(released.set)
         for _ in range(2):
             self.assertEqual((await case.serve()).status, 503)
-        await asyncio.sleep(FIRST_REJECTION_BACKOFF_SECONDS)
+        self.at += FIRST_REJECTION_BACKOFF_SECONDS
         trial = asyncio.create_task(case.serve())
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await reached.wait()
@@ -177,7 +177,7 @@
         await case.serve()
         self.assertEqual((await case.serve()).status, 503)
         self.assertEqual(self.arrivals(), [1])
-        await asyncio.sleep(FIRST_REJECTION_BACKOFF_SECONDS)
+        self.at += FIRST_REJECTION_BACKOFF_SECONDS
         self.assertEqual((await case.serve()).status, 200)
         [line] = [line for line in case.handler.lines if '"upstream-rejects"' in line]
         self.assertIn('"request": "q1"', line)
