Stage added hosts for the model whose set they complete

Cause: an empty host loaded the model with the fewest spares, unless exactly one host was missing for a group. Change: if a set with too few groups lacks no more hosts than are empty in its domain, they load its model. Test: tests.test_fleet_planner, test_empty_hosts_complete_a_large_set_together, which failed before.

--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -72,10 +72,14 @@
     """Yield a load for each free host without weights."""
     prepared_counts = _count_prepared(hosts, planning_round)
     member_counts = _count_reserved_hosts(domain, planning_round)
-    for host in hosts:
-        if host.staged or planning_round.memory.load_schedule.is_loading(host.upstream_id):
-            continue
-        spec = _choose_model_to_stage(member_counts, prepared_counts, planning_round)
+    empty_hosts = [
+        host
+        for host in hosts
+        if not host.staged and not planning_round.memory.load_schedule.is_loading(host.upstream_id)
+    ]
+    for index, host in enumerate(empty_hosts):
+        left = len(empty_hosts) - index
+        spec = _choose_model_to_stage(member_counts, prepared_counts, left, planning_round)
         prepared_counts[spec.model] += 1
         completes = prepared_counts[spec.model] % spec.size == 0
         yield _PlannedLoad(
@@ -156,22 +160,28 @@
 def _choose_model_to_stage(
     member_counts: Counter[ModelId],
     prepared_counts: Counter[ModelId],
+    empty_count: int,
     planning_round: PlanningRound,
 ) -> ModelSpec:
     """Return the model whose weights a free host of a domain should load.
 
-    A model that lacks only one host for a group comes first. Otherwise, it is the model with the
-    fewest prepared hosts relative to its members, so that a lost member can be replaced.
+    A model that lacks only one host for a group comes first, and then one with too few groups whose
+    set lacks no more hosts than are empty. Otherwise, it is the model with the fewest prepared
+    hosts relative to its members, so that a lost member can be replaced.
 
     :param member_counts: number of members of the domain's groups for each model.
     :param prepared_counts: number of free hosts that have or are loading each model's weights.
+    :param empty_count: number of free hosts of the domain without weights.
     """
 
     def rank(spec: ModelSpec) -> tuple[float, float]:
         count = prepared_counts[spec.model]
         missing = -count % spec.size
+        supply_ratio = planning_round.supply_ratio(spec)
         if count and missing == 1:
-            return (-1.0, planning_round.supply_ratio(spec))
+            return (-2.0, supply_ratio)
+        if count and 0 < missing <= empty_count and supply_ratio < 1:
+            return (-1.0, supply_ratio)
         return (0.0, (count + 0.5) / (member_counts[spec.model] + 0.5))
 
     return min(planning_round.planner_input.engine.models_by_id.values(), key=rank)
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -292,6 +292,13 @@
         [stage] = world.orders(Stage)
         self.assertEqual(stage.order.model, LARGE)
 
+    # Guards against stranding the survivors of a large group while added hosts become spares.
+    def test_empty_hosts_complete_a_large_set_together(self) -> None:
+        world = EngineWorld([*hosts(2, staged=LARGE), host("x"), host("y")])
+        world.run(18.5)
+        self.assertEqual([a.order.model for a in world.orders(Stage)], [LARGE, LARGE])
+        self.assertEqual(len(world.serving(LARGE)), 1)
+
     def test_hosts_of_incomplete_sets_load_the_model_with_too_few_groups(self) -> None:
         world = EngineWorld([*hosts(2, staged=SMALL), host("x", staged=LARGE)])
         world.run(14.0)
