Keep the feed's state younger than 1.2 s on each step, and pass reads on at once

Change: a source stops at 1.2 s and says so at that moment, a follower waits no longer than that; reads of the operators' documents are passed on when they are made, so that ages hardly grow from step to step; a source that only lacks recent state is tried again after 0.3 s. Tests: tests.test_fleet_feed (leaves a source before its state is too old; failed with 2.0 s).

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -95,6 +95,15 @@
         )
         return True
 
+    def record_operators_read(self, at: float) -> None:
+        """Record that the operators' documents are known as they were at a clock value.
+
+        Followers are told at once, so that ages hardly grow from source to source.
+        """
+        if at > self.operators_read_at:
+            self.operators_read_at = at
+            self._notify_change()
+
     def accept_evacuations(self, evacuations: Evacuations) -> None:
         """Set the evacuated data centres, whose upstreams get no new requests."""
         if evacuations == self.evacuations:
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -10,13 +10,14 @@
 from dataclasses import replace
 
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.exceptions import WebSocketException
+from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from cactuspass._clock import now
 from cactuspass.exceptions import CactuspassError, DocumentError
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import FeedUpdate, decode_feed_update
+from cactuspass.fleet._feed_source import MAX_STORE_AGE_SECONDS, NOT_CURRENT_CODE
 from cactuspass.fleet._peers import (
     STORE_READERS,
     Peer,
@@ -32,10 +33,14 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 RESPONSE_TIMEOUT_SECONDS = 0.8
 FAILED_SOURCE_PAUSE_SECONDS = 3.0  # time before a source that has failed is tried again
+OUTDATED_SOURCE_PAUSE_SECONDS = 0.3  # the same for one that has no recent state for the moment
+CLOSE_MARGIN_SECONDS = 0.2  # time for a source whose state is too old to say so itself
 SOURCE_CHECK_SECONDS = 0.25
 STARTUP_WAIT_SECONDS = 1.5  # time to find a source before the store is read instead
-READ_FAILED_AGE_SECONDS = 1.4  # older documents mean that this instance's own reads fail
+READ_FAILED_AGE_SECONDS = 1.1  # older documents mean that this instance's own reads fail
 FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
+LOG_PAUSE_SECONDS = 3.0  # between two lines on failures of one source
+NEVER = float("-inf")
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
@@ -72,6 +77,7 @@
         self._on_change = on_change
         self._on_leaving = on_leaving or cluster_state.mark_leaving
         self._avoided_until_by_id: dict[EntryId, float] = {}
+        self._failure_logged_at_by_id: dict[EntryId, float] = {}
         self._active_until = float("-inf")
         self._startup_until = float("-inf")
         self._own_reads_failed_until = float("-inf")
@@ -114,14 +120,26 @@
         except FeedUpdateIncomplete:
             return  # The next step connects again and gets a complete update.
         except FEED_ERRORS as error:
-            self._avoided_until_by_id[source.instance] = now() + FAILED_SOURCE_PAUSE_SECONDS
-            if self._choose_source() is None:
-                self._active_until = float("-inf")
-            self._log.lifecycle(
-                "dependency-lost",
-                dependency=f"feed from {source.instance}",
-                reason=str(error) or type(error).__name__,
-            )
+            self._avoid(source, error)
+
+    def _avoid(self, source: Peer, error: Exception) -> None:
+        """Try other sources first for a while, and log the failure unless that is just done."""
+        at = now()
+        is_outdated = isinstance(error, ConnectionClosed) and (
+            error.rcvd is not None and error.rcvd.code == NOT_CURRENT_CODE
+        )
+        pause = OUTDATED_SOURCE_PAUSE_SECONDS if is_outdated else FAILED_SOURCE_PAUSE_SECONDS
+        self._avoided_until_by_id[source.instance] = at + pause
+        if self._choose_source() is None:
+            self._active_until = float("-inf")
+        if at - self._failure_logged_at_by_id.get(source.instance, NEVER) < LOG_PAUSE_SECONDS:
+            return
+        self._failure_logged_at_by_id[source.instance] = at
+        self._log.lifecycle(
+            "dependency-lost",
+            dependency=f"feed from {source.instance}",
+            reason=str(error) or type(error).__name__,
+        )
 
     def _choose_source(self) -> Peer | None:
         """Return the preferred source that has not failed recently.
@@ -199,12 +217,22 @@
 
     async def _request_update(self, connection: ClientConnection) -> None:
         requested_at = now()
-        async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
+        async with asyncio.timeout(self._response_timeout()):
             await connection.send(UPDATE_REQUEST)
             data = await connection.recv(decode=False)
         self._accept(decode_feed_update(data), requested_at)
         self._active_until = now() + RESPONSE_TIMEOUT_SECONDS
 
+    def _response_timeout(self) -> float:
+        """Return how long to wait for an update, less once this instance's state gets too old."""
+        left = max(0.0, MAX_STORE_AGE_SECONDS - self._cluster_state.operators_age())
+        is_first = self._cluster_state.operators_read_at == NEVER
+        return (
+            RESPONSE_TIMEOUT_SECONDS
+            if is_first
+            else min(RESPONSE_TIMEOUT_SECONDS, left + CLOSE_MARGIN_SECONDS)
+        )
+
     def _accept(self, update: FeedUpdate, requested_at: float) -> None:
         """Apply an update to the state of this instance.
 
@@ -220,8 +248,7 @@
             cluster_state.accept_peers(update.peers)
         for lifetime in update.leaving:
             self._on_leaving(lifetime)
-        operators_read_at = written_at - update.operators_age
-        cluster_state.operators_read_at = max(cluster_state.operators_read_at, operators_read_at)
+        cluster_state.record_operators_read(written_at - update.operators_age)
         cluster_state.upstreams_read_at = max(
             cluster_state.upstreams_read_at, written_at - update.upstreams_age
         )
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -18,7 +18,9 @@
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 
 MAX_HOLD_SECONDS = 0.4  # longest wait for a change before an update is sent
-MAX_STORE_AGE_SECONDS = 2.0  # beyond this age of its own state, a source sends no updates
+# Beyond this age of its own state, a source sends no updates. Changes of the operators must be in
+# force within seconds, also when a follower has to find another source first.
+MAX_STORE_AGE_SECONDS = 1.2
 MAX_REQUEST_BYTES = 64
 NOT_CURRENT_CODE = 4000  # WebSocket close code
 
@@ -129,7 +131,7 @@
             async for _ in connection:
                 received_at = now()
                 if not is_first:
-                    await self._cluster_state.wait_for_change(MAX_HOLD_SECONDS)
+                    await self._cluster_state.wait_for_change(self._hold_seconds())
                 if self._cluster_state.operators_age() >= MAX_STORE_AGE_SECONDS:
                     await connection.close(NOT_CURRENT_CODE, "has no recent state of the store")
                     return
@@ -138,6 +140,11 @@
         except ConnectionClosed as error:
             self._log.state_change("follower-gone", peer=_peer_host(connection), reason=error)
 
+    def _hold_seconds(self) -> float:
+        """Return how long to wait for a change, at most until the state is too old to be sent."""
+        left = MAX_STORE_AGE_SECONDS - self._cluster_state.operators_age()
+        return max(0.0, min(MAX_HOLD_SECONDS, left))
+
 
 def _peer_host(connection: ServerConnection) -> Any:
     address = connection.remote_address
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -115,7 +115,7 @@
         if documents.catalog is not None:
             self._cluster_state.accept_catalog(documents.catalog)
         if not documents.findings:
-            self._cluster_state.operators_read_at = began
+            self._cluster_state.record_operators_read(began)
         self._cluster_state.accept_evacuations(documents.evacuations)
 
 
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -11,7 +11,7 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import DocumentError
-from cactuspass.fleet import _feed_follower
+from cactuspass.fleet import _feed_follower, _feed_source
 from cactuspass.fleet._catalog import Catalog, Evacuations, Service
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._feed_follower import FeedFollower
@@ -25,6 +25,8 @@
 HERE = DataCentreId("here")
 THERE = DataCentreId("there")
 GIVE_UP_SECONDS = 20.0
+MAX_PROPAGATION_SECONDS = 2.0  # for changes of the operators, in the smallest deployments
+SAFETY_SECONDS = 0.3  # for the change to another source
 
 
 def peers(count: int, data_centre: DataCentreId = HERE) -> list[Peer]:
@@ -218,6 +220,31 @@
         self.source_state.accept_upstreams([host("a")], 5)
         await self.eventually(lambda: self.cluster_state.view.upstreams_by_id)
 
+    # Guards against callers being served by an old catalog: two instances that had both lost the
+    # store kept following each other until their state was 2 s old.
+    async def test_follower_leaves_a_source_before_its_state_is_too_old(self) -> None:
+        await self.wait_for_feed(active=True)
+        self.source_is_current = False
+        read_at = self.source_state.operators_read_at
+        await self.wait_for_feed(active=False)
+        self.assertLess(now() - read_at, MAX_PROPAGATION_SECONDS - SAFETY_SECONDS)
+
+    async def test_reads_of_the_source_reach_the_follower_at_once(self) -> None:
+        await self.wait_for_feed(active=True)
+        read_at = now()
+        self.source_state.record_operators_read(read_at)
+        await self.eventually(lambda: self.cluster_state.operators_read_at > read_at - 0.05)
+        self.assertLess(now() - read_at, _feed_source.MAX_HOLD_SECONDS)
+
+    async def test_outdated_source_is_tried_again_soon(self) -> None:
+        await self.wait_for_feed(active=True)
+        self.source_is_current = False
+        await self.wait_for_feed(active=False)
+        self.source_is_current = True
+        began = now()
+        await self.wait_for_feed(active=True)
+        self.assertLess(now() - began, _feed_follower.FAILED_SOURCE_PAUSE_SECONDS)
+
     async def test_a_leader_reads_the_store_itself(self) -> None:
         await self.wait_for_feed(active=True)
         self.is_leader = True
