Choose among a sample of upstreams, and rather one with an open connection

Change: of more than 12 upstreams, 12 at random and the six chosen last are weighed; all of them if none of these takes the request. An upstream without an idle connection counts as a little busier, by less than one request. The upstreams of a model are indexed for each view.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -26,7 +26,7 @@
     UpstreamId,
     UpstreamView,
 )
-from cactuspass.models import ServiceId
+from cactuspass.models import ModelId, ServiceId
 
 NEVER = float("-inf")
 INSTANCE_GRACE_SECONDS = 4.0  # two lease periods: one to expire, one to register again
@@ -72,7 +72,7 @@
         self._recent_counts: deque[tuple[float, int]] = deque()
         self.peers: tuple[Peer, ...] = ()
         self.revision = 0
-        self._serving_by_service: dict[ServiceId, list[ServingUpstream]] = {}
+        self._serving_by_model: dict[tuple[ServiceId, ModelId | None], list[ServingUpstream]] = {}
         self._serving_view: UpstreamView | None = None
         self._serving_catalog: CatalogIndex | None = None
         self._changed = asyncio.Event()
@@ -196,26 +196,31 @@
         current = self.view.upstreams_by_id.get(upstream.upstream_id)
         return current is not None and current.lifetime == upstream.lifetime and current.draining
 
-    def serving_upstreams(self, service: Service) -> list[ServingUpstream]:
-        """Return the upstreams of a service that accept requests, for groups their heads.
+    def serving_upstreams(self, service: Service, model: ModelId | None) -> list[ServingUpstream]:
+        """Return the upstreams that accept requests for a model, for groups their heads.
 
         They are found once for each view and catalog.
+
+        :param model: None for all models; it has no meaning for a service without engines.
         """
         if self._serving_view is not self.view or self._serving_catalog is not self.catalog_index:
             self._serving_view, self._serving_catalog = self.view, self.catalog_index
-            self._serving_by_service.clear()
-        found = self._serving_by_service.get(service.service)
+            self._serving_by_model.clear()
+        key = (service.service, model if service.engine is not None else None)
+        found = self._serving_by_model.get(key)
         if found is None:
-            found = self._serving_by_service[service.service] = self._find_serving(service)
+            found = self._serving_by_model[key] = self._find_serving(service, key[1])
         return found
 
-    def _find_serving(self, service: Service) -> list[ServingUpstream]:
+    def _find_serving(self, service: Service, model: ModelId | None) -> list[ServingUpstream]:
         if service.engine is None:
             upstreams = self.view.upstreams_by_id.values()
             return [ServingUpstream(u) for u in upstreams if u.service == service.service]
         found = []
         for group in self.view.serving_groups(service.service):
             assert group.head is not None
+            if model is not None and group.head.loaded != model:
+                continue
             spec = service.engine.model_spec(group.head.loaded)
             if self.has_all_members(group, spec.size):
                 is_complete = group.is_complete(spec.size)
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -101,6 +101,7 @@
             bounds.cold_factor,
             bounds.cold_slack,
             entry_id,
+            pool.has_idle,
         )
         self._notices = UpstreamNotices(
             self.cluster_state,
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -92,6 +92,10 @@
         )
         return PooledExchange(self, idle, address, connection, exchange)
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether an open connection to an address waits for a request."""
+        return any(connection.is_available for connection in self._idle_by_address.get(address, ()))
+
     def _take_idle(self, idle: list[Connection], max_idle: float | None) -> Connection | None:
         now = asyncio.get_running_loop().time()
         while idle:
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -1,8 +1,8 @@
 """Chooses the upstream for a request, or gives the reason why no upstream can take it."""
 
 import random
-from collections import Counter
-from collections.abc import Collection, Mapping
+from collections import Counter, deque
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +16,11 @@
 from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
+# Below the weight of one request, so that connections to few upstreams are used again and again,
+# but not those to busier ones.
+NEW_CONNECTION_PENALTY = 0.12
+SAMPLE_SIZE = 12  # of more upstreams than this, a random choice is weighed
+RECENT_UPSTREAMS = 6
 INCOMPLETE_GROUP_PENALTY = 3.0
 FAILURE_WEIGHT = 6.0
 COLD_FACTOR_DEFAULT = 1.5
@@ -103,6 +108,11 @@
     max_event_gap: float | None = None
 
 
+def always_connected(address: str) -> bool:
+    """Return True; the default, with which connections play no part."""
+    return True
+
+
 class Selector:
     """Chooses upstreams by estimated load, distance and health.
 
@@ -110,6 +120,7 @@
     :param cold_factor: factor applied to the declared request rate of a cold upstream.
     :param cold_slack: requests per second added to that rate.
     :param instance: id of this instance.
+    :param is_connected: whether an idle connection to an address is open.
     """
 
     def __init__(
@@ -121,14 +132,17 @@
         cold_factor: float = COLD_FACTOR_DEFAULT,
         cold_slack: float = COLD_SLACK_DEFAULT,
         instance: EntryId | None = None,
+        is_connected: Callable[[str], bool] = always_connected,
     ) -> None:
         self._instance = instance
+        self._is_connected = is_connected
         self._cluster_state = cluster_state
         self._loads = loads
         self._data_centre = data_centre
         self._rng = rng
         self._cold_factor = cold_factor
         self._cold_slack = cold_slack
+        self._recent_ids_by_service: dict[ServiceId, deque[UpstreamId]] = {}
         self._cold_by_id: dict[UpstreamId, ColdRateLimit] = {}
         self.backoff = BackoffTable()
 
@@ -141,23 +155,57 @@
         service = index.catalog.services_by_id.get(request.service) if index else None
         if service is None:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 1.0)
+        serving = self._cluster_state.serving_upstreams(service, request.model)
+        if len(serving) > SAMPLE_SIZE:
+            found = self._choose_among(self._sample(serving, service), request, service, at)
+            if isinstance(found, Selection):
+                self._remember(service, found.upstream)
+                return found
+        return self._choose_among(serving, request, service, at, accepts_suspects=True)
+
+    def _sample(self, serving: list[ServingUpstream], service: Service) -> list[ServingUpstream]:
+        """Return a few upstreams at random, and those that were chosen last.
+
+        The time for a choice does not grow with the number of upstreams, and instances whose load
+        reports are outdated do not all choose the same one.
+        """
+        recent_ids = self._recent_ids_by_service.get(service.service, ())
+        recent = [s for s in serving if s.upstream.upstream_id in recent_ids]
+        return self._rng.sample(serving, SAMPLE_SIZE) + recent
+
+    def _remember(self, service: Service, upstream: Upstream) -> None:
+        recent_ids = self._recent_ids_by_service.setdefault(
+            service.service, deque(maxlen=RECENT_UPSTREAMS)
+        )
+        if upstream.upstream_id not in recent_ids:
+            recent_ids.append(upstream.upstream_id)
+
+    def _choose_among(
+        self,
+        serving: list[ServingUpstream],
+        request: SelectionRequest,
+        service: Service,
+        at: float,
+        accepts_suspects: bool = False,
+    ) -> Selection | NoUpstream:
+        """Return the best of some upstreams that serve the model, or why none can be chosen.
+
+        :param accepts_suspects: whether a suspect may be chosen when all others are suspects.
+        """
         eligible = [
-            serving
-            for serving in self._cluster_state.serving_upstreams(service)
-            if _serves_model(serving, request.model)
-            and self._is_eligible(serving.upstream)
-            and request.allows(serving.upstream.upstream_id)
+            s
+            for s in serving
+            if self._is_eligible(s.upstream) and request.allows(s.upstream.upstream_id)
         ]
         backoff_by_id = {
-            serving.upstream.upstream_id: self.backoff.delay(serving.upstream.lifetime, at)
-            for serving in eligible
+            s.upstream.upstream_id: self.backoff.delay(s.upstream.lifetime, at) for s in eligible
         }
         backoff_remaining = min(filter(None, backoff_by_id.values()), default=NO_BACKOFF_SECONDS)
         available = [
-            serving
-            for serving in eligible
-            if not backoff_by_id[serving.upstream.upstream_id]
-            and serving.upstream.upstream_id not in request.full
+            s
+            for s in eligible
+            if not backoff_by_id[s.upstream.upstream_id]
+            and s.upstream.upstream_id not in request.full
         ]
         if not available:
             return _no_upstream(backoff_by_id, backoff_remaining)
@@ -171,7 +219,9 @@
                 backoff_remaining=backoff_remaining,
             )
         healthy = self._without_suspects(warm, at)
-        candidates = [self._score(serving, service, at) for serving in healthy or warm]
+        if not healthy and not accepts_suspects:
+            return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
+        candidates = [self._score(s, service, at) for s in healthy or warm]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > request.max_wait:
             retry_after = min(max(0.2, best.wait - request.max_wait), backoff_remaining)
@@ -243,18 +293,20 @@
         load = self._loads.load(upstream.upstream_id)
         estimate = load.estimate(at)
         distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
-        jitter = self._rng.random() * 0.1
+        tie_break = self._rng.random() * 0.1
+        if not self._is_connected(upstream.address):
+            tie_break += NEW_CONNECTION_PENALTY
         health = FAILURE_WEIGHT * load.failure_share
         if service.engine is None or spec is None:
             slots = max(1, upstream.slots)
             wait = max(0.0, estimate + 1 - slots) * load.latency / slots
             score = (estimate + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
-            return _Candidate(upstream, score + jitter, wait)
+            return _Candidate(upstream, score + tie_break, wait)
         wait = queue_wait(service.engine, spec.pace, estimate)
         missing = 0.0 if serving.is_complete else INCOMPLETE_GROUP_PENALTY
         score = (estimate + 1) * spec.pace / service.engine.slots * 4 + distance + health + missing
         max_event_gap = service.engine.max_event_gap(spec.pace)
-        return _Candidate(upstream, score + jitter, wait, max_event_gap)
+        return _Candidate(upstream, score + tie_break, wait, max_event_gap)
 
 
 def _no_upstream(backoff_by_id: Mapping[UpstreamId, float], backoff_remaining: float) -> NoUpstream:
@@ -281,11 +333,6 @@
     return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
 
 
-def _serves_model(serving: ServingUpstream, model: ModelId | None) -> bool:
-    """Return whether an upstream serves a model; any one does if the request names none."""
-    return serving.group is None or model is None or serving.upstream.loaded == model
-
-
 def queue_wait(engine: EngineSpec, pace: float, estimate: float) -> float:
     """Return the estimated seconds until a group starts one more request.
 
