Let a model with enough groups give up hosts that complete one of another model

Change: if a model has at most half of its groups, and a domain lacks at most half of the members of one, a group there of a model that has enough without it is closed gracefully; as many of its hosts as are missing load the other model, the rest are free. One at a time, after the need has lasted 1.5 s. Tests: tests.test_fleet_planner.RebalancingTest; test_group_of_the_other_model_gives_up_hosts failed before.

--- a/src/cactuspass/fleet/_forming.py
+++ b/src/cactuspass/fleet/_forming.py
@@ -86,7 +86,9 @@
     model_by_domain = (
         allocate_models(planning_round) if planning_round.planner_input.before_traffic else {}
     )
-    for domain, hosts in sorted(planning_round.free_hosts_by_domain().items()):
+    transfers_by_id = planning_round.memory.transfers_by_id
+    for domain, free_hosts in sorted(planning_round.free_hosts_by_domain().items()):
+        hosts = [host for host in free_hosts if host.upstream_id not in transfers_by_id]
         own_model = model_by_domain.get(domain)
         while (chosen := _choose_model(hosts, own_model, planning_round)) is not None:
             spec, members = chosen
--- a/src/cactuspass/fleet/_group_maintenance.py
+++ b/src/cactuspass/fleet/_group_maintenance.py
@@ -89,6 +89,9 @@
     slow = next(filter(planning_round.is_slow, group.members), None)
     if slow is not None:
         return f"member {slow.upstream_id} is slow", False
+    for transfer in planning_round.memory.transfers_by_id.values():
+        if transfer.source == group.key:
+            return f"{transfer.model} needs its hosts", False
     return None, False
 
 
--- a/src/cactuspass/fleet/_planner_memory.py
+++ b/src/cactuspass/fleet/_planner_memory.py
@@ -63,6 +63,20 @@
     missing_since: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostTransfer:
+    """A host that leaves its group to serve another model.
+
+    :param source: the group, which is closed for this.
+    :param model: model whose weights the host is to load.
+    :param expires_at: clock value after which the transfer is abandoned.
+    """
+
+    source: GroupKey
+    model: ModelId
+    expires_at: float
+
+
 @dataclass(slots=True)
 class PlannerMemory:
     """State that the planner keeps between planning rounds.
@@ -77,6 +91,8 @@
     :param last_sent_at: clock values at which orders were last sent, by target and order.
     :param unreachable_until_by_id: clock values until which upstreams count as unreachable since an
         order did not reach them.
+    :param transfers_by_id: hosts that are to load another model than their group's.
+    :param transfer_needed_since: clock value since when a transfer is needed; None while none is.
     :param last_epoch: epoch of the last group that this planner has formed.
     :param abandoned_formations: formations that no caller has fetched yet.
     """
@@ -94,6 +110,8 @@
     release_started_at: dict[tuple[UpstreamId, GroupKey], float] = field(default_factory=dict)
     last_sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until_by_id: dict[UpstreamId, float] = field(default_factory=dict)
+    transfers_by_id: dict[UpstreamId, HostTransfer] = field(default_factory=dict)
+    transfer_needed_since: float | None = None
     last_epoch: int = 0
     abandoned_formations: list[AbandonedFormation] = field(default_factory=list)
 
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -36,7 +36,10 @@
     Loads in evacuated data centres come last.
     """
     loads: list[_PlannedLoad] = []
-    for domain, hosts in sorted(planning_round.free_hosts_by_domain().items()):
+    transfers_by_id = planning_round.memory.transfers_by_id
+    for domain, free_hosts in sorted(planning_round.free_hosts_by_domain().items()):
+        hosts = [host for host in free_hosts if host.upstream_id not in transfers_by_id]
+        loads += _loads_for_transfers(free_hosts, planning_round)
         loads_for_empty = list(_loads_for_empty(domain, hosts, planning_round))
         loads += loads_for_empty
         loads += _loads_for_incomplete_sets(hosts, loads_for_empty, planning_round)
@@ -66,6 +69,20 @@
     return planner_input.before_traffic or host.upstream_id in planner_input.reachable_ids
 
 
+def _loads_for_transfers(
+    hosts: list[Upstream], planning_round: PlanningRound
+) -> Iterator[_PlannedLoad]:
+    """Yield the loads of hosts that have left their group to serve another model."""
+    memory = planning_round.memory
+    for host in hosts:
+        transfer = memory.transfers_by_id.get(host.upstream_id)
+        if transfer is None or memory.load_schedule.is_loading(host.upstream_id):
+            continue
+        spec = planning_round.planner_input.engine.models_by_id[transfer.model]
+        supply_ratio = planning_round.supply_ratio(spec)
+        yield _PlannedLoad(host, spec, True, supply_ratio, f"{spec.model} needs one more host")
+
+
 def _loads_for_empty(
     domain: FabricDomainId, hosts: list[Upstream], planning_round: PlanningRound
 ) -> Iterator[_PlannedLoad]:
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -10,8 +10,8 @@
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._planner_memory import PlannerMemory
 from cactuspass.fleet._planning_round import PlanningRound
-from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState
-from cactuspass.models import DataCentreId, GroupId
+from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, UpstreamId
+from cactuspass.models import DataCentreId, FabricDomainId, GroupId
 from tests.fleet_world import LARGE, SERVICE, SMALL, EngineWorld, host, hosts
 
 
@@ -328,6 +328,43 @@
         self.assertLessEqual(len(world.orders(Stage)), 12)
 
 
+class RebalancingTest(unittest.TestCase):
+    """The large model lost its only group, while the small one has more than it needs."""
+
+    def setUp(self) -> None:
+        self.world = EngineWorld([*hosts(3, staged=LARGE), *hosts(9, "d0-s", staged=SMALL)])
+        for upstream in list(self.world.upstreams_by_id.values()):
+            self.world.add(replace(upstream, fabric_domain=FabricDomainId("d0")))
+
+    # Guards against stranding all other members of a large group that has lost one of them.
+    def test_group_of_the_other_model_gives_up_hosts(self) -> None:
+        self.world.run(25.0)
+        self.assertEqual(len(self.world.serving(LARGE)), 1)
+        self.assertEqual(len(self.world.serving(SMALL)), 2)
+        self.assertEqual({a.order.model for a in self.world.orders(Stage)}, {LARGE})
+        self.assertEqual(len(self.world.orders(Close)), 1)
+
+    def test_other_model_keeps_what_it_needs(self) -> None:
+        for number in range(6, 9):
+            self.world.remove(UpstreamId(f"d0-s-{number}"))
+        self.world.run(25.0)
+        self.assertEqual(len(self.world.serving(SMALL)), 2)
+        self.assertEqual(self.world.orders(Close), [])
+
+    def test_set_that_lacks_most_of_its_hosts_takes_none(self) -> None:
+        for number in range(2):
+            self.world.remove(UpstreamId(f"d0-{number}"))
+        self.world.run(5.0)
+        self.assertEqual(self.world.orders(Close), [])
+
+    def test_transfer_is_abandoned_when_its_host_is_lost(self) -> None:
+        self.world.run(4.0)
+        [transfer_id] = self.world.planner._memory.transfers_by_id
+        self.world.remove(transfer_id)
+        self.world.run(2.0)
+        self.assertNotIn(transfer_id, self.world.planner._memory.transfers_by_id)
+
+
 class ReleasedOneByOneTest(unittest.TestCase):
     """Survivors of a broken group answer the order to leave one after the other."""
 
