Keep a large set together for a while when it lacks few hosts

Cause: 12 of the 15 members left of a group of 16 were ordered to load the other model within half a second of each other, four at a time, since that model had a little less of its target. Change: a set waits up to 12 s for the hosts that it lacks, if they are at most a quarter of those that it would give up and its model has too few groups; others, such as 3 of 4, are used as before. Test: tests.test_fleet_planner, test_large_set_that_lacks_one_host_is_kept_for_a_while.

--- a/src/cactuspass/fleet/_planner_memory.py
+++ b/src/cactuspass/fleet/_planner_memory.py
@@ -9,7 +9,7 @@
 from cactuspass.fleet._orders import OrderOutcome
 from cactuspass.fleet._upstreams import GroupKey, Upstream, UpstreamId
 from cactuspass.fleet._weight_loading import LoadSchedule
-from cactuspass.models import ModelId
+from cactuspass.models import FabricDomainId, ModelId
 
 K = TypeVar("K")
 
@@ -92,6 +92,8 @@
     :param unreachable_until_by_id: clock values until which upstreams count as unreachable since an
         order did not reach them.
     :param transfers_by_id: hosts that are to load another model than their group's.
+    :param kept_sets: clock values of the first and the last round in which the incomplete set of a
+        domain and model was kept together.
     :param transfer_needed_since: clock value since when a transfer is needed; None while none is.
     :param last_epoch: epoch of the last group that this planner has formed.
     :param abandoned_formations: formations that no caller has fetched yet.
@@ -111,6 +113,9 @@
     last_sent_at: dict[tuple[UpstreamId, str], float] = field(default_factory=dict)
     unreachable_until_by_id: dict[UpstreamId, float] = field(default_factory=dict)
     transfers_by_id: dict[UpstreamId, HostTransfer] = field(default_factory=dict)
+    kept_sets: dict[tuple[FabricDomainId, ModelId], tuple[float, float]] = field(
+        default_factory=dict
+    )
     transfer_needed_since: float | None = None
     last_epoch: int = 0
     abandoned_formations: list[AbandonedFormation] = field(default_factory=list)
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -13,6 +13,10 @@
 # Factors on the number of loads that run together without slowing each other.
 URGENT_LOAD_SHARE = 2.0
 SHARE_DURING_URGENT_LOAD = 0.5
+# A set waits for the hosts that it lacks if they are at most this part of those it would give up.
+KEPT_SET_FACTOR = 4
+KEPT_SET_SECONDS = 12.0
+KEPT_SET_GAP_SECONDS = 2.0  # after a longer time the set counts as a new one
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +135,7 @@
             host
             for other in specs
             if other is not spec
+            and not _should_keep_set(other, hosts_by_model[other.model], missing, planning_round)
             for host in hosts_by_model[other.model][: len(hosts_by_model[other.model]) % other.size]
             if not planning_round.memory.load_schedule.is_loading(host.upstream_id)
             and host.upstream_id not in planned_ids
@@ -143,6 +148,27 @@
             return
 
 
+def _should_keep_set(
+    spec: ModelSpec, hosts: list[Upstream], missing_elsewhere: int, planning_round: PlanningRound
+) -> bool:
+    """Return whether an incomplete set should wait for the few hosts that it lacks.
+
+    :param hosts: hosts of one domain with the weights of the model.
+    :param missing_elsewhere: number of hosts that another set would take.
+    """
+    missing = -len(hosts) % spec.size
+    if not missing or missing * KEPT_SET_FACTOR > missing_elsewhere:
+        return False
+    if planning_round.supply_ratio(spec) >= 1:
+        return False
+    at, key = planning_round.planner_input.at, (hosts[0].fabric_domain, spec.model)
+    first_at, last_at = planning_round.memory.kept_sets.get(key, (at, at))
+    if at - last_at > KEPT_SET_GAP_SECONDS:
+        first_at = at
+    planning_round.memory.kept_sets[key] = (first_at, at)
+    return at - first_at < KEPT_SET_SECONDS
+
+
 def _count_prepared(hosts: list[Upstream], planning_round: PlanningRound) -> Counter[ModelId]:
     prepared_counts = _prepared_hosts_by_model(hosts, planning_round)
     return Counter({model: len(found) for model, found in prepared_counts.items()})
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -2,7 +2,9 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from cactuspass.fleet._catalog import ModelSpec
 from cactuspass.fleet._demand import Demand
 from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._group_maintenance import maintain_groups
@@ -10,9 +12,10 @@
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._planner_memory import PlannerMemory
 from cactuspass.fleet._planning_round import PlanningRound
+from cactuspass.fleet._staging import KEPT_SET_SECONDS
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, UpstreamId
 from cactuspass.models import DataCentreId, FabricDomainId, GroupId
-from tests.fleet_world import LARGE, SERVICE, SMALL, EngineWorld, host, hosts
+from tests.fleet_world import ENGINE, LARGE, SERVICE, SMALL, EngineWorld, host, hosts
 
 
 class BeforeTrafficTest(unittest.TestCase):
@@ -299,6 +302,17 @@
         self.assertEqual([a.order.model for a in world.orders(Stage)], [LARGE, LARGE])
         self.assertEqual(len(world.serving(LARGE)), 1)
 
+    # Guards against breaking up a large set that lacks one host for a small one of another model.
+    def test_large_set_that_lacks_one_host_is_kept_for_a_while(self) -> None:
+        huge = ModelSpec(LARGE, 16, 1.0, 0.5, 16.0, 1.6)
+        small = ModelSpec(SMALL, 4, 0.6, 0.5, 12.0, 1.1)
+        world = EngineWorld(hosts(15, staged=LARGE))
+        with mock.patch.dict(ENGINE.models_by_id, {LARGE: huge, SMALL: small}):
+            world.run(KEPT_SET_SECONDS - 1.0)
+            self.assertEqual(world.orders(Stage), [])
+            world.run(3.0)
+            self.assertEqual({a.order.model for a in world.orders(Stage)}, {SMALL})
+
     def test_hosts_of_incomplete_sets_load_the_model_with_too_few_groups(self) -> None:
         world = EngineWorld([*hosts(2, staged=SMALL), host("x", staged=LARGE)])
         world.run(14.0)
