Check the term again once the connection for an order is open

Cause: the leader checked its term before it opened the connection for an order. A process paused for seconds meanwhile went on with the order after its term had ended, since the loop's clock, and so its timeouts, need not count a pause. The number of accepted orders stopped most of these at the host, but not a repeated close, which states none. Change: the pool asks once more just before the bytes are written.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -201,7 +201,8 @@
         name = type(addressed.order).__name__.lower()
         self._log_order(f"{name}-sent", term, addressed, reason=addressed.reason)
         began = now()
-        outcome = await self._control.send_order(addressed)
+        # The process may have been paused, or the term may end, while the connection is opened.
+        outcome = await self._control.send_order(addressed, lambda: self._presence.term == term)
         self._metrics.orders.labels(name, outcome.value).inc()
         took = now() - began
         self._log_order(name, term, addressed, outcome=outcome.value, took=took)
--- a/src/cactuspass/fleet/_orders.py
+++ b/src/cactuspass/fleet/_orders.py
@@ -1,6 +1,7 @@
 """Orders to upstreams, their outcomes and the reports of upstreams."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -116,8 +117,15 @@
     """Sends orders to upstreams and fetches their reports."""
 
     @abstractmethod
-    async def send_order(self, addressed: AddressedOrder) -> OrderOutcome:
-        """Send one order; the upstream checks the order's expected sequence number."""
+    async def send_order(
+        self, addressed: AddressedOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Send one order; the upstream checks the order's expected sequence number.
+
+        :param may_send: called just before the order is written to an open connection; returns
+            whether the sender still has the right to give orders.
+        :return: ``NOT_REACHED`` also when it may not be sent any more.
+        """
 
     @abstractmethod
     async def fetch_report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from cactuspass.exceptions import AnswerCut, DocumentError, RunOutcomeUnknown, UpstreamNotReached
@@ -35,6 +36,10 @@
 }
 
 
+def _always() -> bool:
+    return True
+
+
 class ServerControl(UpstreamControl):
     """Implements orders and reports with the servers' HTTP calls.
 
@@ -44,8 +49,10 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
 
-    async def send_order(self, addressed: AddressedOrder) -> OrderOutcome:
-        """Send one order."""
+    async def send_order(
+        self, addressed: AddressedOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Send one order, unless it may no longer be sent once the connection is open."""
         document = _order_body(addressed.order)
         if addressed.expected_sequence is not None:
             document["precondition"] = addressed.expected_sequence
@@ -58,6 +65,7 @@
                 body,
                 ORDER_TIMEOUT_SECONDS,
                 NEW_CONNECTION_MAX_IDLE_SECONDS,
+                may_send,
             )
         except UpstreamNotReached:
             return OrderOutcome.NOT_REACHED
@@ -82,12 +90,14 @@
         body: bytes,
         timeout: float,
         max_idle: float | None = None,
+        may_send: Callable[[], bool] = _always,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of the response.
 
         :param timeout: seconds for the whole call.
         :param max_idle: longest time in seconds that a reused connection may have been idle; None
             uses the limit of the pool, 0 always opens a new connection.
+        :param may_send: whether the request may still be sent once a connection is open.
         """
         headers = [("Host", server.address), (EXPECT_INSTANCE, server.upstream_id)]
         if body:
@@ -96,7 +106,9 @@
         exchange = None
         try:
             async with asyncio.timeout(timeout):
-                exchange = await self._pool.send_request(server.address, request, max_idle)
+                exchange = await self._pool.send_request(
+                    server.address, request, max_idle, may_send
+                )
                 head = await exchange.read_head()
                 return head.status, await exchange.read_body()
         finally:
--- a/tests/test_fleet_order_states.py
+++ b/tests/test_fleet_order_states.py
@@ -147,7 +147,9 @@
         control = ServerControl(pool)
         try:
             for _ in range(2):
-                outcome = await control.send_order(AddressedOrder(target, Leave(KEY), "test", 3))
+                outcome = await control.send_order(
+                    AddressedOrder(target, Leave(KEY), "test", 3), lambda: True
+                )
             self.assertIn(outcome, (OrderOutcome.CONFLICT, OrderOutcome.UNKNOWN))
         finally:
             pool.close()
--- a/tests/test_fleet_probes.py
+++ b/tests/test_fleet_probes.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from unittest import mock
 
@@ -55,7 +56,9 @@
         self.counts: Counter[UpstreamId] = Counter()
         self.dead: set[UpstreamId] = set()
 
-    async def send_order(self, addressed: AddressedOrder) -> OrderOutcome:
+    async def send_order(
+        self, addressed: AddressedOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
         """Refuse every order."""
         return OrderOutcome.CONFLICT
 
