Send a follower at once what changed between its requests

Change: a source waits only if nothing has changed since its last update to this follower. With it, from reading the diff: cold times in shared content are those of the sending, a stop while the own key is being written deletes it, and followers without a local source spread over all others. Tests: tests.test_fleet_feed (test_change_between_two_requests_is_news, cold time), tests.test_fleet_presence.

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import chain
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
@@ -167,7 +168,8 @@
         local, readers = self._local_sources, self._readers
         if all(source.instance != self._instance for source in local):
             remote = [reader for reader in readers if reader not in local]
-            return [*order_sources(local, self._instance), *remote]
+            ordered = (order_sources(sources, self._instance) for sources in (local, remote))
+            return list(chain.from_iterable(ordered))
         first, later = readers[:STORE_READERS], readers[STORE_READERS:]
         if all(reader.instance != self._instance for reader in first):
             return [*order_sources(first, self._instance), *later]
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -14,7 +14,8 @@
 
 from cactuspass._clock import now
 from cactuspass._component import Component
-from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._catalog import Evacuations
+from cactuspass.fleet._cluster_state import NEVER, ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import (
     ColdUpstream,
@@ -85,14 +86,32 @@
         self._peers: tuple[Peer, ...] | None = None
         self._upstreams_by_id = NO_UPSTREAMS
         self._sent_leaving: frozenset[Lifetime] = frozenset()
+        self._operators_read_at = NEVER
+        self._evacuations: Evacuations | None = None
         self.last_steps = FeedSteps((), ())
 
+    @property
+    def has_news(self) -> bool:
+        """Whether the state has changed, or was read again, since the last update."""
+        cluster_state = self._cluster_state
+        index = cluster_state.catalog_index
+        return (
+            cluster_state.registered_by_id is not self._upstreams_by_id
+            or cluster_state.peers is not self._peers
+            or cluster_state.operators_read_at != self._operators_read_at
+            or cluster_state.evacuations != self._evacuations
+            or (index.catalog.version if index is not None else None) != self._version
+            or frozenset(cluster_state.departures.lifetimes) != self._sent_leaving
+        )
+
     def write(self, held_for: float) -> FeedUpdate:
         """Return the changes since the last call; the first call returns the whole state.
 
         :param held_for: seconds since the request arrived.
         """
         cluster_state = self._cluster_state
+        self._operators_read_at = cluster_state.operators_read_at
+        self._evacuations = cluster_state.evacuations
         known, current = self._upstreams_by_id, cluster_state.registered_by_id
         known_peers, known_version = self._peers, self._version
         self._upstreams_by_id = current
@@ -108,6 +127,12 @@
         are_peers_unchanged = cluster_state.peers is self._peers
         self._peers = cluster_state.peers
         is_first, self._is_first = self._is_first, False
+        at = now()
+        cold = tuple(
+            ColdUpstream(upstream.upstream_id, upstream.cold_until - at)
+            for upstream in changed
+            if upstream.cold_until > at
+        )
         self.last_steps = FeedSteps(
             (known, current, known_peers, cluster_state.peers),
             (
@@ -118,9 +143,9 @@
                 sent_leaving,
                 self._sent_leaving,
                 cluster_state.revision,
+                tuple((found.upstream_id, round(found.seconds)) for found in cold),
             ),
         )
-        at = now()
         return FeedUpdate(
             complete=is_first,
             held_for=held_for,
@@ -131,11 +156,7 @@
             peers=None if are_peers_unchanged else cluster_state.peers,
             changed=changed,
             removed=tuple(known.keys() - current.keys()),
-            cold=tuple(
-                ColdUpstream(upstream.upstream_id, upstream.cold_until - at)
-                for upstream in changed
-                if upstream.cold_until > at
-            ),
+            cold=cold,
             revision=cluster_state.revision,
             leaving=tuple(lifetime for lifetime in leaving if lifetime not in sent_leaving),
         )
@@ -188,18 +209,17 @@
 
     async def _serve(self, connection: ServerConnection) -> None:
         writer = FeedUpdateWriter(self._cluster_state)
-        is_first = True
         try:
             async for _ in connection:
                 received_at = now()
-                if not is_first:
+                # A change while no request was open has woken nobody.
+                if not writer.has_news:
                     await self._cluster_state.wait_for_change(self._hold_seconds())
                 if self._cluster_state.operators_age() >= MAX_STORE_AGE_SECONDS:
                     await connection.close(NOT_CURRENT_CODE, "has no recent state of the store")
                     return
                 update = writer.write(now() - received_at)
                 await connection.send(self._contents.encode(update, writer.last_steps))
-                is_first = False
         except ConnectionClosed as error:
             self._log.state_change("follower-gone", peer=_peer_host(connection), reason=error)
 
--- a/src/cactuspass/fleet/_registration.py
+++ b/src/cactuspass/fleet/_registration.py
@@ -70,6 +70,9 @@
             return
         lease = await self._store.grant_lease(REGISTRATION_SECONDS)
         await self._write_key(lease)
+        if self._stopping:
+            await self._store.revoke_lease(lease)  # The stop came while the key was written.
+            return
         self._lease = lease
 
     async def _write_key(self, lease: LeaseId) -> None:
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -135,6 +135,26 @@
         self.assertLessEqual(last.operators_read_at, self.source.operators_read_at + 0.01)
         self.assertEqual(last.peers, self.source.peers)
 
+    # Guards against a change that waits for the longest time since it came between two requests.
+    def test_change_between_two_requests_is_news(self) -> None:
+        self.assertTrue(self.writer.has_news)
+        self.writer.write(0.0)
+        self.assertFalse(self.writer.has_news)
+        changes: tuple[Callable[[], object], ...] = (
+            lambda: self.source.accept_upstreams([host("c")], 10),
+            lambda: self.source.accept_peers(tuple(peers(4))),
+            lambda: self.source.accept_catalog(catalog(9)),
+            lambda: self.source.accept_evacuations(Evacuations(frozenset({THERE}))),
+            lambda: self.source.record_operators_read(now()),
+            lambda: self.source.mark_leaving(host("c").lifetime),
+        )
+        for number, change in enumerate(changes):
+            with self.subTest(number=number):
+                change()
+                self.assertTrue(self.writer.has_news)
+                self.writer.write(0.0)
+                self.assertFalse(self.writer.has_news)
+
     def test_instances_are_sent_only_when_they_have_changed(self) -> None:
         self.send_update()
         self.assertIsNone(self.writer.write(0.0).peers)
@@ -186,6 +206,18 @@
                     self.assertEqual(decode_feed_update(data).changed, update.changed)
         self.assertEqual(encode.call_count, 2)
 
+    def test_cold_time_in_shared_content_is_that_of_the_sending(self) -> None:
+        upstreams = [replace(host("cold"), cold_until=now() + 60.0)]
+        self.state.accept_upstreams(upstreams, 6)
+        cache, seconds = ContentCache(), []
+        for later in (0.0, 20.0):
+            writer = FeedUpdateWriter(self.state)
+            with mock.patch.object(_feed_source, "now", lambda later=later: now() + later):
+                data = cache.encode(writer.write(0.0), writer.last_steps)
+            [cold] = decode_feed_update(data).cold
+            seconds.append(cold.seconds)
+        self.assertAlmostEqual(seconds[0] - seconds[1], 20.0, delta=1.0)
+
 
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
     """A follower and a source on loopback, where the source stops or no longer reads the store."""
--- a/tests/test_fleet_presence.py
+++ b/tests/test_fleet_presence.py
@@ -239,6 +239,26 @@
         self.assertEqual(store.keys, {})
         await self.stop(instances)
 
+    # Guards against an instance that has gone but stays registered for the length of its lease.
+    @virtual_time
+    async def test_drain_while_the_key_is_being_written_leaves_no_key(self) -> None:
+        store = MemoryStore()
+        write, is_written = store.write, asyncio.Event()
+
+        async def write_slowly(writes: Sequence[Write]) -> WriteResult:
+            result = await write(writes)
+            is_written.set()
+            await asyncio.sleep(0.5)
+            return result
+
+        with mock.patch.object(store, "write", write_slowly):
+            instances = await self.start(store, 1)
+            await is_written.wait()
+            await instances[0].drain()
+            await asyncio.sleep(1.0)
+        self.assertEqual(store.keys, {})
+        await self.stop(instances)
+
 
 if __name__ == "__main__":
     unittest.main()
