Derive the greatest age of the feed's state from the bound for changes

Cause: on large/, where changes must be in force within 4 s, sources on machines with half a core closed with the fixed 1.2 s several times a second in eleven instances, each time with a complete update after it. Change: a source's state may be as old as six tenths of the bound, which the settings now state (propagation_seconds); 1.2 s with 2 s, as before, 2.4 s with 4 s. Not yet measured on large/.

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -18,7 +18,7 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import FeedUpdate, decode_feed_update
-from cactuspass.fleet._feed_source import MAX_STORE_AGE_SECONDS, NOT_CURRENT_CODE
+from cactuspass.fleet._feed_source import DEFAULT_MAX_AGE_SECONDS, NOT_CURRENT_CODE
 from cactuspass.fleet._peers import (
     STORE_READERS,
     Peer,
@@ -39,7 +39,7 @@
 CLOSE_MARGIN_SECONDS = 0.2  # time for a source whose state is too old to say so itself
 SOURCE_CHECK_SECONDS = 0.25
 STARTUP_WAIT_SECONDS = 1.5  # time to find a source before the store is read instead
-READ_FAILED_AGE_SECONDS = 1.1  # older documents mean that this instance's own reads fail
+OWN_READ_MARGIN_SECONDS = 0.1  # own reads have failed this long before the state is too old
 FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
 LOG_PAUSE_SECONDS = 3.0  # between two lines on failures of one source
 NEVER = float("-inf")
@@ -59,6 +59,7 @@
     :param must_read_store: whether this instance has to read the store itself, as a leader does.
     :param on_change: called after the upstreams have changed.
     :param on_leaving: called with each lifetime of an upstream that has announced that it leaves.
+    :param max_age: age in seconds of a source's state beyond which it sends no updates.
     """
 
     def __init__(
@@ -70,11 +71,13 @@
         on_change: Callable[[], None],
         log: DecisionLog,
         on_leaving: Callable[[Lifetime], object] | None = None,
+        max_age: float = DEFAULT_MAX_AGE_SECONDS,
     ) -> None:
         super().__init__(log)
         self._instance = instance
         self._data_centre = data_centre
         self._cluster_state = cluster_state
+        self._max_age = max_age
         self._must_read_store = must_read_store
         self._on_change = on_change
         self._on_leaving = on_leaving or cluster_state.mark_leaving
@@ -192,7 +195,8 @@
         """
         at, age = now(), self._cluster_state.operators_age()
         is_starting = at < self._startup_until
-        if at >= self._own_reads_failed_until and age > READ_FAILED_AGE_SECONDS and not is_starting:
+        failed_age = self._max_age - OWN_READ_MARGIN_SECONDS
+        if at >= self._own_reads_failed_until and age > failed_age and not is_starting:
             self._own_reads_failed_until = at + FOLLOW_AFTER_FAILED_READS_SECONDS
         return at < self._own_reads_failed_until
 
@@ -229,7 +233,7 @@
 
     def _response_timeout(self) -> float:
         """Return how long to wait for an update, less once this instance's state gets too old."""
-        left = max(0.0, MAX_STORE_AGE_SECONDS - self._cluster_state.operators_age())
+        left = max(0.0, self._max_age - self._cluster_state.operators_age())
         return min(RESPONSE_TIMEOUT_SECONDS, left + CLOSE_MARGIN_SECONDS)
 
     def _accept(self, update: FeedUpdate, requested_at: float) -> None:
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -27,9 +27,10 @@
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 
 MAX_HOLD_SECONDS = 0.4  # longest wait for a change before an update is sent
-# Beyond this age of its own state, a source sends no updates. Changes of the operators must be in
-# force within seconds, also when a follower has to find another source first.
-MAX_STORE_AGE_SECONDS = 1.2
+# Part of the time in which changes of the operators must be in force; the rest is for a follower
+# that has to find another source first.
+MAX_AGE_SHARE_OF_PROPAGATION = 0.6
+DEFAULT_MAX_AGE_SECONDS = 1.2
 MAX_REQUEST_BYTES = 64
 MAX_CACHED_CONTENTS = 4
 NO_UPSTREAMS: Mapping[UpstreamId, Upstream] = MappingProxyType({})
@@ -166,6 +167,7 @@
     """Sends updates to followers while the state of this instance is recent.
 
     :param address: ``host:port`` to listen on; with None the source does not listen.
+    :param max_age: age in seconds of its own state beyond which a source sends no updates.
     """
 
     def __init__(
@@ -173,7 +175,9 @@
         address: str | None,
         cluster_state: ClusterState,
         log: DecisionLog,
+        max_age: float = DEFAULT_MAX_AGE_SECONDS,
     ) -> None:
+        self._max_age = max_age
         self._address = address
         self._cluster_state = cluster_state
         self._log = log
@@ -215,7 +219,7 @@
                 # A change while no request was open has woken nobody.
                 if not writer.has_news:
                     await self._cluster_state.wait_for_change(self._hold_seconds())
-                if self._cluster_state.operators_age() >= MAX_STORE_AGE_SECONDS:
+                if self._cluster_state.operators_age() >= self._max_age:
                     await connection.close(NOT_CURRENT_CODE, "has no recent state of the store")
                     return
                 update = writer.write(now() - received_at)
@@ -225,7 +229,7 @@
 
     def _hold_seconds(self) -> float:
         """Return how long to wait for a change, at most until the state is too old to be sent."""
-        left = MAX_STORE_AGE_SECONDS - self._cluster_state.operators_age()
+        left = self._max_age - self._cluster_state.operators_age()
         return max(0.0, min(MAX_HOLD_SECONDS, left))
 
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -19,7 +19,7 @@
 from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestActivity
 from cactuspass.fleet._feed_follower import FeedFollower
-from cactuspass.fleet._feed_source import FeedSource
+from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
 from cactuspass.fleet._loads import LoadTable
@@ -151,6 +151,7 @@
             log,
             self._notices.apply_leaving_hint,
         )
+        max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
             entry_id,
             data_centre,
@@ -159,8 +160,9 @@
             lambda: self._controller.wake(),
             log,
             self._notices.apply_leaving_hint,
+            max_age,
         )
-        source = FeedSource(peers, self.cluster_state, log)
+        source = FeedSource(peers, self.cluster_state, log, max_age)
         self._presence = Presence(
             adapter.store,
             entry_id,
--- a/src/cactuspass/fleet/_settings.py
+++ b/src/cactuspass/fleet/_settings.py
@@ -63,6 +63,7 @@
     """Limits that the operators guarantee to callers and upstreams.
 
     :param key_seconds: seconds after which a revoked API key must no longer be accepted.
+    :param propagation_seconds: seconds after which a change of the operators must be in force.
     :param retry_ratio: retries per request that all instances together may send.
     :param retry_slack: retries per window allowed in addition to the ratio.
     :param retry_window: length of the retry window in seconds.
@@ -72,6 +73,7 @@
     """
 
     key_seconds: Seconds = 5.0
+    propagation_seconds: Seconds = 2.0
     retry_ratio: float = Field(default=0.1, ge=0)
     retry_slack: float = Field(default=20.0, ge=0)
     retry_window: Seconds = 10.0
