--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -19,6 +19,7 @@
     Upstream,
     UpstreamControl,
     UpstreamReport,
+    always,
 )
 from cactuspass.platform._names import EXPECT_INSTANCE
 from cactuspass.platform._server_entry import decode_report
@@ -36,10 +37,6 @@
 }
 
 
-def _always() -> bool:
-    return True
-
-
 class ServerControl(UpstreamControl):
     """Implements orders and reports with the servers' HTTP calls.
 
@@ -90,7 +87,7 @@
         body: bytes,
         timeout: float,
         max_idle: float | None = None,
-        may_send: Callable[[], bool] = _always,
+        may_send: Callable[[], bool] = always,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of the response.
 
