--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -47,7 +47,7 @@
     UpstreamControl,
     UpstreamReport,
 )
-from cactuspass.fleet._pool import ConnectionPool, OutgoingRequest, always
+from cactuspass.fleet._pool import ConnectionPool, OutgoingRequest
 from cactuspass.fleet._settings import (
     InstanceSettings,
     load_instance_settings,
@@ -114,7 +114,6 @@
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
-    "always",
     "load_instance_settings",
     "parse_instance_settings",
 ]
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -37,30 +37,13 @@
 NOT_CURRENT_CODE = 4000  # WebSocket close code
 
 
-@dataclass(frozen=True, slots=True)
-class FeedSteps:
-    """The states of the source that an update leads from and to.
-
-    :param replaced: objects that are replaced as a whole when they change.
-    :param compared: values that are compared.
-    """
-
-    replaced: tuple[object, ...]
-    compared: tuple[Hashable, ...]
-
-    @property
-    def key(self) -> Hashable:
-        """Identifies updates with the same content."""
-        return tuple(map(id, self.replaced)), self.compared
-
-
 class ContentCache:
     """Encoded contents of the last updates, since most followers are sent the same ones."""
 
     def __init__(self) -> None:
-        self._contents_by_steps: OrderedDict[Hashable, tuple[bytes, FeedSteps]] = OrderedDict()
+        self._contents_by_steps: OrderedDict[Hashable, tuple[bytes, Any]] = OrderedDict()
 
-    def encode(self, update: FeedUpdate, steps: FeedSteps) -> bytes:
+    def encode(self, update: FeedUpdate, steps: "FeedSteps") -> bytes:
         """Return an update as CBOR.
 
         :param steps: the states that the update leads from and to.
@@ -74,6 +57,23 @@
         return encode_feed_update(update, found[0])
 
 
+@dataclass(frozen=True, slots=True)
+class FeedSteps:
+    """The states of the source that an update leads from and to.
+
+    :param replaced: objects that are replaced as a whole when they change.
+    :param compared: values that are compared.
+    """
+
+    replaced: tuple[object, ...]
+    compared: tuple[Hashable, ...]
+
+    @property
+    def key(self) -> Hashable:
+        """Identifies updates with the same content."""
+        return tuple(map(id, self.replaced)), self.compared
+
+
 class FeedUpdateWriter:
     """Builds the updates for one follower.
 
--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -19,7 +19,6 @@
     Upstream,
     UpstreamControl,
     UpstreamReport,
-    always,
 )
 from cactuspass.platform._names import EXPECT_INSTANCE
 from cactuspass.platform._server_entry import decode_report
@@ -37,6 +36,10 @@
 }
 
 
+def _always() -> bool:
+    return True
+
+
 class ServerControl(UpstreamControl):
     """Implements orders and reports with the servers' HTTP calls.
 
@@ -87,7 +90,7 @@
         body: bytes,
         timeout: float,
         max_idle: float | None = None,
-        may_send: Callable[[], bool] = always,
+        may_send: Callable[[], bool] = _always,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of the response.
 
