Use an idle upstream without a connection now and then

Since a missing connection counted for more than the whole range of the random tie-break, an instance with few requests used one of several idle upstreams for ever. Seen by the stack of the hung process: the event loop went round normally, sending requests. Change: the penalty is below that range. The two loops of the test have the time limit of all its other waits. Tests: tests.test_fleet_connections_used, test_idle_upstream_without_a_connection_is_used_now_and_then, failed before; tests.test_fleet_instance failed in 3 of 4 runs before, in none of 6 after (6 at once).

--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -16,9 +16,10 @@
 from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
+TIE_BREAK_RANGE = 0.1
 # Below the weight of one request, so that connections to few upstreams are used again and again,
-# but not those to busier ones.
-NEW_CONNECTION_PENALTY = 0.12
+# but not those to busier ones; and below the range, so that no idle upstream is left out for good.
+NEW_CONNECTION_PENALTY = 0.08
 SAMPLE_SIZE = 12  # of more upstreams than this, a random choice is weighed
 RECENT_UPSTREAMS = 6
 INCOMPLETE_GROUP_PENALTY = 3.0
@@ -293,7 +294,7 @@
         load = self._loads.load(upstream.upstream_id)
         estimate = load.estimate(at)
         distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
-        tie_break = self._rng.random() * 0.1
+        tie_break = self._rng.random() * TIE_BREAK_RANGE
         if not self._is_connected(upstream.address):
             tie_break += NEW_CONNECTION_PENALTY
         health = FAILURE_WEIGHT * load.failure_share
--- a/tests/test_fleet_connections_used.py
+++ b/tests/test_fleet_connections_used.py
@@ -28,6 +28,7 @@
 REQUESTS = 100
 REQUEST_SECONDS = 0.2
 SLOTS = 22
+REQUESTS_FOR_ALL = 500
 KEEP_ALIVE_SECONDS = 4.0
 MAX_OPENED_SHARE = 0.1
 INSTANCES_AT_ONE_UPSTREAM = 4  # of 20, where few upstreams would be shared by all
@@ -88,6 +89,16 @@
         self.send_all()
         self.assertLess(max(self.sent.values()), REQUESTS * INSTANCES_AT_ONE_UPSTREAM)
 
+    # Guards against an instance with few requests that uses one of two idle upstreams for ever.
+    def test_idle_upstream_without_a_connection_is_used_now_and_then(self) -> None:
+        upstreams = self.upstreams[:2]
+        self.selectors[0]._cluster_state.accept_upstreams(upstreams, 2)
+        for _ in range(REQUESTS_FOR_ALL):
+            self.send(0)
+            self.loads[0].loads_by_id.clear()
+            self.at += REQUEST_SECONDS
+        self.assertEqual(set(self.sent), {upstream.upstream_id for upstream in upstreams})
+
     def test_choice_weighs_few_of_many_upstreams(self) -> None:
         with mock.patch.object(
             self.selectors[0], "_score", wraps=self.selectors[0]._score
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -169,8 +169,9 @@
         await until(lambda: len(instance.serving_groups()) == 2)
         leaving = self.heads()[0]
         leaving.leaving = True
-        while not leaving.executed_request_ids:
-            self.assertEqual((await self.send_request(instance)).code, 200)
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not leaving.executed_request_ids:
+                self.assertEqual((await self.send_request(instance)).code, 200)
         await until(lambda: any(order["op"] == "close" for order in leaving.orders))
         self.assertEqual(leaving.orders[-1]["close_mode"], "wait")
         for _ in range(4):
@@ -186,8 +187,9 @@
         await until(lambda: len(instance.serving_groups()) == 2)
         for head in self.heads():
             head.backoff = "30"
-        while sum(server.rejected_count for server in self.servers) < 2:
-            self.assertEqual((await self.send_request(instance)).code, 503)
+        async with asyncio.timeout(WAIT_SECONDS):
+            while sum(server.rejected_count for server in self.servers) < 2:
+                self.assertEqual((await self.send_request(instance)).code, 503)
         for _ in range(4):
             response = await self.send_request(instance)
             self.assertEqual(response.code, 503)
