Derive each view of the registry from the previous one

Cause: each change of the registry made a new view of all upstreams on every instance, compared all of them with the previous ones, and marked, counted and logged them one by one: 3.5 ms of processor time for each update of the feed at 1,095 upstreams, several times a second, on each of 195 instances. A source compared all upstreams field by field for each follower.

Change: a view is made from the previous one by what was added, replaced or removed; groups without a change keep their object. Departures, members seen and log lines look at the changed upstreams only, and listings are compared by identity first.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -47,6 +47,18 @@
     is_complete: bool = True
 
 
+def changed_upstreams(
+    known_by_id: Mapping[UpstreamId, Upstream], current_by_id: Mapping[UpstreamId, Upstream]
+) -> tuple[Upstream, ...]:
+    """Return the upstreams that were added or replaced between two states of the registry."""
+    return tuple(
+        upstream
+        for upstream_id, upstream in current_by_id.items()
+        # Most are the same object, which is found faster than by comparing all fields.
+        if (known := known_by_id.get(upstream_id)) is not upstream and known != upstream
+    )
+
+
 class ClusterState:
     """The last valid state of each document; the catalog never reverts to a lower version.
 
@@ -155,24 +167,37 @@
         changed.set()
 
     def accept_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
-        """Replace the upstreams, unless the current revision is newer.
+        """Replace the upstreams, unless the current revision is newer."""
+        listed_by_id = {upstream.upstream_id: upstream for upstream in upstreams}
+        changed = changed_upstreams(self.registered_by_id, listed_by_id)
+        removed = self.registered_by_id.keys() - listed_by_id.keys()
+        self.accept_changes(changed, removed, revision)
+
+    def accept_changes(
+        self, changed: Iterable[Upstream], removed: Iterable[UpstreamId], revision: int
+    ) -> None:
+        """Apply changes of the registry, unless the current revision is newer.
 
         An upstream that is leaving stays so until a later lifetime of it is listed.
+
+        :param changed: upstreams that were added or replaced.
         """
         if revision < self.revision:
             self._log.state_change("upstreams-older", revision=revision, believed=self.revision)
             return
-        self.registered_by_id = {upstream.upstream_id: upstream for upstream in upstreams}
-        registered = self.registered_by_id.values()
-        for departure in self.departures.remove_superseded(registered):
+        changed, removed = tuple(changed), tuple(removed)
+        registered_by_id = dict(self.registered_by_id)
+        for upstream_id in removed:
+            registered_by_id.pop(upstream_id, None)
+        registered_by_id.update((upstream.upstream_id, upstream) for upstream in changed)
+        self.registered_by_id = registered_by_id
+        for departure in self.departures.remove_superseded(changed):
             upstream_id = departure.lifetime.upstream_id
             self._log.state_change("upstream-left", upstream=upstream_id, since=departure.since)
-        view = UpstreamView.of(self.departures.mark_draining(registered))
-        self._log_upstream_changes(view, revision)
-        self.view = view
+        marked = self.departures.mark_draining(changed)
+        self._log_upstream_changes(marked, removed, revision)
         self.revision = revision
-        self._notify_change()
-        self._update_members(view)
+        self._change_view(marked, removed)
 
     def mark_leaving(self, lifetime: Lifetime) -> bool:
         """Mark an upstream as leaving, as it announced; return whether that is new."""
@@ -181,14 +206,21 @@
             return False
         if lifetime in self.departures:
             return False
+        affected_ids = {lifetime.upstream_id}
         removed = self.departures.add(lifetime, now())
         if removed is not None:
             upstream_id = removed.lifetime.upstream_id
+            affected_ids.add(upstream_id)
             self._log.alarm("leaving-forgotten", upstream=upstream_id, since=removed.since)
-        self.view = UpstreamView.of(self.departures.mark_draining(self.registered_by_id.values()))
-        self._notify_change()
+        affected = map(self.registered_by_id.get, affected_ids)
+        self._change_view(self.departures.mark_draining(filter(None, affected)))
         return True
 
+    def _change_view(self, changed: Iterable[Upstream], removed: Iterable[UpstreamId] = ()) -> None:
+        before, self.view = self.view, self.view.with_changes(changed, removed)
+        self._update_members(before)
+        self._notify_change()
+
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether an upstream takes no new requests, by the registry or its own notice."""
         if upstream.lifetime in self.departures:
@@ -257,28 +289,39 @@
             if service is not None and service.engine is not None:
                 yield upstream
 
-    def _update_members(self, view: UpstreamView) -> None:
-        """Keep the largest set of members that each current group was seen with."""
-        members_by_key: dict[GroupKey, frozenset[UpstreamId]] = {}
-        for key, group in view.groups_by_key.items():
+    def _update_members(self, before: UpstreamView) -> None:
+        """Keep the largest set of members that each current group was seen with.
+
+        :param before: the view before the current one.
+        """
+        old, new = before.groups_by_key, self.view.groups_by_key
+        for key in old.keys() - new.keys():
+            self._members_by_key.pop(key, None)
+        for key, group in new.items():
+            if old.get(key) is group:
+                continue
             present = frozenset(member.upstream_id for member in group.members)
-            known = self._members_by_key.get(key, frozenset())
-            members_by_key[key] = present if len(present) >= len(known) else known
-        self._members_by_key = members_by_key
+            if len(present) >= len(self._members_by_key.get(key, ())):
+                self._members_by_key[key] = present
 
     def operators_age(self) -> float:
         """Return the age in seconds of the last read that surely included all operator changes."""
         return now() - self.operators_read_at
 
-    def _log_upstream_changes(self, view: UpstreamView, revision: int) -> None:
-        old, new = self.view.upstreams_by_id, view.upstreams_by_id
-        for upstream_id in sorted(old.keys() - new.keys()):
-            self._log.state_change("upstream-gone", upstream=upstream_id, revision=revision)
-        for upstream_id in sorted(new.keys() - old.keys()):
-            self._log.state_change("upstream-found", upstream=upstream_id, revision=revision)
-        changed_ids = [i for i, upstream in new.items() if i in old and old[i] is not upstream]
-        for upstream_id in sorted(changed_ids):
-            self._log_change(upstream_id, old[upstream_id], new[upstream_id], revision)
+    def _log_upstream_changes(
+        self, changed: Iterable[Upstream], removed: Iterable[UpstreamId], revision: int
+    ) -> None:
+        known_by_id = self.view.upstreams_by_id
+        for upstream_id in sorted(removed):
+            if upstream_id in known_by_id:
+                self._log.state_change("upstream-gone", upstream=upstream_id, revision=revision)
+        for upstream in sorted(changed, key=lambda upstream: upstream.upstream_id):
+            upstream_id = upstream.upstream_id
+            known = known_by_id.get(upstream_id)
+            if known is None:
+                self._log.state_change("upstream-found", upstream=upstream_id, revision=revision)
+            else:
+                self._log_change(upstream_id, known, upstream, revision)
 
     def _log_change(
         self, upstream_id: UpstreamId, old: Upstream, new: Upstream, revision: int
--- a/src/cactuspass/fleet/_departures.py
+++ b/src/cactuspass/fleet/_departures.py
@@ -52,6 +52,8 @@
 
     def remove_superseded(self, registered: Iterable[Upstream]) -> list[Departure]:
         """Remove and return the lifetimes for which a later one is registered."""
+        if not self._by_lifetime:
+            return []
         born_by_id: dict[UpstreamId, int] = {u.upstream_id: u.born_ms for u in registered}
         superseded = [
             departure
@@ -64,9 +66,9 @@
 
     def mark_draining(self, registered: Iterable[Upstream]) -> list[Upstream]:
         """Return the registered upstreams, where those that are leaving count as draining."""
-        return [
-            replace(upstream, state=UpstreamState.DRAINING)
-            if upstream.lifetime in self._by_lifetime and not upstream.draining
-            else upstream
-            for upstream in registered
-        ]
+        return [self._mark(upstream) for upstream in registered]
+
+    def _mark(self, upstream: Upstream) -> Upstream:
+        if upstream.draining or not self._by_lifetime or upstream.lifetime not in self:
+            return upstream
+        return replace(upstream, state=UpstreamState.DRAINING)
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -263,13 +263,19 @@
             )
         if self._source_was_behind or not (update.complete or update.changed or update.removed):
             return
-        seconds_by_id = {cold.upstream_id: cold.seconds for cold in update.cold}
-        upstreams_by_id = {} if update.complete else dict(cluster_state.registered_by_id)
-        for upstream_id in update.removed:
-            upstreams_by_id.pop(upstream_id, None)
-        for upstream in update.changed:
-            seconds = seconds_by_id.get(upstream.upstream_id)
-            cold_until = now() + seconds if seconds is not None else 0.0
-            upstreams_by_id[upstream.upstream_id] = replace(upstream, cold_until=cold_until)
-        cluster_state.accept_upstreams(upstreams_by_id.values(), update.revision)
+        self._accept_upstreams(update)
         self._on_change()
+
+    def _accept_upstreams(self, update: FeedUpdate) -> None:
+        seconds_by_id = {cold.upstream_id: cold.seconds for cold in update.cold}
+        at = now()
+        changed = [
+            replace(upstream, cold_until=at + seconds_by_id[upstream.upstream_id])
+            if upstream.upstream_id in seconds_by_id
+            else replace(upstream, cold_until=0.0)
+            for upstream in update.changed
+        ]
+        if update.complete:
+            self._cluster_state.accept_upstreams(changed, update.revision)
+        else:
+            self._cluster_state.accept_changes(changed, update.removed, update.revision)
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -15,7 +15,7 @@
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass.fleet._catalog import Evacuations
-from cactuspass.fleet._cluster_state import NEVER, ClusterState
+from cactuspass.fleet._cluster_state import NEVER, ClusterState, changed_upstreams
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import (
     ColdUpstream,
@@ -116,7 +116,7 @@
         known, current = self._upstreams_by_id, cluster_state.registered_by_id
         known_peers, known_version = self._peers, self._version
         self._upstreams_by_id = current
-        changed = tuple(u for i, u in current.items() if known.get(i) != u)
+        changed = changed_upstreams(known, current)
         leaving = cluster_state.departures.lifetimes
         sent_leaving, self._sent_leaving = self._sent_leaving, frozenset(leaving)
         catalog = (
--- a/src/cactuspass/fleet/_host_states.py
+++ b/src/cactuspass/fleet/_host_states.py
@@ -1,6 +1,5 @@
 """Last known state of each host: its membership and the number of orders that it has accepted."""
 
-import operator
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -124,9 +123,12 @@
         Hosts may have left groups that the view shows them in, or opened groups that it shows as
         ready.
         """
-        hosts = list(map(self._correct_host, view.upstreams_by_id.values()))
-        unchanged = all(map(operator.is_, hosts, view.upstreams_by_id.values()))
-        return view if unchanged else UpstreamView.of(hosts)
+        corrected = [
+            host
+            for shown in view.upstreams_by_id.values()
+            if (host := self._correct_host(shown)) is not shown
+        ]
+        return view.with_changes(corrected) if corrected else view
 
     def _correct_host(self, host: Upstream) -> Upstream:
         known, shown = self.state_of(host), host.membership
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cactuspass._clock import now
 from cactuspass._findings import Finding
 from cactuspass.exceptions import PlatformError
-from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._cluster_state import ClusterState, changed_upstreams
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory, UpstreamChanges
 from cactuspass.fleet._repeating import RepeatingComponent
@@ -184,29 +184,31 @@
         self._listed_at = began
         self._cluster_state.upstreams_read_at = began
         self._revision = listing.revision
-        self._apply_upstreams({upstream.upstream_id: upstream for upstream in listing.upstreams})
+        listed_by_id = {upstream.upstream_id: upstream for upstream in listing.upstreams}
+        removed = self._cluster_state.registered_by_id.keys() - listed_by_id.keys()
+        self._apply(listing.upstreams, removed)
 
     def _apply_changes(self, changes: UpstreamChanges) -> None:
         log_findings(self._log, changes.findings, self._seen_findings)
         self._revision = max(self._revision, changes.revision)
-        if not changes.changed and not changes.removed:
-            return
-        upstreams_by_id = dict(self._cluster_state.registered_by_id)
-        for upstream_id in changes.removed:
-            upstreams_by_id.pop(upstream_id, None)
-        upstreams_by_id.update((upstream.upstream_id, upstream) for upstream in changes.changed)
-        self._apply_upstreams(upstreams_by_id)
-
-    def _apply_upstreams(self, upstreams_by_id: dict[UpstreamId, Upstream]) -> None:
-        known = self._cluster_state.registered_by_id
+        self._apply(changes.changed, changes.removed)
+
+    def _apply(self, listed: Iterable[Upstream], removed: Iterable[UpstreamId]) -> None:
+        """Apply what differs from the known upstreams.
+
+        :param listed: entries as they are now, changed or not.
+        """
+        known_by_id = self._cluster_state.registered_by_id
+        changed = changed_upstreams(known_by_id, {u.upstream_id: u for u in listed})
+        removed = tuple(upstream_id for upstream_id in removed if upstream_id in known_by_id)
         if now() - self._dependency.regained_at < LAPSED_GRACE_SECONDS:
             # Keeps the expired entries, and makes the next listing due when the grace time ends.
-            upstreams_by_id = {**known, **upstreams_by_id}
+            removed = ()
             self._listed_at = min(
                 self._listed_at,
                 self._dependency.regained_at + LAPSED_GRACE_SECONDS - RELIST_SECONDS,
             )
-        if upstreams_by_id == known:
+        if not changed and not removed:
             return
-        self._cluster_state.accept_upstreams(upstreams_by_id.values(), self._revision)
+        self._cluster_state.accept_changes(changed, removed, self._revision)
         self._on_change()
