Let the head that answers be the one that leaves in the test of leaving heads

Cause: the test sent requests until one head of two, chosen beforehand, had run one.

Change: all heads announce that they leave until the first request is answered; the one that has answered goes on leaving. What is checked is the same: its group is closed, its streams finish, it gets no second request.

--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -167,11 +167,12 @@
     ) -> None:
         instance = await self.start_instance("e0")
         await until(lambda: len(instance.serving_groups()) == 2)
-        leaving = self.heads()[0]
-        leaving.leaving = True
-        async with asyncio.timeout(WAIT_SECONDS):
-            while not leaving.executed_request_ids:
-                self.assertEqual((await self.send_request(instance)).code, 200)
+        for head in self.heads():
+            head.leaving = True
+        self.assertEqual((await self.send_request(instance)).code, 200)
+        [leaving] = [server for server in self.servers if server.executed_request_ids]
+        for server in self.servers:
+            server.leaving = server is leaving
         await until(lambda: any(order["op"] == "close" for order in leaving.orders))
         self.assertEqual(leaving.orders[-1]["close_mode"], "wait")
         for _ in range(4):
