Do nothing periodically where nothing can have changed

Cause: an instance that does not lead ran a planning round every 150 ms, slept 150 ms at a time for probes that it does not send, and looked ten times a second in three loops whether the feed still arrives.

Change: without a term the controller waits until it is woken and probes wait until they are enabled; the feed is looked at five times a second.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -67,9 +67,13 @@
         self._wake.set()
 
     async def step(self) -> None:
-        """Run a planning round once ``wake`` is called or the interval has passed."""
+        """Run a planning round once ``wake`` is called or, while leading, the interval has passed.
+
+        An instance that does not lead has nothing to do until the registry or its term changes.
+        """
+        interval = PLAN_INTERVAL_SECONDS if self._term is not None else None
         with suppress(TimeoutError):
-            async with asyncio.timeout(PLAN_INTERVAL_SECONDS):
+            async with asyncio.timeout(interval):
                 await self._wake.wait()
         self._wake.clear()
         self._plan_services()
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -100,7 +100,7 @@
         super().__init__(log)
         self._cluster_state = cluster_state
         self._control = control
-        self._enabled = False
+        self._enabled = asyncio.Event()
         self._states_by_id: dict[UpstreamId, _ProbeState] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_recheck: Callable[[], None] = lambda: None
@@ -115,7 +115,10 @@
 
         :param enabled: whether to probe from now on.
         """
-        self._enabled = enabled
+        if enabled:
+            self._enabled.set()
+        else:
+            self._enabled.clear()
         self._states_by_id.clear()
         self._sweep_began_at = None
 
@@ -177,7 +180,7 @@
 
         :param head_id: head of the group, which was reported as unresponsive.
         """
-        if not self._enabled:
+        if not self._enabled.is_set():
             return
         for group in self._cluster_state.view.groups_by_key.values():
             if group.serves and group.head is not None and group.head.upstream_id == head_id:
@@ -192,9 +195,13 @@
             state.report = None
 
     async def step(self) -> None:
-        """Wait for a part of the shortest interval, then probe all targets that are due."""
+        """Wait for a part of the shortest interval, then probe all targets that are due.
+
+        While probes are disabled, the step waits until they are enabled.
+        """
+        await self._enabled.wait()
         await asyncio.sleep(STEP_SECONDS)
-        if not self._enabled:
+        if not self._enabled.is_set():
             return
         self._update_targets()
         at = now()
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -22,7 +22,7 @@
 LAPSED_GRACE_SECONDS = 2.2  # time for upstreams to register again after an outage
 OUTAGE_SECONDS = 1.0  # shorter failures do not start the grace time
 RELIST_SECONDS = 4.0
-FEED_CHECK_SECONDS = 0.1
+FEED_CHECK_SECONDS = 0.2
 
 
 def no_feed() -> bool:
