Take an upstream whose load is unknown for nearly as loaded as the others

Cause: an upstream without a report of the last 1.5 s counted as idle. At a few requests a second an instance knows the load of few heads, so it preferred unknown ones to nearer ones and to those with an open connection, and heads that had told some load were left for others.

Change: in the order of preference such an upstream counts with 0.85 of the mean load that others have told. The wait that decides on rejection is as before.

--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -42,9 +42,12 @@
 
         Without a recent report, only the requests of this instance count.
         """
-        if at - self.reported_at > REPORT_VALID_SECONDS:
-            return float(self.in_flight)
-        return max(self.reported, float(self.in_flight))
+        in_flight = float(self.in_flight)
+        return max(self.reported, in_flight) if self.is_known(at) else in_flight
+
+    def is_known(self, at: float) -> bool:
+        """Return whether the upstream has reported its load recently."""
+        return at - self.reported_at <= REPORT_VALID_SECONDS
 
     def is_suspect(self, at: float) -> bool:
         """Return whether the upstream failed recently, so that it should get no new requests."""
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from statistics import fmean
 
 from cactuspass.fleet._backoff import BackoffTable
 from cactuspass.fleet._budgets import ColdRateLimit
@@ -22,6 +23,8 @@
 NEW_CONNECTION_PENALTY = 0.08
 SAMPLE_SIZE = 12  # of more upstreams than this, a random choice is weighed
 RECENT_UPSTREAMS = 6
+# Of the mean load; below 1, so that upstreams without a recent report are tried and report again.
+UNKNOWN_LOAD_SHARE = 0.85
 INCOMPLETE_GROUP_PENALTY = 3.0
 FAILURE_WEIGHT = 6.0
 COLD_FACTOR_DEFAULT = 1.5
@@ -222,7 +225,9 @@
         healthy = self._without_suspects(warm, at)
         if not healthy and not accepts_suspects:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
-        candidates = [self._score(s, service, at) for s in healthy or warm]
+        choices = healthy or warm
+        typical_load = self._typical_load(choices, at)
+        candidates = [self._score(s, service, at, typical_load) for s in choices]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > request.max_wait:
             retry_after = min(max(0.2, best.wait - request.max_wait), backoff_remaining)
@@ -289,10 +294,23 @@
         senders = choose_senders(self._cluster_state.peers, upstream.upstream_id, count)
         return self._instance in senders and rate_limit.is_unused(at)
 
-    def _score(self, serving: ServingUpstream, service: Service, at: float) -> _Candidate:
+    def _typical_load(self, choices: list[ServingUpstream], at: float) -> float:
+        """Return the number of requests to expect at an upstream without a recent report.
+
+        It is a little below the mean of those that have reported. If such an upstream counted as
+        idle, it would be preferred to all that have an open connection or are nearer.
+        """
+        loads = (self._loads.load(serving.upstream.upstream_id) for serving in choices)
+        estimates = [load.estimate(at) for load in loads if load.is_known(at)]
+        return UNKNOWN_LOAD_SHARE * fmean(estimates) if estimates else 0.0
+
+    def _score(
+        self, serving: ServingUpstream, service: Service, at: float, typical_load: float
+    ) -> _Candidate:
         upstream, spec = serving.upstream, serving.spec
         load = self._loads.load(upstream.upstream_id)
         estimate = load.estimate(at)
+        likely = estimate if load.is_known(at) else max(estimate, typical_load)
         distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
         tie_break = self._rng.random() * TIE_BREAK_RANGE
         if not self._is_connected(upstream.address):
@@ -301,11 +319,11 @@
         if service.engine is None or spec is None:
             slots = max(1, upstream.slots)
             wait = max(0.0, estimate + 1 - slots) * load.latency / slots
-            score = (estimate + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
+            score = (likely + 1) / slots * max(load.latency, 0.001) * 10 + distance + health
             return _Candidate(upstream, score + tie_break, wait)
         wait = queue_wait(service.engine, spec.pace, estimate)
         missing = 0.0 if serving.is_complete else INCOMPLETE_GROUP_PENALTY
-        score = (estimate + 1) * spec.pace / service.engine.slots * 4 + distance + health + missing
+        score = (likely + 1) * spec.pace / service.engine.slots * 4 + distance + health + missing
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return _Candidate(upstream, score + tie_break, wait, max_event_gap)
 
