Log the first listing of the registry with one line

Cause: at its start each of 195 instances logged a line for each of 1,095 upstreams, as far as the bound of the log allowed; they say nothing that the registry does not.

Change: the first listing is logged with the number of upstreams.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -312,6 +312,10 @@
         self, changed: Iterable[Upstream], removed: Iterable[UpstreamId], revision: int
     ) -> None:
         known_by_id = self.view.upstreams_by_id
+        if not known_by_id:
+            count = len(tuple(changed))
+            self._log.state_change("upstreams-listed", count=count, revision=revision)
+            return
         for upstream_id in sorted(removed):
             if upstream_id in known_by_id:
                 self._log.state_change("upstream-gone", upstream=upstream_id, revision=revision)
