Bound the probes and orders that a leader has under way

Cause: a new leader knows no host and probed all of them at once, and sent all orders of a planning round at once. With 1,095 hosts on half a core the answers came after the timeouts of 0.2 and 0.4 s, so hosts counted as unreachable, formations were given up, and everything was asked again, all at once.

Change: 64 probes and 64 orders are under way at most, the others wait for their turn. An order that waits is not queued a second time, and is dropped when its planner is replaced.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -13,16 +13,18 @@
 from cactuspass.fleet._dispatch import RequestActivity
 from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._orders import AddressedOrder, Join, Stage, UpstreamControl
+from cactuspass.fleet._orders import AddressedOrder, Join, Order, Stage, UpstreamControl
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._planning_round import PlannerInput
 from cactuspass.fleet._presence import Presence, Term
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._repeating import RepeatingComponent
-from cactuspass.fleet._upstreams import Upstream
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_INTERVAL_SECONDS = 0.15  # longest time between two planning rounds
+# More at once would keep each other from being answered in time on a small instance.
+MAX_ORDERS_AT_ONCE = 64
 REGISTRY_STABLE_SECONDS = 0.7  # time without a change in the number of registered upstreams
 
 
@@ -57,6 +59,8 @@
         self._planners_by_service: dict[ServiceId, GroupPlanner] = {}
         self._histories_by_service: defaultdict[ServiceId, GroupHistory] = defaultdict(GroupHistory)
         self._order_tasks: set[asyncio.Task[None]] = set()
+        self._order_turns = asyncio.Semaphore(MAX_ORDERS_AT_ONCE)
+        self._pending_orders: set[tuple[UpstreamId, Order]] = set()
         self._before_traffic = False
         self._registered_count = 0
         self._registered_count_changed_at = 0.0
@@ -194,10 +198,23 @@
         return {model: float(count) for model, count in counts.items()}
 
     def _start_order(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
-        task = asyncio.create_task(self._send_order(planner, addressed))
+        """Send an order in its turn, unless the same one has not been sent yet."""
+        pending = (addressed.target.upstream_id, addressed.order)
+        if pending in self._pending_orders:
+            return
+        self._pending_orders.add(pending)
+        task = asyncio.create_task(self._send_in_turn(planner, addressed))
         self._order_tasks.add(task)
         task.add_done_callback(self._order_tasks.discard)
 
+    async def _send_in_turn(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
+        """Send an order once fewer than ``MAX_ORDERS_AT_ONCE`` others are under way."""
+        async with self._order_turns:
+            self._pending_orders.discard((addressed.target.upstream_id, addressed.order))
+            # A planner that was replaced meanwhile belongs to an earlier term.
+            if planner in self._planners_by_service.values():
+                await self._send_order(planner, addressed)
+
     async def _send_order(self, planner: GroupPlanner, addressed: AddressedOrder) -> None:
         if self._presence.term != self._term or self._term is None:
             return
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -22,6 +22,8 @@
 STEP_SECONDS = 0.15
 MIN_SPREAD = 0.6
 PROBE_TIMEOUT_SECONDS = 0.2
+# More at once would keep each other from being answered in time on a small instance.
+MAX_PROBES_AT_ONCE = 64
 UNREACHABLE_AFTER_MISSES = 2  # consecutive probes without a report
 REPORT_VALID_SECONDS = 1.5
 REPORT_VALID_INTERVALS = 1.25  # a report stays valid until the next one is due, and a little longer
@@ -65,6 +67,7 @@
     :param probed_at: clock value at which the last probe was sent.
     :param spread: factor on the interval, so that not all hosts are probed at once.
     :param need: what the upstream is probed for now.
+    :param is_pending: whether a probe waits for its turn or for a report.
     """
 
     upstream: Upstream
@@ -75,12 +78,15 @@
     probed_at: float = float("-inf")
     spread: float = 1.0
     need: ProbeNeed = ProbeNeed.CHANGE
+    is_pending: bool = False
 
     def is_due(self, at: float) -> bool:
         """Return whether the interval since the last probe has passed.
 
         After a missed probe, and until there is a report, it is the shortest interval.
         """
+        if self.is_pending:
+            return False
         is_known = self.report is not None and self.misses == 0
         interval = self.need.value * self.spread if is_known else PROBE_INTERVAL_SECONDS
         return at - self.probed_at >= interval
@@ -101,6 +107,7 @@
         self._cluster_state = cluster_state
         self._control = control
         self._enabled = asyncio.Event()
+        self._turns = asyncio.Semaphore(MAX_PROBES_AT_ONCE)
         self._states_by_id: dict[UpstreamId, _ProbeState] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_recheck: Callable[[], None] = lambda: None
@@ -208,8 +215,8 @@
         is_sweeping = self._update_sweep(at)
         for state in list(self._states_by_id.values()):
             is_fast_due = at - state.probed_at >= PROBE_INTERVAL_SECONDS
-            if state.is_due(at) or (is_sweeping and is_fast_due):
-                self._start_task(self._probe(state))
+            if state.is_due(at) or (is_sweeping and is_fast_due and not state.is_pending):
+                self._start_task(self._probe_in_turn(state))
 
     def _update_sweep(self, at: float) -> bool:
         """Begin or end a sweep of all hosts; return whether one is under way."""
@@ -253,6 +260,15 @@
             await self._probe(state)
         self._on_recheck()
 
+    async def _probe_in_turn(self, state: _ProbeState) -> None:
+        """Probe an upstream once fewer than ``MAX_PROBES_AT_ONCE`` others are probed."""
+        state.is_pending = True
+        try:
+            async with self._turns:
+                await self._probe(state)
+        finally:
+            state.is_pending = False
+
     async def _probe(self, state: _ProbeState) -> None:
         state.probed_at = now()
         state.spread = random.uniform(MIN_SPREAD, 1.0)
--- a/tests/test_fleet_order_permission.py
+++ b/tests/test_fleet_order_permission.py
@@ -11,23 +11,40 @@
 from unittest import mock
 
 from cactuspass.fleet._cluster_state import ClusterState
-from cactuspass.fleet._controller import Controller
+from cactuspass.fleet._controller import MAX_ORDERS_AT_ONCE, Controller
 from cactuspass.fleet._dispatch import RequestActivity
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._orders import AddressedOrder, Leave, OrderOutcome
+from cactuspass.fleet._orders import (
+    AddressedOrder,
+    Leave,
+    OrderOutcome,
+    Stage,
+    UpstreamControl,
+    UpstreamReport,
+)
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._presence import Term
-from cactuspass.fleet._upstreams import GroupKey
+from cactuspass.fleet._upstreams import GroupKey, Upstream
 from cactuspass.models import GroupId
 from cactuspass.platform._control import ServerControl
 from tests.fleet_path import recording_log
-from tests.fleet_world import host
+from tests.fleet_world import SERVICE, SMALL, host, hosts
 
 ORDER = Leave(GroupKey(GroupId("g"), 7))
 TERM = Term(5)
 
 
+def make_controller(presence: mock.Mock, control: UpstreamControl) -> Controller:
+    """Return a controller in the term ``TERM``."""
+    log, _ = recording_log()
+    controller = Controller(
+        ClusterState(log), presence, control, mock.Mock(), log, Metrics(), RequestActivity()
+    )
+    controller._term = TERM
+    return controller
+
+
 class OrderPermissionTest(unittest.IsolatedAsyncioTestCase):
     """A host that records the bytes which reach it, and a leader that loses its term."""
 
@@ -67,20 +84,76 @@
                 found.append(may_send())
                 return OrderOutcome.NOT_REACHED
 
-        log, _ = recording_log()
-        controller = Controller(
-            ClusterState(log),
-            presence,
-            PausedControl(self.pool),
-            mock.Mock(),
-            log,
-            Metrics(),
-            RequestActivity(),
-        )
-        controller._term = TERM
+        controller = make_controller(presence, PausedControl(self.pool))
         await controller._send_order(mock.Mock(spec=GroupPlanner), self.addressed)
         self.assertEqual(found, [True, False])
 
 
+class BoundedControl(UpstreamControl):
+    """Counts the orders that are under way together."""
+
+    def __init__(self) -> None:
+        self.received: list[AddressedOrder] = []
+        self.under_way = self.most = 0
+
+    async def send_order(
+        self, addressed: AddressedOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Take an order and answer a little later."""
+        self.received.append(addressed)
+        self.under_way += 1
+        self.most = max(self.most, self.under_way)
+        await asyncio.sleep(0.01)
+        self.under_way -= 1
+        return OrderOutcome.BEGUN
+
+    async def fetch_report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
+        """Return no report."""
+        return None
+
+
+class ManyOrdersTest(unittest.IsolatedAsyncioTestCase):
+    """Orders for a large fleet at once, as when a leader forms the first groups.
+
+    On a small instance, all of them together would each take longer than the timeout.
+    """
+
+    def setUp(self) -> None:
+        self.control = BoundedControl()
+        self.presence = mock.Mock(term=TERM)
+        self.controller = make_controller(self.presence, self.control)
+        self.planner = mock.Mock(spec=GroupPlanner)
+        self.controller._planners_by_service[SERVICE] = self.planner
+        self.orders = [
+            AddressedOrder(upstream, Stage(SMALL), "test", 0)
+            for upstream in hosts(3 * MAX_ORDERS_AT_ONCE)
+        ]
+
+    async def send_all(self) -> None:
+        await asyncio.gather(*self.controller._order_tasks)
+
+    async def test_each_order_is_sent_once_and_few_are_under_way_together(self) -> None:
+        for addressed in [*self.orders, *self.orders]:
+            self.controller._start_order(self.planner, addressed)
+        await self.send_all()
+        self.assertCountEqual(self.control.received, self.orders)
+        self.assertEqual(self.control.most, MAX_ORDERS_AT_ONCE)
+
+    async def test_order_that_was_sent_can_be_sent_again(self) -> None:
+        for _ in range(2):
+            self.controller._start_order(self.planner, self.orders[0])
+            await self.send_all()
+        self.assertEqual(self.control.received, self.orders[:1] * 2)
+
+    async def test_orders_that_wait_when_the_term_ends_are_not_sent(self) -> None:
+        for addressed in self.orders:
+            self.controller._start_order(self.planner, addressed)
+        await asyncio.sleep(0)
+        self.presence.term = Term(6)
+        self.controller._planners_by_service.clear()
+        await self.send_all()
+        self.assertLessEqual(len(self.control.received), MAX_ORDERS_AT_ONCE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_fleet_probes.py
+++ b/tests/test_fleet_probes.py
@@ -37,6 +37,8 @@
 
 GROUP_SIZE = 8
 GROUP_COUNT = 10
+FLEET_GROUP_COUNT = 130
+CALL_SECONDS = 0.001  # processor time of one probe on a small instance
 
 
 def group(number: int, head_state: MemberState = MemberState.OPEN) -> list[Upstream]:
@@ -71,6 +73,23 @@
         return UpstreamReport(0, 0, 1.0, upstream.membership, False, 0, upstream.born_ms)
 
 
+class BusyControl(CountingControl):
+    """Answers one call after the other, as a process does whose processor is the limit."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.idle_at = 0.0
+
+    async def fetch_report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
+        """Return a report in its turn, or None when that is later than the timeout."""
+        began = clock()
+        self.idle_at = max(self.idle_at, began) + CALL_SECONDS
+        await asyncio.sleep(min(timeout, self.idle_at - began))
+        if self.idle_at - began > timeout:
+            return None
+        return await super().fetch_report(upstream, timeout)
+
+
 class NeedTest(unittest.TestCase):
     """What a host is probed for, by the registry."""
 
@@ -89,7 +108,9 @@
 class ProbesTest(unittest.TestCase):
     """Probes of ten serving groups of eight, in virtual time."""
 
-    async def start(self) -> tuple[Probes, CountingControl]:
+    async def start(
+        self, control: CountingControl | None = None, group_count: int = GROUP_COUNT
+    ) -> tuple[Probes, CountingControl]:
         patch = mock.patch.object(_probes, "now", clock)
         patch.start()
         self.addCleanup(patch.stop)
@@ -98,9 +119,9 @@
         self.cluster_state.accept_catalog(
             Catalog(1, (), {SERVICE: Service(SERVICE, engine=ENGINE)})
         )
-        self.hosts = [member for number in range(GROUP_COUNT) for member in group(number)]
+        self.hosts = [member for number in range(group_count) for member in group(number)]
         self.cluster_state.accept_upstreams(self.hosts, 1)
-        control = CountingControl()
+        control = control or CountingControl()
         probes = Probes(self.cluster_state, control, log)
         probes.reset(enabled=True)
         await probes.start()
@@ -115,6 +136,15 @@
         self.assertLess(per_second, GROUP_COUNT * (1 / 0.7 + (GROUP_SIZE - 1) / 1.8))
         self.assertGreater(min(control.counts.values()), 9)
 
+    # A new leader knows no host. When it asked all at once, most answers came after the timeout.
+    @virtual_time
+    async def test_new_leader_of_a_large_fleet_on_a_small_instance_finds_all_hosts(self) -> None:
+        probes, _ = await self.start(BusyControl(), FLEET_GROUP_COUNT)
+        await asyncio.sleep(2.0)
+        self.assertEqual(len(probes.reachable_ids()), len(self.hosts))
+        self.assertEqual(probes._missing_ids(), frozenset())
+        await probes.stop()
+
     @virtual_time
     async def test_probes_are_spread_over_time(self) -> None:
         probes, control = await self.start()
