End a test run that hangs, and print where it hangs

Change: a process of the tests in which no test begins or ends for 240 s prints the stacks of its threads and fails. The longest test with its set-up takes 80 s.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,6 +6,7 @@
 process. ``python -m tests MODULE ...`` runs only the named modules, in this process.
 """
 
+import faulthandler
 import gc
 import re
 import subprocess
@@ -21,6 +22,8 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 MAX_SUBPROCESSES = 4
 TESTS_BETWEEN_COLLECTIONS = 20
+# A run in which nothing ends for so long is hung; it prints where and fails.
+HANG_SECONDS = 240.0
 PROCESS_IMPORT = re.compile(r"^from (trial\.|tests\.\w+_case )", re.MULTILINE)
 KNOWN_RED_LINE = re.compile(r"^known red, .*$", re.MULTILINE)
 KNOWN_RED_FAILED = "known red, failed:"
@@ -87,6 +90,7 @@
 
     def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
         """Disable the garbage collector during a test."""
+        watch_for_hang()
         gc.disable()
         self.started_ids.add(test.id())
         super().startTest(test)
@@ -94,11 +98,17 @@
     def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
         """Enable the garbage collector, and run a full collection after every few tests."""
         super().stopTest(test)
+        watch_for_hang()
         gc.enable()
         if self.testsRun % TESTS_BETWEEN_COLLECTIONS == 0:
             gc.collect()
 
 
+def watch_for_hang() -> None:
+    """Exit with the stacks of all threads if this is not called again within ``HANG_SECONDS``."""
+    faulthandler.dump_traceback_later(HANG_SECONDS, exit=True, file=sys.__stderr__)
+
+
 def failed_ids(result: unittest.TestResult) -> set[str]:
     """Return the ids of the failed tests; a failed subtest counts as its test."""
     found = [test for test, _ in (*result.failures, *result.errors)]
@@ -118,7 +128,9 @@
     runner = unittest.TextTestRunner(
         output, verbosity=1, buffer=True, resultclass=CollectingTestResult
     )
+    watch_for_hang()
     result = runner.run(suite)
+    faulthandler.cancel_dump_traceback_later()
     assert isinstance(result, CollectingTestResult)
     failed = failed_ids(result)
     known_red_lines = tuple(
