--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -7,7 +7,7 @@
 from cactuspass._operator_api import CommandAnswer
 from tests.invariants import Counts, Violation
 from trial.fleet import KIND, MODEL, Fleet, FleetPlan
-from trial.processes import wait_until
+from trial.processes import TrialError, wait_until
 
 WAIT_SECONDS = 30.0
 IN_FORCE_SECONDS = 7.0
@@ -60,7 +60,10 @@
         :param what: description of the condition, for the message of a failure.
         :param timeout: seconds after which the test fails.
         """
-        return wait_until(condition, what, timeout)
+        try:
+            return wait_until(condition, what, timeout)
+        except TrialError as error:
+            raise TrialError(f"{error}\n{cls.fleet.describe()}") from error
 
     def counts(self) -> Counts:
         """Return the counters of all upstream stand-ins."""
--- a/trial/fleet.py
+++ b/trial/fleet.py
@@ -25,6 +25,7 @@
 SERVICE_KIND = "lending-app"
 HTTP_TIMEOUT_SECONDS = 30.0
 # Below the range of ephemeral ports, so that no outgoing connection takes a chosen port.
+DESCRIBED_LOG_LINES = 30
 LISTENER_PORTS = (10_000, 32_000)
 
 
@@ -163,6 +164,18 @@
             START_TIMEOUT_SECONDS,
         )
 
+    def describe(self) -> str:
+        """Return what each entry shows of the groups, and the end of its log, for a failed step."""
+        return "\n".join(map(self._describe_entry, self.entries_by_name.values()))
+
+    def _describe_entry(self, entry: EntryProcess) -> str:
+        if entry.child is None or not entry.child.is_running:
+            return f"{entry.name} does not run"
+        rows = [] if entry.child.is_paused else self.rows("groups", entry.name)
+        lines = entry.child.log.read_text(encoding="utf-8").splitlines()[-DESCRIBED_LOG_LINES:]
+        paused = " (paused)" if entry.child.is_paused else ""
+        return "\n  ".join([f"{entry.name}{paused} shows", *map(str, rows), "and logged", *lines])
+
     def operator(self, name: str) -> OperatorClient:
         """Return a client of an entry's operator API."""
         return OperatorClient(self.entries_by_name[name].operators, OPERATOR_TOKEN)
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -37,11 +37,15 @@
 
 
 class Child:
-    """A child process that writes standard error to a log file."""
+    """A child process that writes standard error to a log file.
+
+    :ivar is_paused: whether the last signal that stops or continues it was SIGSTOP.
+    """
 
     def __init__(self, name: str, arguments: list[str], log: Path) -> None:
         self.name = name
         self.log = log
+        self.is_paused = False
         with log.open("a", encoding="utf-8") as stream:
             self._process = subprocess.Popen(
                 [sys.executable, *arguments],
@@ -80,8 +84,11 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
-        if self.is_running:
-            os.kill(self.pid, number)
+        if not self.is_running:
+            return
+        os.kill(self.pid, number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.is_paused = number is signal.SIGSTOP
 
     def wait(self, timeout: float = STOP_TIMEOUT_SECONDS) -> int:
         """Wait for the process to exit and return its exit code.
