--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -23,6 +23,8 @@
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_INTERVAL_SECONDS = 0.15  # longest time between two planning rounds
+# Of the processor time; each round is followed by a pause, whatever wakes the controller.
+MAX_PLANNING_SHARE = 0.25
 # More at once would keep each other from being answered in time on a small instance.
 MAX_ORDERS_AT_ONCE = 64
 REGISTRY_STABLE_SECONDS = 0.7  # time without a change in the number of registered upstreams
@@ -80,7 +82,9 @@
             async with asyncio.timeout(interval):
                 await self._wake.wait()
         self._wake.clear()
+        began = now()
         self._plan_services()
+        await asyncio.sleep((now() - began) * (1 / MAX_PLANNING_SHARE - 1))
 
     def _plan_services(self) -> None:
         term = self._presence.term
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -24,6 +24,9 @@
 PROBE_TIMEOUT_SECONDS = 0.2
 # More at once would keep each other from being answered in time on a small instance.
 MAX_PROBES_AT_ONCE = 64
+# A probe that ended later than this after its timeout says nothing about the host, since this
+# process was paused or busy.
+MAX_OWN_DELAY_SECONDS = 0.05
 UNREACHABLE_AFTER_MISSES = 2  # consecutive probes without a report
 REPORT_VALID_SECONDS = 1.5
 REPORT_VALID_INTERVALS = 1.25  # a report stays valid until the next one is due, and a little longer
@@ -193,7 +196,9 @@
             if group.serves and group.head is not None and group.head.upstream_id == head_id:
                 self.add_targets(group.members)
                 for member in group.members:
-                    self._start_task(self._probe_with_retry(self._states_by_id[member.upstream_id]))
+                    state = self._states_by_id[member.upstream_id]
+                    if not state.is_pending:
+                        self._start_task(self._probe_with_retry(state))
 
     def discard_report(self, upstream_id: UpstreamId) -> None:
         """Drop the last report of a host that has been sent an order, and probe it soon."""
@@ -212,19 +217,24 @@
             return
         self._update_targets()
         at = now()
-        is_sweeping = self._update_sweep(at)
+        self._update_sweep(at)
         for state in list(self._states_by_id.values()):
-            is_fast_due = at - state.probed_at >= PROBE_INTERVAL_SECONDS
-            if state.is_due(at) or (is_sweeping and is_fast_due and not state.is_pending):
+            if state.is_due(at) or self._is_due_in_sweep(state, at):
                 self._start_task(self._probe_in_turn(state))
 
-    def _update_sweep(self, at: float) -> bool:
-        """Begin or end a sweep of all hosts; return whether one is under way."""
+    def _update_sweep(self, at: float) -> None:
+        """Begin or end a sweep of all hosts."""
         if not self._needs_sweep(self._missing_ids()):
             self._sweep_began_at = None
         elif self._sweep_began_at is None:
             self._sweep_began_at = at
-        return self._sweep_began_at is not None and not self._is_sweep_done()
+
+    def _is_due_in_sweep(self, state: _ProbeState, at: float) -> bool:
+        """Return whether the sweep that is under way waits for a host."""
+        began_at = self._sweep_began_at
+        if began_at is None or state.is_pending or state.answered_at >= began_at:
+            return False
+        return at - state.probed_at >= PROBE_INTERVAL_SECONDS
 
     def _update_targets(self) -> None:
         """Add the hosts of engine services and remove the targets that have expired."""
@@ -255,9 +265,9 @@
 
     async def _probe_with_retry(self, state: _ProbeState) -> None:
         """Probe an upstream, a second time if it has missed a probe, and call the callback."""
-        await self._probe(state)
+        await self._probe_in_turn(state)
         if state.misses:
-            await self._probe(state)
+            await self._probe_in_turn(state)
         self._on_recheck()
 
     async def _probe_in_turn(self, state: _ProbeState) -> None:
@@ -270,11 +280,13 @@
             state.is_pending = False
 
     async def _probe(self, state: _ProbeState) -> None:
-        state.probed_at = now()
+        state.probed_at = began = now()
         state.spread = random.uniform(MIN_SPREAD, 1.0)
         report = await self._control.fetch_report(state.upstream, PROBE_TIMEOUT_SECONDS)
         upstream_id = state.upstream.upstream_id
         if report is None:
+            if now() - began > PROBE_TIMEOUT_SECONDS + MAX_OWN_DELAY_SECONDS:
+                return
             state.misses += 1
             if state.misses == UNREACHABLE_AFTER_MISSES:
                 self._log.state_change("upstream-unreachable", upstream=upstream_id)
--- a/tests/test_fleet_order_permission.py
+++ b/tests/test_fleet_order_permission.py
@@ -1,4 +1,4 @@
-"""Orders of a leader whose term ends while an order is on its way to be sent.
+"""Orders of a leader: whose term ends before they are sent, and many at once.
 
 The process may be paused for seconds at any point; the clock of its event loop may not count that
 time, so that no timeout of a call shows it.
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from cactuspass.fleet import _controller
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._controller import MAX_ORDERS_AT_ONCE, Controller
 from cactuspass.fleet._dispatch import RequestActivity
@@ -30,9 +31,12 @@
 from cactuspass.platform._control import ServerControl
 from tests.fleet_path import recording_log
 from tests.fleet_world import SERVICE, SMALL, host, hosts
+from tests.virtual_time import VirtualLoop, virtual_time
 
 ORDER = Leave(GroupKey(GroupId("g"), 7))
 TERM = Term(5)
+ROUND_SECONDS = 0.02  # one planning round of a large fleet on a small instance
+PLANNED_SECONDS = 3.0
 
 
 def make_controller(presence: mock.Mock, control: UpstreamControl) -> Controller:
@@ -155,5 +159,32 @@
         self.assertLessEqual(len(self.control.received), MAX_ORDERS_AT_ONCE)
 
 
+class PlanningShareTest(unittest.TestCase):
+    """Planning rounds of a large fleet, while orders that end wake the controller all the time."""
+
+    @virtual_time
+    async def test_most_of_the_time_is_left_for_the_rest_of_the_instance(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        controller = make_controller(mock.Mock(term=TERM), BoundedControl())
+        rounds = 0
+
+        def plan() -> None:
+            nonlocal rounds
+            rounds += 1
+            loop.advance(ROUND_SECONDS)
+            controller.wake()
+
+        with (
+            mock.patch.object(_controller, "now", loop.time),
+            mock.patch.object(controller, "_plan_services", plan),
+        ):
+            controller.wake()
+            while loop.time() < PLANNED_SECONDS:
+                await controller.step()
+        self.assertLessEqual(rounds * ROUND_SECONDS, PLANNED_SECONDS / 3)
+        self.assertGreater(rounds * ROUND_SECONDS, PLANNED_SECONDS / 6)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_fleet_probes.py
+++ b/tests/test_fleet_probes.py
@@ -38,6 +38,7 @@
 GROUP_SIZE = 8
 GROUP_COUNT = 10
 FLEET_GROUP_COUNT = 130
+OWN_DELAY_SECONDS = 0.1
 CALL_SECONDS = 0.001  # processor time of one probe on a small instance
 
 
@@ -52,11 +53,15 @@
 
 
 class CountingControl(UpstreamControl):
-    """Answers probes of all hosts but the dead ones, and counts them."""
+    """Answers probes of all hosts but the dead ones, and counts them.
+
+    Calls to hosts in ``delayed`` end long after the timeout, as when this process was paused.
+    """
 
     def __init__(self) -> None:
         self.counts: Counter[UpstreamId] = Counter()
         self.dead: set[UpstreamId] = set()
+        self.delayed: set[UpstreamId] = set()
 
     async def send_order(
         self, addressed: AddressedOrder, may_send: Callable[[], bool]
@@ -67,6 +72,9 @@
     async def fetch_report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
         """Return a report, or None for a dead host."""
         self.counts[upstream.upstream_id] += 1
+        if upstream.upstream_id in self.delayed:
+            await asyncio.sleep(timeout + OWN_DELAY_SECONDS)
+            return None
         if upstream.upstream_id in self.dead:
             await asyncio.sleep(timeout)
             return None
@@ -145,6 +153,42 @@
         self.assertEqual(probes._missing_ids(), frozenset())
         await probes.stop()
 
+    # Hints of many instances must not make the leader too busy to read the answers.
+    @virtual_time
+    async def test_hints_for_all_groups_at_once_make_no_host_unreachable(self) -> None:
+        probes, _ = await self.start(BusyControl(), FLEET_GROUP_COUNT)
+        await asyncio.sleep(2.0)
+        for number in range(FLEET_GROUP_COUNT):
+            probes.probe_group_now(UpstreamId(f"g{number}-0"))
+        await asyncio.sleep(2.0)
+        self.assertEqual(probes._missing_ids(), frozenset())
+        await probes.stop()
+
+    # A process that wakes after a pause must not take all hosts for lost.
+    @virtual_time
+    async def test_probe_that_ends_long_after_its_timeout_is_no_miss(self) -> None:
+        probes, control = await self.start()
+        await asyncio.sleep(5.0)
+        control.delayed = {upstream.upstream_id for upstream in self.hosts}
+        await asyncio.sleep(10.0)
+        self.assertGreater(min(control.counts.values()), 4)
+        self.assertEqual(probes._missing_ids(), frozenset())
+        await probes.stop()
+
+    @virtual_time
+    async def test_hosts_that_have_answered_are_not_asked_again_by_a_sweep(self) -> None:
+        probes, control = await self.start()
+        await asyncio.sleep(5)
+        control.dead = {u.upstream_id for u in self.hosts[: len(self.hosts) // 4]}
+        control.delayed = {self.hosts[-1].upstream_id}
+        before = control.counts.copy()
+        await asyncio.sleep(6)
+        asked = control.counts - before
+        lost = control.dead | control.delayed
+        per_host = [asked[u.upstream_id] for u in self.hosts if u.upstream_id not in lost]
+        self.assertLess(sum(per_host) / len(per_host), 6 / 1.2)
+        await probes.stop()
+
     @virtual_time
     async def test_probes_are_spread_over_time(self) -> None:
         probes, control = await self.start()
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -38,6 +38,10 @@
         """Return the virtual time, in seconds."""
         return self._virtual_selector.now
 
+    def advance(self, seconds: float) -> None:
+        """Advance the clock, as a callback does that takes so long."""
+        self._virtual_selector.now += seconds
+
 
 def virtual_time(
     test: Callable[[TestT], Coroutine[Any, Any, None]],
