Share the check for a stalled event loop between requests and probes

Cause: the path of requests and the probes of the leader each told in their own way whether a timeout ended late because the process itself was busy.

Change: both use fleet/_timeouts; such a delay begins at 50 ms on both (requests waited for 100 ms before).

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -1,11 +1,9 @@
 """Sends one request to upstreams, and records its attempts to decide on retries and hedges."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
-from typing import TypeVar
 
 from cactuspass._clock import now
 from cactuspass.exceptions import RequestError, SendWithdrawn
@@ -31,11 +29,8 @@
 MIN_SECONDS_LEFT = 0.1
 # A connection that the upstream closes while idle loses a request that cannot be repeated.
 NON_REPEATABLE_MAX_IDLE_SECONDS = 1.5
-EVENT_LOOP_STALL_SECONDS = 0.1
 MAX_WAIT_SHARE_OF_OBJECTIVE = 0.5
 
-T = TypeVar("T")
-
 
 class Failure(Enum):
     """Why an attempt produced no response that can be sent to the caller."""
@@ -348,22 +343,3 @@
         if len(self.used_upstreams) < self.route.max_upstreams:
             return False
         return not self.used_upstreams - self.excluded - {current}
-
-
-async def call_within(seconds: float, call: Callable[[], Awaitable[T]]) -> T:
-    """Return the result of a call, with a timeout in seconds.
-
-    If the event loop itself was stalled, the call is repeated once with the same timeout, since its
-    result may have arrived during the stall.
-
-    :raises TimeoutError: if the call does not finish in time.
-    """
-    for _ in range(2):
-        started_at = now()
-        try:
-            async with asyncio.timeout(max(0.0, seconds)):
-                return await call()
-        except TimeoutError:
-            if now() - started_at < seconds + EVENT_LOOP_STALL_SECONDS:
-                raise
-    raise TimeoutError
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -16,6 +16,7 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._orders import UpstreamControl, UpstreamReport
 from cactuspass.fleet._repeating import RepeatingComponent
+from cactuspass.fleet._timeouts import has_stalled
 from cactuspass.fleet._upstreams import Upstream, UpstreamId, UpstreamView
 
 PROBE_INTERVAL_SECONDS = 0.45
@@ -24,9 +25,6 @@
 PROBE_TIMEOUT_SECONDS = 0.2
 # More at once would keep each other from being answered in time on a small instance.
 MAX_PROBES_AT_ONCE = 64
-# A probe that ended later than this after its timeout says nothing about the host, since this
-# process was paused or busy.
-MAX_OWN_DELAY_SECONDS = 0.05
 UNREACHABLE_AFTER_MISSES = 2  # consecutive probes without a report
 REPORT_VALID_SECONDS = 1.5
 REPORT_VALID_INTERVALS = 1.25  # a report stays valid until the next one is due, and a little longer
@@ -285,7 +283,7 @@
         report = await self._control.fetch_report(state.upstream, PROBE_TIMEOUT_SECONDS)
         upstream_id = state.upstream.upstream_id
         if report is None:
-            if now() - began > PROBE_TIMEOUT_SECONDS + MAX_OWN_DELAY_SECONDS:
+            if has_stalled(began, PROBE_TIMEOUT_SECONDS):
                 return
             state.misses += 1
             if state.misses == UNREACHABLE_AFTER_MISSES:
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -17,10 +17,10 @@
     Attempts,
     DeadlinePassed,
     Failure,
-    call_within,
 )
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._selection import Selection
+from cactuspass.fleet._timeouts import call_within
 
 T = TypeVar("T")
 
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -9,7 +9,6 @@
     Attempts,
     Failure,
     NoUpstreamAvailable,
-    call_within,
 )
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._events import EventSplitter
@@ -22,6 +21,7 @@
 from cactuspass.fleet._relay import Relay
 from cactuspass.fleet._selection import Selection
 from cactuspass.fleet._stream_attempt import StreamAttempt
+from cactuspass.fleet._timeouts import call_within
 
 FIRST_EVENT_TIMEOUT_SECONDS = 0.7
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
--- a/tests/test_fleet_probes.py
+++ b/tests/test_fleet_probes.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from unittest import mock
 
-from cactuspass.fleet import _probes
+from cactuspass.fleet import _probes, _timeouts
 from cactuspass.fleet._catalog import Catalog, Service
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._orders import (
@@ -38,7 +38,7 @@
 GROUP_SIZE = 8
 GROUP_COUNT = 10
 FLEET_GROUP_COUNT = 130
-OWN_DELAY_SECONDS = 0.1
+OWN_DELAY_SECONDS = 0.06
 CALL_SECONDS = 0.001  # processor time of one probe on a small instance
 
 
@@ -119,9 +119,10 @@
     async def start(
         self, control: CountingControl | None = None, group_count: int = GROUP_COUNT
     ) -> tuple[Probes, CountingControl]:
-        patch = mock.patch.object(_probes, "now", clock)
-        patch.start()
-        self.addCleanup(patch.stop)
+        for module in (_probes, _timeouts):
+            patch = mock.patch.object(module, "now", clock)
+            patch.start()
+            self.addCleanup(patch.stop)
         log, _ = recording_log()
         self.cluster_state = ClusterState(log)
         self.cluster_state.accept_catalog(
