Send a hint on an upstream only if no other instance has just sent it

Cause: when a head is lost, all instances that use it notice it, and each told all others.

Change: an instance sends no hint that it has sent or received in the last 0.8 s, which is less than the second for which a hint counts. A hint on an upstream that leaves is repeated after 0.3 s as before. The test failed before.

--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -17,14 +17,17 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 
-REPEAT_SECONDS = 0.3  # shortest time between two sends of the same hint
+REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
+# Shortest time between two sends of the same hint by any instance; shorter than the time for which
+# an instance that receives it avoids the upstream.
+MIN_INTERVAL_SECONDS = 0.8
+MAX_KNOWN_HINTS = 1024
 MAX_DATAGRAM_BYTES = 512
 KIND_FIELD = "kind"
 UPSTREAM_FIELD = "upstream"
 BORN_FIELD = "born_ms"
 UNRESPONSIVE_KIND = "silent"
 LEAVING_KIND = "leaving"
-SENT_HISTORY_SECONDS = 5.0  # time for which the last send of a hint is kept
 
 Address = tuple[str, int]
 
@@ -95,7 +98,7 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._on_leaving = on_leaving
-        self._sent_at_by_datagram: dict[bytes, float] = {}
+        self._known_at_by_datagram: dict[bytes, float] = {}
 
     async def start(self) -> None:
         """Start to listen."""
@@ -125,6 +128,7 @@
         """Decode a hint and call its callback; log a datagram that is no hint."""
         upstream_id, leaving = decode_unresponsive(data), decode_leaving(data)
         if upstream_id is not None:
+            self._remember(data, now())
             self._on_unresponsive(upstream_id)
         elif leaving is not None:
             self._on_leaving(leaving)
@@ -136,7 +140,11 @@
         self._log.state_change("hint-not-delivered", reason=exc)
 
     def send_unresponsive(self, upstream_id: UpstreamId) -> None:
-        """Send the other instances a hint on an unresponsive upstream, unless one was just sent."""
+        """Send the other instances a hint on an unresponsive upstream.
+
+        None is sent if this or another instance has just sent it to all. Otherwise, each loss would
+        cost as many datagrams as there are pairs of instances.
+        """
         self._send_unless_recent(encode_unresponsive(upstream_id))
 
     def send_leaving(self, lifetime: Lifetime) -> None:
@@ -150,24 +158,27 @@
             loop.call_later(REPEAT_SECONDS, partial(self._broadcast, datagram))
 
     def _send_unless_recent(self, datagram: bytes) -> bool:
-        """Send a datagram unless it was sent less than ``REPEAT_SECONDS`` ago.
+        """Send a datagram unless it was sent or received less than ``MIN_INTERVAL_SECONDS`` ago.
 
         :return: whether it was sent now.
         """
         at = now()
         if (
             self._transport is None
-            or at - self._sent_at_by_datagram.get(datagram, 0.0) < REPEAT_SECONDS
+            or at - self._known_at_by_datagram.get(datagram, 0.0) < MIN_INTERVAL_SECONDS
         ):
             return False
-        recent = self._sent_at_by_datagram.items()
-        self._sent_at_by_datagram = {
-            sent: when for sent, when in recent if at - when < SENT_HISTORY_SECONDS
-        }
-        self._sent_at_by_datagram[datagram] = at
+        self._remember(datagram, at)
         self._broadcast(datagram)
         return True
 
+    def _remember(self, datagram: bytes, at: float) -> None:
+        """Keep when a hint was sent or received; the oldest ones are dropped."""
+        self._known_at_by_datagram.pop(datagram, None)
+        self._known_at_by_datagram[datagram] = at
+        if len(self._known_at_by_datagram) > MAX_KNOWN_HINTS:
+            del self._known_at_by_datagram[next(iter(self._known_at_by_datagram))]
+
     def _broadcast(self, datagram: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import cbor2
 
@@ -11,7 +12,13 @@
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_messages import decode_feed_update, encode_feed_update
 from cactuspass.fleet._feed_source import FeedUpdateWriter
-from cactuspass.fleet._hints import Hints, decode_leaving, decode_unresponsive, encode_leaving
+from cactuspass.fleet._hints import (
+    Hints,
+    decode_leaving,
+    decode_unresponsive,
+    encode_leaving,
+    encode_unresponsive,
+)
 from cactuspass.fleet._orders import Close, Join
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId, UpstreamView
 from cactuspass.models import DataCentreId, EntryId
@@ -109,6 +116,20 @@
             with self.subTest(body=body):
                 self.assertIsNone(decode_leaving(cbor2.dumps(body)))
 
+    # Answers a lost data centre of a large fleet, where all instances notice the same heads.
+    def test_hint_that_another_instance_has_sent_is_not_sent_again(self) -> None:
+        log, _ = recording_log()
+        received: list[UpstreamId] = []
+        hints = Hints("127.0.0.1:1", lambda: ["127.0.0.1:2"], received.append, log)
+        transport = mock.Mock(is_closing=lambda: False)
+        hints.connection_made(transport)
+        first, second = UpstreamId("a"), UpstreamId("b")
+        hints.datagram_received(encode_unresponsive(first), ("127.0.0.1", 2))
+        hints.send_unresponsive(first)
+        hints.send_unresponsive(second)
+        sent = [call.args[0] for call in transport.sendto.call_args_list]
+        self.assertEqual((received, sent), ([first], [encode_unresponsive(second)]))
+
     async def test_each_hint_reaches_the_other_instances(self) -> None:
         log, _ = recording_log()
         received: asyncio.Queue[Lifetime] = asyncio.Queue()
