Load a model in as many domains as it lacks groups

Cause: each domain that planned loads for a model with too few groups saw the same lack, and none counted the loads under way.

Change: groups that can be formed once loads have ended count as supply, and so does each set that is planned in the round.

The test failed before: two domains loaded for one lacking group (more were held back by the rate of loads).

--- a/src/cactuspass/fleet/_planning_round.py
+++ b/src/cactuspass/fleet/_planning_round.py
@@ -170,9 +170,13 @@
             and not self.is_slow(upstream)
         ]
 
-    def supply_ratio(self, spec: ModelSpec) -> float:
-        """Return the number of a model's groups, divided by the target number."""
-        return self.group_counts_by_model[spec.model] / self.target_group_count(spec)
+    def supply_ratio(self, spec: ModelSpec, coming: int = 0) -> float:
+        """Return the number of a model's groups, divided by the target number.
+
+        :param coming: number of groups that are not formed yet and count as well.
+        """
+        count = self.group_counts_by_model[spec.model] + coming
+        return count / self.target_group_count(spec)
 
     def target_group_count(self, spec: ModelSpec) -> float:
         """Return the target number of groups for a model."""
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -1,7 +1,7 @@
 """Orders free hosts to load the weights of models, for the groups that they could form."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from cactuspass.fleet._catalog import ModelSpec
@@ -41,12 +41,14 @@
     """
     loads: list[_PlannedLoad] = []
     transfers_by_id = planning_round.memory.transfers_by_id
-    for domain, free_hosts in sorted(planning_round.free_hosts_by_domain().items()):
+    hosts_by_domain = planning_round.free_hosts_by_domain()
+    coming_counts = _count_complete_sets(hosts_by_domain.values(), planning_round)
+    for domain, free_hosts in sorted(hosts_by_domain.items()):
         hosts = [host for host in free_hosts if host.upstream_id not in transfers_by_id]
         loads += _loads_for_transfers(free_hosts, planning_round)
         loads_for_empty = list(_loads_for_empty(domain, hosts, planning_round))
         loads += loads_for_empty
-        loads += _loads_for_incomplete_sets(hosts, loads_for_empty, planning_round)
+        loads += _loads_for_incomplete_sets(hosts, loads_for_empty, coming_counts, planning_round)
     loads.sort(
         key=lambda load: (
             planning_round.is_evacuated(load.host),
@@ -108,8 +110,27 @@
         )
 
 
+def _count_complete_sets(
+    host_lists: Iterable[list[Upstream]], planning_round: PlanningRound
+) -> Counter[ModelId]:
+    """Return how many groups the free hosts can form once their loads have ended, by model.
+
+    :param host_lists: free hosts of each domain.
+    """
+    specs_by_id = planning_round.planner_input.engine.models_by_id
+    counts: Counter[ModelId] = Counter()
+    for hosts in host_lists:
+        for model, prepared in _prepared_hosts_by_model(hosts, planning_round).items():
+            if model in specs_by_id:
+                counts[model] += len(prepared) // specs_by_id[model].size
+    return counts
+
+
 def _loads_for_incomplete_sets(
-    hosts: list[Upstream], planned: list[_PlannedLoad], planning_round: PlanningRound
+    hosts: list[Upstream],
+    planned: list[_PlannedLoad],
+    coming_counts: Counter[ModelId],
+    planning_round: PlanningRound,
 ) -> Iterator[_PlannedLoad]:
     """Yield loads that turn hosts of incomplete sets into a group of a model that needs one.
 
@@ -117,18 +138,20 @@
     taken out of them.
 
     :param planned: loads that are planned for other hosts of the domain.
+    :param coming_counts: groups that can be formed once loads have ended; the group that is planned
+        here is added, so that not all domains load for the same lack.
     """
-    specs = sorted(
-        planning_round.planner_input.engine.models_by_id.values(),
-        key=lambda spec: planning_round.supply_ratio(spec),
-    )
+
+    def supply_ratio(spec: ModelSpec) -> float:
+        return planning_round.supply_ratio(spec, coming_counts[spec.model])
+
+    specs = sorted(planning_round.planner_input.engine.models_by_id.values(), key=supply_ratio)
     hosts_by_model = _prepared_hosts_by_model(hosts, planning_round)
     for load in planned:
         hosts_by_model[load.spec.model].append(load.host)
     planned_ids = {load.host.upstream_id for load in planned}
     for spec in specs:
-        supply_ratio = planning_round.supply_ratio(spec)
-        if supply_ratio >= 1:
+        if supply_ratio(spec) >= 1:
             return
         missing = spec.size - len(hosts_by_model[spec.model]) % spec.size
         leftover_hosts = [
@@ -141,10 +164,10 @@
             and host.upstream_id not in planned_ids
         ]
         if len(leftover_hosts) >= missing:
+            ratio, reason = supply_ratio(spec), f"{spec.model} has too few groups"
             for host in leftover_hosts[:missing]:
-                yield _PlannedLoad(
-                    host, spec, missing == 1, supply_ratio, f"{spec.model} has too few groups"
-                )
+                yield _PlannedLoad(host, spec, missing == 1, ratio, reason)
+            coming_counts[spec.model] += 1
             return
 
 
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -318,6 +318,16 @@
         world.run(14.0)
         self.assertEqual(len(world.serving(SMALL)), 1)
 
+    # Answers a large fleet that lacks one group of the smaller model: the spares of the larger one
+    # in all other domains must stay what they are.
+    def test_only_as_many_domains_load_a_model_as_it_lacks_groups(self) -> None:
+        spares = [u for number in range(4) for u in hosts(3, f"e{number}", staged=LARGE)]
+        world = EngineWorld([*spares, *hosts(3, "z", staged=SMALL)])
+        world.run(30.0)
+        loading_domains = {a.target.fabric_domain for a in world.orders(Stage)}
+        self.assertEqual(len(loading_domains), 1)
+        self.assertEqual(len(world.serving(SMALL)), 2)
+
     def test_loads_that_complete_a_group_come_first(self) -> None:
         spares = [u for d in ("e0", "e1", "e2", "e3") for u in hosts(2, d)]
         world = EngineWorld([*spares, *hosts(2, "z", staged=SMALL), host("z-new", "z")])
