--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -23,7 +23,7 @@
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_INTERVAL_SECONDS = 0.15  # longest time between two planning rounds
-# Of the processor time; each round is followed by a pause, whatever wakes the controller.
+# Of the time; each round is followed by a pause, whatever wakes the controller.
 MAX_PLANNING_SHARE = 0.25
 # More at once would keep each other from being answered in time on a small instance.
 MAX_ORDERS_AT_ONCE = 64
--- a/src/cactuspass/fleet/_planning_round.py
+++ b/src/cactuspass/fleet/_planning_round.py
@@ -170,12 +170,12 @@
             and not self.is_slow(upstream)
         ]
 
-    def supply_ratio(self, spec: ModelSpec, coming: int = 0) -> float:
+    def supply_ratio(self, spec: ModelSpec, expected: int = 0) -> float:
         """Return the number of a model's groups, divided by the target number.
 
-        :param coming: number of groups that are not formed yet and count as well.
+        :param expected: number of groups that are not formed yet and count as well.
         """
-        count = self.group_counts_by_model[spec.model] + coming
+        count = self.group_counts_by_model[spec.model] + expected
         return count / self.target_group_count(spec)
 
     def target_group_count(self, spec: ModelSpec) -> float:
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -42,13 +42,13 @@
     loads: list[_PlannedLoad] = []
     transfers_by_id = planning_round.memory.transfers_by_id
     hosts_by_domain = planning_round.free_hosts_by_domain()
-    coming_counts = _count_complete_sets(hosts_by_domain.values(), planning_round)
+    expected_counts = _count_complete_sets(hosts_by_domain.values(), planning_round)
     for domain, free_hosts in sorted(hosts_by_domain.items()):
         hosts = [host for host in free_hosts if host.upstream_id not in transfers_by_id]
         loads += _loads_for_transfers(free_hosts, planning_round)
         loads_for_empty = list(_loads_for_empty(domain, hosts, planning_round))
         loads += loads_for_empty
-        loads += _loads_for_incomplete_sets(hosts, loads_for_empty, coming_counts, planning_round)
+        loads += _loads_for_incomplete_sets(hosts, loads_for_empty, expected_counts, planning_round)
     loads.sort(
         key=lambda load: (
             planning_round.is_evacuated(load.host),
@@ -129,7 +129,7 @@
 def _loads_for_incomplete_sets(
     hosts: list[Upstream],
     planned: list[_PlannedLoad],
-    coming_counts: Counter[ModelId],
+    expected_counts: Counter[ModelId],
     planning_round: PlanningRound,
 ) -> Iterator[_PlannedLoad]:
     """Yield loads that turn hosts of incomplete sets into a group of a model that needs one.
@@ -138,12 +138,12 @@
     taken out of them.
 
     :param planned: loads that are planned for other hosts of the domain.
-    :param coming_counts: groups that can be formed once loads have ended; the group that is planned
-        here is added, so that not all domains load for the same lack.
+    :param expected_counts: groups that can be formed once loads have ended; the group that is
+        planned here is added, so that not all domains load for the same lack.
     """
 
     def supply_ratio(spec: ModelSpec) -> float:
-        return planning_round.supply_ratio(spec, coming_counts[spec.model])
+        return planning_round.supply_ratio(spec, expected_counts[spec.model])
 
     specs = sorted(planning_round.planner_input.engine.models_by_id.values(), key=supply_ratio)
     hosts_by_model = _prepared_hosts_by_model(hosts, planning_round)
@@ -167,7 +167,7 @@
             ratio, reason = supply_ratio(spec), f"{spec.model} has too few groups"
             for host in leftover_hosts[:missing]:
                 yield _PlannedLoad(host, spec, missing == 1, ratio, reason)
-            coming_counts[spec.model] += 1
+            expected_counts[spec.model] += 1
             return
 
 
