Wait for the end of the connection in the test of an order that is not sent

Cause: the test slept 50 ms and left the receiving task to be cancelled with the event loop, which printed a trace in each run.

Change: it closes the connection and waits until the host has seen its end.

--- a/tests/test_fleet_order_permission.py
+++ b/tests/test_fleet_order_permission.py
@@ -54,24 +54,31 @@
 
     async def asyncSetUp(self) -> None:
         self.received = b""
+        self.received_all = asyncio.Event()
         self.pool = ConnectionPool()
-        self.addCleanup(self.pool.close)
         server = await asyncio.start_server(self._receive, "127.0.0.1", 0)
         self.addCleanup(server.close)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         self.addressed = AddressedOrder(replace(host("x"), address=address), ORDER, "test", None)
 
+    async def close_connections(self) -> None:
+        """Close the connections of the pool, and wait until the host has seen that."""
+        self.pool.close()
+        async with asyncio.timeout(5.0):
+            await self.received_all.wait()
+
     async def _receive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while chunk := await reader.read(1000):
             self.received += chunk
         writer.close()
+        self.received_all.set()
 
     # Guards against an order of a process that was paused while its connection was opened, and
     # whose term has ended meanwhile.
     async def test_order_is_not_sent_once_its_term_has_ended(self) -> None:
         control = ServerControl(self.pool)
         outcome = await control.send_order(self.addressed, lambda: False)
-        await asyncio.sleep(0.05)
+        await self.close_connections()
         self.assertIs(outcome, OrderOutcome.NOT_REACHED)
         self.assertEqual(self.received, b"")
 
