End a lease by one piece of code

Cause: the registration and the leadership each revoked their lease and logged a failure in the same six lines when the instance stops.

Change: both call end_lease. Behaviour is unchanged.

--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -12,7 +12,12 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._registration import INSTANCES_PREFIX, KEY_PREFIX, Registration
+from cactuspass.fleet._registration import (
+    INSTANCES_PREFIX,
+    KEY_PREFIX,
+    Registration,
+    end_lease,
+)
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import HistoryLost, LeaseEnded, SharedStore
 from cactuspass.fleet._sync import FEED_CHECK_SECONDS, no_feed
@@ -116,12 +121,7 @@
         await self._registration.drain()
         lease, self._lease = self._lease, None
         self._end_term("stopping")
-        if lease is None:
-            return
-        try:
-            await self._store.revoke_lease(lease)
-        except PlatformError as error:
-            self._log.lifecycle("lease-not-ended", reason=error)
+        await end_lease(self._store, lease, self._log)
 
     async def stop(self) -> None:
         """Stop all loops."""
--- a/src/cactuspass/fleet/_registration.py
+++ b/src/cactuspass/fleet/_registration.py
@@ -22,6 +22,19 @@
 MAX_WRITES_OF_KEY = 3  # another write of the key may come between reading and writing it
 
 
+async def end_lease(store: SharedStore, lease: LeaseId | None, log: DecisionLog) -> None:
+    """Revoke a lease that is no longer needed, which deletes its keys; log a failure.
+
+    :param lease: None if there is none to revoke.
+    """
+    if lease is None:
+        return
+    try:
+        await store.revoke_lease(lease)
+    except PlatformError as error:
+        log.lifecycle("lease-not-ended", reason=error)
+
+
 class Registration(RepeatingComponent):
     """Keeps the key of this instance in the store.
 
@@ -56,12 +69,7 @@
         """Revoke the lease, which deletes the key."""
         self._stopping = True
         lease, self._lease = self._lease, None
-        if lease is None:
-            return
-        try:
-            await self._store.revoke_lease(lease)
-        except PlatformError as error:
-            self._log.lifecycle("lease-not-ended", reason=error)
+        await end_lease(self._store, lease, self._log)
 
     async def _keep(self) -> None:
         if self._lease is not None:
