Derive an unknown load, the first log line and NEVER from what exists

Cause: a choice told known from unknown loads a second time beside the estimate that does so, a log line copied a list to count it, and NEVER was defined twice.

Change: the estimate takes the load to assume, the list is counted as it is, and the follower of the feed imports NEVER. Behaviour is unchanged.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -309,12 +309,11 @@
         return now() - self.operators_read_at
 
     def _log_upstream_changes(
-        self, changed: Iterable[Upstream], removed: Iterable[UpstreamId], revision: int
+        self, changed: Collection[Upstream], removed: Iterable[UpstreamId], revision: int
     ) -> None:
         known_by_id = self.view.upstreams_by_id
         if not known_by_id:
-            count = len(tuple(changed))
-            self._log.state_change("upstreams-listed", count=count, revision=revision)
+            self._log.state_change("upstreams-listed", count=len(changed), revision=revision)
             return
         for upstream_id in sorted(removed):
             if upstream_id in known_by_id:
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -15,7 +15,7 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import CactuspassError, DocumentError
-from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._cluster_state import NEVER, ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._feed_messages import FeedUpdate, decode_feed_update
 from cactuspass.fleet._feed_source import DEFAULT_MAX_AGE_SECONDS, NOT_CURRENT_CODE
@@ -42,7 +42,6 @@
 OWN_READ_MARGIN_SECONDS = 0.1  # own reads have failed this long before the state is too old
 FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
 LOG_PAUSE_SECONDS = 3.0  # between two lines on failures of one source
-NEVER = float("-inf")
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -37,13 +37,13 @@
     last_used_at: float = 0.0
     last_response_at: float = float("-inf")
 
-    def estimate(self, at: float) -> float:
+    def estimate(self, at: float, assumed: float = 0.0) -> float:
         """Return the estimated number of requests at the upstream, from all instances.
 
-        Without a recent report, only the requests of this instance count.
+        :param assumed: number of requests to assume without a recent report, if this instance has
+            fewer there.
         """
-        in_flight = float(self.in_flight)
-        return max(self.reported, in_flight) if self.is_known(at) else in_flight
+        return max(self.reported if self.is_known(at) else assumed, float(self.in_flight))
 
     def is_known(self, at: float) -> bool:
         """Return whether the upstream has reported its load recently."""
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -310,7 +310,7 @@
         upstream, spec = serving.upstream, serving.spec
         load = self._loads.load(upstream.upstream_id)
         estimate = load.estimate(at)
-        likely = estimate if load.is_known(at) else max(estimate, typical_load)
+        likely = load.estimate(at, typical_load)
         distance = 0.0 if upstream.data_centre == self._data_centre else OTHER_DATA_CENTRE_PENALTY
         tie_break = self._rng.random() * TIE_BREAK_RANGE
         if not self._is_connected(upstream.address):
