Plan again soon after a pause of the process during a planning round

Cause: the pause that leaves time for the rest of the instance was three times the length of the round by a clock that counts pauses of the process: after a pause of 5 s in the middle of a round the leader would have planned nothing for 15 s more. Found by reading; not seen in a run.

Change: the pause is at most the interval between two rounds. The test failed before.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -84,7 +84,9 @@
         self._wake.clear()
         began = now()
         self._plan_services()
-        await asyncio.sleep((now() - began) * (1 / MAX_PLANNING_SHARE - 1))
+        pause = (now() - began) * (1 / MAX_PLANNING_SHARE - 1)
+        # The process may have been paused during the round, which is no reason to plan later.
+        await asyncio.sleep(min(pause, PLAN_INTERVAL_SECONDS))
 
     def _plan_services(self) -> None:
         term = self._presence.term
--- a/tests/test_fleet_leader_load.py
+++ b/tests/test_fleet_leader_load.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from cactuspass.fleet import _controller
-from cactuspass.fleet._controller import MAX_ORDERS_AT_ONCE
+from cactuspass.fleet._controller import MAX_ORDERS_AT_ONCE, PLAN_INTERVAL_SECONDS
 from cactuspass.fleet._orders import (
     AddressedOrder,
     OrderOutcome,
@@ -28,6 +28,7 @@
 LATER_TERM = Term(6)
 ROUND_SECONDS = 0.02  # one planning round of a large fleet on a small instance
 PLANNED_SECONDS = 3.0
+PAUSE_SECONDS = 5.0
 
 
 class BoundedControl(UpstreamControl):
@@ -99,6 +100,19 @@
 class PlanningShareTest(unittest.TestCase):
     """Planning rounds of a large fleet, while orders that end wake the controller all the time."""
 
+    @virtual_time
+    async def test_process_that_was_paused_during_a_round_plans_again_soon(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        controller = make_controller(mock.Mock(term=TERM), BoundedControl())
+        with (
+            mock.patch.object(_controller, "now", loop.time),
+            mock.patch.object(controller, "_plan_services", lambda: loop.advance(PAUSE_SECONDS)),
+        ):
+            controller.wake()
+            await controller.step()
+        self.assertLessEqual(loop.time() - PAUSE_SECONDS, PLAN_INTERVAL_SECONDS + 0.01)
+
     @virtual_time
     async def test_most_of_the_time_is_left_for_the_rest_of_the_instance(self) -> None:
         loop = asyncio.get_running_loop()
