Give the soak's instances ports that nothing else is given

Cause: the soak took ports of the ephemeral range, freed them, and started its servers, proxies and the store before the instances. Each of these, and each connection of the test modules that run beside it, may be given such a port; the instance then ends at its start, and serves no stream for the whole run.

Evidence: the whole run on said 'e-2 served no stream within 60 s' twice, and such a check comes before the first fault and after the last. The log of the failed run was not kept, so that its port was taken is concluded, not seen.

Change: the soak uses the trial's pick_free_address, whose ports are outside that range.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 import signal
-import socket
 import tempfile
 from pathlib import Path
 
 from tests.soak.callers import Caller, CallerResults
 from tests.soak.fleet import InstanceProcess, SoakFleet
 from tests.soak.proxy import Fault, Proxy
+from trial.fleet import pick_free_address
 
 CALLER_COUNT = 6
 RECOVERY_TIMEOUT_SECONDS = 60.0
@@ -20,12 +20,11 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are currently free."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return ports that are free and that no connection or other listener is given by chance."""
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(int(pick_free_address().rpartition(":")[2]))
+    return list(ports)
 
 
 class Soak:
