Log and count the limits that upstreams state

Nothing read Server-Limit, so a log could not tell an instance that does not know of a limit from instances that keep to it one by one but not together. Each instance now decodes the header in the adapter and keeps the limit by lifetime of the upstream; a higher limit, or none, is accepted only from a response to a request sent after the last statement, since responses overtake each other. Lines upstream-limit and upstream-limit-unreadable and the metrics upstream_limits and limited_upstreams show what changed, by which response, and how many requests were sent since. Callers do not see the header. Nothing is sent differently yet.

tests.test_fleet_stated_limits covers values that are no number, several values, order of responses, and responses that are not the upstream's own.

--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -32,6 +32,7 @@
     RequestedBackoff,
     RequestFormat,
     SendDetails,
+    StatedLimit,
 )
 from cactuspass.fleet._instance import Adapter, Instance
 from cactuspass.fleet._metrics import Metrics
@@ -108,6 +109,7 @@
     "Service",
     "ServiceShare",
     "SharedStore",
+    "StatedLimit",
     "Stage",
     "Upstream",
     "UpstreamChanges",
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -248,7 +248,9 @@
         """
         active.head_at = now()
         notes = self.dependencies.request_format.read_answer(head)
-        self.dependencies.notices.apply(active.upstream, notes, self.request.request_id)
+        self.dependencies.notices.apply(
+            active.upstream, notes, self.request.request_id, active.sent_at
+        )
         is_rejected = notes.not_run or head.status == HTTPStatus.SERVICE_UNAVAILABLE
         active.end_trial(is_answered=not is_rejected)
         if notes.load is not None:
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -93,6 +93,18 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """The requests that an upstream accepts from all instances together.
+
+    :param rate: requests per second; None when the value cannot be parsed.
+    :param text: the value as the upstream sent it.
+    """
+
+    rate: float | None
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerNotes:
     """Information in the head of an upstream's response besides its status.
@@ -101,6 +113,9 @@
     :param from_application: whether the response comes from the upstream's application itself.
     :param leaving: whether the upstream announces that its process takes no new requests.
     :param backoff: the requested backoff; None when there is none.
+    :param limit: the stated limit; None when there is none.
+    :param from_another: whether the response comes from another upstream than the intended one, so
+        that what it states about its upstream is not about that one.
     """
 
     not_run: bool
@@ -108,6 +123,8 @@
     load: LoadReport | None = None
     leaving: bool = False
     backoff: RequestedBackoff | None = None
+    limit: StatedLimit | None = None
+    from_another: bool = False
 
 
 class RequestFormat(ABC):
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -24,6 +24,7 @@
 from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
+from cactuspass.fleet._limit_notices import LimitNotices
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import UpstreamControl
@@ -111,6 +112,7 @@
         self._notices = UpstreamNotices(
             self.cluster_state,
             selector.backoff,
+            LimitNotices(selector.limits, log, metrics),
             pool,
             log,
             metrics,
@@ -118,6 +120,7 @@
             lambda: self._controller.wake(),
         )
         self._backoff = selector.backoff
+        self._limits = selector.limits
         self._part_guard = PartGuard(
             entry_id,
             self.cluster_state,
@@ -409,6 +412,7 @@
         for service, retry_budget in self._retry_budgets_by_service.items():
             left = retry_budget.remaining(now(), self.cluster_state.instance_count)
             self._metrics.retries_left.labels(service).set(left)
+        self._metrics.limited_upstreams.set(len(self._limits.limits_by_lifetime))
         self._metrics.blocks.set(len(self.cluster_state.blocks.active))
         self._metrics.groups.clear()
         for group in self.cluster_state.view.groups_by_key.values():
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -33,6 +33,15 @@
             "Times of quiet that upstreams asked for, by how they were taken",
             "taken",
         )
+        self.stated_limits = self._counter(
+            "upstream_limits",
+            "Changes of the limits that upstreams state, by what changed and who heard it",
+            "change",
+            "source",
+        )
+        self.limited_upstreams = self._gauge(
+            "limited_upstreams", "Upstreams that state a limit for the requests of all instances"
+        )
         self.rejections = Counter(
             "cactuspass_upstream_rejections",
             "Backoffs from upstreams that rejected a request",
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -13,6 +13,7 @@
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import choose_senders
+from cactuspass.fleet._request_limits import RequestLimits
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
 
@@ -149,6 +150,7 @@
         self._recent_ids_by_service: dict[ServiceId, deque[UpstreamId]] = {}
         self._cold_by_id: dict[UpstreamId, ColdRateLimit] = {}
         self.backoff = BackoffTable()
+        self.limits = RequestLimits()
 
     def choose(self, request: SelectionRequest, at: float) -> Selection | NoUpstream:
         """Return the upstream that should take a request, or the reason why none can.
@@ -275,7 +277,10 @@
         return self._cluster_state.is_leaving(upstream)
 
     def count_sent(self, upstream: Upstream, at: float) -> None:
-        """Count a request sent to an upstream against its rate limit while cold."""
+        """Count a request sent to an upstream, also against its rate limit while cold."""
+        stated = self.limits.find(upstream.lifetime)
+        if stated is not None:
+            stated.sent += 1
         rate_limit = self._cold_by_id.get(upstream.upstream_id)
         if rate_limit is not None:
             rate_limit.count(at)
--- a/src/cactuspass/fleet/_upstream_notices.py
+++ b/src/cactuspass/fleet/_upstream_notices.py
@@ -7,6 +7,7 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._inbound import AnswerNotes, RequestedBackoff
+from cactuspass.fleet._limit_notices import LimitNotices
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._upstreams import Lifetime, Upstream
@@ -28,6 +29,7 @@
         self,
         cluster_state: ClusterState,
         backoff: BackoffTable,
+        limit_notices: LimitNotices,
         pool: ConnectionPool,
         log: DecisionLog,
         metrics: Metrics,
@@ -36,17 +38,22 @@
     ) -> None:
         self._cluster_state = cluster_state
         self._backoff = backoff
+        self._limit_notices = limit_notices
         self._pool = pool
         self._log = log
         self._metrics = metrics
         self._send_leaving = send_leaving
         self._on_change = on_change
 
-    def apply(self, upstream: Upstream, notes: AnswerNotes, request: RequestId) -> None:
+    def apply(
+        self, upstream: Upstream, notes: AnswerNotes, request: RequestId, sent_at: float
+    ) -> None:
         """Apply the notices in the response head of an upstream.
 
         :param request: id of the request that the response belongs to.
+        :param sent_at: clock value at which the request was sent.
         """
+        self._limit_notices.apply_answer(upstream, notes, request, sent_at)
         if notes.leaving:
             self._send_leaving(upstream.lifetime)
             self._apply_leaving(upstream.lifetime, ANSWER_SOURCE, request, upstream.address)
--- a/src/cactuspass/platform/_names.py
+++ b/src/cactuspass/platform/_names.py
@@ -15,6 +15,7 @@
 NOT_RUN = "Cactuspass-Not-Run"
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LOAD = "Cactuspass-Server-Load"
+SERVER_LIMIT = "Server-Limit"
 
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -20,6 +20,7 @@
 )
 from cactuspass.models import ModelId, RequestId
 from cactuspass.platform import _names as names
+from cactuspass.platform._server_limit import parse_limit
 
 MAX_PRIORITY = 9
 LEAVING_VALUE = "1"
@@ -55,7 +56,9 @@
     )
 )
 # Response headers that are meant for the instance and not forwarded to callers.
-SERVER_NOTICE_HEADERS = frozenset({names.SERVER_LOAD.lower(), names.NOT_RUN.lower()})
+SERVER_NOTICE_HEADERS = frozenset(
+    {names.SERVER_LOAD.lower(), names.NOT_RUN.lower(), names.SERVER_LIMIT.lower()}
+)
 
 
 class PlatformRequests(RequestFormat):
@@ -115,6 +118,8 @@
             load=_parse_load(head.get(names.SERVER_LOAD.lower())),
             leaving=(head.get(names.SERVER_LEAVING.lower()) or "").strip() == LEAVING_VALUE,
             backoff=_parse_backoff(head),
+            limit=parse_limit(head),
+            from_another=head.status == HTTPStatus.MISDIRECTED_REQUEST,
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -21,6 +21,7 @@
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestActivity
 from cactuspass.fleet._inbound import InboundRequest
+from cactuspass.fleet._limit_notices import LimitNotices
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._part_guard import PartGuard
@@ -263,6 +264,7 @@
             UpstreamNotices(
                 self.cluster_state,
                 selector.backoff,
+                LimitNotices(selector.limits, self.log, metrics),
                 self.pool,
                 self.log,
                 metrics,
--- a/tests/test_fleet_rejections.py
+++ b/tests/test_fleet_rejections.py
@@ -16,6 +16,7 @@
 from cactuspass.fleet._catalog import Catalog, Service
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import AnswerNotes, LoadReport
+from cactuspass.fleet._limit_notices import LimitNotices
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._selection import NoUpstreamReason, Selection, SelectionRequest, Selector
@@ -81,7 +82,14 @@
         self.selector = Selector(cluster_state, self.loads, HERE, random.Random(1))
         pool = mock.Mock()
         self.notices = UpstreamNotices(
-            cluster_state, self.selector.backoff, pool, log, Metrics(), mock.Mock(), mock.Mock()
+            cluster_state,
+            self.selector.backoff,
+            LimitNotices(self.selector.limits, log, Metrics()),
+            pool,
+            log,
+            Metrics(),
+            mock.Mock(),
+            mock.Mock(),
         )
 
     def send(self, at: float) -> UpstreamId | None:
@@ -96,7 +104,7 @@
         is_rejected = upstream.upstream_id == "a"
         notes = IDLE_REJECTION if is_rejected else AnswerNotes(False, True, LoadReport(2, 0, 4))
         with mock.patch.object(_upstream_notices, "now", lambda: at):
-            self.notices.apply(upstream, notes, RequestId("r"))
+            self.notices.apply(upstream, notes, RequestId("r"), at)
         if trial is not None:
             trial.end() if is_rejected else trial.succeed()
         assert notes.load is not None
