--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -11,6 +11,7 @@
 from cactuspass.fleet._backoff import TrialRequest
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Customer, Route
+from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._failures import (
     FAILURES_OF_APPLICATION,
@@ -25,7 +26,7 @@
 from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._pool import ConnectionPool, PooledExchange
 from cactuspass.fleet._prompt_parts import BrokenAttempt
-from cactuspass.fleet._selection import NoUpstream, Selection, SelectionRequest, Selector
+from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
--- /dev/null
+++ b/src/cactuspass/fleet/_choices.py
@@ -0,0 +1,75 @@
+"""What the choice of an upstream for a request asks for, and what it returns."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.models import ModelId, ServiceId
+
+NO_BACKOFF_SECONDS = float("inf")
+
+
+class NoUpstreamReason(Enum):
+    """Reason why no upstream can take a request now."""
+
+    NONE_SERVES = "no-upstream-serves"
+    ALL_BUSY = "all-upstreams-busy"
+    ALL_COLD = "all-upstreams-cold"
+    ALL_BACKING_OFF = "all-upstreams-quiet"
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """The upstream that a request should go to.
+
+    :param wait: estimated seconds until it starts the request.
+    :param max_event_gap: longest expected time in seconds between two events of a stream while the
+        upstream works normally; None when unknown.
+    """
+
+    upstream: Upstream
+    wait: float
+    max_event_gap: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NoUpstream:
+    """The result when no upstream can take a request now.
+
+    :param retry_after: estimated seconds until an upstream can take it.
+    :param serving_count: number of upstreams that could serve the request, busy and cold included.
+    :param wait: estimated wait in seconds at the best of them.
+    :param backoff_remaining: seconds until the first upstream that is backing off accepts requests
+        again; infinite when none is.
+    """
+
+    reason: NoUpstreamReason
+    retry_after: float
+    serving_count: int = 0
+    wait: float | None = None
+    backoff_remaining: float = NO_BACKOFF_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionRequest:
+    """The requirements of a request.
+
+    :param excluded: upstreams at which the request has already failed.
+    :param max_wait: longest acceptable wait in seconds.
+    :param only: the only upstreams that may take the request; None for no restriction.
+    :param full: upstreams that rejected the request a moment ago.
+    """
+
+    service: ServiceId
+    model: ModelId | None
+    excluded: Collection[UpstreamId]
+    max_wait: float
+    only: Collection[UpstreamId] | None = None
+    full: Collection[UpstreamId] = frozenset()
+
+    def allows(self, upstream_id: UpstreamId) -> bool:
+        """Return whether an upstream may take the request."""
+        if self.only is not None and upstream_id not in self.only:
+            return False
+        return upstream_id not in self.excluded
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -10,6 +10,7 @@
 from cactuspass.exceptions import RequestError
 from cactuspass.fleet._attempts import Attempts, RequestDependencies
 from cactuspass.fleet._catalog import Customer, Route, RouteKind, ServiceShare
+from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._failures import AttemptFailed, DeadlinePassed, Failure, NoUpstreamAvailable
@@ -17,7 +18,6 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain_relay import PlainRelay
 from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
-from cactuspass.fleet._selection import NoUpstream, NoUpstreamReason, Selection
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
 
--- a/src/cactuspass/fleet/_failures.py
+++ b/src/cactuspass/fleet/_failures.py
@@ -5,7 +5,7 @@
 
 from cactuspass.exceptions import RequestError
 from cactuspass.fleet._answer_head import AnswerHead
-from cactuspass.fleet._selection import NoUpstream
+from cactuspass.fleet._choices import NoUpstream
 
 # To callers these mean that the request has not run.
 REFUSAL_STATUSES = frozenset(
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -4,10 +4,10 @@
 from cactuspass.exceptions import AnswerCut
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._attempts import ActiveAttempt
+from cactuspass.fleet._choices import NoUpstream, Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._failures import AttemptFailed, DeadlinePassed, Failure, NoUpstreamAvailable
 from cactuspass.fleet._relay import Relay
-from cactuspass.fleet._selection import NoUpstream, Selection
 
 MAX_BUFFERED_BYTES = 1_048_576
 MIN_STALL_TIMEOUT_SECONDS = 0.25
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -12,10 +12,10 @@
     UpstreamNotReached,
 )
 from cactuspass.fleet._attempts import ActiveAttempt, Attempts
+from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._failures import AttemptFailed, DeadlinePassed, Failure
-from cactuspass.fleet._selection import Selection
 from cactuspass.fleet._timeouts import call_within
 
 T = TypeVar("T")
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -2,20 +2,26 @@
 
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from enum import Enum
 from statistics import fmean
 
 from cactuspass.fleet._backoff import BackoffTable
 from cactuspass.fleet._budgets import ColdRateLimit
 from cactuspass.fleet._catalog import EngineSpec, Service
+from cactuspass.fleet._choices import (
+    NO_BACKOFF_SECONDS,
+    NoUpstream,
+    NoUpstreamReason,
+    Selection,
+    SelectionRequest,
+)
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import choose_senders
 from cactuspass.fleet._request_limits import RequestLimits
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
-from cactuspass.models import DataCentreId, EntryId, ModelId, ServiceId
+from cactuspass.models import DataCentreId, EntryId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
 TIE_BREAK_RANGE = 0.1
@@ -34,75 +40,9 @@
 MIN_SUSPECTS_OF_PARTITION = 2
 SUSPECT_SHARE_OF_PARTITION = 0.5
 BUSY_RETRY_SECONDS = 0.5
-NO_BACKOFF_SECONDS = float("inf")
 COLD_RETRY_SECONDS = 0.3
 
 
-class NoUpstreamReason(Enum):
-    """Reason why no upstream can take a request now."""
-
-    NONE_SERVES = "no-upstream-serves"
-    ALL_BUSY = "all-upstreams-busy"
-    ALL_COLD = "all-upstreams-cold"
-    ALL_BACKING_OFF = "all-upstreams-quiet"
-
-
-@dataclass(frozen=True, slots=True)
-class Selection:
-    """The upstream that a request should go to.
-
-    :param wait: estimated seconds until it starts the request.
-    :param max_event_gap: longest expected time in seconds between two events of a stream while the
-        upstream works normally; None when unknown.
-    """
-
-    upstream: Upstream
-    wait: float
-    max_event_gap: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class NoUpstream:
-    """The result when no upstream can take a request now.
-
-    :param retry_after: estimated seconds until an upstream can take it.
-    :param serving_count: number of upstreams that could serve the request, busy and cold included.
-    :param wait: estimated wait in seconds at the best of them.
-    :param backoff_remaining: seconds until the first upstream that is backing off accepts requests
-        again; infinite when none is.
-    """
-
-    reason: NoUpstreamReason
-    retry_after: float
-    serving_count: int = 0
-    wait: float | None = None
-    backoff_remaining: float = NO_BACKOFF_SECONDS
-
-
-@dataclass(frozen=True, slots=True)
-class SelectionRequest:
-    """The requirements of a request.
-
-    :param excluded: upstreams at which the request has already failed.
-    :param max_wait: longest acceptable wait in seconds.
-    :param only: the only upstreams that may take the request; None for no restriction.
-    :param full: upstreams that rejected the request a moment ago.
-    """
-
-    service: ServiceId
-    model: ModelId | None
-    excluded: Collection[UpstreamId]
-    max_wait: float
-    only: Collection[UpstreamId] | None = None
-    full: Collection[UpstreamId] = frozenset()
-
-    def allows(self, upstream_id: UpstreamId) -> bool:
-        """Return whether an upstream may take the request."""
-        if self.only is not None and upstream_id not in self.only:
-            return False
-        return upstream_id not in self.excluded
-
-
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     """An upstream that could take a request; the lowest score wins."""
--- a/src/cactuspass/fleet/_stream_attempt.py
+++ b/src/cactuspass/fleet/_stream_attempt.py
@@ -6,11 +6,11 @@
 from cactuspass.exceptions import AnswerCut, AnswerOversize
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._attempts import ActiveAttempt, Attempts
+from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._events import MAX_EVENT_BYTES, EventSplitter
 from cactuspass.fleet._failures import AttemptFailed, Failure
 from cactuspass.fleet._inbound import AnswerNotes
-from cactuspass.fleet._selection import Selection
 
 
 @dataclass(slots=True)
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -7,6 +7,7 @@
 from cactuspass._clock import now
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._attempts import Attempts
+from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._events import EventSplitter
 from cactuspass.fleet._failures import AttemptFailed, NoUpstreamAvailable
@@ -17,7 +18,6 @@
     hedge_delay_between_events,
 )
 from cactuspass.fleet._relay import Relay
-from cactuspass.fleet._selection import Selection
 from cactuspass.fleet._stream_attempt import StreamAttempt
 from cactuspass.fleet._timeouts import call_within
 
--- a/tests/test_fleet_connections_used.py
+++ b/tests/test_fleet_connections_used.py
@@ -10,16 +10,11 @@
 from unittest import mock
 
 from cactuspass.fleet._catalog import Catalog, Service
+from cactuspass.fleet._choices import Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import LoadReport
 from cactuspass.fleet._loads import LoadTable
-from cactuspass.fleet._selection import (
-    RECENT_UPSTREAMS,
-    SAMPLE_SIZE,
-    Selection,
-    SelectionRequest,
-    Selector,
-)
+from cactuspass.fleet._selection import RECENT_UPSTREAMS, SAMPLE_SIZE, Selector
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from tests.fleet_path import HERE, SERVICE, recording_log, route
 
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -6,17 +6,12 @@
 
 from cactuspass.fleet._budgets import ColdRateLimit, RetryBudget
 from cactuspass.fleet._catalog import Catalog, Evacuations, Service
+from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import LoadReport
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._selection import (
-    NoUpstream,
-    NoUpstreamReason,
-    Selection,
-    SelectionRequest,
-    Selector,
-)
+from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamState
 from cactuspass.fleet._weight_loading import LoadSchedule
 from cactuspass.models import DataCentreId, EntryId, GroupId, ModelId
--- a/tests/test_fleet_load_spread.py
+++ b/tests/test_fleet_load_spread.py
@@ -13,10 +13,11 @@
 from itertools import count
 
 from cactuspass.fleet._catalog import Catalog, ModelSpec, Service
+from cactuspass.fleet._choices import Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import LoadReport
 from cactuspass.fleet._loads import LoadTable
-from cactuspass.fleet._selection import Selection, SelectionRequest, Selector
+from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
 from cactuspass.models import DataCentreId, GroupId
 from tests.fleet_path import SERVICE, recording_log, route
--- a/tests/test_fleet_quiet.py
+++ b/tests/test_fleet_quiet.py
@@ -7,16 +7,11 @@
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._backoff import BackoffTable, clamp_backoff
 from cactuspass.fleet._catalog import Catalog, Service
+from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import RequestedBackoff
 from cactuspass.fleet._loads import LoadTable
-from cactuspass.fleet._selection import (
-    NoUpstream,
-    NoUpstreamReason,
-    Selection,
-    SelectionRequest,
-    Selector,
-)
+from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.platform._requests import PlatformRequests
 from tests.fleet_path import HERE, SERVICE, recording_log, route
--- a/tests/test_fleet_rejections.py
+++ b/tests/test_fleet_rejections.py
@@ -14,12 +14,13 @@
     BackoffTable,
 )
 from cactuspass.fleet._catalog import Catalog, Service
+from cactuspass.fleet._choices import NoUpstreamReason, Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import AnswerNotes, LoadReport
 from cactuspass.fleet._limit_notices import LimitNotices
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._selection import NoUpstreamReason, Selection, SelectionRequest, Selector
+from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import RequestId
--- a/tests/test_quiet_by_answer.py
+++ b/tests/test_quiet_by_answer.py
@@ -8,7 +8,7 @@
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn
 from cactuspass.fleet._backoff import FIRST_REJECTION_BACKOFF_SECONDS
-from cactuspass.fleet._selection import Selection
+from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._upstreams import UpstreamId
 from tests.fleet_path import (
     STAMP,
