Keep to the limits that upstreams state, all instances together

No instance read the header, and one that kept to the whole limit by itself would still exceed it together with the others.

Each request to such an upstream now uses a token: first attempts, retries, hedges, resumed streams, and those whose connection was being opened. As many instances as the limit has requests per second have equal shares, chosen by rendezvous hashing, so that no message is needed to agree and a low limit is not divided into useless parts. An instance without a token borrows one by datagram; the lender gives it up first, so none is used twice whatever is lost. Requests wait for a token that is due within half of the objective, the most urgent first, and are else refused at once with a time to return, one caller after the other. The leader's reports and hints of others spread the news; an answer without the header to a later request ends a limit.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from cactuspass._clock import now
-from cactuspass.exceptions import SendWithdrawn
+from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._backoff import TrialRequest
 from cactuspass.fleet._budgets import RetryBudget
@@ -21,12 +21,14 @@
 )
 from cactuspass.fleet._guarded_request import GuardedRequest
 from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, RequestFormat, SendDetails
+from cactuspass.fleet._limit_waits import LimitWaits
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._pool import ConnectionPool, PooledExchange
 from cactuspass.fleet._prompt_parts import BrokenAttempt
 from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
@@ -58,6 +60,7 @@
     report_unresponsive: Callable[[UpstreamId], None]
     notices: UpstreamNotices
     part_guard: PartGuard
+    limit_waits: LimitWaits
 
 
 @dataclass(slots=True)
@@ -169,10 +172,22 @@
             self.used_upstreams if len(self.used_upstreams) >= self.route.max_upstreams else None
         )
         selection_request = SelectionRequest(
-            self.service, self.request.model, excluded, self.max_wait, allowed, full
+            self.service,
+            self.request.model,
+            excluded,
+            self.max_wait,
+            allowed,
+            full,
+            self.priority,
         )
         return self.dependencies.selector.choose(selection_request, at)
 
+    async def choose_in_time(self) -> Selection | NoUpstream:
+        """Return the upstream for the next attempt, after a short wait if only limits forbid it."""
+        key = (self.service, self.request.model)
+        waits = self.dependencies.limit_waits
+        return await waits.choose(key, self.priority, self.choose, self.max_wait)
+
     async def send(self, selection: Selection, last_event_id: str | None = None) -> ActiveAttempt:
         """Send the request to an upstream.
 
@@ -191,8 +206,11 @@
         outgoing = self.dependencies.request_format.write_request(self.request, details)
         max_idle = None if self.route.repeatable else NON_REPEATABLE_MAX_IDLE_SECONDS
         self.sends += 1
+        permit = SendPermit(self.dependencies.selector.limits, upstream.lifetime, self.priority)
         if self.dependencies.selector.backoff.delay(upstream.lifetime, at):
             raise SendWithdrawn(f"{upstream.upstream_id} has requested a backoff")
+        if not permit.acquire(at):
+            raise SendWithdrawn(f"{upstream.upstream_id} is at its limit")
         self.dependencies.loads.record_send(upstream.upstream_id, at)
         self.dependencies.selector.count_sent(upstream, at)
         trial = self.dependencies.selector.backoff.begin_trial(upstream.lifetime)
@@ -201,7 +219,7 @@
                 upstream.address,
                 outgoing,
                 max_idle,
-                lambda: self._may_send(upstream),
+                lambda: self._may_send(upstream, permit),
             )
         except BaseException as error:
             if isinstance(error, SendWithdrawn) and self.guarded.is_held:
@@ -209,6 +227,8 @@
                 self.sends -= 1
             if trial is not None:
                 trial.end()
+            if isinstance(error, SendWithdrawn | UpstreamNotReached):
+                permit.release()
             self.dependencies.loads.record_end(upstream.upstream_id)
             raise
         self.possible_run_count += 1
@@ -227,11 +247,12 @@
         max_seconds = self.seconds_left * MAX_VERDICT_WAIT_SHARE_OF_DEADLINE
         await self.guarded.wait_for_verdict(max_seconds)
 
-    def _may_send(self, upstream: Upstream) -> bool:
+    def _may_send(self, upstream: Upstream, permit: SendPermit) -> bool:
         """Return whether the request may still be sent, after a connection was obtained."""
         if self.guarded.find_block() is not None or self.guarded.is_held:
             return False
-        return self.dependencies.selector.accepts_requests(upstream, now())
+        at = now()
+        return self.dependencies.selector.accepts_requests(upstream, at) and permit.acquire(at)
 
     def close(self, active: ActiveAttempt) -> None:
         """End an attempt, whatever its outcome; repeated calls have no effect."""
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._allowance import LEAST_URGENT_PRIORITY
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import ModelId, ServiceId
 
 NO_BACKOFF_SECONDS = float("inf")
@@ -17,6 +18,7 @@
     ALL_BUSY = "all-upstreams-busy"
     ALL_COLD = "all-upstreams-cold"
     ALL_BACKING_OFF = "all-upstreams-quiet"
+    ALL_AT_LIMIT = "all-upstreams-at-limit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,11 @@
     :param wait: estimated wait in seconds at the best of them.
     :param backoff_remaining: seconds until the first upstream that is backing off accepts requests
         again; infinite when none is.
+    :param at_limit: upstreams that state a limit and for which this instance has no token left.
+    :param token_delay: seconds until this instance has the next token for one of them; infinite if
+        it has no share of their limits.
+    :param token_interval: seconds between two such tokens; infinite without a share.
+    :param limit_rate: requests per second that all instances together may send to them.
     """
 
     reason: NoUpstreamReason
@@ -49,6 +56,10 @@
     serving_count: int = 0
     wait: float | None = None
     backoff_remaining: float = NO_BACKOFF_SECONDS
+    at_limit: tuple[Lifetime, ...] = ()
+    token_delay: float = float("inf")
+    token_interval: float = float("inf")
+    limit_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +70,7 @@
     :param max_wait: longest acceptable wait in seconds.
     :param only: the only upstreams that may take the request; None for no restriction.
     :param full: upstreams that rejected the request a moment ago.
+    :param priority: priority of the request, where 0 is the most urgent.
     """
 
     service: ServiceId
@@ -67,6 +79,7 @@
     max_wait: float
     only: Collection[UpstreamId] | None = None
     full: Collection[UpstreamId] = frozenset()
+    priority: int = LEAST_URGENT_PRIORITY
 
     def allows(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream may take the request."""
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -18,6 +18,7 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain_relay import PlainRelay
 from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
+from cactuspass.fleet._return_schedule import ReturnSchedule
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
 
@@ -131,6 +132,7 @@
         self._cluster_state = cluster_state
         self._admission = admission
         self._rng = rng
+        self._returns = ReturnSchedule()
         self._first_request_at: float | None = None
 
     async def serve(self, request: InboundRequest, delivery: Delivery) -> None:
@@ -262,6 +264,9 @@
             return not_run_problem(
                 found.reason.value, str(error), self._add_jitter(found.retry_after)
             )
+        if isinstance(found, NoUpstream) and found.reason is NoUpstreamReason.ALL_AT_LIMIT:
+            after = self._book_return(attempts, found)
+            return not_run_problem(found.reason.value, str(error), after)
         if isinstance(error, NoUpstreamAvailable):
             after = self._retry_after(attempts, error.no_upstream.retry_after)
             return not_run_problem(error.no_upstream.reason.value, str(error), after)
@@ -274,6 +279,19 @@
             0.05, min(self._add_jitter(estimate), attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE)
         )
 
+    def _book_return(self, attempts: Attempts, found: NoUpstream) -> float:
+        """Return the retry delay in seconds of a caller whom only upstreams at limits could serve.
+
+        Callers come back one after the other, at the rate of these limits.
+        """
+        return self._returns.book(
+            (attempts.service, attempts.request.model),
+            found.retry_after,
+            self._dependencies.instance_count() / found.limit_rate,
+            attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
+            now(),
+        )
+
     def _add_jitter(self, estimate: float) -> float:
         """Return a retry delay with random jitter, so that callers do not retry all at once."""
         return estimate * (1 + RETRY_JITTER * self._rng.random())
--- a/src/cactuspass/fleet/_explain.py
+++ b/src/cactuspass/fleet/_explain.py
@@ -15,6 +15,8 @@
 LEAVING_EVENT = "upstream-leaving"
 LEFT_EVENT = "upstream-left"
 BACKOFF_EVENT = "upstream-quiet"
+LIMIT_EVENT = "upstream-limit"
+LIMIT_ENDED = "ended"
 PART_EVENTS = frozenset(
     {
         "part-suspected",
@@ -205,7 +207,8 @@
     """Return whether a line logs an upstream's notice that still applied to a request.
 
     A requested backoff applies for its duration, and a notice that the upstream is leaving applies
-    until the upstream has left. Only notices logged by the instance of the request count.
+    until the upstream has left, as a limit does until it changes. Only notices logged by the
+    instance of the request count.
 
     :param own: first line of the request.
     """
@@ -213,8 +216,19 @@
         return False
     if line.event == BACKOFF_EVENT:
         return own.time <= line.time + float(line.fields.get("seconds", 0.0))
-    return line.event == LEAVING_EVENT and not any(
-        later.event == LEFT_EVENT
+    if line.event == LIMIT_EVENT and line.fields.get("change") != LIMIT_ENDED:
+        return not _is_followed_by(LIMIT_EVENT, line, own, lines)
+    return line.event == LEAVING_EVENT and not _is_followed_by(LEFT_EVENT, line, own, lines)
+
+
+def _is_followed_by(event: str, line: LogLine, own: LogLine, lines: list[LogLine]) -> bool:
+    """Return whether the instance logged an event about the same upstream before a request.
+
+    :param own: first line of the request.
+    """
+    return any(
+        later.event == event
+        and later is not line
         and later.instance == line.instance
         and later.fields.get("upstream") == line.fields.get("upstream")
         and line.time <= later.time <= own.time
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -8,13 +8,15 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from functools import partial
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 import cbor2
 
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._limit_messages import CODEC as LIMIT_CODEC
+from cactuspass.fleet._limit_messages import LimitDatagram, LimitMessage
 from cactuspass.fleet._part_messages import (
     BlockMessage,
     PartMessage,
@@ -36,6 +38,7 @@
 LEAVING_KIND = "leaving"
 
 Address = tuple[str, int]
+M = TypeVar("M", PartMessage, LimitDatagram)
 
 
 def encode_unresponsive(upstream_id: UpstreamId) -> bytes:
@@ -89,6 +92,7 @@
     :param on_unresponsive: called with an upstream that another instance reports as unresponsive.
     :param on_leaving: called with a lifetime that another instance reports as leaving.
     :param on_part_message: called with a message of another instance on parts of prompts.
+    :param on_limit_message: called with a message of another instance on limits of upstreams.
     """
 
     def __init__(
@@ -99,7 +103,9 @@
         log: DecisionLog,
         on_leaving: Callable[[Lifetime], None] = _ignore,
         on_part_message: Callable[[PartMessage], None] = _ignore,
+        on_limit_message: Callable[[LimitDatagram], None] = _ignore,
     ) -> None:
+        self._on_limit_message = on_limit_message
         self._on_part_message = on_part_message
         self._address = address
         self._peers = peers
@@ -142,14 +148,16 @@
         elif leaving is not None:
             self._on_leaving(leaving)
         elif (message := decode_part_message(data)) is not None:
-            self._accept_part_message(message, addr[0])
+            self._accept_from_peer(self._on_part_message, message, addr[0])
+        elif (limit_message := LIMIT_CODEC.decode(data)) is not None:
+            self._accept_from_peer(self._on_limit_message, limit_message, addr[0])
         else:
             self._log.state_change("hint-unreadable", peer=addr[0], size=len(data))
 
-    def _accept_part_message(self, message: PartMessage, host: str) -> None:
+    def _accept_from_peer(self, accept: Callable[[M], None], message: M, host: str) -> None:
         """Pass on a message that has an effect by itself, if a registered instance has sent it."""
         if host in {_parse_address(peer)[0] for peer in self._peers()}:
-            self._on_part_message(message)
+            accept(message)
         else:
             self._log.state_change("hint-from-stranger", peer=host, message=message.kind)
 
@@ -186,6 +194,24 @@
             loop = asyncio.get_running_loop()
             loop.call_later(REPEAT_SECONDS, partial(self._broadcast, datagram))
 
+    def send_limit(self, message: LimitMessage) -> None:
+        """Send the other instances what an upstream states about its limit, twice."""
+        datagram = LIMIT_CODEC.encode(message)
+        if datagram is None:
+            return
+        self._broadcast(datagram)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REPEAT_SECONDS, partial(self._broadcast, datagram))
+
+    def send_limit_message(self, address: str, message: LimitDatagram) -> None:
+        """Send one other instance a message on the limit of an upstream.
+
+        :param address: ``host:port`` of the instance.
+        """
+        datagram = LIMIT_CODEC.encode(message)
+        if datagram is not None and self._transport is not None:
+            self._transport.sendto(datagram, _parse_address(address))
+
     def _send_unless_recent(self, datagram: bytes) -> bool:
         """Send a datagram unless it was sent or received less than ``MIN_INTERVAL_SECONDS`` ago.
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -24,7 +24,7 @@
 from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
 from cactuspass.fleet._inbound import RequestFormat
-from cactuspass.fleet._limit_notices import LimitNotices
+from cactuspass.fleet._limit_rows import LIMITS_PATH
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import UpstreamControl
@@ -38,6 +38,7 @@
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet._store_retries import StoreRetries
 from cactuspass.fleet._sync import OperatorSync, UpstreamSync
+from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
@@ -99,6 +100,15 @@
         self._retry_budgets_by_service: dict[ServiceId, RetryBudget] = {}
         bounds = settings.bounds
         entry_id = EntryId(settings.instance.name)
+        self._upstream_limits = UpstreamLimits(
+            self.cluster_state,
+            entry_id,
+            log,
+            metrics,
+            rng,
+            lambda message: self._hints.send_limit(message),
+            lambda address, message: self._hints.send_limit_message(address, message),
+        )
         selector = Selector(
             self.cluster_state,
             self._loads,
@@ -108,11 +118,12 @@
             bounds.cold_slack,
             entry_id,
             pool.has_idle,
+            self._upstream_limits.limits,
         )
         self._notices = UpstreamNotices(
             self.cluster_state,
             selector.backoff,
-            LimitNotices(selector.limits, log, metrics),
+            self._upstream_limits.notices,
             pool,
             log,
             metrics,
@@ -120,7 +131,6 @@
             lambda: self._controller.wake(),
         )
         self._backoff = selector.backoff
-        self._limits = selector.limits
         self._part_guard = PartGuard(
             entry_id,
             self.cluster_state,
@@ -149,6 +159,7 @@
             self._report_unresponsive,
             self._notices,
             self._part_guard,
+            self._upstream_limits.waits,
         )
         admission = Admission(self.cluster_state, bounds.key_seconds)
         dispatcher = Dispatcher(
@@ -165,9 +176,11 @@
         )
         self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
-            further = {PARTS_PATH: self.parts_page}
+            further = {PARTS_PATH: self.parts_page, LIMITS_PATH: self.limits_page}
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
-        self._probes = probes = Probes(self.cluster_state, adapter.control, log)
+        self._probes = probes = Probes(
+            self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
+        )
         probes.set_recheck_callback(lambda: self._controller.wake())
         peers = settings.listeners.peers
         self._hints = Hints(
@@ -177,6 +190,7 @@
             log,
             self._notices.apply_leaving_hint,
             self._part_guard.receive,
+            self._upstream_limits.receive,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -317,6 +331,7 @@
             except TimeoutError:
                 self._loads.remove_idle(now())
                 self._backoff.remove_expired(now())
+                self._upstream_limits.remove_expired()
                 self._log_store_calls()
         await self.drain()
         await self.stop()
@@ -401,6 +416,10 @@
         """Return the status and body of the page with the blocked parts of prompts."""
         return 200, blocks_page(self.cluster_state.blocks.active)
 
+    def limits_page(self) -> tuple[int, bytes]:
+        """Return the status and body of the page with the limits that upstreams state."""
+        return self._upstream_limits.page()
+
     def metrics_page(self) -> tuple[int, bytes]:
         """Return the status and body of the metrics page."""
         index = self.cluster_state.catalog_index
@@ -412,7 +431,7 @@
         for service, retry_budget in self._retry_budgets_by_service.items():
             left = retry_budget.remaining(now(), self.cluster_state.instance_count)
             self._metrics.retries_left.labels(service).set(left)
-        self._metrics.limited_upstreams.set(len(self._limits.limits_by_lifetime))
+        self._upstream_limits.update_metrics()
         self._metrics.blocks.set(len(self.cluster_state.blocks.active))
         self._metrics.groups.clear()
         for group in self.cluster_state.view.groups_by_key.values():
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -42,6 +42,11 @@
         self.limited_upstreams = self._gauge(
             "limited_upstreams", "Upstreams that state a limit for the requests of all instances"
         )
+        self.limit_loans = self._counter(
+            "limit_loans",
+            "Tokens for upstreams with limits that were asked for, granted or lent",
+            "outcome",
+        )
         self.rejections = Counter(
             "cactuspass_upstream_rejections",
             "Backoffs from upstreams that rejected a request",
--- a/src/cactuspass/fleet/_orders.py
+++ b/src/cactuspass/fleet/_orders.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cactuspass.fleet._inbound import StatedLimit
 from cactuspass.fleet._upstreams import GroupKey, Membership, Upstream, UpstreamId
 from cactuspass.models import ModelId
 
@@ -102,6 +103,7 @@
     :param busy: whether the upstream is carrying out an order, such as to load weights.
     :param sequence: number of orders that the upstream has accepted in this lifetime.
     :param born_ms: start of this lifetime, in Unix milliseconds.
+    :param limit: the limit for requests that the response states; None when there is none.
     """
 
     running: int
@@ -111,6 +113,7 @@
     busy: bool
     sequence: int
     born_ms: int
+    limit: StatedLimit | None = None
 
 
 class UpstreamControl(ABC):
--- a/src/cactuspass/fleet/_part_messages.py
+++ b/src/cactuspass/fleet/_part_messages.py
@@ -1,11 +1,11 @@
 """Datagrams between instances on parts of prompts that make upstreams crash."""
 
 from dataclasses import dataclass
-from typing import Any, Literal
+from typing import Literal
 
-import cbor2
-from pydantic import TypeAdapter, ValidationError
+from pydantic import TypeAdapter
 
+from cactuspass.fleet._datagrams import DatagramCodec
 from cactuspass.fleet._prompt_parts import Block, CrashReport, PartKey, PromptPartId
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId, ServiceId
@@ -92,7 +92,9 @@
 
 
 PartMessage = BreakMessage | CrashMessage | ClearanceMessage | BlockMessage
-_ADAPTER: TypeAdapter[PartMessage] = TypeAdapter(PartMessage)
+_CODEC: DatagramCodec[PartMessage] = DatagramCodec(
+    TypeAdapter(PartMessage), MAX_BLOCK_MESSAGE_BYTES
+)
 
 
 def message_of(report: CrashReport, at: float) -> CrashMessage:
@@ -118,20 +120,14 @@
 
 def encode_part_message(message: PartMessage) -> bytes | None:
     """Return the datagram for a message; None if it is too large."""
-    datagram = cbor2.dumps(_ADAPTER.dump_python(message, mode="json"))
-    return datagram if len(datagram) <= _max_bytes(message) else None
+    datagram = _CODEC.encode(message)
+    return datagram if datagram is not None and len(datagram) <= _max_bytes(message) else None
 
 
 def decode_part_message(datagram: bytes) -> PartMessage | None:
     """Return the message in a datagram; None when this is no such message."""
-    if len(datagram) > MAX_BLOCK_MESSAGE_BYTES:
-        return None
-    try:
-        body: Any = cbor2.loads(datagram)
-        message = _ADAPTER.validate_python(body)
-    except (cbor2.CBORDecodeError, ValidationError, ValueError, RecursionError):
-        return None
-    return message if len(datagram) <= _max_bytes(message) else None
+    message = _CODEC.decode(datagram)
+    return message if message is not None and len(datagram) <= _max_bytes(message) else None
 
 
 def _max_bytes(message: PartMessage) -> int:
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -30,7 +30,7 @@
         """
         last: AttemptFailed | None = None
         while True:
-            found = self._attempts.choose()
+            found = await self._attempts.choose_in_time()
             if isinstance(found, NoUpstream):
                 if last is not None:
                     raise last
--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -98,13 +98,25 @@
         return self.report is not None and at - self.answered_at < valid
 
 
+def _ignore_report(upstream: Upstream, report: UpstreamReport, asked_at: float) -> None:
+    """Do nothing; the default of ``on_report``."""
+
+
 class Probes(RepeatingComponent):
-    """Probes each upstream that is or could be a group member, while this instance leads."""
+    """Probes each upstream that is or could be a group member, while this instance leads.
+
+    :param on_report: called with each report, and the clock value at which it was asked for.
+    """
 
     def __init__(
-        self, cluster_state: ClusterState, control: UpstreamControl, log: DecisionLog
+        self,
+        cluster_state: ClusterState,
+        control: UpstreamControl,
+        log: DecisionLog,
+        on_report: Callable[[Upstream, UpstreamReport, float], None] = _ignore_report,
     ) -> None:
         super().__init__(log)
+        self._on_report = on_report
         self._cluster_state = cluster_state
         self._control = control
         self._enabled = asyncio.Event()
@@ -294,3 +306,4 @@
         state.misses = 0
         state.answered_at = now()
         state.report = report
+        self._on_report(state.upstream, report, began)
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -1,9 +1,10 @@
 """Chooses the upstream for a request, or gives the reason why no upstream can take it."""
 
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import fmean
 
 from cactuspass.fleet._backoff import BackoffTable
@@ -17,10 +18,11 @@
     SelectionRequest,
 )
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
+from cactuspass.fleet._limit_shares import LimitShares
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import choose_senders
 from cactuspass.fleet._request_limits import RequestLimits
-from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import DataCentreId, EntryId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
@@ -66,6 +68,7 @@
     :param cold_slack: requests per second added to that rate.
     :param instance: id of this instance.
     :param is_connected: whether an idle connection to an address is open.
+    :param limits: limits that upstreams state; without them, none is known at the start.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         cold_slack: float = COLD_SLACK_DEFAULT,
         instance: EntryId | None = None,
         is_connected: Callable[[str], bool] = always_connected,
+        limits: RequestLimits | None = None,
     ) -> None:
         self._instance = instance
         self._is_connected = is_connected
@@ -90,7 +94,7 @@
         self._recent_ids_by_service: dict[ServiceId, deque[UpstreamId]] = {}
         self._cold_by_id: dict[UpstreamId, ColdRateLimit] = {}
         self.backoff = BackoffTable()
-        self.limits = RequestLimits()
+        self.limits = limits or RequestLimits(LimitShares(cluster_state, instance))
 
     def choose(self, request: SelectionRequest, at: float) -> Selection | NoUpstream:
         """Return the upstream that should take a request, or the reason why none can.
@@ -155,15 +159,34 @@
         ]
         if not available:
             return _no_upstream(backoff_by_id, backoff_remaining)
+        delays = self._delays_at_limit(available, request.priority, at)
+        within = [s for s in available if s.upstream.lifetime not in delays]
+        found = self._choose_best(within, request, service, at, accepts_suspects)
+        if isinstance(found, Selection):
+            return found
+        retry_after = min(found.retry_after, backoff_remaining)
+        found = replace(
+            found,
+            retry_after=retry_after,
+            serving_count=len(eligible),
+            backoff_remaining=backoff_remaining,
+        )
+        return self._with_limits(found, delays) if delays else found
+
+    def _choose_best(
+        self,
+        available: list[ServingUpstream],
+        request: SelectionRequest,
+        service: Service,
+        at: float,
+        accepts_suspects: bool,
+    ) -> Selection | NoUpstream:
+        """Return the best of the upstreams that are neither backing off nor at their limit."""
+        if not available:
+            return NoUpstream(NoUpstreamReason.ALL_AT_LIMIT, NO_BACKOFF_SECONDS)
         warm = [s for s in available if self._cold_limit_allows(s.upstream, service, at)]
         if not warm:
-            retry_after = min(COLD_RETRY_SECONDS, backoff_remaining)
-            return NoUpstream(
-                NoUpstreamReason.ALL_COLD,
-                retry_after,
-                len(eligible),
-                backoff_remaining=backoff_remaining,
-            )
+            return NoUpstream(NoUpstreamReason.ALL_COLD, COLD_RETRY_SECONDS)
         healthy = self._without_suspects(warm, at)
         if not healthy and not accepts_suspects:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
@@ -172,12 +195,43 @@
         candidates = [self._score(s, service, at, typical_load) for s in choices]
         best = min(candidates, key=lambda candidate: candidate.score)
         if best.wait > request.max_wait:
-            retry_after = min(max(0.2, best.wait - request.max_wait), backoff_remaining)
-            return NoUpstream(
-                NoUpstreamReason.ALL_BUSY, retry_after, len(eligible), best.wait, backoff_remaining
-            )
+            retry_after = max(0.2, best.wait - request.max_wait)
+            return NoUpstream(NoUpstreamReason.ALL_BUSY, retry_after, wait=best.wait)
         return Selection(best.upstream, best.wait, best.max_event_gap)
 
+    def _delays_at_limit(
+        self, available: list[ServingUpstream], priority: int, at: float
+    ) -> dict[Lifetime, float]:
+        """Return the upstreams for which no token is left, with the seconds until the next one."""
+        if not self.limits.limits_by_lifetime:
+            return {}
+        delay_by_lifetime = {
+            lifetime: delay
+            for lifetime in (serving.upstream.lifetime for serving in available)
+            if (delay := self.limits.delay(lifetime, priority, at)) > 0.0
+        }
+        for lifetime in delay_by_lifetime:
+            self.limits.note_passed_over(lifetime)
+        return delay_by_lifetime
+
+    def _with_limits(
+        self, found: NoUpstream, delay_by_lifetime: Mapping[Lifetime, float]
+    ) -> NoUpstream:
+        """Add the upstreams for which no token is left to the reason why none was chosen."""
+        limits = list(filter(None, map(self.limits.find, delay_by_lifetime)))
+        total = sum(limit.total_rate for limit in limits)
+        own_share = sum(limit.allowance.rate for limit in limits)
+        token_delay = min(delay_by_lifetime.values())
+        return replace(
+            found,
+            # Where this instance has no share, the caller can be served by another one.
+            retry_after=min(found.retry_after, token_delay, 1.0 / total),
+            at_limit=tuple(delay_by_lifetime),
+            token_delay=token_delay,
+            token_interval=1.0 / own_share if own_share > 0 else math.inf,
+            limit_rate=total,
+        )
+
     def _without_suspects(
         self, candidates: list[ServingUpstream], at: float
     ) -> list[ServingUpstream]:
@@ -217,10 +271,7 @@
         return self._cluster_state.is_leaving(upstream)
 
     def count_sent(self, upstream: Upstream, at: float) -> None:
-        """Count a request sent to an upstream, also against its rate limit while cold."""
-        stated = self.limits.find(upstream.lifetime)
-        if stated is not None:
-            stated.sent += 1
+        """Count a request sent to an upstream against its rate limit while cold."""
         rate_limit = self._cold_by_id.get(upstream.upstream_id)
         if rate_limit is not None:
             rate_limit.count(at)
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -76,7 +76,7 @@
         """Return an upstream; if a part of the stream was sent, wait a short time for one."""
         wait_until = now() + (RESUME_WAIT_SECONDS if self._delivery.head_sent else 0.0)
         while True:
-            found = self._attempts.choose()
+            found = await self._attempts.choose_in_time()
             if isinstance(found, Selection):
                 return found
             if now() >= wait_until or self._attempts.seconds_left <= 0:
--- a/src/cactuspass/platform/_control.py
+++ b/src/cactuspass/platform/_control.py
@@ -3,11 +3,14 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
+from http import HTTPStatus
 from typing import Any
 
 from cactuspass.exceptions import AnswerCut, DocumentError, RunOutcomeUnknown, UpstreamNotReached
 from cactuspass.fleet import (
     AddressedOrder,
+    AnswerHead,
     ConnectionPool,
     Join,
     Leave,
@@ -22,6 +25,7 @@
 )
 from cactuspass.platform._names import EXPECT_INSTANCE
 from cactuspass.platform._server_entry import decode_report
+from cactuspass.platform._server_limit import parse_limit
 
 ORDER_TIMEOUT_SECONDS = 0.4
 # Orders use a new connection, because their responses have no request id: on a reused connection, a
@@ -58,7 +62,7 @@
             document["precondition"] = addressed.expected_sequence
         body = json.dumps(document).encode()
         try:
-            status, _ = await self._call(
+            head, _ = await self._call(
                 addressed.target,
                 "POST",
                 "/order",
@@ -71,13 +75,15 @@
             return OrderOutcome.NOT_REACHED
         except (RunOutcomeUnknown, AnswerCut, TimeoutError):
             return OrderOutcome.UNKNOWN
-        return OUTCOME_BY_STATUS.get(status, OrderOutcome.CONFLICT)
+        return OUTCOME_BY_STATUS.get(head.status, OrderOutcome.CONFLICT)
 
     async def fetch_report(self, upstream: Upstream, timeout: float) -> UpstreamReport | None:
         """Fetch the report of a server."""
         try:
-            status, content = await self._call(upstream, "GET", "/report", b"", timeout)
-            return decode_report(content) if status == 200 else None
+            head, content = await self._call(upstream, "GET", "/report", b"", timeout)
+            if head.status != HTTPStatus.OK:
+                return None
+            return replace(decode_report(content), limit=parse_limit(head))
         except (UpstreamNotReached, RunOutcomeUnknown, AnswerCut, TimeoutError, DocumentError):
             # The caller counts missing reports and logs when several are missing in a row.
             return None
@@ -91,8 +97,8 @@
         timeout: float,
         max_idle: float | None = None,
         may_send: Callable[[], bool] = _always,
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of the response.
+    ) -> tuple[AnswerHead, bytes]:
+        """Send a request and return the head and body of the response.
 
         :param timeout: seconds for the whole call.
         :param max_idle: longest time in seconds that a reused connection may have been idle; None
@@ -110,7 +116,7 @@
                     server.address, request, max_idle, may_send
                 )
                 head = await exchange.read_head()
-                return head.status, await exchange.read_body()
+                return head, await exchange.read_body()
         finally:
             if exchange is not None:
                 exchange.abort()
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -21,13 +21,14 @@
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestActivity
 from cactuspass.fleet._inbound import InboundRequest
-from cactuspass.fleet._limit_notices import LimitNotices
+from cactuspass.fleet._limit_messages import LimitMessage
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._part_messages import PartMessage
 from cactuspass.fleet._pool import CONNECT_TIMEOUT_SECONDS, ConnectionPool
 from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, EntryId, RequestId, ServiceId
@@ -236,11 +237,23 @@
         self.loads = LoadTable()
         self.reported_unresponsive: list[UpstreamId] = []
         self.sent_leaving: list[Lifetime] = []
+        self.sent_limits: list[LimitMessage] = []
         self.pool = ConnectionPool(connect_timeout)
         self.metrics = metrics = Metrics()
         rng = random.Random(1)
         retry_budget = RetryBudget(0.2, 100, 10)
-        self.selector = selector = Selector(self.cluster_state, self.loads, HERE, rng)
+        self.limits = limits = UpstreamLimits(
+            self.cluster_state,
+            EntryId("here-0"),
+            self.log,
+            metrics,
+            rng,
+            self.sent_limits.append,
+            lambda address, message: None,
+        )
+        self.selector = selector = Selector(
+            self.cluster_state, self.loads, HERE, rng, limits=limits.limits
+        )
         self.sent_messages: list[PartMessage] = []
         self.part_guard = PartGuard(
             EntryId("here-0"),
@@ -264,7 +277,7 @@
             UpstreamNotices(
                 self.cluster_state,
                 selector.backoff,
-                LimitNotices(selector.limits, self.log, metrics),
+                limits.notices,
                 self.pool,
                 self.log,
                 metrics,
@@ -272,6 +285,7 @@
                 lambda: None,
             ),
             self.part_guard,
+            limits.waits,
         )
         self.admission = Admission(self.cluster_state, key_seconds=5.0)
         self.dispatcher = Dispatcher(
--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -22,6 +22,7 @@
 
     :ivar stalled: whether streams pause between events until this is False again.
     :ivar leaving: whether each response announces that the server is leaving.
+    :ivar limit: value of Server-Limit in each response; None for no such header.
     :ivar backoff: value of Retry-After; when set, the server rejects requests.
     :ivar rejected_count: number of rejected requests.
     :ivar executed_request_ids: ids of the requests that have run, in order.
@@ -31,6 +32,7 @@
         self.server_id = server_id
         self.stalled = False
         self.leaving = False
+        self.limit: str | None = None
         self.backoff: str | None = None
         self.rejected_count = 0
         self.orders: list[dict[str, Any]] = []
@@ -171,6 +173,8 @@
         """Set the headers that all responses have."""
         if self.server.leaving:
             self.set_header("Server-Leaving", "1")
+        if self.server.limit is not None:
+            self.set_header("Server-Limit", self.server.limit)
 
     def reject(self) -> None:
         """Respond that the request has not run and request a backoff."""
--- a/tests/test_fleet_explain.py
+++ b/tests/test_fleet_explain.py
@@ -119,6 +119,17 @@
         other = self.line(60.0, "upstream-left", upstream="u1")
         self.assertIn("upstream-leaving", self.explain_refusal(leaving, other))
 
+    def test_limit_is_shown_until_it_changes(self) -> None:
+        fields = {"upstream": "u0", "service": "app"}
+        limit = self.line(10.0, "upstream-limit", change="begun", limit=2.5, **fields)
+        self.assertIn("limit=2.5", self.explain_refusal(limit))
+        lower = self.line(20.0, "upstream-limit", change="changed", limit=1.5, **fields)
+        explanation = self.explain_refusal(limit, lower)
+        self.assertIn("limit=1.5", explanation)
+        self.assertNotIn("limit=2.5", explanation)
+        ended = self.line(30.0, "upstream-limit", change="ended", **fields)
+        self.assertNotIn("upstream-limit", self.explain_refusal(limit, lower, ended))
+
     def test_notices_logged_by_other_instances_are_left_out(self) -> None:
         fields = {"upstream": "u0", "service": "app", "seconds": 30.0}
         backoff = self.line(80.0, "upstream-quiet", instance="e1", **fields)
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -245,6 +245,24 @@
         for instance in instances:
             self.assertEqual((await self.send_request(instance, headers=prompt)).code, 200)
 
+    async def test_limits_in_reports_apply_before_any_request_and_end_with_the_header(self) -> None:
+        instance = await self.start_instance("e0")
+        await until(lambda: len(self.heads()) == 2 and len(instance.serving_groups()) == 2)
+        for server in self.servers:
+            server.limit = "0"
+        gauge = b"cactuspass_limited_upstreams 4.0"
+        await until(lambda: gauge in instance.metrics_page()[1])
+        self.assertIn(b"i-0", instance.limits_page()[1])
+        refused = await self.send_request(instance)
+        self.assertEqual(refused.code, 503)
+        self.assertIn(b"all-upstreams-at-limit", refused.body)
+        self.assertGreater(float(refused.headers["Retry-After"]), 0.0)
+        self.assertIsNone(refused.headers.get("Server-Limit"))
+        for server in self.servers:
+            server.limit = None
+        await until(lambda: b"no rows" in instance.limits_page()[1])
+        self.assertEqual((await self.send_request(instance)).code, 200)
+
     async def test_metrics_page_shows_the_requests(self) -> None:
         instance = await self.start_instance("e0")
         await until(lambda: len(instance.serving_groups()) == 2)
--- a/tests/test_fleet_rejections.py
+++ b/tests/test_fleet_rejections.py
@@ -85,7 +85,7 @@
         self.notices = UpstreamNotices(
             cluster_state,
             self.selector.backoff,
-            LimitNotices(self.selector.limits, log, Metrics()),
+            LimitNotices(self.selector.limits, cluster_state, log, Metrics(), mock.Mock()),
             pool,
             log,
             Metrics(),
--- a/tests/test_fleet_stated_limits.py
+++ b/tests/test_fleet_stated_limits.py
@@ -4,11 +4,13 @@
 import unittest
 
 from cactuspass.fleet._answer_head import AnswerHead
+from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import StatedLimit
+from cactuspass.fleet._limit_shares import LimitShares
 from cactuspass.fleet._request_limits import MAX_LIMITS, LimitChange, RequestLimits
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.platform._requests import PlatformRequests
-from tests.fleet_path import STAMP, PathCase, PreferredOrderCase, answer, route
+from tests.fleet_path import STAMP, PathCase, PreferredOrderCase, answer, recording_log, route
 
 LIFETIME = Lifetime(UpstreamId("a"), 1)
 NOT_RUN = "Cactuspass-Not-Run: 1"
@@ -47,7 +49,8 @@
     """Responses that overtake each other."""
 
     def setUp(self) -> None:
-        self.limits = RequestLimits()
+        cluster_state = ClusterState(recording_log()[0])
+        self.limits = RequestLimits(LimitShares(cluster_state, None))
         self.assertIs(self.record(2.0, 10.0, 10.2), LimitChange.BEGUN)
 
     def record(self, rate: float | None, sent_at: float, at: float) -> LimitChange:
