Let revisions rise when the store is restored from an older copy

A number that the store gives out again was taken for the same state: an entry or a manifest with such a number was never decoded, a conditional write could replace another's value, a lease could be another's, and epochs of a new term were below those that hosts had seen.

The adapter reads Store-Era with each response and puts it into revisions and leases, in the higher bits, so that all comparisons outside it hold as they stand. A watch that began before a restore ends with lost history, a write that expects a revision from before it is not made, a lease from before it has ended, and responses from before it are not used. Epochs rise with the era.

--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -66,6 +66,9 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store by kind and outcome", "call", "outcome"
         )
+        self.store_era = self._gauge(
+            "store_era", "How often the platform's store had been restored, by its last answer"
+        )
         self.orders = self._counter("orders", "Orders to upstreams", "order", "outcome")
         self.first_byte = Histogram(
             "cactuspass_first_byte_seconds",
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -8,6 +8,7 @@
 
 from cactuspass._clock import now
 from cactuspass._platform import KeyValue, LeaseId, Write
+from cactuspass._revisions import era_of, number_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
@@ -31,6 +32,8 @@
 BATCH_SECONDS = 0.3  # pause after a change, so that the next watch returns several
 CLOCK_MARGIN_SECONDS = 0.2  # the term ends here this long before the lease
 EPOCHS_PER_TERM = 10_000
+# More changes than a restored store has lost, so that epochs rise from era to era.
+CHANGES_PER_ERA = 100_000_000
 UNKNOWN_DATA_CENTRE = DataCentreId("")
 
 
@@ -48,7 +51,8 @@
     @property
     def first_epoch(self) -> int:
         """Lowest epoch for groups formed in this term; it is above those of all earlier terms."""
-        return self.revision * EPOCHS_PER_TERM
+        restores = era_of(self.revision)
+        return (restores * CHANGES_PER_ERA + number_of(self.revision)) * EPOCHS_PER_TERM
 
 
 class _KeyWatch(RepeatingComponent):
--- a/src/cactuspass/fleet/_store.py
+++ b/src/cactuspass/fleet/_store.py
@@ -28,7 +28,11 @@
 
 
 class SharedStore(Platform):
-    """A key-value store with leases that can also list and watch the keys under a prefix."""
+    """A key-value store with leases that can also list and watch the keys under a prefix.
+
+    Its revisions rise with each change, also when the store has been restored from an older copy
+    and has lost the last changes and leases.
+    """
 
     @abstractmethod
     async def read_prefix(self, prefix: str) -> Snapshot:
@@ -42,6 +46,7 @@
         """Return the changes after a revision, waiting for the first one.
 
         :param wait: seconds after which the call returns without changes.
-        :raises HistoryLost: when changes since that revision are no longer kept.
+        :raises HistoryLost: when changes since that revision are no longer kept, or when the store
+            has been restored since.
         :raises PlatformError: when the store does not answer or refuses the call.
         """
--- a/src/cactuspass/platform/_names.py
+++ b/src/cactuspass/platform/_names.py
@@ -16,6 +16,7 @@
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LOAD = "Cactuspass-Server-Load"
 SERVER_LIMIT = "Server-Limit"
+STORE_ERA = "Store-Era"
 
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from typing import Any
@@ -26,11 +27,15 @@
 
 
 class MetadataStoreStandIn:
-    """Keys with revisions, leases and watches; while ``refusing`` is set, every call gets 503."""
+    """Keys with revisions, leases and watches; while ``refusing`` is set, every call gets 503.
+
+    :ivar era: value of the header that states how often the store was restored; None for no header.
+    """
 
     def __init__(self) -> None:
         self.store = KeyValueStore()
         self.refusing = False
+        self.era: str | None = None
         self.address = ""
         self._changes: list[Json] = []
         self._changed = asyncio.Condition()
@@ -71,6 +76,16 @@
         self.run(Transaction((), (DeleteRequest(key.encode()),)))
         await self.publish_changes([key])
 
+    def copy(self) -> KeyValueStore:
+        """Return a copy of all keys and leases."""
+        return copy.deepcopy(self.store)
+
+    def restore(self, older: KeyValueStore) -> None:
+        """Go back to a copy; all that was written since is lost, and the era rises by one."""
+        self.store = copy.deepcopy(older)
+        self._changes = [c for c in self._changes if c["revision"] <= older.revision]
+        self.era = str(int(self.era or "0") + 1)
+
     def run(self, transaction: Transaction) -> bool:
         """Run a transaction; return whether its conditions held."""
         return self.store.run(transaction, time.monotonic()).succeeded
@@ -134,7 +149,9 @@
         self.standin = standin
 
     def prepare(self) -> None:
-        """Respond with 503 while the stand-in refuses calls."""
+        """Respond with 503 while the stand-in refuses calls; state the era."""
+        if self.standin.era is not None:
+            self.set_header("Store-Era", self.standin.era)
         if self.standin.refusing:
             self.set_status(503)
             self.finish()
@@ -182,6 +199,10 @@
 
     async def get(self) -> None:
         """Respond when there are changes or when the wait is over."""
+        if int(self.get_query_argument("after")) > self.standin.store.revision:
+            self.set_status(410)
+            self.finish()
+            return
         events = await self.standin.wait_for_changes(
             self.get_query_argument("prefix"),
             int(self.get_query_argument("after")),
--- /dev/null
+++ b/tests/test_fleet_restored_store.py
@@ -0,0 +1,214 @@
+"""A store that comes back from an older copy and gives its revisions and leases out again."""
+
+import json
+import unittest
+from unittest import mock
+
+from cactuspass._platform import LeaseId, Write
+from cactuspass._revisions import NUMBER_BITS, era_of, make_revision, number_of
+from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
+from cactuspass.fleet import ConnectionPool, HistoryLost, LeaseEnded, Metrics
+from cactuspass.fleet._answer_head import AnswerHead
+from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._presence import Term
+from cactuspass.fleet._sync import UpstreamSync
+from cactuspass.platform._directory import MetadataDirectory
+from cactuspass.platform._store import MetadataStore
+from tests.fleet_path import recording_log
+from tests.metadata_store import MetadataStoreStandIn
+from tests.test_fleet_instance import MANIFEST, SERVICE
+
+
+def entry(state: str = "ready", seq: int = 1, address: str = "127.0.0.1:1") -> dict[str, object]:
+    """Return the registry entry of a server."""
+    return {
+        "service": SERVICE,
+        "address": address,
+        "zone": "here",
+        "slots": 4,
+        "state": state,
+        "cold_ms": 0,
+        "seq": seq,
+        "born": 1,
+    }
+
+
+class RestoredStoreCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with the stand-in of the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = MetadataStoreStandIn()
+        self.standin.era = "4"
+        self.standin.start()
+        self.addCleanup(self.standin.stop)
+        self.store = MetadataStore(self.standin.address, ConnectionPool(), Metrics())
+        self.addAsyncCleanup(self.store.close)
+
+
+class RevisionTest(unittest.TestCase):
+    """Revisions and epochs of several eras."""
+
+    def test_revision_of_a_later_era_is_higher(self) -> None:
+        self.assertGreater(make_revision(2, 0), make_revision(1, 5_000))
+        self.assertEqual(era_of(make_revision(3, 7)), 3)
+        self.assertEqual(number_of(make_revision(3, 7)), 7)
+        self.assertEqual(make_revision(0, 7), 7)
+
+    def test_numbers_that_do_not_fit_are_refused(self) -> None:
+        for era, number in ((0, -1), (-1, 0), (0, 1 << NUMBER_BITS)):
+            with self.subTest(era=era, number=number), self.assertRaises(ValueError):
+                make_revision(era, number)
+
+    # Guards against groups whose hosts reject their epoch, since a restored store counts lower.
+    def test_epochs_of_a_term_after_a_restore_are_above_those_before_it(self) -> None:
+        before = Term(make_revision(1, 80_000)).first_epoch
+        after = Term(make_revision(2, 200)).first_epoch
+        self.assertGreater(after, before + 10_000)
+        self.assertLess(after, 2**53)
+
+
+class StoreTest(RestoredStoreCase):
+    """The client of the store."""
+
+    # Guards against a registry that no instance believes until the count has passed where it was.
+    async def test_revisions_rise_when_the_numbers_go_back(self) -> None:
+        await self.standin.put("servers/a", entry())
+        older = self.standin.copy()
+        for _ in range(20):
+            await self.standin.put("servers/a", entry())
+        before = await self.store.read_prefix("servers/")
+        self.standin.restore(older)
+        after = await self.store.read_prefix("servers/")
+        self.assertGreater(after.revision, before.revision)
+        found = after.values_by_key["servers/a"].mod_revision
+        self.assertGreater(found, before.values_by_key["servers/a"].mod_revision)
+
+    async def test_watch_from_before_a_restore_ends(self) -> None:
+        older = self.standin.copy()
+        for _ in range(3):
+            await self.standin.put("servers/a", entry())
+        seen = (await self.store.read_prefix("servers/")).revision
+        for known in (False, True):
+            with self.subTest(number_exists_again=known):
+                self.standin.restore(older)
+                for _ in range(5 * known):
+                    await self.standin.put("servers/b", entry())
+                with self.assertRaises(HistoryLost):
+                    await self.store.watch("servers/", seen, 0.2)
+
+    # Guards against a write that replaces another's value, whose revision was given out again.
+    async def test_write_that_expects_a_revision_from_before_a_restore_is_not_made(self) -> None:
+        for knows_era in (False, True):
+            with self.subTest(knows_era=knows_era):
+                older = self.standin.copy()
+                await self.standin.put("cactuspass/leader", "mine")
+                read = await self.store.read(["cactuspass/leader"])
+                expected = read.values_by_key["cactuspass/leader"].mod_revision
+                self.standin.restore(older)
+                await self.standin.put("cactuspass/leader", "another's")
+                if knows_era:
+                    await self.store.read_prefix("op/")
+                write = Write("cactuspass/leader", b"new", expected)
+                if not knows_era:
+                    with self.assertRaises(OutcomeUnknown):
+                        await self.store.write([write])
+                    continue
+                result = await self.store.write([write])
+                self.assertFalse(result.accepted)
+                current = result.current.values_by_key["cactuspass/leader"]
+                self.assertEqual(json.loads(current.value or b""), "another's")
+                again = Write("cactuspass/leader", b"new", current.mod_revision)
+                self.assertTrue((await self.store.write([again])).accepted)
+
+    async def test_lease_from_before_a_restore_has_ended(self) -> None:
+        older = self.standin.copy()
+        mine = await self.store.grant_lease(60)
+        self.standin.restore(older)
+        other = MetadataStore(self.standin.address, ConnectionPool(), Metrics())
+        self.addAsyncCleanup(other.close)
+        await other.grant_lease(60)
+        self.assertEqual(await self.store.keep_lease_alive(mine), 0.0)
+        with self.assertRaises(LeaseEnded):
+            await self.store.write([Write("cactuspass/x", b"1", 0, mine)])
+        await self.store.revoke_lease(mine)
+        again = await self.store.grant_lease(60)
+        self.assertGreater(await self.store.keep_lease_alive(again), 0.0)
+        self.assertTrue((await self.store.write([Write("cactuspass/x", b"1", 0, again)])).accepted)
+
+    async def test_response_from_before_a_restore_is_not_used(self) -> None:
+        await self.store.read_prefix("op/")
+        self.standin.era = "3"
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.read_prefix("op/")
+        with self.assertRaises(OutcomeUnknown):
+            await self.store.write([Write("cactuspass/x", b"1", 0)])
+
+    async def test_response_without_a_readable_era_is_of_the_last_known_one(self) -> None:
+        era = era_of((await self.store.read_prefix("op/")).revision)
+        for text in (None, "", "later", "-1", "1e3", "9" * 40, "\u00b2"):
+            with self.subTest(text=text):
+                self.standin.era = text
+                self.assertEqual(era_of((await self.store.read_prefix("op/")).revision), era)
+
+    async def test_listing_with_pages_of_two_eras_is_not_used(self) -> None:
+        for number in range(7):
+            await self.standin.put(f"servers/{number}", entry())
+        exchange = self.store._exchange
+        calls = 0
+
+        async def restore_between(*args: object) -> object:
+            nonlocal calls
+            calls += 1
+            if calls == 2:
+                self.standin.restore(self.standin.copy())
+            return await exchange(*args)  # type: ignore[arg-type]
+
+        with (
+            mock.patch.object(self.store, "_exchange", restore_between),
+            self.assertRaises(PlatformUnavailable),
+        ):
+            await self.store.read_prefix("servers/")
+
+    def test_lease_keeps_its_number_and_era_apart(self) -> None:
+        self.assertNotEqual(LeaseId(1 << 64 | 7), LeaseId(2 << 64 | 7))
+        self.assertIsNone(AnswerHead(200, ()).get("store-era"))
+
+
+class DirectoryTest(RestoredStoreCase):
+    """Documents and entries whose revision was given out again."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.directory = MetadataDirectory(self.store)
+
+    # Guards against a confirmed change that is never read, since it has the number of a lost one.
+    async def test_documents_with_a_number_that_was_given_out_again_are_read(self) -> None:
+        older = self.standin.copy()
+        await self.standin.put("op/config", {**MANIFEST, "version": 5})
+        await self.standin.put("servers/a", entry(address="127.0.0.1:5"))
+        await self.directory.read_operators()
+        await self.directory.read_upstreams()
+        self.standin.restore(older)
+        await self.standin.put("op/config", {**MANIFEST, "version": 9})
+        await self.standin.put("servers/a", entry(address="127.0.0.1:9"))
+        documents = await self.directory.read_operators()
+        assert documents.catalog is not None
+        self.assertEqual(documents.catalog.version, 9)
+        listing = await self.directory.read_upstreams()
+        self.assertEqual([u.address for u in listing.upstreams], ["127.0.0.1:9"])
+
+    # Guards against an instance that refuses each listing and change after a restore.
+    async def test_registry_after_a_restore_is_believed(self) -> None:
+        await self.standin.put("servers/a", entry())
+        older = self.standin.copy()
+        for number in range(10):
+            await self.standin.put(f"servers/lost-{number}", entry())
+        log, handler = recording_log()
+        cluster_state = ClusterState(log)
+        sync = UpstreamSync(self.directory, cluster_state, log)
+        await sync._read_all()
+        self.standin.restore(older)
+        await self.standin.put("servers/new", entry())
+        await sync._read_all()
+        self.assertIn("new", cluster_state.view.upstreams_by_id)
+        self.assertFalse([line for line in handler.lines if "upstreams-older" in line])
