Keep later states of upstreams while a restored store lists older ones

The copy lists upstreams as ready that have left since, and upstreams that are gone, and lacks those that registered after it was made. An instance believed each of these at once, where it had not noticed an outage of a second or more.

Entries have a count of the upstream's writes. The era is noted from the store or from the feed, and logged (store-restored).

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -20,6 +20,7 @@
 from cactuspass.fleet._departures import Departures
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._prompt_parts import Block
+from cactuspass.fleet._removed_upstreams import RemovedUpstreams
 from cactuspass.fleet._upstreams import (
     Group,
     GroupKey,
@@ -31,6 +32,8 @@
 from cactuspass.models import ModelId, ServiceId
 
 NEVER = float("-inf")
+# Time for all writers to repeat what a restored store has lost.
+RESTORE_GRACE_SECONDS = 5.0
 INSTANCE_GRACE_SECONDS = 4.0  # two lease periods: one to expire, one to register again
 
 
@@ -87,6 +90,9 @@
         self._recent_counts: deque[tuple[float, int]] = deque()
         self.peers: tuple[Peer, ...] = ()
         self.revision = 0
+        self.era: int | None = None
+        self.restored_at = NEVER
+        self._removed = RemovedUpstreams()
         self._serving_by_model: dict[tuple[ServiceId, ModelId | None], list[ServingUpstream]] = {}
         self._serving_view: UpstreamView | None = None
         self._serving_catalog: CatalogIndex | None = None
@@ -203,7 +209,9 @@
         if revision < self.revision:
             self._log.state_change("upstreams-older", revision=revision, believed=self.revision)
             return
-        changed, removed = tuple(changed), tuple(removed)
+        changed = tuple(u for u in changed if not self._is_superseded(u))
+        removed = tuple(removed)
+        self._removed.add(filter(None, map(self.registered_by_id.get, removed)), now())
         registered_by_id = dict(self.registered_by_id)
         for upstream_id in removed:
             registered_by_id.pop(upstream_id, None)
@@ -217,6 +225,34 @@
         self.revision = revision
         self._change_view(marked, removed)
 
+    def note_era(self, era: int) -> None:
+        """Note how often the store had been restored when it was read last.
+
+        :param era: of a revision; see ``_revisions``.
+        """
+        known, self.era = self.era, max(era, self.era or 0)
+        if known is not None and era > known:
+            self.restored_at = now()
+            self._log.alarm("store-restored", era=era, before=known)
+
+    @property
+    def is_just_restored(self) -> bool:
+        """Whether the store may lack what was written before it was restored."""
+        return now() - self.restored_at < RESTORE_GRACE_SECONDS
+
+    def _is_superseded(self, upstream: Upstream) -> bool:
+        """Return whether a later state of an upstream is known than the one that is listed.
+
+        A store that was restored from an older copy lists states that upstreams have left, and
+        upstreams that are gone. Those that still run write their entries again.
+        """
+        if not self.is_just_restored:
+            return False
+        known = self.registered_by_id.get(upstream.upstream_id)
+        if known is not None and known.lifetime == upstream.lifetime:
+            return upstream.sequence < known.sequence
+        return self._removed.has_later(upstream, self.restored_at)
+
     def mark_leaving(self, lifetime: Lifetime) -> bool:
         """Mark an upstream as leaving, as it announced; return whether that is new."""
         listed = self.registered_by_id.get(lifetime.upstream_id)
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -287,6 +287,8 @@
         """
         cluster_state = self._cluster_state
         written_at = requested_at + update.held_for
+        if update.era is not None:
+            cluster_state.note_era(update.era)
         if update.catalog is not None:
             cluster_state.accept_catalog(update.catalog)
         cluster_state.accept_evacuations(update.evacuations)
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -43,6 +43,8 @@
     :param revision: revision of the store up to which the upstreams are known.
     :param leaving: lifetimes that have announced that they leave and that no earlier update
         contained; ``changed`` still has the state of these upstreams in the registry.
+    :param era: how often the store had been restored when the source read it last; None if it has
+        not read it.
     :param blocks: all known blocks on parts of prompts; None when they have not changed.
     """
 
@@ -58,6 +60,7 @@
     cold: tuple[ColdUpstream, ...]
     revision: int
     leaving: tuple[Lifetime, ...] = ()
+    era: int | None = None
     blocks: tuple[Block, ...] | None = None
 
 
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -152,6 +152,7 @@
                 sent_leaving,
                 self._sent_leaving,
                 cluster_state.revision,
+                cluster_state.era,
                 tuple((found.upstream_id, round(found.seconds)) for found in cold),
             ),
         )
@@ -167,6 +168,7 @@
             removed=tuple(known.keys() - current.keys()),
             cold=cold,
             revision=cluster_state.revision,
+            era=cluster_state.era,
             leaving=tuple(lifetime for lifetime in leaving if lifetime not in sent_leaving),
             blocks=None if self._blocks is known_blocks else self._blocks,
         )
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -291,6 +291,7 @@
             self._keys = dict(snapshot.values_by_key)
             self._revision = snapshot.revision
             self._keys_listed = True
+            self._cluster_state.note_era(era_of(snapshot.revision))
         else:
             changes = await self._store.watch(KEY_PREFIX, self._revision, WATCH_WAIT_SECONDS)
             for change in changes.changed:
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -6,6 +6,7 @@
 
 from cactuspass._clock import now
 from cactuspass._findings import Finding
+from cactuspass._revisions import era_of
 from cactuspass.exceptions import PlatformError
 from cactuspass.fleet._cluster_state import ClusterState, changed_upstreams
 from cactuspass.fleet._decision_log import DecisionLog
@@ -125,6 +126,7 @@
     async def _read(self, began: float) -> None:
         documents = await self._directory.read_operators()
         self._dependency.record_success()
+        self._cluster_state.note_era(era_of(documents.revision))
         log_findings(self._log, documents.findings, self._seen_findings)
         if documents.catalog is not None:
             self._cluster_state.accept_catalog(documents.catalog)
@@ -137,8 +139,8 @@
 class UpstreamSync(RepeatingComponent):
     """Follows the registry of upstreams by listings and watches.
 
-    Entries that expire while the store is unavailable are kept for ``LAPSED_GRACE_SECONDS`` after
-    its return, since upstreams that still run register again.
+    Entries that expire while the store is unavailable, or that a restored store lacks, are kept for
+    ``LAPSED_GRACE_SECONDS`` after its return, since upstreams that still run register again.
 
     :param on_change: called after each change of the registered upstreams.
     :param is_leader: whether this instance leads; it then pauses for a shorter time after a change.
@@ -200,6 +202,7 @@
         began = now()
         listing = await self._directory.read_upstreams()
         self._dependency.record_success()
+        self._cluster_state.note_era(era_of(listing.revision))
         log_findings(self._log, listing.findings, self._seen_findings)
         self._listed_at = began
         self._cluster_state.upstreams_read_at = began
@@ -221,12 +224,12 @@
         known_by_id = self._cluster_state.registered_by_id
         changed = changed_upstreams(known_by_id, {u.upstream_id: u for u in listed})
         removed = tuple(upstream_id for upstream_id in removed if upstream_id in known_by_id)
-        if now() - self._dependency.regained_at < LAPSED_GRACE_SECONDS:
+        regained_at = max(self._dependency.regained_at, self._cluster_state.restored_at)
+        if now() - regained_at < LAPSED_GRACE_SECONDS:
             # Keeps the expired entries, and makes the next listing due when the grace time ends.
             removed = ()
             self._listed_at = min(
-                self._listed_at,
-                self._dependency.regained_at + LAPSED_GRACE_SECONDS - RELIST_SECONDS,
+                self._listed_at, regained_at + LAPSED_GRACE_SECONDS - RELIST_SECONDS
             )
         if not changed and not removed:
             return
--- a/src/cactuspass/fleet/_upstreams.py
+++ b/src/cactuspass/fleet/_upstreams.py
@@ -68,6 +68,8 @@
     :param fabric_domain: part of the network within which upstreams can form a group.
     :param staged: models whose weights are on the host.
     :param loaded: model that the upstream runs.
+    :param sequence: counts the writes of the entry in this run of the upstream; two entries that
+        differ in nothing else are equal.
     """
 
     upstream_id: UpstreamId
@@ -82,6 +84,7 @@
     staged: tuple[ModelId, ...] = ()
     loaded: ModelId | None = None
     membership: Membership | None = None
+    sequence: int = field(default=0, compare=False)
 
     @property
     def lifetime(self) -> Lifetime:
--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -46,6 +46,8 @@
     state: Literal["ready", "draining"]
     cold_ms: Annotated[float, Field(ge=0)]
     born: StrictInt = 0
+    # Counts the writes of the entry; in a report, seq counts orders instead.
+    seq: Annotated[StrictInt, Field(ge=0)] = 0
     domain: StrictStr | None = None
     staged: tuple[StrictStr, ...] = ()
     models: tuple[_Model, ...] = ()
@@ -57,7 +59,7 @@
     queued: Annotated[StrictInt, Field(ge=0)]
     pace: float = 1.0
     busy: bool = False
-    # Number of accepted orders; in a registry entry, seq counts heartbeats instead.
+    # Number of accepted orders.
     seq: Annotated[StrictInt, Field(ge=0)]
     born: StrictInt
     group: _Group | None = None
@@ -88,6 +90,7 @@
         staged=tuple(map(ModelId, entry.staged)),
         loaded=ModelId(entry.models[0].name) if entry.models else None,
         membership=entry.group.decode() if entry.group is not None else None,
+        sequence=entry.seq,
     )
 
 
--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -7,17 +7,20 @@
 from cactuspass._platform import LeaseId, Write
 from cactuspass._revisions import NUMBER_BITS, era_of, make_revision, number_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
-from cactuspass.fleet import ConnectionPool, HistoryLost, LeaseEnded, Metrics
+from cactuspass.fleet import ConnectionPool, HistoryLost, LeaseEnded, Metrics, _cluster_state
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._presence import Term
-from cactuspass.fleet._sync import UpstreamSync
+from cactuspass.fleet._sync import LAPSED_GRACE_SECONDS, UpstreamSync
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.platform._directory import MetadataDirectory
 from cactuspass.platform._store import MetadataStore
 from tests.fleet_path import recording_log
 from tests.metadata_store import MetadataStoreStandIn
 from tests.test_fleet_instance import MANIFEST, SERVICE
 
+A = UpstreamId("a")
+
 
 def entry(state: str = "ready", seq: int = 1, address: str = "127.0.0.1:1") -> dict[str, object]:
     """Return the registry entry of a server."""
@@ -212,3 +215,94 @@
         await sync._read_all()
         self.assertIn("new", cluster_state.view.upstreams_by_id)
         self.assertFalse([line for line in handler.lines if "upstreams-older" in line])
+
+
+class RegistryTest(RestoredStoreCase):
+    """What instances believe of upstreams while a restored store lists older states of them."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.at = 1000.0
+        for module in ("_sync", "_cluster_state"):
+            patch = mock.patch(f"cactuspass.fleet.{module}.now", lambda: self.at)
+            patch.start()
+            self.addCleanup(patch.stop)
+        log, self.handler = recording_log()
+        self.cluster_state = ClusterState(log)
+        self.sync = UpstreamSync(MetadataDirectory(self.store), self.cluster_state, log)
+
+    async def read(self) -> dict[UpstreamId, Upstream]:
+        """List the registry, and return the upstreams that the instance believes in."""
+        await self.sync._read_all()
+        return dict(self.cluster_state.view.upstreams_by_id)
+
+    # Guards against new work for an upstream that leaves, since the copy lists it as ready.
+    async def test_upstream_that_leaves_is_not_ready_again(self) -> None:
+        await self.standin.put("servers/a", entry(seq=3))
+        older = self.standin.copy()
+        await self.standin.put("servers/a", entry("draining", seq=7))
+        self.assertTrue((await self.read())[A].draining)
+        self.standin.restore(older)
+        self.assertTrue((await self.read())[A].draining)
+        await self.standin.put("servers/a", entry("draining", seq=9))
+        self.assertTrue((await self.read())[A].draining)
+
+    async def test_state_that_stays_listed_applies_in_the_end(self) -> None:
+        await self.standin.put("servers/a", entry(seq=3))
+        older = self.standin.copy()
+        await self.standin.put("servers/a", entry("draining", seq=7))
+        await self.read()
+        self.standin.restore(older)
+        await self.read()
+        self.at += _cluster_state.RESTORE_GRACE_SECONDS
+        self.assertFalse((await self.read())[A].draining)
+
+    # Guards against new work for an upstream that is gone, since the copy still lists it.
+    async def test_upstream_that_is_gone_comes_back_only_when_it_writes_again(self) -> None:
+        await self.standin.put("servers/a", entry(seq=3))
+        await self.standin.put("servers/b", entry(seq=3, address="127.0.0.1:2"))
+        older = self.standin.copy()
+        await self.read()
+        await self.standin.delete("servers/a")
+        self.at += 1.0
+        self.assertNotIn(A, await self.read())
+        self.at += 1.0
+        self.standin.restore(older)
+        self.assertNotIn(A, await self.read())
+        await self.standin.put("servers/a", entry(seq=4))
+        self.assertIn(A, await self.read())
+
+    # Guards against upstreams that are dropped at once because they registered after the copy.
+    async def test_upstream_that_the_copy_lacks_is_kept_for_the_time_to_write_again(
+        self,
+    ) -> None:
+        await self.standin.put("servers/b", entry(address="127.0.0.1:2"))
+        older = self.standin.copy()
+        await self.standin.put("servers/a", entry())
+        await self.read()
+        self.standin.restore(older)
+        self.assertIn(A, await self.read())
+        self.at += LAPSED_GRACE_SECONDS - 0.1
+        self.assertIn(A, await self.read())
+        self.at += 0.2
+        self.assertNotIn(A, await self.read())
+
+    async def test_new_run_of_an_upstream_applies_at_once(self) -> None:
+        await self.standin.put("servers/a", entry("draining", seq=7))
+        older = self.standin.copy()
+        await self.read()
+        self.standin.restore(older)
+        await self.read()
+        await self.standin.put("servers/a", {**entry(seq=1), "born": 2})
+        self.assertFalse((await self.read())[A].draining)
+
+    async def test_restore_is_logged_once(self) -> None:
+        older = self.standin.copy()
+        for _ in range(2):
+            await self.read()
+        self.standin.restore(older)
+        for _ in range(2):
+            await self.read()
+        lines = [json.loads(line) for line in self.handler.lines]
+        restored = [line for line in lines if line["event"] == "store-restored"]
+        self.assertEqual([(line["era"], line["before"]) for line in restored], [(5, 4)])
