Keep evacuations that a restored store may lack

An evacuation ordered after the copy was made is gone with a restore until the operator writes it again; instances sent new work to the data centre at once. The test failed before.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -126,7 +126,13 @@
             self._notify_change()
 
     def accept_evacuations(self, evacuations: Evacuations) -> None:
-        """Set the evacuated data centres, whose upstreams get no new requests."""
+        """Set the evacuated data centres, whose upstreams get no new requests.
+
+        A store that was just restored may lack an evacuation, so none ends by it.
+        """
+        if self.is_just_restored:
+            known = self.evacuations.data_centres
+            evacuations = Evacuations(evacuations.data_centres | known)
         if evacuations == self.evacuations:
             return
         self.evacuations = evacuations
--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -11,7 +11,7 @@
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._presence import Term
-from cactuspass.fleet._sync import LAPSED_GRACE_SECONDS, UpstreamSync
+from cactuspass.fleet._sync import LAPSED_GRACE_SECONDS, OperatorSync, UpstreamSync
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.platform._directory import MetadataDirectory
 from cactuspass.platform._store import MetadataStore
@@ -306,3 +306,27 @@
         lines = [json.loads(line) for line in self.handler.lines]
         restored = [line for line in lines if line["event"] == "store-restored"]
         self.assertEqual([(line["era"], line["before"]) for line in restored], [(5, 4)])
+
+
+class EvacuationTest(RestoredStoreCase):
+    """Evacuated data centres that a restored store lacks."""
+
+    # Guards against new work for a data centre that operators have taken out, after a restore.
+    async def test_evacuation_that_the_copy_lacks_stays_until_it_can_be_ordered_again(self) -> None:
+        at = 1000.0
+        log, _ = recording_log()
+        cluster_state = ClusterState(log)
+        sync = OperatorSync(MetadataDirectory(self.store), cluster_state, log)
+        with mock.patch("cactuspass.fleet._cluster_state.now", lambda: at):
+            older = self.standin.copy()
+            await self.standin.put("op/evacuate/here", {})
+            await sync._read(at)
+            self.standin.restore(older)
+            await sync._read(at)
+            self.assertEqual(cluster_state.evacuations.data_centres, {"here"})
+            await self.standin.put("op/evacuate/there", {})
+            await sync._read(at)
+            self.assertEqual(cluster_state.evacuations.data_centres, {"here", "there"})
+            at += _cluster_state.RESTORE_GRACE_SECONDS
+            await sync._read(at)
+            self.assertEqual(cluster_state.evacuations.data_centres, {"there"})
