Register instances again as soon as a restore is noticed

Registrations made after the copy are gone with a restore, and each instance noticed at its next renewal, up to 6.5 s later. Until then the others divided shared limits by too few instances and chose other sources of the feed. The renewal is now made at once when the era has risen, whether the store or the feed has told it.

--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -92,6 +92,7 @@
         self.revision = 0
         self.era: int | None = None
         self.restored_at = NEVER
+        self._calls_on_restore: list[Callable[[], None]] = []
         self._removed = RemovedUpstreams()
         self._serving_by_model: dict[tuple[ServiceId, ModelId | None], list[ServingUpstream]] = {}
         self._serving_view: UpstreamView | None = None
@@ -240,6 +241,12 @@
         if known is not None and era > known:
             self.restored_at = now()
             self._log.alarm("store-restored", era=era, before=known)
+            for call in self._calls_on_restore:
+                call()
+
+    def on_restore(self, call: Callable[[], None]) -> None:
+        """Call a function whenever the store turns out to have been restored."""
+        self._calls_on_restore.append(call)
 
     @property
     def is_just_restored(self) -> bool:
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -122,6 +122,7 @@
 
     async def start(self) -> None:
         """Start to register this instance and to watch the keys of all instances."""
+        self._cluster_state.on_restore(self._registration.renew_now)
         await self._registration.start()
         await super().start()
         await self._key_watch.start()
--- a/src/cactuspass/fleet/_registration.py
+++ b/src/cactuspass/fleet/_registration.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from contextlib import suppress
 
 from cactuspass._platform import LeaseId, Write
 from cactuspass.exceptions import PlatformError
@@ -49,6 +50,11 @@
         self._lease: LeaseId | None = None
         self._retry_seconds = FIRST_RETRY_SECONDS
         self._stopping = False
+        self._wake = asyncio.Event()
+
+    def renew_now(self) -> None:
+        """Renew the lease without waiting for the interval, since it may be lost."""
+        self._wake.set()
 
     async def step(self) -> None:
         """Register or renew the lease, then wait; after a failure, wait longer each time."""
@@ -56,7 +62,7 @@
             if not self._stopping:
                 await self._keep()
             self._retry_seconds = FIRST_RETRY_SECONDS
-            await asyncio.sleep(RENEW_SECONDS * random.uniform(0.8, 1.0))
+            await self._wait(RENEW_SECONDS * random.uniform(0.8, 1.0))
         except LeaseEnded:
             self._lease = None
             # All leases may have ended together with an outage of the store.
@@ -67,6 +73,13 @@
             await asyncio.sleep(pause * random.uniform(0.5, 1.0))
             self._retry_seconds = min(MAX_RETRY_SECONDS, 2 * self._retry_seconds)
 
+    async def _wait(self, seconds: float) -> None:
+        """Wait until ``renew_now`` is called, or for some seconds."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        self._wake.clear()
+
     async def drain(self) -> None:
         """Revoke the lease, which deletes the key."""
         self._stopping = True
--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -1,6 +1,7 @@
 """A store that comes back from an older copy and gives its revisions and leases out again."""
 
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -17,7 +18,7 @@
 from cactuspass.platform._store import MetadataStore
 from tests.fleet_path import recording_log
 from tests.metadata_store import MetadataStoreStandIn
-from tests.test_fleet_instance import MANIFEST, SERVICE
+from tests.test_fleet_instance import MANIFEST, SERVICE, InstanceCase, until
 
 A = UpstreamId("a")
 
@@ -330,3 +331,37 @@
             at += _cluster_state.RESTORE_GRACE_SECONDS
             await sync._read(at)
             self.assertEqual(cluster_state.evacuations.data_centres, {"there"})
+
+
+class InstanceRestoreTest(InstanceCase):
+    """Two instances whose registrations, leader and groups a restored store lacks."""
+
+    def registered(self) -> set[str]:
+        """Return the keys of the instances in the store."""
+        prefix = "cactuspass/instances/"
+        found = self.store.read(prefix, prefix + "\x7f")
+        return {pair.key.decode().removeprefix(prefix) for pair in found}
+
+    # Guards against instances that nobody knows for seconds, so that shares of limits are wrong.
+    async def test_instances_register_again_soon_and_one_leads(self) -> None:
+        self.store.era = "1"
+        empty = self.store.copy()
+        instances = [await self.start_instance(f"e{number}") for number in range(2)]
+        await until(lambda: all(len(instance.serving_groups()) == 2 for instance in instances))
+        terms = [i._presence.term for i in instances if i._presence.term is not None]
+        self.store.restore(empty)
+        began = time.monotonic()
+        await until(lambda: self.registered() == {"e0", "e1"})
+        self.assertLess(time.monotonic() - began, 3.0)
+        for server in self.servers:
+            await server.register()
+        await self.store.put("op/config", MANIFEST)
+        await until(
+            lambda: any(
+                instance._presence.term is not None
+                and instance._presence.term.first_epoch > terms[0].first_epoch
+                for instance in instances
+            )
+        )
+        for instance in instances:
+            self.assertEqual((await self.send_request(instance)).code, 200)
