--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -205,9 +205,14 @@
         await self._try_acquire_leadership()
 
     def _may_acquire_leadership(self) -> bool:
-        """Return whether the keys are known and show no other leader."""
+        """Return whether the keys are known and show no other leader.
+
+        A restored store may have lost the lease of a leader that has not noticed it yet.
+        """
         if self._term is not None or self._revision == 0 or self._stopping:
             return False
+        if now() - self._cluster_state.restored_at < LEASE_SECONDS:
+            return False
         if self._uses_feed() or self._cluster_state.catalog_index is None:
             return False
         return not self._is_led_by_another()
--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -1,5 +1,6 @@
 """A store that comes back from an older copy and gives its revisions and leases out again."""
 
+import asyncio
 import json
 import time
 import unittest
@@ -8,17 +9,28 @@
 from cactuspass._platform import LeaseId, Write
 from cactuspass._revisions import NUMBER_BITS, era_of, make_revision, number_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
-from cactuspass.fleet import ConnectionPool, HistoryLost, LeaseEnded, Metrics, _cluster_state
+from cactuspass.fleet import (
+    ConnectionPool,
+    HistoryLost,
+    LeaseEnded,
+    Metrics,
+    _cluster_state,
+    _presence,
+)
 from cactuspass.fleet._answer_head import AnswerHead
+from cactuspass.fleet._catalog import Catalog
 from cactuspass.fleet._cluster_state import ClusterState
-from cactuspass.fleet._presence import Term
+from cactuspass.fleet._presence import Presence, Term
 from cactuspass.fleet._sync import LAPSED_GRACE_SECONDS, OperatorSync, UpstreamSync
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.models import EntryId
 from cactuspass.platform._directory import MetadataDirectory
 from cactuspass.platform._store import MetadataStore
 from tests.fleet_path import recording_log
 from tests.metadata_store import MetadataStoreStandIn
 from tests.test_fleet_instance import MANIFEST, SERVICE, InstanceCase, until
+from tests.test_fleet_presence import MemoryStore, clock
+from tests.virtual_time import virtual_time
 
 A = UpstreamId("a")
 
@@ -365,3 +377,38 @@
         )
         for instance in instances:
             self.assertEqual((await self.send_request(instance)).code, 200)
+
+
+class LeadershipTest(unittest.TestCase):
+    """Who leads after the leader's lease has been lost with a restore."""
+
+    # Guards against two leaders, since the first one counts on a lease that the store has lost.
+    @virtual_time
+    async def test_nobody_else_leads_before_the_lost_lease_would_have_ended(self) -> None:
+        with (
+            mock.patch.object(_presence, "now", clock),
+            mock.patch.object(_cluster_state, "now", clock),
+        ):
+            store = MemoryStore()
+            instances, states = [], []
+            for number in range(2):
+                log, _ = recording_log()
+                states.append(ClusterState(log))
+                states[number].accept_catalog(Catalog(1))
+                states[number].note_era(1)
+                name = EntryId(f"e{number}")
+                instances.append(Presence(store, name, states[number], log))
+                await instances[number].start()
+                await asyncio.sleep(1.0)
+            self.assertIsNotNone(instances[0].term)
+            await instances[0].stop()
+            store.keys.clear()
+            instances[1]._keys.clear()  # as listed after the restore
+            states[1].note_era(2)
+            until = clock() + _presence.LEASE_SECONDS
+            while clock() < until:
+                self.assertIsNone(instances[1].term)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1.0)
+            self.assertIsNotNone(instances[1].term)
+            await instances[1].stop()
