Let store readers take one update of the feed when they start

An instance that started between a restore and the operator's next write read the older manifest from the store and served by it, though all others knew the newer one: only instances that do not read the store took it from the feed. A reader now follows another instance for one update at its start, with one attempt, and reads the store afterwards; the catalog with the higher version stays in force. The new test failed before (version 1 instead of 5).

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -47,6 +47,9 @@
 CLOSE_MARGIN_SECONDS = 0.2  # time for a source whose state is too old to say so itself
 SOURCE_CHECK_SECONDS = 0.25
 STARTUP_WAIT_SECONDS = 1.5  # time to find a source before the store is read instead
+# Of a reader, which at its start follows another one for a moment: that one may know documents
+# which a restored store has lost.
+MAX_CATCH_UP_ATTEMPTS = 1
 OWN_READ_MARGIN_SECONDS = 0.1  # own reads have failed this long before the state is too old
 FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
 LOG_PAUSE_SECONDS = 3.0  # between two lines on failures of one source
@@ -98,6 +101,7 @@
         self._own_reads_failed_until = float("-inf")
         self._source_was_behind = False
         self._failures_in_row = 0
+        self._catch_ups_left = 0
         self._ordered_peers: tuple[Peer, ...] = ()
         self._local_sources: list[Peer] = []
         self._readers: list[Peer] = []
@@ -105,6 +109,7 @@
     async def start(self) -> None:
         """Start to look for a source."""
         self._startup_until = now() + STARTUP_WAIT_SECONDS
+        self._catch_ups_left = MAX_CATCH_UP_ATTEMPTS
         await super().start()
 
     @property
@@ -143,6 +148,7 @@
             return  # The next step connects again and gets a complete update.
         except FEED_ERRORS as error:
             self._failures_in_row += 1
+            self._catch_ups_left = max(0, self._catch_ups_left - 1)
             self._avoid(source, error)
             if self._have_all_sources_failed:
                 interval = MAX_ATTEMPT_INTERVAL_SECONDS * random.uniform(0.5, 1.0)
@@ -205,7 +211,8 @@
         """Return the sources in the order of preference; from this instance on, none is followed.
 
         A source follows only those that come before it in the order of readers, so that no two
-        sources follow each other for long. A reader whose own reads fail follows any other.
+        sources follow each other for long. A reader whose own reads fail follows any other, as does
+        one that has just started, until it has had one update.
         """
         self._update_order()
         local, readers = self._local_sources, self._readers
@@ -217,7 +224,8 @@
         if all(reader.instance != self._instance for reader in first):
             return [*order_sources(first, self._instance), *later]
         others = [reader for reader in readers if reader.instance != self._instance]
-        return others if self._do_own_reads_fail() else []
+        must_follow = self._catch_ups_left > 0 and now() < self._startup_until
+        return others if must_follow or self._do_own_reads_fail() else []
 
     def _update_order(self) -> None:
         """Choose the sources anew if the registered instances have changed."""
@@ -285,6 +293,7 @@
         The ages in an update count from when it was written. That is taken to be ``held_for`` after
         the request was sent, the earliest possible time, so no state is taken for newer than it is.
         """
+        self._catch_ups_left = 0
         cluster_state = self._cluster_state
         written_at = requested_at + update.held_for
         if update.era is not None:
--- a/tests/test_fleet_joint_starts.py
+++ b/tests/test_fleet_joint_starts.py
@@ -7,7 +7,8 @@
 import random
 import unittest
 
-from cactuspass.fleet._peers import STORE_READERS, Peer
+from cactuspass.fleet._catalog import Catalog
+from cactuspass.fleet._peers import STORE_READERS, Peer, order_readers
 from cactuspass.models import EntryId
 from tests.feed_world import MAX_AGE_SECONDS, FeedWorld, busiest, clock, patches
 from tests.test_fleet_feed_order import DATA_CENTRES, everyone
@@ -190,3 +191,23 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class RestoredStoreTest(JointStartsCase):
+    """Instances that start while a restored store has an older catalog than others know."""
+
+    # Guards against an instance that handles requests by a catalog which has been replaced.
+    @virtual_time
+    async def test_instance_that_starts_takes_the_newer_catalog_of_the_others(self) -> None:
+        await self.start_fleet()
+        for instance in self.world.running_by_id.values():
+            instance.cluster_state.accept_catalog(Catalog(5))
+        reader = order_readers(self.peers)[0]
+        await self.world.kill(reader.instance)
+        await self.world.start(reader)
+        await self.world.run(2.0)
+        restarted = self.world.running_by_id[reader.instance]
+        index = restarted.cluster_state.catalog_index
+        assert index is not None
+        self.assertEqual(index.catalog.version, 5)
+        self.assertLess((restarted.ready_at or 0.0) - restarted.started_at, 1.0)
