Leave out entries whose numbers nobody can use

A nested one was refused here, but a port of 99999 or 400 digits, an address that is none, and numbers of 400 digits or 1e999 were accepted. A connection to such a port raises OverflowError, which no caller of the pool expects: a request that met the entry got no answer. A deeply nested key of an instance raises RecursionError where the keys of all instances are read, in each read anew.

Entries, reports, keys of instances and blocks are now checked for ranges and cost only themselves; a failed connection of any kind is one that has not been made.

--- a/src/cactuspass/fleet/_block_store.py
+++ b/src/cactuspass/fleet/_block_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -9,7 +10,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from cactuspass._findings import findings_from_errors
+from cactuspass._findings import Finding, findings_from_errors
 from cactuspass._platform import KeyValue, Write
 from cactuspass.exceptions import DocumentError, PlatformError
 from cactuspass.fleet._block_table import MAX_BLOCKS
@@ -23,6 +24,7 @@
 WRITE_INTERVAL_SECONDS = 0.5
 RETRY_SECONDS = 1.0
 MAX_WRITES_OF_KEY = 3
+MAX_UNIX_SECONDS = 4_102_444_800.0  # in the year 2100
 
 _ADAPTER: TypeAdapter[Block] = TypeAdapter(Block)
 
@@ -45,9 +47,12 @@
     :raises DocumentError: when the value is invalid, with every mistake and its place.
     """
     try:
-        return _ADAPTER.validate_json(value)
+        block = _ADAPTER.validate_json(value)
     except ValidationError as error:
         raise DocumentError(findings_from_errors(key, error.errors())) from error
+    if not 0.0 <= block.since <= MAX_UNIX_SECONDS or not 0.0 <= (block.seconds or 0.0) < math.inf:
+        raise DocumentError((Finding(key, "since", "a time is out of range"),))
+    return block
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -108,7 +108,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(Connection, host, int(port))
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             detail = f"cannot connect to {address}: {error or type(error).__name__}"
             raise UpstreamNotReached(detail) from error
         self.opened_count += 1
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from cactuspass._addresses import check_address
 from cactuspass._clock import now
 from cactuspass._platform import KeyValue, LeaseId, Write
 from cactuspass._revisions import era_of, number_of
@@ -70,6 +71,14 @@
         await self._watch_once()
 
 
+def _is_reachable(address: object) -> bool:
+    """Return whether an instance can be reached at the address that its key states."""
+    try:
+        return isinstance(address, str) and bool(check_address(address))
+    except ValueError:
+        return False
+
+
 class Presence(RepeatingComponent):
     """Registers this instance, and acquires leadership when no other instance holds it.
 
@@ -315,17 +324,17 @@
     def _peer(self, registered: KeyValue) -> Peer:
         """Return the instance that a key registers.
 
-        An instance whose value cannot be parsed has no address; it only counts as registered.
+        An instance whose value or address is invalid has no address; it only counts as registered.
         """
         name = EntryId(registered.key.removeprefix(INSTANCES_PREFIX))
         try:
             value = json.loads(registered.value or b"{}")
             address = value.get("peers")
-            data_centre = value.get("data_centre")
-        except (ValueError, AttributeError) as error:
+            data_centre = DataCentreId(str(value.get("data_centre")))
+        except (ValueError, AttributeError, RecursionError) as error:
             self._log.alarm("instance-unreadable", key=registered.key, reason=error)
             return Peer(name, UNKNOWN_DATA_CENTRE, None)
-        return Peer(name, DataCentreId(str(data_centre)), address and str(address))
+        return Peer(name, data_centre, address if _is_reachable(address) else None)
 
     def _update_instances(self) -> None:
         registered = [v for key, v in self._keys.items() if key.startswith(INSTANCES_PREFIX)]
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -24,6 +24,7 @@
 OUTAGE_SECONDS = 1.0  # shorter failures do not start the grace time
 RELIST_SECONDS = 4.0
 FEED_CHECK_SECONDS = 0.2
+MAX_SEEN_FINDINGS = 1000
 
 Pause = Callable[[float], float]
 
@@ -76,6 +77,8 @@
     for finding in findings:
         text = str(finding)
         if text not in seen:
+            if len(seen) >= MAX_SEEN_FINDINGS:
+                seen.clear()
             seen.add(text)
             log.alarm("document-unreadable", finding=text)
 
--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -2,8 +2,17 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StrictInt, StrictStr, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    StrictStr,
+    ValidationError,
+)
 
+from cactuspass._addresses import check_address
 from cactuspass._findings import findings_from_errors
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet import (
@@ -17,6 +26,16 @@
 )
 from cactuspass.models import DataCentreId, FabricDomainId, GroupId, ModelId, ServiceId
 
+MAX_INTEGER = 2**63 - 1
+MAX_COUNT = 1_000_000_000
+MAX_SLOTS = 1_000_000
+MAX_RANK = 100_000
+MAX_PACE = 1_000_000.0
+MAX_COLD_MS = 86_400_000.0
+
+Integer = Annotated[StrictInt, Field(ge=0, le=MAX_INTEGER)]
+Count = Annotated[StrictInt, Field(ge=0, le=MAX_COUNT)]
+
 
 class _Document(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -24,8 +43,8 @@
 
 class _Group(_Document):
     name: StrictStr
-    epoch: StrictInt
-    rank: Annotated[StrictInt, Field(ge=0)]
+    epoch: Annotated[StrictInt, Field(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+    rank: Annotated[StrictInt, Field(ge=0, le=MAX_RANK)]
     state: Literal["joining", "ready", "open", "closing", "broken"]
 
     def decode(self) -> Membership:
@@ -40,14 +59,14 @@
 
 class _Entry(_Document):
     service: StrictStr
-    address: Annotated[StrictStr, Field(pattern=r"^[0-9.]+:[0-9]+$")]
+    address: Annotated[StrictStr, AfterValidator(check_address)]
     zone: StrictStr
-    slots: Annotated[StrictInt, Field(ge=0)]
+    slots: Annotated[StrictInt, Field(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_ms: Annotated[float, Field(ge=0)]
-    born: StrictInt = 0
+    cold_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS, allow_inf_nan=False)]
+    born: Integer = 0
     # Counts the writes of the entry; in a report, seq counts orders instead.
-    seq: Annotated[StrictInt, Field(ge=0)] = 0
+    seq: Integer = 0
     domain: StrictStr | None = None
     staged: tuple[StrictStr, ...] = ()
     models: tuple[_Model, ...] = ()
@@ -55,13 +74,13 @@
 
 
 class _Report(_Document):
-    running: Annotated[StrictInt, Field(ge=0)]
-    queued: Annotated[StrictInt, Field(ge=0)]
-    pace: float = 1.0
+    running: Count
+    queued: Count
+    pace: Annotated[float, Field(ge=0, le=MAX_PACE, allow_inf_nan=False)] = 1.0
     busy: bool = False
     # Number of accepted orders.
-    seq: Annotated[StrictInt, Field(ge=0)]
-    born: StrictInt
+    seq: Integer
+    born: Integer
     group: _Group | None = None
 
 
--- a/src/cactuspass/platform/_store.py
+++ b/src/cactuspass/platform/_store.py
@@ -324,7 +324,7 @@
         return {}
     try:
         body = json.loads(content) if content else {}
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformError(f"the store's response is not JSON: {error}") from error
     if not isinstance(body, dict):
         raise PlatformError("the store's response is not a JSON object")
