Read numbers in headers only where they are numbers

Found beside the report of odd entries: str.isdigit accepts superscript digits and thousands of digits, which int does not. An answer with such a load, or such a time in Keep-Alive, ended the request without an answer to the caller; such token counts of a caller ended his request in the same way, not with 400. Both tests failed before.

--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -35,6 +35,7 @@
 from cactuspass.fleet._pages import open_listening_sockets
 from cactuspass.models import RequestId
 
+MAX_LENGTH_DIGITS = 18  # more are beyond any limit
 IDLE_TIMEOUT_FACTOR = 1.25  # a caller may still send at the very end of the declared idle time
 CHECK_INTERVAL_SECONDS = 0.5
 # Time after the beginning of a drain in which requests may still begin.
@@ -74,8 +75,8 @@
         stream = self._connection.stream
         self._is_late = isinstance(stream, CallerStream) and self._listener.is_late(stream)
         length = headers.get("Content-Length", "0")
-        if length.isdigit():
-            self._check_size(int(length))
+        if length.isascii() and length.isdigit():
+            self._check_size(int(length[:MAX_LENGTH_DIGITS]))
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from cactuspass._numbers import parse_number
 from cactuspass._status_lines import has_status_line
 from cactuspass.exceptions import (
     AnswerCut,
@@ -357,8 +358,9 @@
             self.is_reusable = False
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                self.keep_alive_seconds = float(value)
+            seconds = parse_number(value)
+            if name == "timeout" and seconds is not None:
+                self.keep_alive_seconds = float(seconds)
 
     def _finish_exchange(self) -> None:
         exchange, self._exchange = self._exchange, None
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -3,6 +3,7 @@
 import re
 from http import HTTPStatus
 
+from cactuspass._numbers import parse_number
 from cactuspass._problems import CONTENT_TYPE, Problem
 from cactuspass._requests import Header
 from cactuspass.fleet import (
@@ -24,6 +25,7 @@
 
 MAX_PRIORITY = 9
 LEAVING_VALUE = "1"
+LOAD_FIELDS = 3
 SECONDS_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?")
 PROMPT_PART_ID_PATTERN = re.compile(r"[0-9A-Fa-f]{1,64}")
 PROMPT_PART_PATTERN = re.compile(rf"({PROMPT_PART_ID_PATTERN.pattern}):[0-9]+")
@@ -174,10 +176,10 @@
     """
     if value is None:
         return 0, 0
-    parts = value.split(",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    counts = [parse_number(part.strip()) for part in value.split(",")]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
         raise MalformedRequest(f"{names.TOKENS} is not two numbers")
-    return int(parts[0]), int(parts[1])
+    return counts[0], counts[1]
 
 
 def parse_part_ids(text: str) -> tuple[PromptPartId, ...]:
@@ -222,8 +224,6 @@
 
 def _parse_load(value: str | None) -> LoadReport | None:
     """Return the load in a header ``running,waiting,slots``; None when missing or invalid."""
-    parts = (value or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = map(int, parts)
-    return LoadReport(running, waiting, slots)
+    counts = [parse_number(part.strip()) for part in (value or "").split(",")]
+    known = [count for count in counts if count is not None]
+    return LoadReport(*known) if len(counts) == len(known) == LOAD_FIELDS else None
--- a/tests/test_fleet_odd_entries.py
+++ b/tests/test_fleet_odd_entries.py
@@ -7,16 +7,24 @@
 
 from cactuspass._platform import KeyValue
 from cactuspass.exceptions import DocumentError, PlatformError, UpstreamNotReached
-from cactuspass.fleet import ConnectionPool, Metrics, OutgoingRequest
+from cactuspass.fleet import ConnectionPool, MalformedRequest, Metrics, OutgoingRequest
 from cactuspass.fleet._block_store import decode_block, encode_block
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._sync import MAX_SEEN_FINDINGS, log_findings
 from cactuspass.models import EntryId
 from cactuspass.platform._directory import MetadataDirectory
+from cactuspass.platform._requests import PlatformRequests
 from cactuspass.platform._server_entry import decode_entry, decode_report
 from cactuspass.platform._store import MetadataStore, _parse_response
-from tests.fleet_path import PathCase, ScriptedUpstream, answer, recording_log, route
+from tests.fleet_path import (
+    PathCase,
+    PreferredOrderCase,
+    ScriptedUpstream,
+    answer,
+    recording_log,
+    route,
+)
 from tests.metadata_store import MetadataStoreStandIn
 from tests.part_world import block_of
 from tests.test_fleet_instance import InstanceCase, until
@@ -218,3 +226,32 @@
         lines = "".join(self.log_handlers[0].lines)
         self.assertNotIn("task-failed", lines)
         self.assertIn("servers/odd-1", lines)
+
+
+class HeaderTest(PreferredOrderCase):
+    """Numbers in headers that look like digits and are none, or are too long."""
+
+    ODD_NUMBERS = ("\u00b2", "\u00b9,0,1", "9" * 5000, "1,1," + "9" * 5000, "-1", "1e3", "")
+
+    # Guards against a caller without an answer, since a header of the upstream cannot be read.
+    async def test_answer_with_an_odd_load_or_timeout_is_passed_on(self) -> None:
+        for text in self.ODD_NUMBERS:
+            with self.subTest(text=text[:20]):
+                odd = answer(
+                    "200 OK",
+                    b"body",
+                    "Cactuspass-Server-Stamp: s1",
+                    f"Cactuspass-Server-Load: {text}",
+                    f"Keep-Alive: timeout={text}",
+                )
+                case = await self.start(route(), [odd])
+                got = await case.serve()
+                self.assertEqual((got.status, got.body), (200, b"body"))
+
+    def test_request_with_odd_token_counts_is_malformed(self) -> None:
+        headers = [("Host", "a.example"), ("Cactuspass-Request-Id", "q1")]
+        for text in (*self.ODD_NUMBERS, "\u00b2,1", "1," + "9" * 5000):
+            with self.subTest(text=text[:20]), self.assertRaises(MalformedRequest):
+                PlatformRequests().read_request(
+                    "GET", "/", (*headers, ("Cactuspass-Tokens", text)), b"", 0.0
+                )
