Refuse requests that a stop would end before they are finished

Here they were answered at the end, with 502 and an unknown outcome, which a caller of a booking cannot repeat; streams were cut.

From the stop signal on, a request is refused at once as not run, to return elsewhere after 0.05 s, when it may still run as the grace time ends: a plain one that may run only once, if less is left than its time limit; any other, if less is left than that or two seconds. With eight seconds of grace and limits of four, nothing changes before the listener refuses late requests anyway.

Seven checks of tests.test_late_in_grace failed before, on real sockets: bookings, streams and pipelined requests.

--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -224,6 +224,13 @@
         self._refuse_partial_requests()
         await self._server.close_all_connections()
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests that may not be finished when ``end_requests`` is called.
+
+        :param ends_at: clock value of that call.
+        """
+        self._dispatcher.begin_stop(ends_at)
+
     def drain(self) -> None:
         """Stop listening, and close each connection once no request is on it.
 
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -29,6 +29,10 @@
 MAX_CATALOG_WAIT_SECONDS = 1.0
 MAX_CATALOG_WAIT_SHARE = 0.25  # of the caller's timeout
 RETRY_JITTER = 0.3
+# Most requests are finished in this time.
+USUAL_SECONDS = 2.0
+# Other instances can take the request now.
+RETRY_ELSEWHERE_SECONDS = 0.05
 
 
 class RequestActivity:
@@ -72,6 +76,13 @@
     return Problem(status, code, "The outcome is unknown", detail, RunState.UNKNOWN)
 
 
+TOO_LATE_PROBLEM = not_run_problem(
+    "stopping",
+    "the instance is stopping, and the request may not be finished in time",
+    RETRY_ELSEWHERE_SECONDS,
+)
+
+
 class Admission:
     """Decides by the newest operator documents whether a request may be forwarded.
 
@@ -134,6 +145,7 @@
         self._rng = rng
         self._returns = ReturnSchedule()
         self._first_request_at: float | None = None
+        self._ends_at = float("inf")
 
     async def serve(self, request: InboundRequest, delivery: Delivery) -> None:
         """Serve a request: send its response, or a problem that states whether it may have run."""
@@ -147,7 +159,10 @@
         self._request_activity.any_admitted = True
         attempts = self._create_attempts(request, admitted)
         try:
-            await self._serve_admitted(attempts, delivery)
+            if self._is_too_late(attempts):
+                await self._refuse(request, delivery, TOO_LATE_PROBLEM, "none")
+            else:
+                await self._serve_admitted(attempts, delivery)
         finally:
             attempts.guarded.end()
 
@@ -192,6 +207,23 @@
         if block is not None:
             raise NotAdmitted(blocked_problem(block), block)
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests from now on that may not be finished when the requests are ended.
+
+        :param ends_at: clock value at which ``end_requests`` will be called.
+        """
+        self._ends_at = ends_at
+
+    def _is_too_late(self, attempts: Attempts) -> bool:
+        """Return whether a request may still run when the requests are ended.
+
+        A plain one that may run only once is served only if there is all the time it may take.
+        """
+        longest = max(0.0, attempts.seconds_left)
+        runs_once = attempts.route.kind is RouteKind.NON_IDEMPOTENT
+        needed = longest if runs_once else min(longest, USUAL_SECONDS)
+        return now() + needed > self._ends_at
+
     def end_requests(self) -> None:
         """End the running requests with a problem, or visibly cut if the response has begun."""
         self._running_requests.end()
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -273,19 +273,22 @@
         """Report not ready, give up leadership and wait for running requests to finish.
 
         Open connections stay usable until the load balancer has noticed that the instance is not
-        ready. Idle connections are then closed, so that no request arrives too late to finish.
+        ready. Idle connections are then closed. A request that may not be finished in the rest of
+        the grace time is refused at once.
         """
         self._stopping = True
         began = now()
         grace = self._settings.bounds.grace_seconds
         self._log_connections("stopping")
+        margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
+        ends_at = began + grace - margin
+        self._caller_listener.begin_stop(ends_at)
         notice_end = began + min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
         await self._give_up_leadership(notice_end)
         await asyncio.sleep(max(0.0, notice_end - now()))
         self._log_connections("callers-draining")
         self._caller_listener.drain()
-        margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
-        await self._caller_listener.wait_until_drained(began + grace - margin)
+        await self._caller_listener.wait_until_drained(ends_at)
         self._log_connections("callers-drained", waited=now() - began)
         await self._caller_listener.end_requests()
 
