Refuse late requests at the stop of an entry of the own path too

A request whose answer need not begin before that end is now refused at once as not run. Before, an entry did not know the time of its end, so the new test cannot run there.

--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -150,11 +150,13 @@
     async def drain(self) -> None:
         """Leave the service: report not ready, hand over the seats and finish running requests."""
         self.tables.local.draining = True
+        drain_seconds = self.settings.limits.drain_seconds
+        self._caller_api.begin_stop(clock.now() + DRAIN_NOTICE_DELAY_SECONDS + drain_seconds)
         self.network.broadcast_heartbeat()
         self._log.info("draining")
         await asyncio.sleep(DRAIN_NOTICE_DELAY_SECONDS)
-        until = clock.now() + self.settings.limits.drain_seconds
-        await self._application.drain(self.settings.limits.drain_seconds)
+        until = clock.now() + drain_seconds
+        await self._application.drain(drain_seconds)
         while self.gateway.running_requests and clock.now() < until:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
 
@@ -232,10 +234,12 @@
         self.gateway.set_forwarder(forwarding)
         self.keyed_requests = KeyedRequests(self.claims, self.gateway, self.counters.count)
         self.burn = self._build_burn_tracker()
-        caller_api = EntryCallers(
+        self._caller_api = EntryCallers(
             self.gateway, self.keyed_requests, tables, self.burn, self.counters
         )
-        self.callers = CallerServer(self._caller_settings(), caller_api, self._request_reader())
+        self.callers = CallerServer(
+            self._caller_settings(), self._caller_api, self._request_reader()
+        )
 
     def _build_burn_tracker(self) -> BurnTracker:
         objectives = (
--- a/src/cactuspass/_entry_callers.py
+++ b/src/cactuspass/_entry_callers.py
@@ -7,11 +7,15 @@
 from cactuspass._counters import Counters
 from cactuspass._gateway import Gateway
 from cactuspass._keyed_requests import KeyedRequests
+from cactuspass._messages import RefusalReason
 from cactuspass._requests import Answer, CallerRequest
 from cactuspass._tables import Tables
+from cactuspass.exceptions import RequestRefused
 from cactuspass.models import EntryId, InstanceRole
 
 PEER_WAIT_SECONDS = 3.0
+# Other entries can take the request now.
+RETRY_ELSEWHERE_SECONDS = 0.05
 
 
 class EntryCallers(CallerApi):
@@ -35,10 +39,23 @@
         self._counters = counters
         self._configured_at: float | None = None
         self._has_peers = False
+        self._ends_at = float("inf")
+
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests from now on whose answer may not have begun when all are ended.
+
+        :param ends_at: clock value at which all requests are ended.
+        """
+        self._ends_at = ends_at
 
     async def serve(self, request: CallerRequest, idempotency_key: str | None) -> Answer:
-        """Serve a request and return its answer."""
+        """Serve a request and return its answer.
+
+        :raises RequestRefused: if it may not be finished before the process ends.
+        """
         self._counters.count("requests")
+        if request.deadline > self._ends_at:
+            raise RequestRefused(RefusalReason.DRAINING, RETRY_ELSEWHERE_SECONDS)
         if idempotency_key is not None:
             return await self._keyed.serve(request, idempotency_key)
         return await self._gateway.serve(request)
--- a/tests/test_listeners_at_shutdown.py
+++ b/tests/test_listeners_at_shutdown.py
@@ -17,8 +17,11 @@
 from cactuspass._caller_requests import RequestDefaults, RequestReader
 from cactuspass._callers import CallerServer, CallerSettings
 from cactuspass._entry import Entry
+from cactuspass._entry_callers import EntryCallers
+from cactuspass._messages import RefusalReason
 from cactuspass._operator_api import CommandAnswer, OperatorApi
 from cactuspass._operators import OperatorServer
+from cactuspass.exceptions import RequestRefused
 from cactuspass.models import CustomerId
 from tests.test_callers import FakeCallerApi
 from tests.test_fleet_instance import until
@@ -219,6 +222,25 @@
         await self.server.stop()
 
 
+class LateRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that come late in the drain time of an entry."""
+
+    # Guards against a booking that is taken late in a stop and answered 502 when it ends.
+    async def test_request_that_may_outlast_the_drain_time_is_refused(self) -> None:
+        gateway = mock.Mock(serve=mock.AsyncMock())
+        callers = EntryCallers(gateway, mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock())
+        request = mock.Mock(deadline=100.0)
+        await callers.serve(request, None)
+        callers.begin_stop(99.0)
+        with self.assertRaises(RequestRefused) as refused:
+            await callers.serve(request, None)
+        self.assertIs(refused.exception.reason, RefusalReason.DRAINING)
+        self.assertEqual(gateway.serve.await_count, 1)
+        request.deadline = 98.0
+        await callers.serve(request, None)
+        self.assertEqual(gateway.serve.await_count, 2)
+
+
 class DrainTimeTest(unittest.IsolatedAsyncioTestCase):
     """The longest time that an entry waits for running requests."""
 
@@ -229,6 +251,7 @@
         entry.network = mock.Mock()
         entry.settings = mock.Mock(limits=mock.Mock(drain_seconds=0.1))
         entry.gateway = mock.Mock(running_requests=1)
+        entry._caller_api = mock.Mock()
         entry._log = mock.Mock()
         entry._application = Application(())
         with mock.patch.object(_entry, "DRAIN_NOTICE_DELAY_SECONDS", 0.0):
