--- /dev/null
+++ b/src/cactuspass/fleet/_active_attempt.py
@@ -0,0 +1,52 @@
+"""An attempt of a request that is in progress at one upstream."""
+
+from dataclasses import dataclass
+
+from cactuspass.fleet._backoff import TrialRequest
+from cactuspass.fleet._pool import PooledExchange
+from cactuspass.fleet._upstreams import Upstream
+
+
+@dataclass(slots=True)
+class ActiveAttempt:
+    """An attempt in progress at one upstream.
+
+    :param head_at: clock value at which the head of an answer arrived; None if none has.
+    :param has_begun: whether a part of the body has arrived.
+    :param is_recalled: whether this instance has cancelled the attempt.
+    """
+
+    upstream: Upstream
+    exchange: PooledExchange
+    sent_at: float
+    trial: TrialRequest | None = None
+    head_at: float | None = None
+    has_begun: bool = False
+    is_recalled: bool = False
+    is_closed: bool = False
+
+    def recall(self) -> None:
+        """Cancel the attempt, which has not begun to answer; the request may be sent again.
+
+        An attempt that has ended by itself is left, so that its failure is recorded.
+        """
+        if not self.exchange.may_be_recalled:
+            return
+        self.is_recalled = True
+        self.exchange.abort()
+
+    @property
+    def progress(self) -> str:
+        """How much of the answer has arrived, for the log."""
+        if self.has_begun:
+            return "begun"
+        return "none" if self.head_at is None else "head"
+
+    def end_trial(self, is_answered: bool = False) -> None:
+        """Record the outcome if this was a trial request after the upstream's backoff period."""
+        if self.trial is None:
+            return
+        if is_answered:
+            self.trial.succeed()
+        else:
+            self.trial.end()
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -7,8 +7,8 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
+from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
-from cactuspass.fleet._backoff import TrialRequest
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Customer, Route
 from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
@@ -25,7 +25,7 @@
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._pool import ConnectionPool, PooledExchange
+from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._prompt_parts import BrokenAttempt
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._send_permit import SendPermit
@@ -63,51 +63,6 @@
     limit_waits: LimitWaits
 
 
-@dataclass(slots=True)
-class ActiveAttempt:
-    """An attempt in progress at one upstream.
-
-    :param head_at: clock value at which the head of an answer arrived; None if none has.
-    :param has_begun: whether a part of the body has arrived.
-    :param is_recalled: whether this instance has cancelled the attempt.
-    """
-
-    upstream: Upstream
-    exchange: PooledExchange
-    sent_at: float
-    trial: TrialRequest | None = None
-    head_at: float | None = None
-    has_begun: bool = False
-    is_recalled: bool = False
-    is_closed: bool = False
-
-    def recall(self) -> None:
-        """Cancel the attempt, which has not begun to answer; the request may be sent again.
-
-        An attempt that has ended by itself is left, so that its failure is recorded.
-        """
-        if not self.exchange.may_be_recalled:
-            return
-        self.is_recalled = True
-        self.exchange.abort()
-
-    @property
-    def progress(self) -> str:
-        """How much of the answer has arrived, for the log."""
-        if self.has_begun:
-            return "begun"
-        return "none" if self.head_at is None else "head"
-
-    def end_trial(self, is_answered: bool = False) -> None:
-        """Record the outcome if this was a trial request after the upstream's backoff period."""
-        if self.trial is None:
-            return
-        if is_answered:
-            self.trial.succeed()
-        else:
-            self.trial.end()
-
-
 @dataclass(slots=True)
 class Attempts:
     """The attempts of one request, and the limits that they set for further ones.
--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -21,6 +21,7 @@
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._removed_upstreams import RemovedUpstreams
+from cactuspass.fleet._upstream_log import log_upstream_changes
 from cactuspass.fleet._upstreams import (
     Group,
     GroupKey,
@@ -228,7 +229,7 @@
             upstream_id = departure.lifetime.upstream_id
             self._log.state_change("upstream-left", upstream=upstream_id, since=departure.since)
         marked = self.departures.mark_draining(changed)
-        self._log_upstream_changes(marked, removed, revision)
+        log_upstream_changes(self._log, self.view.upstreams_by_id, marked, removed, revision)
         self.revision = revision
         self._change_view(marked, removed)
 
@@ -374,32 +375,3 @@
     def operators_age(self) -> float:
         """Return the age in seconds of the last read that surely included all operator changes."""
         return now() - self.operators_read_at
-
-    def _log_upstream_changes(
-        self, changed: Collection[Upstream], removed: Iterable[UpstreamId], revision: int
-    ) -> None:
-        known_by_id = self.view.upstreams_by_id
-        if not known_by_id:
-            self._log.state_change("upstreams-listed", count=len(changed), revision=revision)
-            return
-        for upstream_id in sorted(removed):
-            if upstream_id in known_by_id:
-                self._log.state_change("upstream-gone", upstream=upstream_id, revision=revision)
-        for upstream in sorted(changed, key=lambda upstream: upstream.upstream_id):
-            upstream_id = upstream.upstream_id
-            known = known_by_id.get(upstream_id)
-            if known is None:
-                self._log.state_change("upstream-found", upstream=upstream_id, revision=revision)
-            else:
-                self._log_change(upstream_id, known, upstream, revision)
-
-    def _log_change(
-        self, upstream_id: UpstreamId, old: Upstream, new: Upstream, revision: int
-    ) -> None:
-        if new.state is not old.state:
-            state = new.state.value
-            self._log.state_change(
-                "upstream-state", upstream=upstream_id, state=state, revision=revision
-            )
-        if new.born_ms != old.born_ms:
-            self._log.state_change("upstream-restarted", upstream=upstream_id, revision=revision)
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -2,14 +2,14 @@
 
 import contextlib
 import random
-from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass._problems import Problem, RunState
+from cactuspass._problems import Problem
 from cactuspass._running_requests import RunningRequests, ShutdownReached
 from cactuspass.exceptions import RequestError
+from cactuspass.fleet._admission import Admission, AdmittedRequest, NotAdmitted
 from cactuspass.fleet._attempts import Attempts, RequestDependencies
-from cactuspass.fleet._catalog import Customer, Route, RouteKind, ServiceShare
+from cactuspass.fleet._catalog import Customer, RouteKind, ServiceShare
 from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._delivery import Delivery
@@ -18,11 +18,16 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain_relay import PlainRelay
 from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
+from cactuspass.fleet._request_problems import (
+    TOO_LATE_PROBLEM,
+    blocked_problem,
+    not_run_problem,
+    unknown_outcome_problem,
+)
 from cactuspass.fleet._return_schedule import ReturnSchedule
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
 
-FRESH_CATALOG_SECONDS = 2.5
 RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_DEADLINE_SHARE = 0.3
 # Time from the first request after a start in which requests wait for a first catalog.
@@ -31,8 +36,6 @@
 RETRY_JITTER = 0.3
 # Most requests are finished in this time.
 USUAL_SECONDS = 2.0
-# Other instances can take the request now.
-RETRY_ELSEWHERE_SECONDS = 0.05
 
 
 class RequestActivity:
@@ -42,90 +45,6 @@
         self.any_admitted = False
 
 
-class NotAdmitted(RequestError):
-    """A request that is not forwarded to an upstream; it has not run.
-
-    :param problem: the problem sent to the caller.
-    :param block: the block on parts of the prompt that refuses the request, if any.
-    """
-
-    def __init__(self, problem: Problem, block: Block | None = None) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
-        self.block = block
-
-
-@dataclass(frozen=True, slots=True)
-class AdmittedRequest:
-    """The route and the customer of a request that may be forwarded."""
-
-    route: Route
-    customer: Customer | None
-
-
-def not_run_problem(
-    code: str, detail: str, retry_after: float | None, status: int = 503
-) -> Problem:
-    """Return the problem for a request that has not run."""
-    title = "The request was refused and has not run"
-    return Problem(status, code, title, detail, RunState.NOT_RUN, retry_after)
-
-
-def unknown_outcome_problem(code: str, detail: str, status: int) -> Problem:
-    """Return the problem for a request that may have run."""
-    return Problem(status, code, "The outcome is unknown", detail, RunState.UNKNOWN)
-
-
-TOO_LATE_PROBLEM = not_run_problem(
-    "stopping",
-    "the instance is stopping, and the request may not be finished in time",
-    RETRY_ELSEWHERE_SECONDS,
-)
-
-
-class Admission:
-    """Decides by the newest operator documents whether a request may be forwarded.
-
-    :param key_seconds: age of the operator documents from which on no key is accepted, since it may
-        have been revoked meanwhile.
-    """
-
-    def __init__(self, cluster_state: ClusterState, key_seconds: float) -> None:
-        self._cluster_state = cluster_state
-        self._key_seconds = key_seconds
-
-    def admit(self, request: InboundRequest) -> AdmittedRequest:
-        """Return the route and the customer of a request.
-
-        :raises NotAdmitted: when the request is not allowed, or when this cannot be determined.
-        """
-        index = self._cluster_state.catalog_index
-        if index is None:
-            raise NotAdmitted(
-                not_run_problem("no-catalog", "no catalog is known yet", RETRY_AFTER_SECONDS)
-            )
-        route = index.find_route(request.host, request.target)
-        if route is None:
-            raise NotAdmitted(self._denial_problem(404, "no-route", "no route matches the request"))
-        if route.public or not index.requires_keys:
-            return AdmittedRequest(route, index.find_customer(request.key) if request.key else None)
-        if self._cluster_state.operators_age() >= self._key_seconds:
-            detail = "keys cannot be checked while the store is away"
-            raise NotAdmitted(not_run_problem("keys-unverified", detail, RETRY_AFTER_SECONDS))
-        customer = index.find_customer(request.key) if request.key else None
-        if customer is None:
-            raise NotAdmitted(self._denial_problem(401, "unknown-key", "the key is not known"))
-        return AdmittedRequest(route, customer)
-
-    def _denial_problem(self, status: int, code: str, detail: str) -> Problem:
-        """Return the problem for a denied request; by an old catalog, the caller may retry."""
-        if self._cluster_state.operators_age() > FRESH_CATALOG_SECONDS:
-            return not_run_problem(
-                "catalog-old", f"{detail}, by an old catalog", RETRY_AFTER_SECONDS
-            )
-        return not_run_problem(code, detail, None, status)
-
-
 class Dispatcher:
     """Serves requests, and logs those that end without a complete response."""
 
@@ -376,12 +295,6 @@
         await delivery.send_response(problem.status, headers, problem.body())
 
 
-def blocked_problem(block: Block) -> Problem:
-    """Return the problem for a request with a blocked part; no time to retry is known."""
-    detail = f"part {'+'.join(block.key.parts)} of the prompt has made upstreams crash"
-    return not_run_problem("prompt-part-blocked", detail, None)
-
-
 def _block_fields(block: Block | None) -> dict[str, object]:
     """Return the fields of a log line that name the block which refuses a request."""
     if block is None:
@@ -394,8 +307,3 @@
     if isinstance(found, Selection):
         return RETRY_AFTER_SECONDS
     return min(RETRY_AFTER_SECONDS, found.backoff_remaining)
-
-
-def malformed_problem(detail: str, status: int) -> Problem:
-    """Return the problem for a request that cannot be parsed."""
-    return not_run_problem("malformed", detail, None, status)
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -10,6 +10,7 @@
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass.exceptions import SettingsError
+from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._attempts import RequestDependencies
 from cactuspass.fleet._block_rows import PARTS_PATH, blocks_page
 from cactuspass.fleet._block_store import BlockStore
@@ -19,7 +20,7 @@
 from cactuspass.fleet._controller import Controller
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory
-from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestActivity
+from cactuspass.fleet._dispatch import Dispatcher, RequestActivity
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -2,8 +2,8 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import AnswerCut
+from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
-from cactuspass.fleet._attempts import ActiveAttempt
 from cactuspass.fleet._choices import NoUpstream, Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._failures import AttemptFailed, DeadlinePassed, Failure, NoUpstreamAvailable
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -11,7 +11,8 @@
     SendWithdrawn,
     UpstreamNotReached,
 )
-from cactuspass.fleet._attempts import ActiveAttempt, Attempts
+from cactuspass.fleet._active_attempt import ActiveAttempt
+from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._delivery import Delivery
--- a/src/cactuspass/fleet/_stream_attempt.py
+++ b/src/cactuspass/fleet/_stream_attempt.py
@@ -4,8 +4,9 @@
 
 from cactuspass._clock import now
 from cactuspass.exceptions import AnswerCut, AnswerOversize
+from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
-from cactuspass.fleet._attempts import ActiveAttempt, Attempts
+from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._connections import ConnectionClosed
 from cactuspass.fleet._events import MAX_EVENT_BYTES, EventSplitter
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -12,6 +12,7 @@
 import logbook
 
 from cactuspass._clock import now
+from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._answer_head import Header
 from cactuspass.fleet._attempts import RequestDependencies
 from cactuspass.fleet._budgets import RetryBudget
@@ -19,7 +20,7 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._delivery import Delivery
-from cactuspass.fleet._dispatch import Admission, Dispatcher, RequestActivity
+from cactuspass.fleet._dispatch import Dispatcher, RequestActivity
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._limit_messages import LimitMessage
 from cactuspass.fleet._loads import LoadTable
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -6,8 +6,8 @@
 from unittest import mock
 
 from cactuspass._clock import now
+from cactuspass.fleet._admission import NotAdmitted
 from cactuspass.fleet._catalog import Catalog, CatalogIndex, Customer, RouteKind
-from cactuspass.fleet._dispatch import NotAdmitted
 from cactuspass.models import CustomerId
 from tests.fleet_path import STAMP, PathCase, PreferredOrderCase, answer, request, route
 
