--- a/tests/test_fleet_feed_order.py
+++ b/tests/test_fleet_feed_order.py
@@ -20,15 +20,24 @@
 INSTANCES_PER_DATA_CENTRE = 39
 
 
-def everyone() -> list[Peer]:
-    """Return the registered instances of five data centres."""
+def peers_of(names: str, per_data_centre: int, network: int) -> list[Peer]:
+    """Return instances of all data centres, each with an address of its own.
+
+    :param names: text between the data centre and the number in an instance's name.
+    :param network: second number of the addresses.
+    """
     return [
-        Peer(EntryId(f"{place}-{number}"), place, f"{place}-{number}:1")
-        for place in DATA_CENTRES
-        for number in range(INSTANCES_PER_DATA_CENTRE)
+        Peer(EntryId(f"{place}{names}{number}"), place, f"10.{network}.{index}.{number}:1")
+        for index, place in enumerate(DATA_CENTRES)
+        for number in range(per_data_centre)
     ]
 
 
+def everyone() -> list[Peer]:
+    """Return the registered instances of five data centres."""
+    return peers_of("-", INSTANCES_PER_DATA_CENTRE, 0)
+
+
 class FeedOrderTest(unittest.TestCase):
     """Decisions of the followers of a whole fleet, with a clock that the tests set."""
 
--- a/tests/test_fleet_joint_starts.py
+++ b/tests/test_fleet_joint_starts.py
@@ -8,10 +8,9 @@
 import unittest
 
 from cactuspass.fleet._catalog import Catalog
-from cactuspass.fleet._peers import STORE_READERS, Peer, order_readers
-from cactuspass.models import EntryId
+from cactuspass.fleet._peers import STORE_READERS, order_readers
 from tests.feed_world import MAX_AGE_SECONDS, FeedWorld, busiest, clock, patches
-from tests.test_fleet_feed_order import DATA_CENTRES, everyone
+from tests.test_fleet_feed_order import everyone, peers_of
 from tests.virtual_time import virtual_time
 
 STORE_READS_PER_SECOND = 16_000
@@ -122,11 +121,7 @@
         await self.start_fleet()
         world, began = self.world, clock()
         running = list(world.running_by_id.values())
-        added = [
-            Peer(EntryId(f"{place}-added-{number}"), place, f"{place}-added-{number}:1")
-            for place in DATA_CENTRES
-            for number in range(ADDED_PER_DATA_CENTRE)
-        ]
+        added = peers_of("-added-", ADDED_PER_DATA_CENTRE, 1)
         for instance in running:
             instance.max_state_age = 0.0
         await world.start_all(added, within=0.0)
