Let a more urgent request have the token that a waiting one expects

A request that waits for the next token had computed its time when it began to wait, and took the token though a more urgent one had come since. It now looks again when it wakes. Found by removing the order of priority from the code, which no test noticed; the new test failed before, and another one shows that urgent requests may use a token early while the rate stays the same.

--- a/src/cactuspass/fleet/_limit_waits.py
+++ b/src/cactuspass/fleet/_limit_waits.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 from cactuspass._clock import now
 from cactuspass.fleet._choices import NoUpstream, Selection
@@ -60,6 +61,10 @@
                 if now() + delay > until:
                     return found
                 await asyncio.sleep(max(MIN_WAIT_SECONDS, delay))
+                if self._waiting_by_key[key][0] < place:
+                    # One that came later and is more urgent takes the token that is due now.
+                    found = replace(found, token_delay=0.0)
+                    continue
                 result = choose()
                 if isinstance(result, Selection) or not result.at_limit:
                     return result
--- a/tests/test_fleet_shared_limits.py
+++ b/tests/test_fleet_shared_limits.py
@@ -5,9 +5,12 @@
 from collections import Counter
 from itertools import cycle
 from statistics import fmean
+from unittest import mock
 
 import cbor2
 
+from cactuspass.fleet import _allowance
+from cactuspass.fleet._allowance import Allowance
 from cactuspass.fleet._choices import NoUpstreamReason
 from cactuspass.fleet._limit_messages import CODEC, LimitMessage, LoanAnswer, LoanRequest
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
@@ -225,6 +228,41 @@
 
         in_virtual_time(scenario)
 
+    def test_urgent_request_that_comes_later_is_served_first(self) -> None:
+        async def scenario() -> None:
+            world = LimitWorld(1, [10.0])
+            await world.run(2.0, 5.0)
+            instance = world.instances[0]
+            (limit,) = instance.limits.limits.limits_by_lifetime.values()
+            limit.allowance.tokens = 0.0
+            order: list[int] = []
+
+            async def serve(priority: int, delay: float) -> None:
+                await asyncio.sleep(delay)
+                if await instance.serve(priority):
+                    order.append(priority)
+
+            # Within the longest wait one token becomes due.
+            with mock.patch.object(_allowance, "MAX_EARLY_SHARE", 0.0):
+                await asyncio.gather(serve(9, 0.0), serve(0, 0.01))
+            self.assertEqual(order, [0])
+
+        in_virtual_time(scenario)
+
+    def test_urgent_request_may_use_a_token_before_it_is_due(self) -> None:
+        allowance = Allowance(rate=1.0, refilled_at=0.0)
+        allowance.refill(1.0, 0.8)
+        self.assertTrue(allowance.has_token(0))
+        self.assertFalse(allowance.has_token(9))
+        self.assertAlmostEqual(allowance.delay(9), 0.2)
+        sent = 0
+        for step in range(1, 1001):
+            allowance.refill(1.0, 0.8 + step / 10)
+            if allowance.has_token(0):
+                allowance.take()
+                sent += 1
+        self.assertIn(sent, (100, 101))
+
     def test_refused_request_is_told_that_all_are_at_their_limits(self) -> None:
         async def scenario() -> None:
             world = LimitWorld(1, [1.0])
