Make the test of lost registrations independent of the usual renewal

With the call of renew_now removed it passed when a renewal was due anyway. The usual interval is a minute there now, and the test fails without the call.

--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -16,6 +16,7 @@
     Metrics,
     _cluster_state,
     _presence,
+    _registration,
 )
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._catalog import Catalog
@@ -356,6 +357,10 @@
 
     # Guards against instances that nobody knows for seconds, so that shares of limits are wrong.
     async def test_instances_register_again_soon_and_one_leads(self) -> None:
+        # No renewal in the usual interval hides that of the restore.
+        patch = mock.patch.object(_registration, "RENEW_SECONDS", 60.0)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.store.era = "1"
         empty = self.store.copy()
         instances = [await self.start_instance(f"e{number}") for number in range(2)]
