--- a/src/cactuspass/fleet/_admission.py
+++ b/src/cactuspass/fleet/_admission.py
@@ -8,10 +8,9 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._prompt_parts import Block
-from cactuspass.fleet._request_problems import not_run_problem
+from cactuspass.fleet._request_problems import RETRY_AFTER_SECONDS, not_run_problem
 
 FRESH_CATALOG_SECONDS = 2.5
-RETRY_AFTER_SECONDS = 0.5
 
 
 class NotAdmitted(RequestError):
--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -23,11 +23,12 @@
 from cactuspass.fleet._catalog import CallerLimits
 from cactuspass.fleet._connection_delivery import ConnectionDelivery
 from cactuspass.fleet._delivery import Delivery
-from cactuspass.fleet._dispatch import RETRY_AFTER_SECONDS, Dispatcher
+from cactuspass.fleet._dispatch import Dispatcher
 from cactuspass.fleet._inbound import MalformedRequest, RequestFormat
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pages import open_listening_sockets
 from cactuspass.fleet._request_problems import (
+    RETRY_AFTER_SECONDS,
     malformed_problem,
     not_run_problem,
     unknown_outcome_problem,
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -19,6 +19,7 @@
 from cactuspass.fleet._plain_relay import PlainRelay
 from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
 from cactuspass.fleet._request_problems import (
+    RETRY_AFTER_SECONDS,
     TOO_LATE_PROBLEM,
     blocked_problem,
     not_run_problem,
@@ -28,7 +29,6 @@
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
 
-RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_DEADLINE_SHARE = 0.3
 # Time from the first request after a start in which requests wait for a first catalog.
 MAX_CATALOG_WAIT_SECONDS = 1.0
--- a/src/cactuspass/fleet/_request_problems.py
+++ b/src/cactuspass/fleet/_request_problems.py
@@ -3,6 +3,7 @@
 from cactuspass._problems import Problem, RunState
 from cactuspass.fleet._prompt_parts import Block
 
+RETRY_AFTER_SECONDS = 0.5
 # Other instances can take the request now.
 RETRY_ELSEWHERE_SECONDS = 0.05
 
