Review: show that one odd registry entry stops all instances

An entry of another writer whose list has items of a wrong type yields one finding and one alarm line for each item, again with each listing.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,13 +1,13 @@
-"""One server sends a body without end; the requests to another service are left unanswered."""
+"""Another writer puts one odd entry into the registry; requests everywhere are left unanswered."""
 
 import asyncio
 from pathlib import Path
 
-from http_server import Request, Response
 from system import (
     BROKEN,
     HELD,
     NOT_RUN,
+    ZONES,
     Answer,
     Requester,
     Server,
@@ -18,90 +18,92 @@
     trouble,
 )
 
-TIMEOUT_MS = 2000  # of both routes
+TIMEOUT_MS = 2000  # of the route
 LIMIT_MS = 4000  # of the requesters
 LATE_SECONDS = 0.5
-REQUESTERS = 12
-CALM_SECONDS = 4.0
-SECONDS = 24.0
+REQUESTERS_EACH = 4
+CALM_SECONDS = 5.0
+SECONDS = 30.0
 MIN_LATE = 8
-ENDLESS = b"8\r\nno data\n\r\n"  # one short line in each chunk
-
-
-class FaultyServer(Server):
-    """Answers one request with a body that goes on until the caller closes the channel."""
-
-    fails_next = False
-
-    async def run(self, request: Request, request_id: str) -> Response | None:
-        if not self.fails_next:
-            return await super().run(request, request_id)
-        self.fails_next = False
-        self._record.write(f"{self.server_id} answers {request_id} with a body without end")
-        lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in self.headers(request_id))]
-        lines.append("Transfer-Encoding: chunked")
-        request.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        sent = 0
-        try:
-            while True:
-                request.writer.write(ENDLESS * 4096)
-                await request.writer.drain()
-                sent += 4096 * len(ENDLESS)
-        except OSError:
-            self._record.write(f"{self.server_id}: the channel was closed after {sent} bytes")
-        return None
+MAX_VALUE_BYTES = 1_048_576  # value_bytes of the settings
+MEMORY_LIMIT_KB = 300 * 1024  # memory_mb of the settings
+LIST_LENGTH = 450_000
+
+
+def odd_entry() -> dict:
+    """Return an entry with a field of another type: the staged models are a list of numbers."""
+    return {
+        "service": "lending",
+        "address": "127.0.0.1:9",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_ms": 0,
+        "seq": 1,
+        "staged": [0] * LIST_LENGTH,
+    }
 
 
 async def case() -> int:
     system = System(
         Path(__file__).resolve().parent,
-        manifest(
-            [
-                route("lookup", "idempotent", "catalogue", TIMEOUT_MS, attempts=2),
-                route("loan", "non_idempotent", "lending", TIMEOUT_MS),
-            ],
-            ["catalogue", "lending"],
-        ),
+        manifest([route("loan", "non_idempotent", "lending", TIMEOUT_MS)], ["lending"]),
     )
-    store, record = system.store, system.record
-    faulty = FaultyServer("i-catalogue-0", "catalogue", "zone-a", store, record)
-    servers = [faulty]
-    servers += [Server(f"i-lending-{n}", "lending", f"zone-{z}", store, record) for n, z in enumerate("abc")]
+    servers = [
+        Server(f"i-lending-{number}", "lending", zone, system.store, system.record)
+        for number, zone in enumerate(ZONES)
+    ]
     try:
-        if not await system.start(2, servers):
+        if not await system.start(len(ZONES), servers):
             return NOT_RUN
-        return await judge(system, faulty)
+        return await judge(system)
     finally:
         await system.stop()
 
 
-async def judge(system: System, faulty: FaultyServer) -> int:
-    record, port = system.record, system.instances[0].port
-    answers: list[Answer] = []
+async def judge(system: System) -> int:
+    record = system.record
+    answers_by_port: dict[int, list[Answer]] = {each.port: [] for each in system.instances}
     stop_at = record.now() + CALM_SECONDS + SECONDS
 
-    async def borrow(number: int) -> None:
-        requester = Requester(f"loan{number}", port, record)
+    async def borrow(port: int, number: int) -> None:
+        requester = Requester(f"loan-{port}-{number}", port, record)
         while record.now() < stop_at:
-            answers.append(await requester.send("POST", "/loan/new", LIMIT_MS))
+            answers_by_port[port].append(await requester.send("POST", "/loan/new", LIMIT_MS))
             await asyncio.sleep(0.3)
         requester.close()
 
-    async def look_up() -> None:
+    async def write_odd_entry() -> None:
         await asyncio.sleep(CALM_SECONDS)
-        faulty.fails_next = trouble()
-        requester = Requester("lookup", port, record)
-        await requester.send("GET", "/lookup/toy", LIMIT_MS)
-        requester.close()
+        if trouble():
+            size = await system.store.put("servers/x-another-writer", odd_entry())
+            record.write(f"another writer has put an odd entry of {size} bytes into the registry")
+            assert size <= MAX_VALUE_BYTES
 
-    await asyncio.gather(look_up(), *(borrow(number) for number in range(REQUESTERS)))
+    async def watch_readiness() -> None:
+        while record.now() < stop_at:
+            await asyncio.sleep(2.0)
+            ready = await asyncio.gather(*(each.is_ready() for each in system.instances))
+            record.write(f"ready: {ready}")
+
+    await asyncio.gather(
+        write_odd_entry(),
+        watch_readiness(),
+        *(borrow(port, n) for port in answers_by_port for n in range(REQUESTERS_EACH)),
+    )
+    for instance in system.instances:
+        peak = instance.peak_memory_kb()
+        state = "over" if peak > MEMORY_LIMIT_KB else "within"
+        record.write(f"{instance.name}: peak memory {peak // 1024} MB, {state} memory_mb")
+    answers = [answer for each in answers_by_port.values() for answer in each]
     timeout = TIMEOUT_MS / 1000
     unanswered = [a for a in answers if a.seconds >= timeout]
     late = [a for a in unanswered if a.seconds >= timeout + LATE_SECONDS]
     served = sum(a.status == 200 for a in answers)
     record.write(
-        f"requests to the sound service: {len(answers)}, answered with 200: {served}, unanswered "
-        f"at the route's timeout_ms: {len(unanswered)}, still so {LATE_SECONDS} s later: {len(late)}"
+        f"requests: {len(answers)}, answered with 200: {served}, unanswered at the route's "
+        f"timeout_ms: {len(unanswered)}, still so {LATE_SECONDS} s later: {len(late)}"
     )
     if not trouble() and served < len(answers):
         return NOT_RUN if not late else BROKEN
--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -34,11 +34,13 @@
         self.expiry.cancel()
         self.server.stop()
 
-    async def put(self, key: str, value: object) -> None:
-        """Write a key as an operator or a server does."""
+    async def put(self, key: str, value: object) -> int:
+        """Write a key as an operator or a server does; return the size of the value in bytes."""
         self.revision += 1
-        self._write(key, json.dumps(value).encode(), 0)
+        encoded = json.dumps(value, separators=(",", ":")).encode()
+        self._write(key, encoded, 0)
         await self._notify()
+        return len(encoded)
 
     async def delete(self, key: str) -> None:
         """Delete a key as an operator or a server does."""
--- a/review/kit/system.py
+++ b/review/kit/system.py
@@ -135,6 +135,13 @@
         except (OSError, TimeoutError):
             return False
 
+    def peak_memory_kb(self) -> int:
+        """Return the peak resident memory of the process in KB; 0 when it has ended."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        return next(int(line.split()[1]) for line in status.splitlines() if "VmHWM" in line)
+
     def copy_log(self, target: Path) -> None:
         """Copy the log of the process to a file."""
         shutil.copyfile(self._log, target)
