Review: show that a revoked key works again after a restore

An instance that restarts while the store is away takes the older manifest of a restored copy, though the others have had the later one in force all along.

--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -21,7 +22,9 @@
         self.next_lease = 1
         self.events: list[dict] = []
         self.changed = asyncio.Condition()
-        self.server = HttpServer(self.answer)
+        self.era: int | None = None
+        self.is_away = False
+        self.server = HttpServer(self._serve)
         self.address = ""
 
     async def start(self) -> None:
@@ -87,6 +90,30 @@
             await self._notify()
         return True
 
+    def copy(self) -> tuple:
+        """Return a copy of all that the store holds."""
+        return copy.deepcopy((self.revision, self.items, self.leases, self.next_lease, self.events))
+
+    def restore(self, older: tuple) -> None:
+        """Go back to a copy; the era rises by one."""
+        held = copy.deepcopy(older)
+        self.revision, self.items, self.leases, self.next_lease, self.events = held
+        self.era = (self.era or 0) + 1
+
+    async def _serve(self, request: Request) -> Response | None:
+        """Answer one call, or reset its channel while the store is away."""
+        if self.is_away:
+            request.writer.transport.abort()
+            return None
+        era = self.era
+        response = await self.answer(request)
+        if self.is_away or self.era != era:
+            request.writer.transport.abort()
+            return None
+        if era is not None:
+            response.headers.append(("Store-Era", str(era)))
+        return response
+
     async def answer(self, request: Request) -> Response:
         """Answer one call."""
         parts = urlsplit(request.target)
@@ -130,6 +157,8 @@
 
     async def _watch(self, query: dict[str, str]) -> Response:
         prefix, after = query["prefix"], int(query["after"])
+        if after > self.revision:
+            return _json({}, 410)
         if self.events and len(self.events) == HISTORY_EVENTS:
             if self.events[0]["revision"] > after + 1:
                 return _json({}, 410)
--- a/review/kit/system.py
+++ b/review/kit/system.py
@@ -165,7 +165,7 @@
     async def start(self) -> None:
         """Listen, register and send heartbeats."""
         self.address = await self._http.start()
-        await self._register()
+        await self.register()
         self._beating = asyncio.create_task(self._beat())
 
     def stop(self) -> None:
@@ -176,9 +176,9 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(BEAT_SECONDS)
-            await self._register()
+            await self.register()
 
-    async def _register(self) -> None:
+    async def register(self) -> None:
         self._beats += 1
         entry = {
             "service": self.service,
