Judge an invalid document once, with few findings

Cause: one validation error, one finding and one alarm line for each wrong item of a list, and all of it again with each listing, since only valid entries were remembered by their revision.

Ruled out: that decoding alone is the cause (it takes 3 s of the tens of seconds), and that logging alone is (each listing started it again).

--- a/src/cactuspass/_codec.py
+++ b/src/cactuspass/_codec.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
-from cactuspass._findings import Finding, findings_from_errors
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass.exceptions import DocumentError
 from cactuspass.models import Configuration, Placement
 
@@ -62,7 +62,7 @@
         try:
             envelope: _Envelope[DocumentT] = self._adapter.validate_json(data)
         except ValidationError as error:
-            raise DocumentError(findings_from_errors(self._name, error.errors())) from error
+            raise DocumentError(findings_from_error(self._name, error)) from error
         if envelope.format != DOCUMENT_FORMAT:
             message = f"format {envelope.format} is not supported"
             raise DocumentError((Finding(self._name, "format", message),))
--- a/src/cactuspass/_findings.py
+++ b/src/cactuspass/_findings.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from itertools import chain
+from itertools import chain, islice
 
+from pydantic import ValidationError
 from pydantic_core import ErrorDetails
 
+MAX_FINDINGS_OF_DOCUMENT = 50
+MAX_MESSAGE_LENGTH = 200  # characters
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -34,22 +38,30 @@
     return ".".join(str(part + 1) if isinstance(part, int) else part for part in location)
 
 
-def findings_from_errors(
-    source: str, errors: Sequence[ErrorDetails], prefix: Sequence[int | str] = ()
+def findings_from_error(
+    source: str, error: ValidationError, prefix: Sequence[int | str] = ()
 ) -> tuple[Finding, ...]:
-    """Convert validation errors to findings that do not contain the rejected values.
+    """Convert a validation error to findings.
+
+    At most ``MAX_FINDINGS_OF_DOCUMENT`` mistakes are converted; a last finding counts the others.
 
     :param prefix: location of the validated part within the source.
     """
-    return tuple(
-        Finding(source, format_place(chain(prefix, error["loc"])), _message(error))
-        for error in errors
-    )
-
-
-def _message(error: ErrorDetails) -> str:
-    if error["type"] == "extra_forbidden":
+    mistakes = error.errors(include_url=False, include_context=False, include_input=False)
+    findings = [
+        Finding(source, format_place(chain(prefix, mistake["loc"])), _message(mistake))
+        for mistake in islice(mistakes, MAX_FINDINGS_OF_DOCUMENT)
+    ]
+    if len(mistakes) > len(findings):
+        further = len(mistakes) - len(findings)
+        findings.append(Finding(source, "", f"{further} further mistakes"))
+    return tuple(findings)
+
+
+def _message(mistake: ErrorDetails) -> str:
+    """Return a message of bounded length; that of a check of this project may cite the value."""
+    if mistake["type"] == "extra_forbidden":
         return "unknown key"
-    if error["type"] == "missing":
+    if mistake["type"] == "missing":
         return "required key is missing"
-    return error["msg"].removeprefix("Value error, ")
+    return mistake["msg"].removeprefix("Value error, ")[:MAX_MESSAGE_LENGTH]
--- a/src/cactuspass/_instance_list.py
+++ b/src/cactuspass/_instance_list.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from cactuspass._findings import Finding, findings_from_errors
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass.exceptions import PlatformUnavailable
 from cactuspass.models import InstanceId, InstanceRecord
 from cactuspass.settings import Address, parse_address
@@ -122,7 +122,7 @@
         try:
             record = _RECORD_ADAPTER.validate_python(item)
         except ValidationError as error:
-            findings.extend(findings_from_errors(SOURCE, error.errors(), ("instances", index)))
+            findings.extend(findings_from_error(SOURCE, error, ("instances", index)))
             continue
         fault = _find_fault(record)
         if fault is not None:
--- a/src/cactuspass/fleet/_block_store.py
+++ b/src/cactuspass/fleet/_block_store.py
@@ -10,7 +10,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from cactuspass._findings import Finding, findings_from_errors
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass._platform import KeyValue, Write
 from cactuspass.exceptions import DocumentError, PlatformError
 from cactuspass.fleet._block_table import MAX_BLOCKS
@@ -49,7 +49,7 @@
     try:
         block = _ADAPTER.validate_json(value)
     except ValidationError as error:
-        raise DocumentError(findings_from_errors(key, error.errors())) from error
+        raise DocumentError(findings_from_error(key, error)) from error
     if not 0.0 <= block.since <= MAX_UNIX_SECONDS or not 0.0 <= (block.seconds or 0.0) < math.inf:
         raise DocumentError((Finding(key, "since", "a time is out of range"),))
     return block
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -7,7 +7,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from cactuspass._findings import Finding, findings_from_errors
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet._catalog import Catalog, Evacuations
 from cactuspass.fleet._peers import Peer
@@ -96,7 +96,7 @@
         content = _decompress(message.pop(CONTENT_FIELD))
         return _ADAPTER.validate_python({**cbor2.loads(content), **message})
     except ValidationError as error:
-        raise DocumentError(findings_from_errors("news", error.errors())) from error
+        raise DocumentError(findings_from_error("news", error)) from error
     except (
         cbor2.CBORDecodeError,
         zlib.error,
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -36,6 +36,8 @@
 # More changes than a restored store has lost, so that epochs rise from era to era.
 CHANGES_PER_ERA = 100_000_000
 UNKNOWN_DATA_CENTRE = DataCentreId("")
+MAX_DATA_CENTRE_LENGTH = 256  # characters
+MAX_REGISTRATION_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,14 @@
         return False
 
 
+@dataclass(frozen=True, slots=True)
+class _RegisteredPeer:
+    """An instance, as its key in the store was last read."""
+
+    revision: int
+    peer: Peer
+
+
 class Presence(RepeatingComponent):
     """Registers this instance, and acquires leadership when no other instance holds it.
 
@@ -125,6 +135,7 @@
         self._stopping = False
         self._key_watch = _KeyWatch(self._watch_once, log)
         self._keys: dict[str, KeyValue] = {}
+        self._registered_by_key: dict[str, _RegisteredPeer] = {}
         self._keys_listed = False
         self._revision = 0
         self._wake = asyncio.Event()
@@ -327,18 +338,30 @@
         An instance whose value or address is invalid has no address; it only counts as registered.
         """
         name = EntryId(registered.key.removeprefix(INSTANCES_PREFIX))
+        content = registered.value or b"{}"
         try:
-            value = json.loads(registered.value or b"{}")
+            if len(content) > MAX_REGISTRATION_BYTES:
+                raise ValueError(f"it has over {MAX_REGISTRATION_BYTES} bytes")
+            value = json.loads(content)
             address = value.get("peers")
-            data_centre = DataCentreId(str(value.get("data_centre")))
+            data_centre = DataCentreId(str(value.get("data_centre"))[:MAX_DATA_CENTRE_LENGTH])
         except (ValueError, AttributeError, RecursionError) as error:
             self._log.alarm("instance-unreadable", key=registered.key, reason=error)
             return Peer(name, UNKNOWN_DATA_CENTRE, None)
         return Peer(name, data_centre, address if _is_reachable(address) else None)
 
     def _update_instances(self) -> None:
-        registered = [v for key, v in self._keys.items() if key.startswith(INSTANCES_PREFIX)]
-        self._cluster_state.accept_peers(tuple(map(self._peer, registered)))
+        """Apply the keys of the instances; each revision of a key is decoded only once."""
+        known = self._registered_by_key
+        self._registered_by_key = {
+            key: known[key]
+            if key in known and known[key].revision == item.mod_revision
+            else _RegisteredPeer(item.mod_revision, self._peer(item))
+            for key, item in self._keys.items()
+            if key.startswith(INSTANCES_PREFIX)
+        }
+        registered = self._registered_by_key.values()
+        self._cluster_state.accept_peers(tuple(each.peer for each in registered))
         leader = self._keys.get(LEADER_KEY)
         if self._term is None or leader is None:
             return
--- a/src/cactuspass/fleet/_prompt_parts.py
+++ b/src/cactuspass/fleet/_prompt_parts.py
@@ -1,7 +1,9 @@
 """Shared parts of prompts, and the blocks on those that make upstreams crash."""
 
 from dataclasses import dataclass
-from typing import NewType
+from typing import Annotated, NewType
+
+from pydantic import FailFast
 
 from cactuspass.fleet._upstreams import Lifetime
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId, ServiceId
@@ -87,7 +89,7 @@
 
     service: ServiceId
     model: ModelId
-    parts: tuple[PromptPartId, ...]
+    parts: Annotated[tuple[PromptPartId, ...], FailFast()]
 
     def __str__(self) -> str:
         return f"{self.service}/{self.model}/{'+'.join(self.parts)}"
@@ -111,12 +113,12 @@
 
     key: BlockKey
     version: int
-    customers: tuple[CustomerId, ...]
+    customers: Annotated[tuple[CustomerId, ...], FailFast()]
     is_active: bool
     since: float
     seconds: float | None
     crashes: int
-    instances: tuple[EntryId, ...]
+    instances: Annotated[tuple[EntryId, ...], FailFast()]
     reason: str
 
     @property
--- a/src/cactuspass/fleet/_settings.py
+++ b/src/cactuspass/fleet/_settings.py
@@ -7,7 +7,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from cactuspass._findings import Finding, findings_from_errors
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass.exceptions import SettingsError
 
 
@@ -117,7 +117,7 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError((Finding(source, "", str(error)),)) from error
     except ValidationError as error:
-        raise SettingsError(findings_from_errors(source, error.errors())) from error
+        raise SettingsError(findings_from_error(source, error)) from error
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from itertools import islice
 
 from cactuspass._clock import now
 from cactuspass._findings import Finding
@@ -25,6 +26,7 @@
 RELIST_SECONDS = 4.0
 FEED_CHECK_SECONDS = 0.2
 MAX_SEEN_FINDINGS = 1000
+MAX_LOGGED_FINDINGS = 20
 
 Pause = Callable[[float], float]
 
@@ -70,17 +72,18 @@
 
 
 def log_findings(log: DecisionLog, findings: tuple[Finding, ...], seen: set[str]) -> None:
-    """Log each mistake in a document once.
+    """Log each mistake in a document once, and at most ``MAX_LOGGED_FINDINGS`` of one read.
 
     :param seen: texts of the findings that are already logged; new ones are added.
     """
-    for finding in findings:
-        text = str(finding)
-        if text not in seen:
-            if len(seen) >= MAX_SEEN_FINDINGS:
-                seen.clear()
-            seen.add(text)
-            log.alarm("document-unreadable", finding=text)
+    new = dict.fromkeys(text for text in map(str, findings) if text not in seen)
+    if len(seen) + len(new) > MAX_SEEN_FINDINGS:
+        seen.clear()
+    for text in islice(new, MAX_LOGGED_FINDINGS):
+        seen.add(text)
+        log.alarm("document-unreadable", finding=text)
+    if len(new) > MAX_LOGGED_FINDINGS:
+        log.alarm("documents-unreadable", further=len(new) - MAX_LOGGED_FINDINGS)
 
 
 class OperatorSync(RepeatingComponent):
--- a/src/cactuspass/platform/_config_document.py
+++ b/src/cactuspass/platform/_config_document.py
@@ -2,9 +2,9 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, FailFast, Field, ValidationError
 
-from cactuspass._findings import findings_from_errors
+from cactuspass._findings import findings_from_error
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet import (
     CallerLimits,
@@ -46,7 +46,7 @@
     goal_ms: float = 1000.0
     priority: int = 0
     service: str | None = None
-    split: tuple[_Split, ...] = ()
+    split: Annotated[tuple[_Split, ...], FailFast()] = ()
     attempts: int = 1
     public: bool = False
     resumable: bool = False
@@ -97,7 +97,7 @@
     stride: Annotated[int, Field(ge=1)] = 1
     chunk: Annotated[int, Field(ge=1)] = 2048
     read_per_s: Annotated[float, Field(gt=0)] = 20_000.0
-    models: tuple[_Model, ...] = ()
+    models: Annotated[tuple[_Model, ...], FailFast()] = ()
 
     def decode(self) -> EngineSpec:
         """Return the engine; all numbers apply to a whole group, not to one server.
@@ -139,7 +139,7 @@
 
 class _Tenant(_Document):
     name: str
-    api_keys: tuple[str, ...] = ()
+    api_keys: Annotated[tuple[str, ...], FailFast()] = ()
     priority: int | None = None
 
 
@@ -152,9 +152,9 @@
 
 class _Manifest(_Document):
     version: int
-    routes: tuple[_Route, ...] = ()
-    services: tuple[_Service, ...] = ()
-    tenants: tuple[_Tenant, ...] = ()
+    routes: Annotated[tuple[_Route, ...], FailFast()] = ()
+    services: Annotated[tuple[_Service, ...], FailFast()] = ()
+    tenants: Annotated[tuple[_Tenant, ...], FailFast()] = ()
     limits: _Limits = _Limits()
 
 
@@ -162,12 +162,13 @@
     """Return the catalog that a manifest declares.
 
     :param value: the manifest as JSON.
-    :raises DocumentError: when the manifest is invalid; lists each mistake with its position.
+    :raises DocumentError: when the manifest is invalid; has each mistake with its position, but of
+        a list only those of its first invalid item.
     """
     try:
         manifest = _Manifest.model_validate_json(value)
     except ValidationError as error:
-        raise DocumentError(findings_from_errors(CONFIG_KEY, error.errors())) from error
+        raise DocumentError(findings_from_error(CONFIG_KEY, error)) from error
     limits = manifest.limits
     return Catalog(
         version=manifest.version,
--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -6,6 +6,7 @@
     AfterValidator,
     BaseModel,
     ConfigDict,
+    FailFast,
     Field,
     StrictInt,
     StrictStr,
@@ -13,7 +14,7 @@
 )
 
 from cactuspass._addresses import check_address
-from cactuspass._findings import findings_from_errors
+from cactuspass._findings import findings_from_error
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet import (
     GroupKey,
@@ -32,9 +33,14 @@
 MAX_RANK = 100_000
 MAX_PACE = 1_000_000.0
 MAX_COLD_MS = 86_400_000.0
+MAX_NAME_LENGTH = 256  # characters
+MAX_ADDRESS_LENGTH = 64  # characters
+MAX_MODELS = 1000
 
 Integer = Annotated[StrictInt, Field(ge=0, le=MAX_INTEGER)]
 Count = Annotated[StrictInt, Field(ge=0, le=MAX_COUNT)]
+Name = Annotated[StrictStr, Field(max_length=MAX_NAME_LENGTH)]
+Address = Annotated[StrictStr, Field(max_length=MAX_ADDRESS_LENGTH), AfterValidator(check_address)]
 
 
 class _Document(BaseModel):
@@ -42,7 +48,7 @@
 
 
 class _Group(_Document):
-    name: StrictStr
+    name: Name
     epoch: Annotated[StrictInt, Field(ge=-MAX_INTEGER, le=MAX_INTEGER)]
     rank: Annotated[StrictInt, Field(ge=0, le=MAX_RANK)]
     state: Literal["joining", "ready", "open", "closing", "broken"]
@@ -54,22 +60,24 @@
 
 
 class _Model(_Document):
-    name: StrictStr
+    name: Name
 
 
 class _Entry(_Document):
-    service: StrictStr
-    address: Annotated[StrictStr, AfterValidator(check_address)]
-    zone: StrictStr
+    """An entry, which anyone may have written; a list in it has one mistake at most."""
+
+    service: Name
+    address: Address
+    zone: Name
     slots: Annotated[StrictInt, Field(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS, allow_inf_nan=False)]
     born: Integer = 0
     # Counts the writes of the entry; in a report, seq counts orders instead.
     seq: Integer = 0
-    domain: StrictStr | None = None
-    staged: tuple[StrictStr, ...] = ()
-    models: tuple[_Model, ...] = ()
+    domain: Name | None = None
+    staged: Annotated[tuple[Name, ...], FailFast(), Field(max_length=MAX_MODELS)] = ()
+    models: Annotated[tuple[_Model, ...], FailFast(), Field(max_length=MAX_MODELS)] = ()
     group: _Group | None = None
 
 
@@ -95,7 +103,7 @@
     try:
         entry = _Entry.model_validate_json(value)
     except ValidationError as error:
-        raise DocumentError(findings_from_errors(f"servers/{server_id}", error.errors())) from error
+        raise DocumentError(findings_from_error(f"servers/{server_id}", error)) from error
     return Upstream(
         upstream_id=UpstreamId(server_id),
         service=ServiceId(entry.service),
@@ -122,7 +130,7 @@
     try:
         report = _Report.model_validate_json(value)
     except ValidationError as error:
-        raise DocumentError(findings_from_errors("report", error.errors())) from error
+        raise DocumentError(findings_from_error("report", error)) from error
     membership = report.group.decode() if report.group is not None else None
     return UpstreamReport(
         running=report.running,
--- a/src/cactuspass/settings.py
+++ b/src/cactuspass/settings.py
@@ -6,7 +6,7 @@
 
 from pydantic import ValidationError
 
-from cactuspass._findings import Finding, findings_from_errors, format_findings
+from cactuspass._findings import Finding, findings_from_error, format_findings
 from cactuspass._settings_checks import check_sections
 from cactuspass._settings_reference import example_settings, settings_reference
 from cactuspass._settings_sections import (
@@ -88,9 +88,7 @@
     try:
         settings = Settings.model_validate(document)
     except ValidationError as error:
-        raise SettingsError(
-            (*findings_from_errors(source, error.errors()), *section_findings)
-        ) from error
+        raise SettingsError((*findings_from_error(source, error), *section_findings)) from error
     if section_findings:
         raise SettingsError(section_findings)
     return settings
