Bound the work for a byte of a body, and give others a turn

Cause: the relay added up the lengths of all parts for each part, one chunk was one read, and a read never suspended while chunks were waiting, so neither the deadline nor the caller's leaving could end it. One read of the socket was up to 256 KiB.

Change: a read returns up to 32 KiB of what has arrived, whatever its chunks, and gives others a turn after as much; one read of the socket is at most 32 KiB; the relay keeps its sum.

--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import select
-from collections import deque
 from typing import cast
 
 import httptools
@@ -20,6 +19,11 @@
 
 MAX_BODY_BYTES = 1_048_576
 READ_AHEAD_BYTES = 262_144
+# Read from one connection before others have a turn; small, since the work for a byte is greatest
+# when each has a chunk of its own.
+RECEIVE_BYTES = 32_768
+# Returned from one body before other tasks have a turn.
+TURN_BYTES = 32_768
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 
 
@@ -47,10 +51,10 @@
         self._check = check
         self._has_no_body = has_no_body
         self._head: AnswerHead | None = None
-        self._chunks: deque[bytes] = deque()
+        self._unread = bytearray()
         self._parts: list[bytes] = []
         self._parts_bytes = 0
-        self._unread_bytes = 0
+        self._bytes_in_turn = 0
         self._has_ended = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -69,19 +73,26 @@
     async def read_chunk(self) -> bytes:
         """Return the next part of the body, or empty bytes at its end.
 
+        A part has up to ``TURN_BYTES``, however the sender has divided the body into chunks. While
+        more of it has arrived, other tasks have a turn after as many bytes.
+
         :raises AnswerCut: if the connection is lost before the end.
         """
-        while not self._chunks:
+        if self._bytes_in_turn >= TURN_BYTES:
+            self._bytes_in_turn = 0
+            await asyncio.sleep(0)
+        while not self._unread:
             if self._has_ended:
                 return b""
             if self._error is not None:
                 raise AnswerCut(str(self._error)) from self._error
             await self._wait_for_update()
-        chunk = self._chunks.popleft()
-        self._unread_bytes -= len(chunk)
-        if self._unread_bytes < READ_AHEAD_BYTES:
+        part = bytes(self._unread[:TURN_BYTES])
+        del self._unread[:TURN_BYTES]
+        self._bytes_in_turn += len(part)
+        if len(self._unread) < READ_AHEAD_BYTES:
             self._connection.resume_reading()
-        return chunk
+        return part
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the complete body. A cancelled call can be repeated without losing data.
@@ -105,6 +116,7 @@
             self._connection.abort()
 
     async def _wait_for_update(self) -> None:
+        self._bytes_in_turn = 0
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
@@ -138,9 +150,8 @@
 
     def receive_chunk(self, chunk: bytes) -> None:
         """Append a part of the body, and pause reading if too much of it is unread."""
-        self._chunks.append(chunk)
-        self._unread_bytes += len(chunk)
-        if self._unread_bytes >= READ_AHEAD_BYTES:
+        self._unread += chunk
+        if len(self._unread) >= READ_AHEAD_BYTES:
             self._connection.pause_reading()
         self._notify_waiter()
 
@@ -156,9 +167,12 @@
             self._notify_waiter()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection that carries one exchange at a time."""
 
+    # Bytes are parsed as soon as they are received, so all connections share one buffer.
+    _received = bytearray(RECEIVE_BYTES)
+
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -185,6 +199,14 @@
         """Store the transport of the open connection."""
         self._transport = cast(asyncio.Transport, transport)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next bytes."""
+        return self._received
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that the buffer has received."""
+        self.data_received(bytes(memoryview(self._received)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no exchange is in progress."""
         if self._exchange is None:
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -96,11 +96,13 @@
 
         :param parts: receives what was read, and keeps it if the call is cancelled and repeated.
         """
-        while sum(map(len, parts)) <= MAX_BUFFERED_BYTES:
+        read_bytes = sum(map(len, parts))
+        while read_bytes <= MAX_BUFFERED_BYTES:
             part = await active.exchange.read_chunk()
             if not part:
                 return True
             parts.append(part)
+            read_bytes += len(part)
             if head.status < 500:
                 self._attempts.note_begun(active, head)
         return False
