Bound what all answers in progress take in memory together

One upstream that pours headers, trailers or bodies without end to 40 callers at once took over 200 MB of an instance, which is all that most machines of the larger sites have.

Cause: headers were bounded by their bytes, of which a header of one byte has few and takes many, trailers were kept, and 1 MiB of each answer was held and 256 KiB read ahead, with no bound for all together.

--- a/src/cactuspass/fleet/_answer_bounds.py
+++ b/src/cactuspass/fleet/_answer_bounds.py
@@ -3,6 +3,7 @@
 from cactuspass.exceptions import AnswerOversize
 
 MAX_HEAD_BYTES = 65_536
+MAX_HEADERS = 256  # a short header takes many times its bytes once it is parsed
 MAX_FRAMING_BYTES = 65_536
 MAX_FRAMING_PER_BODY_BYTE = 16
 MAX_SKIPPED_BYTES = 4_194_304
@@ -21,16 +22,21 @@
         self._body = 0
         self._skipped = 0
         self._head = 0
+        self._headers = 0
 
     def start_head(self) -> None:
         """Reset the size of the current head."""
         self._head = 0
+        self._headers = 0
 
     def add_header(self, name: bytes, value: bytes) -> None:
-        """Count one header.
+        """Count one header or trailer.
 
-        :raises AnswerOversize: if the head exceeds its limit.
+        :raises AnswerOversize: if the head, with its trailers, exceeds a limit.
         """
+        self._headers += 1
+        if self._headers > MAX_HEADERS:
+            raise AnswerOversize(f"the response has over {MAX_HEADERS} headers")
         self._head += len(name) + len(value)
         if self._head > MAX_HEAD_BYTES:
             raise AnswerOversize(f"the response head exceeds {MAX_HEAD_BYTES} bytes")
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -8,6 +8,7 @@
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._active_attempt import ActiveAttempt
+from cactuspass.fleet._answer_buffers import AnswerBuffers
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Customer, Route
@@ -61,6 +62,7 @@
     notices: UpstreamNotices
     part_guard: PartGuard
     limit_waits: LimitWaits
+    answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
 
 
 @dataclass(slots=True)
--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -18,12 +18,12 @@
 from cactuspass.fleet._answer_head import AnswerHead, Header, IdCheck
 
 MAX_BODY_BYTES = 1_048_576
-READ_AHEAD_BYTES = 262_144
+READ_AHEAD_BYTES = 65_536
 # Read from one connection before others have a turn; small, since the work for a byte is greatest
 # when each has a chunk of its own.
-RECEIVE_BYTES = 32_768
+RECEIVE_BYTES = 16_384
 # Returned from one body before other tasks have a turn.
-TURN_BYTES = 32_768
+TURN_BYTES = 16_384
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 
 
@@ -254,14 +254,15 @@
         _check_unmixed(self._reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Count and store one header.
+        """Count one header, check it, and store it unless it is a trailer, which nothing uses.
 
         :raises ResponseMixed: if it has taken up the status line of another response.
         """
         self._bounds.add_header(name, value)
         text = value.decode("latin-1").strip(" \t")
         _check_unmixed(text)
-        self._headers.append((name.decode("latin-1").lower(), text))
+        if self._head is None:
+            self._headers.append((name.decode("latin-1").lower(), text))
 
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange unless it is informational or for another request.
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -1,8 +1,9 @@
 """Relays responses that are not streams of events."""
 
 from cactuspass._clock import now
-from cactuspass.exceptions import AnswerCut
+from cactuspass.exceptions import AnswerCut, AnswerOversize
 from cactuspass.fleet._active_attempt import ActiveAttempt
+from cactuspass.fleet._answer_buffers import HeldAnswer
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._choices import NoUpstream, Selection
 from cactuspass.fleet._connections import ConnectionClosed
@@ -46,12 +47,14 @@
 
     async def _attempt(self, selection: Selection) -> None:
         active = await self._send(selection)
+        held = HeldAnswer(self._attempts.dependencies.answer_buffers)
         try:
-            await self._receive_or_record_failure(active, lambda: self._relay(active))
+            await self._receive_or_record_failure(active, lambda: self._relay(active, held))
         finally:
+            held.release()
             self._attempts.close(active)
 
-    async def _relay(self, active: ActiveAttempt) -> None:
+    async def _relay(self, active: ActiveAttempt, held: HeldAnswer) -> None:
         latency = self._attempts.dependencies.loads.load(active.upstream.upstream_id).latency
         stall_timeout = max(MIN_STALL_TIMEOUT_SECONDS, latency * STALL_TIMEOUT_LATENCY_FACTOR)
         head = await self._receive_unless_stalled(active, active.exchange.read_head, stall_timeout)
@@ -61,14 +64,15 @@
         if not notes.from_application:
             raise AttemptFailed(Failure.NOT_FROM_APPLICATION)
         self._attempts.check_refusal(head)
-        parts: list[bytes] = []
         is_complete = await self._receive_within_deadline(
-            lambda: self._read_ahead(active, head, parts)
+            lambda: self._read_ahead(active, head, held)
         )
-        if head.status < 500 and not is_complete:
-            await self._stream_body(active, head, parts)
+        if not is_complete:
+            if head.status >= 500:
+                raise AnswerOversize(f"{held.bytes} bytes of a failure are not all of it")
+            await self._stream_body(active, head, held)
             return
-        body = b"".join(parts) + await self._receive_within_deadline(active.exchange.read_body)
+        body = held.take()
         if head.status >= 500:
             raise AttemptFailed(Failure.SERVER_ERROR, head, body)
         if not body:
@@ -89,35 +93,39 @@
             closed = ConnectionClosed("it ended with its connection")
             raise AnswerCut("the connection ended before the body") from closed
 
-    async def _read_ahead(
-        self, active: ActiveAttempt, head: AnswerHead, parts: list[bytes]
-    ) -> bool:
-        """Read a body up to the buffer limit; return whether it was read completely.
+    async def _read_ahead(self, active: ActiveAttempt, head: AnswerHead, held: HeldAnswer) -> bool:
+        """Read a body as far as it may be held; return whether it was read completely.
 
-        :param parts: receives what was read, and keeps it if the call is cancelled and repeated.
+        :param held: receives what was read, and keeps it if the call is cancelled and repeated.
         """
-        read_bytes = sum(map(len, parts))
-        while read_bytes <= MAX_BUFFERED_BYTES:
+        has_room = held.bytes <= MAX_BUFFERED_BYTES
+        while has_room:
             part = await active.exchange.read_chunk()
             if not part:
                 return True
-            parts.append(part)
-            read_bytes += len(part)
+            has_room = held.add(part) and held.bytes <= MAX_BUFFERED_BYTES
             if head.status < 500:
                 self._attempts.note_begun(active, head)
         return False
 
-    async def _stream_body(
-        self, active: ActiveAttempt, head: AnswerHead, parts: list[bytes]
-    ) -> None:
-        """Relay a response that is too large to buffer, beginning with the parts already read."""
+    async def _stream_body(self, active: ActiveAttempt, head: AnswerHead, held: HeldAnswer) -> None:
+        """Relay a response that is too large to hold, beginning with the parts already read."""
         headers = self._attempts.dependencies.request_format.answer_headers(head)
         await self._delivery.send_head(head.status, headers)
-        for part in parts:
-            await self._delivery.send_chunk(part)
+        for part in held.parts:
+            await self._send_chunk(part)
+        held.release()
         while chunk := await self._receive_within_deadline(active.exchange.read_chunk):
-            # A late timeout of the read is excused, so the deadline is checked here as well.
-            if self._attempts.seconds_left <= 0:
-                raise DeadlinePassed
-            await self._delivery.send_chunk(chunk)
+            await self._send_chunk(chunk)
         await self._delivery.finish()
+
+    async def _send_chunk(self, chunk: bytes) -> None:
+        """Send a part of the body.
+
+        A late timeout of the read is excused, so the deadline is checked here as well.
+
+        :raises DeadlinePassed: if the deadline of the request has passed.
+        """
+        if self._attempts.seconds_left <= 0:
+            raise DeadlinePassed
+        await self._delivery.send_chunk(chunk)
