Search each line of a stream once for the head of a response

Cause: the pattern read from each status line to the end of its line and back, which grows with the square of the line.

Change: the lines of an event are judged one after the other, each searched once.

--- a/src/cactuspass/fleet/_events.py
+++ b/src/cactuspass/fleet/_events.py
@@ -11,13 +11,8 @@
 _EVENT_END = re.compile(rb"\n\r?\n")
 _ID = re.compile(rb"^id:[ ]*([^\r\n]*)", re.MULTILINE)
 _NO_EVENT_LINE = re.compile(rb"^(?::|retry:|\r?$)", re.MULTILINE)
-# A status line at the start of a line, or inside an event and followed by a header, which is no
-# field of an event.
-_HTTP_HEAD = re.compile(
-    rb"^HTTP/1\.[01] [1-5]\d\d"
-    rb"|HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\n(?!(?:data|event|id|retry):)[A-Za-z0-9-]+:",
-    re.MULTILINE,
-)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+_HEADER = re.compile(rb"(?!(?:data|event|id|retry):)[A-Za-z0-9-]+:")
 
 
 class NotAnEvent(AnswerCut):
@@ -98,7 +93,7 @@
         return len(events)
 
     def _record_event(self, event: bytes) -> None:
-        if b"HTTP/1." in event and _HTTP_HEAD.search(event):
+        if b"HTTP/1." in event and _contains_head(event):
             raise NotAnEvent("the stream contains the head of a response")
         found = _ID.search(event)
         if found is not None:
@@ -115,6 +110,21 @@
             self.last_event_has_id = False
 
 
+def _contains_head(event: bytes) -> bool:
+    """Return whether an event contains the head of an HTTP response.
+
+    That is a status line at the start of a line, or inside a line and followed by a header, which
+    is no field of an event. Each line is read once, however many status lines it contains.
+    """
+    follows_status = False
+    for line in event.split(b"\n"):
+        if _STATUS_LINE.match(line) or (follows_status and _HEADER.match(line)):
+            return True
+        _, _, end_of_line = line.removesuffix(b"\r").rpartition(b"\r")
+        follows_status = _STATUS_LINE.search(end_of_line) is not None
+    return False
+
+
 def _follows(event_id: str, last_id: str | None) -> bool:
     """Return whether an id may follow another; numbers increase, other ids only differ."""
     if last_id is not None and _is_number(event_id) and _is_number(last_id):
--- a/tests/test_event_loop_turns.py
+++ b/tests/test_event_loop_turns.py
@@ -1,10 +1,13 @@
 """Upstreams whose answers are much work for few bytes, beside other tasks of the event loop."""
 
 import asyncio
+import contextlib
 import unittest
 
+from cactuspass._clock import now
 from cactuspass.fleet._catalog import RouteKind
 from cactuspass.fleet._connections import RECEIVE_BYTES, TURN_BYTES, Connection
+from cactuspass.fleet._events import EventSplitter, NotAnEvent
 from tests.fleet_path import STAMP, MemoryDelivery, PathCase, Script, ScriptedUpstream, route
 from tests.loop_hold import MAX_HOLD_SECONDS, LoopHold
 from tests.test_endless_answers import FakeTransport, endless
@@ -26,6 +29,20 @@
     "informational heads": (b"", b"HTTP/1.1 100 C\r\n\r\n" * 4096),
     "long reason": (b"HTTP/1.1 200 ", b"HTTP/1.1 200 " * 4096),
 }
+EVENT_STREAM = CHUNKED.replace(b"text/plain", b"text/event-stream")
+FIRST_EVENT = b"e\r\nid: 1\ndata: x\n\r\n1\r\n\n\r\n"
+# A whole line of status lines, under the limit for one event.
+STATUS_LINES = b"data: " + b"HTTP/1.1 200 " * 14_000 + b"\n\n"
+ENDLESS_STREAMS = {
+    "comments": b"3\r\n:\n\n\r\n" * 4096,
+    "dense comments": b"c000\r\n%s\r\n" % (b":\n\n" * 16_384),
+    "blank lines": b"8000\r\n%s\r\n" % (b"\n" * 32_768),
+    "retry times": b"8\r\nretry:\n\n\r\n" * 4096,
+    "events without an id": b"7\r\ndata:\n\n\r\n" * 4096,
+    "status lines in one line": b"%x\r\n%s\r\n" % (len(STATUS_LINES), STATUS_LINES),
+    "status lines, byte by byte": b"1\r\nH\r\n1\r\nT\r\n" * 4096,
+    "lines without a blank one": b"6\r\n:\n:\n:\n\r\n" * 4096,
+}
 
 
 def complete(body: bytes) -> Script:
@@ -43,18 +60,25 @@
 class TurnCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests of several requests to one upstream at the same time."""
 
-    async def start(self, script: Script, kind: RouteKind = RouteKind.IDEMPOTENT) -> PathCase:
+    async def start(
+        self,
+        script: Script,
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        timeout: float = TIMEOUT_SECONDS,
+    ) -> PathCase:
         """Start an upstream, and return the request path to it."""
         upstream = ScriptedUpstream([script])
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
-        case = PathCase(route(kind, timeout=TIMEOUT_SECONDS), [upstream])
+        case = PathCase(route(kind, timeout=timeout), [upstream])
         self.addCleanup(case.pool.close)
         return case
 
-    async def check_turns(self, case: PathCase) -> list[MemoryDelivery]:
+    async def check_turns(
+        self, case: PathCase, timeout: float = TIMEOUT_SECONDS
+    ) -> list[MemoryDelivery]:
         """Serve requests, and check that others have their turns and that the deadline holds."""
-        async with LoopHold() as hold, asyncio.timeout(TIMEOUT_SECONDS + MAX_LATE_SECONDS):
+        async with LoopHold() as hold, asyncio.timeout(timeout + MAX_LATE_SECONDS):
             found = await asyncio.gather(*(case.serve() for _ in range(REQUESTS)))
         self.assertLess(hold.seconds, MAX_HOLD_SECONDS)
         return list(found)
@@ -78,6 +102,41 @@
             self.assertEqual((got.status, got.body, got.is_complete), (200, body, True))
 
 
+class EventTest(unittest.TestCase):
+    """The work for one event."""
+
+    # Guards against a line that is read again from each status line in it, which takes a time that
+    # grows with the square of its length.
+    def test_line_of_status_lines_is_judged_in_bounded_time(self) -> None:
+        for line_end in (b" ", b"\r", b"\n"):
+            event = STATUS_LINES.replace(b" HTTP", line_end + b"HTTP")
+            with self.subTest(line_end=line_end):
+                began = now()
+                with contextlib.suppress(NotAnEvent):
+                    EventSplitter().feed(event)
+                self.assertLess(now() - began, MAX_HOLD_SECONDS)
+
+    def test_head_behind_status_lines_in_one_line_is_found(self) -> None:
+        for head in (b"\nServer: x\n\n", b"\r\nServer: x\r\n\r\n"):
+            with self.subTest(head), self.assertRaises(NotAnEvent):
+                EventSplitter().feed(STATUS_LINES.rstrip(b"\n") + head)
+
+
+class StreamAnswerTest(TurnCase):
+    """Streams of events that go on without end, before or after a first event."""
+
+    # Guards against a stream that holds the event loop by one line that is work without bound, or
+    # by what is no event and has arrived already, so that all requests of its instance wait.
+    async def test_endless_stream_leaves_turns_to_others(self) -> None:
+        for name, more in ENDLESS_STREAMS.items():
+            for begun in (b"", FIRST_EVENT):
+                with self.subTest(name, begun=bool(begun)):
+                    script = endless(EVENT_STREAM + begun, more)
+                    case = await self.start(script, RouteKind.STREAM)
+                    for got in await self.check_turns(case):
+                        self.assertFalse(got.is_complete and got.status == 200)
+
+
 class ExchangeTurnTest(unittest.IsolatedAsyncioTestCase):
     """The parts of a body that has arrived already."""
 
