--- a/src/cactuspass/fleet/_events.py
+++ b/src/cactuspass/fleet/_events.py
@@ -11,6 +11,8 @@
 _EVENT_END = re.compile(rb"\n\r?\n")
 _ID = re.compile(rb"^id:[ ]*([^\r\n]*)", re.MULTILINE)
 _NO_EVENT_LINE = re.compile(rb"^(?::|retry:|\r?$)", re.MULTILINE)
+# Comments, retry times and blank lines, up to a blank line.
+_NO_EVENTS = re.compile(rb"(?>(?>(?::|retry:)[^\r\n]*+\r?\n)*+\r?\n)++")
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 _HEADER = re.compile(rb"(?!(?:data|event|id|retry):)[A-Za-z0-9-]+:")
 
@@ -38,13 +40,15 @@
         self.has_event = False
         self.last_event_has_id = True
         self._continues = continues
+        self._bytes_since_event = 0
         self._incomplete_event = bytearray()
         self._error: AnswerCut | None = None
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that this chunk completes, up to the first invalid one.
 
-        :raises AnswerOversize: if an incomplete event exceeds the size limit.
+        :raises AnswerOversize: if an incomplete event, or what comes between two events, exceeds
+            the size limit.
         :raises NotAnEvent: if the next bytes are the head of a response.
         :raises NotContinued: if the next event does not follow the last one.
         """
@@ -82,14 +86,22 @@
 
     def _record_events(self, events: bytes) -> int:
         """Record the ids of events; return the length of those before the first invalid one."""
+        may_have_head = b"HTTP/1." in events
         start = 0
-        for match in _EVENT_END.finditer(events):
-            try:
-                self._record_event(events[start : match.end()])
-            except AnswerCut as error:
-                self._error = error
-                return start
-            start = match.end()
+        try:
+            while start < len(events):
+                no_events = None if may_have_head else _NO_EVENTS.match(events, start)
+                if no_events is not None:
+                    self._add_bytes_of_no_event(len(no_events.group()))
+                    start = no_events.end()
+                elif (match := _EVENT_END.search(events, start)) is not None:
+                    self._record_event(events[start : match.end()])
+                    start = match.end()
+                else:
+                    break
+        except AnswerCut as error:
+            self._error = error
+            return start
         return len(events)
 
     def _record_event(self, event: bytes) -> None:
@@ -102,12 +114,25 @@
                 raise NotContinued(f"event {event_id} does not follow event {self.last_id}")
             self.last_id = event_id
             self._continues = False
+            self._bytes_since_event = 0
             self.has_event = self.last_event_has_id = True
         elif not all(map(_NO_EVENT_LINE.match, event.splitlines())):
             if self._continues:
                 raise NotContinued(f"an event without an id follows event {self.last_id}")
             self.has_event = True
             self.last_event_has_id = False
+            self._bytes_since_event = 0
+        else:
+            self._add_bytes_of_no_event(len(event))
+
+    def _add_bytes_of_no_event(self, count: int) -> None:
+        """Count bytes of comments, retry times and blank lines since the last event.
+
+        :raises AnswerOversize: if they exceed the size limit.
+        """
+        self._bytes_since_event += count
+        if self._bytes_since_event > MAX_EVENT_BYTES:
+            raise AnswerOversize(f"over {MAX_EVENT_BYTES} bytes without an event")
 
 
 def _contains_head(event: bytes) -> bool:
--- a/src/cactuspass/fleet/_stream_attempt.py
+++ b/src/cactuspass/fleet/_stream_attempt.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass.exceptions import AnswerCut, AnswerOversize
+from cactuspass.exceptions import AnswerCut
 from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._connections import ConnectionClosed
-from cactuspass.fleet._events import MAX_EVENT_BYTES, EventSplitter
+from cactuspass.fleet._events import EventSplitter
 from cactuspass.fleet._failures import AttemptFailed, Failure
 from cactuspass.fleet._inbound import AnswerNotes
 
@@ -53,7 +53,6 @@
 
         :raises RunOutcomeUnknown: if the connection is lost before the head is complete.
         :raises AnswerCut: if it is lost later.
-        :raises AnswerOversize: if the comments before the first event exceed the size limit.
         :raises AttemptFailed: if it is a success that does not continue the caller's stream.
         """
         self.head = await self.active.exchange.read_head()
@@ -62,10 +61,6 @@
         if self.head.is_success and not self._continues_sent_stream(self.head):
             raise AttemptFailed(Failure.NOT_FROM_APPLICATION)
         while self.head.is_success and not self.splitter.has_event and not self.has_ended:
-            if len(self.events) > MAX_EVENT_BYTES:
-                raise AnswerOversize(
-                    f"comments before the first event exceed {MAX_EVENT_BYTES} bytes"
-                )
             await self.read_next()
 
     async def read_next(self) -> None:
@@ -74,6 +69,7 @@
         :raises AnswerCut: if the connection is lost before the end, or the stream ends inside an
             event, or without any event together with its connection, or if its events do not
             follow those that the caller has.
+        :raises AnswerOversize: if too much has come since the last event.
         """
         assert self.head is not None
         self.splitter.check_valid()
--- a/tests/test_event_loop_turns.py
+++ b/tests/test_event_loop_turns.py
@@ -7,12 +7,13 @@
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import RouteKind
 from cactuspass.fleet._connections import RECEIVE_BYTES, TURN_BYTES, Connection
-from cactuspass.fleet._events import EventSplitter, NotAnEvent
+from cactuspass.fleet._events import MAX_EVENT_BYTES, EventSplitter, NotAnEvent
 from tests.fleet_path import STAMP, MemoryDelivery, PathCase, Script, ScriptedUpstream, route
 from tests.loop_hold import MAX_HOLD_SECONDS, LoopHold
 from tests.test_endless_answers import FakeTransport, endless
 
 TIMEOUT_SECONDS = 1.0
+LONG_SECONDS = 10.0
 # A request may outlast its timeout by half a second.
 MAX_LATE_SECONDS = 0.5
 REQUESTS = 4
@@ -136,6 +137,14 @@
                     for got in await self.check_turns(case):
                         self.assertFalse(got.is_complete and got.status == 200)
 
+    # Guards against a stream of comments that goes on until the deadline and fills the caller.
+    async def test_stream_of_comments_ends_soon(self) -> None:
+        script = endless(EVENT_STREAM + FIRST_EVENT, ENDLESS_STREAMS["dense comments"])
+        case = await self.start(script, RouteKind.STREAM, LONG_SECONDS)
+        for got in await self.check_turns(case, LONG_SECONDS):
+            self.assertLess(len(got.body), 2 * MAX_EVENT_BYTES)
+        self.assertIn("bytes without an event", "".join(case.handler.lines))
+
 
 class ExchangeTurnTest(unittest.IsolatedAsyncioTestCase):
     """The parts of a body that has arrived already."""
