Ask other instances before a first manifest of the store is believed

Cause: an instance asked another one only within 1.5 s of its start, before the store could tell it their addresses, others without recent state only closed, and the first document read was put in force at once.

Change: a first manifest waits until another instance has sent what it knows, three have been asked in vain, or 2 s are over. A source without recent state says whether it knows anything.

The tests of 195 instances that start together pass unchanged, with the wait in them.

--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from itertools import chain
+from itertools import chain, takewhile
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
@@ -22,6 +22,7 @@
 from cactuspass.fleet._feed_source import (
     DEFAULT_MAX_AGE_SECONDS,
     NOT_CURRENT_CODE,
+    NOTHING_KNOWN_CODE,
     UPDATE_REQUEST,
     WAITING_UPDATE_REQUEST,
 )
@@ -47,9 +48,11 @@
 CLOSE_MARGIN_SECONDS = 0.2  # time for a source whose state is too old to say so itself
 SOURCE_CHECK_SECONDS = 0.25
 STARTUP_WAIT_SECONDS = 1.5  # time to find a source before the store is read instead
-# Of a reader, which at its start follows another one for a moment: that one may know documents
-# which a restored store has lost.
-MAX_CATCH_UP_ATTEMPTS = 1
+# After the start, before a first document of the store is believed: another instance may know later
+# ones, which a restored store has lost.
+CATCH_UP_SECONDS = 2.0
+CATCH_UP_POLL_SECONDS = 0.02
+MAX_CATCH_UP_FAILURES = 3
 OWN_READ_MARGIN_SECONDS = 0.1  # own reads have failed this long before the state is too old
 FOLLOW_AFTER_FAILED_READS_SECONDS = 3.0
 LOG_PAUSE_SECONDS = 3.0  # between two lines on failures of one source
@@ -71,6 +74,7 @@
     :param on_leaving: called with each lifetime of an upstream that has announced that it leaves.
     :param max_age: age in seconds of a source's state beyond which it sends no updates.
     :param on_block: called with each block on parts of prompts in an update.
+    :param are_peers_known: whether the registered instances have been listed since the start.
     """
 
     def __init__(
@@ -84,8 +88,10 @@
         on_leaving: Callable[[Lifetime], object] | None = None,
         max_age: float = DEFAULT_MAX_AGE_SECONDS,
         on_block: Callable[[Block], object] | None = None,
+        are_peers_known: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(log)
+        self._are_peers_known = are_peers_known
         self._on_block = on_block or cluster_state.accept_block
         self._instance = instance
         self._data_centre = data_centre
@@ -101,7 +107,9 @@
         self._own_reads_failed_until = float("-inf")
         self._source_was_behind = False
         self._failures_in_row = 0
-        self._catch_ups_left = 0
+        self._has_caught_up = False
+        self._catch_up_until = float("inf")
+        self._asked: set[EntryId] = set()
         self._ordered_peers: tuple[Peer, ...] = ()
         self._local_sources: list[Peer] = []
         self._readers: list[Peer] = []
@@ -109,9 +117,34 @@
     async def start(self) -> None:
         """Start to look for a source."""
         self._startup_until = now() + STARTUP_WAIT_SECONDS
-        self._catch_ups_left = MAX_CATCH_UP_ATTEMPTS
         await super().start()
 
+    async def catch_up(self) -> None:
+        """Wait until no other instance is likely to know later documents than the store has.
+
+        That is so once one has sent an update, once those to follow have been asked in vain, or
+        after ``CATCH_UP_SECONDS`` since the first call.
+        """
+        self._catch_up_until = min(self._catch_up_until, now() + CATCH_UP_SECONDS)
+        while self._must_catch_up:
+            await asyncio.sleep(CATCH_UP_POLL_SECONDS)
+
+    @property
+    def _must_catch_up(self) -> bool:
+        """Whether another instance may know later documents, and may still be asked for them."""
+        if self._has_caught_up or now() >= self._catch_up_until:
+            return False
+        if not self._are_peers_known():
+            return True
+        if len(self._asked) >= MAX_CATCH_UP_FAILURES:
+            return False
+        return any(source.instance not in self._asked for source in self._sources_to_ask())
+
+    def _sources_to_ask(self) -> list[Peer]:
+        """Return the sources that this instance may follow after its start."""
+        ordered = self._ordered_sources()
+        return list(takewhile(lambda source: source.instance != self._instance, ordered))
+
     @property
     def is_active(self) -> bool:
         """Whether updates arrive from a source, so that the store need not be read."""
@@ -148,8 +181,10 @@
             return  # The next step connects again and gets a complete update.
         except FEED_ERRORS as error:
             self._failures_in_row += 1
-            self._catch_ups_left = max(0, self._catch_ups_left - 1)
-            self._avoid(source, error)
+            code = _close_code(error)
+            if code != NOT_CURRENT_CODE:
+                self._asked.add(source.instance)
+            self._avoid(source, error, code in (NOT_CURRENT_CODE, NOTHING_KNOWN_CODE))
             if self._have_all_sources_failed:
                 interval = MAX_ATTEMPT_INTERVAL_SECONDS * random.uniform(0.5, 1.0)
                 await asyncio.sleep(began + interval - now())
@@ -163,12 +198,12 @@
         """
         return self._failures_in_row >= len(self._readers) and now() >= self._startup_until
 
-    def _avoid(self, source: Peer, error: Exception) -> None:
-        """Try other sources first for a while, and log the failure unless that is just done."""
+    def _avoid(self, source: Peer, error: Exception, is_outdated: bool) -> None:
+        """Try other sources first for a while, and log the failure unless that is just done.
+
+        :param is_outdated: whether the source has answered that it has no recent state.
+        """
         at = now()
-        is_outdated = isinstance(error, ConnectionClosed) and (
-            error.rcvd is not None and error.rcvd.code == NOT_CURRENT_CODE
-        )
         pause = self._outdated_pause() if is_outdated else FAILED_SOURCE_PAUSE_SECONDS
         self._avoided_until_by_id[source.instance] = at + pause
         self._end_use_without_source()
@@ -212,7 +247,7 @@
 
         A source follows only those that come before it in the order of readers, so that no two
         sources follow each other for long. A reader whose own reads fail follows any other, as does
-        one that has just started, until it has had one update.
+        one that has just started, until it has had one update or has asked in vain.
         """
         self._update_order()
         local, readers = self._local_sources, self._readers
@@ -224,8 +259,16 @@
         if all(reader.instance != self._instance for reader in first):
             return [*order_sources(first, self._instance), *later]
         others = [reader for reader in readers if reader.instance != self._instance]
-        must_follow = self._catch_ups_left > 0 and now() < self._startup_until
-        return others if must_follow or self._do_own_reads_fail() else []
+        return others if self._is_catching_up or self._do_own_reads_fail() else []
+
+    @property
+    def _is_catching_up(self) -> bool:
+        """Whether a reader still asks others for what they know."""
+        at = now()
+        if self._has_caught_up or len(self._asked) >= MAX_CATCH_UP_FAILURES:
+            return False
+        has_begun = self._catch_up_until != float("inf")
+        return at < self._catch_up_until if has_begun else at < self._startup_until
 
     def _update_order(self) -> None:
         """Choose the sources anew if the registered instances have changed."""
@@ -293,7 +336,7 @@
         The ages in an update count from when it was written. That is taken to be ``held_for`` after
         the request was sent, the earliest possible time, so no state is taken for newer than it is.
         """
-        self._catch_ups_left = 0
+        self._has_caught_up = True
         cluster_state = self._cluster_state
         written_at = requested_at + update.held_for
         if update.era is not None:
@@ -335,3 +378,10 @@
             self._cluster_state.accept_upstreams(changed, update.revision)
         else:
             self._cluster_state.accept_changes(changed, update.removed, update.revision)
+
+
+def _close_code(error: Exception) -> int | None:
+    """Return the code with which a source has closed a connection; None for other errors."""
+    if isinstance(error, ConnectionClosed) and error.rcvd is not None:
+        return error.rcvd.code
+    return None
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -39,7 +39,9 @@
 MAX_REQUEST_BYTES = 64
 MAX_CACHED_CONTENTS = 4
 NO_UPSTREAMS: Mapping[UpstreamId, Upstream] = MappingProxyType({})
-NOT_CURRENT_CODE = 4000  # WebSocket close code
+# WebSocket close codes
+NOT_CURRENT_CODE = 4000
+NOTHING_KNOWN_CODE = 4001
 
 
 class ContentCache:
@@ -233,13 +235,19 @@
                 if not writer.has_news:
                     await self._cluster_state.wait_for_change(self._hold_seconds())
                 if not self._is_recent:
-                    await connection.close(NOT_CURRENT_CODE, "has no recent state of the store")
+                    await connection.close(*self._close_reason())
                     return
                 update = writer.write(now() - received_at)
                 await connection.send(self._contents.encode(update, writer.last_steps))
         except ConnectionClosed as error:
             self._log.state_change("follower-gone", peer=_peer_host(connection), reason=error)
 
+    def _close_reason(self) -> tuple[int, str]:
+        """Return the code and the text for a follower that is sent no update."""
+        if self._cluster_state.catalog_index is None:
+            return NOTHING_KNOWN_CODE, "has not read the store yet"
+        return NOT_CURRENT_CODE, "has no recent state of the store"
+
     @property
     def _is_recent(self) -> bool:
         """Whether the state of this instance is recent enough to be sent."""
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -204,6 +204,7 @@
             self._notices.apply_leaving_hint,
             max_age,
             lambda block: self._part_guard.merge(block, "feed"),
+            lambda: self._presence.has_listed_keys,
         )
         source = FeedSource(peers, self.cluster_state, log, max_age)
         retries = StoreRetries(entry_id, self.cluster_state)
@@ -238,6 +239,7 @@
                     self._uses_feed,
                     retries.pause,
                     self._feed.record_own_read,
+                    self._feed.catch_up,
                 ),
                 UpstreamSync(
                     adapter.directory,
--- a/src/cactuspass/fleet/_sync.py
+++ b/src/cactuspass/fleet/_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from itertools import islice
 
 from cactuspass._clock import now
@@ -41,6 +41,10 @@
     return False
 
 
+async def return_at_once() -> None:
+    """Do nothing; the default of ``catch_up``."""
+
+
 class Dependency:
     """Logs when a dependency of this instance stops responding and when it responds again.
 
@@ -93,6 +97,8 @@
     :param retry_pause: returns the time in seconds before the next try after a failed one, from the
         shortest such time.
     :param on_read: called after each successful read.
+    :param catch_up: waits before a first catalog is put in force, since another instance may know
+        a later one than a restored store has.
     """
 
     def __init__(
@@ -103,8 +109,10 @@
         uses_feed: Callable[[], bool] = no_feed,
         retry_pause: Pause = same_pause,
         on_read: Callable[[], None] = lambda: None,
+        catch_up: Callable[[], Awaitable[None]] = return_at_once,
     ) -> None:
         super().__init__(log)
+        self._catch_up = catch_up
         self._on_read = on_read
         self._retry_pause = retry_pause
         self._uses_feed = uses_feed
@@ -135,6 +143,8 @@
         self._cluster_state.note_era(era_of(documents.revision))
         log_findings(self._log, documents.findings, self._seen_findings)
         if documents.catalog is not None:
+            if self._cluster_state.catalog_index is None:
+                await self._catch_up()
             self._cluster_state.accept_catalog(documents.catalog)
         if not documents.findings:
             self._cluster_state.record_operators_read(began)
--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -488,6 +488,7 @@
             lambda: None,
             log,
             max_age=MAX_AGE_SECONDS,
+            are_peers_known=lambda: presence.has_listed_keys,
         )
 
         def uses_feed() -> bool:
@@ -504,7 +505,15 @@
             retry_pause=retries.pause,
         )
         syncs = (
-            OperatorSync(directory, state, log, uses_feed, retries.pause, follower.record_own_read),
+            OperatorSync(
+                directory,
+                state,
+                log,
+                uses_feed,
+                retries.pause,
+                follower.record_own_read,
+                follower.catch_up,
+            ),
             UpstreamSync(
                 directory,
                 state,
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -88,7 +88,7 @@
             callers = "127.0.0.1:0"
             readiness = "127.0.0.1:0"
             metrics = "127.0.0.1:0"
-            peers = "127.0.0.1:0"
+            peers = "{self.peers_address()}"
             [store]
             address = "{self.store.address}"
         """
@@ -104,6 +104,10 @@
             ConnectionPool(),
         )
 
+    def peers_address(self) -> str:
+        """Return the address for other instances; by this one, nobody can follow an instance."""
+        return "127.0.0.1:0"
+
     def heads(self) -> list[ModelServerStandIn]:
         """Return the heads of open groups, which receive the requests."""
         return [server for server in self.servers if server.serves]
