End requests at their deadline though the event loop is busy

A stream of events without an id whose upstream never stopped did not end at its deadline, and a request whose deadline passed while the event loop was busy could last twice as long.

Cause: a timeout of a call that begins behind the deadline was taken for one that the event loop had missed, so the call was repeated and returned what had arrived, again and again; and a repeated call had all of its time once more.

--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -110,7 +110,7 @@
             if left <= 0:
                 raise DeadlinePassed
             try:
-                return await call_within(min(left, stall_timeout), call)
+                return await call_within(min(left, stall_timeout), call, self._seconds_left)
             except TimeoutError:
                 if self._attempts.could_retry_elsewhere(active.upstream):
                     raise AttemptFailed(Failure.STALLED) from None
@@ -122,7 +122,14 @@
 
         :raises DeadlinePassed: if the deadline has passed.
         """
+        left = self._attempts.seconds_left
+        if left <= 0:
+            # What has arrived already would be read without a turn for the timeout.
+            raise DeadlinePassed
         try:
-            return await call_within(self._attempts.seconds_left, call)
+            return await call_within(left, call, self._seconds_left)
         except TimeoutError:
             raise DeadlinePassed from None
+
+    def _seconds_left(self) -> float:
+        return self._attempts.seconds_left
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -10,7 +10,12 @@
 from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._events import EventSplitter
-from cactuspass.fleet._failures import AttemptFailed, Failure, NoUpstreamAvailable
+from cactuspass.fleet._failures import (
+    AttemptFailed,
+    DeadlinePassed,
+    Failure,
+    NoUpstreamAvailable,
+)
 from cactuspass.fleet._hedges import (
     Race,
     has_upstream_responded,
@@ -193,7 +198,10 @@
         while hedge_delay is not None and waited + hedge_delay < stall_timeout:
             since = now()
             try:
-                await call_within(min(hedge_delay, self._attempts.seconds_left), call)
+                left = self._attempts.seconds_left
+                if left <= 0:
+                    raise DeadlinePassed
+                await call_within(min(hedge_delay, left), call, self._seconds_left)
                 return None
             except TimeoutError:
                 waited += hedge_delay
