--- a/tests/test_fleet_shutdown.py
+++ b/tests/test_fleet_shutdown.py
@@ -35,6 +35,8 @@
 REST_DELAY_SECONDS = 0.1
 READ_BYTES = 65_536
 
+LAST_EXCUSED_SECONDS = 3.0  # between the signal and the beginning of a request
+
 
 class ShutdownCase(unittest.IsolatedAsyncioTestCase):
     """A listener whose upstream answers when it is released, and callers with plain sockets."""
@@ -434,5 +436,15 @@
         return [line for line in lines if line["event"] == event]
 
 
+class LastRequestsTest(unittest.TestCase):
+    """The time in a stop until which requests are taken."""
+
+    # Guards against a request that is taken so late that its cut at the end of the grace time has
+    # no excuse any more.
+    def test_requests_begin_while_their_cut_would_be_excused(self) -> None:
+        last = _instance.DRAIN_NOTICE_SECONDS + _caller_listener.LAST_REQUESTS_SECONDS
+        self.assertLess(last, LAST_EXCUSED_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
