Read and pass on large bodies in larger parts

An answer of 8 MB to a slow caller was cut at its deadline beside load: the bounded reads of 16 KiB made it slower than before (test_response_is_flushed_before_its_connection_is_closed).

Cause: each 16 KiB of a body cost a turn of the event loop for the read and one for the write.

Change: parts of plain answers have up to 64 KiB, and a read of a connection too, unless the one before had over 16 chunks. Streams and dense chunks keep 16 KiB.

--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -19,9 +19,11 @@
 
 MAX_BODY_BYTES = 1_048_576
 READ_AHEAD_BYTES = 65_536
-# Read from one connection before others have a turn; small, since the work for a byte is greatest
-# when each has a chunk of its own.
+# Read from one connection before others have a turn; less when the read before had many chunks,
+# each of which is work.
 RECEIVE_BYTES = 16_384
+LARGE_RECEIVE_BYTES = 65_536
+MAX_CHUNKS_BEFORE_LARGE_READ = 16
 # Returned from one body before other tasks have a turn.
 TURN_BYTES = 16_384
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
@@ -70,12 +72,13 @@
             await self._wait_for_update()
         return self._head
 
-    async def read_chunk(self) -> bytes:
+    async def read_chunk(self, max_bytes: int = TURN_BYTES) -> bytes:
         """Return the next part of the body, or empty bytes at its end.
 
-        A part has up to ``TURN_BYTES``, however the sender has divided the body into chunks. While
-        more of it has arrived, other tasks have a turn after as many bytes.
+        A part is what has arrived, however the sender has divided the body into chunks. While more
+        of it has arrived, other tasks have a turn after ``TURN_BYTES``.
 
+        :param max_bytes: largest size of the part.
         :raises AnswerCut: if the connection is lost before the end.
         """
         if self._bytes_in_turn >= TURN_BYTES:
@@ -87,8 +90,8 @@
             if self._error is not None:
                 raise AnswerCut(str(self._error)) from self._error
             await self._wait_for_update()
-        part = bytes(self._unread[:TURN_BYTES])
-        del self._unread[:TURN_BYTES]
+        part = bytes(self._unread[:max_bytes])
+        del self._unread[:max_bytes]
         self._bytes_in_turn += len(part)
         if len(self._unread) < READ_AHEAD_BYTES:
             self._connection.resume_reading()
@@ -171,12 +174,13 @@
     """A connection that carries one exchange at a time."""
 
     # Bytes are parsed as soon as they are received, so all connections share one buffer.
-    _received = bytearray(RECEIVE_BYTES)
+    _received = memoryview(bytearray(LARGE_RECEIVE_BYTES))
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._requires_id = False
+        self._chunks_of_read = MAX_CHUNKS_BEFORE_LARGE_READ + 1
         self._reset_parser()
         self.is_reusable = True
         self.idle_since = 0.0
@@ -199,13 +203,15 @@
         """Store the transport of the open connection."""
         self._transport = cast(asyncio.Transport, transport)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes."""
-        return self._received
+        is_large = self._chunks_of_read <= MAX_CHUNKS_BEFORE_LARGE_READ
+        return self._received[: LARGE_RECEIVE_BYTES if is_large else RECEIVE_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that the buffer has received."""
-        self.data_received(bytes(memoryview(self._received)[:nbytes]))
+        self._chunks_of_read = 0
+        self.data_received(bytes(self._received[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no exchange is in progress."""
@@ -295,6 +301,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange, or count it if the response is skipped."""
+        self._chunks_of_read += 1
         if self._skips_response:
             self._bounds.add_skipped(len(body))
         elif self._exchange is not None:
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -1,5 +1,7 @@
 """Relays responses that are not streams of events."""
 
+from functools import partial
+
 from cactuspass._clock import now
 from cactuspass.exceptions import AnswerCut, AnswerOversize
 from cactuspass.fleet._active_attempt import ActiveAttempt
@@ -11,6 +13,8 @@
 from cactuspass.fleet._relay import Relay
 
 MAX_BUFFERED_BYTES = 1_048_576
+# Of a body that is passed on; larger than that of a stream, whose events are work for each byte.
+PART_BYTES = 65_536
 MIN_STALL_TIMEOUT_SECONDS = 0.25
 STALL_TIMEOUT_LATENCY_FACTOR = 4.0
 
@@ -100,7 +104,7 @@
         """
         has_room = held.bytes <= MAX_BUFFERED_BYTES
         while has_room:
-            part = await active.exchange.read_chunk()
+            part = await active.exchange.read_chunk(PART_BYTES)
             if not part:
                 return True
             has_room = held.add(part) and held.bytes <= MAX_BUFFERED_BYTES
@@ -115,7 +119,8 @@
         for part in held.parts:
             await self._send_chunk(part)
         held.release()
-        while chunk := await self._receive_within_deadline(active.exchange.read_chunk):
+        read = partial(active.exchange.read_chunk, PART_BYTES)
+        while chunk := await self._receive_within_deadline(read):
             await self._send_chunk(chunk)
         await self._delivery.finish()
 
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -6,7 +6,7 @@
 
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._answer_head import AnswerHead, Header, IdCheck
-from cactuspass.fleet._connections import MAX_BODY_BYTES, Connection, Exchange
+from cactuspass.fleet._connections import MAX_BODY_BYTES, TURN_BYTES, Connection, Exchange
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 KEEP_ALIVE_TIMEOUT_SHARE = 0.7
@@ -166,12 +166,13 @@
         """
         return await self._exchange.read_head()
 
-    async def read_chunk(self) -> bytes:
+    async def read_chunk(self, max_bytes: int = TURN_BYTES) -> bytes:
         """Return the next part of the body, or empty bytes at its end.
 
+        :param max_bytes: largest size of the part.
         :raises AnswerCut: if the connection is lost before the end.
         """
-        chunk = await self._exchange.read_chunk()
+        chunk = await self._exchange.read_chunk(max_bytes)
         if not chunk:
             self._release_connection()
         return chunk
