--- a/src/cactuspass/fleet/_block_store.py
+++ b/src/cactuspass/fleet/_block_store.py
@@ -5,11 +5,11 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from hashlib import blake2b
 
 from pydantic import TypeAdapter, ValidationError
 
+from cactuspass._decoded_keys import DecodedKeys
 from cactuspass._findings import Finding, findings_from_error
 from cactuspass._platform import KeyValue, Write
 from cactuspass.exceptions import DocumentError, PlatformError
@@ -55,17 +55,6 @@
     return block
 
 
-@dataclass(frozen=True, slots=True)
-class _StoredBlock:
-    """A value of the store, as it was last read.
-
-    :param block: None if the value is unreadable.
-    """
-
-    revision: int
-    block: Block | None
-
-
 class BlockStore(RepeatingComponent):
     """Writes the changes that this instance makes, and reads those of others and of operators.
 
@@ -90,7 +79,7 @@
         self._is_leader = is_leader
         self._pending: OrderedDict[BlockKey, Block] = OrderedDict()
         self._wake = asyncio.Event()
-        self._stored_by_key: dict[str, _StoredBlock] = {}
+        self._stored = DecodedKeys(self._read)
 
     @property
     def has_pending(self) -> bool:
@@ -99,22 +88,16 @@
 
     def accept_keys(self, values_by_key: Mapping[str, KeyValue]) -> None:
         """Read the blocks among the keys of all instances; unchanged ones are skipped."""
-        values = {k: v for k, v in values_by_key.items() if k.startswith(BLOCKS_PREFIX)}
-        known = self._stored_by_key
-        self._stored_by_key = {
-            key: known[key]
-            if key in known and known[key].revision == value.mod_revision
-            else _StoredBlock(value.mod_revision, self._read(value))
-            for key, value in values.items()
-        }
+        self._stored.decode_all(
+            value for key, value in values_by_key.items() if key.startswith(BLOCKS_PREFIX)
+        )
         if self._is_leader():
             self._write_missing()
 
     def _write_missing(self) -> None:
         """Write the states that this instance knows and that the store does not have."""
         for block in self._known_blocks():
-            stored = self._stored_by_key.get(store_key(block.key))
-            if stored is None or block.supersedes(stored.block):
+            if block.supersedes(self._stored.get(store_key(block.key))):
                 self.write_later(block)
 
     def _read(self, stored: KeyValue) -> Block | None:
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -8,6 +8,7 @@
 
 from cactuspass._addresses import check_address
 from cactuspass._clock import now
+from cactuspass._decoded_keys import DecodedKeys
 from cactuspass._platform import KeyValue, LeaseId, Write
 from cactuspass._revisions import era_of, number_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
@@ -81,14 +82,6 @@
         return False
 
 
-@dataclass(frozen=True, slots=True)
-class _RegisteredPeer:
-    """An instance, as its key in the store was last read."""
-
-    revision: int
-    peer: Peer
-
-
 class Presence(RepeatingComponent):
     """Registers this instance, and acquires leadership when no other instance holds it.
 
@@ -135,7 +128,7 @@
         self._stopping = False
         self._key_watch = _KeyWatch(self._watch_once, log)
         self._keys: dict[str, KeyValue] = {}
-        self._registered_by_key: dict[str, _RegisteredPeer] = {}
+        self._peers = DecodedKeys(self._peer)
         self._keys_listed = False
         self._revision = 0
         self._wake = asyncio.Event()
@@ -351,17 +344,8 @@
         return Peer(name, data_centre, address if _is_reachable(address) else None)
 
     def _update_instances(self) -> None:
-        """Apply the keys of the instances; each revision of a key is decoded only once."""
-        known = self._registered_by_key
-        self._registered_by_key = {
-            key: known[key]
-            if key in known and known[key].revision == item.mod_revision
-            else _RegisteredPeer(item.mod_revision, self._peer(item))
-            for key, item in self._keys.items()
-            if key.startswith(INSTANCES_PREFIX)
-        }
-        registered = self._registered_by_key.values()
-        self._cluster_state.accept_peers(tuple(each.peer for each in registered))
+        registered = [v for key, v in self._keys.items() if key.startswith(INSTANCES_PREFIX)]
+        self._cluster_state.accept_peers(self._peers.decode_all(registered))
         leader = self._keys.get(LEADER_KEY)
         if self._term is None or leader is None:
             return
--- a/src/cactuspass/platform/_directory.py
+++ b/src/cactuspass/platform/_directory.py
@@ -1,8 +1,7 @@
 """Reads the operators' documents and the servers' registry entries from the metadata store."""
 
-from dataclasses import dataclass
-
 from cactuspass._clock import now
+from cactuspass._decoded_keys import DecodedKeys
 from cactuspass._findings import Finding
 from cactuspass._platform import KeyValue
 from cactuspass.exceptions import DocumentError
@@ -28,17 +27,6 @@
 from cactuspass.platform._server_entry import decode_entry
 
 
-@dataclass(frozen=True, slots=True)
-class _Entry:
-    """A registry entry, as it was last read.
-
-    :param upstream: None if the entry is invalid.
-    """
-
-    revision: int
-    upstream: Upstream | None
-
-
 class MetadataDirectory(Directory):
     """Reads documents from the metadata store and decodes each revision of a key only once.
 
@@ -50,9 +38,9 @@
     def __init__(self, store: SharedStore) -> None:
         self._store = store
         self._catalog: Catalog | None = None
-        self._config_revision = 0
-        self._config_findings: tuple[Finding, ...] = ()
-        self._entries_by_key: dict[str, _Entry] = {}
+        self._configs = DecodedKeys(self._decode_config)
+        self._upstreams = DecodedKeys(self._decode_entry)
+        self._new_findings: list[Finding] = []
 
     async def read_operators(self) -> OperatorDocuments:
         """Read the manifest and the evacuations with one read of the operators' keys.
@@ -62,24 +50,22 @@
         """
         snapshot = await self._store.read_prefix(OPERATORS_PREFIX)
         config = snapshot.values_by_key.get(CONFIG_KEY)
-        if config is not None and config.mod_revision != self._config_revision:
-            self._decode_config(config)
+        findings = self._configs.decode(config) if config is not None else ()
         zones = (
             key.removeprefix(EVACUATE_PREFIX)
             for key in snapshot.values_by_key
             if key.startswith(EVACUATE_PREFIX)
         )
         evacuations = Evacuations(frozenset(map(DataCentreId, zones)))
-        findings = self._config_findings if config is not None else ()
         return OperatorDocuments(self._catalog, evacuations, snapshot.revision, findings)
 
-    def _decode_config(self, config: KeyValue) -> None:
-        self._config_revision = config.mod_revision
+    def _decode_config(self, config: KeyValue) -> tuple[Finding, ...]:
+        """Decode the manifest if it is valid; return the mistakes in it."""
         try:
             self._catalog = decode_catalog(config.value or b"")
-            self._config_findings = ()
         except DocumentError as error:
-            self._config_findings = error.findings
+            return error.findings
+        return ()
 
     async def read_upstreams(self) -> UpstreamListing:
         """Read the registry entries of all servers.
@@ -89,8 +75,7 @@
         snapshot = await self._store.read_prefix(SERVERS_PREFIX)
         items = tuple(snapshot.values_by_key.values())
         upstreams, _, findings = self._decode(items)
-        for key in self._entries_by_key.keys() - snapshot.values_by_key.keys():
-            del self._entries_by_key[key]
+        self._upstreams.retain(snapshot.values_by_key.keys())
         return UpstreamListing(upstreams, snapshot.revision, findings)
 
     async def watch_upstreams(self, after_revision: int, wait: float) -> UpstreamChanges:
@@ -106,29 +91,25 @@
         """Return the upstreams, the ids of deleted or invalid entries, and the new mistakes."""
         upstreams: list[Upstream] = []
         removed: list[UpstreamId] = []
-        findings: list[Finding] = []
         for item in items:
-            server_id = item.key.removeprefix(SERVERS_PREFIX)
             if item.value is None:
-                self._entries_by_key.pop(item.key, None)
-                removed.append(UpstreamId(server_id))
-                continue
-            entry = self._entries_by_key.get(item.key)
-            if entry is None or entry.revision != item.mod_revision:
-                entry = _decode_entry(item, server_id, findings)
-                self._entries_by_key[item.key] = entry
-            if entry.upstream is not None:
-                upstreams.append(entry.upstream)
+                self._upstreams.remove(item.key)
+            upstream = self._upstreams.decode(item) if item.value is not None else None
+            if upstream is not None:
+                upstreams.append(upstream)
             else:
-                removed.append(UpstreamId(server_id))
-        return tuple(upstreams), tuple(removed), tuple(findings)
-
-
-def _decode_entry(item: KeyValue, server_id: str, findings: list[Finding]) -> _Entry:
-    """Return a registry entry; append its mistakes to the findings."""
-    try:
-        upstream = decode_entry(server_id, item.value or b"", now())
-    except DocumentError as error:
-        findings.extend(error.findings)
-        return _Entry(item.mod_revision, None)
-    return _Entry(item.mod_revision, upstream)
+                removed.append(_upstream_id(item))
+        findings, self._new_findings = tuple(self._new_findings), []
+        return tuple(upstreams), tuple(removed), findings
+
+    def _decode_entry(self, item: KeyValue) -> Upstream | None:
+        """Return the upstream that an entry describes; None if the entry is invalid."""
+        try:
+            return decode_entry(_upstream_id(item), item.value or b"", now())
+        except DocumentError as error:
+            self._new_findings.extend(error.findings)
+            return None
+
+
+def _upstream_id(item: KeyValue) -> UpstreamId:
+    return UpstreamId(item.key.removeprefix(SERVERS_PREFIX))
