Check the deadline of a read in one place, and state catching up once

Three calls each computed what is left until the deadline and checked it before a timeout; a method of the relay does it for all. Whether an instance still asks others for their manifest stood in two properties with the same conditions. The pattern of a status line stood in two modules. Bytes that a connection has received are parsed without a copy, and two comments say what holds now. Behaviour and tests are unchanged.

--- a/src/cactuspass/_status_lines.py
+++ b/src/cactuspass/_status_lines.py
@@ -7,7 +7,8 @@
 
 import re
 
-_STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5]\d\d")
+STATUS_LINE_PATTERN = r"HTTP/1\.[01] [1-5]\d\d"
+_STATUS_LINE = re.compile(STATUS_LINE_PATTERN)
 
 
 def has_status_line(text: str) -> bool:
--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -39,7 +39,7 @@
 IDLE_TIMEOUT_FACTOR = 1.25  # a caller may still send at the very end of the declared idle time
 CHECK_INTERVAL_SECONDS = 0.5
 # Time after the beginning of a drain in which requests may still begin. With the notice before it,
-# it ends 3 s after the signal: callers count the cut of a request that begins later as a loss.
+# it ends within 3 s of the signal: the cut of a request that begins later counts as a loss.
 LAST_REQUESTS_SECONDS = 0.3
 MAX_BODY_BYTES = 2**40  # effectively unlimited: _check_size applies the limit in the catalog
 STOPPING_PROBLEM = not_run_problem("stopping", "the instance is stopping", RETRY_AFTER_SECONDS)
--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -211,9 +211,9 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that the buffer has received."""
         self._chunks_of_read = 0
-        self.data_received(bytes(self._received[:nbytes]))
+        self.data_received(self._received[:nbytes])
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes; close the connection if no exchange is in progress."""
         if self._exchange is None:
             self.abort()
--- a/src/cactuspass/fleet/_events.py
+++ b/src/cactuspass/fleet/_events.py
@@ -2,6 +2,7 @@
 
 import re
 
+from cactuspass._status_lines import STATUS_LINE_PATTERN
 from cactuspass.exceptions import AnswerCut, AnswerOversize
 
 # The line of an event and the blank line behind it may end differently.
@@ -13,7 +14,7 @@
 _NO_EVENT_LINE = re.compile(rb"^(?::|retry:|\r?$)", re.MULTILINE)
 # Comments, retry times and blank lines, up to a blank line.
 _NO_EVENTS = re.compile(rb"(?>(?>(?::|retry:)[^\r\n]*+\r?\n)*+\r?\n)++")
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+_STATUS_LINE = re.compile(STATUS_LINE_PATTERN.encode())
 _HEADER = re.compile(rb"(?!(?:data|event|id|retry):)[A-Za-z0-9-]+:")
 
 
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -108,7 +108,7 @@
         self._source_was_behind = False
         self._failures_in_row = 0
         self._has_caught_up = False
-        self._catch_up_until = float("inf")
+        self._catch_up_until: float | None = None
         self._asked: set[EntryId] = set()
         self._ordered_peers: tuple[Peer, ...] = ()
         self._local_sources: list[Peer] = []
@@ -125,20 +125,27 @@
         That is so once one has sent an update, once those to follow have been asked in vain, or
         after ``CATCH_UP_SECONDS`` since the first call.
         """
-        self._catch_up_until = min(self._catch_up_until, now() + CATCH_UP_SECONDS)
+        if self._catch_up_until is None:
+            self._catch_up_until = now() + CATCH_UP_SECONDS
         while self._must_catch_up:
             await asyncio.sleep(CATCH_UP_POLL_SECONDS)
 
+    @property
+    def _is_catching_up(self) -> bool:
+        """Whether this instance still asks others for what they know."""
+        if self._has_caught_up or len(self._asked) >= MAX_CATCH_UP_FAILURES:
+            return False
+        until = self._startup_until if self._catch_up_until is None else self._catch_up_until
+        return now() < until
+
     @property
     def _must_catch_up(self) -> bool:
         """Whether another instance may know later documents, and may still be asked for them."""
-        if self._has_caught_up or now() >= self._catch_up_until:
-            return False
-        if not self._are_peers_known():
-            return True
-        if len(self._asked) >= MAX_CATCH_UP_FAILURES:
+        if not self._is_catching_up:
             return False
-        return any(source.instance not in self._asked for source in self._sources_to_ask())
+        return not self._are_peers_known() or any(
+            source.instance not in self._asked for source in self._sources_to_ask()
+        )
 
     def _sources_to_ask(self) -> list[Peer]:
         """Return the sources that this instance may follow after its start."""
@@ -261,15 +268,6 @@
         others = [reader for reader in readers if reader.instance != self._instance]
         return others if self._is_catching_up or self._do_own_reads_fail() else []
 
-    @property
-    def _is_catching_up(self) -> bool:
-        """Whether a reader still asks others for what they know."""
-        at = now()
-        if self._has_caught_up or len(self._asked) >= MAX_CATCH_UP_FAILURES:
-            return False
-        has_begun = self._catch_up_until != float("inf")
-        return at < self._catch_up_until if has_begun else at < self._startup_until
-
     def _update_order(self) -> None:
         """Choose the sources anew if the registered instances have changed."""
         peers = self._cluster_state.peers
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -125,9 +125,7 @@
         await self._delivery.finish()
 
     async def _send_chunk(self, chunk: bytes) -> None:
-        """Send a part of the body.
-
-        A late timeout of the read is excused, so the deadline is checked here as well.
+        """Send a part of the body, which has been read, perhaps some time ago.
 
         :raises DeadlinePassed: if the deadline of the request has passed.
         """
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -106,11 +106,8 @@
         :raises DeadlinePassed: if the deadline of the request has passed.
         """
         while True:
-            left = self._attempts.seconds_left
-            if left <= 0:
-                raise DeadlinePassed
             try:
-                return await call_within(min(left, stall_timeout), call, self._seconds_left)
+                return await self._call_within(stall_timeout, call)
             except TimeoutError:
                 if self._attempts.could_retry_elsewhere(active.upstream):
                     raise AttemptFailed(Failure.STALLED) from None
@@ -122,14 +119,21 @@
 
         :raises DeadlinePassed: if the deadline has passed.
         """
-        left = self._attempts.seconds_left
-        if left <= 0:
-            # What has arrived already would be read without a turn for the timeout.
-            raise DeadlinePassed
         try:
-            return await call_within(left, call, self._seconds_left)
+            return await self._call_within(float("inf"), call)
         except TimeoutError:
             raise DeadlinePassed from None
 
-    def _seconds_left(self) -> float:
-        return self._attempts.seconds_left
+    async def _call_within(self, seconds: float, call: Callable[[], Awaitable[T]]) -> T:
+        """Return the result of a call, with a timeout in seconds that ends at the deadline.
+
+        The deadline is checked first: what has arrived already would be read without a turn for
+        the timeout.
+
+        :raises TimeoutError: if the call does not finish in time.
+        :raises DeadlinePassed: if the deadline has passed before the call.
+        """
+        left = self._attempts.seconds_left
+        if left <= 0:
+            raise DeadlinePassed
+        return await call_within(min(seconds, left), call, lambda: self._attempts.seconds_left)
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -12,7 +12,6 @@
 from cactuspass.fleet._events import EventSplitter
 from cactuspass.fleet._failures import (
     AttemptFailed,
-    DeadlinePassed,
     Failure,
     NoUpstreamAvailable,
 )
@@ -24,7 +23,6 @@
 )
 from cactuspass.fleet._relay import Relay
 from cactuspass.fleet._stream_attempt import StreamAttempt
-from cactuspass.fleet._timeouts import call_within
 
 FIRST_EVENT_TIMEOUT_SECONDS = 0.7
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
@@ -198,10 +196,7 @@
         while hedge_delay is not None and waited + hedge_delay < stall_timeout:
             since = now()
             try:
-                left = self._attempts.seconds_left
-                if left <= 0:
-                    raise DeadlinePassed
-                await call_within(min(hedge_delay, left), call, self._seconds_left)
+                await self._call_within(hedge_delay, call)
                 return None
             except TimeoutError:
                 waited += hedge_delay
@@ -243,7 +238,8 @@
         if winner is None:
             return None
         self._record_resumption(Failure.STALLED.value)
-        await self._record_late_failure(race, attempt)
+        if race.has_late_failed:
+            await self._record_late_failure(race, attempt)
         return winner
 
     async def _start_replacement(self) -> StreamAttempt:
@@ -263,10 +259,9 @@
         raise AttemptFailed(failure)
 
     async def _record_late_failure(self, race: Race, late: StreamAttempt) -> None:
-        """Record that a late attempt has failed by itself, if it has."""
-        if race.has_late_failed:
-            with contextlib.suppress(AttemptFailed):
-                await self._receive_or_record_failure(late.active, race.late_outcome)
+        """Record that a late attempt has failed by itself."""
+        with contextlib.suppress(AttemptFailed):
+            await self._receive_or_record_failure(late.active, race.late_outcome)
 
     async def _pause_after(self, failure: Failure) -> None:
         """Let upstreams that are full finish other requests before the next attempt at a stream.
