Give the exchange a module of its own, and start scripted paths in one place

Tests that start scripted upstreams and a path to them share one method, which stood in four modules. Behaviour and assertions are unchanged.

--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -6,7 +6,8 @@
 
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._answer_head import AnswerHead, Header, IdCheck
-from cactuspass.fleet._connections import MAX_BODY_BYTES, TURN_BYTES, Connection, Exchange
+from cactuspass.fleet._connections import Connection
+from cactuspass.fleet._exchange import MAX_BODY_BYTES, TURN_BYTES, Exchange
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 KEEP_ALIVE_TIMEOUT_SHARE = 0.7
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -337,21 +337,32 @@
     return InboundRequest(**{**fields, **changes})  # type: ignore[arg-type]
 
 
-class PreferredOrderCase(unittest.IsolatedAsyncioTestCase):
-    """Base of tests that start upstreams, of which the first is strongly preferred.
+class ScriptedPathCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that start scripted upstreams.
 
     :cvar connect_timeout: connection timeout in seconds, for tests that do not test it.
     """
 
     connect_timeout = CONNECT_TIMEOUT_SECONDS
 
-    async def start(self, target_route: Route, *scripts: list[Script]) -> PathCase:
-        self.upstreams = [ScriptedUpstream(list(each)) for each in scripts]
+    async def start_path(self, target_route: Route, *scripts: Script | list[Script]) -> PathCase:
+        """Start an upstream for each script or list of scripts; return the path to them."""
+        self.upstreams = [
+            ScriptedUpstream(list(each) if isinstance(each, list) else [each]) for each in scripts
+        ]
         for upstream in self.upstreams:
             await upstream.start()
             self.addAsyncCleanup(upstream.stop)
         case = PathCase(target_route, self.upstreams, self.connect_timeout)
         self.addCleanup(case.pool.close)
+        return case
+
+
+class PreferredOrderCase(ScriptedPathCase):
+    """Base of tests that start upstreams, of which the first is strongly preferred."""
+
+    async def start(self, target_route: Route, *scripts: list[Script]) -> PathCase:
+        case = await self.start_path(target_route, *scripts)
         for later in list(case.cluster_state.view.upstreams_by_id)[1:]:
             case.loads.load(later).failure_share = HIGH_FAILURE_SHARE
         return case
--- a/tests/test_endless_answer_memory.py
+++ b/tests/test_endless_answer_memory.py
@@ -13,8 +13,7 @@
 from tests.fleet_path import (
     STAMP,
     MemoryDelivery,
-    PathCase,
-    ScriptedUpstream,
+    ScriptedPathCase,
     answer,
     events,
     request,
@@ -55,16 +54,14 @@
         await asyncio.sleep(SLOW_SECONDS)
 
 
-class PeakTest(unittest.IsolatedAsyncioTestCase):
-    """Many requests to an upstream whose answers have no end, beside a sound one."""
+class PeakTest(ScriptedPathCase):
+    """Many requests to an upstream whose answers have no end."""
+
+    connect_timeout = TIMEOUT_SECONDS
 
     async def peak_bytes(self, kind: RouteKind, sent: tuple[bytes, bytes]) -> int:
         """Return the peak memory of requests at the same time."""
-        upstream = ScriptedUpstream([endless(*sent)])
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
-        case = PathCase(route(kind, timeout=TIMEOUT_SECONDS), [upstream], TIMEOUT_SECONDS)
-        self.addCleanup(case.pool.close)
+        case = await self.start_path(route(kind, timeout=TIMEOUT_SECONDS), endless(*sent))
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         deliveries = [SlowDelivery() for _ in range(REQUESTS)]
@@ -108,7 +105,7 @@
         self.assertTrue(self.feed(begun + b"a:\r\n" * (MAX_HEADERS + 1)).was_aborted)
 
 
-class HeldAnswerTest(unittest.IsolatedAsyncioTestCase):
+class HeldAnswerTest(ScriptedPathCase):
     """What answers hold until they are complete."""
 
     def test_parts_beyond_the_limit_are_taken_but_end_the_holding(self) -> None:
@@ -125,11 +122,7 @@
     # Guards against whole answers that are lost since there is no room to hold them.
     async def test_answer_is_passed_on_whole_without_room_to_hold_it(self) -> None:
         body = events(range(1, 2000))
-        upstream = ScriptedUpstream([answer("200 OK", body, STAMP)])
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
-        case = PathCase(route(), [upstream])
-        self.addCleanup(case.pool.close)
+        case = await self.start_path(route(), answer("200 OK", body, STAMP))
         case.dispatcher._dependencies.answer_buffers = AnswerBuffers(max_bytes=0)
         got = await case.serve()
         self.assertEqual((got.status, got.body, got.is_complete), (200, body, True))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,8 +11,9 @@
 from cactuspass.exceptions import AnswerCut, AnswerOversize, RunOutcomeUnknown
 from cactuspass.fleet._answer_bounds import MAX_FRAMING_BYTES
 from cactuspass.fleet._catalog import RouteKind
-from cactuspass.fleet._connections import READ_AHEAD_BYTES, Connection, Exchange
+from cactuspass.fleet._connections import Connection
 from cactuspass.fleet._events import MAX_EVENT_BYTES
+from cactuspass.fleet._exchange import READ_AHEAD_BYTES, Exchange
 from cactuspass.fleet._loads import MAX_SUSPECT_SECONDS
 from cactuspass.fleet._plain_relay import MAX_BUFFERED_BYTES
 from tests.fleet_path import (
--- a/tests/test_event_loop_turns.py
+++ b/tests/test_event_loop_turns.py
@@ -9,12 +9,12 @@
 from cactuspass.fleet._connections import (
     LARGE_RECEIVE_BYTES,
     RECEIVE_BYTES,
-    TURN_BYTES,
     Connection,
 )
 from cactuspass.fleet._events import MAX_EVENT_BYTES, EventSplitter, NotAnEvent
+from cactuspass.fleet._exchange import TURN_BYTES
 from cactuspass.fleet._timeouts import call_within
-from tests.fleet_path import STAMP, MemoryDelivery, PathCase, Script, ScriptedUpstream, route
+from tests.fleet_path import STAMP, MemoryDelivery, PathCase, Script, ScriptedPathCase, route
 from tests.loop_hold import MAX_HOLD_SECONDS, LoopHold
 from tests.test_endless_answers import FakeTransport, endless
 
@@ -64,7 +64,7 @@
     return run
 
 
-class TurnCase(unittest.IsolatedAsyncioTestCase):
+class TurnCase(ScriptedPathCase):
     """Base of tests of several requests to one upstream at the same time."""
 
     async def start(
@@ -74,12 +74,7 @@
         timeout: float = TIMEOUT_SECONDS,
     ) -> PathCase:
         """Start an upstream, and return the request path to it."""
-        upstream = ScriptedUpstream([script])
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
-        case = PathCase(route(kind, timeout=timeout), [upstream])
-        self.addCleanup(case.pool.close)
-        return case
+        return await self.start_path(route(kind, timeout=timeout), script)
 
     async def check_turns(
         self, case: PathCase, timeout: float = TIMEOUT_SECONDS
--- a/tests/test_fleet_hedges.py
+++ b/tests/test_fleet_hedges.py
@@ -15,7 +15,7 @@
     MemoryDelivery,
     PathCase,
     Script,
-    ScriptedUpstream,
+    ScriptedPathCase,
     answer,
     events,
     request,
@@ -62,7 +62,7 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-class HedgeTest(unittest.IsolatedAsyncioTestCase):
+class HedgeTest(ScriptedPathCase):
     """Upstreams are given in the order of preference; a hedge is sent after 20 ms."""
 
     def setUp(self) -> None:
@@ -80,13 +80,7 @@
             self.addCleanup(patch.stop)
 
     async def case(self, *scripts: Script) -> PathCase:
-        self.upstreams = [ScriptedUpstream([script]) for script in scripts]
-        for upstream in self.upstreams:
-            await upstream.start()
-            self.addAsyncCleanup(upstream.stop)
-        case = PathCase(RESUMABLE, self.upstreams)
-        self.addCleanup(case.pool.close)
-        return case
+        return await self.start_path(RESUMABLE, *scripts)
 
     def arrivals(self) -> list[int]:
         return [len(upstream.requests) for upstream in self.upstreams]
--- a/tests/test_fleet_replacements.py
+++ b/tests/test_fleet_replacements.py
@@ -10,7 +10,7 @@
 from tests.fleet_path import (
     PathCase,
     Script,
-    ScriptedUpstream,
+    ScriptedPathCase,
     answer,
     events,
     route,
@@ -25,20 +25,18 @@
 WHOLE = events(range(1, 7))
 
 
-def pausing(started: asyncio.Event | None = None) -> Script:
+def pausing() -> Script:
     """Return a script of a stream that is silent in the middle for ``SILENT_SECONDS``."""
 
     async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
         resume = asyncio.Event()
         asyncio.get_running_loop().call_later(SILENT_SECONDS, resume.set)
-        if started is not None:
-            started.set()
         await stream_with_pause(events(range(1, 4)), resume, events(range(4, 7)))(writer, request)
 
     return run
 
 
-class ReplacementTest(unittest.IsolatedAsyncioTestCase):
+class ReplacementTest(ScriptedPathCase):
     """Upstreams are given in the order of preference; a stream counts as silent after 50 ms."""
 
     def setUp(self) -> None:
@@ -48,15 +46,7 @@
             self.addCleanup(patch.stop)
 
     async def case(self, *scripts: Script | list[Script]) -> PathCase:
-        self.upstreams = [
-            ScriptedUpstream(each if isinstance(each, list) else [each]) for each in scripts
-        ]
-        for upstream in self.upstreams:
-            await upstream.start()
-            self.addAsyncCleanup(upstream.stop)
-        case = PathCase(RESUMABLE, self.upstreams)
-        self.addCleanup(case.pool.close)
-        return case
+        return await self.start_path(RESUMABLE, *scripts)
 
     # Guards against a stream that is cut since the upstreams that should go on with it are full,
     # though its own upstream was only silent.
