Log how long after the signal a stop begins

Cause: the lines of a stop give the state of the callers' connections, but not when the signal had come; the log cannot tell a stop that is handled late from one that is not.

Change: the stop signals are received by a signal handler of the process, which notes the time, and not by a callback of the event loop, which runs after all that were ready before it. The line 'stopping' has since_signal, the seconds between the two. Decisions are as before.

--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -9,6 +9,7 @@
 from cactuspass._application import Application
 from cactuspass._clock import now
 from cactuspass._component import Component
+from cactuspass._stop_signal import StopSignal
 from cactuspass.exceptions import SettingsError
 from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._attempts import RequestDependencies
@@ -272,17 +273,19 @@
             store=self._settings.store.address,
         )
 
-    async def drain(self) -> None:
+    async def drain(self, signalled_at: float | None = None) -> None:
         """Report not ready, give up leadership and wait for running requests to finish.
 
         Open connections stay usable until the load balancer has noticed that the instance is not
         ready. Idle connections are then closed. A request that may not be finished in the rest of
         the grace time is refused at once.
+
+        :param signalled_at: clock value at which the stop was requested; None for now.
         """
         self._stopping = True
         began = now()
         grace = self._settings.bounds.grace_seconds
-        self._log_connections("stopping")
+        self._log_connections("stopping", since_signal=began - (signalled_at or began))
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
         ends_at = began + grace - margin
         self._caller_listener.begin_stop(ends_at)
@@ -324,23 +327,24 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT; on SIGHUP, read the settings again."""
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
-        while not stop.is_set():
-            try:
-                async with asyncio.timeout(HOUSEKEEPING_INTERVAL_SECONDS):
-                    await stop.wait()
-            except TimeoutError:
-                self._loads.remove_idle(now())
-                self._backoff.remove_expired(now())
-                self._upstream_limits.remove_expired()
-                self._log_store_calls()
-        await self.drain()
-        await self.stop()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
+        with StopSignal() as stop_signal:
+            await self.start()
+            while not stop_signal.is_received:
+                try:
+                    async with asyncio.timeout(HOUSEKEEPING_INTERVAL_SECONDS):
+                        await stop_signal.wait()
+                except TimeoutError:
+                    self._remove_expired()
+            await self.drain(await stop_signal.wait())
+            await self.stop()
+
+    def _remove_expired(self) -> None:
+        """Remove the state of what has not been used for long, and log the calls to the store."""
+        self._loads.remove_idle(now())
+        self._backoff.remove_expired(now())
+        self._upstream_limits.remove_expired()
+        self._log_store_calls()
 
     def reload(self) -> None:
         """Read the settings again and log whether they are valid and have changed.
