Show that a stop counts from the handling of its signal, not from its arrival

What callers see: a stream that is sent later than 3 s after SIGTERM is taken and begins, and is cut at the end of the grace time, which has no excuse that late.

--- a/tests/test_fleet_stop_steps.py
+++ b/tests/test_fleet_stop_steps.py
@@ -110,8 +110,8 @@
         self.assertEqual(listening, [False])
 
 
-class SignalTest(StopStepCase):
-    """Signals to the process of an instance, which is the process of the test."""
+class SignalCase(StopStepCase):
+    """An instance whose process, that of the test, gets signals."""
 
     async def run_instance(self) -> asyncio.Task[None]:
         """Run an instance as its process does, once its signals are handled."""
@@ -128,6 +128,10 @@
         await until(lambda: len(self.instance.serving_groups()) == 2)
         return running
 
+
+class SignalTest(SignalCase):
+    """Signals to the process of an instance."""
+
     async def finish_request(self, caller: socket.socket, running: asyncio.Task[None]) -> None:
         """Send the rest of a request after the notice; check that it is served before the end."""
         [handler] = self.log_handlers
--- /dev/null
+++ b/tests/test_late_stop_signal.py
@@ -0,0 +1,118 @@
+"""Stops of an instance whose event loop is busy, so that it handles the stop signal late."""
+
+import asyncio
+import os
+import signal
+import socket
+import time
+from unittest import mock
+
+from cactuspass._application import Application
+from cactuspass._clock import now
+from cactuspass.fleet import _caller_listener, _instance
+from tests.test_fleet_instance import until
+from tests.test_fleet_shutdown import READ_BYTES, STREAM_REQUEST
+from tests.test_fleet_stop_steps import SignalCase
+
+NOTICE_SECONDS = 0.7
+LAST_REQUESTS_SECONDS = 0.3
+HOLD_SECONDS = 0.6
+# Between the last moment at which requests may begin and that of a late one.
+MARGIN_SECONDS = 0.15
+
+
+class LateSignalCase(SignalCase):
+    """An instance that runs as its process does, and a caller whose connection is open already."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for module, name, seconds in (
+            (_instance, "DRAIN_NOTICE_SECONDS", NOTICE_SECONDS),
+            (_caller_listener, "LAST_REQUESTS_SECONDS", LAST_REQUESTS_SECONDS),
+        ):
+            patch = mock.patch.object(module, name, seconds)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def send_at(self, at: float) -> socket.socket:
+        """Open a connection while the instance listens, and send a request at a clock value."""
+        await asyncio.sleep(at - 2 * LAST_REQUESTS_SECONDS - now())
+        caller = socket.create_connection(self.instance.caller_address)
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        await asyncio.sleep(at - now())
+        caller.send(STREAM_REQUEST)
+        return caller
+
+    async def receive_all(self, caller: socket.socket) -> bytes:
+        """Return all that a caller receives until its connection ends."""
+        loop = asyncio.get_running_loop()
+        received = b""
+        while part := await loop.sock_recv(caller, READ_BYTES):
+            received += part
+        return received
+
+    def assert_not_run(self, received: bytes) -> None:
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        self.assertIn(b'"not-run"', received)
+
+
+class LateSignalTest(LateSignalCase):
+    """Requests that begin after the time for it, counted from the arrival of the signal."""
+
+    # Guards against the fault that the time of a stop counts from the handling of the signal: a
+    # request that begins too late is taken, and cut at the end of the grace time without excuse.
+    async def test_request_that_begins_late_is_refused_though_the_event_loop_was_held(self) -> None:
+        running = await self.run_until_serving()
+        signalled_at = now()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(HOLD_SECONDS)
+        late = signalled_at + NOTICE_SECONDS + LAST_REQUESTS_SECONDS + MARGIN_SECONDS
+        caller = await self.send_at(late)
+        self.assert_not_run(await self.receive_all(caller))
+        await running
+
+    # The same where the event loop is held at the end of the notice.
+    async def test_request_that_begins_late_is_refused_though_the_notice_ended_late(self) -> None:
+        running = await self.run_until_serving()
+        signalled_at = now()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await until(lambda: self.instance._stopping)
+        late = signalled_at + NOTICE_SECONDS + LAST_REQUESTS_SECONDS + MARGIN_SECONDS
+        caller = socket.create_connection(self.instance.caller_address)
+        self.addCleanup(caller.close)
+        await until(lambda: self.instance._caller_listener.connection_counts().idle == 1)
+        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
+        time.sleep(late - now())
+        caller.send(STREAM_REQUEST)
+        caller.setblocking(False)
+        self.assert_not_run(await self.receive_all(caller))
+        await running
+
+    # The same where the signal comes while the instance starts.
+    async def test_request_that_begins_late_is_refused_though_the_start_took_long(self) -> None:
+        signalled = asyncio.Event()
+        may_start = asyncio.Event()
+        start = Application.start
+
+        async def start_later(application: Application) -> None:
+            await start(application)
+            os.kill(os.getpid(), signal.SIGTERM)
+            signalled.set()
+            await may_start.wait()
+
+        with mock.patch.object(Application, "start", start_later):
+            running = await self.run_instance()
+            await signalled.wait()
+            signalled_at = now()
+            await until(lambda: len(self.instance.serving_groups()) == 2)
+            late = signalled_at + NOTICE_SECONDS + LAST_REQUESTS_SECONDS + MARGIN_SECONDS
+            await asyncio.sleep(late - now())
+            may_start.set()
+            await until(lambda: bool(self.instance.caller_address[1]))
+            caller = socket.create_connection(self.instance.caller_address)
+            self.addCleanup(caller.close)
+            caller.setblocking(False)
+            caller.send(STREAM_REQUEST)
+            self.assert_not_run(await self.receive_all(caller))
+            await running
