Refuse late requests by the earliest moment at which the stop signal may have been sent

What callers saw: as before, a stream sent later than 3 s after SIGTERM could be taken, where the process got no processor time when the signal was sent: then the signal handler itself is late.

Change: the event loop notes ten times a second that no signal has come. The signal was sent after the last such turn, so that the time for last requests counts from there; the notice and the end of all requests count from the receipt, as before. 'stopping' states the uncertainty.

Evidence: test_request_that_begins_late_is_refused_though_the_process_did_not_run failed before (the request was served) and passes now; 46 tests of stops and signals pass.

--- a/src/cactuspass/_stop_signal.py
+++ b/src/cactuspass/_stop_signal.py
@@ -3,12 +3,26 @@
 import asyncio
 import signal
 from collections.abc import Callable
+from dataclasses import dataclass
 from types import FrameType, TracebackType
 from typing import Any
 
 from cactuspass._clock import now
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+TURN_INTERVAL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class SignalTime:
+    """When a signal was sent, as far as its receiver can know.
+
+    :param earliest: clock value at which the signal had not been sent yet.
+    :param received: clock value at which the signal was received.
+    """
+
+    earliest: float
+    received: float
 
 
 class StopSignal:
@@ -16,20 +30,24 @@
 
     The time is taken in the signal handler, which runs between two steps of any task. Callbacks of
     the event loop run only after all that were ready before, which takes long in a busy process,
-    while the time that the process has for its stop is already running.
+    while the time that the process has for its stop is already running. The handler itself is late
+    if the process gets no processor time; it was sent after the last turn of the event loop at
+    which it had not been received.
 
     :param clock: returns the time in seconds; called in the signal handler.
-    :ivar received_at: clock value at which the first signal was received; None before.
     """
 
     def __init__(self, clock: Callable[[], float] = now) -> None:
-        self.received_at: float | None = None
+        self._time: SignalTime | None = None
         self._clock = clock
         self._received = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._previous_by_signal: dict[signal.Signals, Any] = {}
+        self._last_turn_at = clock()
+        self._next_turn: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> "StopSignal":
+        self._note_turn()
         for number in STOP_SIGNALS:
             self._previous_by_signal[number] = signal.signal(number, self._handle)
         return self
@@ -42,19 +60,25 @@
     ) -> None:
         for number, previous in self._previous_by_signal.items():
             signal.signal(number, previous)
+        if self._next_turn is not None:
+            self._next_turn.cancel()
 
     @property
     def is_received(self) -> bool:
         """Whether a signal was received."""
-        return self.received_at is not None
+        return self._time is not None
 
-    async def wait(self) -> float:
-        """Wait for the first signal; return the clock value at which it was received."""
+    async def wait(self) -> SignalTime:
+        """Wait for the first signal; return when it was sent and received."""
         await self._received.wait()
-        assert self.received_at is not None
-        return self.received_at
+        assert self._time is not None
+        return self._time
 
     def _handle(self, number: int, frame: FrameType | None) -> None:
-        if self.received_at is None:
-            self.received_at = self._clock()
+        if self._time is None:
+            self._time = SignalTime(self._last_turn_at, self._clock())
         self._loop.call_soon_threadsafe(self._received.set)
+
+    def _note_turn(self) -> None:
+        self._last_turn_at = self._clock()
+        self._next_turn = self._loop.call_later(TURN_INTERVAL_SECONDS, self._note_turn)
--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -228,8 +228,8 @@
     def begin_stop(self, notice_end: float, ends_at: float) -> None:
         """Refuse requests that begin too late, or may not be finished when all are ended.
 
-        :param notice_end: clock value at which ``drain`` should be called; a busy process calls it
-            later, but does not take requests for longer.
+        :param notice_end: clock value at which the notice of the stop ends; a busy process may call
+            ``drain`` later, but does not take requests for longer.
         :param ends_at: clock value at which ``end_requests`` should be called.
         """
         self._refuse_from = notice_end + LAST_REQUESTS_SECONDS
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -9,7 +9,7 @@
 from cactuspass._application import Application
 from cactuspass._clock import now
 from cactuspass._component import Component
-from cactuspass._stop_signal import StopSignal
+from cactuspass._stop_signal import SignalTime, StopSignal
 from cactuspass.exceptions import SettingsError
 from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._attempts import RequestDependencies
@@ -273,31 +273,37 @@
             store=self._settings.store.address,
         )
 
-    async def drain(self, signalled_at: float | None = None) -> None:
+    async def drain(self, signal_time: SignalTime | None = None) -> None:
         """Report not ready, give up leadership and wait for running requests to finish.
 
         Open connections stay usable until the load balancer has noticed that the instance is not
         ready. Idle connections are then closed. A request that may not be finished in the rest of
         the grace time is refused at once.
 
-        All bounds count from the signal, as the platform's grace time does.
+        All bounds count from the signal, as the platform's grace time does. Requests that begin
+        late are refused by the earliest moment at which it may have been sent.
 
-        :param signalled_at: clock value at which the stop was requested; None for now.
+        :param signal_time: when the stop was requested; None for now.
         """
         self._stopping = True
-        began = now() if signalled_at is None else signalled_at
+        signal_time = signal_time or SignalTime(now(), now())
         grace = self._settings.bounds.grace_seconds
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
-        ends_at = began + grace - margin
-        notice_end = began + min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
-        self._caller_listener.begin_stop(notice_end, ends_at)
-        self._log_connections("stopping", since_signal=now() - began)
+        ends_at = signal_time.received + grace - margin
+        notice_seconds = min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
+        notice_end = signal_time.received + notice_seconds
+        self._caller_listener.begin_stop(signal_time.earliest + notice_seconds, ends_at)
+        self._log_connections(
+            "stopping",
+            since_signal=now() - signal_time.received,
+            signal_uncertainty=signal_time.received - signal_time.earliest,
+        )
         await self._give_up_leadership(notice_end)
         await asyncio.sleep(max(0.0, notice_end - now()))
         self._log_connections("callers-draining")
         self._caller_listener.drain()
         await self._caller_listener.wait_until_drained(ends_at)
-        self._log_connections("callers-drained", waited=now() - began)
+        self._log_connections("callers-drained", waited=now() - signal_time.received)
         await self._caller_listener.end_requests()
 
     async def _give_up_leadership(self, until: float) -> None:
--- a/tests/test_late_stop_signal.py
+++ b/tests/test_late_stop_signal.py
@@ -74,6 +74,22 @@
         self.assert_not_run(await self.receive_all(caller))
         await running
 
+    # The same where the process gets no processor time when the signal is sent; a blocked signal is
+    # received as late.
+    async def test_request_that_begins_late_is_refused_though_the_process_did_not_run(self) -> None:
+        running = await self.run_until_serving()
+        signalled_at = now()
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(HOLD_SECONDS)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
+        caller = self.connect()
+        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
+        caller.send(STREAM_REQUEST)
+        self.assert_not_run(await self.receive_all(caller))
+        await running
+
     # The same where the event loop is held at the end of the notice.
     async def test_request_that_begins_late_is_refused_though_the_notice_ended_late(self) -> None:
         running = await self.run_until_serving()
