Count the drain time of an entry from its stop signal

Change: the daemon notes the signal in its handler too, and the bound of requests and the end of the wait for them count from there. The notice to other entries still lasts its whole time from the handling, since they learn of the stop only then.

Evidence: test_drain_time_counts_from_the_signal_though_the_event_loop_was_held failed before (0.60 s late) and passes now.

--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -147,16 +147,19 @@
             peers=self.network.port,
         )
 
-    async def drain(self) -> None:
-        """Leave the service: report not ready, hand over the seats and finish running requests."""
+    async def drain(self, signalled_at: float | None = None) -> None:
+        """Leave the service: report not ready, hand over the seats and finish running requests.
+
+        :param signalled_at: clock value at which the stop was requested; None for now.
+        """
         self.tables.local.draining = True
-        drain_seconds = self.settings.limits.drain_seconds
-        self._caller_api.begin_stop(clock.now() + DRAIN_NOTICE_DELAY_SECONDS + drain_seconds)
+        began = clock.now() if signalled_at is None else signalled_at
+        until = began + DRAIN_NOTICE_DELAY_SECONDS + self.settings.limits.drain_seconds
+        self._caller_api.begin_stop(until)
         self.network.broadcast_heartbeat()
         self._log.info("draining")
         await asyncio.sleep(DRAIN_NOTICE_DELAY_SECONDS)
-        until = clock.now() + drain_seconds
-        await self._application.drain(drain_seconds)
+        await self._application.drain(max(0.0, until - clock.now()))
         while self.gateway.running_requests and clock.now() < until:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
 
--- a/src/cactuspass/_stop_signal.py
+++ b/src/cactuspass/_stop_signal.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
 from dataclasses import dataclass
 from types import FrameType, TracebackType
 from typing import Any
@@ -33,17 +32,14 @@
     while the time that the process has for its stop is already running. The handler itself is late
     if the process gets no processor time; it was sent after the last turn of the event loop at
     which it had not been received.
-
-    :param clock: returns the time in seconds; called in the signal handler.
     """
 
-    def __init__(self, clock: Callable[[], float] = now) -> None:
+    def __init__(self) -> None:
         self._time: SignalTime | None = None
-        self._clock = clock
         self._received = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._previous_by_signal: dict[signal.Signals, Any] = {}
-        self._last_turn_at = clock()
+        self._last_turn_at = now()
         self._next_turn: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> "StopSignal":
@@ -76,9 +72,9 @@
 
     def _handle(self, number: int, frame: FrameType | None) -> None:
         if self._time is None:
-            self._time = SignalTime(self._last_turn_at, self._clock())
+            self._time = SignalTime(self._last_turn_at, now())
         self._loop.call_soon_threadsafe(self._received.set)
 
     def _note_turn(self) -> None:
-        self._last_turn_at = self._clock()
+        self._last_turn_at = now()
         self._next_turn = self._loop.call_later(TURN_INTERVAL_SECONDS, self._note_turn)
--- a/src/cactuspass/daemon.py
+++ b/src/cactuspass/daemon.py
@@ -1,7 +1,6 @@
 """The entry daemon."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -9,6 +8,7 @@
 
 from cactuspass._entry import Entry
 from cactuspass._logs import StateLog
+from cactuspass._stop_signal import StopSignal
 from cactuspass.exceptions import SettingsError
 from cactuspass.settings import Settings, load_settings
 
@@ -19,15 +19,12 @@
 
 async def run_entry(settings: Settings, log: StateLog) -> None:
     """Run an entry until SIGTERM or SIGINT, then drain and stop it."""
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    entry = Entry(settings, log)
-    await entry.start()
-    await stopping.wait()
-    await entry.drain()
-    await entry.stop()
+    with StopSignal() as stop_signal:
+        entry = Entry(settings, log)
+        await entry.start()
+        signal_time = await stop_signal.wait()
+        await entry.drain(signal_time.received)
+        await entry.stop()
 
 
 def run(settings: str, check: bool = False) -> int:
--- a/tests/test_listeners_at_shutdown.py
+++ b/tests/test_listeners_at_shutdown.py
@@ -6,16 +6,20 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
+import time
 import unittest
 from typing import Any
 from unittest import mock
 
-from cactuspass import _caller_connections, _entry
+from cactuspass import _caller_connections, _entry, daemon
 from cactuspass._application import Application
 from cactuspass._byte_queue import ByteQueue
 from cactuspass._caller_requests import RequestDefaults, RequestReader
 from cactuspass._callers import CallerServer, CallerSettings
+from cactuspass._clock import now
 from cactuspass._entry import Entry
 from cactuspass._entry_callers import EntryCallers
 from cactuspass._messages import RefusalReason
@@ -38,6 +42,7 @@
 ).encode() + COMMAND_BODY
 READ_BYTES = 65_536
 TIMEOUT_SECONDS = 5.0
+HOLD_SECONDS = 0.6
 REST_DELAY_SECONDS = 0.1
 
 
@@ -244,20 +249,44 @@
 class DrainTimeTest(unittest.IsolatedAsyncioTestCase):
     """The longest time that an entry waits for running requests."""
 
-    # Guards against a request that keeps the process from ending after ``drain_seconds``.
-    async def test_request_that_does_not_end_is_abandoned_after_the_drain_time(self) -> None:
+    def build_entry(self, running_requests: int) -> Entry:
+        """Return an entry without components, whose drain time is 0.1 s."""
         entry = Entry.__new__(Entry)
         entry.tables = mock.Mock()
         entry.network = mock.Mock()
         entry.settings = mock.Mock(limits=mock.Mock(drain_seconds=0.1))
-        entry.gateway = mock.Mock(running_requests=1)
+        entry.gateway = mock.Mock(running_requests=running_requests)
         entry._caller_api = mock.Mock()
         entry._log = mock.Mock()
         entry._application = Application(())
+        return entry
+
+    # Guards against a request that keeps the process from ending after ``drain_seconds``.
+    async def test_request_that_does_not_end_is_abandoned_after_the_drain_time(self) -> None:
+        entry = self.build_entry(running_requests=1)
         with mock.patch.object(_entry, "DRAIN_NOTICE_DELAY_SECONDS", 0.0):
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 await entry.drain()
 
+    # Guards against the fault that the time of a stop counts from the handling of its signal, so
+    # that the process still serves when its supervisor ends it.
+    async def test_drain_time_counts_from_the_signal_though_the_event_loop_was_held(self) -> None:
+        entry = self.build_entry(running_requests=0)
+        entry.start = mock.AsyncMock()  # type: ignore[method-assign]
+        entry.stop = mock.AsyncMock()  # type: ignore[method-assign]
+        with (
+            mock.patch.object(_entry, "DRAIN_NOTICE_DELAY_SECONDS", 0.0),
+            mock.patch.object(daemon, "Entry", return_value=entry),
+        ):
+            running = asyncio.create_task(daemon.run_entry(mock.Mock(), mock.Mock()))
+            await asyncio.sleep(0.05)
+            signalled_at = now()
+            os.kill(os.getpid(), signal.SIGTERM)
+            time.sleep(HOLD_SECONDS)
+            await running
+        [ends_at] = entry._caller_api.begin_stop.call_args.args  # type: ignore[attr-defined]
+        self.assertAlmostEqual(ends_at, signalled_at + 0.1, delta=HOLD_SECONDS / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
