Write the last log lines when a process ends before its reader has taken them

Lines that the pipe of the output had no room for were kept for the next line and lost when the process ended, so that the last lines of a stop, which name the requests that it cuts, could be missing. They are written at exit now, for up to 0.3 s.

The time is spent only while lines are left.

--- a/src/cactuspass/fleet/_decision_log.py
+++ b/src/cactuspass/fleet/_decision_log.py
@@ -1,7 +1,9 @@
 """Structured log of decisions and state changes, rate-limited and non-blocking."""
 
+import atexit
 import json
 import os
+import select
 import sys
 import time
 from collections import Counter, deque
@@ -17,6 +19,8 @@
 OTHER_LINES_PER_SECOND = 40.0
 BURST_LINES = 300.0
 BUFFER_LINES = 2000
+# Time at the end of the process for a slow reader to take the lines that are left.
+FLUSH_AT_EXIT_SECONDS = 0.3
 LOGGER_NAME = "cactuspass.decisions"
 
 
@@ -60,6 +64,19 @@
                 return
             self._pending.popleft()
 
+    def flush_within(self, seconds: float) -> None:
+        """Write the buffered lines, and wait for the reader.
+
+        :param seconds: time after which lines that are left are given up.
+        """
+        until = now() + seconds
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        self.flush()
+        while self._pending and (left := until - now()) > 0:
+            poll.poll(left * 1000)
+            self.flush()
+
 
 class DecisionLog:
     """Writes one JSON line for each decision about a request, state change and order.
@@ -73,7 +90,7 @@
 
     def __init__(self, instance: str, handler: logbook.Handler | None = None) -> None:
         self._instance = instance
-        self._handler = handler or NonBlockingHandler(sys.stdout.fileno())
+        self._handler = handler or _open_standard_output()
         self._logger = logbook.Logger(LOGGER_NAME)
         self._logger.handlers.append(self._handler)
         at = now()
@@ -123,6 +140,12 @@
         self._logger.info(json.dumps(line))
 
 
+def _open_standard_output() -> NonBlockingHandler:
+    handler = NonBlockingHandler(sys.stdout.fileno())
+    atexit.register(handler.flush_within, FLUSH_AT_EXIT_SECONDS)
+    return handler
+
+
 def _to_json(value: Any) -> Any:
     """Return a value that JSON can represent; floats are rounded to 4 decimal places."""
     if isinstance(value, float):
