Let the line of a cut answer say when in a stop it came, where and after what

A cut line gave the reason and the number of sends. It did not tell a cut at the end of a stop from one of a silent upstream, and the lines of attempts, up to several for each cut, could use up its rate limit. Requests whose connection a listener closes, or that a fault of the program ends, had no line with their id.

Lines of answers that end early have a rate limit of their own, and state the phase of the stop, the seconds since its signal, the upstream, its silence, what was passed on, what time is left and why nothing else was possible. Requests whose connection is closed in a stop, and those that a fault ends, get such a line.

--- a/src/cactuspass/fleet/_active_attempt.py
+++ b/src/cactuspass/fleet/_active_attempt.py
@@ -1,7 +1,8 @@
 """An attempt of a request that is in progress at one upstream."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from cactuspass._clock import now
 from cactuspass.fleet._backoff import TrialRequest
 from cactuspass.fleet._pool import PooledExchange
 from cactuspass.fleet._upstreams import Upstream
@@ -13,6 +14,7 @@
 
     :param head_at: clock value at which the head of an answer arrived; None if none has.
     :param has_begun: whether a part of the body has arrived.
+    :param heard_at: clock value at which the request was sent or a part of its answer last arrived.
     :param is_recalled: whether this instance has cancelled the attempt.
     """
 
@@ -22,6 +24,7 @@
     trial: TrialRequest | None = None
     head_at: float | None = None
     has_begun: bool = False
+    heard_at: float = field(default_factory=now)
     is_recalled: bool = False
     is_closed: bool = False
 
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -10,6 +10,7 @@
 from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_buffers import AnswerBuffers
 from cactuspass.fleet._answer_head import AnswerHead
+from cactuspass.fleet._answer_progress import AnswerProgress, RetryObstacle
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Customer, Route
 from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
@@ -92,6 +93,7 @@
     sends: int = 0
     possible_run_count: int = 0
     last_failure: Failure | None = None
+    progress: AnswerProgress = field(default_factory=AnswerProgress)
 
     @property
     def may_have_run(self) -> bool:
@@ -226,6 +228,7 @@
         Call this as soon as the head is received, since it may ask to send no further requests.
         """
         active.head_at = now()
+        self.note_heard(active)
         notes = self.dependencies.request_format.read_answer(head)
         self.dependencies.notices.apply(
             active.upstream, notes, self.request.request_id, active.sent_at
@@ -236,6 +239,10 @@
             self.dependencies.loads.record_report(active.upstream.upstream_id, notes.load, now())
         return notes
 
+    def note_heard(self, active: ActiveAttempt) -> None:
+        """Record that a part of an answer has arrived."""
+        active.heard_at = now()
+
     def check_refusal(self, head: AnswerHead) -> None:
         """Check that a refusal does not let the caller take a request for not run that has run.
 
@@ -308,13 +315,8 @@
         :param response_started: whether a part of the response was sent to the caller, who gets an
             incomplete response without a retry.
         """
-        if self.guarded.find_block() is not None:
-            return False
-        max_sends = MAX_SENDS_AFTER_RESPONSE_START if response_started else MAX_SENDS
-        if self.sends >= max_sends or self.seconds_left < MIN_SECONDS_LEFT:
-            return False
-        is_limit_reached = self._is_upstream_limit_reached()
-        if not failure.is_known_not_run and (is_limit_reached or not self.route.repeatable):
+        self.progress.obstacle = self._find_obstacle(failure, response_started)
+        if self.progress.obstacle is not None:
             return False
         if failure.is_unsent:
             return True
@@ -323,11 +325,27 @@
         if failure is Failure.RECALLED:
             retry_budget.count_retry(now())
         elif not retry_budget.try_spend(now(), self.dependencies.instance_count(), reserved_share):
+            self.progress.obstacle = RetryObstacle.NO_BUDGET_LEFT
             self.dependencies.log.request("no-repeat-left", self.request.request_id)
             return False
         self.dependencies.metrics.retries.labels(failure.value).inc()
         return True
 
+    def _find_obstacle(self, failure: Failure, response_started: bool) -> RetryObstacle | None:
+        """Return why the request may not be sent again, whatever is left of the retry budget."""
+        if self.guarded.find_block() is not None:
+            return RetryObstacle.PART_BLOCKED
+        max_sends = MAX_SENDS_AFTER_RESPONSE_START if response_started else MAX_SENDS
+        if self.sends >= max_sends:
+            return RetryObstacle.NO_SENDS_LEFT
+        if self.seconds_left < MIN_SECONDS_LEFT:
+            return RetryObstacle.NO_TIME_LEFT
+        if failure.is_known_not_run:
+            return None
+        if not self.route.repeatable:
+            return RetryObstacle.MAY_RUN_ONCE
+        return RetryObstacle.UPSTREAM_COUNT if self._is_upstream_limit_reached() else None
+
     def note_unresponsive(self, upstream: Upstream) -> None:
         """Send no new requests to an unresponsive upstream for a while; this attempt continues."""
         pause = self.dependencies.loads.mark_suspect(upstream.upstream_id, now())
--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -33,6 +33,7 @@
     not_run_problem,
     unknown_outcome_problem,
 )
+from cactuspass.fleet._stop_progress import StopPhase
 from cactuspass.models import RequestId
 
 MAX_LENGTH_DIGITS = 18  # more are beyond any limit
@@ -222,15 +223,17 @@
         if self._check_task is not None:
             self._check_task.cancel()
         self._server.stop()
+        self._dispatcher.stop_progress.enter(StopPhase.CLOSING)
         self._refuse_partial_requests()
         await self._server.close_all_connections()
 
-    def begin_stop(self, ends_at: float) -> None:
+    def begin_stop(self, ends_at: float, signalled_at: float | None = None) -> None:
         """Refuse requests that may not be finished when ``end_requests`` is called.
 
         :param ends_at: clock value of that call.
+        :param signalled_at: clock value at which the signal came; None for now.
         """
-        self._dispatcher.begin_stop(ends_at)
+        self._dispatcher.begin_stop(ends_at, signalled_at)
 
     def drain(self) -> None:
         """Stop listening, and close each connection once no request is on it.
@@ -238,6 +241,7 @@
         A request that comes too late to be finished is refused.
         """
         self._server.drain()
+        self._dispatcher.stop_progress.enter(StopPhase.DRAINING)
         self._refuse_from = now() + LAST_REQUESTS_SECONDS
 
     def is_late(self, stream: CallerStream) -> bool:
--- a/src/cactuspass/fleet/_decision_log.py
+++ b/src/cactuspass/fleet/_decision_log.py
@@ -17,11 +17,14 @@
 REQUEST_LINES_PER_SECOND = 60.0
 # State changes and orders have a limit of their own, which refused requests cannot use up.
 OTHER_LINES_PER_SECOND = 40.0
+# So do answers that end early, which the lines of their attempts come before.
+ENDING_LINES_PER_SECOND = 20.0
 BURST_LINES = 300.0
 BUFFER_LINES = 2000
 # Time at the end of the process for a slow reader to take the lines that are left.
 FLUSH_AT_EXIT_SECONDS = 0.3
 LOGGER_NAME = "cactuspass.decisions"
+ENDING = "ending"
 
 
 class NonBlockingHandler(logbook.Handler):  # type: ignore[misc]
@@ -95,23 +98,28 @@
         self._logger.handlers.append(self._handler)
         at = now()
         other_limit = TokenBucket(OTHER_LINES_PER_SECOND, BURST_LINES, at)
-        self._rate_limits_by_kind = {
+        self._rate_limits_by_share = {
             "request": TokenBucket(REQUEST_LINES_PER_SECOND, BURST_LINES, at),
+            ENDING: TokenBucket(ENDING_LINES_PER_SECOND, BURST_LINES, at),
             "belief": other_limit,
             "order": other_limit,
         }
-        self.dropped_by_kind: Counter[str] = Counter()
+        self.dropped_by_share: Counter[str] = Counter()
 
     @property
     def dropped(self) -> int:
         """Number of lines dropped so far by the rate limits and by the handler."""
         dropped_by_handler = getattr(self._handler, "dropped", 0)
-        return sum(self.dropped_by_kind.values()) + int(dropped_by_handler)
+        return sum(self.dropped_by_share.values()) + int(dropped_by_handler)
 
     def request(self, event: str, request_id: str, **fields: Any) -> None:
         """Log a decision about one request."""
         self._write("request", event, {"request": request_id, **fields})
 
+    def ending(self, event: str, request_id: str, **fields: Any) -> None:
+        """Log that a caller has got a part of an answer at most, or had its connection closed."""
+        self._write("request", event, {"request": request_id, **fields}, ENDING)
+
     def state_change(self, event: str, **fields: Any) -> None:
         """Log a change in this instance's view of the cluster."""
         self._write("belief", event, fields)
@@ -128,11 +136,18 @@
         """Log a condition that needs an operator's attention."""
         self._write("alarm", event, fields)
 
-    def _write(self, kind: str, event: str, fields: dict[str, Any]) -> None:
+    def _write(
+        self, kind: str, event: str, fields: dict[str, Any], share: str | None = None
+    ) -> None:
+        """Write a line, unless its share of the lines is used up.
+
+        :param share: whose rate limit applies; None for that of the kind.
+        """
+        share = share or kind
         at = now()
-        rate_limit = self._rate_limits_by_kind.get(kind)
+        rate_limit = self._rate_limits_by_share.get(share)
         if rate_limit is not None and not rate_limit.try_consume(at):
-            self.dropped_by_kind[kind] += 1
+            self.dropped_by_share[share] += 1
             return
         line: dict[str, Any] = {"time": round(time.time(), 3), "at": round(at, 3)}
         line |= {"instance": self._instance, "kind": kind, "event": event}
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -1,8 +1,11 @@
 """Serves one request: admits it, runs it, and sends the response or the problem."""
 
+import asyncio
 import contextlib
 import random
 
+from tornado.iostream import StreamClosedError
+
 from cactuspass._clock import now
 from cactuspass._problems import Problem
 from cactuspass._running_requests import RunningRequests, ShutdownReached
@@ -26,6 +29,7 @@
     unknown_outcome_problem,
 )
 from cactuspass.fleet._return_schedule import ReturnSchedule
+from cactuspass.fleet._stop_progress import StopPhase, StopProgress
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
 
@@ -46,7 +50,10 @@
 
 
 class Dispatcher:
-    """Serves requests, and logs those that end without a complete response."""
+    """Serves requests, and logs those that end without a complete response.
+
+    :ivar stop_progress: how far the stop of the instance has come.
+    """
 
     def __init__(
         self,
@@ -58,6 +65,7 @@
     ) -> None:
         self._request_activity = request_activity
         self._running_requests = RunningRequests()
+        self.stop_progress = StopProgress()
         self._dependencies = dependencies
         self._cluster_state = cluster_state
         self._admission = admission
@@ -114,6 +122,13 @@
         except RequestError as error:
             await self._report_failure(attempts, delivery, error)
             return
+        except (asyncio.CancelledError, StreamClosedError) as error:
+            if self.stop_progress.has_begun:
+                self._log_ending("connection-closed", attempts, error)
+            raise
+        except Exception as error:
+            self._log_ending("internal-error", attempts, error)
+            raise
         self._dependencies.metrics.requests.labels(kind.value, "served").inc()
 
     async def _check_parts(self, attempts: Attempts) -> None:
@@ -126,11 +141,13 @@
         if block is not None:
             raise NotAdmitted(blocked_problem(block), block)
 
-    def begin_stop(self, ends_at: float) -> None:
+    def begin_stop(self, ends_at: float, signalled_at: float | None = None) -> None:
         """Refuse requests from now on that may not be finished when the requests are ended.
 
         :param ends_at: clock value at which ``end_requests`` will be called.
+        :param signalled_at: clock value at which the signal came; None for now.
         """
+        self.stop_progress.begin(signalled_at)
         self._ends_at = ends_at
 
     def _is_too_late(self, attempts: Attempts) -> bool:
@@ -145,6 +162,7 @@
 
     def end_requests(self) -> None:
         """End the running requests with a problem, or visibly cut if the response has begun."""
+        self.stop_progress.enter(StopPhase.ENDING)
         self._running_requests.end()
 
     def _create_attempts(self, request: InboundRequest, admitted: AdmittedRequest) -> Attempts:
@@ -184,7 +202,7 @@
         kind = attempts.route.kind.value
         if delivery.head_sent:
             self._dependencies.metrics.requests.labels(kind, "cut").inc()
-            self._log_outcome("cut", attempts, error)
+            self._log_ending("cut", attempts, error)
             delivery.abort()
             return
         if (
@@ -248,28 +266,37 @@
         return estimate * (1 + RETRY_JITTER * self._rng.random())
 
     def _log_outcome(self, event: str, attempts: Attempts, error: RequestError) -> None:
+        fields = self._outcome_fields(attempts, error)
+        self._dependencies.log.request(event, attempts.request.request_id, **fields)
+
+    def _log_ending(self, event: str, attempts: Attempts, error: BaseException) -> None:
+        """Log the end of a request whose caller has got a part of an answer at most."""
+        fields = self._outcome_fields(attempts, error)
+        self._dependencies.log.ending(event, attempts.request.request_id, **fields)
+
+    def _outcome_fields(self, attempts: Attempts, error: BaseException) -> dict[str, object]:
         failure = attempts.last_failure
         found = error.no_upstream if isinstance(error, NoUpstreamAvailable) else None
-        self._dependencies.log.request(
-            event,
-            attempts.request.request_id,
-            route=attempts.route.name,
-            service=attempts.service,
-            model=attempts.request.model,
-            reason=str(error) or type(error).__name__,
-            last_failure=failure.value if failure is not None else None,
-            offers=found.serving_count if found is not None else None,
-            wait=found.wait if found is not None else None,
-            acceptable_wait=attempts.max_wait if found is not None else None,
-            sends=attempts.sends,
-            may_have_run=attempts.may_have_run,
-            waited=now() - attempts.request.arrived_at,
-            catalog=self._cluster_state.catalog_index.catalog.version
-            if self._cluster_state.catalog_index
-            else None,
-            operators_age=self._cluster_state.operators_age(),
+        index = self._cluster_state.catalog_index
+        return {
+            "route": attempts.route.name,
+            "service": attempts.service,
+            "model": attempts.request.model,
+            "reason": str(error) or type(error).__name__,
+            "last_failure": failure.value if failure is not None else None,
+            "offers": found.serving_count if found is not None else None,
+            "wait": found.wait if found is not None else None,
+            "acceptable_wait": attempts.max_wait if found is not None else None,
+            "sends": attempts.sends,
+            "may_have_run": attempts.may_have_run,
+            "waited": now() - attempts.request.arrived_at,
+            "seconds_left": attempts.seconds_left,
+            "catalog": index.catalog.version if index is not None else None,
+            "operators_age": self._cluster_state.operators_age(),
+            **attempts.progress.log_fields(),
+            **self.stop_progress.log_fields(),
             **_block_fields(attempts.guarded.find_block()),
-        )
+        }
 
     async def _refuse(
         self,
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -50,7 +50,7 @@
                     raise
 
     async def _attempt(self, selection: Selection) -> None:
-        active = await self._send(selection)
+        self._attempts.progress.attempt = active = await self._send(selection)
         held = HeldAnswer(self._attempts.dependencies.answer_buffers)
         try:
             await self._receive_or_record_failure(active, lambda: self._relay(active, held))
@@ -105,6 +105,7 @@
         has_room = held.bytes <= MAX_BUFFERED_BYTES
         while has_room:
             part = await active.exchange.read_chunk(PART_BYTES)
+            self._attempts.note_heard(active)
             if not part:
                 return True
             has_room = held.add(part) and held.bytes <= MAX_BUFFERED_BYTES
@@ -121,6 +122,7 @@
         held.release()
         read = partial(active.exchange.read_chunk, PART_BYTES)
         while chunk := await self._receive_within_deadline(read):
+            self._attempts.note_heard(active)
             await self._send_chunk(chunk)
         await self._delivery.finish()
 
@@ -131,4 +133,5 @@
         """
         if self._attempts.seconds_left <= 0:
             raise DeadlinePassed
+        self._attempts.progress.passed_bytes += len(chunk)
         await self._delivery.send_chunk(chunk)
--- a/src/cactuspass/fleet/_stream_attempt.py
+++ b/src/cactuspass/fleet/_stream_attempt.py
@@ -77,6 +77,7 @@
         self.request_attempts.dependencies.loads.note_response(
             self.active.upstream.upstream_id, now()
         )
+        self.request_attempts.note_heard(self.active)
         if chunk:
             self.events += self.splitter.feed(chunk)
             if self.splitter.has_event:
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -6,6 +6,7 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet._answer_head import AnswerHead
+from cactuspass.fleet._answer_progress import RetryObstacle
 from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._choices import Selection
 from cactuspass.fleet._delivery import Delivery
@@ -88,6 +89,7 @@
             if isinstance(found, Selection):
                 return found
             if now() >= wait_until or self._attempts.seconds_left <= 0:
+                self._attempts.progress.obstacle = found.reason
                 raise NoUpstreamAvailable(found)
             await asyncio.sleep(RESUME_POLL_SECONDS)
 
@@ -115,6 +117,7 @@
 
     async def _relay_and_close(self, attempt: StreamAttempt) -> StreamAttempt | None:
         try:
+            self._attempts.progress.attempt = attempt.active
             return await self._receive_or_record_failure(
                 attempt.active, lambda: self._relay_events(attempt)
             )
@@ -170,6 +173,11 @@
         if events := attempt.pop_events():
             self._last_id = attempt.splitter.last_id
             self._can_resume = attempt.splitter.last_event_has_id
+            progress = self._attempts.progress
+            progress.last_event = self._last_id
+            progress.passed_bytes += len(events)
+            if not self._can_resume:
+                progress.obstacle = RetryObstacle.NO_EVENT_IDS
             await self._delivery.send_chunk(events)
         return not attempt.has_ended
 
--- a/tests/test_fleet_decision_log.py
+++ b/tests/test_fleet_decision_log.py
@@ -41,6 +41,21 @@
         self.log.state_change("lead-taken")
         self.assertEqual(self.logged_kinds()[-1], "belief")
 
+    # Guards against a cut answer that no line names, since the lines of attempts came before it.
+    def test_attempts_do_not_use_up_the_limit_of_answers_that_end(self) -> None:
+        for number in range(int(BURST_LINES) * 2):
+            self.log.request("attempt-failed", f"q{number}")
+        self.log.ending("cut", "q-cut")
+        last = json.loads(self.handler.lines[-1])
+        self.assertEqual(
+            (last["event"], last["request"], last["kind"]), ("cut", "q-cut", "request")
+        )
+
+    def test_answers_that_end_are_limited_too(self) -> None:
+        for number in range(int(BURST_LINES) + 1):
+            self.log.ending("cut", f"q{number}")
+        self.assertEqual((len(self.logged_kinds()), self.log.dropped), (BURST_LINES, 1))
+
     def test_alarms_are_always_written(self) -> None:
         for _ in range(int(BURST_LINES) + 1):
             self.log.alarm("catalog-older")
