Report how many upstreams of a service are silent at the same time

When all upstreams stand still, callers at every instance get late or cut answers, and the log had only lines of single requests. One line a second at most for each service now gives the number of upstreams that are silent, of those at which requests run.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -31,6 +31,7 @@
 from cactuspass.fleet._prompt_parts import BrokenAttempt
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._send_permit import SendPermit
+from cactuspass.fleet._silence_report import SilenceReport
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
@@ -64,6 +65,11 @@
     part_guard: PartGuard
     limit_waits: LimitWaits
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
+    silences: SilenceReport = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create what is built from the other components."""
+        self.silences = SilenceReport(self.loads, self.log)
 
 
 @dataclass(slots=True)
@@ -171,6 +177,7 @@
         if not permit.acquire(at):
             raise SendWithdrawn(f"{upstream.upstream_id} is at its limit")
         self.dependencies.loads.record_send(upstream.upstream_id, at)
+        self.dependencies.silences.note_sent(upstream)
         self.dependencies.selector.count_sent(upstream, at)
         trial = self.dependencies.selector.backoff.begin_trial(upstream.lifetime)
         try:
@@ -242,6 +249,7 @@
     def note_heard(self, active: ActiveAttempt) -> None:
         """Record that a part of an answer has arrived."""
         active.heard_at = now()
+        self.dependencies.loads.note_heard(active.upstream.upstream_id, active.heard_at)
 
     def check_refusal(self, head: AnswerHead) -> None:
         """Check that a refusal does not let the caller take a request for not run that has run.
@@ -357,6 +365,7 @@
             avoided_for=pause,
             seconds_left=self.seconds_left,
         )
+        self.dependencies.silences.report(upstream.service, now())
 
     def note_stalled(self, upstream: Upstream) -> None:
         """Exclude an unresponsive upstream from further attempts; this attempt continues."""
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -273,6 +273,7 @@
         """Log the end of a request whose caller has got a part of an answer at most."""
         fields = self._outcome_fields(attempts, error)
         self._dependencies.log.ending(event, attempts.request.request_id, **fields)
+        self._dependencies.silences.report(attempts.service, now())
 
     def _outcome_fields(self, attempts: Attempts, error: BaseException) -> dict[str, object]:
         failure = attempts.last_failure
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -24,7 +24,9 @@
     :param consecutive_failures: failures since the last success.
     :param latency: smoothed time in seconds to the first byte of a response body.
     :param failure_share: smoothed share of failed responses, between 0 and 1.
-    :param last_response_at: clock value at which a part of a response last arrived.
+    :param last_response_at: clock value at which a part of a stream last arrived.
+    :param heard_at: clock value at which a part of any response last arrived, or the first of the
+        requests that run was sent.
     """
 
     in_flight: int = 0
@@ -36,6 +38,7 @@
     failure_share: float = 0.0
     last_used_at: float = 0.0
     last_response_at: float = float("-inf")
+    heard_at: float = float("-inf")
 
     def estimate(self, at: float, assumed: float = 0.0) -> float:
         """Return the estimated number of requests at the upstream, from all instances.
@@ -67,6 +70,8 @@
     def record_send(self, upstream_id: UpstreamId, at: float) -> None:
         """Count a request sent to an upstream."""
         load = self.load(upstream_id)
+        if load.in_flight == 0:
+            load.heard_at = at
         load.in_flight += 1
         load.reported += 1
         load.last_used_at = at
@@ -103,6 +108,19 @@
         """Record that a part of a response has arrived from an upstream."""
         self.load(upstream_id).last_response_at = at
 
+    def note_heard(self, upstream_id: UpstreamId, at: float) -> None:
+        """Record that a part of any response has arrived, for reports of silence only."""
+        self.load(upstream_id).heard_at = at
+
+    def is_used(self, upstream_id: UpstreamId) -> bool:
+        """Return whether requests of this instance run at an upstream."""
+        load = self.loads_by_id.get(upstream_id)
+        return load is not None and load.in_flight > 0
+
+    def silence(self, upstream_id: UpstreamId, at: float) -> float:
+        """Return the seconds since an upstream at which requests run last sent anything."""
+        return at - self.load(upstream_id).heard_at
+
     def suspect_by_hint(self, upstream_id: UpstreamId, at: float) -> bool:
         """Mark an upstream as suspect that another instance reports as unresponsive.
 
--- a/tests/test_request_endings.py
+++ b/tests/test_request_endings.py
@@ -7,11 +7,21 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import RouteKind
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._silence_report import (
+    REPORT_INTERVAL_SECONDS,
+    SILENT_SECONDS,
+    SilenceReport,
+)
+from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from tests.fleet_path import (
+    HERE,
+    SERVICE,
     MemoryDelivery,
     PathCase,
     ScriptedPathCase,
     events,
+    recording_log,
     request,
     route,
     stream,
@@ -21,6 +31,7 @@
 
 STREAM = route(RouteKind.STREAM, resumable=True, timeout=3.0)
 SECONDS_SINCE_SIGNAL = 1.0
+START = 1024.0
 
 
 def find_lines(lines: list[str], event: str) -> list[dict[str, object]]:
@@ -124,5 +135,44 @@
         self.assertEqual((line["stop_phase"], line["upstream"]), ("closing", "u0"))
 
 
+class SilenceReportTest(unittest.TestCase):
+    """Three upstreams of a service at which requests run."""
+
+    def setUp(self) -> None:
+        self.log, self.handler = recording_log()
+        self.loads = LoadTable()
+        self.report = SilenceReport(self.loads, self.log)
+        self.ids = [UpstreamId(f"u{number}") for number in range(3)]
+        for upstream_id in self.ids:
+            self.loads.record_send(upstream_id, START)
+            self.report.note_sent(Upstream(upstream_id, SERVICE, "a:1", HERE))
+
+    def counts(self) -> list[tuple[object, object]]:
+        lines = find_lines(self.handler.lines, "upstreams-silent")
+        return [(line["silent"], line["of"]) for line in lines]
+
+    # Guards against a pause of all upstreams that is seen only as many lines of single requests.
+    def test_silent_upstreams_are_counted(self) -> None:
+        at = START + SILENT_SECONDS + 0.1
+        self.loads.note_heard(self.ids[0], at)
+        self.report.report(SERVICE, at)
+        self.assertEqual(self.counts(), [(2, 3)])
+
+    def test_upstreams_without_requests_are_left_out(self) -> None:
+        self.loads.record_end(self.ids[0])
+        self.report.report(SERVICE, START + SILENT_SECONDS + 0.1)
+        self.assertEqual(self.counts(), [(2, 2)])
+
+    def test_there_is_one_line_a_second_at_most(self) -> None:
+        at = START + SILENT_SECONDS + 0.1
+        for delay in (0.0, REPORT_INTERVAL_SECONDS / 2, REPORT_INTERVAL_SECONDS):
+            self.report.report(SERVICE, at + delay)
+        self.assertEqual(self.counts(), [(3, 3), (3, 3)])
+
+    def test_upstreams_that_send_give_no_line(self) -> None:
+        self.report.report(SERVICE, START + SILENT_SECONDS / 2)
+        self.assertEqual(self.counts(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
