Add a test of a request whose last byte comes too late in a stop, which fails

The time up to which a stop takes requests is compared with the first byte of each.

Measured: the caller gets a 200 with three events, and then the end of the connection.

--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -7,7 +7,9 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet import Instance
+from cactuspass.fleet._caller_listener import LAST_REQUESTS_SECONDS
 from cactuspass.fleet._catalog import RouteKind
+from cactuspass.fleet._dispatch import USUAL_SECONDS
 from tests.fleet_path import STAMP, PathCase, answer, events, route, stream
 from tests.test_fleet_instance import InstanceCase, until
 from tests.test_fleet_shutdown import (
@@ -87,6 +89,35 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 200 OK"), received)
 
 
+class SlowBodyTest(ShutdownCase):
+    """Requests that begin in time, and whose last byte comes after the time for requests."""
+
+    # Guards against a request that is taken too late, since its head came in time, and then cut.
+    async def test_request_whose_body_ends_too_late_is_refused(self) -> None:
+        self.upstream.scripts = [stream(events(range(1, 4)), end=False)]
+        case = PathCase(
+            route(RouteKind.STREAM, timeout=ROUTE_SECONDS, resumable=True),
+            [self.upstream],
+            TIMEOUT_SECONDS,
+        )
+        self.addCleanup(case.pool.close)
+        self.listener._dispatcher = case.dispatcher
+        caller = await self.connect_and_begin()
+        caller.send(REQUEST[:-1])
+        self.is_closing = True
+        ends_at = now() + USUAL_SECONDS + 3 * LAST_REQUESTS_SECONDS
+        self.listener.begin_stop(ends_at)
+        self.listener.drain()
+        receiving = asyncio.create_task(self.receive(caller))
+        await asyncio.sleep(2 * LAST_REQUESTS_SECONDS)
+        caller.send(REQUEST[-1:])
+        await self.listener.wait_until_drained(ends_at)
+        await self.listener.end_requests()
+        received = await receiving
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        self.assertEqual(self.upstream.requests, [])
+
+
 class ShortGraceTest(InstanceCase):
     """Whole instances with short grace times, and streams that do not end."""
 
