--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -292,7 +292,9 @@
         ends_at = signal_time.received + grace - margin
         notice_seconds = min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
         notice_end = signal_time.received + notice_seconds
-        self._caller_listener.begin_stop(signal_time.earliest + notice_seconds, ends_at)
+        self._caller_listener.begin_stop(
+            signal_time.earliest + notice_seconds, ends_at, signal_time.received
+        )
         self._log_connections(
             "stopping",
             since_signal=now() - signal_time.received,
