Hold the last byte of a request against the time for last requests in a stop

What callers saw: a stream whose head came in time, and whose body ended later, was sent to an upstream and cut at the end of the stop.

Cause: only the first byte of a request was compared with the moment from which requests are refused.

Change: a request is judged when it is complete, so that all of it was sent before that moment.

--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -57,7 +57,6 @@
         self._chunks: list[bytes] = []
         self._body_bytes = 0
         self._arrived_at = 0.0
-        self._is_late = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -74,8 +73,6 @@
         self._line = start_line
         self._headers = headers
         self._arrived_at = now()
-        stream = self._connection.stream
-        self._is_late = isinstance(stream, CallerStream) and self._listener.is_late(stream)
         length = headers.get("Content-Length", "0")
         if length.isascii() and length.isdigit():
             self._check_size(int(length[:MAX_LENGTH_DIGITS]))
@@ -117,7 +114,7 @@
         """Serve the request, which is complete now."""
         assert isinstance(self._connection, HTTP1Connection)
         self._connection.set_close_callback(self._cancel)
-        self._task = asyncio.create_task(self._serve())
+        self._task = asyncio.create_task(self._serve(self._listener.is_late()))
         self._listener.track(self._task)
 
     def on_connection_close(self) -> None:
@@ -128,7 +125,7 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _serve(self) -> None:
+    async def _serve(self, is_late: bool) -> None:
         assert self._line is not None
         delivery = ConnectionDelivery(
             self._connection, self._line, self._headers, self._listener.is_closing
@@ -141,7 +138,7 @@
                 b"".join(self._chunks),
                 self._arrived_at,
                 delivery,
-                self._is_late,
+                is_late,
             )
         except StreamClosedError:
             # The caller has disconnected; the attempts have ended while this error propagated.
@@ -249,9 +246,9 @@
         self._dispatcher.stop_progress.enter(StopPhase.DRAINING)
         self._refuse_from = min(self._refuse_from, now() + LAST_REQUESTS_SECONDS)
 
-    def is_late(self, stream: CallerStream) -> bool:
-        """Return whether the current request of a connection began too late in a stop."""
-        return stream.first_byte_at is not None and stream.first_byte_at > self._refuse_from
+    def is_late(self) -> bool:
+        """Return whether a request that is complete now comes too late in a stop."""
+        return now() > self._refuse_from
 
     async def wait_until_drained(self, until: float) -> None:
         """Wait until each request that has been received has its whole response.
