--- a/tests/model_servers.py
+++ b/tests/model_servers.py
@@ -109,6 +109,9 @@
         """Whether this server heads an open group; only heads receive the order to open."""
         return self._group is not None and self._group["state"] == "open"
 
+    async def wait_until_running(self) -> None:
+        """Wait while the whole server stands still, if it can."""
+
     async def execute(self, order: dict[str, Any]) -> int:
         """Execute an order and return the HTTP status."""
         self.orders.append(order)
@@ -189,14 +192,16 @@
 
     async def post(self) -> None:
         """Execute an order."""
+        await self.server.wait_until_running()
         self.set_status(await self.server.execute(json.loads(self.request.body)))
 
 
 class ReportHandler(ServerHandler):
     """Handles requests for the report."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Send the report."""
+        await self.server.wait_until_running()
         self.finish(json.dumps(self.server.report()))
 
 
