Record what callers saw in the soak of groups, and choose its faults

A kept run had no moments of its signals, so that the logs of instances could not be set beside them. The faults of servers are now all, planned or none.

--- a/tests/soak/group_servers.py
+++ b/tests/soak/group_servers.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -42,6 +43,14 @@
 TICK_SECONDS = 0.02
 
 
+class FaultSet(Enum):
+    """Which faults of servers are injected."""
+
+    ALL = "all"
+    PLANNED = "planned"  # those that leave the rule on losses in force: no deaths, no freezes
+    NONE = "none"
+
+
 def manifest(version: int) -> dict[str, object]:
     """Return the manifest; the objectives of its routes depend on the version."""
     goal_ms = 300 + 100 * (version % 3)
@@ -397,12 +406,12 @@
 class ServerPark:
     """The store, the model servers and the plain servers, and the faults that befall them.
 
-    :param unplanned: whether servers also die and freeze.
+    :param faults: which faults are injected.
     """
 
-    def __init__(self, seed: int, log: ServerLog, unplanned: bool) -> None:
+    def __init__(self, seed: int, log: ServerLog, faults: FaultSet) -> None:
         self._rng = random.Random(seed)
-        self._unplanned = unplanned
+        self._faults = faults
         self.log = log
         self.store = MetadataStoreStandIn()
         self.by_id: dict[str, WorkingServer] = {}
@@ -430,7 +439,7 @@
     async def inject_faults(self) -> None:
         """Start series of faults one after the other, which may overlap."""
         running: set[asyncio.Task[None]] = set()
-        while True:
+        while self._faults is not FaultSet.NONE:
             task = asyncio.create_task(self._inject_series())
             running.add(task)
             task.add_done_callback(running.discard)
@@ -443,7 +452,7 @@
             self._pause_all,
             self._change_manifest,
         ]
-        if self._unplanned:
+        if self._faults is FaultSet.ALL:
             kinds += [self._kill_member, self._freeze_member]
         kind = self._rng.choice(kinds)
         count = 1 if kind == self._pause_all else self._rng.choice(SERIES_LENGTHS)
@@ -533,14 +542,14 @@
         await self.store.put("op/config", manifest(self._version))
 
 
-async def serve(seed: int, log: Path, unplanned: bool, quiet_seconds: float) -> None:
+async def serve(seed: int, log: Path, faults: FaultSet, quiet_seconds: float) -> None:
     """Run the servers until the process is killed.
 
-    :param unplanned: whether servers also die and freeze.
+    :param faults: which faults are injected.
     :param quiet_seconds: time before the first fault.
     """
     with log.open("w", encoding="utf-8") as file:
-        park = ServerPark(seed, ServerLog(file), unplanned)
+        park = ServerPark(seed, ServerLog(file), faults)
         await park.start()
         print(park.store.address, flush=True)
         checks = asyncio.create_task(park.check_groups())
@@ -548,9 +557,9 @@
         await asyncio.gather(checks, park.inject_faults())
 
 
-def run(seed: int, log: str, unplanned: bool = True, quiet_seconds: float = 8.0) -> None:
+def run(seed: int, log: str, faults: str = FaultSet.ALL.value, quiet_seconds: float = 8.0) -> None:
     """Run the servers until the process is killed."""
-    asyncio.run(serve(seed, Path(log), unplanned, quiet_seconds))
+    asyncio.run(serve(seed, Path(log), FaultSet(faults), quiet_seconds))
 
 
 if __name__ == "__main__":
--- a/tests/soak/groups_stops.py
+++ b/tests/soak/groups_stops.py
@@ -15,7 +15,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import fire
@@ -27,6 +27,7 @@
     SIZES_BY_MODEL,
     STREAM_TIMEOUTS_MS,
     Arrival,
+    FaultSet,
     InjectedFault,
     Run,
     WorkPlan,
@@ -54,13 +55,17 @@
 ROUTES = ("question", "question", "question", "report", "loan", "lookup")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Stop:
-    """A signal to an instance, with the time of day for a comparison with its log."""
+    """A signal to an instance, with the time of day for a comparison with its log.
+
+    :param ended_after: seconds from a SIGTERM to the end of the process; None until then.
+    """
 
     signal_number: signal.Signals
     at: float
     time_of_day: float
+    ended_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +107,14 @@
     faults: list[InjectedFault] = field(default_factory=list)
     kills: int = 0
 
+    def write(self, file: Path) -> None:
+        """Write what the callers saw and which signals were sent, as lines of JSON."""
+        rows: list[dict[str, object]] = [asdict(call) for call in self.calls]
+        for name, stops in self.stops_by_instance.items():
+            rows += [{"instance": name, **asdict(stop)} for stop in stops]
+        text = "".join(json.dumps(row) + "\n" for row in rows)
+        file.write_text(text, encoding="utf-8")
+
     def read_servers(self, log: Path) -> None:
         """Add what the servers have recorded."""
         for line in log.read_text(encoding="utf-8").splitlines():
@@ -384,14 +397,14 @@
     :param late_seconds: longest time by which an instance is held up just before a SIGTERM, so
         that it handles the signal late; 0 for none. Such a run is no planned stop in the rule's
         words.
-    :param unplanned: whether servers also die and freeze.
+    :param faults: which faults of servers are injected.
     """
 
     seconds: float
     kept: int
     rate: float
     late_seconds: float = 0.0
-    unplanned: bool = True
+    faults: FaultSet = FaultSet.ALL
 
 
 class GroupStopSoak:
@@ -419,6 +432,7 @@
             await self._call_and_stop()
         finally:
             await self._end()
+        self.record.write(self._folder / "callers.jsonl")
         self.record.read_servers(log)
         return Judge(self.record).judge()
 
@@ -426,7 +440,7 @@
         self._servers = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "tests.soak.group_servers"),
             *("--seed", str(self._seed), "--log", str(log)),
-            *("--unplanned", str(self._load.unplanned)),
+            *("--faults", self._load.faults.value),
             stdout=asyncio.subprocess.PIPE,
         )
         assert self._servers.stdout is not None
@@ -508,27 +522,27 @@
         late_seconds = rng.uniform(0.0, self._load.late_seconds)
         if late_seconds:
             instance.send_signal(signal.SIGSTOP)
-        stopped_at = self._send(instance, signal.SIGTERM)
+        stop = self._send(instance, signal.SIGTERM)
         if late_seconds:
             await asyncio.sleep(late_seconds)
             instance.send_signal(signal.SIGCONT)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout_at(stopped_at + GRACE_SECONDS):
+            async with asyncio.timeout_at(stop.at + GRACE_SECONDS):
                 await instance.wait()
         except TimeoutError:
             self.record.kills += 1
             instance.send_signal(signal.SIGKILL)
             await instance.wait()
-        await asyncio.sleep(max(0.0, stopped_at + JUDGED_SECONDS - loop.time()))
+        stop.ended_after = loop.time() - stop.at
+        await asyncio.sleep(max(0.0, stop.at + JUDGED_SECONDS - loop.time()))
         await instance.start()
 
-    def _send(self, instance: InstanceProcess, signal_number: signal.Signals) -> float:
-        loop = asyncio.get_running_loop()
-        stop = Stop(signal_number, loop.time(), time.time())
+    def _send(self, instance: InstanceProcess, signal_number: signal.Signals) -> Stop:
+        stop = Stop(signal_number, asyncio.get_running_loop().time(), time.time())
         instance.send_signal(signal_number)
         self.record.stops_by_instance[instance.name].append(stop)
-        return stop.at
+        return stop
 
 
 async def soak_groups(seed: int, load: Load, keep: Path | None = None) -> tuple[Verdict, Record]:
@@ -552,12 +566,13 @@
     kept: int = 12,
     rate: float = 6.0,
     late_seconds: float = 0.0,
-    unplanned: bool = True,
+    faults: str = FaultSet.ALL.value,
     keep: str = "",
     program: str = "",
 ) -> None:
     """Run one soak per seed, one after the other; exit with 1 when a guarantee was broken.
 
+    :param faults: all, planned or none.
     :param keep: folder for all logs; empty to delete them.
     :param program: program of the instances; empty for that of this working copy.
     """
@@ -566,7 +581,7 @@
     broken = 0
     for seed in range(first, first + seeds):
         folder = Path(keep) / str(seed) if keep else None
-        load = Load(seconds, kept, rate, late_seconds, unplanned)
+        load = Load(seconds, kept, rate, late_seconds, FaultSet(faults))
         verdict, record = asyncio.run(soak_groups(seed, load, folder))
         broken += len(verdict.lost) + len(verdict.violations)
         _print(seed, verdict, record)
