Show that hosts count as lost behind a silence of all hosts

After such a silence all hosts have missed probes. While most of them do, none counts as unreachable; once all but 15 in 100 have answered again, the others do, though their misses are from the silence and they have not been asked since. The log: 18 hosts unreachable from 860.6 to 861.0, all but m-10 and m-17 reachable at 861.15, groups closed with 'member m-10 does not answer' at 861.17, both reachable at 861.22 and 861.29.

--- a/tests/test_fleet_probes.py
+++ b/tests/test_fleet_probes.py
@@ -39,6 +39,7 @@
 GROUP_COUNT = 10
 FLEET_GROUP_COUNT = 130
 OWN_DELAY_SECONDS = 0.06
+SHARED_SILENCES_SECONDS = (0.6, 1.0, 1.4, 1.8, 2.2)
 CALL_SECONDS = 0.001  # processor time of one probe on a small instance
 
 
@@ -235,6 +236,24 @@
         self.assertLessEqual(max(found), _probes.SWEEP_UNREACHABLE_SHARE * len(self.hosts))
         self.assertEqual(found[-1], 0)
 
+    # Guards against closing groups, and cutting their streams, behind a pause of all hosts: those
+    # that are probed last count as lost while most others have answered again.
+    @virtual_time
+    async def test_hosts_that_were_silent_together_are_not_lost_once_they_answer(self) -> None:
+        for seconds in SHARED_SILENCES_SECONDS:
+            with self.subTest(seconds=seconds):
+                probes, control = await self.start()
+                await asyncio.sleep(5)
+                control.dead = {member.upstream_id for member in self.hosts}
+                await asyncio.sleep(seconds)
+                control.dead = set()
+                found: set[UpstreamId] = set()
+                for _ in range(300):
+                    found |= probes.unreachable_ids()
+                    await asyncio.sleep(0.01)
+                await probes.stop()
+                self.assertEqual(found, set())
+
     @virtual_time
     async def test_dark_quarter_of_the_hosts_is_found_once_all_others_were_probed(self) -> None:
         probes, control = await self.start()
