Take a silence for shared by the hosts that have missed their last probe

Cause: whether many hosts are silent was judged by those that had missed two probes. In 0.6 s only few are probed twice, though all that are probed are silent.

--- a/src/cactuspass/fleet/_probes.py
+++ b/src/cactuspass/fleet/_probes.py
@@ -161,7 +161,7 @@
         missing = self._missing_ids()
         if len(missing) > MAX_UNREACHABLE_SHARE * len(self._states_by_id):
             return frozenset()
-        if self._needs_sweep(missing) and not self._is_sweep_done():
+        if self._needs_sweep() and not self._is_sweep_done():
             return frozenset()
         states = self._states_by_id
         return frozenset(i for i in missing if states[i].missed_at >= self._shared_silence_at)
@@ -171,12 +171,13 @@
             upstream_id for upstream_id, state in self._states_by_id.items() if state.is_missing
         )
 
-    def _needs_sweep(self, missing: frozenset[UpstreamId]) -> bool:
+    def _needs_sweep(self) -> bool:
         """Return whether so many hosts do not respond that this instance may be cut off.
 
         Hosts are probed at different times, so after a cut only some have missed probes yet.
         """
-        return len(missing) > SWEEP_UNREACHABLE_SHARE * len(self._states_by_id)
+        silent_count = sum(state.misses > 0 for state in self._states_by_id.values())
+        return silent_count > SWEEP_UNREACHABLE_SHARE * len(self._states_by_id)
 
     def _is_sweep_done(self) -> bool:
         """Return whether each host has responded since the sweep began, or is missing."""
@@ -243,7 +244,7 @@
 
     def _update_sweep(self, at: float) -> None:
         """Begin or end a sweep of all hosts."""
-        if not self._needs_sweep(self._missing_ids()):
+        if not self._needs_sweep():
             self._sweep_began_at = None
         elif self._sweep_began_at is None:
             self._sweep_began_at = at
@@ -313,8 +314,8 @@
             return
         if state.is_missing:
             self._log.state_change("upstream-reachable", upstream=upstream_id)
-            if self._needs_sweep(self._missing_ids()):
-                self._shared_silence_at = now()
+        if state.misses and self._needs_sweep():
+            self._shared_silence_at = now()
         state.misses = 0
         state.answered_at = now()
         state.report = report
