End requests within the grace time though the stop signal was received late

What callers see: where the process got no processor time when the signal was sent, requests that wait for an upstream at the end of the grace time get a closed connection and no answer: the platform kills the process before it ends them.

Cause: their end counted from the receipt of the signal.

Change: it counts from the earliest moment at which the signal may have been sent, but no request is ended before five sixths of the grace time since the receipt, or before the end as it was.

--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -52,6 +52,8 @@
 # Part of the grace time that is kept for closing after the wait for running requests.
 STOP_MARGIN_SECONDS = 0.6
 MAX_STOP_MARGIN_SHARE_OF_GRACE = 1 / 4
+# Share of the grace time after the signal for which no running request is ended.
+MIN_WORK_SHARE_OF_GRACE = 5 / 6
 # Time for the store to end the leases, when a stop is handled after its notice.
 MIN_LEASE_END_SECONDS = 0.5
 HOUSEKEEPING_INTERVAL_SECONDS = 5.0
@@ -283,7 +285,8 @@
         the grace time is refused at once.
 
         All bounds count from the signal, as the platform's grace time does. Where it may have been
-        sent before it was received, requests that begin late are refused by the earliest moment.
+        sent before it was received, requests are refused and ended by the earliest such moment;
+        but none is ended before its part of the grace time since the receipt.
 
         :param signal_time: when the stop was requested; None for now.
         """
@@ -291,7 +294,10 @@
         signal_time = signal_time or SignalTime(now(), now())
         grace = self._settings.bounds.grace_seconds
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
-        ends_at = signal_time.received + grace - margin
+        ends_at = max(
+            signal_time.earliest + grace - margin,
+            signal_time.received + min(grace - margin, grace * MIN_WORK_SHARE_OF_GRACE),
+        )
         notice_seconds = min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
         notice_end = signal_time.received + notice_seconds
         self._caller_listener.begin_stop(
