Deny no request by a catalog older than the propagation time

What callers see: 401 or 404 for a key or route that a newer manifest allows, from an instance whose catalog was read over 2 s ago: a fixed 2.5 s was allowed, though a manifest must be in force everywhere within propagation_ms (2 s on the sites).

Change: the settings' propagation time bounds the age; older ones get 503, not run.

--- a/src/cactuspass/fleet/_admission.py
+++ b/src/cactuspass/fleet/_admission.py
@@ -10,7 +10,7 @@
 from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._request_problems import RETRY_AFTER_SECONDS, not_run_problem
 
-FRESH_CATALOG_SECONDS = 2.5
+DEFAULT_PROPAGATION_SECONDS = 2.0
 
 
 class NotAdmitted(RequestError):
@@ -39,11 +39,19 @@
 
     :param key_seconds: age of the operator documents from which on no key is accepted, since it may
         have been revoked meanwhile.
+    :param propagation_seconds: age of the operator documents from which on no request is denied,
+        since later ones must be in force by then.
     """
 
-    def __init__(self, cluster_state: ClusterState, key_seconds: float) -> None:
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        key_seconds: float,
+        propagation_seconds: float = DEFAULT_PROPAGATION_SECONDS,
+    ) -> None:
         self._cluster_state = cluster_state
         self._key_seconds = key_seconds
+        self._propagation_seconds = propagation_seconds
 
     def admit(self, request: InboundRequest) -> AdmittedRequest:
         """Return the route and the customer of a request.
@@ -70,7 +78,7 @@
 
     def _denial_problem(self, status: int, code: str, detail: str) -> Problem:
         """Return the problem for a denied request; by an old catalog, the caller may retry."""
-        if self._cluster_state.operators_age() > FRESH_CATALOG_SECONDS:
+        if self._cluster_state.operators_age() > self._propagation_seconds:
             return not_run_problem(
                 "catalog-old", f"{detail}, by an old catalog", RETRY_AFTER_SECONDS
             )
