Send requests around 3 s after SIGTERM in the soak of groups

A stop has an excuse for cutting only what was sent up to 3 s after the signal. Few requests of a steady load are sent at that moment and last long enough to be cut; an option sends such ones.

--- a/tests/soak/group_servers.py
+++ b/tests/soak/group_servers.py
@@ -28,6 +28,7 @@
 STREAM_TIMEOUTS_MS = {"question": 5000, "report": 8000}
 PLAIN_TIMEOUT_MS = 2000
 EVENT_SECONDS_RANGE = (0.03, 0.1)
+LONG_PREFIX = "long-"  # of the ids of requests whose streams last nearly as long as they may
 LONG_SHARE = 0.15  # of streams: they last nearly as long as their time limit
 PLAIN_SECONDS_RANGE = (0.05, 0.15)
 WARM_SECONDS = 0.5
@@ -121,7 +122,7 @@
             return cls(0, rng.uniform(*PLAIN_SECONDS_RANGE))
         step_seconds = rng.uniform(*EVENT_SECONDS_RANGE)
         limit = STREAM_TIMEOUTS_MS[route] / 1000
-        is_long = rng.random() < LONG_SHARE
+        is_long = rng.random() < LONG_SHARE or request_id.startswith(LONG_PREFIX)
         seconds = limit * (rng.uniform(0.8, 0.97) if is_long else rng.uniform(0.05, 0.6))
         return cls(max(3, int(seconds / step_seconds)), step_seconds)
 
--- a/tests/soak/groups_stops.py
+++ b/tests/soak/groups_stops.py
@@ -23,6 +23,7 @@
 from tests.soak import fleet
 from tests.soak.fleet import InstanceProcess
 from tests.soak.group_servers import (
+    LONG_PREFIX,
     PLAIN_TIMEOUT_MS,
     SIZES_BY_MODEL,
     STREAM_TIMEOUTS_MS,
@@ -46,6 +47,8 @@
 UNREAD_SECONDS = 0.2  # a channel may be closed so soon after a request that no server got
 DEADLINE_MARGIN_SECONDS = 0.05
 ANSWER_MARGIN_SECONDS = 3.0  # after the time limit
+LAST_OPENED_SECONDS = 2.4  # after SIGTERM; before the end of the notice to the load balancer
+LAST_SENT_RANGE_SECONDS = (2.7, 3.4)
 LINGER_RANGE_SECONDS = (0.0, 0.5)
 RETRY_SECONDS = 0.25  # after a connection that was refused
 STOP_INTERVAL_RANGE_SECONDS = (0.5, 9.0)
@@ -305,6 +308,16 @@
         finally:
             writer.close()
 
+    async def call_at(self, request_id: str, at: float) -> None:
+        """Open a connection now, and send one request on it at a moment of the loop's clock."""
+        try:
+            reader, writer = await self._connect()
+        except OSError:
+            return
+        await asyncio.sleep(at - asyncio.get_running_loop().time())
+        await self._exchange(request_id, random.Random(request_id), reader, writer)
+        writer.close()
+
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self._instance.port)
 
@@ -398,6 +411,8 @@
         that it handles the signal late; 0 for none. Such a run is no planned stop in the rule's
         words.
     :param faults: which faults of servers are injected.
+    :param last: requests for long streams around the last moment after each SIGTERM at which a
+        stop has an excuse for cutting them.
     """
 
     seconds: float
@@ -405,6 +420,7 @@
     rate: float
     late_seconds: float = 0.0
     faults: FaultSet = FaultSet.ALL
+    last: int = 0
 
 
 class GroupStopSoak:
@@ -527,6 +543,7 @@
             await asyncio.sleep(late_seconds)
             instance.send_signal(signal.SIGCONT)
         loop = asyncio.get_running_loop()
+        last = asyncio.create_task(self._call_last(instance, stop, rng))
         try:
             async with asyncio.timeout_at(stop.at + GRACE_SECONDS):
                 await instance.wait()
@@ -535,9 +552,25 @@
             instance.send_signal(signal.SIGKILL)
             await instance.wait()
         stop.ended_after = loop.time() - stop.at
+        await last
         await asyncio.sleep(max(0.0, stop.at + JUDGED_SECONDS - loop.time()))
         await instance.start()
 
+    async def _call_last(self, instance: InstanceProcess, stop: Stop, rng: random.Random) -> None:
+        """Send the requests around the last moment at which cutting them has an excuse."""
+        if not self._load.last:
+            return
+        await asyncio.sleep(stop.at + LAST_OPENED_SECONDS - asyncio.get_running_loop().time())
+        caller = GroupCaller(instance, self.record)
+        calls = [
+            caller.call_at(
+                f"{LONG_PREFIX}{self._seed}-{instance.name}-{stop.at:.1f}-{number}",
+                stop.at + rng.uniform(*LAST_SENT_RANGE_SECONDS),
+            )
+            for number in range(self._load.last)
+        ]
+        await asyncio.gather(*calls)
+
     def _send(self, instance: InstanceProcess, signal_number: signal.Signals) -> Stop:
         stop = Stop(signal_number, asyncio.get_running_loop().time(), time.time())
         instance.send_signal(signal_number)
@@ -567,6 +600,7 @@
     rate: float = 6.0,
     late_seconds: float = 0.0,
     faults: str = FaultSet.ALL.value,
+    last: int = 0,
     keep: str = "",
     program: str = "",
 ) -> None:
@@ -581,7 +615,7 @@
     broken = 0
     for seed in range(first, first + seeds):
         folder = Path(keep) / str(seed) if keep else None
-        load = Load(seconds, kept, rate, late_seconds, FaultSet(faults))
+        load = Load(seconds, kept, rate, late_seconds, FaultSet(faults), last)
         verdict, record = asyncio.run(soak_groups(seed, load, folder))
         broken += len(verdict.lost) + len(verdict.violations)
         _print(seed, verdict, record)
