--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -37,6 +37,7 @@
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
+from cactuspass.fleet._stop_bounds import StopBounds
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet._store_retries import StoreRetries
 from cactuspass.fleet._sync import OperatorSync, UpstreamSync
@@ -46,14 +47,6 @@
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
-# Time for the load balancer to notice that the instance is no longer ready.
-DRAIN_NOTICE_SECONDS = 2.6
-MAX_NOTICE_SHARE_OF_GRACE = 1 / 3
-# Part of the grace time that is kept for closing after the wait for running requests.
-STOP_MARGIN_SECONDS = 0.6
-MAX_STOP_MARGIN_SHARE_OF_GRACE = 1 / 4
-# Share of the grace time after the signal for which no running request is ended.
-MIN_WORK_SHARE_OF_GRACE = 5 / 6
 # Time for the store to end the leases, when a stop is handled after its notice.
 MIN_LEASE_END_SECONDS = 0.5
 HOUSEKEEPING_INTERVAL_SECONDS = 5.0
@@ -284,35 +277,24 @@
         ready. Idle connections are then closed. A request that may not be finished in the rest of
         the grace time is refused at once.
 
-        All bounds count from the signal, as the platform's grace time does. Where it may have been
-        sent before it was received, requests are refused and ended by the earliest such moment;
-        but none is ended before its part of the grace time since the receipt.
-
         :param signal_time: when the stop was requested; None for now.
         """
         self._stopping = True
         signal_time = signal_time or SignalTime(now(), now())
-        grace = self._settings.bounds.grace_seconds
-        margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE_OF_GRACE)
-        ends_at = max(
-            signal_time.earliest + grace - margin,
-            signal_time.received + min(grace - margin, grace * MIN_WORK_SHARE_OF_GRACE),
-        )
-        notice_seconds = min(DRAIN_NOTICE_SECONDS, grace * MAX_NOTICE_SHARE_OF_GRACE)
-        notice_end = signal_time.received + notice_seconds
+        bounds = StopBounds.of(signal_time, self._settings.bounds.grace_seconds)
         self._caller_listener.begin_stop(
-            signal_time.earliest + notice_seconds, ends_at, signal_time.received
+            bounds.earliest_notice_end, bounds.ends_at, signal_time.received
         )
         self._log_connections(
             "stopping",
             since_signal=now() - signal_time.received,
             signal_uncertainty=signal_time.received - signal_time.earliest,
         )
-        await self._give_up_leadership(notice_end)
-        await asyncio.sleep(max(0.0, notice_end - now()))
+        await self._give_up_leadership(bounds.notice_end)
+        await asyncio.sleep(max(0.0, bounds.notice_end - now()))
         self._log_connections("callers-draining")
         self._caller_listener.drain()
-        await self._caller_listener.wait_until_drained(ends_at)
+        await self._caller_listener.wait_until_drained(bounds.ends_at)
         self._log_connections("callers-drained", waited=now() - signal_time.received)
         await self._caller_listener.end_requests()
 
--- a/tests/test_fleet_shutdown.py
+++ b/tests/test_fleet_shutdown.py
@@ -15,7 +15,7 @@
 from cactuspass import _caller_connections
 from cactuspass._clock import now
 from cactuspass._connection_phases import ConnectionCounts
-from cactuspass.fleet import _caller_listener, _instance
+from cactuspass.fleet import _caller_listener, _stop_bounds
 from cactuspass.fleet._caller_listener import CallerListener
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.platform._requests import PlatformRequests
@@ -402,7 +402,7 @@
             drain()
 
         with (
-            mock.patch.object(_instance, "DRAIN_NOTICE_SECONDS", 0.7),
+            mock.patch.object(_stop_bounds, "DRAIN_NOTICE_SECONDS", 0.7),
             mock.patch.object(listener, "drain", send_and_drain),
         ):
             await instance.drain()
@@ -442,7 +442,7 @@
     # Guards against a request that is taken so late that its cut at the end of the grace time has
     # no excuse any more.
     def test_requests_begin_while_their_cut_would_be_excused(self) -> None:
-        last = _instance.DRAIN_NOTICE_SECONDS + _caller_listener.LAST_REQUESTS_SECONDS
+        last = _stop_bounds.DRAIN_NOTICE_SECONDS + _caller_listener.LAST_REQUESTS_SECONDS
         self.assertLess(last, LAST_EXCUSED_SECONDS)
 
 
--- a/tests/test_fleet_stop_steps.py
+++ b/tests/test_fleet_stop_steps.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from cactuspass._application import Application
-from cactuspass.fleet import Instance, _instance
+from cactuspass.fleet import Instance, _stop_bounds
 from tests.fleet_path import RecordingHandler
 from tests.test_fleet_instance import InstanceCase, until
 from tests.test_fleet_shutdown import BODY, HEAD, READ_BYTES, STREAM_REQUEST, TIMEOUT_SECONDS
@@ -26,7 +26,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        notice = mock.patch.object(_instance, "DRAIN_NOTICE_SECONDS", NOTICE_SECONDS)
+        notice = mock.patch.object(_stop_bounds, "DRAIN_NOTICE_SECONDS", NOTICE_SECONDS)
         notice.start()
         self.addCleanup(notice.stop)
 
--- a/tests/test_late_stop_signal.py
+++ b/tests/test_late_stop_signal.py
@@ -11,7 +11,7 @@
 from cactuspass import _caller_connections
 from cactuspass._application import Application
 from cactuspass._clock import now
-from cactuspass.fleet import _caller_listener, _instance
+from cactuspass.fleet import _caller_listener, _stop_bounds
 from tests.test_fleet_instance import until
 from tests.test_fleet_shutdown import READ_BYTES, STREAM_REQUEST
 from tests.test_fleet_stop_steps import SignalCase
@@ -33,7 +33,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         for module, name, seconds in (
-            (_instance, "DRAIN_NOTICE_SECONDS", NOTICE_SECONDS),
+            (_stop_bounds, "DRAIN_NOTICE_SECONDS", NOTICE_SECONDS),
             (_caller_listener, "LAST_REQUESTS_SECONDS", LAST_REQUESTS_SECONDS),
             (_caller_connections, "NEXT_REQUEST_SECONDS", NEXT_REQUEST_SECONDS),
         ):
