--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak --seeds 50 --seconds 15
 	$(BIN)/python -m tests.soak.stops --seeds 5
+	$(BIN)/python -m tests.soak.groups_stops --seeds 5
 
 format: $(STAMP)
 	$(BIN)/ruff format --check src tests bench trial
--- a/tests/soak/group_servers.py
+++ b/tests/soak/group_servers.py
@@ -186,9 +186,9 @@
 
     slots = PLAIN_SLOTS
 
-    def __init__(self, server_id: str, service: str, park: "ServerPark") -> None:
-        super().__init__(server_id, park.store, service)
-        self.park = park
+    def __init__(self, server_id: str, service: str, fleet: "ServerFleet") -> None:
+        super().__init__(server_id, fleet.store, service)
+        self.fleet = fleet
         self.running = 0
         self.is_dead = False
         self.is_frozen = False
@@ -197,7 +197,7 @@
     @property
     def stands_still(self) -> bool:
         """Whether the server itself does nothing."""
-        return not self.is_dead and (self.is_frozen or self.park.is_paused)
+        return not self.is_dead and (self.is_frozen or self.fleet.is_paused)
 
     @property
     def moves(self) -> bool:
@@ -242,8 +242,8 @@
 
     slots = GROUP_SLOTS
 
-    def __init__(self, server_id: str, park: "ServerPark") -> None:
-        super().__init__(server_id, "assistant", park)
+    def __init__(self, server_id: str, fleet: "ServerFleet") -> None:
+        super().__init__(server_id, "assistant", fleet)
         self._members: list[str] = []
         self._unsound_since: float | None = None
 
@@ -291,7 +291,7 @@
             await self._set_state("broken")
 
     def _is_sound(self, member: str) -> bool:
-        found = self.park.by_id.get(member)
+        found = self.fleet.by_id.get(member)
         if not isinstance(found, GroupServer) or found.is_dead or found.is_frozen:
             return False
         return found.group_key == self.group_key
@@ -338,7 +338,7 @@
         server = self.server
         loop = asyncio.get_running_loop()
         request_id = self.request.headers["Cactuspass-Request-Id"]
-        server.park.log.add(Arrival(request_id, server.server_id, loop.time()))
+        server.fleet.log.add(Arrival(request_id, server.server_id, loop.time()))
         self.set_header("Cactuspass-Request-Id", request_id)
         await server.wait_until_running()
         if self._closed_at is not None:
@@ -356,7 +356,7 @@
         finally:
             server.running -= 1
             ended_at = self._closed_at or loop.time()
-            server.park.log.add(Run(request_id, server.server_id, began_at, ended_at, end))
+            server.fleet.log.add(Run(request_id, server.server_id, began_at, ended_at, end))
         if end in ("broke off", "ordered"):
             self.request.connection.stream.close()  # type: ignore[union-attr]
 
@@ -404,7 +404,7 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-class ServerPark:
+class ServerFleet:
     """The store, the model servers and the plain servers, and the faults that befall them.
 
     :param faults: which faults are injected.
@@ -550,12 +550,12 @@
     :param quiet_seconds: time before the first fault.
     """
     with log.open("w", encoding="utf-8") as file:
-        park = ServerPark(seed, ServerLog(file), faults)
-        await park.start()
-        print(park.store.address, flush=True)
-        checks = asyncio.create_task(park.check_groups())
+        fleet = ServerFleet(seed, ServerLog(file), faults)
+        await fleet.start()
+        print(fleet.store.address, flush=True)
+        checks = asyncio.create_task(fleet.check_groups())
         await asyncio.sleep(quiet_seconds)
-        await asyncio.gather(checks, park.inject_faults())
+        await asyncio.gather(checks, fleet.inject_faults())
 
 
 def run(seed: int, log: str, faults: str = FaultSet.ALL.value, quiet_seconds: float = 8.0) -> None:
