--- a/src/cactuspass/_stop_signal.py
+++ b/src/cactuspass/_stop_signal.py
@@ -30,8 +30,8 @@
     The time is taken in the signal handler, which runs between two steps of any task. Callbacks of
     the event loop run only after all that were ready before, which takes long in a busy process,
     while the time that the process has for its stop is already running. The handler itself is late
-    if the process gets no processor time; it was sent after the last turn of the event loop at
-    which it had not been received.
+    if the process gets no processor time, so the event loop notes its turns: the signal was sent
+    after the last one before its receipt.
     """
 
     def __init__(self) -> None:
--- a/tests/test_held_process.py
+++ b/tests/test_held_process.py
@@ -136,3 +136,7 @@
         ends_at = now() + int(match[1]) / 1000
         self.release.set()
         self.assertLess(ends_at, sent_at + REQUEST_SECONDS + DEADLINE_SLACK_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_late_stop_signal.py
+++ b/tests/test_late_stop_signal.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+import unittest
 from unittest import mock
 
 from cactuspass import _caller_connections
@@ -133,3 +134,7 @@
                 self.assert_not_run(await self.receive_all(caller))
             await running
         self.assertEqual([server.executed_request_ids for server in self.servers], [[]] * 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
