Send late requests and late signals in tests of stops in one place

Five tests had the same steps. Their assertions, moments and requests are as before, but that the two tests of a beginning connect just before the end of the notice, as the others do.

--- a/tests/test_held_process.py
+++ b/tests/test_held_process.py
@@ -1,6 +1,5 @@
 """Bounds of a stop and of a request that must hold as others see them, though a process is held."""
 
-import asyncio
 import os
 import re
 import signal
@@ -16,10 +15,9 @@
 from tests.fleet_path import PathCase, request, route
 from tests.test_fleet_instance import until
 from tests.test_fleet_shutdown import REQUEST, STREAM_REQUEST, ShutdownCase
-from tests.test_fleet_stop_steps import STREAM_BODY, STREAM_HEAD, StopStepCase
+from tests.test_fleet_stop_steps import STREAM_HEAD, StopStepCase
 from tests.test_late_stop_signal import (
     HOLD_SECONDS,
-    LATE_SECONDS,
     MARGIN_SECONDS,
     NOTICE_SECONDS,
     LateSignalCase,
@@ -63,11 +61,7 @@
         caller = self.connect()
         caller.send(STREAM_REQUEST)
         await until(lambda: any(server.executed_request_ids for server in self.servers))
-        signalled_at = now()
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
-        os.kill(os.getpid(), signal.SIGTERM)
-        time.sleep(UNSCHEDULED_SECONDS)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+        signalled_at = self.receive_signal_late(UNSCHEDULED_SECONDS)
         await self.receive_all(caller)
         ended_after = now() - signalled_at
         await running
@@ -77,33 +71,23 @@
 class BeginningTest(LateSignalCase):
     """What counts as the beginning of a request."""
 
-    # Guards against a request that is sent too late being taken for one that began in time. A blank
-    # line between requests belongs to none of them.
-    async def test_blank_line_before_a_request_is_not_its_beginning(self) -> None:
+    async def assert_late_request_is_not_run(self, early: bytes) -> None:
+        """Check that a request is refused of which, or before which, something came in time."""
         running = await self.run_until_serving()
         signalled_at = now()
         os.kill(os.getpid(), signal.SIGTERM)
-        caller = self.connect()
-        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
-        caller.send(b"\r\n")
-        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
-        caller.send(STREAM_REQUEST)
-        self.assert_not_run(await self.receive_all(caller))
+        self.assert_not_run(await self.send_late(signalled_at, early))
         await running
 
+    # Guards against a request that is sent too late being taken for one that began in time. A blank
+    # line between requests belongs to none of them.
+    async def test_blank_line_before_a_request_is_not_its_beginning(self) -> None:
+        await self.assert_late_request_is_not_run(b"\r\n")
+
     # The excuse for a cut counts from when a request was sent. Should that mean its last byte, as
     # for the time to an answer, one whose body comes too late must not run either.
     async def test_request_whose_body_comes_late_is_refused(self) -> None:
-        running = await self.run_until_serving()
-        signalled_at = now()
-        os.kill(os.getpid(), signal.SIGTERM)
-        caller = self.connect()
-        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
-        caller.send(STREAM_HEAD)
-        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
-        caller.send(STREAM_BODY)
-        self.assert_not_run(await self.receive_all(caller))
-        await running
+        await self.assert_late_request_is_not_run(STREAM_HEAD)
 
 
 class OldCatalogTest(unittest.TestCase):
--- a/tests/test_late_stop_signal.py
+++ b/tests/test_late_stop_signal.py
@@ -57,6 +57,31 @@
             received += part
         return received
 
+    async def send_late(self, signalled_at: float, early: bytes = b"") -> bytes:
+        """Connect before the notice ends, send a request late, and return what is received.
+
+        :param signalled_at: clock value at which the signal was sent.
+        :param early: the part of the request, or what comes before it, that is sent at once.
+        """
+        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
+        caller = self.connect()
+        caller.send(early)
+        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
+        caller.send(STREAM_REQUEST.removeprefix(early))
+        return await self.receive_all(caller)
+
+    def receive_signal_late(self, seconds: float) -> float:
+        """Send the stop signal to a process that does not run; return when it was sent.
+
+        :param seconds: time until the signal is received; it is blocked so long.
+        """
+        signalled_at = now()
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(seconds)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+        return signalled_at
+
     def assert_not_run(self, received: bytes) -> None:
         self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
         self.assertIn(b'"not-run"', received)
@@ -72,27 +97,14 @@
         signalled_at = now()
         os.kill(os.getpid(), signal.SIGTERM)
         time.sleep(HOLD_SECONDS)
-        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
-        caller = self.connect()
-        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
-        caller.send(STREAM_REQUEST)
-        self.assert_not_run(await self.receive_all(caller))
+        self.assert_not_run(await self.send_late(signalled_at))
         await running
 
-    # The same where the process gets no processor time when the signal is sent; a blocked signal is
-    # received as late.
+    # The same where the process gets no processor time when the signal is sent.
     async def test_request_that_begins_late_is_refused_though_the_process_did_not_run(self) -> None:
         running = await self.run_until_serving()
-        signalled_at = now()
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
-        os.kill(os.getpid(), signal.SIGTERM)
-        time.sleep(HOLD_SECONDS)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
-        await asyncio.sleep(signalled_at + NOTICE_SECONDS - MARGIN_SECONDS - now())
-        caller = self.connect()
-        await asyncio.sleep(signalled_at + LATE_SECONDS - now())
-        caller.send(STREAM_REQUEST)
-        self.assert_not_run(await self.receive_all(caller))
+        signalled_at = self.receive_signal_late(HOLD_SECONDS)
+        self.assert_not_run(await self.send_late(signalled_at))
         await running
 
     # The same where the event loop is held at the end of the notice.
