Forget upstreams without requests in reports of silence, and state two things once

The report of silent upstreams kept the id of each upstream that this process had ever used, until its service was next found silent. The housekeeping removes those at which no request runs (test_upstreams_without_requests_are_forgotten; the report had no such step before).

The propagation time has one default, that of the settings. A part of a stream reads the clock once.

--- a/src/cactuspass/fleet/_admission.py
+++ b/src/cactuspass/fleet/_admission.py
@@ -10,8 +10,6 @@
 from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._request_problems import RETRY_AFTER_SECONDS, not_run_problem
 
-DEFAULT_PROPAGATION_SECONDS = 2.0
-
 
 class NotAdmitted(RequestError):
     """A request that is not forwarded to an upstream; it has not run.
@@ -47,7 +45,7 @@
         self,
         cluster_state: ClusterState,
         key_seconds: float,
-        propagation_seconds: float = DEFAULT_PROPAGATION_SECONDS,
+        propagation_seconds: float,
     ) -> None:
         self._cluster_state = cluster_state
         self._key_seconds = key_seconds
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -1,6 +1,5 @@
 """Sends one request to upstreams, and records its attempts to decide on retries and hedges."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -8,13 +7,10 @@
 from cactuspass._clock import now
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._active_attempt import ActiveAttempt
-from cactuspass.fleet._answer_buffers import AnswerBuffers
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._answer_progress import AnswerProgress, RetryObstacle
-from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Customer, Route
 from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
-from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._failures import (
     FAILURES_OF_APPLICATION,
     REFUSAL_STATUSES,
@@ -22,17 +18,10 @@
     Failure,
 )
 from cactuspass.fleet._guarded_request import GuardedRequest
-from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, RequestFormat, SendDetails
-from cactuspass.fleet._limit_waits import LimitWaits
-from cactuspass.fleet._loads import LoadTable
-from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._pool import ConnectionPool
+from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, SendDetails
 from cactuspass.fleet._prompt_parts import BrokenAttempt
-from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._send_permit import SendPermit
-from cactuspass.fleet._silence_report import SilenceReport
-from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.models import ServiceId
 
@@ -48,30 +37,6 @@
 MAX_WAIT_SHARE_OF_OBJECTIVE = 0.5
 
 
-@dataclass(slots=True)
-class RequestDependencies:
-    """Components of the instance that are needed to serve a request."""
-
-    request_format: RequestFormat
-    selector: Selector
-    loads: LoadTable
-    pool: ConnectionPool
-    log: DecisionLog
-    metrics: Metrics
-    retry_budget: Callable[[ServiceId], RetryBudget]
-    instance_count: Callable[[], int]
-    report_unresponsive: Callable[[UpstreamId], None]
-    notices: UpstreamNotices
-    part_guard: PartGuard
-    limit_waits: LimitWaits
-    answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
-    silences: SilenceReport = field(init=False)
-
-    def __post_init__(self) -> None:
-        """Create what is built from the other components."""
-        self.silences = SilenceReport(self.loads, self.log)
-
-
 @dataclass(slots=True)
 class Attempts:
     """The attempts of one request, and the limits that they set for further ones.
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -11,7 +11,7 @@
 from cactuspass._running_requests import RunningRequests, ShutdownReached
 from cactuspass.exceptions import RequestError
 from cactuspass.fleet._admission import Admission, AdmittedRequest, NotAdmitted
-from cactuspass.fleet._attempts import Attempts, RequestDependencies
+from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._catalog import Customer, RouteKind, ServiceShare
 from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection
 from cactuspass.fleet._cluster_state import ClusterState
@@ -21,6 +21,7 @@
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain_relay import PlainRelay
 from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
+from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._request_problems import (
     RETRY_AFTER_SECONDS,
     TOO_LATE_PROBLEM,
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -12,7 +12,6 @@
 from cactuspass._stop_signal import SignalTime, StopSignal
 from cactuspass.exceptions import SettingsError
 from cactuspass.fleet._admission import Admission
-from cactuspass.fleet._attempts import RequestDependencies
 from cactuspass.fleet._block_rows import PARTS_PATH, blocks_page
 from cactuspass.fleet._block_store import BlockStore
 from cactuspass.fleet._budgets import RetryBudget
@@ -35,6 +34,7 @@
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._probes import Probes
+from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
 from cactuspass.fleet._stop_bounds import StopBounds
@@ -160,6 +160,7 @@
             self._part_guard,
             self._upstream_limits.waits,
         )
+        self._silences = dependencies.silences
         admission = Admission(self.cluster_state, bounds.key_seconds, bounds.propagation_seconds)
         dispatcher = Dispatcher(
             dependencies, self.cluster_state, admission, rng, self._request_activity
@@ -341,6 +342,7 @@
 
     def _remove_expired(self) -> None:
         """Remove the state of what has not been used for long, and log the calls to the store."""
+        self._silences.remove_unused()
         self._loads.remove_idle(now())
         self._backoff.remove_expired(now())
         self._upstream_limits.remove_expired()
--- a/src/cactuspass/fleet/_silence_report.py
+++ b/src/cactuspass/fleet/_silence_report.py
@@ -33,7 +33,6 @@
         if at - last < REPORT_INTERVAL_SECONDS:
             return
         used = {each for each in self._used_by_service[service] if self._loads.is_used(each)}
-        self._used_by_service[service] = used
         silent = sum(self._loads.silence(each, at) > SILENT_SECONDS for each in used)
         if not silent:
             return
@@ -41,3 +40,8 @@
         self._log.state_change(
             "upstreams-silent", service=service, silent=silent, of=len(used), over=SILENT_SECONDS
         )
+
+    def remove_unused(self) -> None:
+        """Forget the upstreams at which no request runs any more."""
+        for service, used in self._used_by_service.items():
+            self._used_by_service[service] = set(filter(self._loads.is_used, used))
--- a/src/cactuspass/fleet/_stream_attempt.py
+++ b/src/cactuspass/fleet/_stream_attempt.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from cactuspass._clock import now
 from cactuspass.exceptions import AnswerCut
 from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
@@ -74,10 +73,10 @@
         assert self.head is not None
         self.splitter.check_valid()
         chunk = await self.active.exchange.read_chunk()
+        self.request_attempts.note_heard(self.active)
         self.request_attempts.dependencies.loads.note_response(
-            self.active.upstream.upstream_id, now()
+            self.active.upstream.upstream_id, self.active.heard_at
         )
-        self.request_attempts.note_heard(self.active)
         if chunk:
             self.events += self.splitter.feed(chunk)
             if self.splitter.has_event:
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -14,7 +14,6 @@
 from cactuspass._clock import now
 from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._answer_head import Header
-from cactuspass.fleet._attempts import RequestDependencies
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import Catalog, Customer, Route, RouteKind, Service, ServiceShare
 from cactuspass.fleet._cluster_state import ClusterState
@@ -28,7 +27,9 @@
 from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._part_messages import PartMessage
 from cactuspass.fleet._pool import CONNECT_TIMEOUT_SECONDS, ConnectionPool
+from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._settings import BoundSection
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
@@ -288,7 +289,11 @@
             self.part_guard,
             limits.waits,
         )
-        self.admission = Admission(self.cluster_state, key_seconds=5.0)
+        self.admission = Admission(
+            self.cluster_state,
+            key_seconds=5.0,
+            propagation_seconds=BoundSection().propagation_seconds,
+        )
         self.dispatcher = Dispatcher(
             dependencies, self.cluster_state, self.admission, rng, RequestActivity()
         )
--- a/tests/test_request_endings.py
+++ b/tests/test_request_endings.py
@@ -163,6 +163,12 @@
         self.report.report(SERVICE, START + SILENT_SECONDS + 0.1)
         self.assertEqual(self.counts(), [(2, 2)])
 
+    # Guards against ids of upstreams that are gone being kept as long as the process runs.
+    def test_upstreams_without_requests_are_forgotten(self) -> None:
+        self.loads.record_end(self.ids[0])
+        self.report.remove_unused()
+        self.assertEqual(self.report._used_by_service, {SERVICE: set(self.ids[1:])})
+
     def test_there_is_one_line_a_second_at_most(self) -> None:
         at = START + SILENT_SECONDS + 0.1
         for delay in (0.0, REPORT_INTERVAL_SECONDS / 2, REPORT_INTERVAL_SECONDS):
