Read answers and state the excuses of a stop once in the soaks

Both soaks of stops read answers from a connection and knew the bounds of the rule by constants of their own.

--- a/tests/soak/group_callers.py
+++ b/tests/soak/group_callers.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from tests.soak.answers import AnswerReader
 from tests.soak.fleet import InstanceProcess
 from tests.soak.group_servers import (
     PLAIN_TIMEOUT_MS,
@@ -109,7 +110,7 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             pass
         plan = WorkPlan.of(request_id, route)
-        problem = answer.problem(plan) if is_whole and answer.status == 200 else ""
+        problem = _find_problem(answer.body, plan) if is_whole and answer.status == 200 else ""
         call = Call(
             request_id,
             self._instance.name,
@@ -124,33 +125,8 @@
         return call
 
 
-class AnswerReader:
-    """Reads one answer.
-
-    :ivar status: None until the head has been read.
-    """
-
-    def __init__(self, reader: asyncio.StreamReader) -> None:
-        self._reader = reader
-        self._body = b""
-        self.status: int | None = None
-
-    async def read(self) -> None:
-        """Read the whole answer."""
-        head = (await self._reader.readuntil(b"\r\n\r\n")).lower()
-        self.status = int(head.split(b" ", 2)[1])
-        if b"transfer-encoding: chunked" in head:
-            while size := int(await self._reader.readuntil(b"\r\n"), 16):
-                self._body += (await self._reader.readexactly(size + 2))[:-2]
-            await self._reader.readexactly(2)
-        else:
-            length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
-            self._body = await self._reader.readexactly(length)
-
-    def problem(self, plan: WorkPlan) -> str:
-        """Return what is wrong with the body of a complete answer; empty if nothing is."""
-        numbers = range(1, plan.events + 1)
-        expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers) or b"done"
-        return (
-            "" if self._body == expected else f"body of {len(self._body)} bytes is not the one due"
-        )
+def _find_problem(body: bytes, plan: WorkPlan) -> str:
+    """Return what is wrong with the body of a complete answer; empty if nothing is."""
+    numbers = range(1, plan.events + 1)
+    expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers) or b"done"
+    return "" if body == expected else f"body of {len(body)} bytes is not the one due"
--- a/tests/soak/stop_verdicts.py
+++ b/tests/soak/stop_verdicts.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
+from tests.soak.callers import NOT_RUN_STATUSES
 from tests.soak.group_servers import (
     PLAIN_TIMEOUT_MS,
     STREAM_TIMEOUTS_MS,
@@ -24,7 +25,6 @@
 FAULT_BEFORE_SECONDS = 3.0  # an unplanned fault so long before a request excuses its loss
 UNREAD_SECONDS = 0.2  # a channel may be closed so soon after a request that no server got
 DEADLINE_MARGIN_SECONDS = 0.05
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(slots=True)
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -20,9 +20,16 @@
 
 from tests.metadata_store import MetadataStoreStandIn
 from tests.model_servers import ModelServerStandIn, ServerHandler
+from tests.soak.answers import AnswerReader
 from tests.soak.fleet import InstanceProcess
 from tests.soak.proxy import Proxy
 from tests.soak.run import free_ports
+from tests.soak.stop_verdicts import (
+    DEADLINE_MARGIN_SECONDS,
+    EXCUSED_SHARE_OF_GRACE,
+    GRACE_SECONDS,
+    LAST_EXCUSED_SENT_SECONDS,
+)
 
 INSTANCES = 3
 SERVERS = 9
@@ -32,11 +39,6 @@
 PAUSING_SHARE = 0.4
 PAUSE_SECONDS_RANGE = (0.8, 2.5)
 TIMEOUT_SECONDS = 5.0
-GRACE_SECONDS = 8.0
-# A stop excuses an answer that ends in the last sixth of its grace time.
-EXCUSED_SHARE_OF_GRACE = 5 / 6
-LAST_EXCUSED_SENT_SECONDS = 3.0
-DEADLINE_MARGIN_SECONDS = 0.05
 THINK_SECONDS_RANGE = (0.0, 0.1)
 RETRY_SECONDS = 0.25  # after a request that was not served
 READY_TIMEOUT_SECONDS = 20.0
@@ -291,16 +293,12 @@
             f"Content-Length: 2\r\nCactuspass-Request-Id: {request_id}\r\n"
             f"Cactuspass-Deadline-Ms: {limit}\r\n\r\n{{}}".encode()
         )
-        head = (await reader.readuntil(b"\r\n\r\n")).lower()
-        self.status = int(head.split(b" ", 2)[1])
-        closes = b"connection: close" in head
-        if b"transfer-encoding: chunked" in head:
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                await reader.readexactly(size + 2)
-            await reader.readexactly(2)
-        else:
-            await reader.readexactly(int(head.split(b"content-length:")[1].split(b"\r\n")[0]))
-        if closes:
+        answer = AnswerReader(reader)
+        try:
+            await answer.read()
+        finally:
+            self.status = answer.status
+        if answer.closes:
             self.close()
         return self.status == 200
 
