Decode scaling limits, delays between data centres and the settings of duties and exchanged loads

The next parts need them: calls that one instance at a time makes, the number of upstreams, and loads that instances tell each other. Nothing uses them yet.

--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -14,6 +14,7 @@
     ModelSpec,
     Route,
     RouteKind,
+    ScalingLimits,
     Service,
     ServiceShare,
 )
@@ -105,6 +106,7 @@
     "RequestFormat",
     "Route",
     "RouteKind",
+    "ScalingLimits",
     "SendDetails",
     "Service",
     "ServiceShare",
--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -89,6 +89,9 @@
     :param prompt_tokens_per_step: largest number of prompt tokens that are processed between two
         events.
     :param prompt_tokens_per_second: speed of prompt processing.
+    :param usual_prompt_tokens: mean number of prompt tokens of a request; 0 when not declared.
+    :param usual_output_tokens: mean number of output tokens of a request; 0 when not declared.
+    :param delay_by_pair: seconds of one way between two data centres.
     """
 
     slots: int
@@ -100,6 +103,9 @@
     steps_per_event: int = 1
     prompt_tokens_per_step: int = 2048
     prompt_tokens_per_second: float = 20_000.0
+    usual_prompt_tokens: float = 0.0
+    usual_output_tokens: float = 0.0
+    delay_by_pair: dict[frozenset[DataCentreId], float] = field(default_factory=dict)
 
     def model_spec(self, model: ModelId | None) -> ModelSpec:
         """Return the declaration of a model; an undeclared one has groups of one member."""
@@ -116,6 +122,18 @@
         return pace * (self.steps_per_event * step + prompt_seconds)
 
 
+@dataclass(frozen=True, slots=True)
+class ScalingLimits:
+    """Limits of the number of upstreams that can be ordered, for each data centre.
+
+    :param boot_seconds: time until an ordered upstream serves.
+    """
+
+    min_count: int
+    max_count: int
+    boot_seconds: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A set of interchangeable upstreams.
@@ -124,6 +142,7 @@
     :param cold_requests_per_second: rate that an upstream can handle while it is cold; 0 means no
         limit.
     :param engine: None for a plain service.
+    :param scaling: None when the number of upstreams cannot be ordered.
     """
 
     service: ServiceId
@@ -131,6 +150,7 @@
     max_connections: int = 64
     cold_requests_per_second: float = 0.0
     engine: EngineSpec | None = None
+    scaling: ScalingLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/_settings.py
+++ b/src/cactuspass/fleet/_settings.py
@@ -96,13 +96,62 @@
     grace_seconds: Seconds = 8.0
 
 
+class DutySection(_Section):
+    """Calls to the platform that one instance at a time makes.
+
+    :param address: address of the platform for these calls.
+    :param names: the duties; others than ``usage`` and ``scale`` are ignored.
+    :param calls_per_second: calls that the platform accepts from all instances together.
+    :param lease_seconds: time within which holders must not act in the order A, B, A.
+    :param thaw_seconds: time after a pause in which a call of the paused holder may still arrive.
+    :param window_seconds: length of a window of the usage report.
+    :param late_seconds: time after the end of a window in which its report is due.
+    """
+
+    address: Address
+    names: tuple[str, ...] = ()
+    calls_per_second: float = Field(default=10.0, gt=0)
+    lease_seconds: Seconds = 3.0
+    thaw_seconds: Seconds = 0.3
+    window_seconds: float = Field(default=5.0, gt=0)
+    late_seconds: Seconds = 10.0
+
+
+class LoadExchangeSection(_Section):
+    """Exchange of loads between instances.
+
+    :param min_instances: number of registered instances below which nothing is exchanged, since
+        each of them learns the loads from the answers of the upstreams.
+    """
+
+    min_instances: int = Field(default=24, ge=2)
+
+
+class MachineSection(_Section):
+    """Limits of the machine for this process.
+
+    :param memory_megabytes: memory at which the process is ended; None when it is not known.
+    :param descriptors: file descriptors that it may open; None when it is not known.
+    """
+
+    memory_megabytes: float | None = Field(default=None, gt=0)
+    descriptors: int | None = Field(default=None, gt=0)
+
+
 class InstanceSettings(_Section):
-    """All settings of an instance."""
+    """All settings of an instance.
+
+    :param duties: None where the platform has no such calls.
+    :param load_exchange: None to exchange nothing.
+    """
 
     instance: InstanceSection
     listeners: ListenerSection
     store: StoreSection
     bounds: BoundSection = BoundSection()
+    machine: MachineSection = MachineSection()
+    duties: DutySection | None = None
+    load_exchange: LoadExchangeSection | None = None
 
 
 def parse_instance_settings(text: str, source: str) -> InstanceSettings:
--- a/src/cactuspass/platform/_config_document.py
+++ b/src/cactuspass/platform/_config_document.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, FailFast, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, FailFast, Field, ValidationError, model_validator
 
 from cactuspass._findings import findings_from_error
 from cactuspass.exceptions import DocumentError
@@ -14,10 +14,11 @@
     ModelSpec,
     Route,
     RouteKind,
+    ScalingLimits,
     Service,
     ServiceShare,
 )
-from cactuspass.models import CustomerId, ModelId, ServiceId
+from cactuspass.models import CustomerId, DataCentreId, ModelId, ServiceId
 from cactuspass.platform._names import CONFIG_KEY
 
 KIND_BY_NAME = {
@@ -88,6 +89,17 @@
         )
 
 
+class _Delay(_Document):
+    source: Annotated[str, Field(alias="from")]
+    target: str
+    delay_ms: Annotated[float, Field(ge=0)]
+
+
+class _Usual(_Document):
+    prompt: Annotated[float, Field(ge=0)] = 0.0
+    answer: Annotated[float, Field(ge=0)] = 0.0
+
+
 class _Engine(_Document):
     slots: Annotated[int, Field(ge=1)]
     step_ms: float = 6.0
@@ -98,6 +110,8 @@
     chunk: Annotated[int, Field(ge=1)] = 2048
     read_per_s: Annotated[float, Field(gt=0)] = 20_000.0
     models: Annotated[tuple[_Model, ...], FailFast()] = ()
+    usual: _Usual = _Usual()
+    delays: Annotated[tuple[_Delay, ...], FailFast()] = ()
 
     def decode(self) -> EngineSpec:
         """Return the engine; all numbers apply to a whole group, not to one server.
@@ -116,15 +130,40 @@
             steps_per_event=self.stride,
             prompt_tokens_per_step=self.chunk,
             prompt_tokens_per_second=self.read_per_s,
+            usual_prompt_tokens=self.usual.prompt,
+            usual_output_tokens=self.usual.answer,
+            delay_by_pair={
+                frozenset((DataCentreId(delay.source), DataCentreId(delay.target))): (
+                    delay.delay_ms / 1000
+                )
+                for delay in self.delays
+            },
         )
 
 
+class _Autoscale(_Document):
+    min: Count
+    max: Count
+    boot_s: Annotated[float, Field(ge=0)] = 0.0
+
+    @model_validator(mode="after")
+    def _check_order(self) -> "_Autoscale":
+        if self.min > self.max:
+            raise ValueError("min is over max")
+        return self
+
+    def decode(self) -> ScalingLimits:
+        """Return the limits."""
+        return ScalingLimits(self.min, self.max, self.boot_s)
+
+
 class _Service(_Document):
     name: str
     health_path: str = "/health"
     max_conns: Count = 64
     cold_per_s: float = 0.0
     engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
 
     def decode(self) -> Service:
         """Return the service."""
@@ -134,6 +173,7 @@
             self.max_conns,
             self.cold_per_s,
             self.engine.decode() if self.engine is not None else None,
+            self.autoscale.decode() if self.autoscale is not None else None,
         )
 
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -3,6 +3,7 @@
 import json
 import re
 import unittest
+from collections.abc import Collection
 from pathlib import Path
 
 from cactuspass.exceptions import DocumentError
@@ -14,8 +15,8 @@
     UpstreamState,
     parse_instance_settings,
 )
-from cactuspass.fleet._catalog import RouteKind
-from cactuspass.models import CustomerId, ModelId, ServiceId
+from cactuspass.fleet._catalog import RouteKind, ScalingLimits
+from cactuspass.models import CustomerId, DataCentreId, ModelId, ServiceId
 from cactuspass.platform._config_document import decode_catalog
 from cactuspass.platform._requests import PlatformRequests
 from cactuspass.platform._server_entry import decode_entry, decode_report
@@ -101,6 +102,28 @@
             decode_catalog(encode(broken))
         self.assertIn("routes.1.kind", str(caught.exception))
 
+    def test_scaling_limits_and_delays_are_decoded(self) -> None:
+        engine = {
+            "slots": 13,
+            "usual": {"prompt": 841, "answer": 111},
+            "delays": [{"from": "z1", "target": "z2", "delay_ms": 1.4}],
+        }
+        scaled = {"name": "s1", "autoscale": {"min": 26, "max": 60, "boot_s": 8.0}}
+        document = {**MANIFEST, "services": [{**scaled, "engine": engine}]}
+        service = decode_catalog(encode(document)).services_by_id[ServiceId("s1")]
+        assert service.engine is not None
+        self.assertEqual(service.scaling, ScalingLimits(26, 60, 8.0))
+        self.assertEqual(service.engine.usual_output_tokens, 111)
+        pair = frozenset((DataCentreId("z1"), DataCentreId("z2")))
+        self.assertEqual(service.engine.delay_by_pair, {pair: 0.0014})
+
+    # Guards against an order for fewer upstreams than the service may have.
+    def test_limits_in_the_wrong_order_are_a_finding(self) -> None:
+        scaled = {"name": "s1", "autoscale": {"min": 60, "max": 26}}
+        with self.assertRaises(DocumentError) as caught:
+            decode_catalog(encode({**MANIFEST, "services": [scaled]}))
+        self.assertIn("services.1.autoscale", str(caught.exception))
+
     def test_unknown_fields_are_ignored(self) -> None:
         self.assertEqual(decode_catalog(encode({**MANIFEST, "new": 1})).version, 7)
 
@@ -206,15 +229,35 @@
 class SettingsTest(unittest.TestCase):
     """The settings template that the platform fills in."""
 
-    def test_filled_template_is_accepted(self) -> None:
+    def fill_template(self, present: Collection[str]) -> str:
+        """Return the settings for a platform whose own settings have the named fields."""
         template = (ROOT / "deploy" / "settings.toml.template").read_text()
         text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", '"z1","z2"', template)
-        text = re.sub(r"\{\{bounds\.[a-z_]+\}\}", "5", text)
+        text = re.sub(
+            r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}",
+            lambda section: section[2] if section[1] in present else "",
+            text,
+            flags=re.DOTALL,
+        )
+        text = re.sub(r"\{\{(bounds|limits)\.[a-z_]+\}\}|\{\{cloud\.duty_per_s\}\}", "5", text)
+        text = text.replace("{{cloud.duties|json}}", '["usage","scale"]')
         text = re.sub(r"\{\{[a-z_.]+\|json\}\}", '"10.0.0.1:80"', text)
         text = re.sub(r"\{\{ip\}\}", "10.0.0.1", text)
-        text = re.sub(r"\{\{port_range\.0\}\}", "7340", text)
-        settings = parse_instance_settings(text, "settings.toml")
+        return re.sub(r"\{\{port_range\.0\}\}", "7340", text)
+
+    def test_filled_template_is_accepted(self) -> None:
+        settings = parse_instance_settings(self.fill_template(()), "settings.toml")
         self.assertEqual(settings.bounds.key_seconds, 0.005)
+        self.assertIsNone(settings.duties)
+        self.assertIsNone(settings.machine.memory_megabytes)
+
+    def test_filled_template_has_the_duties_and_the_machine(self) -> None:
+        present = ("cloud.address", "limits.memory_mb", "limits.max_fds")
+        settings = parse_instance_settings(self.fill_template(present), "settings.toml")
+        assert settings.duties is not None
+        self.assertEqual(settings.duties.names, ("usage", "scale"))
+        self.assertEqual(settings.duties.lease_seconds, 0.005)
+        self.assertEqual(settings.machine.descriptors, 5)
 
 
 class FolderTest(unittest.TestCase):
