Keep the spare hosts of large groups when a smaller model lacks a few groups

While a data centre was evacuated, the smaller model had 24 of 24.7 wanted groups, and all ten spares of the larger one loaded it. The planner input says whether spares are kept; nothing sets it yet.

--- a/src/cactuspass/fleet/_planning_round.py
+++ b/src/cactuspass/fleet/_planning_round.py
@@ -33,6 +33,7 @@
     :param reports_by_id: last reports of the upstreams that answer.
     :param before_traffic: whether no request has arrived yet; loads are then fast and not limited.
     :param evacuated_data_centres: data centres that get no requests until operators revoke that.
+    :param keeps_spares: whether the spare hosts of large groups are kept for them.
     """
 
     at: float
@@ -45,6 +46,7 @@
     reports_by_id: Mapping[UpstreamId, UpstreamReport] = field(default_factory=dict)
     before_traffic: bool = False
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
+    keeps_spares: bool = False
 
 
 @dataclass(slots=True)
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -1,10 +1,11 @@
 """Orders free hosts to load the weights of models, for the groups that they could form."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from cactuspass.fleet._catalog import ModelSpec
+from cactuspass.fleet._forming import SPARES_IN_DOMAIN
 from cactuspass.fleet._orders import AddressedOrder, Stage
 from cactuspass.fleet._planning_round import PlanningRound
 from cactuspass.fleet._upstreams import Upstream
@@ -17,6 +18,8 @@
 KEPT_SET_FACTOR = 4
 KEPT_SET_SECONDS = 12.0
 KEPT_SET_GAP_SECONDS = 2.0  # after a longer time the set counts as a new one
+# Below this supply ratio, a model takes the spare hosts of larger groups too.
+MIN_SUPPLY_RATIO_WITHOUT_SPARES = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +153,7 @@
     for load in planned:
         hosts_by_model[load.spec.model].append(load.host)
     planned_ids = {load.host.upstream_id for load in planned}
+    reserved_counts = _count_reserved_hosts(hosts[0].fabric_domain, planning_round) if hosts else {}
     for spec in specs:
         if supply_ratio(spec) >= 1:
             return
@@ -159,7 +163,9 @@
             for other in specs
             if other is not spec
             and not _should_keep_set(other, hosts_by_model[other.model], missing, planning_round)
-            for host in hosts_by_model[other.model][: len(hosts_by_model[other.model]) % other.size]
+            for host in _incomplete_set(other, hosts_by_model[other.model])[
+                _spare_count(other, spec, reserved_counts, planning_round) :
+            ]
             if not planning_round.memory.load_schedule.is_loading(host.upstream_id)
             and host.upstream_id not in planned_ids
         ]
@@ -171,6 +177,32 @@
             return
 
 
+def _incomplete_set(spec: ModelSpec, hosts: list[Upstream]) -> list[Upstream]:
+    """Return the hosts that are left when complete groups are taken out of those of a model."""
+    return hosts[: len(hosts) % spec.size]
+
+
+def _spare_count(
+    spec: ModelSpec,
+    wanting: ModelSpec,
+    reserved_counts: Mapping[ModelId, int],
+    planning_round: PlanningRound,
+) -> int:
+    """Return how many free hosts of a domain stay spares for the groups of a model there.
+
+    Without a spare, the loss of one member leaves all other members of a large group idle until a
+    host has loaded the weights, which costs more than a smaller group of the spares would add.
+
+    :param wanting: model that could use the hosts.
+    :param reserved_counts: number of hosts in groups of the domain, by model.
+    """
+    if not planning_round.planner_input.keeps_spares or wanting.size >= spec.size:
+        return 0
+    if planning_round.supply_ratio(wanting) < MIN_SUPPLY_RATIO_WITHOUT_SPARES:
+        return 0
+    return SPARES_IN_DOMAIN if reserved_counts.get(spec.model, 0) else 0
+
+
 def _should_keep_set(
     spec: ModelSpec, hosts: list[Upstream], missing_elsewhere: int, planning_round: PlanningRound
 ) -> bool:
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -328,6 +328,28 @@
         self.assertEqual(len(loading_domains), 1)
         self.assertEqual(len(world.serving(SMALL)), 2)
 
+    # Guards against a fleet that turns the spares of its large groups into a few small ones, and
+    # then leaves all other members of a large group idle when it loses one.
+    def test_spares_of_large_groups_are_kept_for_them(self) -> None:
+        large = [u for number in range(3) for u in hosts(7, f"e{number}", staged=LARGE)]
+        world = EngineWorld([*large, *hosts(6, "z", staged=SMALL)])
+        world.keeps_spares = True
+        world.run(4.0)
+        self.assertEqual((len(world.serving(LARGE)), len(world.serving(SMALL))), (3, 2))
+        self.assertEqual(world.orders(Stage), [])
+        head = world.head_of(world.serving(LARGE)[0])
+        world.kill(head.upstream_id)
+        world.remove(head.upstream_id)
+        world.run(6.0)
+        self.assertEqual(len(world.serving(LARGE)), 3)
+
+    def test_spares_of_large_groups_are_given_up_for_a_model_that_lacks_most(self) -> None:
+        large = [u for number in range(3) for u in hosts(7, f"e{number}", staged=LARGE)]
+        world = EngineWorld([*large, *hosts(3, "z", staged=SMALL)])
+        world.keeps_spares = True
+        world.run(4.0)
+        self.assertEqual({a.order.model for a in world.orders(Stage)}, {SMALL})
+
     def test_loads_that_complete_a_group_come_first(self) -> None:
         spares = [u for d in ("e0", "e1", "e2", "e3") for u in hosts(2, d)]
         world = EngineWorld([*spares, *hosts(2, "z", staged=SMALL), host("z-new", "z")])
