Declare delays between data centres in a form that the feed can send

A mapping with pairs as keys could not be encoded, so that sources sent nothing once a manifest declared delays. The test of the feed sends a catalog with all optional parts now.

--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -76,6 +76,15 @@
     warm_seconds: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class DataCentreDelay:
+    """Seconds of one way between two data centres, in either direction."""
+
+    source: DataCentreId
+    target: DataCentreId
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class EngineSpec:
     """Timing and capacity of the engines of a service.
@@ -91,7 +100,7 @@
     :param prompt_tokens_per_second: speed of prompt processing.
     :param usual_prompt_tokens: mean number of prompt tokens of a request; 0 when not declared.
     :param usual_output_tokens: mean number of output tokens of a request; 0 when not declared.
-    :param delay_by_pair: seconds of one way between two data centres.
+    :param delays: delays between data centres.
     """
 
     slots: int
@@ -105,13 +114,18 @@
     prompt_tokens_per_second: float = 20_000.0
     usual_prompt_tokens: float = 0.0
     usual_output_tokens: float = 0.0
-    delay_by_pair: dict[frozenset[DataCentreId], float] = field(default_factory=dict)
+    delays: tuple[DataCentreDelay, ...] = ()
 
     def model_spec(self, model: ModelId | None) -> ModelSpec:
         """Return the declaration of a model; an undeclared one has groups of one member."""
         model = model or ModelId("")
         return self.models_by_id.get(model) or ModelSpec(model, size=1)
 
+    def delay_between(self, first: DataCentreId, second: DataCentreId) -> float:
+        """Return the seconds of one way between two data centres; 0 when not declared."""
+        pair = {first, second}
+        return next((d.seconds for d in self.delays if {d.source, d.target} == pair), 0.0)
+
     def max_event_gap(self, pace: float) -> float:
         """Return the longest expected seconds between two events of a stream at a full group.
 
--- a/src/cactuspass/platform/_config_document.py
+++ b/src/cactuspass/platform/_config_document.py
@@ -10,6 +10,7 @@
     CallerLimits,
     Catalog,
     Customer,
+    DataCentreDelay,
     EngineSpec,
     ModelSpec,
     Route,
@@ -94,6 +95,12 @@
     target: str
     delay_ms: Annotated[float, Field(ge=0)]
 
+    def decode(self) -> DataCentreDelay:
+        """Return the delay."""
+        return DataCentreDelay(
+            DataCentreId(self.source), DataCentreId(self.target), self.delay_ms / 1000
+        )
+
 
 class _Usual(_Document):
     prompt: Annotated[float, Field(ge=0)] = 0.0
@@ -132,12 +139,7 @@
             prompt_tokens_per_second=self.read_per_s,
             usual_prompt_tokens=self.usual.prompt,
             usual_output_tokens=self.usual.answer,
-            delay_by_pair={
-                frozenset((DataCentreId(delay.source), DataCentreId(delay.target))): (
-                    delay.delay_ms / 1000
-                )
-                for delay in self.delays
-            },
+            delays=tuple(delay.decode() for delay in self.delays),
         )
 
 
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -15,7 +15,13 @@
 from cactuspass._clock import now
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet import _feed_follower, _feed_source
-from cactuspass.fleet._catalog import Catalog, Evacuations, Service
+from cactuspass.fleet._catalog import (
+    Catalog,
+    DataCentreDelay,
+    Evacuations,
+    ScalingLimits,
+    Service,
+)
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_messages import decode_feed_update, encode_feed_update
@@ -42,8 +48,10 @@
 
 
 def catalog(version: int) -> Catalog:
-    """Return a catalog with one route and one engine service."""
-    return Catalog(version, (route(),), {SERVICE: Service(SERVICE, engine=ENGINE)})
+    """Return a catalog with one route and one engine service, which has all optional parts."""
+    engine = replace(ENGINE, delays=(DataCentreDelay(HERE, THERE, 0.0014),))
+    service = Service(SERVICE, engine=engine, scaling=ScalingLimits(26, 60, 8.0))
+    return Catalog(version, (route(),), {SERVICE: service})
 
 
 class SourcesTest(unittest.TestCase):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -114,8 +114,9 @@
         assert service.engine is not None
         self.assertEqual(service.scaling, ScalingLimits(26, 60, 8.0))
         self.assertEqual(service.engine.usual_output_tokens, 111)
-        pair = frozenset((DataCentreId("z1"), DataCentreId("z2")))
-        self.assertEqual(service.engine.delay_by_pair, {pair: 0.0014})
+        z1, z2 = DataCentreId("z1"), DataCentreId("z2")
+        self.assertEqual(service.engine.delay_between(z2, z1), 0.0014)
+        self.assertEqual(service.engine.delay_between(z1, z1), 0.0)
 
     # Guards against an order for fewer upstreams than the service may have.
     def test_limits_in_the_wrong_order_are_a_finding(self) -> None:
