Exchange loads between instances through a coordinator in each data centre

Cause: an engine states its load only in its answers, so that an instance knows the load of hardly any of 30 heads and sends to full ones.

Change: instances send their unfinished requests by head and counters by model every 0.25 s to the first instance of their data centre by rendezvous hashing that is not silent. It sends the sums to its instances and to the coordinators of the other data centres, which forward them. A datagram carries the number of the receiver's own state that the sums include, so that it leaves out exactly this part. The settings section load_exchange enables it; LoadExchange.latest has the result.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -23,7 +23,8 @@
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
-from cactuspass.models import ServiceId
+from cactuspass.fleet.load_exchange import ModelKey
+from cactuspass.models import ModelId, ServiceId
 
 MAX_SENDS = 4
 MAX_SENDS_AFTER_RESPONSE_START = 8
@@ -47,6 +48,7 @@
         request; they are tried again only after a pause.
     :param used_upstreams: upstreams that may have run the request, except those that broke the
         connection; the route limits their number.
+    :param has_begun: whether a part of a successful answer has arrived in any attempt.
     :param possible_run_count: attempts in which the request may have run, including those with a
         broken connection.
     """
@@ -63,6 +65,7 @@
     used_upstreams: set[UpstreamId] = field(default_factory=set)
     sends: int = 0
     possible_run_count: int = 0
+    has_begun: bool = False
     last_failure: Failure | None = None
     progress: AnswerProgress = field(default_factory=AnswerProgress)
 
@@ -76,6 +79,11 @@
         """Seconds until the deadline."""
         return self.deadline - now()
 
+    @property
+    def model_key(self) -> ModelKey:
+        """The service and the model that the request is for."""
+        return self.service, self.request.model or ModelId("")
+
     @property
     def priority(self) -> int:
         """Priority, where 0 is the highest; the customer's priority overrides the route's."""
@@ -193,6 +201,8 @@
         active.exchange.abort()
         active.end_trial()
         self.dependencies.loads.record_end(active.upstream.upstream_id)
+        if active.has_begun:
+            self.dependencies.meter.note_ended(self.model_key, now() - active.sent_at)
 
     def process_head(self, active: ActiveAttempt, head: AnswerHead) -> AnswerNotes:
         """Return what a response head states, and update the state of its upstream accordingly.
@@ -233,9 +243,19 @@
         if head.is_success:
             at = now()
             self.guarded.note_begun(at - (active.head_at or at))
+            self._count_begun(at)
         else:
             self.guarded.note_attempt_ended()
 
+    def _count_begun(self, at: float) -> None:
+        """Count the request as begun, once."""
+        if self.has_begun:
+            return
+        self.has_begun = True
+        customer = self.customer.customer if self.customer is not None else None
+        is_in_time = at - self.request.arrived_at <= self.route.objective
+        self.dependencies.meter.note_begun(self.model_key, customer, is_in_time)
+
     def note_crash(self, active: ActiveAttempt) -> None:
         """Record that an upstream closed the connection, unless the upstream is leaving."""
         upstream = active.upstream
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -116,6 +116,7 @@
             async with self._running_requests.until_shutdown():
                 await self._check_parts(attempts)
                 self._dependencies.retry_budget(attempts.service).count_request(now())
+                self._dependencies.meter.note_arrival(attempts.model_key)
                 await run(attempts, delivery).run()
         except NotAdmitted as error:
             await self._refuse(attempts.request, delivery, error.problem, "none", error.block)
@@ -217,6 +218,8 @@
             await delivery.send_response(error.head.status, headers, error.body)
             return
         problem = self._build_problem(attempts, error)
+        if not attempts.may_have_run:
+            self._dependencies.meter.note_refused(attempts.model_key)
         self._log_outcome("refused" if problem.status == 503 else "failed", attempts, error)
         await self._refuse(attempts.request, delivery, problem, kind)
 
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -24,6 +24,7 @@
     encode_part_message,
 )
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.load_exchange import is_load_datagram
 
 REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
 # Shortest time between two sends of the same hint by any instance; shorter than the time for which
@@ -80,7 +81,7 @@
     return body if isinstance(body.get(UPSTREAM_FIELD), str) else None
 
 
-def _ignore(_: object) -> None:
+def _ignore(*_: object) -> None:
     """Do nothing; default of the callbacks for other news than unresponsive upstreams."""
 
 
@@ -93,6 +94,8 @@
     :param on_leaving: called with a lifetime that another instance reports as leaving.
     :param on_part_message: called with a message of another instance on parts of prompts.
     :param on_limit_message: called with a message of another instance on limits of upstreams.
+    :param on_load_datagram: called with a datagram of the load exchange, and the address
+        ``host:port`` that it was sent from.
     """
 
     def __init__(
@@ -104,7 +107,9 @@
         on_leaving: Callable[[Lifetime], None] = _ignore,
         on_part_message: Callable[[PartMessage], None] = _ignore,
         on_limit_message: Callable[[LimitDatagram], None] = _ignore,
+        on_load_datagram: Callable[[bytes, str], None] = _ignore,
     ) -> None:
+        self._on_load_datagram = on_load_datagram
         self._on_limit_message = on_limit_message
         self._on_part_message = on_part_message
         self._address = address
@@ -141,6 +146,9 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Decode a hint and call its callback; log a datagram that is no hint."""
+        if is_load_datagram(data):
+            self._on_load_datagram(data, f"{addr[0]}:{addr[1]}")
+            return
         upstream_id, leaving = decode_unresponsive(data), decode_leaving(data)
         if upstream_id is not None:
             self._remember(data, now())
@@ -212,6 +220,14 @@
         if datagram is not None and self._transport is not None:
             self._transport.sendto(datagram, _parse_address(address))
 
+    def send_datagram(self, address: str, datagram: bytes) -> None:
+        """Send one other instance a datagram.
+
+        :param address: ``host:port`` of the instance.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, _parse_address(address))
+
     def _send_unless_recent(self, datagram: bytes) -> bool:
         """Send a datagram unless it was sent or received less than ``MIN_INTERVAL_SECONDS`` ago.
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,6 +44,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.load_exchange import LOAD_PATH, LoadExchange, ModelKey, RequestMeter
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -146,6 +147,8 @@
             lambda: self.cluster_state.blocks.snapshot,
             lambda: self._presence.term is not None,
         )
+        meter = RequestMeter(self._is_declared_model)
+        self._load_exchange = self._create_load_exchange(meter, rng)
         dependencies = RequestDependencies(
             adapter.request_format,
             selector,
@@ -159,6 +162,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
+            meter=meter,
         )
         self._silences = dependencies.silences
         admission = Admission(self.cluster_state, bounds.key_seconds, bounds.propagation_seconds)
@@ -177,6 +181,8 @@
         self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
             further = {PARTS_PATH: self.parts_page, LIMITS_PATH: self.limits_page}
+            if self._load_exchange is not None:
+                further[LOAD_PATH] = self._load_exchange.page
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
         self._probes = probes = Probes(
             self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
@@ -191,6 +197,7 @@
             self._notices.apply_leaving_hint,
             self._part_guard.receive,
             self._upstream_limits.receive,
+            self._receive_load_datagram,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -255,9 +262,42 @@
                 self._block_store,
                 probes,
                 self._controller,
+                *filter(None, (self._load_exchange,)),
             )
         )
 
+    def _create_load_exchange(self, meter: RequestMeter, rng: random.Random) -> LoadExchange | None:
+        """Return the load exchange; None if the settings do not enable it."""
+        settings = self._settings
+        if settings.load_exchange is None or settings.listeners.peers is None:
+            return None
+        return LoadExchange(
+            EntryId(settings.instance.name),
+            DataCentreId(settings.instance.data_centre),
+            settings.load_exchange.min_instances,
+            self.cluster_state,
+            self._loads,
+            meter,
+            lambda address, datagram: self._hints.send_datagram(address, datagram),
+            self._log,
+            self._metrics,
+            rng,
+        )
+
+    def _receive_load_datagram(self, datagram: bytes, address: str) -> None:
+        if self._load_exchange is not None:
+            self._load_exchange.receive(datagram, address)
+
+    def _is_declared_model(self, key: ModelKey) -> bool:
+        """Return whether a service with engines declares a model."""
+        index = self.cluster_state.catalog_index
+        service = index.catalog.services_by_id.get(key[0]) if index is not None else None
+        return (
+            service is not None
+            and service.engine is not None
+            and (key[1] in service.engine.models_by_id)
+        )
+
     async def start(self) -> None:
         """Start all components, then listen for callers, whom a failed start would leave."""
         for page in self._pages:
@@ -444,6 +484,8 @@
             left = retry_budget.remaining(now(), self.cluster_state.instance_count)
             self._metrics.retries_left.labels(service).set(left)
         self._upstream_limits.update_metrics()
+        if self._load_exchange is not None:
+            self._load_exchange.update_metrics()
         self._metrics.blocks.set(len(self.cluster_state.blocks.active))
         self._metrics.groups.clear()
         for group in self.cluster_state.view.groups_by_key.values():
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -47,6 +47,15 @@
             "Tokens for upstreams with limits that were asked for, granted or lent",
             "outcome",
         )
+        self.load_messages = self._counter(
+            "load_messages", "Messages of the load exchange by kind and outcome", "kind", "outcome"
+        )
+        self.load_age = self._gauge(
+            "load_age_seconds", "Age of the sums of a data centre's loads", "data_centre"
+        )
+        self.coordinates_loads = self._gauge(
+            "coordinates_loads", "1 while this instance sums up the loads of its data centre"
+        )
         self.rejections = Counter(
             "cactuspass_upstream_rejections",
             "Backoffs from upstreams that rejected a request",
--- a/src/cactuspass/fleet/load_exchange/__init__.py
+++ b/src/cactuspass/fleet/load_exchange/__init__.py
@@ -1,5 +1,6 @@
 """Exchange of loads between instances, so that each knows the load of every upstream."""
 
+from cactuspass.fleet.load_exchange._exchange import LoadExchange
 from cactuspass.fleet.load_exchange._fleet_load import (
     DemandKey,
     FleetLoad,
@@ -7,5 +8,18 @@
     ModelDemand,
     ModelKey,
 )
+from cactuspass.fleet.load_exchange._messages import is_load_datagram
+from cactuspass.fleet.load_exchange._request_meter import RequestMeter
+from cactuspass.fleet.load_exchange._rows import LOAD_PATH
 
-__all__ = ["DemandKey", "FleetLoad", "HeadLoad", "ModelDemand", "ModelKey"]
+__all__ = [
+    "LOAD_PATH",
+    "DemandKey",
+    "FleetLoad",
+    "HeadLoad",
+    "LoadExchange",
+    "ModelDemand",
+    "ModelKey",
+    "RequestMeter",
+    "is_load_datagram",
+]
--- /dev/null
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -0,0 +1,246 @@
+"""Exchanges the loads that instances cause, by datagrams to a coordinator in each data centre."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from cactuspass._clock import now
+from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._repeating import RepeatingComponent
+from cactuspass.fleet.load_exchange._coordinator import Coordinator
+from cactuspass.fleet.load_exchange._coordinator_choice import (
+    CoordinatorChoice,
+    order_coordinators,
+)
+from cactuspass.fleet.load_exchange._fleet_load import FleetLoad
+from cactuspass.fleet.load_exchange._known_sums import KnownSums
+from cactuspass.fleet.load_exchange._messages import (
+    InstanceState,
+    LoadSums,
+    add_number,
+    decode,
+    encode_bodies,
+)
+from cactuspass.fleet.load_exchange._own_states import OwnStates
+from cactuspass.fleet.load_exchange._request_meter import RequestMeter
+from cactuspass.fleet.load_exchange._rows import load_page
+from cactuspass.models import DataCentreId, EntryId
+
+INTERVAL_SECONDS = 0.25
+# For so long, ``latest`` is not computed again.
+LATEST_VALID_SECONDS = 0.1
+MAX_LIFETIME = 2**32
+
+
+class LoadExchange(RepeatingComponent):
+    """Exchanges loads while enough instances are registered.
+
+    :param instance: id of this instance.
+    :param min_instances: number of registered instances below which nothing is sent.
+    :param send: sends a datagram to an address.
+    :param clock: returns the current clock value.
+    """
+
+    def __init__(
+        self,
+        instance: EntryId,
+        data_centre: DataCentreId,
+        min_instances: int,
+        cluster_state: ClusterState,
+        loads: LoadTable,
+        meter: RequestMeter,
+        send: Callable[[str, bytes], None],
+        log: DecisionLog,
+        metrics: Metrics,
+        rng: random.Random,
+        clock: Callable[[], float] = now,
+    ) -> None:
+        super().__init__(log)
+        self._instance = instance
+        self._data_centre = data_centre
+        self._min_instances = min_instances
+        self._cluster_state = cluster_state
+        self._send = send
+        self._metrics = metrics
+        self._rng = rng
+        self._clock = clock
+        self._own = OwnStates(cluster_state, loads, meter, rng.randrange(MAX_LIFETIME), clock())
+        self._choice = CoordinatorChoice(instance)
+        self._known = KnownSums(data_centre)
+        self._coordinator = Coordinator(instance, data_centre, cluster_state, self._known)
+        self._chosen: EntryId | None = None
+        self._chosen_at = clock()
+        self._latest: FleetLoad | None = None
+        self._latest_at = float("-inf")
+        self._known_places: frozenset[DataCentreId] = frozenset()
+        self._peers: tuple[Peer, ...] | None = None
+        self._peers_by_address: Mapping[str, Peer] = {}
+        self._local: list[Peer] = []
+        self._is_first_step = True
+
+    @property
+    def is_on(self) -> bool:
+        """Whether enough instances are registered."""
+        return len(self._cluster_state.peers) >= self._min_instances
+
+    @property
+    def latest(self) -> FleetLoad | None:
+        """The load of the fleet; None while nothing recent is known of the own data centre."""
+        at = self._clock()
+        if at - self._latest_at > LATEST_VALID_SECONDS:
+            self._latest = self._known.fleet_load(at, self._own.requests_in)
+            self._latest_at = at
+        return self._latest
+
+    @property
+    def coordinator(self) -> EntryId | None:
+        """The coordinator that this instance uses; None while nothing is exchanged."""
+        return self._chosen
+
+    async def step(self) -> None:
+        """Exchange loads once; the steps of different instances are spread over the interval."""
+        share = self._rng.random() if self._is_first_step else 1.0
+        self._is_first_step = False
+        await asyncio.sleep(INTERVAL_SECONDS * share)
+        self.exchange()
+
+    def exchange(self) -> None:
+        """Send the own state to the coordinator or, if that is this instance, the sums to all."""
+        if not self.is_on:
+            self._note_chosen(None)
+            return
+        at = self._clock()
+        self._update_peers()
+        chosen = self._choice.choose(self._local, at)
+        self._note_chosen(chosen.instance if chosen is not None else None)
+        if chosen is None:
+            return
+        number, state = self._own.compose(at)
+        if chosen.instance == self._instance:
+            self._coordinate(number, state, at)
+        else:
+            for body in encode_bodies(state):
+                self._send_to(chosen, add_number(number, body), state.kind)
+        self._note_places(at)
+
+    def receive(self, datagram: bytes, address: str) -> None:
+        """Process a datagram of another instance.
+
+        :param address: ``host:port`` that it was sent from.
+        """
+        at = self._clock()
+        self._update_peers()
+        sender = self._peers_by_address.get(address)
+        if sender is None:
+            self._drop("stranger", address)
+            return
+        decoded = decode(datagram)
+        if decoded is None:
+            self._drop_sender(sender, "invalid")
+            return
+        number, message = decoded
+        self._metrics.load_messages.labels(message.kind, "received").inc()
+        if isinstance(message, InstanceState):
+            if not self._coordinator.record_state(sender, number, message, at):
+                self._drop_sender(sender, "impossible")
+        else:
+            self._receive_sums(sender, number, message, datagram, at)
+
+    def page(self) -> tuple[int, bytes]:
+        """Return the status and body of the page that shows the loads."""
+        at = self._clock()
+        current = dict(self._known.current(at)) if self.is_on else {}
+        return 200, load_page(current, self._chosen, at - self._chosen_at, self.latest, at)
+
+    def update_metrics(self) -> None:
+        """Set the gauges of the exchange."""
+        at = self._clock()
+        self._metrics.coordinates_loads.set(self._chosen == self._instance)
+        self._metrics.load_age.clear()
+        for place, parts in self._known.current(at):
+            age = max(received.age(at) for received in parts)
+            self._metrics.load_age.labels(place).set(age)
+
+    def _coordinate(self, number: int, state: InstanceState, at: float) -> None:
+        self._coordinator.record_own_state(number, state, at)
+        if at - self._chosen_at < INTERVAL_SECONDS / 2:
+            return  # The other instances have not sent their states yet.
+        sums = self._coordinator.sum_up(at, at - self._chosen_at)
+        self._known.record(number, sums, at)
+        bodies = encode_bodies(sums)
+        for peer in self._local:
+            if peer.instance != self._instance:
+                counted = self._coordinator.counted_number(peer.instance)
+                for body in bodies:
+                    self._send_to(peer, add_number(counted, body), sums.kind)
+        for peer in self._coordinator.other_coordinators(at):
+            for body in bodies:
+                self._send_to(peer, add_number(0, body), sums.kind)
+
+    def _receive_sums(
+        self, sender: Peer, number: int, sums: LoadSums, datagram: bytes, at: float
+    ) -> None:
+        """Record sums; forward those of another data centre if this instance is the coordinator."""
+        is_of_sender = sums.data_centre == sender.data_centre
+        is_direct = is_of_sender and sums.coordinator == sender.instance
+        is_forwarded = not is_of_sender and sender.data_centre == self._data_centre
+        if not is_direct and not is_forwarded:
+            self._drop_sender(sender, "inconsistent")
+            return
+        self._known.record(number, sums, at)
+        if is_direct and sender.data_centre == self._data_centre:
+            self._choice.note_heard(sender.instance, at)
+        elif is_direct:
+            self._coordinator.note_other(sender, at)
+            if self._chosen == self._instance:
+                for peer in self._local:
+                    if peer.instance != self._instance:
+                        self._send_to(peer, datagram, sums.kind)
+
+    def _send_to(self, peer: Peer, datagram: bytes, kind: str) -> None:
+        if peer.address is not None:
+            self._metrics.load_messages.labels(kind, "sent").inc()
+            self._send(peer.address, datagram)
+
+    def _drop_sender(self, sender: Peer, reason: str) -> None:
+        """Drop a message that cannot be right, and what its sender has said before."""
+        self._coordinator.remove(sender.instance)
+        self._known.remove(sender.instance)
+        self._drop(reason, sender.instance)
+
+    def _drop(self, reason: str, peer: str) -> None:
+        self._metrics.load_messages.labels("any", f"dropped-{reason}").inc()
+        self._log.state_change("load-message-dropped", peer=peer, reason=reason)
+
+    def _update_peers(self) -> None:
+        """Find the peers by address, and the order of coordinators, when the peers change."""
+        if self._cluster_state.peers is self._peers:
+            return
+        self._peers = self._cluster_state.peers
+        self._peers_by_address = {peer.address: peer for peer in self._peers if peer.address}
+        self._local = order_coordinators(self._peers, self._data_centre)
+        self._coordinator.accept_peers(self._peers)
+
+    def _note_chosen(self, chosen: EntryId | None) -> None:
+        if chosen == self._chosen:
+            return
+        at = self._clock()
+        self._log.state_change(
+            "load-coordinator",
+            coordinator=chosen or "none",
+            before=self._chosen,
+            before_for=at - self._chosen_at if self._chosen is not None else None,
+            instances=len(self._cluster_state.peers),
+        )
+        self._chosen, self._chosen_at = chosen, at
+
+    def _note_places(self, at: float) -> None:
+        """Log the data centres whose sums have come or have become too old."""
+        places = frozenset(place for place, _ in self._known.current(at))
+        for place in places ^ self._known_places:
+            self._log.state_change("load-sums", data_centre=place, known=place in places)
+        self._known_places = places
