Report usage and order numbers of upstreams as duties of one instance at a time

The platform bills by a report per window and takes the number of upstreams from one holder at a time. The leader collects the counts of all instances, fixes the content of a window in the store before it is sent, and calls only within its term and some time after its start. Without the settings section nothing changes.

--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -65,12 +65,20 @@
     UpstreamId,
     UpstreamState,
 )
+from cactuspass.fleet.duties import (
+    CallOutcome,
+    MayCall,
+    PlatformDuties,
+    UpstreamCountOrder,
+    UsageReport,
+)
 
 __all__ = [
     "Adapter",
     "AddressedOrder",
     "AnswerHead",
     "AnswerNotes",
+    "CallOutcome",
     "CallerLimits",
     "Catalog",
     "Changes",
@@ -92,6 +100,7 @@
     "LeaseEnded",
     "LoadReport",
     "MalformedRequest",
+    "MayCall",
     "MemberState",
     "Membership",
     "Metrics",
@@ -101,6 +110,7 @@
     "OperatorDocuments",
     "OrderOutcome",
     "OutgoingRequest",
+    "PlatformDuties",
     "RequestedBackoff",
     "PromptPartId",
     "RequestFormat",
@@ -116,10 +126,12 @@
     "Upstream",
     "UpstreamChanges",
     "UpstreamControl",
+    "UpstreamCountOrder",
     "UpstreamId",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
+    "UsageReport",
     "load_instance_settings",
     "parse_instance_settings",
 ]
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -233,6 +233,8 @@
         if head.is_success:
             at = now()
             self.guarded.note_begun(at - (active.head_at or at))
+            if self.customer is not None and self.dependencies.count_begun is not None:
+                self.dependencies.count_begun(self.customer.customer)
         else:
             self.guarded.note_attempt_ended()
 
--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -14,6 +14,7 @@
     CatalogIndex,
     Evacuations,
     ModelSpec,
+    ScalingLimits,
     Service,
 )
 from cactuspass.fleet._decision_log import DecisionLog
@@ -347,6 +348,12 @@
             self.catalog_index.catalog.limits if self.catalog_index is not None else CallerLimits()
         )
 
+    def scaling_limits(self, service: ServiceId) -> ScalingLimits | None:
+        """Return the limits of the number of upstreams of a service; None if it has none."""
+        index = self.catalog_index
+        found = index.catalog.services_by_id.get(service) if index is not None else None
+        return found.scaling if found is not None else None
+
     def engine_hosts(self) -> Iterator[Upstream]:
         """Return the upstreams of all services with engines that form groups."""
         services_by_id = (
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -24,6 +24,8 @@
     encode_part_message,
 )
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.duties._usage_messages import CODEC as USAGE_CODEC
+from cactuspass.fleet.duties._usage_messages import UsageDatagram
 
 REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
 # Shortest time between two sends of the same hint by any instance; shorter than the time for which
@@ -93,6 +95,8 @@
     :param on_leaving: called with a lifetime that another instance reports as leaving.
     :param on_part_message: called with a message of another instance on parts of prompts.
     :param on_limit_message: called with a message of another instance on limits of upstreams.
+    :param on_usage_message: called with a message on the usage report and the IP address of its
+        sender, which may have deregistered; None where usage is not reported.
     """
 
     def __init__(
@@ -104,7 +108,9 @@
         on_leaving: Callable[[Lifetime], None] = _ignore,
         on_part_message: Callable[[PartMessage], None] = _ignore,
         on_limit_message: Callable[[LimitDatagram], None] = _ignore,
+        on_usage_message: Callable[[UsageDatagram, str], None] | None = None,
     ) -> None:
+        self._on_usage_message = on_usage_message
         self._on_limit_message = on_limit_message
         self._on_part_message = on_part_message
         self._address = address
@@ -151,6 +157,8 @@
             self._accept_from_peer(self._on_part_message, message, addr[0])
         elif (limit_message := LIMIT_CODEC.decode(data)) is not None:
             self._accept_from_peer(self._on_limit_message, limit_message, addr[0])
+        elif self._on_usage_message and (usage_message := USAGE_CODEC.decode(data)) is not None:
+            self._on_usage_message(usage_message, addr[0])
         else:
             self._log.state_change("hint-unreadable", peer=addr[0], size=len(data))
 
@@ -212,6 +220,17 @@
         if datagram is not None and self._transport is not None:
             self._transport.sendto(datagram, _parse_address(address))
 
+    def send_usage_message(self, address: str, message: UsageDatagram) -> None:
+        """Send one other instance a message on the usage report.
+
+        :param address: ``host:port`` of the instance.
+        """
+        datagram = USAGE_CODEC.encode(message)
+        if datagram is None:
+            self._log.alarm("usage-message-too-large", message=message.kind)
+        elif self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, _parse_address(address))
+
     def _send_unless_recent(self, datagram: bytes) -> bool:
         """Send a datagram unless it was sent or received less than ``MIN_INTERVAL_SECONDS`` ago.
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,6 +44,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -60,12 +61,14 @@
     :param directory: documents of the operators and registry entries of upstreams.
     :param control: orders to upstreams and their reports.
     :param request_format: translation of requests and responses.
+    :param duties: calls that one instance at a time makes; None where the platform has none.
     """
 
     store: SharedStore
     directory: Directory
     control: UpstreamControl
     request_format: RequestFormat
+    duties: PlatformDuties | None = None
 
 
 class Instance(Component):
@@ -146,6 +149,7 @@
             lambda: self.cluster_state.blocks.snapshot,
             lambda: self._presence.term is not None,
         )
+        has_duties = settings.duties is not None and adapter.duties is not None
         dependencies = RequestDependencies(
             adapter.request_format,
             selector,
@@ -159,6 +163,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
+            (lambda customer: self._duties.count_begun(customer)) if has_duties else None,
         )
         self._silences = dependencies.silences
         admission = Admission(self.cluster_state, bounds.key_seconds, bounds.propagation_seconds)
@@ -177,6 +182,8 @@
         self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
             further = {PARTS_PATH: self.parts_page, LIMITS_PATH: self.limits_page}
+            if has_duties:
+                further[DUTIES_PATH] = lambda: self._duties.page()
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
         self._probes = probes = Probes(
             self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
@@ -191,6 +198,7 @@
             self._notices.apply_leaving_hint,
             self._part_guard.receive,
             self._upstream_limits.receive,
+            (lambda message, host: self._duties.receive(message, host)) if has_duties else None,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -228,6 +236,21 @@
             metrics,
             self._request_activity,
         )
+        duties: tuple[Component, ...] = ()
+        if settings.duties is not None and adapter.duties is not None:
+            self._duties = Duties(
+                entry_id,
+                settings.duties,
+                adapter.duties,
+                adapter.store,
+                self.cluster_state,
+                self._presence,
+                self.cluster_state.scaling_limits,
+                self._hints.send_usage_message,
+                log,
+                metrics,
+            )
+            duties = (self._duties,)
         self._application = Application(
             (
                 source,
@@ -255,6 +278,7 @@
                 self._block_store,
                 probes,
                 self._controller,
+                *duties,
             )
         )
 
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -70,6 +70,20 @@
             "store_era", "How often the platform's store had been restored, by its last answer"
         )
         self.orders = self._counter("orders", "Orders to upstreams", "order", "outcome")
+        self.duty_calls = self._counter(
+            "duty_calls",
+            "Calls to the platform that one instance at a time makes, by duty and outcome",
+            "duty",
+            "outcome",
+        )
+        self.usage_windows = self._counter(
+            "usage_windows",
+            "Windows of the usage report whose content this instance has fixed, or that it missed",
+            "content",
+        )
+        self.holds_duties = self._gauge(
+            "holds_duties", "1 while this instance makes the calls of one instance at a time"
+        )
         self.first_byte = Histogram(
             "cactuspass_first_byte_seconds",
             "Time from the request's arrival to the first byte of its answer",
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -1,6 +1,8 @@
 """A pool of keep-alive connections, by address."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -14,6 +16,10 @@
 MAX_IDLE_PER_ADDRESS = 32
 
 
+# A connection that closes sends nothing any more: SO_LINGER is on, with a time of zero.
+DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
 def always() -> bool:
     """Return True: the default check of :meth:`ConnectionPool.send_request`."""
     return True
@@ -46,10 +52,18 @@
     """Opens connections and keeps idle ones for reuse, by address.
 
     :param connect_timeout: timeout in seconds for opening a connection.
+    :param discard_unsent_after: seconds after which the kernel gives up bytes that the other side
+        has not acknowledged, for requests that must not arrive late. They are then also given up
+        when the connection is closed. None leaves both to the kernel's defaults.
     """
 
-    def __init__(self, connect_timeout: float = CONNECT_TIMEOUT_SECONDS) -> None:
+    def __init__(
+        self,
+        connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        discard_unsent_after: float | None = None,
+    ) -> None:
         self._connect_timeout = connect_timeout
+        self._discard_unsent_after = discard_unsent_after
         self._idle_by_address: dict[str, list[Connection]] = {}
         self.opened_count = 0
 
@@ -108,11 +122,16 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_timeout):
-                _, connection = await loop.create_connection(Connection, host, int(port))
+                transport, connection = await loop.create_connection(Connection, host, int(port))
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             detail = f"cannot connect to {address}: {error or type(error).__name__}"
             raise UpstreamNotReached(detail) from error
         self.opened_count += 1
+        if self._discard_unsent_after is not None:
+            opened: socket.socket = transport.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_ON_CLOSE)
+            milliseconds = int(self._discard_unsent_after * 1000)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
         return connection
 
     async def is_reachable(self, address: str) -> bool:
--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -164,6 +164,11 @@
             self._end_term("lease not renewed in time")
         return self._term
 
+    @property
+    def term_seconds_left(self) -> float:
+        """Seconds until the current term ends unless it is renewed; 0 without a term."""
+        return max(0.0, self._lease_until - now()) if self.term is not None else 0.0
+
     @property
     def has_listed_keys(self) -> bool:
         """Whether the keys of all instances have been read since the start."""
--- a/src/cactuspass/fleet/_request_dependencies.py
+++ b/src/cactuspass/fleet/_request_dependencies.py
@@ -16,12 +16,16 @@
 from cactuspass.fleet._silence_report import SilenceReport
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import UpstreamId
-from cactuspass.models import ServiceId
+from cactuspass.models import CustomerId, ServiceId
 
 
 @dataclass(slots=True)
 class RequestDependencies:
-    """Components of the instance that are needed to serve a request."""
+    """Components of the instance that are needed to serve a request.
+
+    :param count_begun: counts a request of a customer that an upstream has begun; None where usage
+        is not reported.
+    """
 
     request_format: RequestFormat
     selector: Selector
@@ -35,6 +39,7 @@
     notices: UpstreamNotices
     part_guard: PartGuard
     limit_waits: LimitWaits
+    count_begun: Callable[[CustomerId], None] | None = None
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     silences: SilenceReport = field(init=False)
 
--- /dev/null
+++ b/src/cactuspass/fleet/duties/_usage_tally.py
@@ -0,0 +1,105 @@
+"""Counts of all instances, as far as this instance has received them."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from cactuspass.fleet.duties._usage_messages import UsageAnswer
+from cactuspass.fleet.duties._windows import Windows
+from cactuspass.models import CustomerId, EntryId
+
+# An answer that states a later window comes from a clock that is wrong.
+MAX_WINDOWS_AHEAD = 2
+
+Source = tuple[EntryId, int]
+
+
+class UsageTally:
+    """Adds up the cumulative counts of the runs of all instances.
+
+    Messages may arrive twice or in any order, since counts of one run only rise. The counts of a
+    run that has ended are kept.
+    """
+
+    def __init__(self, windows: Windows) -> None:
+        self._windows = windows
+        self._counts_by_window: defaultdict[int, dict[tuple[Source, CustomerId], int]] = (
+            defaultdict(dict)
+        )
+
+    def add(self, answer: UsageAnswer, at: float) -> None:
+        """Add the counts of a message; windows that no report needs any more are left out.
+
+        :param at: current time in Unix seconds.
+        """
+        first, last = self._windows.first_kept(at), self._windows.at(at) + MAX_WINDOWS_AHEAD
+        self._remove_before(first)
+        source = (answer.instance, answer.lifetime)
+        for window, counts in answer.counts:
+            if not first <= window <= last:
+                continue
+            known = self._counts_by_window[window]
+            for customer, count in counts.items():
+                key = (source, customer)
+                known[key] = max(count, known.get(key, 0))
+
+    def total(self, window: int) -> dict[CustomerId, int]:
+        """Return the counts of all instances in a window, by customer."""
+        totals: Counter[CustomerId] = Counter()
+        for (_, customer), count in self._counts_by_window.get(window, {}).items():
+            totals[customer] += count
+        return dict(totals)
+
+    def _remove_before(self, first_window: int) -> None:
+        for window in [window for window in self._counts_by_window if window < first_window]:
+            del self._counts_by_window[window]
+
+
+class AnswerProgress:
+    """Which instances have answered the holder's queries completely, and until when.
+
+    :param fence: fence number of the queries.
+    """
+
+    def __init__(self, fence: int) -> None:
+        self.fence = fence
+        self.rounds = 0
+        self._asked_at_by_number: dict[int, float] = {}
+        self._parts_by_source: dict[tuple[Source, int], set[int]] = {}
+        self._answered_until: dict[EntryId, float] = {}
+
+    def begin_round(self, true_time: float, max_open: int) -> int:
+        """Return the number of a new query.
+
+        :param true_time: time that the query states.
+        :param max_open: number of queries for which answers are still accepted.
+        """
+        self.rounds += 1
+        self._asked_at_by_number[self.rounds] = true_time
+        oldest = self.rounds - max_open
+        self._asked_at_by_number.pop(oldest, None)
+        for key in [key for key in self._parts_by_source if key[1] <= oldest]:
+            del self._parts_by_source[key]
+        return self.rounds
+
+    def note(self, answer: UsageAnswer) -> None:
+        """Record a part of an answer."""
+        asked_at = self._asked_at_by_number.get(answer.number)
+        if answer.fence != self.fence or asked_at is None:
+            return
+        key = ((answer.instance, answer.lifetime), answer.number)
+        parts = self._parts_by_source.setdefault(key, set())
+        parts.add(answer.part)
+        if len(parts) >= answer.parts:
+            known = self._answered_until.get(answer.instance, asked_at)
+            self._answered_until[answer.instance] = max(asked_at, known)
+
+    def lacking(self, instances: Iterable[EntryId], since: float) -> list[EntryId]:
+        """Return the instances that have not answered a query sent after a time completely.
+
+        :param since: Unix seconds.
+        """
+        return [
+            instance
+            for instance in instances
+            if self._answered_until.get(instance, float("-inf")) < since
+        ]
--- a/src/cactuspass/platform/_names.py
+++ b/src/cactuspass/platform/_names.py
@@ -17,6 +17,8 @@
 SERVER_LOAD = "Cactuspass-Server-Load"
 SERVER_LIMIT = "Server-Limit"
 STORE_ERA = "Store-Era"
+HOLDER = "Cactuspass-Holder"
+FENCE = "Cactuspass-Fence"
 
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/src/cactuspass/platform/entry.py
+++ b/src/cactuspass/platform/entry.py
@@ -14,6 +14,7 @@
     Metrics,
     load_instance_settings,
 )
+from cactuspass.platform._cloud import CloudDuties
 from cactuspass.platform._control import ServerControl
 from cactuspass.platform._directory import MetadataDirectory
 from cactuspass.platform._requests import PlatformRequests
@@ -21,13 +22,20 @@
 
 SETTINGS_VARIABLE = "CACTUSPASS_SETTINGS"
 EXIT_USAGE = 2
+CLOUD_CONNECT_SECONDS = 0.5
+# Within the wait of a new holder, also if the process of the earlier one is paused.
+CLOUD_DISCARD_SECONDS = 1.0
 
 
 def build_adapter(settings: InstanceSettings, metrics: Metrics) -> Adapter:
     """Return the parts of an instance that depend on the platform."""
     store = MetadataStore(settings.store.address, ConnectionPool(), metrics)
     control = ServerControl(ConnectionPool())
-    return Adapter(store, MetadataDirectory(store), control, PlatformRequests())
+    duties = None
+    if settings.duties is not None:
+        pool = ConnectionPool(CLOUD_CONNECT_SECONDS, CLOUD_DISCARD_SECONDS)
+        duties = CloudDuties(settings.duties.address, settings.instance.name, pool)
+    return Adapter(store, MetadataDirectory(store), control, PlatformRequests(), duties)
 
 
 def build_instance(path: str) -> Instance:
