--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -66,12 +66,20 @@
     UpstreamId,
     UpstreamState,
 )
+from cactuspass.fleet.duties import (
+    CallOutcome,
+    MayCall,
+    PlatformDuties,
+    UpstreamCountOrder,
+    UsageReport,
+)
 
 __all__ = [
     "Adapter",
     "AddressedOrder",
     "AnswerHead",
     "AnswerNotes",
+    "CallOutcome",
     "CallerLimits",
     "Catalog",
     "Changes",
@@ -94,6 +102,7 @@
     "LeaseEnded",
     "LoadReport",
     "MalformedRequest",
+    "MayCall",
     "MemberState",
     "Membership",
     "Metrics",
@@ -103,6 +112,7 @@
     "OperatorDocuments",
     "OrderOutcome",
     "OutgoingRequest",
+    "PlatformDuties",
     "RequestedBackoff",
     "PromptPartId",
     "RequestFormat",
@@ -118,10 +128,12 @@
     "Upstream",
     "UpstreamChanges",
     "UpstreamControl",
+    "UpstreamCountOrder",
     "UpstreamId",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
+    "UsageReport",
     "load_instance_settings",
     "parse_instance_settings",
 ]
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -244,6 +244,8 @@
             at = now()
             self.guarded.note_begun(at - (active.head_at or at))
             self._count_begun(at)
+            if self.customer is not None and self.dependencies.count_begun is not None:
+                self.dependencies.count_begun(self.customer.customer)
         else:
             self.guarded.note_attempt_ended()
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,6 +44,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties
 from cactuspass.fleet.load_exchange import LOAD_PATH, LoadExchange, ModelKey, RequestMeter
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
@@ -61,12 +62,14 @@
     :param directory: documents of the operators and registry entries of upstreams.
     :param control: orders to upstreams and their reports.
     :param request_format: translation of requests and responses.
+    :param duties: calls that one instance at a time makes; None where the platform has none.
     """
 
     store: SharedStore
     directory: Directory
     control: UpstreamControl
     request_format: RequestFormat
+    duties: PlatformDuties | None = None
 
 
 class Instance(Component):
@@ -149,6 +152,7 @@
         )
         meter = RequestMeter(self._is_declared_model)
         self._load_exchange = self._create_load_exchange(meter, rng)
+        has_duties = settings.duties is not None and adapter.duties is not None
         dependencies = RequestDependencies(
             adapter.request_format,
             selector,
@@ -162,6 +166,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
+            (lambda customer: self._duties.count_begun(customer)) if has_duties else None,
             meter=meter,
         )
         self._silences = dependencies.silences
@@ -183,6 +188,8 @@
             further = {PARTS_PATH: self.parts_page, LIMITS_PATH: self.limits_page}
             if self._load_exchange is not None:
                 further[LOAD_PATH] = self._load_exchange.page
+            if has_duties:
+                further[DUTIES_PATH] = lambda: self._duties.page()
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
         self._probes = probes = Probes(
             self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
@@ -198,6 +205,7 @@
             self._part_guard.receive,
             self._upstream_limits.receive,
             self._receive_load_datagram,
+            (lambda message, host: self._duties.receive(message, host)) if has_duties else None,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -235,6 +243,21 @@
             metrics,
             self._request_activity,
         )
+        duties: tuple[Component, ...] = ()
+        if settings.duties is not None and adapter.duties is not None:
+            self._duties = Duties(
+                entry_id,
+                settings.duties,
+                adapter.duties,
+                adapter.store,
+                self.cluster_state,
+                self._presence,
+                self.cluster_state.scaling_limits,
+                self._hints.send_usage_message,
+                log,
+                metrics,
+            )
+            duties = (self._duties,)
         self._application = Application(
             (
                 source,
@@ -263,6 +286,7 @@
                 probes,
                 self._controller,
                 *filter(None, (self._load_exchange,)),
+                *duties,
             )
         )
 
