--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -9,7 +9,7 @@
 from cactuspass.fleet._active_attempt import ActiveAttempt
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._answer_progress import AnswerProgress, RetryObstacle
-from cactuspass.fleet._catalog import Customer, Route
+from cactuspass.fleet._catalog import Customer, Route, RouteKind
 from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
 from cactuspass.fleet._failures import (
     FAILURES_OF_APPLICATION,
@@ -219,6 +219,10 @@
         active.end_trial(is_answered=not is_rejected)
         if notes.load is not None:
             self.dependencies.loads.record_report(active.upstream.upstream_id, notes.load, now())
+        is_plain_failure = self.route.kind is not RouteKind.STREAM and not head.is_success
+        if is_plain_failure and notes.from_application and not notes.not_run:
+            # The failure of a plain service is the result of a run.
+            self._report_usage()
         return notes
 
     def note_heard(self, active: ActiveAttempt) -> None:
@@ -244,11 +248,15 @@
             at = now()
             self.guarded.note_begun(at - (active.head_at or at))
             self._count_begun(at)
-            if self.customer is not None and self.dependencies.count_begun is not None:
-                self.dependencies.count_begun(self.customer.customer)
+            self._report_usage()
         else:
             self.guarded.note_attempt_ended()
 
+    def _report_usage(self) -> None:
+        """Count an attempt that an upstream has run, for the usage report of its customer."""
+        if self.customer is not None and self.dependencies.count_begun is not None:
+            self.dependencies.count_begun(self.customer.customer)
+
     def _count_begun(self, at: float) -> None:
         """Count the request as begun, once."""
         if self.has_begun:
