Let the target numbers of groups follow the peak of the offered demand

Demand learned only from requests that run or wait at open groups: refused ones were not seen, and smoothing lost the peak of a wave.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from contextlib import suppress
 
 from cactuspass._clock import now
@@ -13,6 +14,7 @@
 from cactuspass.fleet._dispatch import RequestActivity
 from cactuspass.fleet._group_history import GroupHistory
 from cactuspass.fleet._metrics import Metrics
+from cactuspass.fleet._offered_load import offered_concurrency
 from cactuspass.fleet._orders import AddressedOrder, Join, Order, Stage, UpstreamControl
 from cactuspass.fleet._planner import GroupPlanner
 from cactuspass.fleet._planning_round import PlannerInput
@@ -20,6 +22,7 @@
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
+from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import ModelId, ServiceId
 
 PLAN_INTERVAL_SECONDS = 0.15  # longest time between two planning rounds
@@ -37,6 +40,7 @@
     term starts with their history.
 
     :param request_activity: states whether this instance has admitted any request.
+    :param fleet_load: returns the load that instances have exchanged, None while it is not known.
     """
 
     def __init__(
@@ -48,8 +52,10 @@
         log: DecisionLog,
         metrics: Metrics,
         request_activity: RequestActivity,
+        fleet_load: Callable[[], FleetLoad | None] = lambda: None,
     ) -> None:
         super().__init__(log)
+        self._fleet_load = fleet_load
         self._cluster_state = cluster_state
         self._presence = presence
         self._control = control
@@ -123,7 +129,8 @@
         planner = self._planners_by_service.setdefault(
             service.service, GroupPlanner(Demand(), history)
         )
-        planner.demand.observe(self._concurrency_by_model(service))
+        planner.demand.observe(self.concurrency_by_model(service))
+        self._observe_offered(planner.demand, service)
         if self._request_activity.any_admitted:
             self._before_traffic = False
         if self._before_traffic and not self._is_registry_stable():
@@ -191,7 +198,20 @@
                 free_hosts=planner.describe_free_hosts(),
             )
 
-    def _concurrency_by_model(self, service: Service) -> dict[ModelId, float]:
+    def _observe_offered(self, demand: Demand, service: Service) -> None:
+        """Pass on what the whole fleet is asked for, where instances exchange their load."""
+        assert service.engine is not None
+        load = self._fleet_load()
+        offered = offered_concurrency(load, service.service) if load is not None else None
+        evacuated = self._cluster_state.evacuations.data_centres
+        serving = Counter(
+            group.model
+            for group in self._cluster_state.view.serving_groups(service.service)
+            if group.model is not None and group.members[0].data_centre not in evacuated
+        )
+        demand.observe_offered(service.engine, offered, serving, now())
+
+    def concurrency_by_model(self, service: Service) -> dict[ModelId, float]:
         """Return the running and queued requests of each model by the last reports of the heads."""
         counts: Counter[ModelId] = Counter()
         reports_by_id = self._probes.reports_by_id()
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,12 +44,15 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.autoscaling import Autoscaler
+from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
 # Time for the store to end the leases, when a stop is handled after its notice.
 MIN_LEASE_END_SECONDS = 0.5
 HOUSEKEEPING_INTERVAL_SECONDS = 5.0
+SCALE_DUTY = "scale"
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +230,7 @@
             log,
             metrics,
             self._request_activity,
+            self._fleet_load,
         )
         self._application = Application(
             (
@@ -255,9 +259,35 @@
                 self._block_store,
                 probes,
                 self._controller,
+                *self._autoscalers(),
             )
         )
 
+    def _autoscalers(self) -> tuple[Autoscaler, ...]:
+        """Return the component that orders numbers of upstreams, where that is configured."""
+        duties = self._settings.duties
+        if duties is None or SCALE_DUTY not in duties.names:
+            return ()
+        return (
+            Autoscaler(
+                self.cluster_state,
+                lambda: self._presence.term,
+                self._fleet_load,
+                self._controller.concurrency_by_model,
+                self._want_upstream_count,
+                self._log,
+                self._metrics,
+            ),
+        )
+
+    def _fleet_load(self) -> FleetLoad | None:
+        return None
+
+    def _want_upstream_count(
+        self, service: ServiceId, data_centre: DataCentreId, count: int, reason: str
+    ) -> None:
+        pass
+
     async def start(self) -> None:
         """Start all components, then listen for callers, whom a failed start would leave."""
         for page in self._pages:
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -91,6 +91,15 @@
             "connections_opened", "Connections opened to upstreams since the start"
         )
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines that were dropped")
+        self.wanted_upstreams = self._gauge(
+            "wanted_upstreams", "Upstreams that this instance orders", "service", "data_centre"
+        )
+        self.offered_groups = self._gauge(
+            "offered_groups",
+            "Groups that the offered requests would fill at the peak of the last wave",
+            "service",
+            "model",
+        )
         self.leads = self._gauge("leads", "1 while this instance gives orders to upstreams")
 
     def store_calls_by_kind(self) -> Counts[str]:
