--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -1,7 +1,7 @@
 """Decides the number of upstreams of one service in each data centre."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cactuspass.fleet._offered_load import WAVE_SECONDS
 from cactuspass.fleet.autoscaling._group_counts import GroupCounts
@@ -23,6 +23,7 @@
 # Upstreams that were ordered additionally serve after 20 to 24 s; what they cost until then is
 # spent already.
 KEPT_AFTER_GROWTH_SECONDS = 30.0
+KEPT_AFTER_RETURN_SECONDS = 15.0  # a data centre that was out may be out again
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +64,7 @@
         self._ordered_by_data_centre: dict[DataCentreId, int] = {}
         self._seen_by_data_centre: dict[DataCentreId, int] = {}
         self._out_since: dict[DataCentreId, float] = {}
+        self._last_out_at = float("-inf")
         self._short_since: dict[DataCentreId, float] = {}
         self._groups_short_since: float | None = None
         self._grew_at = float("-inf")
@@ -77,6 +79,7 @@
         if not self._ordered_by_data_centre:
             self.wanted_by_data_centre.clear()
         adopted = self._adopt(scaling_input)
+        scaling_input = self._with_empty(scaling_input)
         self._observe(scaling_input)
         if scaling_input.known_seconds < MIN_KNOWN_SECONDS:
             return ScalingDecision(held_for="the demand is not known yet")
@@ -117,17 +120,24 @@
         }
         return bool(registered)
 
+    def _with_empty(self, scaling_input: ScalingInput) -> ScalingInput:
+        """Add the data centres without any upstream, for which a number was ordered."""
+        known = {hosts.data_centre for hosts in scaling_input.data_centres}
+        empty = (DataCentreHosts(name) for name in self.wanted_by_data_centre if name not in known)
+        return replace(scaling_input, data_centres=(*scaling_input.data_centres, *empty))
+
     def _observe(self, scaling_input: ScalingInput) -> None:
         """Note since when data centres are out or lack upstreams, and groups are settled."""
         at = scaling_input.at
-        by_data_centre = {hosts.data_centre: hosts for hosts in scaling_input.data_centres}
-        for data_centre, wanted in self.wanted_by_data_centre.items():
-            hosts = by_data_centre.get(data_centre, DataCentreHosts(data_centre))
+        for hosts in scaling_input.data_centres:
+            data_centre, wanted = hosts.data_centre, self.wanted_by_data_centre[hosts.data_centre]
             seen = min(wanted, max(hosts.count, self._seen_by_data_centre.get(data_centre, 0)))
             self._seen_by_data_centre[data_centre] = seen
             is_lost = hosts.count < LOST_SHARE * seen
             _note_since(self._out_since, data_centre, hosts.is_evacuated or is_lost, at)
             _note_since(self._short_since, data_centre, hosts.count < wanted, at)
+        if self._out_since:
+            self._last_out_at = at
         is_settled = all(
             not hosts.is_changing and hosts.count <= self.wanted_by_data_centre[hosts.data_centre]
             for hosts in scaling_input.data_centres
@@ -223,6 +233,8 @@
         at = scaling_input.at
         if self._out_since:
             return f"out: {', '.join(sorted(self._out_since))}"
+        if at - self._last_out_at < KEPT_AFTER_RETURN_SECONDS:
+            return "a data centre has just returned"
         if scaling_input.unheard_data_centres:
             unheard = ", ".join(sorted(scaling_input.unheard_data_centres))
             return f"the demand of {unheard} is not known"
@@ -250,7 +262,7 @@
         counts = self._counts(scaling_input, available)
         reduction = find_reduction(scaling_input, available, counts, target, needed)
         if reduction is None:
-            return "", f"needed: {target}"
+            return "", "no step leaves enough groups"
         self.wanted_by_data_centre[reduction.data_centre] -= reduction.removed
         self._settled_since, self._unsettled_since = None, scaling_input.at
         return f"{reduction.removed} fewer, needed: {target}", ""
--- a/tests/scaling_world.py
+++ b/tests/scaling_world.py
@@ -115,7 +115,7 @@
         self.share_by_data_centre = dict.fromkeys(DATA_CENTRES, 1 / 3)
         self.unheard: set[DataCentreId] = set()
         self.least_serving = Counter(dict.fromkeys(RATES, 1000))
-        self.log, self.lines = recording_log()
+        self.log, self.handler = recording_log()
         self.term: Term | None = Term(5)
         self._orders: list[tuple[float, DataCentreId, int]] = []
         self._count_by_data_centre = dict.fromkeys(DATA_CENTRES, 57)
