--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,8 +44,15 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties
-from cactuspass.fleet.load_exchange import LOAD_PATH, LoadExchange, ModelKey, RequestMeter
+from cactuspass.fleet.autoscaling import Autoscaler
+from cactuspass.fleet.duties import DUTIES_PATH, CountOrders, Duties, PlatformDuties
+from cactuspass.fleet.load_exchange import (
+    LOAD_PATH,
+    FleetLoad,
+    LoadExchange,
+    ModelKey,
+    RequestMeter,
+)
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -242,8 +249,10 @@
             log,
             metrics,
             self._request_activity,
+            self._fleet_load,
         )
         duties: tuple[Component, ...] = ()
+        orders: CountOrders | None = None
         if settings.duties is not None and adapter.duties is not None:
             self._duties = Duties(
                 entry_id,
@@ -257,7 +266,7 @@
                 log,
                 metrics,
             )
-            duties = (self._duties,)
+            duties, orders = (self._duties,), self._duties.count_orders
         self._application = Application(
             (
                 source,
@@ -287,6 +296,7 @@
                 self._controller,
                 *filter(None, (self._load_exchange,)),
                 *duties,
+                *self._autoscalers(orders),
             )
         )
 
@@ -322,6 +332,26 @@
             and (key[1] in service.engine.models_by_id)
         )
 
+    def _autoscalers(self, orders: CountOrders | None) -> tuple[Autoscaler, ...]:
+        """Return the component that decides on numbers of upstreams, if they can be ordered."""
+        if orders is None:
+            return ()
+        return (
+            Autoscaler(
+                self.cluster_state,
+                lambda: self._presence.term,
+                self._fleet_load,
+                self._controller.concurrency_by_model,
+                orders.want,
+                self._log,
+                self._metrics,
+            ),
+        )
+
+    def _fleet_load(self) -> FleetLoad | None:
+        """Return the load that instances have exchanged; None while nothing recent is known."""
+        return self._load_exchange.latest if self._load_exchange is not None else None
+
     async def start(self) -> None:
         """Start all components, then listen for callers, whom a failed start would leave."""
         for page in self._pages:
