--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -47,8 +47,11 @@
             "Tokens for upstreams with limits that were asked for, granted or lent",
             "outcome",
         )
-        self.load_messages = self._counter(
-            "load_messages", "Messages of the load exchange by kind and outcome", "kind", "outcome"
+        self.load_messages = self._gauge(
+            "load_messages",
+            "Messages of the load exchange since the start, by kind or why they were dropped",
+            "outcome",
+            "kind",
         )
         self.load_age = self._gauge(
             "load_age_seconds", "Age of the sums of a data centre's loads", "data_centre"
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from cactuspass._clock import now
@@ -72,6 +73,10 @@
         self._choice = CoordinatorChoice(instance)
         self._known = KnownSums(data_centre)
         self._coordinator = Coordinator(instance, data_centre, cluster_state, self._known)
+        # Plain counts, since a coordinator sends over a thousand datagrams per second.
+        self._sent_by_kind: Counter[str] = Counter()
+        self._received_by_kind: Counter[str] = Counter()
+        self._dropped_by_reason: Counter[str] = Counter()
         self._chosen: EntryId | None = None
         self._chosen_at = clock()
         self._latest: FleetLoad | None = None
@@ -143,7 +148,7 @@
             self._drop_sender(sender, "invalid")
             return
         number, message = decoded
-        self._metrics.load_messages.labels(message.kind, "received").inc()
+        self._received_by_kind[message.kind] += 1
         if isinstance(message, InstanceState):
             if not self._coordinator.record_state(sender, number, message, at):
                 self._drop_sender(sender, "impossible")
@@ -157,7 +162,14 @@
         return 200, load_page(current, self._chosen, at - self._chosen_at, self.latest, at)
 
     def update_metrics(self) -> None:
-        """Set the gauges of the exchange."""
+        """Set the metrics of the exchange."""
+        for outcome, counts in (
+            ("sent", self._sent_by_kind),
+            ("received", self._received_by_kind),
+            ("dropped", self._dropped_by_reason),
+        ):
+            for name, count in counts.items():
+                self._metrics.load_messages.labels(outcome, name).set(count)
         at = self._clock()
         self._metrics.coordinates_loads.set(self._chosen == self._instance)
         self._metrics.load_age.clear()
@@ -203,7 +215,7 @@
 
     def _send_to(self, peer: Peer, datagram: bytes, kind: str) -> None:
         if peer.address is not None:
-            self._metrics.load_messages.labels(kind, "sent").inc()
+            self._sent_by_kind[kind] += 1
             self._send(peer.address, datagram)
 
     def _drop_sender(self, sender: Peer, reason: str) -> None:
@@ -213,7 +225,7 @@
         self._drop(reason, sender.instance)
 
     def _drop(self, reason: str, peer: str) -> None:
-        self._metrics.load_messages.labels("any", f"dropped-{reason}").inc()
+        self._dropped_by_reason[reason] += 1
         self._log.state_change("load-message-dropped", peer=peer, reason=reason)
 
     def _update_peers(self) -> None:
--- a/src/cactuspass/fleet/load_exchange/_instance_states.py
+++ b/src/cactuspass/fleet/load_exchange/_instance_states.py
@@ -3,6 +3,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from operator import ge
 
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.load_exchange._fleet_load import ModelDemand, ModelKey
@@ -34,7 +35,7 @@
         seconds = 1.0 + (elapsed_ms - last_ms) / MILLISECONDS
         return (
             elapsed_ms > last_ms
-            and all(new >= old for new, old in zip(counts, last, strict=True))
+            and all(map(ge, counts, last))
             and counts[0] - last[0] <= MAX_ARRIVALS_PER_SECOND * seconds
         )
 
@@ -50,7 +51,7 @@
         if last_ms <= first_ms:
             return ()
         scale = MILLISECONDS / (last_ms - first_ms)
-        return tuple((new - old) * scale for new, old in zip(last, first, strict=True))
+        return tuple([(new - old) * scale for new, old in zip(last, first, strict=True)])
 
 
 @dataclass(slots=True)
@@ -155,16 +156,17 @@
 
     def _sum_demand(self, instances: Iterable[_Instance]) -> dict[ModelKey, ModelDemand]:
         """Return the demand by model; what is not known at present stays as it was last."""
-        rates_by_key: dict[ModelKey, list[float]] = {}
+        rates_by_key: dict[ModelKey, list[tuple[float, ...]]] = {}
         for instance in instances:
             for key, window in instance.windows_by_key.items():
                 rates = window.rates()
                 if rates:
-                    sums = rates_by_key.setdefault(key, [0.0] * len(rates))
-                    for index, rate in enumerate(rates):
-                        sums[index] += rate
+                    rates_by_key.setdefault(key, []).append(rates)
         self._demand_by_key = {
-            key: _demand(rates, self._demand_by_key.get(key, ModelDemand()))
+            key: _demand(
+                [sum(column) for column in zip(*rates, strict=True)],
+                self._demand_by_key.get(key, ModelDemand()),
+            )
             for key, rates in rates_by_key.items()
         }
         return self._demand_by_key
--- a/tests/test_fleet_load_exchange.py
+++ b/tests/test_fleet_load_exchange.py
@@ -253,9 +253,10 @@
             (body,) = encode_bodies(state)
             coordinator.exchange.receive(add_number(number, body), sender.peer.address)
         self.assertEqual(coordinator.exchange._coordinator.counted_number(sender.peer.instance), 0)
+        coordinator.exchange.update_metrics()
         metrics = coordinator.metrics.render().decode()
-        self.assertIn('outcome="dropped-invalid"} 8.0', metrics)
-        self.assertIn('outcome="dropped-impossible"} 1.0', metrics)
+        self.assertIn('{kind="invalid",outcome="dropped"} 8.0', metrics)
+        self.assertIn('{kind="impossible",outcome="dropped"} 1.0', metrics)
 
     def test_datagrams_of_strangers_are_dropped(self) -> None:
         world = LoadWorld()
