Decide for each model the share of requests that goes to other data centres

Cause: a constant penalty of 0.15 in each choice sends requests to other data centres that the own one has room for, and does not know their room.

Change: the coordinator divides the room of each data centre among those whose demand exceeds their own groups; the shares travel in its sums. An instance also sends its state to the first coordinator in order while it uses the next one, so that neither lacks it.

--- a/bench/load_exchange.py
+++ b/bench/load_exchange.py
@@ -21,6 +21,7 @@
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import LoadExchange, RequestMeter
+from cactuspass.fleet.spill import ShareDecider
 from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId, ModelId, ServiceId
 
 PLACES = tuple(DataCentreId(f"centre-{number}") for number in range(3))
@@ -150,6 +151,7 @@
             log,
             Metrics(),
             self._rng,
+            ShareDecider(state, peer.data_centre, log).decide,
             lambda: self._at,
         )
         return _Node(peer, exchange, loads, meter)
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -45,6 +45,7 @@
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.load_exchange import LOAD_PATH, LoadExchange, ModelKey, RequestMeter
+from cactuspass.fleet.spill import ShareDecider
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -271,9 +272,10 @@
         settings = self._settings
         if settings.load_exchange is None or settings.listeners.peers is None:
             return None
+        data_centre = DataCentreId(settings.instance.data_centre)
         return LoadExchange(
             EntryId(settings.instance.name),
-            DataCentreId(settings.instance.data_centre),
+            data_centre,
             settings.load_exchange.min_instances,
             self.cluster_state,
             self._loads,
@@ -282,6 +284,7 @@
             self._log,
             self._metrics,
             rng,
+            ShareDecider(self.cluster_state, data_centre, self._log).decide,
         )
 
     def _receive_load_datagram(self, datagram: bytes, address: str) -> None:
--- a/src/cactuspass/fleet/load_exchange/__init__.py
+++ b/src/cactuspass/fleet/load_exchange/__init__.py
@@ -7,7 +7,9 @@
     HeadLoad,
     ModelDemand,
     ModelKey,
+    Shares,
 )
+from cactuspass.fleet.load_exchange._known_loads import KnownLoads, ShareDecision
 from cactuspass.fleet.load_exchange._messages import is_load_datagram
 from cactuspass.fleet.load_exchange._request_meter import RequestMeter
 from cactuspass.fleet.load_exchange._rows import LOAD_PATH
@@ -17,9 +19,12 @@
     "DemandKey",
     "FleetLoad",
     "HeadLoad",
+    "KnownLoads",
     "LoadExchange",
     "ModelDemand",
     "ModelKey",
     "RequestMeter",
+    "ShareDecision",
+    "Shares",
     "is_load_datagram",
 ]
--- a/src/cactuspass/fleet/load_exchange/_coordinator.py
+++ b/src/cactuspass/fleet/load_exchange/_coordinator.py
@@ -1,16 +1,24 @@
 """What an instance does as the coordinator of its data centre: sums up and decides shares."""
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
+from itertools import chain
 
-from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.load_exchange._coordinator_choice import (
     SILENCE_SECONDS,
     order_coordinators,
 )
-from cactuspass.fleet.load_exchange._fleet_load import ModelDemand, ModelKey
-from cactuspass.fleet.load_exchange._instance_states import InstanceStates
-from cactuspass.fleet.load_exchange._known_sums import KnownSums, demand_of
+from cactuspass.fleet.load_exchange._fleet_load import DemandKey, ModelDemand, ModelKey, Shares
+from cactuspass.fleet.load_exchange._instance_states import InstanceStates, StateSums
+from cactuspass.fleet.load_exchange._known_loads import KnownLoads, ShareDecision
+from cactuspass.fleet.load_exchange._known_sums import (
+    KnownSums,
+    demand_of,
+    model_key,
+    shares_of,
+)
 from cactuspass.fleet.load_exchange._messages import (
     MAX_MILLISECONDS,
     MAX_PER_SECOND_MILLI,
@@ -35,18 +43,19 @@
 
     :param instance: id of this instance.
     :param known: the sums that this instance has received.
+    :param decide: decides the shares of the data centre.
     """
 
     def __init__(
         self,
         instance: EntryId,
         data_centre: DataCentreId,
-        cluster_state: ClusterState,
         known: KnownSums,
+        decide: ShareDecision,
     ) -> None:
         self._instance = instance
         self._data_centre = data_centre
-        self._cluster_state = cluster_state
+        self._decide = decide
         self._known = known
         self._states = InstanceStates()
         self._ordered_by_place: Mapping[DataCentreId, list[Peer]] = {}
@@ -55,7 +64,9 @@
     def accept_peers(self, peers: tuple[Peer, ...]) -> None:
         """Set the registered instances."""
         places = {peer.data_centre for peer in peers} - {self._data_centre}
-        self._ordered_by_place = {place: order_coordinators(peers, place) for place in places}
+        self._ordered_by_place = {
+            place: order_coordinators(peers, place) for place in sorted(places)
+        }
 
     def record_state(self, sender: Peer, number: int, state: InstanceState, at: float) -> bool:
         """Record the state of another instance; return False if it is impossible."""
@@ -102,6 +113,7 @@
         if coordinating_for < FIRST_RATES_SECONDS and self._known.last_entry_by_key:
             last = self._known.last_entry_by_key
             demand_by_key = {key: demand_of(entry) for key, entry in last.items()}
+        shares_by_key = self._decide_shares(sums, demand_by_key, at)
         rates = sums.begun_per_second_by_customer
         largest = sorted(rates, key=lambda customer: -rates[customer])[:MAX_SUMMED_CUSTOMERS]
         return LoadSums(
@@ -110,12 +122,42 @@
             sums.instances,
             min(round(sums.age * MILLI), MAX_MILLISECONDS),
             tuple((h, min(n, MAX_REQUESTS)) for h, n in sums.requests_by_head.items()),
-            tuple(_demand_entry(key, demand) for key, demand in demand_by_key.items()),
+            tuple(
+                _demand_entry(
+                    key, demand_by_key.get(key, ModelDemand()), shares_by_key.get(key, {})
+                )
+                for key in demand_by_key.keys() | shares_by_key.keys()
+            ),
             tuple((customer, _milli(rates[customer])) for customer in largest),
         )
 
-
-def _demand_entry(key: ModelKey, demand: ModelDemand) -> DemandEntry:
+    def _decide_shares(
+        self, sums: StateSums, demand_by_key: Mapping[ModelKey, ModelDemand], at: float
+    ) -> Mapping[ModelKey, Shares]:
+        """Return the next shares, which follow from the last ones, whoever has decided those."""
+        last = self._known.last_entry_by_key
+        previous = {key: shares_of(entry) for key, entry in last.items() if entry[6]}
+        others = {
+            place: parts for place, parts in self._known.current(at) if place != self._data_centre
+        }
+        requests = Counter(sums.requests_by_head)
+        for received in chain.from_iterable(others.values()):
+            requests.update({UpstreamId(head): count for head, count in received.sums.heads})
+        demand = {DemandKey(*key, self._data_centre): found for key, found in demand_by_key.items()}
+        shares_by_place: dict[DataCentreId, dict[ModelKey, Shares]] = {}
+        for place, parts in others.items():
+            for entry in chain.from_iterable(received.sums.models for received in parts):
+                demand[DemandKey(*model_key(entry), place)] = demand_of(entry)
+                shares_by_place.setdefault(place, {})[model_key(entry)] = shares_of(entry)
+        age_by_place = {
+            place: max(received.age(at) for received in parts) for place, parts in others.items()
+        }
+        age_by_place[self._data_centre] = 0.0
+        loads = KnownLoads(demand, age_by_place, requests, shares_by_place)
+        return self._decide(loads, previous, at)
+
+
+def _demand_entry(key: ModelKey, demand: ModelDemand, shares: Shares) -> DemandEntry:
     service, model = key
     return (
         service,
@@ -124,7 +166,7 @@
         _milli(demand.refused_per_second),
         min(MILLI, round(demand.in_time_share * MILLI)),
         min(round(demand.mean_seconds * MILLI), MAX_MILLISECONDS),
-        (),
+        tuple((place, min(MILLI, round(share * MILLI))) for place, share in shares.items()),
     )
 
 
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
+from itertools import product
 
 from cactuspass._clock import now
 from cactuspass.fleet._cluster_state import ClusterState
@@ -18,6 +19,7 @@
     order_coordinators,
 )
 from cactuspass.fleet.load_exchange._fleet_load import FleetLoad
+from cactuspass.fleet.load_exchange._known_loads import ShareDecision, keep_shares
 from cactuspass.fleet.load_exchange._known_sums import KnownSums
 from cactuspass.fleet.load_exchange._messages import (
     InstanceState,
@@ -43,6 +45,7 @@
     :param instance: id of this instance.
     :param min_instances: number of registered instances below which nothing is sent.
     :param send: sends a datagram to an address.
+    :param decide: decides the shares of the data centre while this instance coordinates it.
     :param clock: returns the current clock value.
     """
 
@@ -58,6 +61,7 @@
         log: DecisionLog,
         metrics: Metrics,
         rng: random.Random,
+        decide: ShareDecision = keep_shares,
         clock: Callable[[], float] = now,
     ) -> None:
         super().__init__(log)
@@ -72,7 +76,7 @@
         self._own = OwnStates(cluster_state, loads, meter, rng.randrange(MAX_LIFETIME), clock())
         self._choice = CoordinatorChoice(instance)
         self._known = KnownSums(data_centre)
-        self._coordinator = Coordinator(instance, data_centre, cluster_state, self._known)
+        self._coordinator = Coordinator(instance, data_centre, self._known, decide)
         # Plain counts, since a coordinator sends over a thousand datagrams per second.
         self._sent_by_kind: Counter[str] = Counter()
         self._received_by_kind: Counter[str] = Counter()
@@ -127,9 +131,12 @@
         number, state = self._own.compose(at)
         if chosen.instance == self._instance:
             self._coordinate(number, state, at)
-        else:
-            for body in encode_bodies(state):
-                self._send_to(chosen, add_number(number, body), state.kind)
+        # The first in order may be heard by others, and needs all states when it comes back.
+        receivers = {peer.instance: peer for peer in (chosen, self._local[0])}
+        receivers.pop(self._instance, None)
+        if receivers:
+            for peer, body in product(receivers.values(), encode_bodies(state)):
+                self._send_to(peer, add_number(number, body), state.kind)
         self._note_places(at)
 
     def receive(self, datagram: bytes, address: str) -> None:
--- a/src/cactuspass/fleet/load_exchange/_fleet_load.py
+++ b/src/cactuspass/fleet/load_exchange/_fleet_load.py
@@ -7,6 +7,8 @@
 from cactuspass.models import CustomerId, DataCentreId, ModelId, ServiceId
 
 ModelKey = tuple[ServiceId, ModelId]
+# Share of the requests of one data centre that goes to each data centre.
+Shares = Mapping[DataCentreId, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +58,8 @@
     """The load as far as this instance has heard of it lately.
 
     :param at: clock value at which this was computed.
-    :param requests_elsewhere_by_head: load from the other instances, without this one's own.
+    :param requests_elsewhere_by_head: load from the other instances, without this one's own; a
+        head that is not listed has none in the data centres that have been heard of.
     :param demand_by_key: demand of the data centres that have been heard of.
     :param shares_by_model: share of the requests of this instance's data centre that goes to each
         data centre; the shares of a model add up to 1.
@@ -66,5 +69,5 @@
     at: float
     requests_elsewhere_by_head: Mapping[UpstreamId, HeadLoad] = field(default_factory=dict)
     demand_by_key: Mapping[DemandKey, ModelDemand] = field(default_factory=dict)
-    shares_by_model: Mapping[ModelKey, Mapping[DataCentreId, float]] = field(default_factory=dict)
+    shares_by_model: Mapping[ModelKey, Shares] = field(default_factory=dict)
     begun_per_second_by_customer: Mapping[CustomerId, float] = field(default_factory=dict)
--- a/src/cactuspass/fleet/load_exchange/_instance_states.py
+++ b/src/cactuspass/fleet/load_exchange/_instance_states.py
@@ -12,6 +12,8 @@
 from cactuspass.models import CustomerId, EntryId, ModelId, ServiceId
 
 STATE_VALID_SECONDS = 1.5
+# An instance whose states were lost for a while has rates again with the next one.
+COUNTERS_KEPT_SECONDS = 4.0
 RATE_WINDOW_MS = 2000
 # More arrivals at one instance than this are not believed.
 MAX_ARRIVALS_PER_SECOND = 20_000
@@ -132,7 +134,7 @@
     def sum_up(self, at: float) -> StateSums:
         """Return the sums of the states that are not too old, and remove the others."""
         self._remove_expired(at)
-        found = self._instances_by_id.values()
+        found = [known for known in self._instances_by_id.values() if known.head_parts]
         requests: Counter[UpstreamId] = Counter()
         for instance in found:
             for part in instance.head_parts.values():
@@ -146,12 +148,13 @@
 
     def _remove_expired(self, at: float) -> None:
         for instance_id, instance in list(self._instances_by_id.items()):
-            parts = instance.head_parts
-            if all(at - part.at > STATE_VALID_SECONDS for part in parts.values()):
+            if at - instance.at > COUNTERS_KEPT_SECONDS:
                 del self._instances_by_id[instance_id]
                 continue
             instance.head_parts = {
-                i: part for i, part in parts.items() if at - part.at <= STATE_VALID_SECONDS
+                index: part
+                for index, part in instance.head_parts.items()
+                if at - part.at <= STATE_VALID_SECONDS
             }
 
     def _sum_demand(self, instances: Iterable[_Instance]) -> dict[ModelKey, ModelDemand]:
--- a/src/cactuspass/fleet/load_exchange/_known_sums.py
+++ b/src/cactuspass/fleet/load_exchange/_known_sums.py
@@ -17,7 +17,7 @@
 
 SUMS_VALID_SECONDS = 1.5
 # Of two coordinators that are heard, the one that counts more instances is used.
-RIVAL_SECONDS = 0.6
+RIVAL_SECONDS = 1.0
 MILLI = 1000.0
 
 
@@ -72,7 +72,7 @@
             source = sources[coordinator] = _Source(sums.parts)
         source.received_by_part[sums.part] = ReceivedSums(sums, number, at)
         if place == self._data_centre:
-            self.last_entry_by_key.update((_model_key(entry), entry) for entry in sums.models)
+            self.last_entry_by_key.update((model_key(entry), entry) for entry in sums.models)
 
     def remove(self, coordinator: EntryId) -> None:
         """Remove the sums of a coordinator."""
@@ -111,13 +111,13 @@
             at,
             {head: HeadLoad(float(count), oldest[head]) for head, count in requests.items()},
             {
-                DemandKey(*_model_key(entry), place): demand_of(entry)
+                DemandKey(*model_key(entry), place): demand_of(entry)
                 for place, parts in current.items()
                 for received in parts
                 for entry in received.sums.models
             },
             {
-                _model_key(entry): shares_of(entry)
+                model_key(entry): shares_of(entry)
                 for received in current[self._data_centre]
                 for entry in received.sums.models
                 if entry[6]
@@ -137,7 +137,8 @@
                     del sources[coordinator]
 
 
-def _model_key(entry: DemandEntry) -> ModelKey:
+def model_key(entry: DemandEntry) -> ModelKey:
+    """Return the model that an entry is on."""
     return ServiceId(entry[0]), ModelId(entry[1])
 
 
@@ -148,8 +149,9 @@
 
 
 def shares_of(entry: DemandEntry) -> dict[DataCentreId, float]:
-    """Return the shares that an entry states."""
-    return {DataCentreId(place): share / MILLI for place, share in entry[6]}
+    """Return the shares that an entry states, which add up to 1 in spite of rounding."""
+    total = sum(share for _, share in entry[6])
+    return {DataCentreId(place): share / total for place, share in entry[6] if share}
 
 
 def _customer_rates(
--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -19,6 +19,7 @@
 )
 from cactuspass.fleet.load_exchange import FleetLoad, LoadExchange, RequestMeter
 from cactuspass.fleet.load_exchange._exchange import INTERVAL_SECONDS
+from cactuspass.fleet.spill import ShareDecider
 from cactuspass.models import DataCentreId, EntryId, GroupId, ModelId, ServiceId
 from tests.fleet_path import recording_log, route
 
@@ -76,6 +77,7 @@
             self.log,
             self.metrics,
             random.Random(world.rng.random()),
+            ShareDecider(self.cluster_state, peer.data_centre, self.log).decide,
             lambda: world.at,
         )
 
