Count requests from the first one for a model, and before any has ended

Cause: the first counters that a coordinator hears of a model were taken as what had been counted before, so that the first requests were lost.

--- a/src/cactuspass/fleet/load_exchange/_instance_states.py
+++ b/src/cactuspass/fleet/load_exchange/_instance_states.py
@@ -29,6 +29,11 @@
 
     snapshots: deque[tuple[int, Counts]] = field(default_factory=deque)
 
+    @classmethod
+    def from_zero(cls, at_ms: int | None, size: int) -> "RateWindow":
+        """Return a window of counters that were zero at a time; None if that is not known."""
+        return cls(deque([(at_ms, (0,) * size)])) if at_ms is not None else cls()
+
     def accepts(self, elapsed_ms: int, counts: Counts) -> bool:
         """Return whether later counters of the same instance are possible."""
         if not self.snapshots:
@@ -59,6 +64,7 @@
 @dataclass(slots=True)
 class _HeadPart:
     number: int
+    elapsed_ms: int
     at: float
     requests_by_head: Mapping[UpstreamId, int]
 
@@ -119,7 +125,7 @@
             return False
         known.at = at
         heads = {UpstreamId(head): requests for head, requests in state.heads}
-        known.head_parts[state.part] = _HeadPart(number, at, heads)
+        known.head_parts[state.part] = _HeadPart(number, state.elapsed_ms, at, heads)
         return True
 
     def remove(self, instance: EntryId) -> None:
@@ -194,15 +200,29 @@
     """Add the counters of a state; return False if one of them is impossible."""
     if len(instance.windows_by_key) + len(instance.windows_by_customer) > MAX_COUNTERS:
         return False
+    before_ms = _zero_until_ms(instance, state)
     for service, model, *counts in state.models:
         key = (ServiceId(service), ModelId(model))
-        window = instance.windows_by_key.setdefault(key, RateWindow())
+        window = instance.windows_by_key.get(key)
+        if window is None:
+            window = instance.windows_by_key[key] = RateWindow.from_zero(before_ms, len(counts))
         if not window.accepts(state.elapsed_ms, tuple(counts)):
             return False
         window.add(state.elapsed_ms, tuple(counts))
-    for customer, count in state.customers:
-        window = instance.windows_by_customer.setdefault(CustomerId(customer), RateWindow())
+    for name, count in state.customers:
+        customer = CustomerId(name)
+        window = instance.windows_by_customer.get(customer)
+        if window is None:
+            window = instance.windows_by_customer[customer] = RateWindow.from_zero(before_ms, 1)
         if not window.accepts(state.elapsed_ms, (count,)):
             return False
         window.add(state.elapsed_ms, (count,))
     return True
+
+
+def _zero_until_ms(instance: _Instance, state: InstanceState) -> int | None:
+    """Return the time at which counters were still zero that a state names for the first time."""
+    part = instance.head_parts.get(state.part)
+    if part is not None:
+        return part.elapsed_ms
+    return 0 if 0 < state.elapsed_ms <= RATE_WINDOW_MS else None
--- a/src/cactuspass/fleet/spill/_inputs.py
+++ b/src/cactuspass/fleet/spill/_inputs.py
@@ -56,12 +56,14 @@
     for place in serving_by_place.keys() | loads.age_by_place.keys():
         groups = serving_by_place.get(place, [])
         demand = loads.demand_by_key.get(DemandKey(service.service, model, place), ModelDemand())
+        mean_seconds = demand.mean_seconds or _usual_seconds(engine, model)
         capacity = 0.0
         if place not in evacuated:
-            capacity = _capacity(groups, service, engine, demand.mean_seconds, at)
+            capacity = _capacity(groups, service, engine, mean_seconds, at)
         present = sum(loads.requests_by_head.get(s.upstream.upstream_id, 0.0) for s in groups)
         trust = _trust(loads.age_by_place.get(place), place in populated)
-        yield place, PlaceState(capacity, demand.offered_concurrency, present, trust)
+        offered = demand.arrivals_per_second * mean_seconds
+        yield place, PlaceState(capacity, offered, present, trust)
 
 
 def _capacity(
@@ -85,6 +87,12 @@
     )
 
 
+def _usual_seconds(engine: EngineSpec, model: ModelId) -> float:
+    """Return the time of a request at a half full group, for use before any has ended."""
+    step = engine.step_seconds + engine.slots / 2 * engine.step_seconds_per_request
+    return engine.usual_output_tokens * step * engine.model_spec(model).pace
+
+
 def _trust(age: float | None, has_instances: bool) -> float:
     """Return how much the room of a data centre counts.
 
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -58,7 +58,12 @@
 
 
 class InstanceCase(unittest.IsolatedAsyncioTestCase):
-    """Base of tests with four servers in one fabric domain, and instances that they start."""
+    """Base of tests with four servers in one fabric domain, and instances that they start.
+
+    :cvar more_settings: further sections of the settings.
+    """
+
+    more_settings = ""
 
     async def asyncSetUp(self) -> None:
         self.store = MetadataStoreStandIn()
@@ -91,6 +96,7 @@
             peers = "{self.peers_address()}"
             [store]
             address = "{self.store.address}"
+            {self.more_settings}
         """
         settings = parse_instance_settings(text, "settings.toml")
         handler = RecordingHandler()
