--- a/bench/benchmarks.py
+++ b/bench/benchmarks.py
@@ -10,6 +10,7 @@
     control,
     data_centres,
     groups,
+    load_exchange,
     overload,
     path,
     routing,
@@ -28,6 +29,8 @@
 MAX_CPU_SHARE = 1.0
 MAX_CONTROL_CPU_SHARE = 0.017
 MAX_CONTROL_BYTES_PER_SECOND = 2048.0
+MAX_COORDINATOR_CPU_SHARE = 0.1  # of a core, 0.4 of the smallest instance's
+MAX_EXCHANGE_CPU_SHARE = 0.0025  # a hundredth of the smallest instance's
 ADOPTED_STRATEGY = "one holder"
 
 
@@ -277,6 +280,25 @@
     return BenchmarkResult(tuple(lines), tuple(found))
 
 
+def measure_load_exchange(quick: bool) -> BenchmarkResult:
+    """Measure what the exchange of loads costs a coordinator and another instance."""
+    found = load_exchange.run(quick)
+    lines: list[Line] = []
+    for item in found:
+        matter = f"load exchange, {item.size.instances} instances, {item.size.heads} heads"
+        for name, role, most in (
+            ("coordinator", item.coordinator, MAX_COORDINATOR_CPU_SHARE),
+            ("other instance", item.other, MAX_EXCHANGE_CPU_SHARE),
+        ):
+            lines += [
+                at_most(matter, f"share of a core: {name}", role.cpu_share, most),
+                Line(matter, f"datagrams/s sent: {name}", role.sent),
+                Line(matter, f"bytes/s sent: {name}", role.sent_bytes),
+                Line(matter, f"bytes/s to other data centres: {name}", role.remote_bytes),
+            ]
+    return BenchmarkResult(tuple(lines), found)
+
+
 SIMULATED: Mapping[str, Callable[[bool], BenchmarkResult]] = {
     "groups of 4": measure_small_groups,
     "groups of 16": measure_large_groups,
@@ -289,5 +311,6 @@
 }
 ON_PROCESSES: Mapping[str, Callable[[bool], BenchmarkResult]] = {
     "control": measure_control,
+    "load exchange": measure_load_exchange,
     "path": measure_path,
 }
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -37,6 +37,11 @@
 # For so long, ``latest`` is not computed again.
 LATEST_VALID_SECONDS = 0.1
 MAX_LIFETIME = 2**32
+# After a pause of the process, datagrams wait in the kernel that are as old as the pause. They are
+# dropped for a time in which all of them are read.
+PAUSE_SECONDS = 0.75
+BACKLOG_SECONDS = 0.2
+MIN_LOG_INTERVAL_SECONDS = 10.0  # of lines on dropped messages, for each reason
 
 
 class LoadExchange(RepeatingComponent):
@@ -81,6 +86,9 @@
         self._sent_by_kind: Counter[str] = Counter()
         self._received_by_kind: Counter[str] = Counter()
         self._dropped_by_reason: Counter[str] = Counter()
+        self._logged_at_by_reason: dict[str, float] = {}
+        self._active_at = clock()
+        self._backlog_until = float("-inf")
         self._chosen: EntryId | None = None
         self._chosen_at = clock()
         self._latest: FleetLoad | None = None
@@ -119,10 +127,11 @@
 
     def exchange(self) -> None:
         """Send the own state to the coordinator or, if that is this instance, the sums to all."""
+        at = self._clock()
+        self._has_backlog(at)
         if not self.is_on:
             self._note_chosen(None)
             return
-        at = self._clock()
         self._update_peers()
         chosen = self._choice.choose(self._local, at)
         self._note_chosen(chosen.instance if chosen is not None else None)
@@ -145,6 +154,9 @@
         :param address: ``host:port`` that it was sent from.
         """
         at = self._clock()
+        if self._has_backlog(at):
+            self._dropped_by_reason["backlog"] += 1
+            return
         self._update_peers()
         sender = self._peers_by_address.get(address)
         if sender is None:
@@ -233,7 +245,18 @@
 
     def _drop(self, reason: str, peer: str) -> None:
         self._dropped_by_reason[reason] += 1
-        self._log.state_change("load-message-dropped", peer=peer, reason=reason)
+        at = self._clock()
+        if at - self._logged_at_by_reason.get(reason, float("-inf")) >= MIN_LOG_INTERVAL_SECONDS:
+            self._logged_at_by_reason[reason] = at
+            count = self._dropped_by_reason[reason]
+            self._log.state_change("load-message-dropped", peer=peer, reason=reason, count=count)
+
+    def _has_backlog(self, at: float) -> bool:
+        """Return whether what is received now may have waited for the end of a pause."""
+        if at - self._active_at > PAUSE_SECONDS:
+            self._backlog_until = at + BACKLOG_SECONDS
+        self._active_at = at
+        return at < self._backlog_until
 
     def _update_peers(self) -> None:
         """Find the peers by address, and the order of coordinators, when the peers change."""
--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -99,6 +99,7 @@
 
     :param loss: share of the datagrams that are lost.
     :ivar sent: datagrams sent, by kind of link.
+    :ivar paused: instances that do nothing, and whose datagrams wait for them.
     """
 
     def __init__(
@@ -116,7 +117,9 @@
         self.heads = [engine_head(place, number) for place in self.places for number in range(2)]
         self.cut_places: set[str] = set()
         self.dead: set[EntryId] = set()
+        self.paused: set[EntryId] = set()
         self.sent: Counter[str] = Counter()
+        self._waiting: list[tuple[EntryId, bytes, str]] = []
         self.largest = 0
         self.on_tick: list[Callable[[], None]] = []
         self._under_way: list[tuple[float, str, bytes, str]] = []
@@ -161,6 +164,14 @@
         assert sender.address is not None
         self._under_way.append((self.at + LATENCY_SECONDS, address, datagram, sender.address))
 
+    def resume(self, name: EntryId) -> None:
+        """End the pause of an instance, which then receives what has waited."""
+        self.paused.remove(name)
+        for receiver, datagram, sender in self._waiting:
+            if receiver == name:
+                self.instances[receiver].exchange.receive(datagram, sender)
+        self._waiting = [item for item in self._waiting if item[0] != name]
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         until = self.at + seconds
@@ -169,11 +180,16 @@
             due = [item for item in self._under_way if item[0] <= self.at]
             self._under_way = [item for item in self._under_way if item[0] > self.at]
             for _, address, datagram, sender in due:
-                if self.by_address[address].peer.instance not in self.dead:
-                    self.by_address[address].exchange.receive(datagram, sender)
+                receiver = self.by_address[address].peer.instance
+                if receiver in self.paused:
+                    self._waiting.append((receiver, datagram, sender))
+                elif receiver not in self.dead:
+                    self.instances[receiver].exchange.receive(datagram, sender)
             for call in self.on_tick:
                 call()
             for name, instance in self.instances.items():
-                if name not in self.dead and self.at >= instance.next_step_at:
+                if name in self.paused:
+                    instance.next_step_at = max(instance.next_step_at, self.at)
+                elif name not in self.dead and self.at >= instance.next_step_at:
                     instance.next_step_at += INTERVAL_SECONDS
                     instance.exchange.exchange()
--- a/tests/test_fleet_load_exchange.py
+++ b/tests/test_fleet_load_exchange.py
@@ -260,6 +260,23 @@
         self.assertIn('{kind="invalid",outcome="dropped"} 8.0', metrics)
         self.assertIn('{kind="impossible",outcome="dropped"} 1.0', metrics)
 
+    # Guards against loads from before a pause of the process that are taken for present ones.
+    def test_datagrams_that_waited_for_the_end_of_a_pause_are_dropped(self) -> None:
+        world = LoadWorld(places=("a",))
+        self.spread(world)
+        world.run(SETTLE_SECONDS)
+        (name,) = world.coordinators("a")
+        for paused in (name, next(n for n in world.instances if n != name)):
+            assert paused is not None
+            world.paused.add(paused)
+            world.run(3.0)
+            self.spread(world)
+            world.run(1.0)
+            world.resume(paused)
+            self.assertIsNone(world.instances[paused].exchange.latest)
+            world.run(1.0)
+            self.assert_loads_known(world)
+
     def test_datagrams_of_strangers_are_dropped(self) -> None:
         world = LoadWorld()
         world.run(SETTLE_SECONDS)
