--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
+from itertools import product
 
 from cactuspass._clock import now
 from cactuspass.fleet._cluster_state import ClusterState
@@ -17,6 +19,7 @@
     order_coordinators,
 )
 from cactuspass.fleet.load_exchange._fleet_load import FleetLoad
+from cactuspass.fleet.load_exchange._known_loads import ShareDecision, keep_shares
 from cactuspass.fleet.load_exchange._known_sums import KnownSums
 from cactuspass.fleet.load_exchange._messages import (
     InstanceState,
@@ -34,6 +37,11 @@
 # For so long, ``latest`` is not computed again.
 LATEST_VALID_SECONDS = 0.1
 MAX_LIFETIME = 2**32
+# After a pause of the process, datagrams wait in the kernel that are as old as the pause. They are
+# dropped for a time in which all of them are read.
+PAUSE_SECONDS = 0.75
+BACKLOG_SECONDS = 0.2
+MIN_LOG_INTERVAL_SECONDS = 10.0  # of lines on dropped messages, for each reason
 
 
 class LoadExchange(RepeatingComponent):
@@ -42,6 +50,7 @@
     :param instance: id of this instance.
     :param min_instances: number of registered instances below which nothing is sent.
     :param send: sends a datagram to an address.
+    :param decide: decides the shares of the data centre while this instance coordinates it.
     :param clock: returns the current clock value.
     """
 
@@ -57,6 +66,7 @@
         log: DecisionLog,
         metrics: Metrics,
         rng: random.Random,
+        decide: ShareDecision = keep_shares,
         clock: Callable[[], float] = now,
     ) -> None:
         super().__init__(log)
@@ -71,7 +81,14 @@
         self._own = OwnStates(cluster_state, loads, meter, rng.randrange(MAX_LIFETIME), clock())
         self._choice = CoordinatorChoice(instance)
         self._known = KnownSums(data_centre)
-        self._coordinator = Coordinator(instance, data_centre, cluster_state, self._known)
+        self._coordinator = Coordinator(instance, data_centre, self._known, decide)
+        # Plain counts, since a coordinator sends over a thousand datagrams per second.
+        self._sent_by_kind: Counter[str] = Counter()
+        self._received_by_kind: Counter[str] = Counter()
+        self._dropped_by_reason: Counter[str] = Counter()
+        self._logged_at_by_reason: dict[str, float] = {}
+        self._active_at = clock()
+        self._backlog_until = float("-inf")
         self._chosen: EntryId | None = None
         self._chosen_at = clock()
         self._latest: FleetLoad | None = None
@@ -110,10 +127,11 @@
 
     def exchange(self) -> None:
         """Send the own state to the coordinator or, if that is this instance, the sums to all."""
+        at = self._clock()
+        self._has_backlog(at)
         if not self.is_on:
             self._note_chosen(None)
             return
-        at = self._clock()
         self._update_peers()
         chosen = self._choice.choose(self._local, at)
         self._note_chosen(chosen.instance if chosen is not None else None)
@@ -122,9 +140,12 @@
         number, state = self._own.compose(at)
         if chosen.instance == self._instance:
             self._coordinate(number, state, at)
-        else:
-            for body in encode_bodies(state):
-                self._send_to(chosen, add_number(number, body), state.kind)
+        # The first in order may be heard by others, and needs all states when it comes back.
+        receivers = {peer.instance: peer for peer in (chosen, self._local[0])}
+        receivers.pop(self._instance, None)
+        if receivers:
+            for peer, body in product(receivers.values(), encode_bodies(state)):
+                self._send_to(peer, add_number(number, body), state.kind)
         self._note_places(at)
 
     def receive(self, datagram: bytes, address: str) -> None:
@@ -133,6 +154,9 @@
         :param address: ``host:port`` that it was sent from.
         """
         at = self._clock()
+        if self._has_backlog(at):
+            self._dropped_by_reason["backlog"] += 1
+            return
         self._update_peers()
         sender = self._peers_by_address.get(address)
         if sender is None:
@@ -143,7 +167,7 @@
             self._drop_sender(sender, "invalid")
             return
         number, message = decoded
-        self._metrics.load_messages.labels(message.kind, "received").inc()
+        self._received_by_kind[message.kind] += 1
         if isinstance(message, InstanceState):
             if not self._coordinator.record_state(sender, number, message, at):
                 self._drop_sender(sender, "impossible")
@@ -157,7 +181,14 @@
         return 200, load_page(current, self._chosen, at - self._chosen_at, self.latest, at)
 
     def update_metrics(self) -> None:
-        """Set the gauges of the exchange."""
+        """Set the metrics of the exchange."""
+        for outcome, counts in (
+            ("sent", self._sent_by_kind),
+            ("received", self._received_by_kind),
+            ("dropped", self._dropped_by_reason),
+        ):
+            for name, count in counts.items():
+                self._metrics.load_messages.labels(outcome, name).set(count)
         at = self._clock()
         self._metrics.coordinates_loads.set(self._chosen == self._instance)
         self._metrics.load_age.clear()
@@ -203,7 +234,7 @@
 
     def _send_to(self, peer: Peer, datagram: bytes, kind: str) -> None:
         if peer.address is not None:
-            self._metrics.load_messages.labels(kind, "sent").inc()
+            self._sent_by_kind[kind] += 1
             self._send(peer.address, datagram)
 
     def _drop_sender(self, sender: Peer, reason: str) -> None:
@@ -213,8 +244,19 @@
         self._drop(reason, sender.instance)
 
     def _drop(self, reason: str, peer: str) -> None:
-        self._metrics.load_messages.labels("any", f"dropped-{reason}").inc()
-        self._log.state_change("load-message-dropped", peer=peer, reason=reason)
+        self._dropped_by_reason[reason] += 1
+        at = self._clock()
+        if at - self._logged_at_by_reason.get(reason, float("-inf")) >= MIN_LOG_INTERVAL_SECONDS:
+            self._logged_at_by_reason[reason] = at
+            count = self._dropped_by_reason[reason]
+            self._log.state_change("load-message-dropped", peer=peer, reason=reason, count=count)
+
+    def _has_backlog(self, at: float) -> bool:
+        """Return whether what is received now may have waited for the end of a pause."""
+        if at - self._active_at > PAUSE_SECONDS:
+            self._backlog_until = at + BACKLOG_SECONDS
+        self._active_at = at
+        return at < self._backlog_until
 
     def _update_peers(self) -> None:
         """Find the peers by address, and the order of coordinators, when the peers change."""
--- a/src/cactuspass/fleet/load_exchange/_instance_states.py
+++ b/src/cactuspass/fleet/load_exchange/_instance_states.py
@@ -3,6 +3,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from operator import ge
 
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.load_exchange._fleet_load import ModelDemand, ModelKey
@@ -11,6 +12,8 @@
 from cactuspass.models import CustomerId, EntryId, ModelId, ServiceId
 
 STATE_VALID_SECONDS = 1.5
+# An instance whose states were lost for a while has rates again with the next one.
+COUNTERS_KEPT_SECONDS = 4.0
 RATE_WINDOW_MS = 2000
 # More arrivals at one instance than this are not believed.
 MAX_ARRIVALS_PER_SECOND = 20_000
@@ -26,6 +29,11 @@
 
     snapshots: deque[tuple[int, Counts]] = field(default_factory=deque)
 
+    @classmethod
+    def from_zero(cls, at_ms: int | None, size: int) -> "RateWindow":
+        """Return a window of counters that were zero at a time; None if that is not known."""
+        return cls(deque([(at_ms, (0,) * size)])) if at_ms is not None else cls()
+
     def accepts(self, elapsed_ms: int, counts: Counts) -> bool:
         """Return whether later counters of the same instance are possible."""
         if not self.snapshots:
@@ -34,7 +42,7 @@
         seconds = 1.0 + (elapsed_ms - last_ms) / MILLISECONDS
         return (
             elapsed_ms > last_ms
-            and all(new >= old for new, old in zip(counts, last, strict=True))
+            and all(map(ge, counts, last))
             and counts[0] - last[0] <= MAX_ARRIVALS_PER_SECOND * seconds
         )
 
@@ -50,12 +58,13 @@
         if last_ms <= first_ms:
             return ()
         scale = MILLISECONDS / (last_ms - first_ms)
-        return tuple((new - old) * scale for new, old in zip(last, first, strict=True))
+        return tuple([(new - old) * scale for new, old in zip(last, first, strict=True)])
 
 
 @dataclass(slots=True)
 class _HeadPart:
     number: int
+    elapsed_ms: int
     at: float
     requests_by_head: Mapping[UpstreamId, int]
 
@@ -116,7 +125,7 @@
             return False
         known.at = at
         heads = {UpstreamId(head): requests for head, requests in state.heads}
-        known.head_parts[state.part] = _HeadPart(number, at, heads)
+        known.head_parts[state.part] = _HeadPart(number, state.elapsed_ms, at, heads)
         return True
 
     def remove(self, instance: EntryId) -> None:
@@ -131,7 +140,7 @@
     def sum_up(self, at: float) -> StateSums:
         """Return the sums of the states that are not too old, and remove the others."""
         self._remove_expired(at)
-        found = self._instances_by_id.values()
+        found = [known for known in self._instances_by_id.values() if known.head_parts]
         requests: Counter[UpstreamId] = Counter()
         for instance in found:
             for part in instance.head_parts.values():
@@ -145,26 +154,28 @@
 
     def _remove_expired(self, at: float) -> None:
         for instance_id, instance in list(self._instances_by_id.items()):
-            parts = instance.head_parts
-            if all(at - part.at > STATE_VALID_SECONDS for part in parts.values()):
+            if at - instance.at > COUNTERS_KEPT_SECONDS:
                 del self._instances_by_id[instance_id]
                 continue
             instance.head_parts = {
-                i: part for i, part in parts.items() if at - part.at <= STATE_VALID_SECONDS
+                index: part
+                for index, part in instance.head_parts.items()
+                if at - part.at <= STATE_VALID_SECONDS
             }
 
     def _sum_demand(self, instances: Iterable[_Instance]) -> dict[ModelKey, ModelDemand]:
         """Return the demand by model; what is not known at present stays as it was last."""
-        rates_by_key: dict[ModelKey, list[float]] = {}
+        rates_by_key: dict[ModelKey, list[tuple[float, ...]]] = {}
         for instance in instances:
             for key, window in instance.windows_by_key.items():
                 rates = window.rates()
                 if rates:
-                    sums = rates_by_key.setdefault(key, [0.0] * len(rates))
-                    for index, rate in enumerate(rates):
-                        sums[index] += rate
+                    rates_by_key.setdefault(key, []).append(rates)
         self._demand_by_key = {
-            key: _demand(rates, self._demand_by_key.get(key, ModelDemand()))
+            key: _demand(
+                [sum(column) for column in zip(*rates, strict=True)],
+                self._demand_by_key.get(key, ModelDemand()),
+            )
             for key, rates in rates_by_key.items()
         }
         return self._demand_by_key
@@ -189,15 +200,29 @@
     """Add the counters of a state; return False if one of them is impossible."""
     if len(instance.windows_by_key) + len(instance.windows_by_customer) > MAX_COUNTERS:
         return False
+    before_ms = _zero_until_ms(instance, state)
     for service, model, *counts in state.models:
         key = (ServiceId(service), ModelId(model))
-        window = instance.windows_by_key.setdefault(key, RateWindow())
+        window = instance.windows_by_key.get(key)
+        if window is None:
+            window = instance.windows_by_key[key] = RateWindow.from_zero(before_ms, len(counts))
         if not window.accepts(state.elapsed_ms, tuple(counts)):
             return False
         window.add(state.elapsed_ms, tuple(counts))
-    for customer, count in state.customers:
-        window = instance.windows_by_customer.setdefault(CustomerId(customer), RateWindow())
+    for name, count in state.customers:
+        customer = CustomerId(name)
+        window = instance.windows_by_customer.get(customer)
+        if window is None:
+            window = instance.windows_by_customer[customer] = RateWindow.from_zero(before_ms, 1)
         if not window.accepts(state.elapsed_ms, (count,)):
             return False
         window.add(state.elapsed_ms, (count,))
     return True
+
+
+def _zero_until_ms(instance: _Instance, state: InstanceState) -> int | None:
+    """Return the time at which counters were still zero that a state names for the first time."""
+    part = instance.head_parts.get(state.part)
+    if part is not None:
+        return part.elapsed_ms
+    return 0 if 0 < state.elapsed_ms <= RATE_WINDOW_MS else None
