--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -19,7 +19,8 @@
 REPLACEMENT_SECONDS = 10.0
 SHORTAGE_SECONDS = 20.0  # longer than weights take to load
 SETTLED_SECONDS = 1.0
-MAX_CHANGING_SECONDS = 10.0
+# Requests of a group that closes run for 2 s, and its hosts join again within 1.6 s.
+MAX_CHANGING_SECONDS = 8.0
 # Upstreams that were ordered additionally serve after 20 to 24 s; what they cost until then is
 # spent already.
 KEPT_AFTER_GROWTH_SECONDS = 30.0
@@ -68,6 +69,7 @@
         self._short_since: dict[DataCentreId, float] = {}
         self._groups_short_since: float | None = None
         self._grew_at = float("-inf")
+        self._reduced: DataCentreId | None = None
         self._settled_since: float | None = None
         self._unsettled_since: float | None = None
 
@@ -127,7 +129,7 @@
         return replace(scaling_input, data_centres=(*scaling_input.data_centres, *empty))
 
     def _observe(self, scaling_input: ScalingInput) -> None:
-        """Note since when data centres are out or lack upstreams, and groups are settled."""
+        """Note since when data centres are out or lack upstreams, and the last step is over."""
         at = scaling_input.at
         for hosts in scaling_input.data_centres:
             data_centre, wanted = hosts.data_centre, self.wanted_by_data_centre[hosts.data_centre]
@@ -138,9 +140,11 @@
             _note_since(self._short_since, data_centre, hosts.count < wanted, at)
         if self._out_since:
             self._last_out_at = at
-        is_settled = all(
-            not hosts.is_changing and hosts.count <= self.wanted_by_data_centre[hosts.data_centre]
+        # Elsewhere groups may be broken for other reasons, which would delay each step.
+        is_settled = not any(
+            hosts.is_changing
             for hosts in scaling_input.data_centres
+            if hosts.data_centre == self._reduced
         )
         if is_settled:
             self._unsettled_since = None
@@ -264,6 +268,7 @@
         if reduction is None:
             return "", "no step leaves enough groups"
         self.wanted_by_data_centre[reduction.data_centre] -= reduction.removed
+        self._reduced = reduction.data_centre
         self._settled_since, self._unsettled_since = None, scaling_input.at
         return f"{reduction.removed} fewer, needed: {target}", ""
 
--- a/tests/test_fleet_autoscaling.py
+++ b/tests/test_fleet_autoscaling.py
@@ -8,9 +8,14 @@
 import unittest
 from collections.abc import Callable
 from itertools import pairwise
+from unittest import mock
 
+from cactuspass._component import Component
+from cactuspass.fleet import Adapter, ConnectionPool, Instance, Metrics, parse_instance_settings
 from cactuspass.fleet._presence import Term
+from cactuspass.fleet.autoscaling import Autoscaler
 from cactuspass.fleet.autoscaling._service_scaling import REPEAT_SECONDS
+from tests.fleet_path import recording_log
 from tests.fleet_world import LARGE, SMALL
 from tests.scaling_world import (
     DATA_CENTRES,
@@ -282,3 +287,32 @@
             self.assertIn("covers_loss", line)
         self.assertIn(f"groups of {SMALL}", lines[-1]["reason"])
         self.assertIn(f"groups of {LARGE}", lines[-1]["reason"])
+
+
+class InstanceTest(unittest.TestCase):
+    """An instance orders numbers only where the duty to do so is configured."""
+
+    def find_autoscalers(self, duties: str) -> list[Component]:
+        """Return the components of an instance that order numbers of upstreams."""
+        text = f"""
+            [instance]
+            name = "a"
+            data_centre = "here"
+            [listeners]
+            callers = "127.0.0.1:0"
+            readiness = "127.0.0.1:0"
+            [store]
+            address = "127.0.0.1:1"
+            {duties}
+        """
+        settings = parse_instance_settings(text, "settings.toml")
+        adapter = Adapter(mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock())
+        log, _ = recording_log()
+        instance = Instance(settings, adapter, log, Metrics(), ConnectionPool())
+        return [c for c in instance._application._components if isinstance(c, Autoscaler)]
+
+    def test_only_the_duty_adds_the_component(self) -> None:
+        duty = '[duties]\naddress = "127.0.0.1:1"\nnames = ["{}"]'
+        self.assertEqual(self.find_autoscalers(""), [])
+        self.assertEqual(self.find_autoscalers(duty.format("usage")), [])
+        self.assertEqual(len(self.find_autoscalers(duty.format("scale"))), 1)
