--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -1,9 +1,20 @@
 """Tests the target numbers of groups that follow from the demand of the whole fleet."""
 
 import unittest
+from unittest import mock
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
-from cactuspass.fleet._demand import HEADROOM_FACTOR, MIN_GROUPS, MIN_OBSERVATIONS, Demand
+from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._controller import Controller
+from cactuspass.fleet._demand import (
+    HEADROOM_FACTOR,
+    MIN_GROUPS,
+    MIN_OBSERVATIONS,
+    USED_SHARE,
+    Demand,
+)
+from cactuspass.fleet._dispatch import RequestActivity
+from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._offered_load import (
     MAX_GAP_SECONDS,
     WAVE_SECONDS,
@@ -13,8 +24,9 @@
 )
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelDemand
 from cactuspass.models import DataCentreId, ServiceId
+from tests.fleet_path import recording_log
 from tests.fleet_world import LARGE, SERVICE, SMALL
-from tests.scaling_world import ENGINE, wave
+from tests.scaling_world import ENGINE, SCALED_SERVICE, wave
 
 FLAT_ENGINE = EngineSpec(10, {SMALL: ModelSpec(SMALL, 4), LARGE: ModelSpec(LARGE, 8)})
 
@@ -66,6 +78,32 @@
         self.assertAlmostEqual(target, 5 * HEADROOM_FACTOR)
 
 
+class ControllerTest(unittest.TestCase):
+    """Load: 20 full groups of one model in one data centre, most of it refused elsewhere."""
+
+    def test_exchanged_demand_reaches_the_planner_and_its_lack_does_not(self) -> None:
+        log, _ = recording_log()
+        loads: list[FleetLoad | None] = [None]
+        controller = Controller(
+            ClusterState(log),
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            log,
+            Metrics(),
+            RequestActivity(),
+            lambda: loads[0],
+        )
+        demand, spec = Demand(), ENGINE.models_by_id[SMALL]
+        controller._observe_offered(demand, SCALED_SERVICE)
+        declared = demand.target_group_count(ENGINE, spec, 171)
+        self.assertAlmostEqual(declared, 0.5 * 171 * USED_SHARE / spec.size)
+        key = DemandKey(SERVICE, SMALL, DataCentreId("a"))
+        loads[0] = FleetLoad(0.0, {}, {key: ModelDemand(340.0, 300.0, 1.0, mean_seconds=1.0)})
+        controller._observe_offered(demand, SCALED_SERVICE)
+        self.assertGreater(demand.target_group_count(ENGINE, spec, 171), 20.0)
+
+
 class FullGroupsTest(unittest.TestCase):
     """Load: the same arrivals, spread over many or few groups."""
 
