--- a/src/cactuspass/fleet/duties/_duties.py
+++ b/src/cactuspass/fleet/duties/_duties.py
@@ -1,5 +1,6 @@
 """Connects the components that carry out the duties of one instance at a time."""
 
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -47,6 +48,7 @@
 
     :param instance: id of this instance.
     :param send: sends a message to the instance at an address.
+    :param wall_clock: returns this instance's wall-clock time in Unix seconds.
     """
 
     def __init__(
@@ -60,9 +62,10 @@
         send: Send,
         log: DecisionLog,
         metrics: Metrics,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._windows = Windows(settings.window_seconds, settings.late_seconds)
-        self._true_time = TrueTime()
+        self._true_time = TrueTime(wall_clock)
         self._fixed = FixedReports(store, log)
         self.counts = UsageCounts(self._windows, self._true_time)
         self.collector = UsageCollector(
@@ -83,6 +86,7 @@
             sender,
             self._windows,
             self._true_time,
+            cluster_state,
             log,
             metrics,
         )
@@ -121,6 +125,7 @@
     :param limits: returns the limits of the number of upstreams of a service; None if it cannot be
         ordered.
     :param send: sends a message to the instance at an address.
+    :param wall_clock: returns this instance's wall-clock time in Unix seconds.
     :ivar count_orders: orders numbers of upstreams; None without that duty.
     """
 
@@ -136,6 +141,7 @@
         send: Send,
         log: DecisionLog,
         metrics: Metrics,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         wait_seconds = settings.lease_seconds + settings.thaw_seconds
         self._holder = holder = DutyHolder(
@@ -149,7 +155,16 @@
         self._usage: UsageDuty | None = None
         if USAGE in settings.names:
             self._usage = UsageDuty(
-                instance, settings, store, cluster_state, holder, sender, send, log, metrics
+                instance,
+                settings,
+                store,
+                cluster_state,
+                holder,
+                sender,
+                send,
+                log,
+                metrics,
+                wall_clock,
             )
         self.count_orders: CountOrders | None = None
         if SCALE in settings.names:
--- a/src/cactuspass/fleet/duties/_usage_collector.py
+++ b/src/cactuspass/fleet/duties/_usage_collector.py
@@ -1,7 +1,8 @@
 """Collects the counts of all instances for the holder of the duties, and answers the holder."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from cactuspass._clock import now
 from cactuspass.fleet._cluster_state import ClusterState
@@ -17,7 +18,7 @@
     UsageQuery,
     split_counts,
 )
-from cactuspass.fleet.duties._usage_tally import AnswerProgress, UsageTally
+from cactuspass.fleet.duties._usage_tally import AnswerProgress, Source, UsageTally
 from cactuspass.fleet.duties._windows import Windows
 from cactuspass.models import CustomerId, EntryId
 
@@ -29,6 +30,10 @@
 # instances get all answers, so that the next holder has the counts of one that was killed.
 MAX_INSTANCES_THAT_SHARE = 24
 
+# Queries of a term to which instances add what they know of runs that have ended: by then, all that
+# run have answered the new holder.
+RELAYING_QUERIES = (3, 4)
+
 Send = Callable[[str, UsageDatagram], None]
 
 
@@ -145,23 +150,13 @@
         self._true_time.adopt(query.true_time)
         self._last_query = query
         self._answer(query)
+        if query.number in RELAYING_QUERIES:
+            self._relay(query)
 
     def _answer(self, query: UsageQuery) -> None:
         """Send the holder the counts of this instance; in a small fleet, also all others."""
-        parts = split_counts(self._counts.since(query.first_window))
-        answers = [
-            UsageAnswer(
-                self._instance,
-                self._counts.lifetime,
-                query.fence,
-                query.number,
-                number,
-                len(parts),
-                max(0.0, self._true_time.own_wall_time()),
-                part,
-            )
-            for number, part in enumerate(parts)
-        ]
+        source = (self._instance, self._counts.lifetime)
+        answers = self._answers(query, source, self._counts.since(query.first_window))
         peers = self._recent_peers()
         is_shared = len(peers) <= MAX_INSTANCES_THAT_SHARE
         for answer in answers:
@@ -171,6 +166,30 @@
                 if peer.address is not None and peer.instance != self._instance and is_receiver:
                     self._send(peer.address, answer)
 
+    def _relay(self, query: UsageQuery) -> None:
+        """Send a new holder the counts of runs that have ended, which it may not have received."""
+        address = next(
+            (p.address for p in self._recent_peers() if p.instance == query.holder), None
+        )
+        if address is None:
+            return
+        for source in self._tally.ended_runs(query.fence):
+            known = replace(query, fence=0, number=0)
+            counts = self._tally.counts_of(source, query.first_window)
+            for answer in self._answers(known, source, counts) if counts else ():
+                self._send(address, answer)
+
+    def _answers(
+        self, query: UsageQuery, source: Source, counts: Mapping[int, Mapping[CustomerId, int]]
+    ) -> list[UsageAnswer]:
+        """Return the messages that state the counts of a run."""
+        parts = split_counts(counts)
+        wall_time = max(0.0, self._true_time.own_wall_time())
+        return [
+            UsageAnswer(*source, query.fence, query.number, number, len(parts), wall_time, part)
+            for number, part in enumerate(parts)
+        ]
+
     def _accept_answer(self, answer: UsageAnswer) -> None:
         self._tally.add(answer, self._true_time.at())
         progress = self._progress
@@ -193,5 +212,5 @@
             if at - seen_at > LEAVING_SECONDS:
                 del self._seen_at_by_peer[peer]
 
-    def _recent_peers(self) -> set[Peer]:
-        return self._seen_at_by_peer.keys() | set(self._cluster_state.peers)
+    def _recent_peers(self) -> list[Peer]:
+        return list(dict.fromkeys([*self._cluster_state.peers, *self._seen_at_by_peer]))
--- a/src/cactuspass/fleet/duties/_usage_reporter.py
+++ b/src/cactuspass/fleet/duties/_usage_reporter.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass
 
 from cactuspass._clock import now
+from cactuspass._revisions import era_of
 from cactuspass.exceptions import PlatformError
+from cactuspass.fleet._cluster_state import NEVER, ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._repeating import RepeatingComponent
@@ -22,10 +24,14 @@
 # Rounds of queries in a term before the time of day is known by the clocks of all instances, and
 # before the counts that could be collected are complete.
 ROUNDS_BEFORE_TAKE_OVER = 2
-ROUNDS_BEFORE_CLOSING = 3
+ROUNDS_BEFORE_CLOSING = 5
 # An answer counts for a window only if it was asked for so long after the window's end, since the
 # instances' clocks differ.
 ANSWER_MARGIN_SECONDS = 0.3
+# A window that ended less than this share of the time to settle before a restore was not fixed by
+# then.
+# The rest allows for clocks of two holders that differ.
+NOT_FIXED_SHARE = 0.75
 MAX_NAMES_IN_LINE = 5
 MAX_WINDOWS_LOGGED_AS_MISSED = 100
 
@@ -58,6 +64,7 @@
         sender: DutySender,
         windows: Windows,
         true_time: TrueTime,
+        cluster_state: ClusterState,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +75,7 @@
         self._sender = sender
         self._windows = windows
         self._true_time = true_time
+        self._cluster_state = cluster_state
         self._metrics = metrics
         self._term_fence: int | None = None
         self._next_window: int | None = None
@@ -104,7 +112,7 @@
         if not self._fixed.is_current(fence):
             if self._collector.rounds < ROUNDS_BEFORE_TAKE_OVER:
                 return
-            await self._fixed.take_over(fence, self._windows.at(self._true_time.at()))
+            await self._fixed.take_over(fence, self._first_unsent(fence))
         at = self._true_time.at()
         first = self._windows.first_not_due(at)
         if self._next_window is None:
@@ -127,6 +135,19 @@
                 return
             self._next_window = window + 1
 
+    def _first_unsent(self, fence: int) -> int:
+        """Return the first window that was not fixed before the last restore of the store.
+
+        A window is fixed some time after its end. An instance that has started since the restore
+        does not know when that was.
+        """
+        state = self._cluster_state
+        at = now()
+        if state.era == era_of(fence) and state.restored_at > NEVER:
+            at = state.restored_at
+        before_restore = now() - at + NOT_FIXED_SHARE * self._windows.settle_seconds
+        return self._windows.at(self._true_time.at() - before_restore)
+
     def _is_closed(self, window: int) -> bool:
         """Return whether the content of a window can be composed."""
         at = self._true_time.at()
--- a/src/cactuspass/fleet/duties/_usage_store.py
+++ b/src/cactuspass/fleet/duties/_usage_store.py
@@ -2,7 +2,7 @@
 
 A window is composed once. Its content is written on two conditions: that the window has none, and
 that no other holder has taken over since. A restored store may lack contents that were already
-sent, so windows that ended before the first term after a restore are not composed again.
+sent, so windows that may have been fixed before a restore are not composed again.
 """
 
 from collections.abc import Mapping
@@ -95,10 +95,11 @@
         is_known = window in self.reports_by_window or window in self.unreadable
         return self._state is not None and window >= self._state.first_window and not is_known
 
-    async def take_over(self, fence: int, current_window: int) -> None:
+    async def take_over(self, fence: int, first_unsent: int) -> None:
         """Read the contents that earlier holders have fixed, and exclude further ones by them.
 
-        :param current_window: window that the current time is in.
+        :param first_unsent: first window that no holder can have fixed before the last restore of
+            the store.
         :raises HolderReplaced: if the term is over.
         :raises PlatformError: if the store does not answer or refuses a call.
         """
@@ -111,7 +112,7 @@
         before = self._decode_state(stored)
         if before is not None and (before.era, before.fence) > (era, fence):
             raise HolderReplaced(f"a holder with fence {before.fence} has taken over")
-        first_window = self._first_window(before, era, current_window)
+        first_window = self._first_window(before, era, first_unsent)
         accepted = before.accepted if before is not None else ()
         state = _State(era, fence, first_window, accepted)
         expected = stored.mod_revision if stored is not None else 0
@@ -159,14 +160,14 @@
         if era_of(written.mod_revision) != era:
             raise OutcomeUnknown("the store was restored during the write")
 
-    def _first_window(self, before: _State | None, era: int, current_window: int) -> int:
+    def _first_window(self, before: _State | None, era: int, first_unsent: int) -> int:
         """Return the first window that may be composed in an era of the store."""
         if before is not None and before.era == era:
             return before.first_window
         if before is None and era == 0:
             return 0
-        self._log.state_change("usage-windows-skipped", era=era, before_window=current_window)
-        return current_window
+        self._log.state_change("usage-windows-skipped", era=era, before_window=first_unsent)
+        return first_unsent
 
     def _decode_state(self, stored: KeyValue | None) -> _State | None:
         if stored is None or stored.value is None:
--- a/src/cactuspass/fleet/duties/_usage_tally.py
+++ b/src/cactuspass/fleet/duties/_usage_tally.py
@@ -25,6 +25,7 @@
         self._counts_by_window: defaultdict[int, dict[tuple[Source, CustomerId], int]] = (
             defaultdict(dict)
         )
+        self._fences_by_source: dict[Source, int] = {}
 
     def add(self, answer: UsageAnswer, at: float) -> None:
         """Add the counts of a message; windows that no report needs any more are left out.
@@ -34,6 +35,7 @@
         first, last = self._windows.first_kept(at), self._windows.at(at) + MAX_WINDOWS_AHEAD
         self._remove_before(first)
         source = (answer.instance, answer.lifetime)
+        self._fences_by_source[source] = max(answer.fence, self._fences_by_source.get(source, 0))
         for window, counts in answer.counts:
             if not first <= window <= last:
                 continue
@@ -49,9 +51,27 @@
             totals[customer] += count
         return dict(totals)
 
+    def ended_runs(self, fence: int) -> list[Source]:
+        """Return the runs that have answered an earlier holder, but not the present one."""
+        return [source for source, known in self._fences_by_source.items() if known < fence]
+
+    def counts_of(self, source: Source, first_window: int) -> dict[int, dict[CustomerId, int]]:
+        """Return the counts of one run, from a window on."""
+        return {
+            window: counts
+            for window, known in self._counts_by_window.items()
+            if window >= first_window
+            and (counts := {customer: n for (run, customer), n in known.items() if run == source})
+        }
+
     def _remove_before(self, first_window: int) -> None:
-        for window in [window for window in self._counts_by_window if window < first_window]:
+        old = [window for window in self._counts_by_window if window < first_window]
+        for window in old:
             del self._counts_by_window[window]
+        if old:
+            left = {run for known in self._counts_by_window.values() for run, _ in known}
+            for source in self._fences_by_source.keys() - left:
+                del self._fences_by_source[source]
 
 
 class AnswerProgress:
--- a/src/cactuspass/fleet/duties/_windows.py
+++ b/src/cactuspass/fleet/duties/_windows.py
@@ -39,9 +39,14 @@
         """Return the time at which a window is closed, whether or not all have answered."""
         return self.due(window) - min(CLOSE_BEFORE_DUE_SECONDS, self.late_seconds / 2)
 
+    @property
+    def settle_seconds(self) -> float:
+        """Time after the end of a window before which its content is not fixed."""
+        return min(SETTLE_SECONDS, self.closes(0) - self.end(0))
+
     def settles(self, window: int) -> float:
         """Return the earliest time at which a window is closed."""
-        return min(self.end(window) + SETTLE_SECONDS, self.closes(window))
+        return self.end(window) + self.settle_seconds
 
     def first_not_due(self, time: float) -> int:
         """Return the first window whose report is not yet due."""
