Choose heads by free room where the load of all instances is known, and refuse the rest

Change: where a FleetLoad is known, the slots of a data centre's heads are assigned to its instances in turn. A request uses a slot of its own instance, or another's while these are not expected to be needed; without one it is refused at once, with times to return one after the other. Less urgent routes leave room for more urgent ones. A head that rejected a request counts as full for 0.5 s. Without a FleetLoad the choice is as before.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -49,6 +49,7 @@
         connection; the route limits their number.
     :param possible_run_count: attempts in which the request may have run, including those with a
         broken connection.
+    :param is_decided: whether an upstream was chosen, or the request refused, before.
     """
 
     dependencies: RequestDependencies
@@ -65,6 +66,7 @@
     possible_run_count: int = 0
     last_failure: Failure | None = None
     progress: AnswerProgress = field(default_factory=AnswerProgress)
+    is_decided: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -109,7 +111,10 @@
             allowed,
             full,
             self.priority,
+            not self.is_decided,
+            self.progress.passed_bytes > 0 or self.request.last_event_id is not None,
         )
+        self.is_decided = True
         return self.dependencies.selector.choose(selection_request, at)
 
     async def choose_in_time(self) -> Selection | NoUpstream:
@@ -258,6 +263,7 @@
         upstream_id = upstream.upstream_id
         if failure is Failure.NOT_RUN:
             self.rejected_at_by_id[upstream_id] = now()
+            self.dependencies.loads.record_full(upstream_id, now())
         elif failure not in (Failure.WITHDRAWN, Failure.RECALLED):
             self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -49,6 +49,8 @@
         it has no share of their limits.
     :param token_interval: seconds between two such tokens; infinite without a share.
     :param limit_rate: requests per second that all instances together may send to them.
+    :param return_interval: seconds between two callers that come back; None when they need not come
+        one after the other.
     """
 
     reason: NoUpstreamReason
@@ -60,6 +62,7 @@
     token_delay: float = float("inf")
     token_interval: float = float("inf")
     limit_rate: float = 0.0
+    return_interval: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,8 @@
     :param only: the only upstreams that may take the request; None for no restriction.
     :param full: upstreams that rejected the request a moment ago.
     :param priority: priority of the request, where 0 is the most urgent.
+    :param is_new: whether it is not decided yet whether the request is served.
+    :param is_resumed: whether the caller has a part of the stream already.
     """
 
     service: ServiceId
@@ -80,6 +85,8 @@
     only: Collection[UpstreamId] | None = None
     full: Collection[UpstreamId] = frozenset()
     priority: int = LEAST_URGENT_PRIORITY
+    is_new: bool = True
+    is_resumed: bool = False
 
     def allows(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream may take the request."""
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -238,6 +238,9 @@
             after = self._book_return(attempts, found)
             return not_run_problem(found.reason.value, str(error), after)
         if isinstance(error, NoUpstreamAvailable):
+            if error.no_upstream.return_interval is not None:
+                after = self._book_room(attempts, error.no_upstream)
+                return not_run_problem(error.no_upstream.reason.value, str(error), after)
             after = self._retry_after(attempts, error.no_upstream.retry_after)
             return not_run_problem(error.no_upstream.reason.value, str(error), after)
         after = self._retry_after(attempts, _retry_estimate(found))
@@ -262,6 +265,19 @@
             now(),
         )
 
+    def _book_room(self, attempts: Attempts, found: NoUpstream) -> float:
+        """Return the retry delay in seconds of a caller for whom there is no room now.
+
+        Callers come back one after the other, at the rate at which there is room for them.
+        """
+        return self._returns.book(
+            (attempts.service, attempts.request.model),
+            self._add_jitter(found.retry_after),
+            found.return_interval or 0.0,
+            attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
+            now(),
+        )
+
     def _add_jitter(self, estimate: float) -> float:
         """Return a retry delay with random jitter, so that callers do not retry all at once."""
         return estimate * (1 + RETRY_JITTER * self._rng.random())
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -12,6 +12,7 @@
 INITIAL_LATENCY_SECONDS = 0.05
 IDLE_EXPIRY_SECONDS = 30.0
 RECENT_RESPONSE_SECONDS = 0.25
+FULL_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -27,6 +28,8 @@
     :param last_response_at: clock value at which a part of a stream last arrived.
     :param heard_at: clock value at which a part of any response last arrived, or the first of the
         requests that run was sent.
+    :param full_until: clock value until which the upstream counts as full, since it has rejected a
+        request.
     """
 
     in_flight: int = 0
@@ -39,6 +42,7 @@
     last_used_at: float = 0.0
     last_response_at: float = float("-inf")
     heard_at: float = float("-inf")
+    full_until: float = float("-inf")
 
     def estimate(self, at: float, assumed: float = 0.0) -> float:
         """Return the estimated number of requests at the upstream, from all instances.
@@ -52,6 +56,10 @@
         """Return whether the upstream has reported its load recently."""
         return at - self.reported_at <= REPORT_VALID_SECONDS
 
+    def is_full(self, at: float) -> bool:
+        """Return whether the upstream has rejected a request a moment ago."""
+        return at < self.full_until
+
     def is_suspect(self, at: float) -> bool:
         """Return whether the upstream failed recently, so that it should get no new requests."""
         return at < self.suspect_until
@@ -65,7 +73,10 @@
 
     def load(self, upstream_id: UpstreamId) -> UpstreamLoad:
         """Return the load of an upstream."""
-        return self.loads_by_id.setdefault(upstream_id, UpstreamLoad())
+        load = self.loads_by_id.get(upstream_id)
+        if load is None:
+            load = self.loads_by_id[upstream_id] = UpstreamLoad()
+        return load
 
     def record_send(self, upstream_id: UpstreamId, at: float) -> None:
         """Count a request sent to an upstream."""
@@ -104,6 +115,10 @@
         load = self.load(upstream_id)
         load.failure_share += SMOOTHING_FACTOR * (1.0 - load.failure_share)
 
+    def record_full(self, upstream_id: UpstreamId, at: float) -> None:
+        """Record that an upstream has rejected a request because it was full."""
+        self.load(upstream_id).full_until = at + FULL_SECONDS
+
     def note_response(self, upstream_id: UpstreamId, at: float) -> None:
         """Record that a part of a response has arrived from an upstream."""
         self.load(upstream_id).last_response_at = at
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -23,6 +23,8 @@
 from cactuspass.fleet._peers import choose_senders
 from cactuspass.fleet._request_limits import RequestLimits
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
+from cactuspass.fleet.choice import RoomChoice
+from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import DataCentreId, EntryId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
@@ -60,6 +62,10 @@
     return True
 
 
+def no_fleet_load() -> None:
+    """Return None; the default, with which only the upstreams' own reports are known."""
+
+
 class Selector:
     """Chooses upstreams by estimated load, distance and health.
 
@@ -69,6 +75,7 @@
     :param instance: id of this instance.
     :param is_connected: whether an idle connection to an address is open.
     :param limits: limits that upstreams state; without them, none is known at the start.
+    :param fleet_load: returns the load of all upstreams; None while it is not known.
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         instance: EntryId | None = None,
         is_connected: Callable[[str], bool] = always_connected,
         limits: RequestLimits | None = None,
+        fleet_load: Callable[[], FleetLoad | None] = no_fleet_load,
     ) -> None:
         self._instance = instance
         self._is_connected = is_connected
@@ -94,6 +102,10 @@
         self._recent_ids_by_service: dict[ServiceId, deque[UpstreamId]] = {}
         self._cold_by_id: dict[UpstreamId, ColdRateLimit] = {}
         self.backoff = BackoffTable()
+        self._fleet_load = fleet_load
+        self._room_choice = RoomChoice(
+            cluster_state, loads, data_centre, rng, instance, is_connected
+        )
         self.limits = limits or RequestLimits(LimitShares(cluster_state, instance))
 
     def choose(self, request: SelectionRequest, at: float) -> Selection | NoUpstream:
@@ -106,6 +118,11 @@
         if service is None:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 1.0)
         serving = self._cluster_state.serving_upstreams(service, request.model)
+        fleet_load = self._fleet_load() if service.engine and request.model else None
+        if fleet_load is not None:
+            return self._choose_among(
+                serving, request, service, at, accepts_suspects=True, fleet_load=fleet_load
+            )
         if len(serving) > SAMPLE_SIZE:
             found = self._choose_among(self._sample(serving, service), request, service, at)
             if isinstance(found, Selection):
@@ -137,10 +154,12 @@
         service: Service,
         at: float,
         accepts_suspects: bool = False,
+        fleet_load: FleetLoad | None = None,
     ) -> Selection | NoUpstream:
         """Return the best of some upstreams that serve the model, or why none can be chosen.
 
         :param accepts_suspects: whether a suspect may be chosen when all others are suspects.
+        :param fleet_load: the load of all upstreams, by which to choose; None for the reports.
         """
         eligible = [
             s
@@ -161,7 +180,7 @@
             return _no_upstream(backoff_by_id, backoff_remaining)
         delays = self._delays_at_limit(available, request.priority, at)
         within = [s for s in available if s.upstream.lifetime not in delays]
-        found = self._choose_best(within, request, service, at, accepts_suspects)
+        found = self._choose_best(within, request, service, at, accepts_suspects, fleet_load)
         if isinstance(found, Selection):
             return found
         retry_after = min(found.retry_after, backoff_remaining)
@@ -180,6 +199,7 @@
         service: Service,
         at: float,
         accepts_suspects: bool,
+        fleet_load: FleetLoad | None,
     ) -> Selection | NoUpstream:
         """Return the best of the upstreams that are neither backing off nor at their limit."""
         if not available:
@@ -191,6 +211,8 @@
         if not healthy and not accepts_suspects:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
         choices = healthy or warm
+        if fleet_load is not None:
+            return self._room_choice.choose(choices, request, service, fleet_load, at)
         typical_load = self._typical_load(choices, at)
         candidates = [self._score(s, service, at, typical_load) for s in choices]
         best = min(candidates, key=lambda candidate: candidate.score)
--- /dev/null
+++ b/src/cactuspass/fleet/load_shedding/_shortage.py
@@ -0,0 +1,48 @@
+"""How much of the room at heads may go to instances to which it is not assigned."""
+
+import math
+
+# Share of the slots up to which requests may be sent by known loads. Nobody knows what the others
+# have sent since, so above it some heads get more requests than they have slots.
+MAX_KNOWN_SHARE = 0.8
+SHARE_LOST_PER_SECOND_OF_AGE = 0.1
+MAX_OFFERED_PER_SLOT = 10.0
+
+
+def carried_share(offered_per_slot: float, slots_per_instance: float) -> float:
+    """Return the share of the assigned slots that the requests of their own instances use.
+
+    :param offered_per_slot: requests that would run at the same time, for each slot.
+    :param slots_per_instance: slots that are assigned to each instance, on average.
+    """
+    if offered_per_slot <= 0 or slots_per_instance <= 0:
+        return 0.0
+    offered = min(offered_per_slot, MAX_OFFERED_PER_SLOT) * slots_per_instance
+    whole = math.floor(slots_per_instance)
+    more_share = slots_per_instance - whole
+    carried = (1 - more_share) * _carried(offered, whole) + more_share * _carried(
+        offered, whole + 1
+    )
+    return carried / slots_per_instance
+
+
+def _carried(offered: float, slots: int) -> float:
+    """Return the mean number of slots in use when requests that find none are lost (Erlang B)."""
+    blocked = 1.0
+    for count in range(1, slots + 1):
+        blocked = offered * blocked / (count + offered * blocked)
+    return offered * (1 - blocked)
+
+
+def lending_share(offered_per_slot: float, slots_per_instance: float, age: float) -> float:
+    """Return the share of the requests without an assigned slot that may use one of others.
+
+    It is 1 while there is room for all, and falls to 0 as the owners of the slots use them.
+
+    :param age: seconds since the known loads were true.
+    """
+    target = MAX_KNOWN_SHARE - SHARE_LOST_PER_SECOND_OF_AGE * age
+    if offered_per_slot <= target:
+        return 1.0
+    carried = carried_share(offered_per_slot, slots_per_instance)
+    return min(1.0, max(0.0, (target - carried) / (offered_per_slot - carried)))
--- /dev/null
+++ b/tests/load_simulation.py
@@ -0,0 +1,225 @@
+"""Instances that send requests to heads of one model, on a simulated clock.
+
+Heads run as many requests as they have slots, queue twice as many and reject further ones. What an
+instance knows of the requests of others is the sums that it last received.
+"""
+
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from itertools import count
+from typing import Any
+
+from cactuspass.fleet._catalog import Catalog, ModelSpec, Service
+from cactuspass.fleet._choices import Selection, SelectionRequest
+from cactuspass.fleet._cluster_state import ClusterState
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._selection import Selector
+from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
+from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, HeadLoad, ModelDemand
+from cactuspass.models import DataCentreId, EntryId, GroupId
+from tests.fleet_path import SERVICE, recording_log, route
+from tests.fleet_world import ENGINE, SMALL
+
+SLOTS = 10
+QUEUE_FACTOR = 2
+HERE = DataCentreId("here")
+REQUEST_SECONDS = 1.0
+MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS = 0.3, 1.7
+MODEL = ModelSpec(SMALL, 1, 1.0, 1.0, 12.0, 1.1)
+# With this, nobody waits in calm, and the objective is missed by a wait of 0.08 s.
+CALM_SECONDS, OBJECTIVE_SECONDS = 0.17, 0.25
+SUM_INTERVAL_SECONDS = 0.25
+WARM_UP_SECONDS = 4.0
+
+
+@dataclass
+class Outcome:
+    """What became of the requests after the first seconds."""
+
+    arrived: Counter[int] = field(default_factory=Counter)
+    in_time: Counter[int] = field(default_factory=Counter)
+    late: int = 0
+    sent: int = 0
+    rejected: int = 0
+    busy_slot_seconds: float = 0.0
+
+    @property
+    def rejected_share(self) -> float:
+        """Share of the sends that heads rejected."""
+        return self.rejected / max(1, self.sent)
+
+    @property
+    def late_share(self) -> float:
+        """Share of the requests that ran and did not begin in time."""
+        return self.late / max(1, self.late + self.in_time.total())
+
+
+@dataclass
+class _Head:
+    running: int = 0
+    queue: deque[tuple[float, int, int]] = field(default_factory=deque)
+
+
+class LoadSimulation:
+    """Requests that arrive at random, at a multiple of what the heads can run.
+
+    :param load: requests that would run at the same time, for each slot, by time.
+    :param sum_delay: seconds from the moment that sums describe until they are received.
+    :param shares_by_priority: part of the requests of each priority.
+    """
+
+    def __init__(
+        self,
+        load: Callable[[float], float],
+        instances: int = 87,
+        heads: int = 35,
+        sum_delay: float = 0.5,
+        shares_by_priority: Mapping[int, float] | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.at = 0.0
+        self.load = load
+        self.sum_delay = sum_delay
+        self.outcome = Outcome()
+        self.alive = list(range(instances))
+        self.sums_stop_at = self.sums_start_at = float("inf")
+        self.sums_start_at = 0.0
+        self._shares_by_priority = shares_by_priority or {0: 1.0}
+        self._rng = random.Random(seed)
+        self._numbers = count()
+        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.head_ids = [UpstreamId(f"h{number}") for number in range(heads)]
+        self._heads_by_id = {head_id: _Head() for head_id in self.head_ids}
+        self._loads = [LoadTable() for _ in range(instances)]
+        self._fleet_loads: list[FleetLoad | None] = [None] * instances
+        self._arrivals = 0
+        self._arrivals_history: deque[int] = deque(maxlen=5)
+        engine = replace(ENGINE, slots=SLOTS, models_by_id={SMALL: MODEL})
+        self._cluster_state = ClusterState(recording_log()[0])
+        services = {SERVICE: Service(SERVICE, engine=engine)}
+        self._cluster_state.accept_catalog(Catalog(1, (route(),), services))
+        self._cluster_state.accept_upstreams(map(self._upstream, self.head_ids), 1)
+        self.register(self.alive)
+        self.selectors = list(map(self._selector, range(instances)))
+
+    def register(self, alive: list[int]) -> None:
+        """Replace the list of registered instances."""
+        peers = tuple(Peer(EntryId(f"i{number:03}"), HERE, None) for number in alive)
+        self._cluster_state.accept_peers(peers)
+
+    def _upstream(self, head_id: UpstreamId) -> Upstream:
+        group = Membership(GroupKey(GroupId(f"g{head_id}"), 1), 0, MemberState.OPEN)
+        return Upstream(
+            head_id, SERVICE, f"{head_id}:1", HERE, slots=SLOTS, loaded=SMALL, membership=group
+        )
+
+    def _selector(self, number: int) -> Selector:
+        return Selector(
+            self._cluster_state,
+            self._loads[number],
+            HERE,
+            random.Random(number),
+            instance=EntryId(f"i{number:03}"),
+            fleet_load=lambda: self._recent_load(number),
+        )
+
+    def _recent_load(self, number: int) -> FleetLoad | None:
+        fleet_load = self._fleet_loads[number]
+        return fleet_load if fleet_load and self.at - fleet_load.at < 1.5 else None
+
+    @property
+    def slots(self) -> int:
+        """Slots of all heads."""
+        return SLOTS * len(self.head_ids)
+
+    def plan(self, seconds: float, call: Callable[..., None], *arguments: Any) -> None:
+        """Call a function after some seconds."""
+        heapq.heappush(self._due, (self.at + seconds, next(self._numbers), call, arguments))
+
+    def run(self, seconds: float) -> Outcome:
+        """Play some seconds, and return what became of the requests."""
+        self.plan(0.0, self._arrive)
+        self.plan(0.0, self._send_sums)
+        while self._due[0][0] < seconds:
+            before = self.at
+            self.at, _, call, arguments = heapq.heappop(self._due)
+            if self.at > WARM_UP_SECONDS:
+                running = sum(head.running for head in self._heads_by_id.values())
+                self.outcome.busy_slot_seconds += running * (self.at - before)
+            call(*arguments)
+        return self.outcome
+
+    def _arrive(self) -> None:
+        self.plan(self._rng.expovariate(self.load(self.at) * self.slots), self._arrive)
+        self._arrivals += 1
+        classes = list(self._shares_by_priority)
+        priority = self._rng.choices(classes, list(self._shares_by_priority.values()))[0]
+        number = self._rng.choice(self.alive)
+        if self.at > WARM_UP_SECONDS:
+            self.outcome.arrived[priority] += 1
+        request = SelectionRequest(SERVICE, SMALL, (), OBJECTIVE_SECONDS / 2, priority=priority)
+        found = self.selectors[number].choose(request, self.at)
+        if isinstance(found, Selection):
+            self._send(number, found.upstream.upstream_id, priority)
+
+    def _send(self, number: int, head_id: UpstreamId, priority: int) -> None:
+        head, counts = self._heads_by_id[head_id], self.at > WARM_UP_SECONDS
+        self.outcome.sent += counts
+        if head.running + len(head.queue) >= SLOTS * (1 + QUEUE_FACTOR):
+            self.outcome.rejected += counts
+            self._loads[number].record_full(head_id, self.at)
+            return
+        self._loads[number].record_send(head_id, self.at)
+        if head.running < SLOTS:
+            self._run(number, head_id, priority, self.at)
+        else:
+            head.queue.append((self.at, number, priority))
+
+    def _run(self, number: int, head_id: UpstreamId, priority: int, sent_at: float) -> None:
+        self._heads_by_id[head_id].running += 1
+        if sent_at > WARM_UP_SECONDS:
+            is_in_time = self.at - sent_at + CALM_SECONDS <= OBJECTIVE_SECONDS
+            self.outcome.in_time[priority] += is_in_time
+            self.outcome.late += not is_in_time
+        seconds = self._rng.uniform(MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS) * REQUEST_SECONDS
+        self.plan(seconds, self._end, number, head_id)
+
+    def _end(self, number: int, head_id: UpstreamId) -> None:
+        head = self._heads_by_id[head_id]
+        head.running -= 1
+        self._loads[number].record_end(head_id)
+        if head.queue:
+            sent_at, waiting, priority = head.queue.popleft()
+            self._run(waiting, head_id, priority, sent_at)
+
+    def _send_sums(self) -> None:
+        self.plan(SUM_INTERVAL_SECONDS, self._send_sums)
+        self._arrivals_history.append(self._arrivals)
+        if not self.sums_start_at <= self.at < self.sums_stop_at:
+            return
+        own = [
+            {i: load.in_flight for i, load in self._loads[number].loads_by_id.items()}
+            for number in range(len(self._loads))
+        ]
+        history = self._arrivals_history
+        seconds = max(1, len(history) - 1) * SUM_INTERVAL_SECONDS
+        demand = ModelDemand((history[-1] - history[0]) / seconds, mean_seconds=REQUEST_SECONDS)
+        self.plan(self.sum_delay, self._receive_sums, self.at, own, demand)
+
+    def _receive_sums(
+        self, sent_at: float, own: list[dict[UpstreamId, int]], demand: ModelDemand
+    ) -> None:
+        total: Counter[UpstreamId] = Counter()
+        for number in self.alive:
+            total.update(own[number])
+        for number in self.alive:
+            by_head = {
+                i: HeadLoad(requests - own[number].get(i, 0), self.at - sent_at)
+                for i, requests in total.items()
+            }
+            demand_by_key = {DemandKey(SERVICE, SMALL, HERE): demand}
+            self._fleet_loads[number] = FleetLoad(self.at, by_head, demand_by_key)
