--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -10,7 +10,7 @@
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._answer_progress import AnswerProgress, RetryObstacle
 from cactuspass.fleet._catalog import Customer, Route
-from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
+from cactuspass.fleet._choices import ChoiceStage, NoUpstream, Selection, SelectionRequest
 from cactuspass.fleet._failures import (
     FAILURES_OF_APPLICATION,
     REFUSAL_STATUSES,
@@ -19,17 +19,19 @@
 )
 from cactuspass.fleet._guarded_request import GuardedRequest
 from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, SendDetails
-from cactuspass.fleet._prompt_parts import BrokenAttempt
+from cactuspass.fleet._prompt_parts import ANONYMOUS, BrokenAttempt
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
-from cactuspass.models import ServiceId
+from cactuspass.models import CustomerId, ServiceId
 
 MAX_SENDS = 4
 MAX_SENDS_AFTER_RESPONSE_START = 8
 REJECTION_PAUSE_SECONDS = 0.15
 BUDGET_SHARE_RESERVED_FOR_RESUMPTION = 0.4
 BUDGET_SHARE_RESERVED_FROM_HEDGES = 0.25
+# Less than what is left to attempts after rejections and broken connections.
+BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM = 0.7
 MIN_SECONDS_LEFT = 0.1
 MAX_VERDICT_WAIT_SHARE_OF_DEADLINE = 0.5
 # A connection that the upstream closes while idle loses a request that cannot be repeated.
@@ -90,11 +92,17 @@
         """Longest acceptable estimated wait at an upstream, in seconds."""
         return self.route.objective * MAX_WAIT_SHARE_OF_OBJECTIVE
 
-    def choose(self, other_than: UpstreamId | None = None) -> Selection | NoUpstream:
+    def choose(
+        self, other_than: UpstreamId | None = None, stage: ChoiceStage | None = None
+    ) -> Selection | NoUpstream:
         """Return the upstream for the next attempt, or why there is none.
 
         :param other_than: an upstream to leave out in addition to the excluded ones.
+        :param stage: how far the request has come; None for the usual next stage.
         """
+        if stage is None:
+            stage = ChoiceStage.ADMITTED if self.is_decided else ChoiceStage.NEW
+        self.is_decided = True
         at = now()
         full = {
             i for i, when in self.rejected_at_by_id.items() if at - when < REJECTION_PAUSE_SECONDS
@@ -111,17 +119,30 @@
             allowed,
             full,
             self.priority,
-            not self.is_decided,
+            stage,
             self.progress.passed_bytes > 0 or self.request.last_event_id is not None,
+            self.customer_id,
+            self.route.name,
+            self.request.size,
+            self.request.arrived_at + self.route.objective - at,
         )
-        self.is_decided = True
         return self.dependencies.selector.choose(selection_request, at)
 
     async def choose_in_time(self) -> Selection | NoUpstream:
         """Return the upstream for the next attempt, after a short wait if only limits forbid it."""
         key = (self.service, self.request.model)
         waits = self.dependencies.limit_waits
-        return await waits.choose(key, self.priority, self.choose, self.max_wait)
+        found = await waits.choose(key, self.priority, self.choose, self.max_wait)
+        if isinstance(found, Selection) or found.room is None:
+            return found
+        choose = partial(self.choose, stage=ChoiceStage.WAITING)
+        result, has_waited = await self.dependencies.room_waits.choose(
+            key, self.priority, found, choose
+        )
+        if has_waited:
+            outcome = "sent" if isinstance(result, Selection) else "refused"
+            self.dependencies.metrics.room_waits.labels(outcome).inc()
+        return result
 
     async def send(self, selection: Selection, last_event_id: str | None = None) -> ActiveAttempt:
         """Send the request to an upstream.
@@ -165,7 +186,7 @@
                 trial.end()
             if isinstance(error, SendWithdrawn | UpstreamNotReached):
                 permit.release()
-            self.dependencies.loads.record_end(upstream.upstream_id)
+            self._record_end(upstream)
             raise
         self.possible_run_count += 1
         self.used_upstreams.add(upstream.upstream_id)
@@ -197,7 +218,12 @@
         active.is_closed = True
         active.exchange.abort()
         active.end_trial()
-        self.dependencies.loads.record_end(active.upstream.upstream_id)
+        self._record_end(active.upstream)
+
+    def _record_end(self, upstream: Upstream) -> None:
+        """Count a request that has ended at an upstream; another one may take its place."""
+        self.dependencies.loads.record_end(upstream.upstream_id)
+        self.dependencies.room_waits.notify((self.service, self.request.model))
 
     def process_head(self, active: ActiveAttempt, head: AnswerHead) -> AnswerNotes:
         """Return what a response head states, and update the state of its upstream accordingly.
@@ -241,6 +267,11 @@
         else:
             self.guarded.note_attempt_ended()
 
+    @property
+    def customer_id(self) -> CustomerId:
+        """Customer whose request it is."""
+        return self.customer.customer if self.customer is not None else ANONYMOUS
+
     def note_crash(self, active: ActiveAttempt) -> None:
         """Record that an upstream closed the connection, unless the upstream is leaving."""
         upstream = active.upstream
@@ -366,13 +397,19 @@
         """
         if not self.may_hedge(late) or not self.could_retry_elsewhere(late.upstream):
             return None
-        found = self.choose(other_than=late.upstream.upstream_id)
+        is_room_known = self.dependencies.selector.knows_fleet_load
+        is_ill = self.dependencies.loads.load(late.upstream.upstream_id).is_silent(now())
+        stage = ChoiceStage.HEDGE if is_room_known and not is_ill else None
+        found = self.choose(late.upstream.upstream_id, stage)
         retry_budget = self.dependencies.retry_budget(self.service)
         if not isinstance(found, Selection):
             return None
-        if not retry_budget.try_spend(
-            now(), self.dependencies.instance_count(), BUDGET_SHARE_RESERVED_FROM_HEDGES
-        ):
+        reserved_share = (
+            BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM
+            if is_room_known
+            else BUDGET_SHARE_RESERVED_FROM_HEDGES
+        )
+        if not retry_budget.try_spend(now(), self.dependencies.instance_count(), reserved_share):
             return None
         return found
 
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -5,8 +5,10 @@
 from enum import Enum
 
 from cactuspass.fleet._allowance import LEAST_URGENT_PRIORITY
+from cactuspass.fleet._prompt_parts import ANONYMOUS
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
-from cactuspass.models import ModelId, ServiceId
+from cactuspass.fleet.load_shedding import Prediction, RequestSize
+from cactuspass.models import CustomerId, ModelId, ServiceId
 
 NO_BACKOFF_SECONDS = float("inf")
 
@@ -21,6 +23,18 @@
     ALL_AT_LIMIT = "all-upstreams-at-limit"
 
 
+class ChoiceStage(Enum):
+    """How far a request has come when an upstream is chosen for it.
+
+    A hedge before the first event is sent because the first upstream is late.
+    """
+
+    NEW = "new"
+    WAITING = "waiting"
+    ADMITTED = "admitted"
+    HEDGE = "hedge"
+
+
 @dataclass(frozen=True, slots=True)
 class Selection:
     """The upstream that a request should go to.
@@ -28,11 +42,32 @@
     :param wait: estimated seconds until it starts the request.
     :param max_event_gap: longest expected time in seconds between two events of a stream while the
         upstream works normally; None when unknown.
+    :param prediction: times that are predicted; None when the load of all upstreams is not known.
     """
 
     upstream: Upstream
     wait: float
     max_event_gap: float | None = None
+    prediction: Prediction | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoomOutlook:
+    """When there is room for a request for which there is none now.
+
+    :param return_interval: seconds between two callers that come back.
+    :param slot_interval: seconds between two slots of this instance that become free; None if it
+        has none or the request must not wait for one.
+    :param max_wait: seconds that the request may wait for its first event to be in time.
+    :param lent_share: share of the requests without a free slot of their instance that are sent.
+    :param is_thinned: whether it was refused for the share of its customer or for its size.
+    """
+
+    return_interval: float
+    slot_interval: float | None = None
+    max_wait: float = 0.0
+    lent_share: float = 0.0
+    is_thinned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +84,7 @@
         it has no share of their limits.
     :param token_interval: seconds between two such tokens; infinite without a share.
     :param limit_rate: requests per second that all instances together may send to them.
-    :param return_interval: seconds between two callers that come back; None when they need not come
-        one after the other.
+    :param room: when there is room for it; None when room is not the reason.
     """
 
     reason: NoUpstreamReason
@@ -62,7 +96,7 @@
     token_delay: float = float("inf")
     token_interval: float = float("inf")
     limit_rate: float = 0.0
-    return_interval: float | None = None
+    room: RoomOutlook | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +108,12 @@
     :param only: the only upstreams that may take the request; None for no restriction.
     :param full: upstreams that rejected the request a moment ago.
     :param priority: priority of the request, where 0 is the most urgent.
-    :param is_new: whether it is not decided yet whether the request is served.
+    :param stage: how far the request has come.
     :param is_resumed: whether the caller has a part of the stream already.
+    :param customer: customer whose request it is.
+    :param route: name of its route.
+    :param size: what the caller states about it.
+    :param objective_left: seconds until its first event is late.
     """
 
     service: ServiceId
@@ -85,8 +123,12 @@
     only: Collection[UpstreamId] | None = None
     full: Collection[UpstreamId] = frozenset()
     priority: int = LEAST_URGENT_PRIORITY
-    is_new: bool = True
+    stage: ChoiceStage = ChoiceStage.NEW
     is_resumed: bool = False
+    customer: CustomerId = ANONYMOUS
+    route: str = ""
+    size: RequestSize = RequestSize()
+    objective_left: float = 0.0
 
     def allows(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream may take the request."""
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -238,7 +238,7 @@
             after = self._book_return(attempts, found)
             return not_run_problem(found.reason.value, str(error), after)
         if isinstance(error, NoUpstreamAvailable):
-            if error.no_upstream.return_interval is not None:
+            if error.no_upstream.room is not None:
                 after = self._book_room(attempts, error.no_upstream)
                 return not_run_problem(error.no_upstream.reason.value, str(error), after)
             after = self._retry_after(attempts, error.no_upstream.retry_after)
@@ -273,7 +273,7 @@
         return self._returns.book(
             (attempts.service, attempts.request.model),
             self._add_jitter(found.retry_after),
-            found.return_interval or 0.0,
+            found.room.return_interval if found.room is not None else 0.0,
             attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
             now(),
         )
@@ -296,6 +296,7 @@
         failure = attempts.last_failure
         found = error.no_upstream if isinstance(error, NoUpstreamAvailable) else None
         index = self._cluster_state.catalog_index
+        room = found.room if found is not None else None
         return {
             "route": attempts.route.name,
             "service": attempts.service,
@@ -305,6 +306,10 @@
             "offers": found.serving_count if found is not None else None,
             "wait": found.wait if found is not None else None,
             "acceptable_wait": attempts.max_wait if found is not None else None,
+            "lent_share": room.lent_share if room is not None else None,
+            "over_share": room.is_thinned or None if room is not None else None,
+            "customer": attempts.customer_id or None if room is not None else None,
+            "priority": attempts.priority if room is not None else None,
             "sends": attempts.sends,
             "may_have_run": attempts.may_have_run,
             "waited": now() - attempts.request.arrived_at,
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -9,6 +9,7 @@
 from cactuspass.fleet._pool import OutgoingRequest
 from cactuspass.fleet._prompt_parts import PromptPartId
 from cactuspass.fleet._upstreams import Upstream
+from cactuspass.fleet.load_shedding import RequestSize
 from cactuspass.models import CustomerId, ModelId, RequestId
 
 
@@ -35,6 +36,7 @@
     :param model: requested model; None for a plain service.
     :param prompt_tokens: number of tokens in the prompt.
     :param output_tokens: maximum number of tokens to generate.
+    :param expected_output_tokens: the caller's estimate of that number; None without one.
     :param last_event_id: id of the last event of a stream that the caller already has.
     :param shared_parts: parts of the prompt that other prompts may have too, in order.
     """
@@ -51,9 +53,15 @@
     model: ModelId | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_output_tokens: int | None = None
     last_event_id: str | None = None
     shared_parts: tuple[PromptPartId, ...] = ()
 
+    @property
+    def size(self) -> RequestSize:
+        """What the caller states about the size of the request."""
+        return RequestSize(self.prompt_tokens, self.output_tokens, self.expected_output_tokens)
+
 
 @dataclass(frozen=True, slots=True)
 class SendDetails:
--- a/src/cactuspass/fleet/_loads.py
+++ b/src/cactuspass/fleet/_loads.py
@@ -13,6 +13,8 @@
 IDLE_EXPIRY_SECONDS = 30.0
 RECENT_RESPONSE_SECONDS = 0.25
 FULL_SECONDS = 0.5
+MIN_SILENCE_SECONDS = 0.25
+MIN_SILENT_STREAMS = 2
 
 
 @dataclass(slots=True)
@@ -60,6 +62,14 @@
         """Return whether the upstream has rejected a request a moment ago."""
         return at < self.full_until
 
+    def is_silent(self, at: float) -> bool:
+        """Return whether several streams of this instance run there and none has gone on lately.
+
+        An upstream that is only full goes on with the streams that it runs.
+        """
+        has_several = self.in_flight >= MIN_SILENT_STREAMS
+        return has_several and at - self.last_response_at > MIN_SILENCE_SECONDS
+
     def is_suspect(self, at: float) -> bool:
         """Return whether the upstream failed recently, so that it should get no new requests."""
         return at < self.suspect_until
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -25,6 +25,16 @@
             "Requests sent to a second upstream while the first was late",
             "outcome",
         )
+        self.prediction_errors = Histogram(
+            "cactuspass_prediction_error_seconds",
+            "Difference between a predicted time of a request and the measured one",
+            ["time"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.room_waits = self._counter(
+            "room_waits", "Requests that waited for a slot of this instance, by outcome", "outcome"
+        )
         self.leaving_upstreams = self._counter(
             "upstreams_leaving", "Upstreams that leave by their own word, by who heard it", "source"
         )
--- a/src/cactuspass/fleet/_request_dependencies.py
+++ b/src/cactuspass/fleet/_request_dependencies.py
@@ -16,6 +16,7 @@
 from cactuspass.fleet._silence_report import SilenceReport
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.choice import RoomWaits
 from cactuspass.models import ServiceId
 
 
@@ -36,6 +37,7 @@
     part_guard: PartGuard
     limit_waits: LimitWaits
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
+    room_waits: RoomWaits = field(default_factory=RoomWaits)
     silences: SilenceReport = field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -103,7 +103,7 @@
         self._cold_by_id: dict[UpstreamId, ColdRateLimit] = {}
         self.backoff = BackoffTable()
         self._fleet_load = fleet_load
-        self._room_choice = RoomChoice(
+        self.room_choice = RoomChoice(
             cluster_state, loads, data_centre, rng, instance, is_connected
         )
         self.limits = limits or RequestLimits(LimitShares(cluster_state, instance))
@@ -212,7 +212,7 @@
             return NoUpstream(NoUpstreamReason.NONE_SERVES, BUSY_RETRY_SECONDS)
         choices = healthy or warm
         if fleet_load is not None:
-            return self._room_choice.choose(choices, request, service, fleet_load, at)
+            return self.room_choice.choose(choices, request, service, fleet_load, at)
         typical_load = self._typical_load(choices, at)
         candidates = [self._score(s, service, at, typical_load) for s in choices]
         best = min(candidates, key=lambda candidate: candidate.score)
@@ -283,6 +283,11 @@
             and not self._loads.load(serving.upstream.upstream_id).is_suspect(at)
         ]
 
+    @property
+    def knows_fleet_load(self) -> bool:
+        """Whether the load of all upstreams is known."""
+        return self._fleet_load() is not None
+
     def accepts_requests(self, upstream: Upstream, at: float) -> bool:
         """Return whether an upstream that was chosen earlier still accepts requests."""
         is_backing_off = self.backoff.is_backing_off(upstream.lifetime, at)
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -22,6 +22,7 @@
     hedge_delay_before_first_event,
     hedge_delay_between_events,
 )
+from cactuspass.fleet._measured_times import note_finished, note_first_event
 from cactuspass.fleet._relay import Relay
 from cactuspass.fleet._stream_attempt import StreamAttempt
 
@@ -146,6 +147,8 @@
             if hedge is not None:
                 return hedge
         await self._delivery.finish()
+        if not self._is_resumed:
+            note_finished(attempt)
         return None
 
     def _first_event_timeout(self, attempt: StreamAttempt) -> float:
@@ -163,6 +166,7 @@
         headers = self._attempts.dependencies.request_format.answer_headers(attempt.head)
         self._sent_head = attempt.head
         await self._delivery.send_head(attempt.head.status, headers)
+        note_first_event(attempt)
         latency = now() - attempt.active.sent_at
         self._attempts.dependencies.loads.record_success(
             attempt.active.upstream.upstream_id, latency
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -2,43 +2,51 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from cactuspass.fleet._catalog import EngineSpec, Service
-from cactuspass.fleet._choices import NoUpstream, NoUpstreamReason, Selection, SelectionRequest
+from cactuspass.fleet._catalog import Service
+from cactuspass.fleet._choices import (
+    ChoiceStage,
+    NoUpstream,
+    NoUpstreamReason,
+    RoomOutlook,
+    Selection,
+    SelectionRequest,
+)
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head, choose_by_room
+from cactuspass.fleet.choice._room_view import RoomView
 from cactuspass.fleet.choice._slot_assignment import assign_slots
-from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelDemand, ModelKey
-from cactuspass.fleet.load_shedding import EnginePrediction, ModelArrivals, lending_share
-from cactuspass.fleet.load_shedding._prediction import QUEUE_PER_SLOT
+from cactuspass.fleet.load_exchange import FleetLoad, ModelKey
+from cactuspass.fleet.load_shedding import (
+    QUEUE_PER_SLOT,
+    EnginePrediction,
+    LearntTimes,
+    ModelAdmission,
+    Prediction,
+)
 from cactuspass.models import DataCentreId, EntryId
 
-# Requests above its slots that a head may seem to have when an assigned slot of it is used: others
-# whose end is not known yet, or that use slots of other instances.
-STALE_REQUESTS = 2.0
 # Slots of a head that are left to the instances that they are assigned to.
 SLOTS_NOT_LENT = 1.0
 # Part of the slots that becomes free which is promised to callers that come back.
 RETURN_SHARE = 0.5
 RESUMPTION_QUEUE_SHARE = 0.8  # of the longest queue of an engine
+# Free slots of a head to which a request is sent in addition to one that may still be answered.
+MIN_FREE_SLOTS_FOR_HEDGE = 3.0
 
 
 @dataclass(frozen=True, slots=True)
-class _Situation:
-    """What one choice is made from."""
+class _Assigned:
+    """Slots that are assigned to this instance, for some heads and instances."""
 
-    request: SelectionRequest
-    key: ModelKey
-    engine: EngineSpec
-    fleet_load: FleetLoad
-    at: float
     serving: Sequence[ServingUpstream]
+    peers: tuple[Peer, ...]
     slots_by_id: Counter[UpstreamId]
-    prediction: EnginePrediction
 
 
 class RoomChoice:
@@ -46,6 +54,8 @@
 
     The slots of a data centre's heads are assigned to its instances. A request uses a slot of its
     own instance, or one of another instance while these are not expected to be needed.
+
+    :param is_connected: whether an idle connection to an address is open.
     """
 
     def __init__(
@@ -63,8 +73,11 @@
         self._rng = rng
         self._instance = instance
         self._is_connected = is_connected
-        self._arrivals_by_key: dict[ModelKey, ModelArrivals] = {}
-        self._assigned_by_key: dict[ModelKey, tuple[object, object, Counter[UpstreamId]]] = {}
+        self._admission_by_key: dict[ModelKey, ModelAdmission] = {}
+        self._assigned_by_key: dict[ModelKey, _Assigned] = {}
+        self._peers: tuple[Peer, ...] | None = None
+        self._instances_by_data_centre: Counter[DataCentreId] = Counter()
+        self.learnt_times = LearntTimes()
 
     def choose(
         self,
@@ -80,190 +93,194 @@
         """
         assert service.engine is not None and request.model is not None
         key = (service.service, request.model)
+        view = self._view(choices, service, key, fleet_load, at)
         spec = service.engine.model_spec(request.model)
-        demand = self._demand(key, self._data_centre, fleet_load)
-        prediction = EnginePrediction.of(service.engine, spec.pace, demand.mean_seconds)
-        slots_by_id = self._assigned_slots(service, key)
-        situation = _Situation(
-            request, key, service.engine, fleet_load, at, choices, slots_by_id, prediction
-        )
-        arrivals = self._arrivals_by_key.setdefault(key, ModelArrivals())
-        is_decided = request.is_resumed or not request.is_new
-        if is_decided:
-            found = self._choose_again(situation)
+        engine = view.engine_prediction(spec.pace)
+        prediction = engine.predict(request.size)
+        admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
+        is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
+        lending = view.lending_share(self._data_centre, engine.request_seconds)
+        if is_undecided:
+            is_passed = self._may_ask(request, prediction, admission, view, lending)
         else:
-            arrivals.note_arrival(request.priority, at)
-            found = self._choose_new(situation, arrivals)
+            is_passed = True
+        found = self._find(view, request, engine, admission, lending) if is_passed else None
         if found is None:
-            return self._refusal(situation)
-        if not is_decided:
-            arrivals.note_admitted(request.priority)
-        wait = prediction.queue_seconds(found.requests)
-        return Selection(found.upstream, wait, service.engine.max_event_gap(spec.pace))
+            return self._refusal(view, request, engine, prediction, lending, is_passed)
+        if is_undecided or request.stage is ChoiceStage.WAITING:
+            admission.arrivals.note_admitted(request.priority, at)
+        wait = engine.queue_seconds(found.requests)
+        max_event_gap = service.engine.max_event_gap(spec.pace)
+        return Selection(found.upstream, wait, max_event_gap, prediction)
+
+    def _may_ask(
+        self,
+        request: SelectionRequest,
+        prediction: Prediction,
+        admission: ModelAdmission,
+        view: RoomView,
+        lending: float,
+    ) -> bool:
+        """Count a request; return whether it may ask for room by its customer and its size."""
+        customer, route = request.customer, request.route
+        seconds = self.learnt_times.request_seconds(request.service, route, customer, prediction)
+        admission.note_arrival(request.priority, customer, route, seconds, view.at)
+        begun = view.fleet_load.begun_per_second_by_customer
+        return lending >= 1.0 or admission.may_ask(customer, route, seconds, begun)
 
-    def _choose_new(self, situation: _Situation, arrivals: ModelArrivals) -> Head | None:
-        """Return the head for a request that has not been sent yet; None to refuse it."""
-        target = self._target_data_centre(situation)
-        if target != self._data_centre:
-            remote = self._heads_in(situation, target)
-            with_room = [head for head in remote if head.free_slots >= 1]
+    def _find(
+        self,
+        view: RoomView,
+        request: SelectionRequest,
+        engine: EnginePrediction,
+        admission: ModelAdmission,
+        lending: float,
+    ) -> Head | None:
+        """Return the head for a request; None without room."""
+        if request.stage is ChoiceStage.HEDGE:
+            return self._find_for_hedge(view, request, lending)
+        if request.is_resumed or request.stage is ChoiceStage.ADMITTED:
+            return self._find_again(view, request)
+        is_waiting = request.stage is ChoiceStage.WAITING
+        target = view.target_data_centre(self._rng)
+        if target != self._data_centre and not is_waiting:
+            with_room = [head for head in view.heads_in(target) if head.free_slots >= 1]
             if with_room:
                 return choose_by_room(with_room, self._rng)
-        lending = self._lending_share(situation, self._data_centre)
-        owned = self._owned_heads(situation)
-        if owned and lending < 1.0 and not self._may_use_own(situation, arrivals):
-            return None
+        owned = view.owned_heads()
+        if owned and lending < 1.0:
+            interval = self._slot_interval(view, engine)
+            if not admission.leaves_reserve(request.priority, view.free_assigned_slots, interval):
+                return None
         with_room = [head for head in owned if head.free_slots > 0]
         if with_room:
             return choose_by_room(with_room, self._rng)
-        found = self._borrow(situation, self._data_centre, lending)
+        found = None if is_waiting else self._borrow(view, self._data_centre, lending)
         if found is None and owned:
             return choose_by_room(owned, self._rng)
-        return found or self._borrow_elsewhere(situation)
+        return found or (None if is_waiting else self._borrow_elsewhere(view, engine))
 
-    def _choose_again(self, situation: _Situation) -> Head | None:
+    def _find_again(self, view: RoomView, request: SelectionRequest) -> Head | None:
         """Return the head for a request that was admitted before; None without room.
 
         A stream of which a part was sent may also wait for room.
         """
-        heads = self._heads(situation, situation.serving)
+        heads = view.heads()
         with_room = [head for head in heads if head.free_slots >= 1]
         local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
         if with_room:
             return choose_by_room(local or with_room, self._rng)
-        if owned := self._owned_heads(situation):
+        if owned := view.owned_heads():
             return choose_by_room(owned, self._rng)
-        limit = situation.engine.slots * QUEUE_PER_SLOT * RESUMPTION_QUEUE_SHARE
+        limit = view.engine.slots * QUEUE_PER_SLOT * RESUMPTION_QUEUE_SHARE
         queueing = [head for head in heads if -head.free_slots < limit]
-        if not situation.request.is_resumed or not queueing:
+        if not request.is_resumed or not queueing:
             return None
         return max(queueing, key=lambda head: head.free_slots)
 
-    def _may_use_own(self, situation: _Situation, arrivals: ModelArrivals) -> bool:
-        """Return whether enough assigned slots stay free for more urgent requests."""
-        slots_by_id = situation.slots_by_id
-        total = slots_by_id.total()
-        free = total - sum(self._loads.load(head_id).in_flight for head_id in slots_by_id)
-        slot_seconds = situation.prediction.request_seconds / max(1, total)
-        reserve = arrivals.reserve(situation.request.priority, slot_seconds)
-        return free - 1 >= reserve - self._rng.random()
+    def _find_for_hedge(
+        self, view: RoomView, request: SelectionRequest, lending: float
+    ) -> Head | None:
+        """Return a head for a second attempt; None while room is short.
 
-    def _owned_heads(self, situation: _Situation) -> list[Head]:
-        """Return the heads of which an assigned slot is free."""
-        slots_by_id = situation.slots_by_id
-        owned = (s for s in situation.serving if s.upstream.upstream_id in slots_by_id)
-        return [
-            head
-            for head in self._heads(situation, owned)
-            if head.own_requests < slots_by_id[head.upstream.upstream_id]
-            and head.free_slots > -STALE_REQUESTS
-        ]
+        Before the first event, the first upstream may only be slow. Only a head with clearly free
+        room is used then.
+        """
+        if lending < 1.0 and not request.is_resumed:
+            return None
+        min_free = 1.0 if request.is_resumed else MIN_FREE_SLOTS_FOR_HEDGE
+        with_room = [head for head in view.heads() if head.free_slots >= min_free]
+        local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
+        return choose_by_room(local or with_room, self._rng) if with_room else None
 
-    def _borrow(
-        self, situation: _Situation, data_centre: DataCentreId, lending: float
-    ) -> Head | None:
+    def _borrow(self, view: RoomView, data_centre: DataCentreId, lending: float) -> Head | None:
         """Return a head with a slot that is assigned to another instance and not needed."""
         if lending < 1.0 and self._rng.random() >= lending:
             return None
-        heads = self._heads_in(situation, data_centre)
+        heads = view.heads_in(data_centre)
         with_room = [head for head in heads if head.free_slots > SLOTS_NOT_LENT]
         return choose_by_room(with_room, self._rng) if with_room else None
 
-    def _borrow_elsewhere(self, situation: _Situation) -> Head | None:
+    def _borrow_elsewhere(self, view: RoomView, engine: EnginePrediction) -> Head | None:
         """Return a head with room in another data centre."""
-        places = {serving.upstream.data_centre for serving in situation.serving}
-        others = sorted(places - {self._data_centre})
+        others = view.other_data_centres
         for place in self._rng.sample(others, len(others)):
-            found = self._borrow(situation, place, self._lending_share(situation, place))
-            if found is not None:
+            lending = view.lending_share(place, engine.request_seconds)
+            if found := self._borrow(view, place, lending):
                 return found
         return None
 
-    def _target_data_centre(self, situation: _Situation) -> DataCentreId:
-        shares = situation.fleet_load.shares_by_model.get(situation.key)
-        if not shares or not any(share > 0 for share in shares.values()):
-            return self._data_centre
-        return self._rng.choices(list(shares), [max(0.0, s) for s in shares.values()])[0]
-
-    def _lending_share(self, situation: _Situation, data_centre: DataCentreId) -> float:
-        """Return the share of the requests that may use slots of a data centre's instances."""
-        heads = sum(s.upstream.data_centre == data_centre for s in situation.serving)
-        slots = heads * situation.engine.slots
-        if not slots:
-            return 0.0
-        demand = self._demand(situation.key, data_centre, situation.fleet_load)
-        seconds = situation.prediction.request_seconds
-        shares = situation.fleet_load.shares_by_model.get(situation.key, {})
-        kept = shares.get(data_centre, 1.0) if data_centre == self._data_centre else 1.0
-        instances = sum(p.data_centre == data_centre for p in self._cluster_state.peers)
-        offered = demand.arrivals_per_second * kept * seconds / slots
-        return lending_share(offered, slots / max(1, instances), self._age(situation))
+    def _refusal(
+        self,
+        view: RoomView,
+        request: SelectionRequest,
+        engine: EnginePrediction,
+        prediction: Prediction,
+        lending: float,
+        is_passed: bool,
+    ) -> NoUpstream:
+        """Return when there is room; callers come back one after the other."""
+        instances = max(1, self._cluster_state.instance_count)
+        slots = view.engine.slots * max(1, len(view.serving))
+        return_interval = engine.request_seconds * instances / slots
+        interval = None
+        if is_passed and view.slots_by_id and request.stage is not ChoiceStage.HEDGE:
+            interval = self._slot_interval(view, engine)
+        first_event = self.learnt_times.first_event(*view.key, prediction)
+        outlook = RoomOutlook(
+            return_interval / RETURN_SHARE,
+            interval,
+            request.objective_left - first_event,
+            lending,
+            not is_passed,
+        )
+        return NoUpstream(NoUpstreamReason.ALL_BUSY, return_interval, room=outlook)
 
-    def _age(self, situation: _Situation) -> float:
-        """Return the seconds since the known loads were true."""
-        loads = situation.fleet_load.requests_elsewhere_by_head.values()
-        oldest = max((load.age for load in loads), default=0.0)
-        return situation.at - situation.fleet_load.at + oldest
+    @staticmethod
+    def _slot_interval(view: RoomView, engine: EnginePrediction) -> float:
+        """Return the seconds between two slots of this instance that become free."""
+        return engine.request_seconds / max(1, view.slots_by_id.total())
 
-    def _demand(
-        self, key: ModelKey, data_centre: DataCentreId, fleet_load: FleetLoad
-    ) -> ModelDemand:
-        found = fleet_load.demand_by_key.get(DemandKey(*key, data_centre))
-        return found if found is not None else ModelDemand()
+    def _view(
+        self,
+        choices: Sequence[ServingUpstream],
+        service: Service,
+        key: ModelKey,
+        fleet_load: FleetLoad,
+        at: float,
+    ) -> RoomView:
+        assert service.engine is not None
+        peers = self._cluster_state.peers
+        if peers is not self._peers:
+            self._peers = peers
+            self._instances_by_data_centre = Counter(peer.data_centre for peer in peers)
+        return RoomView(
+            key,
+            service.engine,
+            fleet_load,
+            self._loads,
+            at,
+            self._data_centre,
+            choices,
+            self._assigned_slots(service, key),
+            self._instances_by_data_centre,
+            self._is_connected,
+        )
 
     def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
         """Return the slots of this instance, found once for each list of heads and instances."""
         serving = self._cluster_state.serving_upstreams(service, key[1])
         peers = self._cluster_state.peers
         known = self._assigned_by_key.get(key)
-        if known is not None and known[0] is serving and known[1] is peers:
-            return known[2]
+        if known is not None and known.serving is serving and known.peers is peers:
+            return known.slots_by_id
         assert service.engine is not None
         head_ids = [
             s.upstream.upstream_id
             for s in serving
             if s.upstream.data_centre == self._data_centre and not s.upstream.draining
         ]
-        instances = [p.instance for p in peers if p.data_centre == self._data_centre]
-        assigned = assign_slots(head_ids, service.engine.slots, instances, self._instance)
-        self._assigned_by_key[key] = (serving, peers, assigned)
-        return assigned
-
-    def _heads_in(self, situation: _Situation, data_centre: DataCentreId) -> list[Head]:
-        serving = (s for s in situation.serving if s.upstream.data_centre == data_centre)
-        return self._heads(situation, serving)
-
-    def _heads(self, situation: _Situation, serving: Iterable[ServingUpstream]) -> list[Head]:
-        return [self._head(situation, s) for s in serving]
-
-    def _head(self, situation: _Situation, serving: ServingUpstream) -> Head:
-        upstream, slots = serving.upstream, situation.engine.slots
-        load = self._loads.load(upstream.upstream_id)
-        fleet_load, at = situation.fleet_load, situation.at
-        elsewhere = fleet_load.requests_elsewhere_by_head.get(upstream.upstream_id)
-        requests = load.in_flight + (elsewhere.requests if elsewhere is not None else 0.0)
-        age = at - fleet_load.at + (elsewhere.age if elsewhere is not None else 0.0)
-        if at - load.reported_at < age:
-            requests = load.estimate(at)
-        if load.is_full(at):
-            requests = max(requests, slots * (1 + QUEUE_PER_SLOT))
-        return Head(
-            upstream,
-            requests,
-            load.in_flight,
-            slots,
-            self._is_connected(upstream.address),
-            serving.is_complete,
-            load.failure_share,
-        )
-
-    def _refusal(self, situation: _Situation) -> NoUpstream:
-        """Return when a caller should come back; they come one after the other."""
-        instances = max(1, self._cluster_state.instance_count)
-        slots = situation.engine.slots * max(1, len(situation.serving))
-        slot_seconds = situation.prediction.request_seconds * instances / slots
-        return NoUpstream(
-            NoUpstreamReason.ALL_BUSY,
-            slot_seconds,
-            return_interval=slot_seconds / RETURN_SHARE,
-        )
+        instances = [peer.instance for peer in peers if peer.data_centre == self._data_centre]
+        slots_by_id = assign_slots(head_ids, service.engine.slots, instances, self._instance)
+        self._assigned_by_key[key] = _Assigned(serving, peers, slots_by_id)
+        return slots_by_id
--- /dev/null
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -0,0 +1,138 @@
+"""The room at the heads of one model, as one instance knows it."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from cactuspass.fleet._catalog import EngineSpec
+from cactuspass.fleet._cluster_state import ServingUpstream
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.choice._heads import Head
+from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelDemand, ModelKey
+from cactuspass.fleet.load_shedding import QUEUE_PER_SLOT, EnginePrediction, lending_share
+from cactuspass.models import DataCentreId
+
+# Requests above its slots that a head may seem to have when an assigned slot of it is used: others
+# whose end is not known yet, or that use slots of other instances.
+STALE_REQUESTS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoomView:
+    """What one choice is made from.
+
+    :param serving: the heads that may be chosen, whatever their load.
+    :param slots_by_id: slots that are assigned to this instance.
+    :param instances_by_data_centre: number of registered instances.
+    :param is_connected: whether an idle connection to an address is open.
+    """
+
+    key: ModelKey
+    engine: EngineSpec
+    fleet_load: FleetLoad
+    loads: LoadTable
+    at: float
+    data_centre: DataCentreId
+    serving: Sequence[ServingUpstream]
+    slots_by_id: Counter[UpstreamId]
+    instances_by_data_centre: Mapping[DataCentreId, int]
+    is_connected: Callable[[str], bool]
+
+    def engine_prediction(self, pace: float) -> EnginePrediction:
+        """Return the times of the groups.
+
+        :param pace: factor applied to all times.
+        """
+        return EnginePrediction.of(self.engine, pace, self.demand_in(self.data_centre).mean_seconds)
+
+    def heads(self) -> list[Head]:
+        """Return all heads."""
+        return self._heads(self.serving)
+
+    def heads_in(self, data_centre: DataCentreId) -> list[Head]:
+        """Return the heads of a data centre."""
+        return self._heads(s for s in self.serving if s.upstream.data_centre == data_centre)
+
+    def owned_heads(self) -> list[Head]:
+        """Return the heads of which an assigned slot is free."""
+        slots_by_id = self.slots_by_id
+        owned = (s for s in self.serving if s.upstream.upstream_id in slots_by_id)
+        return [
+            head
+            for head in self._heads(owned)
+            if head.own_requests < slots_by_id[head.upstream.upstream_id]
+            and head.free_slots > -STALE_REQUESTS
+        ]
+
+    @property
+    def free_assigned_slots(self) -> int:
+        """Assigned slots that this instance does not use."""
+        return sum(
+            max(0, slots - self.loads.load(head_id).in_flight)
+            for head_id, slots in self.slots_by_id.items()
+        )
+
+    def target_data_centre(self, rng: random.Random) -> DataCentreId:
+        """Return the data centre for a request, by the shares of this one's requests."""
+        shares = self.fleet_load.shares_by_model.get(self.key)
+        if not shares or not any(share > 0 for share in shares.values()):
+            return self.data_centre
+        return rng.choices(list(shares), [max(0.0, share) for share in shares.values()])[0]
+
+    @property
+    def other_data_centres(self) -> list[DataCentreId]:
+        """The other data centres that have heads of the model."""
+        return sorted({s.upstream.data_centre for s in self.serving} - {self.data_centre})
+
+    def lending_share(self, data_centre: DataCentreId, request_seconds: float) -> float:
+        """Return the share of the requests that may use slots of a data centre's instances.
+
+        :param request_seconds: mean time that a request takes up a slot.
+        """
+        heads = sum(s.upstream.data_centre == data_centre for s in self.serving)
+        slots = heads * self.engine.slots
+        if not slots:
+            return 0.0
+        kept = 1.0
+        if data_centre == self.data_centre:
+            kept = self.fleet_load.shares_by_model.get(self.key, {}).get(data_centre, 1.0)
+        arrivals = self.demand_in(data_centre).arrivals_per_second * kept
+        instances = max(1, self.instances_by_data_centre.get(data_centre, 0))
+        return lending_share(arrivals * request_seconds / slots, slots / instances, self._age)
+
+    def demand_in(self, data_centre: DataCentreId) -> ModelDemand:
+        """Return the demand of a data centre's callers; none while it is not known."""
+        found = self.fleet_load.demand_by_key.get(DemandKey(*self.key, data_centre))
+        return found if found is not None else ModelDemand()
+
+    @property
+    def _age(self) -> float:
+        """Seconds since the known loads were true."""
+        loads = self.fleet_load.requests_elsewhere_by_head.values()
+        return self.at - self.fleet_load.at + max((load.age for load in loads), default=0.0)
+
+    def _heads(self, serving: Iterable[ServingUpstream]) -> list[Head]:
+        return [self._head(s) for s in serving]
+
+    def _head(self, serving: ServingUpstream) -> Head:
+        upstream, slots, at = serving.upstream, self.engine.slots, self.at
+        load = self.loads.load(upstream.upstream_id)
+        elsewhere = self.fleet_load.requests_elsewhere_by_head.get(upstream.upstream_id)
+        requests = load.in_flight + (elsewhere.requests if elsewhere is not None else 0.0)
+        age = at - self.fleet_load.at + (elsewhere.age if elsewhere is not None else 0.0)
+        if at - load.reported_at < age:
+            # What the head has stated itself is more recent.
+            requests = load.estimate(at)
+        if load.is_full(at):
+            requests = max(requests, slots * (1 + QUEUE_PER_SLOT))
+        return Head(
+            upstream,
+            requests,
+            load.in_flight,
+            slots,
+            self.is_connected(upstream.address),
+            serving.is_complete,
+            load.failure_share,
+        )
--- a/src/cactuspass/fleet/load_shedding/__init__.py
+++ b/src/cactuspass/fleet/load_shedding/__init__.py
@@ -1,13 +1,31 @@
 """Decides which requests are served while capacity is short; it uses no network and no clock."""
 
-from cactuspass.fleet.load_shedding._prediction import EnginePrediction, RequestSize
+from cactuspass.fleet.load_shedding._corrections import Corrections
+from cactuspass.fleet.load_shedding._fair_shares import CustomerShares
+from cactuspass.fleet.load_shedding._learnt_times import LearntTimes
+from cactuspass.fleet.load_shedding._model_admission import ModelAdmission
+from cactuspass.fleet.load_shedding._prediction import (
+    QUEUE_PER_SLOT,
+    EnginePrediction,
+    Prediction,
+    RequestSize,
+)
 from cactuspass.fleet.load_shedding._shortage import carried_share, lending_share
 from cactuspass.fleet.load_shedding._urgency import ModelArrivals
+from cactuspass.fleet.load_shedding._waiting_line import Place, WaitingLine
 
 __all__ = [
+    "QUEUE_PER_SLOT",
+    "Corrections",
+    "CustomerShares",
     "EnginePrediction",
+    "LearntTimes",
+    "ModelAdmission",
     "ModelArrivals",
+    "Place",
+    "Prediction",
     "RequestSize",
+    "WaitingLine",
     "carried_share",
     "lending_share",
 ]
--- /dev/null
+++ b/src/cactuspass/fleet/load_shedding/_fair_shares.py
@@ -0,0 +1,81 @@
+"""Fair shares of customers in what is served while capacity is short."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from cactuspass.fleet.load_shedding._rates import AveragedRates
+from cactuspass.models import CustomerId
+
+RECENT_SECONDS = 10.0
+USUAL_SECONDS = 300.0
+# Of a customer that has asked for nothing so far, in what all ask for.
+MIN_USUAL_SHARE = 0.02
+MIN_PASSED_SHARE = 0.05
+
+KeyT = TypeVar("KeyT")
+
+
+class CustomerShares:
+    """What each customer asks for at this instance, now and usually."""
+
+    def __init__(self) -> None:
+        self._recent: AveragedRates[CustomerId] = AveragedRates(RECENT_SECONDS)
+        self._usual: AveragedRates[CustomerId] = AveragedRates(USUAL_SECONDS)
+
+    def note_arrival(self, customer: CustomerId, at: float) -> None:
+        """Count a request."""
+        self._recent.note(customer, at)
+        self._usual.note(customer, at)
+
+    def passed_share(
+        self,
+        customer: CustomerId,
+        served_rate: float,
+        begun_per_second: Mapping[CustomerId, float],
+    ) -> float:
+        """Return the share of a customer's requests that may ask for room.
+
+        It is 1 for the customer that gets the largest part of what it asks for; the others are
+        thinned out to their fair shares. All of them together still ask for all the room there is.
+
+        :param served_rate: requests per second that this instance serves.
+        :param begun_per_second: requests of each customer that begin in the whole fleet.
+        """
+        recent = self._recent.rates_by_key
+        if len(recent) < 2:
+            return 1.0
+        weights = {key: self._weight(key, begun_per_second) for key in recent}
+        granted = divide(served_rate, recent, weights)
+        served = {key: granted[key] / rate for key, rate in recent.items() if rate > 0}
+        largest = max(served.values(), default=0.0)
+        if largest <= 0 or customer not in served:
+            return 1.0
+        return max(MIN_PASSED_SHARE, served[customer] / largest)
+
+    def _weight(self, customer: CustomerId, begun_per_second: Mapping[CustomerId, float]) -> float:
+        """Return the share that a customer has usually, less what it exceeds it in the fleet."""
+        usual = max(MIN_USUAL_SHARE, self._usual.rate(customer) / max(1e-9, self._usual.total))
+        total = sum(begun_per_second.values())
+        if total <= 0:
+            return usual
+        return usual / max(1.0, begun_per_second.get(customer, 0.0) / total / usual)
+
+
+def divide(
+    capacity: float, demand_by_key: Mapping[KeyT, float], weights: Mapping[KeyT, float]
+) -> dict[KeyT, float]:
+    """Divide a capacity by weights; what one does not ask for goes to the others.
+
+    :return: what each gets, at most what it asks for.
+    """
+    granted: dict[KeyT, float] = {}
+    left = dict(demand_by_key)
+    while left:
+        total = sum(weights[key] for key in left) or 1.0
+        satisfied = [key for key in left if left[key] <= capacity * weights[key] / total]
+        if not satisfied:
+            return granted | {key: capacity * weights[key] / total for key in left}
+        for key in satisfied:
+            granted[key] = left.pop(key)
+            capacity -= granted[key]
+    return granted
--- /dev/null
+++ b/src/cactuspass/fleet/load_shedding/_model_admission.py
@@ -0,0 +1,60 @@
+"""Decides which requests for one model may ask for room while there is too little of it."""
+
+import random
+from collections.abc import Mapping
+
+from cactuspass.fleet.load_shedding._fair_shares import CustomerShares
+from cactuspass.fleet.load_shedding._sizes import passed_share
+from cactuspass.fleet.load_shedding._urgency import ModelArrivals
+from cactuspass.models import CustomerId
+
+WEIGHT_OF_LAST_SIZE = 0.02
+
+
+class ModelAdmission:
+    """Requests for one model at this instance, and what was decided on them."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.arrivals = ModelArrivals()
+        self.customers = CustomerShares()
+        self._usual_seconds_by_route: dict[str, float] = {}
+
+    def note_arrival(
+        self, priority: int, customer: CustomerId, route: str, request_seconds: float, at: float
+    ) -> None:
+        """Count a request.
+
+        :param request_seconds: predicted time that it takes up a slot.
+        """
+        self.arrivals.note_arrival(priority, at)
+        self.customers.note_arrival(customer, at)
+        usual = self._usual_seconds_by_route.get(route, request_seconds)
+        change = WEIGHT_OF_LAST_SIZE * (request_seconds - usual)
+        self._usual_seconds_by_route[route] = usual + change
+
+    def may_ask(
+        self,
+        customer: CustomerId,
+        route: str,
+        request_seconds: float,
+        begun_per_second: Mapping[CustomerId, float],
+    ) -> bool:
+        """Return whether a request may ask for room; call it only while there is too little.
+
+        :param begun_per_second: requests of each customer that begin in the whole fleet.
+        """
+        usual = self._usual_seconds_by_route.get(route, request_seconds)
+        share = passed_share(request_seconds, usual) * self.customers.passed_share(
+            customer, self.arrivals.served_rate, begun_per_second
+        )
+        return share >= 1.0 or self._rng.random() < share
+
+    def leaves_reserve(self, priority: int, free_slots: float, slot_interval: float) -> bool:
+        """Return whether enough slots stay free for more urgent requests.
+
+        :param free_slots: slots of this instance that are free.
+        :param slot_interval: seconds between two of them that become free.
+        """
+        reserve = self.arrivals.reserve(priority, slot_interval)
+        return free_slots - 1 >= reserve - self._rng.random()
--- a/src/cactuspass/fleet/load_shedding/_prediction.py
+++ b/src/cactuspass/fleet/load_shedding/_prediction.py
@@ -1,5 +1,6 @@
 """Predicts the time to the first event of a request, and how long it takes up a slot."""
 
+import math
 from dataclasses import dataclass
 
 from cactuspass.fleet._catalog import EngineSpec
@@ -23,6 +24,18 @@
     expected_output_tokens: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """What is predicted for a request, without the corrections that were learnt.
+
+    :param first_event: seconds from sending to the first event, at a group with a free slot.
+    :param request_seconds: seconds that the request takes up a slot.
+    """
+
+    first_event: float
+    request_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class EnginePrediction:
     """Times of the groups of one model.
@@ -59,10 +72,22 @@
         queued = max(0.0, requests + 1 - self.engine.slots)
         return queued * self.request_seconds / self.engine.slots
 
-    def first_event_seconds(self, requests: float, size: RequestSize) -> float:
-        """Return the seconds from sending a request to its first event."""
+    def predict(self, size: RequestSize) -> Prediction:
+        """Return the times of a request at a group with a free slot.
+
+        A prompt is processed in parts, each of which waits for a step of the other requests.
+        """
         engine = self.engine
         prompt_tokens = size.prompt_tokens or engine.usual_prompt_tokens
+        parts = math.ceil(prompt_tokens / engine.prompt_tokens_per_step)
         prompt_seconds = self.pace * prompt_tokens / engine.prompt_tokens_per_second
-        event_seconds = engine.steps_per_event * self.step_seconds
-        return self.queue_seconds(requests) + prompt_seconds + event_seconds
+        prompt_seconds += max(0, parts - 1) * self.step_seconds
+        output_tokens = size.expected_output_tokens
+        if output_tokens is None:
+            output_tokens = round(engine.usual_output_tokens or TYPICAL_OUTPUT_TOKENS)
+        if size.max_output_tokens:
+            output_tokens = min(output_tokens, size.max_output_tokens)
+        return Prediction(
+            prompt_seconds + engine.steps_per_event * self.step_seconds,
+            prompt_seconds + output_tokens * self.step_seconds,
+        )
--- a/src/cactuspass/fleet/load_shedding/_urgency.py
+++ b/src/cactuspass/fleet/load_shedding/_urgency.py
@@ -1,59 +1,33 @@
 """Keeps room for requests of more urgent routes while capacity is short."""
 
-import math
-from dataclasses import dataclass, field
+from cactuspass.fleet.load_shedding._rates import AveragedRates
 
 AVERAGING_SECONDS = 10.0
 # Slots kept free, for each request of more urgent routes that is expected to arrive until the next
 # slot becomes free.
-RESERVE_FACTOR = 1.5
+RESERVE_FACTOR = 2.0
 MIN_SERVED_SHARE = 0.25  # of the share of all requests that are served
 
 
-@dataclass(slots=True)
-class _Rates:
-    """Arrivals and admissions of a class, averaged over ``AVERAGING_SECONDS``.
-
-    :param arrivals: sum of the arrivals, each weighted by its age.
-    :param admitted: likewise of those that were admitted.
-    """
-
-    arrivals: float = 0.0
-    admitted: float = 0.0
-
-    def decay(self, factor: float) -> None:
-        """Reduce the weight of what was counted so far."""
-        self.arrivals *= factor
-        self.admitted *= factor
-
-    @property
-    def served_share(self) -> float:
-        """Share of the requests that were admitted; 1 before the first one."""
-        return self.admitted / self.arrivals if self.arrivals > 0 else 1.0
-
-
-@dataclass(slots=True)
 class ModelArrivals:
     """Requests for one model that arrived at this instance, by priority."""
 
-    rates_by_priority: dict[int, _Rates] = field(default_factory=dict)
-    decayed_at: float | None = None
+    def __init__(self) -> None:
+        self._arrivals: AveragedRates[int] = AveragedRates(AVERAGING_SECONDS)
+        self._admitted: AveragedRates[int] = AveragedRates(AVERAGING_SECONDS)
 
     def note_arrival(self, priority: int, at: float) -> None:
         """Count a request."""
-        if self.decayed_at is not None:
-            factor = math.exp(min(0.0, self.decayed_at - at) / AVERAGING_SECONDS)
-            for rates in self.rates_by_priority.values():
-                rates.decay(factor)
-        self.decayed_at = at
-        self._rates(priority).arrivals += 1
+        self._arrivals.note(priority, at)
 
-    def note_admitted(self, priority: int) -> None:
+    def note_admitted(self, priority: int, at: float) -> None:
         """Count a request that is served."""
-        self._rates(priority).admitted += 1
+        self._admitted.note(priority, at)
 
-    def _rates(self, priority: int) -> _Rates:
-        return self.rates_by_priority.setdefault(priority, _Rates())
+    @property
+    def served_rate(self) -> float:
+        """Requests per second that are served."""
+        return self._admitted.total
 
     def reserve(self, priority: int, slot_seconds: float) -> float:
         """Return the number of slots that a request must leave free for more urgent ones.
@@ -62,15 +36,18 @@
 
         :param slot_seconds: seconds until the next slot becomes free.
         """
-        rates = self.rates_by_priority.get(priority)
-        if rates is not None and rates.served_share < MIN_SERVED_SHARE * self.served_share:
+        if self._served_share(priority) < MIN_SERVED_SHARE * self.served_share:
             return 0.0
-        urgent = sum(r.arrivals for p, r in self.rates_by_priority.items() if p < priority)
-        return RESERVE_FACTOR * urgent / AVERAGING_SECONDS * slot_seconds
+        arrivals = self._arrivals.rates_by_key
+        urgent = sum(rate for other, rate in arrivals.items() if other < priority)
+        return RESERVE_FACTOR * urgent * slot_seconds
+
+    def _served_share(self, priority: int) -> float:
+        arrivals = self._arrivals.rate(priority)
+        return self._admitted.rate(priority) / arrivals if arrivals > 0 else 1.0
 
     @property
     def served_share(self) -> float:
         """Share of all requests that were admitted; 1 before the first one."""
-        arrivals = sum(rates.arrivals for rates in self.rates_by_priority.values())
-        admitted = sum(rates.admitted for rates in self.rates_by_priority.values())
-        return admitted / arrivals if arrivals > 0 else 1.0
+        arrivals = self._arrivals.total
+        return min(1.0, self._admitted.total / arrivals) if arrivals > 0 else 1.0
--- a/src/cactuspass/platform/_requests.py
+++ b/src/cactuspass/platform/_requests.py
@@ -89,6 +89,9 @@
             model=ModelId(model) if model else None,
             prompt_tokens=prompt,
             output_tokens=output,
+            expected_output_tokens=parse_number(
+                value_by_name.get(names.LENGTH_HINT.lower(), "").strip()
+            ),
             last_event_id=value_by_name.get(names.LAST_EVENT_ID.lower()),
             shared_parts=_parse_shared_parts(_join_values(headers, names.PROMPT_PARTS)),
         )
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -13,14 +13,15 @@
 from typing import Any
 
 from cactuspass.fleet._catalog import Catalog, ModelSpec, Service
-from cactuspass.fleet._choices import Selection, SelectionRequest
+from cactuspass.fleet._choices import ChoiceStage, NoUpstream, Selection, SelectionRequest
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, HeadLoad, ModelDemand
-from cactuspass.models import DataCentreId, EntryId, GroupId
+from cactuspass.fleet.load_shedding import Place, RequestSize, WaitingLine
+from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId
 from tests.fleet_path import SERVICE, recording_log, route
 from tests.fleet_world import ENGINE, SMALL
 
@@ -34,6 +35,7 @@
 CALM_SECONDS, OBJECTIVE_SECONDS = 0.17, 0.25
 SUM_INTERVAL_SECONDS = 0.25
 WARM_UP_SECONDS = 4.0
+LONG_REQUEST_SECONDS = 1.56  # a tenth of the requests take longer
 
 
 @dataclass
@@ -42,6 +44,11 @@
 
     arrived: Counter[int] = field(default_factory=Counter)
     in_time: Counter[int] = field(default_factory=Counter)
+    asked_by_customer: Counter[CustomerId] = field(default_factory=Counter)
+    served_by_customer: Counter[CustomerId] = field(default_factory=Counter)
+    asked_long: int = 0
+    served_long: int = 0
+    in_time_seconds: float = 0.0
     late: int = 0
     sent: int = 0
     rejected: int = 0
@@ -61,7 +68,33 @@
 @dataclass
 class _Head:
     running: int = 0
-    queue: deque[tuple[float, int, int]] = field(default_factory=deque)
+    queue: deque["_Request"] = field(default_factory=deque)
+
+
+@dataclass(frozen=True)
+class _Request:
+    """A request that arrived at an instance."""
+
+    number: int
+    priority: int
+    customer: CustomerId
+    arrived_at: float
+    seconds: float
+    objective: float
+
+    @property
+    def counts(self) -> bool:
+        return self.arrived_at > WARM_UP_SECONDS
+
+
+def one_customer(at: float) -> Mapping[CustomerId, float]:
+    """Return a single customer."""
+    return {CustomerId("a"): 1.0}
+
+
+def unstated_size(customer: CustomerId, seconds: float) -> RequestSize:
+    """Return a size that states nothing."""
+    return RequestSize()
 
 
 class LoadSimulation:
@@ -70,6 +103,9 @@
     :param load: requests that would run at the same time, for each slot, by time.
     :param sum_delay: seconds from the moment that sums describe until they are received.
     :param shares_by_priority: part of the requests of each priority.
+    :param objective_by_priority: seconds within which their first events should come.
+    :param shares_by_customer: returns the part of the requests of each customer at a time.
+    :param size: returns what the caller of a request states, by its customer and its duration.
     """
 
     def __init__(
@@ -79,6 +115,9 @@
         heads: int = 35,
         sum_delay: float = 0.5,
         shares_by_priority: Mapping[int, float] | None = None,
+        objective_by_priority: Mapping[int, float] | None = None,
+        shares_by_customer: Callable[[float], Mapping[CustomerId, float]] = one_customer,
+        size: Callable[[CustomerId, float], RequestSize] = unstated_size,
         seed: int = 1,
     ) -> None:
         self.at = 0.0
@@ -89,6 +128,9 @@
         self.sums_stop_at = self.sums_start_at = float("inf")
         self.sums_start_at = 0.0
         self._shares_by_priority = shares_by_priority or {0: 1.0}
+        self._objective_by_priority = objective_by_priority or {}
+        self._shares_by_customer = shares_by_customer
+        self._size = size
         self._rng = random.Random(seed)
         self._numbers = count()
         self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -96,6 +138,7 @@
         self._heads_by_id = {head_id: _Head() for head_id in self.head_ids}
         self._loads = [LoadTable() for _ in range(instances)]
         self._fleet_loads: list[FleetLoad | None] = [None] * instances
+        self._lines: list[WaitingLine[_Request]] = [WaitingLine() for _ in range(instances)]
         self._arrivals = 0
         self._arrivals_history: deque[int] = deque(maxlen=5)
         engine = replace(ENGINE, slots=SLOTS, models_by_id={SMALL: MODEL})
@@ -156,45 +199,85 @@
     def _arrive(self) -> None:
         self.plan(self._rng.expovariate(self.load(self.at) * self.slots), self._arrive)
         self._arrivals += 1
+        request = self._create_request()
+        if request.counts:
+            self.outcome.arrived[request.priority] += 1
+            self.outcome.asked_by_customer[request.customer] += 1
+            self.outcome.asked_long += request.seconds > LONG_REQUEST_SECONDS
+        found = self._choose(request, ChoiceStage.NEW)
+        if isinstance(found, Selection):
+            self._send(request, found.upstream.upstream_id)
+        elif found.room is not None and found.room.slot_interval is not None:
+            line, room = self._lines[request.number], found.room
+            if line.may_join(request.priority, found.room.slot_interval, room.max_wait):
+                place = line.join(request.priority, request)
+                self.plan(room.max_wait, self._give_up, request.number, place)
+
+    def _create_request(self) -> _Request:
         classes = list(self._shares_by_priority)
         priority = self._rng.choices(classes, list(self._shares_by_priority.values()))[0]
+        customers = self._shares_by_customer(self.at)
+        customer = self._rng.choices(list(customers), list(customers.values()))[0]
+        seconds = self._rng.uniform(MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS) * REQUEST_SECONDS
+        objective = self._objective_by_priority.get(priority, OBJECTIVE_SECONDS)
         number = self._rng.choice(self.alive)
-        if self.at > WARM_UP_SECONDS:
-            self.outcome.arrived[priority] += 1
-        request = SelectionRequest(SERVICE, SMALL, (), OBJECTIVE_SECONDS / 2, priority=priority)
-        found = self.selectors[number].choose(request, self.at)
-        if isinstance(found, Selection):
-            self._send(number, found.upstream.upstream_id, priority)
+        return _Request(number, priority, customer, self.at, seconds, objective)
 
-    def _send(self, number: int, head_id: UpstreamId, priority: int) -> None:
-        head, counts = self._heads_by_id[head_id], self.at > WARM_UP_SECONDS
-        self.outcome.sent += counts
+    def _choose(self, request: _Request, stage: ChoiceStage) -> Selection | NoUpstream:
+        left = request.arrived_at + request.objective - CALM_SECONDS - self.at
+        asked = SelectionRequest(
+            SERVICE,
+            SMALL,
+            (),
+            OBJECTIVE_SECONDS / 2,
+            priority=request.priority,
+            stage=stage,
+            customer=request.customer,
+            size=self._size(request.customer, request.seconds),
+            objective_left=left,
+        )
+        return self.selectors[request.number].choose(asked, self.at)
+
+    def _give_up(self, number: int, place: Place[_Request]) -> None:
+        if place in self._lines[number]:
+            self._lines[number].leave(place)
+
+    def _send(self, request: _Request, head_id: UpstreamId) -> None:
+        head, loads = self._heads_by_id[head_id], self._loads[request.number]
+        self.outcome.sent += request.counts
         if head.running + len(head.queue) >= SLOTS * (1 + QUEUE_FACTOR):
-            self.outcome.rejected += counts
-            self._loads[number].record_full(head_id, self.at)
+            self.outcome.rejected += request.counts
+            loads.record_full(head_id, self.at)
             return
-        self._loads[number].record_send(head_id, self.at)
+        loads.record_send(head_id, self.at)
         if head.running < SLOTS:
-            self._run(number, head_id, priority, self.at)
+            self._run(request, head_id)
         else:
-            head.queue.append((self.at, number, priority))
+            head.queue.append(request)
 
-    def _run(self, number: int, head_id: UpstreamId, priority: int, sent_at: float) -> None:
+    def _run(self, request: _Request, head_id: UpstreamId) -> None:
         self._heads_by_id[head_id].running += 1
-        if sent_at > WARM_UP_SECONDS:
-            is_in_time = self.at - sent_at + CALM_SECONDS <= OBJECTIVE_SECONDS
-            self.outcome.in_time[priority] += is_in_time
+        if request.counts:
+            is_in_time = self.at - request.arrived_at + CALM_SECONDS <= request.objective
+            self.outcome.in_time[request.priority] += is_in_time
+            self.outcome.in_time_seconds += request.seconds * is_in_time
             self.outcome.late += not is_in_time
-        seconds = self._rng.uniform(MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS) * REQUEST_SECONDS
-        self.plan(seconds, self._end, number, head_id)
+            self.outcome.served_by_customer[request.customer] += 1
+            self.outcome.served_long += request.seconds > LONG_REQUEST_SECONDS
+        self.plan(request.seconds, self._end, request, head_id)
 
-    def _end(self, number: int, head_id: UpstreamId) -> None:
+    def _end(self, request: _Request, head_id: UpstreamId) -> None:
         head = self._heads_by_id[head_id]
         head.running -= 1
-        self._loads[number].record_end(head_id)
+        self._loads[request.number].record_end(head_id)
         if head.queue:
-            sent_at, waiting, priority = head.queue.popleft()
-            self._run(waiting, head_id, priority, sent_at)
+            self._run(head.queue.popleft(), head_id)
+        line = self._lines[request.number]
+        if (place := line.first) is not None:
+            found = self._choose(place.item, ChoiceStage.WAITING)
+            if isinstance(found, Selection):
+                line.leave(place)
+                self._send(place.item, found.upstream.upstream_id)
 
     def _send_sums(self) -> None:
         self.plan(SUM_INTERVAL_SECONDS, self._send_sums)
--- a/tests/test_fleet_load_shedding.py
+++ b/tests/test_fleet_load_shedding.py
@@ -112,7 +112,8 @@
         self.assertTrue(refused)
         for result in refused:
             self.assertGreater(result.retry_after, 0)
-            self.assertGreater(result.return_interval or 0, 0)
+            assert result.room is not None
+            self.assertGreater(result.room.return_interval, 0)
 
 
 class AssignmentTest(unittest.TestCase):
@@ -141,8 +142,8 @@
 
     def test_long_prompts_begin_later(self) -> None:
         prediction = EnginePrediction.of(ENGINE, 1.0, 1.0)
-        short, long = (prediction.first_event_seconds(0, RequestSize(n)) for n in (100, 20_000))
-        self.assertGreater(long, short + 0.9)
+        short, long = (prediction.predict(RequestSize(n)) for n in (100, 20_000))
+        self.assertGreater(long.first_event, short.first_event + 0.9)
 
     def test_lending_falls_with_load_and_age(self) -> None:
         shares = [lending_share(load / 10, 4.0, 0.6) for load in range(1, 25)]
