--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -10,7 +10,7 @@
 from cactuspass.fleet._answer_head import AnswerHead
 from cactuspass.fleet._answer_progress import AnswerProgress, RetryObstacle
 from cactuspass.fleet._catalog import Customer, Route, RouteKind
-from cactuspass.fleet._choices import NoUpstream, Selection, SelectionRequest
+from cactuspass.fleet._choices import ChoiceStage, NoUpstream, Selection, SelectionRequest
 from cactuspass.fleet._failures import (
     FAILURES_OF_APPLICATION,
     REFUSAL_STATUSES,
@@ -19,18 +19,20 @@
 )
 from cactuspass.fleet._guarded_request import GuardedRequest
 from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, SendDetails
-from cactuspass.fleet._prompt_parts import BrokenAttempt
+from cactuspass.fleet._prompt_parts import ANONYMOUS, BrokenAttempt
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import ModelKey
-from cactuspass.models import ModelId, ServiceId
+from cactuspass.models import CustomerId, ModelId, ServiceId
 
 MAX_SENDS = 4
 MAX_SENDS_AFTER_RESPONSE_START = 8
 REJECTION_PAUSE_SECONDS = 0.15
 BUDGET_SHARE_RESERVED_FOR_RESUMPTION = 0.4
 BUDGET_SHARE_RESERVED_FROM_HEDGES = 0.25
+# Less than what is left to attempts after rejections and broken connections.
+BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM = 0.7
 MIN_SECONDS_LEFT = 0.1
 MAX_VERDICT_WAIT_SHARE_OF_DEADLINE = 0.5
 # A connection that the upstream closes while idle loses a request that cannot be repeated.
@@ -51,6 +53,7 @@
     :param has_begun: whether a part of a successful answer has arrived in any attempt.
     :param possible_run_count: attempts in which the request may have run, including those with a
         broken connection.
+    :param is_decided: whether an upstream was chosen, or the request refused, before.
     """
 
     dependencies: RequestDependencies
@@ -68,6 +71,7 @@
     has_begun: bool = False
     last_failure: Failure | None = None
     progress: AnswerProgress = field(default_factory=AnswerProgress)
+    is_decided: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -96,11 +100,17 @@
         """Longest acceptable estimated wait at an upstream, in seconds."""
         return self.route.objective * MAX_WAIT_SHARE_OF_OBJECTIVE
 
-    def choose(self, other_than: UpstreamId | None = None) -> Selection | NoUpstream:
+    def choose(
+        self, other_than: UpstreamId | None = None, stage: ChoiceStage | None = None
+    ) -> Selection | NoUpstream:
         """Return the upstream for the next attempt, or why there is none.
 
         :param other_than: an upstream to leave out in addition to the excluded ones.
+        :param stage: how far the request has come; None for the usual next stage.
         """
+        if stage is None:
+            stage = ChoiceStage.ADMITTED if self.is_decided else ChoiceStage.NEW
+        self.is_decided = True
         at = now()
         full = {
             i for i, when in self.rejected_at_by_id.items() if at - when < REJECTION_PAUSE_SECONDS
@@ -117,6 +127,12 @@
             allowed,
             full,
             self.priority,
+            stage,
+            self.progress.passed_bytes > 0 or self.request.last_event_id is not None,
+            self.customer_id,
+            self.route.name,
+            self.request.size,
+            self.request.arrived_at + self.route.objective - at,
         )
         return self.dependencies.selector.choose(selection_request, at)
 
@@ -124,7 +140,17 @@
         """Return the upstream for the next attempt, after a short wait if only limits forbid it."""
         key = (self.service, self.request.model)
         waits = self.dependencies.limit_waits
-        return await waits.choose(key, self.priority, self.choose, self.max_wait)
+        found = await waits.choose(key, self.priority, self.choose, self.max_wait)
+        if isinstance(found, Selection) or found.room is None:
+            return found
+        choose = partial(self.choose, stage=ChoiceStage.WAITING)
+        result, has_waited = await self.dependencies.room_waits.choose(
+            key, self.priority, found, choose
+        )
+        if has_waited:
+            outcome = "sent" if isinstance(result, Selection) else "refused"
+            self.dependencies.metrics.room_waits.labels(outcome).inc()
+        return result
 
     async def send(self, selection: Selection, last_event_id: str | None = None) -> ActiveAttempt:
         """Send the request to an upstream.
@@ -168,7 +194,7 @@
                 trial.end()
             if isinstance(error, SendWithdrawn | UpstreamNotReached):
                 permit.release()
-            self.dependencies.loads.record_end(upstream.upstream_id)
+            self._record_end(upstream)
             raise
         self.possible_run_count += 1
         self.used_upstreams.add(upstream.upstream_id)
@@ -200,10 +226,15 @@
         active.is_closed = True
         active.exchange.abort()
         active.end_trial()
-        self.dependencies.loads.record_end(active.upstream.upstream_id)
+        self._record_end(active.upstream)
         if active.has_begun:
             self.dependencies.meter.note_ended(self.model_key, now() - active.sent_at)
 
+    def _record_end(self, upstream: Upstream) -> None:
+        """Count a request that has ended at an upstream; another one may take its place."""
+        self.dependencies.loads.record_end(upstream.upstream_id)
+        self.dependencies.room_waits.notify((self.service, self.request.model))
+
     def process_head(self, active: ActiveAttempt, head: AnswerHead) -> AnswerNotes:
         """Return what a response head states, and update the state of its upstream accordingly.
 
@@ -266,6 +297,11 @@
         is_in_time = at - self.request.arrived_at <= self.route.objective
         self.dependencies.meter.note_begun(self.model_key, customer, is_in_time)
 
+    @property
+    def customer_id(self) -> CustomerId:
+        """Customer whose request it is."""
+        return self.customer.customer if self.customer is not None else ANONYMOUS
+
     def note_crash(self, active: ActiveAttempt) -> None:
         """Record that an upstream closed the connection, unless the upstream is leaving."""
         upstream = active.upstream
@@ -288,6 +324,7 @@
         upstream_id = upstream.upstream_id
         if failure is Failure.NOT_RUN:
             self.rejected_at_by_id[upstream_id] = now()
+            self.dependencies.loads.record_full(upstream_id, now())
         elif failure not in (Failure.WITHDRAWN, Failure.RECALLED):
             self.excluded.add(upstream_id)
         if was_sent and failure in (Failure.NOT_RUN, Failure.CONNECTION_BROKEN):
@@ -390,13 +427,19 @@
         """
         if not self.may_hedge(late) or not self.could_retry_elsewhere(late.upstream):
             return None
-        found = self.choose(other_than=late.upstream.upstream_id)
+        is_room_known = self.dependencies.selector.knows_fleet_load
+        is_ill = self.dependencies.loads.load(late.upstream.upstream_id).is_silent(now())
+        stage = ChoiceStage.HEDGE if is_room_known and not is_ill else None
+        found = self.choose(late.upstream.upstream_id, stage)
         retry_budget = self.dependencies.retry_budget(self.service)
         if not isinstance(found, Selection):
             return None
-        if not retry_budget.try_spend(
-            now(), self.dependencies.instance_count(), BUDGET_SHARE_RESERVED_FROM_HEDGES
-        ):
+        reserved_share = (
+            BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM
+            if is_room_known
+            else BUDGET_SHARE_RESERVED_FROM_HEDGES
+        )
+        if not retry_budget.try_spend(now(), self.dependencies.instance_count(), reserved_share):
             return None
         return found
 
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -241,6 +241,9 @@
             after = self._book_return(attempts, found)
             return not_run_problem(found.reason.value, str(error), after)
         if isinstance(error, NoUpstreamAvailable):
+            if error.no_upstream.room is not None:
+                after = self._book_room(attempts, error.no_upstream)
+                return not_run_problem(error.no_upstream.reason.value, str(error), after)
             after = self._retry_after(attempts, error.no_upstream.retry_after)
             return not_run_problem(error.no_upstream.reason.value, str(error), after)
         after = self._retry_after(attempts, _retry_estimate(found))
@@ -265,6 +268,19 @@
             now(),
         )
 
+    def _book_room(self, attempts: Attempts, found: NoUpstream) -> float:
+        """Return the retry delay in seconds of a caller for whom there is no room now.
+
+        Callers come back one after the other, at the rate at which there is room for them.
+        """
+        return self._returns.book(
+            (attempts.service, attempts.request.model),
+            self._add_jitter(found.retry_after),
+            found.room.return_interval if found.room is not None else 0.0,
+            attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
+            now(),
+        )
+
     def _add_jitter(self, estimate: float) -> float:
         """Return a retry delay with random jitter, so that callers do not retry all at once."""
         return estimate * (1 + RETRY_JITTER * self._rng.random())
@@ -283,6 +299,7 @@
         failure = attempts.last_failure
         found = error.no_upstream if isinstance(error, NoUpstreamAvailable) else None
         index = self._cluster_state.catalog_index
+        room = found.room if found is not None else None
         return {
             "route": attempts.route.name,
             "service": attempts.service,
@@ -292,6 +309,10 @@
             "offers": found.serving_count if found is not None else None,
             "wait": found.wait if found is not None else None,
             "acceptable_wait": attempts.max_wait if found is not None else None,
+            "lent_share": room.lent_share if room is not None else None,
+            "over_share": room.is_thinned or None if room is not None else None,
+            "customer": attempts.customer_id or None if room is not None else None,
+            "priority": attempts.priority if room is not None else None,
             "sends": attempts.sends,
             "may_have_run": attempts.may_have_run,
             "waited": now() - attempts.request.arrived_at,
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -130,6 +130,7 @@
             entry_id,
             pool.has_idle,
             self._upstream_limits.limits,
+            self._fleet_load,
         )
         self._notices = UpstreamNotices(
             self.cluster_state,
--- a/src/cactuspass/fleet/_request_dependencies.py
+++ b/src/cactuspass/fleet/_request_dependencies.py
@@ -16,6 +16,7 @@
 from cactuspass.fleet._silence_report import SilenceReport
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.choice import RoomWaits
 from cactuspass.fleet.load_exchange import RequestMeter
 from cactuspass.models import CustomerId, ServiceId
 
@@ -43,6 +44,7 @@
     count_begun: Callable[[CustomerId], None] | None = None
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     meter: RequestMeter = field(default_factory=RequestMeter)
+    room_waits: RoomWaits = field(default_factory=RoomWaits)
     silences: SilenceReport = field(init=False)
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -0,0 +1,286 @@
+"""Chooses heads by free room, and refuses what would only wait, while all loads are known."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from cactuspass.fleet._catalog import Service
+from cactuspass.fleet._choices import (
+    ChoiceStage,
+    NoUpstream,
+    NoUpstreamReason,
+    RoomOutlook,
+    Selection,
+    SelectionRequest,
+)
+from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
+from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.choice._heads import Head, choose_by_room
+from cactuspass.fleet.choice._room_view import RoomView
+from cactuspass.fleet.choice._slot_assignment import assign_slots
+from cactuspass.fleet.load_exchange import FleetLoad, ModelKey
+from cactuspass.fleet.load_shedding import (
+    QUEUE_PER_SLOT,
+    EnginePrediction,
+    LearntTimes,
+    ModelAdmission,
+    Prediction,
+)
+from cactuspass.models import DataCentreId, EntryId
+
+# Slots of a head that are left to the instances that they are assigned to.
+SLOTS_NOT_LENT = 1.0
+# Part of the slots that becomes free which is promised to callers that come back.
+RETURN_SHARE = 0.5
+RESUMPTION_QUEUE_SHARE = 0.8  # of the longest queue of an engine
+# Free slots of a head to which a request is sent in addition to one that may still be answered.
+MIN_FREE_SLOTS_FOR_HEDGE = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Assigned:
+    """Slots that are assigned to this instance, for some heads and instances."""
+
+    serving: Sequence[ServingUpstream]
+    peers: tuple[Peer, ...]
+    slots_by_id: Counter[UpstreamId]
+
+
+class RoomChoice:
+    """Chooses among the heads of a model by what all instances have sent to them.
+
+    The slots of a data centre's heads are assigned to its instances. A request uses a slot of its
+    own instance, or one of another instance while these are not expected to be needed.
+
+    :param is_connected: whether an idle connection to an address is open.
+    """
+
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        loads: LoadTable,
+        data_centre: DataCentreId,
+        rng: random.Random,
+        instance: EntryId | None,
+        is_connected: Callable[[str], bool],
+    ) -> None:
+        self._cluster_state = cluster_state
+        self._loads = loads
+        self._data_centre = data_centre
+        self._rng = rng
+        self._instance = instance
+        self._is_connected = is_connected
+        self._admission_by_key: dict[ModelKey, ModelAdmission] = {}
+        self._assigned_by_key: dict[ModelKey, _Assigned] = {}
+        self._peers: tuple[Peer, ...] | None = None
+        self._instances_by_data_centre: Counter[DataCentreId] = Counter()
+        self.learnt_times = LearntTimes()
+
+    def choose(
+        self,
+        choices: Sequence[ServingUpstream],
+        request: SelectionRequest,
+        service: Service,
+        fleet_load: FleetLoad,
+        at: float,
+    ) -> Selection | NoUpstream:
+        """Return the head for a request, or when there is room for it.
+
+        :param choices: the heads that may be chosen, whatever their load.
+        """
+        assert service.engine is not None and request.model is not None
+        key = (service.service, request.model)
+        view = self._view(choices, service, key, fleet_load, at)
+        spec = service.engine.model_spec(request.model)
+        engine = view.engine_prediction(spec.pace)
+        prediction = engine.predict(request.size)
+        admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
+        is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
+        lending = view.lending_share(self._data_centre, engine.request_seconds)
+        if is_undecided:
+            is_passed = self._may_ask(request, prediction, admission, view, lending)
+        else:
+            is_passed = True
+        found = self._find(view, request, engine, admission, lending) if is_passed else None
+        if found is None:
+            return self._refusal(view, request, engine, prediction, lending, is_passed)
+        if is_undecided or request.stage is ChoiceStage.WAITING:
+            admission.arrivals.note_admitted(request.priority, at)
+        wait = engine.queue_seconds(found.requests)
+        max_event_gap = service.engine.max_event_gap(spec.pace)
+        return Selection(found.upstream, wait, max_event_gap, prediction)
+
+    def _may_ask(
+        self,
+        request: SelectionRequest,
+        prediction: Prediction,
+        admission: ModelAdmission,
+        view: RoomView,
+        lending: float,
+    ) -> bool:
+        """Count a request; return whether it may ask for room by its customer and its size."""
+        customer, route = request.customer, request.route
+        seconds = self.learnt_times.request_seconds(request.service, route, customer, prediction)
+        admission.note_arrival(request.priority, customer, route, seconds, view.at)
+        begun = view.fleet_load.begun_per_second_by_customer
+        return lending >= 1.0 or admission.may_ask(customer, route, seconds, begun)
+
+    def _find(
+        self,
+        view: RoomView,
+        request: SelectionRequest,
+        engine: EnginePrediction,
+        admission: ModelAdmission,
+        lending: float,
+    ) -> Head | None:
+        """Return the head for a request; None without room."""
+        if request.stage is ChoiceStage.HEDGE:
+            return self._find_for_hedge(view, request, lending)
+        if request.is_resumed or request.stage is ChoiceStage.ADMITTED:
+            return self._find_again(view, request)
+        is_waiting = request.stage is ChoiceStage.WAITING
+        target = view.target_data_centre(self._rng)
+        if target != self._data_centre and not is_waiting:
+            with_room = [head for head in view.heads_in(target) if head.free_slots >= 1]
+            if with_room:
+                return choose_by_room(with_room, self._rng)
+        owned = view.owned_heads()
+        if owned and lending < 1.0:
+            interval = self._slot_interval(view, engine)
+            if not admission.leaves_reserve(request.priority, view.free_assigned_slots, interval):
+                return None
+        with_room = [head for head in owned if head.free_slots > 0]
+        if with_room:
+            return choose_by_room(with_room, self._rng)
+        found = None if is_waiting else self._borrow(view, self._data_centre, lending)
+        if found is None and owned:
+            return choose_by_room(owned, self._rng)
+        return found or (None if is_waiting else self._borrow_elsewhere(view, engine))
+
+    def _find_again(self, view: RoomView, request: SelectionRequest) -> Head | None:
+        """Return the head for a request that was admitted before; None without room.
+
+        A stream of which a part was sent may also wait for room.
+        """
+        heads = view.heads()
+        with_room = [head for head in heads if head.free_slots >= 1]
+        local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
+        if with_room:
+            return choose_by_room(local or with_room, self._rng)
+        if owned := view.owned_heads():
+            return choose_by_room(owned, self._rng)
+        limit = view.engine.slots * QUEUE_PER_SLOT * RESUMPTION_QUEUE_SHARE
+        queueing = [head for head in heads if -head.free_slots < limit]
+        if not request.is_resumed or not queueing:
+            return None
+        return max(queueing, key=lambda head: head.free_slots)
+
+    def _find_for_hedge(
+        self, view: RoomView, request: SelectionRequest, lending: float
+    ) -> Head | None:
+        """Return a head for a second attempt; None while room is short.
+
+        Before the first event, the first upstream may only be slow. Only a head with clearly free
+        room is used then.
+        """
+        if lending < 1.0 and not request.is_resumed:
+            return None
+        min_free = 1.0 if request.is_resumed else MIN_FREE_SLOTS_FOR_HEDGE
+        with_room = [head for head in view.heads() if head.free_slots >= min_free]
+        local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
+        return choose_by_room(local or with_room, self._rng) if with_room else None
+
+    def _borrow(self, view: RoomView, data_centre: DataCentreId, lending: float) -> Head | None:
+        """Return a head with a slot that is assigned to another instance and not needed."""
+        if lending < 1.0 and self._rng.random() >= lending:
+            return None
+        heads = view.heads_in(data_centre)
+        with_room = [head for head in heads if head.free_slots > SLOTS_NOT_LENT]
+        return choose_by_room(with_room, self._rng) if with_room else None
+
+    def _borrow_elsewhere(self, view: RoomView, engine: EnginePrediction) -> Head | None:
+        """Return a head with room in another data centre."""
+        others = view.other_data_centres
+        for place in self._rng.sample(others, len(others)):
+            lending = view.lending_share(place, engine.request_seconds)
+            if found := self._borrow(view, place, lending):
+                return found
+        return None
+
+    def _refusal(
+        self,
+        view: RoomView,
+        request: SelectionRequest,
+        engine: EnginePrediction,
+        prediction: Prediction,
+        lending: float,
+        is_passed: bool,
+    ) -> NoUpstream:
+        """Return when there is room; callers come back one after the other."""
+        instances = max(1, self._cluster_state.instance_count)
+        slots = view.engine.slots * max(1, len(view.serving))
+        return_interval = engine.request_seconds * instances / slots
+        interval = None
+        if is_passed and view.slots_by_id and request.stage is not ChoiceStage.HEDGE:
+            interval = self._slot_interval(view, engine)
+        first_event = self.learnt_times.first_event(*view.key, prediction)
+        outlook = RoomOutlook(
+            return_interval / RETURN_SHARE,
+            interval,
+            request.objective_left - first_event,
+            lending,
+            not is_passed,
+        )
+        return NoUpstream(NoUpstreamReason.ALL_BUSY, return_interval, room=outlook)
+
+    @staticmethod
+    def _slot_interval(view: RoomView, engine: EnginePrediction) -> float:
+        """Return the seconds between two slots of this instance that become free."""
+        return engine.request_seconds / max(1, view.slots_by_id.total())
+
+    def _view(
+        self,
+        choices: Sequence[ServingUpstream],
+        service: Service,
+        key: ModelKey,
+        fleet_load: FleetLoad,
+        at: float,
+    ) -> RoomView:
+        assert service.engine is not None
+        peers = self._cluster_state.peers
+        if peers is not self._peers:
+            self._peers = peers
+            self._instances_by_data_centre = Counter(peer.data_centre for peer in peers)
+        return RoomView(
+            key,
+            service.engine,
+            fleet_load,
+            self._loads,
+            at,
+            self._data_centre,
+            choices,
+            self._assigned_slots(service, key),
+            self._instances_by_data_centre,
+            self._is_connected,
+        )
+
+    def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
+        """Return the slots of this instance, found once for each list of heads and instances."""
+        serving = self._cluster_state.serving_upstreams(service, key[1])
+        peers = self._cluster_state.peers
+        known = self._assigned_by_key.get(key)
+        if known is not None and known.serving is serving and known.peers is peers:
+            return known.slots_by_id
+        assert service.engine is not None
+        head_ids = [
+            s.upstream.upstream_id
+            for s in serving
+            if s.upstream.data_centre == self._data_centre and not s.upstream.draining
+        ]
+        instances = [peer.instance for peer in peers if peer.data_centre == self._data_centre]
+        slots_by_id = assign_slots(head_ids, service.engine.slots, instances, self._instance)
+        self._assigned_by_key[key] = _Assigned(serving, peers, slots_by_id)
+        return slots_by_id
