Do not count time in queues as demand

The time of a request at an engine includes its time in the queue. The time is now bounded by that at a full group.

--- a/src/cactuspass/fleet/_offered_load.py
+++ b/src/cactuspass/fleet/_offered_load.py
@@ -1,9 +1,9 @@
 """How many groups the offered requests of a service would fill, at the peak of the last wave."""
 
-from collections import Counter, deque
+from collections import defaultdict, deque
 from collections.abc import Mapping
 
-from cactuspass.fleet._catalog import EngineSpec
+from cactuspass.fleet._catalog import EngineSpec, Service
 from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import DataCentreId, ModelId, ServiceId
 
@@ -15,13 +15,28 @@
 MAX_FORECAST_FACTOR = 1.5
 
 
-def offered_concurrency(load: FleetLoad, service: ServiceId) -> dict[ModelId, float]:
-    """Return the requests of each model that would run at once if none was refused."""
-    found: Counter[ModelId] = Counter()
+# Of the time of a usual request at a full group; the requests of a model may be longer than usual.
+MAX_TIME_FACTOR = 1.5
+
+
+def offered_concurrency(load: FleetLoad, service: Service) -> dict[ModelId, float]:
+    """Return the requests of each model that would run at once if none was refused or waited."""
+    found: defaultdict[ModelId, float] = defaultdict(float)
     for key, demand in load.demand_by_key.items():
-        if key.service == service:
-            found[key.model] += demand.offered_concurrency  # type: ignore[assignment]
-    return {model: float(concurrency) for model, concurrency in found.items()}
+        if key.service == service.service:
+            longest = longest_seconds(service.engine, key.model)
+            found[key.model] += demand.arrivals_per_second * min(demand.mean_seconds, longest)
+    return dict(found)
+
+
+def longest_seconds(engine: EngineSpec | None, model: ModelId) -> float:
+    """Return the longest mean time of requests that run; what lies above is time in a queue."""
+    if engine is None or not engine.usual_output_tokens:
+        return float("inf")
+    step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
+    prompt = engine.usual_prompt_tokens / engine.prompt_tokens_per_second
+    usual = engine.model_spec(model).pace * (engine.usual_output_tokens * step + prompt)
+    return MAX_TIME_FACTOR * usual
 
 
 def asking_data_centres(load: FleetLoad, service: ServiceId) -> frozenset[DataCentreId]:
--- a/src/cactuspass/fleet/autoscaling/_service_scaling.py
+++ b/src/cactuspass/fleet/autoscaling/_service_scaling.py
@@ -49,7 +49,7 @@
         self._exchanged_at = at
         self._heard_now = asking_data_centres(load, service.service)
         self._heard_at_by_data_centre.update(dict.fromkeys(self._heard_now, at))
-        self._observe(service, offered_concurrency(load, service.service), at)
+        self._observe(service, offered_concurrency(load, service), at)
 
     def observe_reported(
         self, service: Service, concurrency_by_model: Mapping[ModelId, float], at: float
--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -1,9 +1,10 @@
 """Tests the target numbers of groups that follow from the demand of the whole fleet."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
-from cactuspass.fleet._catalog import EngineSpec, ModelSpec
+from cactuspass.fleet._catalog import EngineSpec, ModelSpec, Service
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._controller import Controller
 from cactuspass.fleet._demand import (
@@ -17,6 +18,7 @@
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._offered_load import (
     MAX_GAP_SECONDS,
+    MAX_TIME_FACTOR,
     WAVE_SECONDS,
     PeakWindow,
     full_groups,
@@ -54,7 +56,17 @@
         foreign = DemandKey(ServiceId("other"), SMALL, DataCentreId("a"))
         asked = ModelDemand(arrivals_per_second=100.0, refused_per_second=60.0, mean_seconds=0.5)
         load = FleetLoad(0.0, {}, {key: asked, other: asked, foreign: asked})
-        self.assertEqual(offered_concurrency(load, SERVICE), {SMALL: 100.0})
+        self.assertEqual(offered_concurrency(load, SCALED_SERVICE), {SMALL: 100.0})
+
+    # Guards against orders for more upstreams because requests wait in the queues of engines.
+    def test_time_in_a_queue_is_no_demand(self) -> None:
+        engine = replace(FLAT_ENGINE, usual_output_tokens=100.0)
+        service = Service(SERVICE, engine=engine)
+        key = DemandKey(SERVICE, SMALL, DataCentreId("a"))
+        waiting = ModelDemand(arrivals_per_second=100.0, mean_seconds=5.0)
+        offered = offered_concurrency(FleetLoad(0.0, {}, {key: waiting}), service)
+        seconds = 100.0 * engine.step_seconds * MAX_TIME_FACTOR
+        self.assertAlmostEqual(offered[SMALL], 100.0 * seconds)
 
     def test_a_floor_of_two_groups_remains(self) -> None:
         self.assertEqual(offer(Demand(), 0.1, 0.0), MIN_GROUPS)
