--- a/tests/test_fleet_autoscaling.py
+++ b/tests/test_fleet_autoscaling.py
@@ -292,7 +292,7 @@
             {duties}
         """
         settings = parse_instance_settings(text, "settings.toml")
-        adapter = Adapter(mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock())
+        adapter = Adapter(mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock())
         log, _ = recording_log()
         instance = Instance(settings, adapter, log, Metrics(), ConnectionPool())
         return [c for c in instance._application._components if isinstance(c, Autoscaler)]
