Extrapolate the demand, bound what a flooding customer or a false size gains, and test failures

Cause: demand is known a second late, so a wave was taken for calm while it rose; a customer that asked for ten times its share was served almost as often as the other one.

Change: the demand of each data centre is extrapolated within bounds; callers that another instance probably has room for come back at once; what is usual for a customer grows slowly; sizes are compared within a route and customer.

--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -61,6 +61,7 @@
     :param max_wait: seconds that the request may wait for its first event to be in time.
     :param lent_share: share of the requests without a free slot of their instance that are sent.
     :param is_thinned: whether it was refused for the share of its customer or for its size.
+    :param may_try_elsewhere: whether another instance probably has room for it at once.
     """
 
     return_interval: float
@@ -68,6 +69,7 @@
     max_wait: float = 0.0
     lent_share: float = 0.0
     is_thinned: bool = False
+    may_try_elsewhere: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -24,6 +24,7 @@
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._request_problems import (
     RETRY_AFTER_SECONDS,
+    RETRY_ELSEWHERE_SECONDS,
     TOO_LATE_PROBLEM,
     blocked_problem,
     not_run_problem,
@@ -268,8 +269,11 @@
     def _book_room(self, attempts: Attempts, found: NoUpstream) -> float:
         """Return the retry delay in seconds of a caller for whom there is no room now.
 
-        Callers come back one after the other, at the rate at which there is room for them.
+        Callers come back one after the other, at the rate at which there is room for them, or at
+        once where another instance probably has room.
         """
+        if found.room is not None and found.room.may_try_elsewhere:
+            return self._add_jitter(RETRY_ELSEWHERE_SECONDS)
         return self._returns.book(
             (attempts.service, attempts.request.model),
             self._add_jitter(found.retry_after),
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from cactuspass.fleet._catalog import Service
@@ -17,24 +17,32 @@
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._request_problems import RETRY_ELSEWHERE_SECONDS
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_view import RoomView
 from cactuspass.fleet.choice._slot_assignment import assign_slots
-from cactuspass.fleet.load_exchange import FleetLoad, ModelKey
+from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelKey
 from cactuspass.fleet.load_shedding import (
     QUEUE_PER_SLOT,
+    DemandTrend,
     EnginePrediction,
     LearntTimes,
     ModelAdmission,
     Prediction,
+    Shortage,
 )
 from cactuspass.models import DataCentreId, EntryId
 
 # Slots of a head that are left to the instances that they are assigned to.
 SLOTS_NOT_LENT = 1.0
+# Mean age of the arrivals that a received rate consists of.
+DEMAND_DELAY_SECONDS = 1.0
 # Part of the slots that becomes free which is promised to callers that come back.
 RETURN_SHARE = 0.5
+# Share of the requests that find a slot of their own instance, from which on another instance
+# probably has one for a caller that comes back at once.
+MIN_SHARE_TO_TRY_ELSEWHERE = 0.6
 RESUMPTION_QUEUE_SHARE = 0.8  # of the longest queue of an engine
 # Free slots of a head to which a request is sent in addition to one that may still be answered.
 MIN_FREE_SLOTS_FOR_HEDGE = 3.0
@@ -77,6 +85,8 @@
         self._assigned_by_key: dict[ModelKey, _Assigned] = {}
         self._peers: tuple[Peer, ...] | None = None
         self._instances_by_data_centre: Counter[DataCentreId] = Counter()
+        self._trends_by_key: dict[DemandKey, DemandTrend] = {}
+        self._fleet_load: FleetLoad | None = None
         self.learnt_times = LearntTimes()
 
     def choose(
@@ -99,14 +109,14 @@
         prediction = engine.predict(request.size)
         admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
         is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
-        lending = view.lending_share(self._data_centre, engine.request_seconds)
+        shortage = view.shortage(self._data_centre, engine.request_seconds)
         if is_undecided:
-            is_passed = self._may_ask(request, prediction, admission, view, lending)
+            is_passed = self._may_ask(request, prediction, admission, view, shortage)
         else:
             is_passed = True
-        found = self._find(view, request, engine, admission, lending) if is_passed else None
+        found = self._find(view, request, engine, admission, shortage) if is_passed else None
         if found is None:
-            return self._refusal(view, request, engine, prediction, lending, is_passed)
+            return self._refusal(view, request, engine, prediction, shortage, is_passed)
         if is_undecided or request.stage is ChoiceStage.WAITING:
             admission.arrivals.note_admitted(request.priority, at)
         wait = engine.queue_seconds(found.requests)
@@ -119,14 +129,14 @@
         prediction: Prediction,
         admission: ModelAdmission,
         view: RoomView,
-        lending: float,
+        shortage: Shortage,
     ) -> bool:
         """Count a request; return whether it may ask for room by its customer and its size."""
         customer, route = request.customer, request.route
         seconds = self.learnt_times.request_seconds(request.service, route, customer, prediction)
         admission.note_arrival(request.priority, customer, route, seconds, view.at)
         begun = view.fleet_load.begun_per_second_by_customer
-        return lending >= 1.0 or admission.may_ask(customer, route, seconds, begun)
+        return not shortage.is_short or admission.may_ask(customer, route, seconds, begun)
 
     def _find(
         self,
@@ -134,11 +144,11 @@
         request: SelectionRequest,
         engine: EnginePrediction,
         admission: ModelAdmission,
-        lending: float,
+        shortage: Shortage,
     ) -> Head | None:
         """Return the head for a request; None without room."""
         if request.stage is ChoiceStage.HEDGE:
-            return self._find_for_hedge(view, request, lending)
+            return self._find_for_hedge(view, request, shortage)
         if request.is_resumed or request.stage is ChoiceStage.ADMITTED:
             return self._find_again(view, request)
         is_waiting = request.stage is ChoiceStage.WAITING
@@ -148,14 +158,14 @@
             if with_room:
                 return choose_by_room(with_room, self._rng)
         owned = view.owned_heads()
-        if owned and lending < 1.0:
+        if owned and shortage.is_short:
             interval = self._slot_interval(view, engine)
             if not admission.leaves_reserve(request.priority, view.free_assigned_slots, interval):
                 return None
         with_room = [head for head in owned if head.free_slots > 0]
         if with_room:
             return choose_by_room(with_room, self._rng)
-        found = None if is_waiting else self._borrow(view, self._data_centre, lending)
+        found = None if is_waiting else self._borrow(view, self._data_centre, shortage.lent_share)
         if found is None and owned:
             return choose_by_room(owned, self._rng)
         return found or (None if is_waiting else self._borrow_elsewhere(view, engine))
@@ -179,23 +189,23 @@
         return max(queueing, key=lambda head: head.free_slots)
 
     def _find_for_hedge(
-        self, view: RoomView, request: SelectionRequest, lending: float
+        self, view: RoomView, request: SelectionRequest, shortage: Shortage
     ) -> Head | None:
         """Return a head for a second attempt; None while room is short.
 
         Before the first event, the first upstream may only be slow. Only a head with clearly free
         room is used then.
         """
-        if lending < 1.0 and not request.is_resumed:
+        if shortage.is_short and not request.is_resumed:
             return None
         min_free = 1.0 if request.is_resumed else MIN_FREE_SLOTS_FOR_HEDGE
         with_room = [head for head in view.heads() if head.free_slots >= min_free]
         local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
         return choose_by_room(local or with_room, self._rng) if with_room else None
 
-    def _borrow(self, view: RoomView, data_centre: DataCentreId, lending: float) -> Head | None:
+    def _borrow(self, view: RoomView, data_centre: DataCentreId, lent_share: float) -> Head | None:
         """Return a head with a slot that is assigned to another instance and not needed."""
-        if lending < 1.0 and self._rng.random() >= lending:
+        if lent_share < 1.0 and self._rng.random() >= lent_share:
             return None
         heads = view.heads_in(data_centre)
         with_room = [head for head in heads if head.free_slots > SLOTS_NOT_LENT]
@@ -205,8 +215,8 @@
         """Return a head with room in another data centre."""
         others = view.other_data_centres
         for place in self._rng.sample(others, len(others)):
-            lending = view.lending_share(place, engine.request_seconds)
-            if found := self._borrow(view, place, lending):
+            shortage = view.shortage(place, engine.request_seconds)
+            if found := self._borrow(view, place, shortage.lent_share):
                 return found
         return None
 
@@ -216,7 +226,7 @@
         request: SelectionRequest,
         engine: EnginePrediction,
         prediction: Prediction,
-        lending: float,
+        shortage: Shortage,
         is_passed: bool,
     ) -> NoUpstream:
         """Return when there is room; callers come back one after the other."""
@@ -227,12 +237,16 @@
         if is_passed and view.slots_by_id and request.stage is not ChoiceStage.HEDGE:
             interval = self._slot_interval(view, engine)
         first_event = self.learnt_times.first_event(*view.key, prediction)
+        max_wait = request.objective_left - first_event
+        is_likely = is_passed and shortage.own_share >= MIN_SHARE_TO_TRY_ELSEWHERE
+        may_try_elsewhere = is_likely and max_wait > RETRY_ELSEWHERE_SECONDS
         outlook = RoomOutlook(
             return_interval / RETURN_SHARE,
             interval,
-            request.objective_left - first_event,
-            lending,
+            max_wait,
+            shortage.lent_share,
             not is_passed,
+            may_try_elsewhere,
         )
         return NoUpstream(NoUpstreamReason.ALL_BUSY, return_interval, room=outlook)
 
@@ -264,9 +278,37 @@
             choices,
             self._assigned_slots(service, key),
             self._instances_by_data_centre,
+            self._expected_arrivals(key, fleet_load, at),
             self._is_connected,
         )
 
+    def _expected_arrivals(
+        self, key: ModelKey, fleet_load: FleetLoad, at: float
+    ) -> Mapping[DataCentreId, float]:
+        """Return the requests per second of each data centre, as they are expected to be now.
+
+        They are known as of about a second ago. Where nothing is known of this data centre, all its
+        instances are assumed to get as many as this one.
+        """
+        if fleet_load is not self._fleet_load:
+            self._fleet_load = fleet_load
+            for demand_key, demand in fleet_load.demand_by_key.items():
+                trend = self._trends_by_key.setdefault(demand_key, DemandTrend())
+                trend.note(demand.arrivals_per_second, fleet_load.at)
+        arrivals = {
+            demand_key.data_centre: self._trends_by_key[demand_key].extrapolate(
+                at - fleet_load.at + DEMAND_DELAY_SECONDS
+            )
+            for demand_key in fleet_load.demand_by_key
+            if (demand_key.service, demand_key.model) == key
+        }
+        if self._data_centre not in arrivals and key in self._admission_by_key:
+            own_rate = self._admission_by_key[key].arrivals.rate
+            arrivals[self._data_centre] = (
+                own_rate * self._instances_by_data_centre[self._data_centre]
+            )
+        return arrivals
+
     def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
         """Return the slots of this instance, found once for each list of heads and instances."""
         serving = self._cluster_state.serving_upstreams(service, key[1])
--- a/src/cactuspass/fleet/choice/_room_view.py
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -11,7 +11,7 @@
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelDemand, ModelKey
-from cactuspass.fleet.load_shedding import QUEUE_PER_SLOT, EnginePrediction, lending_share
+from cactuspass.fleet.load_shedding import QUEUE_PER_SLOT, EnginePrediction, Shortage, find_shortage
 from cactuspass.models import DataCentreId
 
 # Requests above its slots that a head may seem to have when an assigned slot of it is used: others
@@ -26,6 +26,7 @@
     :param serving: the heads that may be chosen, whatever their load.
     :param slots_by_id: slots that are assigned to this instance.
     :param instances_by_data_centre: number of registered instances.
+    :param arrivals_by_data_centre: requests per second that are expected now.
     :param is_connected: whether an idle connection to an address is open.
     """
 
@@ -38,6 +39,7 @@
     serving: Sequence[ServingUpstream]
     slots_by_id: Counter[UpstreamId]
     instances_by_data_centre: Mapping[DataCentreId, int]
+    arrivals_by_data_centre: Mapping[DataCentreId, float]
     is_connected: Callable[[str], bool]
 
     def engine_prediction(self, pace: float) -> EnginePrediction:
@@ -86,21 +88,21 @@
         """The other data centres that have heads of the model."""
         return sorted({s.upstream.data_centre for s in self.serving} - {self.data_centre})
 
-    def lending_share(self, data_centre: DataCentreId, request_seconds: float) -> float:
-        """Return the share of the requests that may use slots of a data centre's instances.
+    def shortage(self, data_centre: DataCentreId, request_seconds: float) -> Shortage:
+        """Return how short the room of a data centre is for its own callers.
 
         :param request_seconds: mean time that a request takes up a slot.
         """
         heads = sum(s.upstream.data_centre == data_centre for s in self.serving)
         slots = heads * self.engine.slots
         if not slots:
-            return 0.0
+            return Shortage(0.0, 0.0)
         kept = 1.0
         if data_centre == self.data_centre:
             kept = self.fleet_load.shares_by_model.get(self.key, {}).get(data_centre, 1.0)
-        arrivals = self.demand_in(data_centre).arrivals_per_second * kept
+        arrivals = self.arrivals_by_data_centre.get(data_centre, 0.0) * kept
         instances = max(1, self.instances_by_data_centre.get(data_centre, 0))
-        return lending_share(arrivals * request_seconds / slots, slots / instances, self._age)
+        return find_shortage(arrivals * request_seconds / slots, slots / instances, self.age)
 
     def demand_in(self, data_centre: DataCentreId) -> ModelDemand:
         """Return the demand of a data centre's callers; none while it is not known."""
@@ -108,7 +110,7 @@
         return found if found is not None else ModelDemand()
 
     @property
-    def _age(self) -> float:
+    def age(self) -> float:
         """Seconds since the known loads were true."""
         loads = self.fleet_load.requests_elsewhere_by_head.values()
         return self.at - self.fleet_load.at + max((load.age for load in loads), default=0.0)
--- a/src/cactuspass/fleet/load_shedding/__init__.py
+++ b/src/cactuspass/fleet/load_shedding/__init__.py
@@ -1,6 +1,7 @@
 """Decides which requests are served while capacity is short; it uses no network and no clock."""
 
 from cactuspass.fleet.load_shedding._corrections import Corrections
+from cactuspass.fleet.load_shedding._demand_trend import DemandTrend
 from cactuspass.fleet.load_shedding._fair_shares import CustomerShares
 from cactuspass.fleet.load_shedding._learnt_times import LearntTimes
 from cactuspass.fleet.load_shedding._model_admission import ModelAdmission
@@ -10,7 +11,7 @@
     Prediction,
     RequestSize,
 )
-from cactuspass.fleet.load_shedding._shortage import carried_share, lending_share
+from cactuspass.fleet.load_shedding._shortage import Shortage, carried_share, find_shortage
 from cactuspass.fleet.load_shedding._urgency import ModelArrivals
 from cactuspass.fleet.load_shedding._waiting_line import Place, WaitingLine
 
@@ -18,6 +19,7 @@
     "QUEUE_PER_SLOT",
     "Corrections",
     "CustomerShares",
+    "DemandTrend",
     "EnginePrediction",
     "LearntTimes",
     "ModelAdmission",
@@ -25,7 +27,8 @@
     "Place",
     "Prediction",
     "RequestSize",
+    "Shortage",
     "WaitingLine",
     "carried_share",
-    "lending_share",
+    "find_shortage",
 ]
--- a/src/cactuspass/fleet/load_shedding/_fair_shares.py
+++ b/src/cactuspass/fleet/load_shedding/_fair_shares.py
@@ -10,7 +10,9 @@
 USUAL_SECONDS = 300.0
 # Of a customer that has asked for nothing so far, in what all ask for.
 MIN_USUAL_SHARE = 0.02
-MIN_PASSED_SHARE = 0.05
+MAX_USUAL_GROWTH = 1.2
+MIN_HISTORY_SECONDS = 30.0
+MIN_SERVED_SHARE = 0.25  # of the share of all requests that are served
 
 KeyT = TypeVar("KeyT")
 
@@ -23,9 +25,13 @@
         self._usual: AveragedRates[CustomerId] = AveragedRates(USUAL_SECONDS)
 
     def note_arrival(self, customer: CustomerId, at: float) -> None:
-        """Count a request."""
+        """Count a request; a sudden excess changes little of what is usual."""
         self._recent.note(customer, at)
-        self._usual.note(customer, at)
+        usual = max(self._usual.rate(customer), MIN_USUAL_SHARE * self._usual.total)
+        recent = self._recent.rate(customer)
+        is_known = self._usual.observed_seconds >= MIN_HISTORY_SECONDS
+        weight = min(1.0, MAX_USUAL_GROWTH * usual / recent) if is_known else 1.0
+        self._usual.note(customer, at, weight)
 
     def passed_share(
         self,
@@ -50,17 +56,23 @@
         largest = max(served.values(), default=0.0)
         if largest <= 0 or customer not in served:
             return 1.0
-        return max(MIN_PASSED_SHARE, served[customer] / largest)
+        overall = sum(granted.values()) / sum(recent.values())
+        return min(1.0, max(MIN_SERVED_SHARE * overall, served[customer]) / largest)
 
     def _weight(self, customer: CustomerId, begun_per_second: Mapping[CustomerId, float]) -> float:
         """Return the share that a customer has usually, less what it exceeds it in the fleet."""
-        usual = max(MIN_USUAL_SHARE, self._usual.rate(customer) / max(1e-9, self._usual.total))
+        usual = max(MIN_USUAL_SHARE, _share(self._usual, customer))
         total = sum(begun_per_second.values())
         if total <= 0:
             return usual
         return usual / max(1.0, begun_per_second.get(customer, 0.0) / total / usual)
 
 
+def _share(rates: AveragedRates[CustomerId], customer: CustomerId) -> float:
+    total = rates.total
+    return rates.rate(customer) / total if total > 0 else 1.0
+
+
 def divide(
     capacity: float, demand_by_key: Mapping[KeyT, float], weights: Mapping[KeyT, float]
 ) -> dict[KeyT, float]:
--- a/src/cactuspass/fleet/load_shedding/_model_admission.py
+++ b/src/cactuspass/fleet/load_shedding/_model_admission.py
@@ -1,6 +1,7 @@
 """Decides which requests for one model may ask for room while there is too little of it."""
 
 import random
+from collections import OrderedDict
 from collections.abc import Mapping
 
 from cactuspass.fleet.load_shedding._fair_shares import CustomerShares
@@ -9,6 +10,7 @@
 from cactuspass.models import CustomerId
 
 WEIGHT_OF_LAST_SIZE = 0.02
+MAX_KEYS = 256
 
 
 class ModelAdmission:
@@ -18,7 +20,7 @@
         self._rng = rng
         self.arrivals = ModelArrivals()
         self.customers = CustomerShares()
-        self._usual_seconds_by_route: dict[str, float] = {}
+        self._usual_seconds_by_key: OrderedDict[tuple[str, CustomerId], float] = OrderedDict()
 
     def note_arrival(
         self, priority: int, customer: CustomerId, route: str, request_seconds: float, at: float
@@ -29,9 +31,13 @@
         """
         self.arrivals.note_arrival(priority, at)
         self.customers.note_arrival(customer, at)
-        usual = self._usual_seconds_by_route.get(route, request_seconds)
+        key = (route, customer)
+        usual = self._usual_seconds_by_key.get(key, request_seconds)
         change = WEIGHT_OF_LAST_SIZE * (request_seconds - usual)
-        self._usual_seconds_by_route[route] = usual + change
+        self._usual_seconds_by_key[key] = usual + change
+        self._usual_seconds_by_key.move_to_end(key)
+        if len(self._usual_seconds_by_key) > MAX_KEYS:
+            self._usual_seconds_by_key.popitem(last=False)
 
     def may_ask(
         self,
@@ -42,9 +48,12 @@
     ) -> bool:
         """Return whether a request may ask for room; call it only while there is too little.
 
+        Its size is compared with that of other requests of its route and customer, so that a
+        customer gains little by stating less for all of them.
+
         :param begun_per_second: requests of each customer that begin in the whole fleet.
         """
-        usual = self._usual_seconds_by_route.get(route, request_seconds)
+        usual = self._usual_seconds_by_key.get((route, customer), request_seconds)
         share = passed_share(request_seconds, usual) * self.customers.passed_share(
             customer, self.arrivals.served_rate, begun_per_second
         )
--- a/src/cactuspass/fleet/load_shedding/_shortage.py
+++ b/src/cactuspass/fleet/load_shedding/_shortage.py
@@ -1,14 +1,33 @@
 """How much of the room at heads may go to instances to which it is not assigned."""
 
 import math
+from dataclasses import dataclass
 
 # Share of the slots up to which requests may be sent by known loads. Nobody knows what the others
 # have sent since, so above it some heads get more requests than they have slots.
-MAX_KNOWN_SHARE = 0.8
+MAX_KNOWN_SHARE = 0.76
 SHARE_LOST_PER_SECOND_OF_AGE = 0.1
 MAX_OFFERED_PER_SLOT = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """How short the room is.
+
+    :param lent_share: share of the requests without a slot of their own instance that may use one
+        of another; 1 while there is room for all, and 0 when the owners need all slots.
+    :param own_share: share of the requests that find a slot of their own instance.
+    """
+
+    lent_share: float
+    own_share: float
+
+    @property
+    def is_short(self) -> bool:
+        """Whether some requests are refused."""
+        return self.lent_share < 1.0
+
+
 def carried_share(offered_per_slot: float, slots_per_instance: float) -> float:
     """Return the share of the assigned slots that the requests of their own instances use.
 
@@ -34,15 +53,14 @@
     return offered * (1 - blocked)
 
 
-def lending_share(offered_per_slot: float, slots_per_instance: float, age: float) -> float:
-    """Return the share of the requests without an assigned slot that may use one of others.
-
-    It is 1 while there is room for all, and falls to 0 as the owners of the slots use them.
+def find_shortage(offered_per_slot: float, slots_per_instance: float, age: float) -> Shortage:
+    """Return how short the room of a data centre is.
 
     :param age: seconds since the known loads were true.
     """
     target = MAX_KNOWN_SHARE - SHARE_LOST_PER_SECOND_OF_AGE * age
     if offered_per_slot <= target:
-        return 1.0
+        return Shortage(1.0, 1.0)
     carried = carried_share(offered_per_slot, slots_per_instance)
-    return min(1.0, max(0.0, (target - carried) / (offered_per_slot - carried)))
+    lent_share = (target - carried) / (offered_per_slot - carried)
+    return Shortage(min(1.0, max(0.0, lent_share)), carried / offered_per_slot)
--- a/src/cactuspass/fleet/load_shedding/_sizes.py
+++ b/src/cactuspass/fleet/load_shedding/_sizes.py
@@ -10,7 +10,7 @@
     """Return the share of requests of a size that may ask for room.
 
     :param request_seconds: predicted time that a request takes up a slot.
-    :param usual_seconds: mean of these times.
+    :param usual_seconds: mean of these times for its route and customer.
     """
     if request_seconds <= usual_seconds or usual_seconds <= 0:
         return 1.0
--- a/src/cactuspass/fleet/load_shedding/_urgency.py
+++ b/src/cactuspass/fleet/load_shedding/_urgency.py
@@ -24,6 +24,11 @@
         """Count a request that is served."""
         self._admitted.note(priority, at)
 
+    @property
+    def rate(self) -> float:
+        """Requests per second that arrive."""
+        return self._arrivals.total
+
     @property
     def served_rate(self) -> float:
         """Requests per second that are served."""
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -17,6 +17,7 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._request_problems import RETRY_ELSEWHERE_SECONDS
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, HeadLoad, ModelDemand
@@ -81,6 +82,7 @@
     arrived_at: float
     seconds: float
     objective: float
+    is_retry: bool = False
 
     @property
     def counts(self) -> bool:
@@ -148,6 +150,8 @@
         self._cluster_state.accept_upstreams(map(self._upstream, self.head_ids), 1)
         self.register(self.alive)
         self.selectors = list(map(self._selector, range(instances)))
+        self.plan(0.0, self._arrive)
+        self.plan(0.0, self._send_sums)
 
     def register(self, alive: list[int]) -> None:
         """Replace the list of registered instances."""
@@ -185,8 +189,6 @@
 
     def run(self, seconds: float) -> Outcome:
         """Play some seconds, and return what became of the requests."""
-        self.plan(0.0, self._arrive)
-        self.plan(0.0, self._send_sums)
         while self._due[0][0] < seconds:
             before = self.at
             self.at, _, call, arguments = heapq.heappop(self._due)
@@ -199,8 +201,15 @@
     def _arrive(self) -> None:
         self.plan(self._rng.expovariate(self.load(self.at) * self.slots), self._arrive)
         self._arrivals += 1
-        request = self._create_request()
-        if request.counts:
+        self._ask(self._create_request())
+
+    def _retry(self, request: _Request) -> None:
+        """Ask again at another instance, which does not know when the caller first asked."""
+        self._arrivals += 1
+        self._ask(replace(request, number=self._rng.choice(self.alive), is_retry=True))
+
+    def _ask(self, request: _Request) -> None:
+        if request.counts and not request.is_retry:
             self.outcome.arrived[request.priority] += 1
             self.outcome.asked_by_customer[request.customer] += 1
             self.outcome.asked_long += request.seconds > LONG_REQUEST_SECONDS
@@ -212,6 +221,8 @@
             if line.may_join(request.priority, found.room.slot_interval, room.max_wait):
                 place = line.join(request.priority, request)
                 self.plan(room.max_wait, self._give_up, request.number, place)
+            elif room.may_try_elsewhere and not request.is_retry:
+                self.plan(RETRY_ELSEWHERE_SECONDS, self._retry, request)
 
     def _create_request(self) -> _Request:
         classes = list(self._shares_by_priority)
--- a/tests/test_fleet_load_shedding.py
+++ b/tests/test_fleet_load_shedding.py
@@ -9,7 +9,7 @@
 
 from cactuspass.fleet._choices import NoUpstream, SelectionRequest
 from cactuspass.fleet.choice import assign_slots
-from cactuspass.fleet.load_shedding import EnginePrediction, RequestSize, lending_share
+from cactuspass.fleet.load_shedding import EnginePrediction, RequestSize, find_shortage
 from cactuspass.models import EntryId
 from tests.fleet_path import SERVICE
 from tests.fleet_world import ENGINE, SMALL
@@ -146,10 +146,11 @@
         self.assertGreater(long.first_event, short.first_event + 0.9)
 
     def test_lending_falls_with_load_and_age(self) -> None:
-        shares = [lending_share(load / 10, 4.0, 0.6) for load in range(1, 25)]
+        shares = [find_shortage(load / 10, 4.0, 0.6).lent_share for load in range(1, 25)]
         self.assertEqual(shares, sorted(shares, reverse=True))
         self.assertEqual((shares[0], shares[-1]), (1.0, 0.0))
-        self.assertLess(lending_share(0.85, 4.0, 1.4), lending_share(0.85, 4.0, 0.2))
+        old, recent = (find_shortage(0.85, 4.0, age) for age in (1.4, 0.2))
+        self.assertLess(old.lent_share, recent.lent_share)
 
 
 if __name__ == "__main__":
