Send instances one sum of all data centres instead of forwarding each

Cause: with 340 instances and 120 heads, a coordinator sent 4,056 datagrams per second, as all three sums name the same heads.

Change: a coordinator merges the sums; instances send their states shortly before its next sums, which makes up for the wait that this adds.

One test fails: its bound on lost datagrams is being checked.

--- a/src/cactuspass/fleet/load_exchange/_coordinator.py
+++ b/src/cactuspass/fleet/load_exchange/_coordinator.py
@@ -1,7 +1,7 @@
 """What an instance does as the coordinator of its data centre: sums up and decides shares."""
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from itertools import chain
 
 from cactuspass.fleet._peers import Peer
@@ -12,6 +12,7 @@
 )
 from cactuspass.fleet.load_exchange._fleet_load import DemandKey, ModelDemand, ModelKey, Shares
 from cactuspass.fleet.load_exchange._instance_states import InstanceStates, StateSums
+from cactuspass.fleet.load_exchange._known_fleet import KnownFleet
 from cactuspass.fleet.load_exchange._known_loads import KnownLoads, ShareDecision
 from cactuspass.fleet.load_exchange._known_sums import (
     KnownSums,
@@ -23,18 +24,21 @@
     MAX_MILLISECONDS,
     MAX_PER_SECOND_MILLI,
     MAX_REQUESTS,
+    CustomerRateEntry,
     DemandEntry,
+    FleetSums,
     InstanceState,
     LoadSums,
 )
-from cactuspass.models import DataCentreId, EntryId
+from cactuspass.fleet.load_exchange._sum_sources import ReceivedSums
+from cactuspass.models import CustomerId, DataCentreId, EntryId
 
 MILLI = 1000
 # Time until enough states for rates have come; a new coordinator repeats the last demand before.
 FIRST_RATES_SECONDS = 1.0
 # Instances of another data centre that are tried while none has been heard.
 TRIED_COORDINATORS = 2
-# Only customers with the most requests are named, so that sums stay small.
+# Only the customers with the most requests are named, so that sums stay small.
 MAX_SUMMED_CUSTOMERS = 64
 
 
@@ -42,7 +46,8 @@
     """Sums up the states of the instances of a data centre.
 
     :param instance: id of this instance.
-    :param known: the sums that this instance has received.
+    :param known: what this instance has heard as one of its data centre.
+    :param known_sums: the sums of the other data centres.
     :param decide: decides the shares of the data centre.
     """
 
@@ -50,13 +55,15 @@
         self,
         instance: EntryId,
         data_centre: DataCentreId,
-        known: KnownSums,
+        known: KnownFleet,
+        known_sums: KnownSums,
         decide: ShareDecision,
     ) -> None:
         self._instance = instance
         self._data_centre = data_centre
         self._decide = decide
         self._known = known
+        self._known_sums = known_sums
         self._states = InstanceStates()
         self._ordered_by_place: Mapping[DataCentreId, list[Peer]] = {}
         self._others_by_place: dict[DataCentreId, tuple[Peer, float]] = {}
@@ -109,13 +116,13 @@
         :param coordinating_for: seconds since this instance has become the coordinator.
         """
         sums = self._states.sum_up(at)
+        last = self._known.last_entry_by_key
         demand_by_key = dict(sums.demand_by_key)
-        if coordinating_for < FIRST_RATES_SECONDS and self._known.last_entry_by_key:
-            last = self._known.last_entry_by_key
+        if coordinating_for < FIRST_RATES_SECONDS and last:
             demand_by_key = {key: demand_of(entry) for key, entry in last.items()}
-        shares_by_key = self._decide_shares(sums, demand_by_key, at)
+        previous = {key: shares_of(entry) for key, entry in last.items() if entry[6]}
+        shares_by_key = self._decide(self._known_loads(sums, demand_by_key, at), previous, at)
         rates = sums.begun_per_second_by_customer
-        largest = sorted(rates, key=lambda customer: -rates[customer])[:MAX_SUMMED_CUSTOMERS]
         return LoadSums(
             self._data_centre,
             self._instance,
@@ -128,18 +135,47 @@
                 )
                 for key in demand_by_key.keys() | shares_by_key.keys()
             ),
-            tuple((customer, _milli(rates[customer])) for customer in largest),
+            _largest(rates),
         )
 
-    def _decide_shares(
+    def merge(self, own: LoadSums, at: float) -> FleetSums:
+        """Return the sums of all data centres.
+
+        :param own: the sums of the own data centre.
+        """
+        others = self._known_sums.current(at)
+        every = [(0, own), *_numbered(others.values())]
+        places = [(own.data_centre, own.coordinator, own.instances, own.age_ms)]
+        for parts in others.values():
+            newest = max(parts, key=lambda part: part.at)
+            age_ms = round(max(part.age(at) for part in parts) * MILLI)
+            sums = newest.sums
+            places.append((sums.data_centre, sums.coordinator, sums.instances, age_ms))
+        requests: Counter[str] = Counter()
+        oldest: dict[str, int] = {}
+        rates: Counter[CustomerId] = Counter()
+        for position, sums in every:
+            for head, count in sums.heads:
+                requests[head] += count
+                if places[position][3] >= places[oldest.get(head, position)][3]:
+                    oldest[head] = position
+            for customer, rate in sums.customers:
+                rates[CustomerId(customer)] += rate / MILLI  # type: ignore[assignment]
+        return FleetSums(
+            own.coordinator,
+            own.instances,
+            own.age_ms,
+            tuple(places),
+            tuple((h, min(n, MAX_REQUESTS), oldest[h]) for h, n in requests.items()),
+            tuple((*entry, position) for position, sums in every for entry in sums.models),
+            _largest(rates),
+        )
+
+    def _known_loads(
         self, sums: StateSums, demand_by_key: Mapping[ModelKey, ModelDemand], at: float
-    ) -> Mapping[ModelKey, Shares]:
-        """Return the next shares, which follow from the last ones, whoever has decided those."""
-        last = self._known.last_entry_by_key
-        previous = {key: shares_of(entry) for key, entry in last.items() if entry[6]}
-        others = {
-            place: parts for place, parts in self._known.current(at) if place != self._data_centre
-        }
+    ) -> KnownLoads:
+        """Return what the shares are decided on."""
+        others = self._known_sums.current(at)
         requests = Counter(sums.requests_by_head)
         for received in chain.from_iterable(others.values()):
             requests.update({UpstreamId(head): count for head, count in received.sums.heads})
@@ -153,8 +189,22 @@
             place: max(received.age(at) for received in parts) for place, parts in others.items()
         }
         age_by_place[self._data_centre] = 0.0
-        loads = KnownLoads(demand, age_by_place, requests, shares_by_place)
-        return self._decide(loads, previous, at)
+        return KnownLoads(demand, age_by_place, requests, shares_by_place)
+
+
+def _numbered(
+    parts_by_place: Iterable[list[ReceivedSums[LoadSums]]],
+) -> Iterator[tuple[int, LoadSums]]:
+    """Yield all sums with the position of their data centre; the own one is the first."""
+    for position, parts in enumerate(parts_by_place, 1):
+        for received in parts:
+            yield position, received.sums
+
+
+def _largest(rates: Mapping[CustomerId, float]) -> tuple[CustomerRateEntry, ...]:
+    """Return the customers with the most requests."""
+    ordered = sorted(rates, key=lambda customer: -rates[customer])[:MAX_SUMMED_CUSTOMERS]
+    return tuple((customer, _milli(rates[customer])) for customer in ordered)
 
 
 def _demand_entry(key: ModelKey, demand: ModelDemand, shares: Shares) -> DemandEntry:
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -15,13 +15,16 @@
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet.load_exchange._coordinator import Coordinator
 from cactuspass.fleet.load_exchange._coordinator_choice import (
+    SILENCE_SECONDS,
     CoordinatorChoice,
     order_coordinators,
 )
 from cactuspass.fleet.load_exchange._fleet_load import FleetLoad
+from cactuspass.fleet.load_exchange._known_fleet import KnownFleet
 from cactuspass.fleet.load_exchange._known_loads import ShareDecision, keep_shares
 from cactuspass.fleet.load_exchange._known_sums import KnownSums
 from cactuspass.fleet.load_exchange._messages import (
+    FleetSums,
     InstanceState,
     LoadSums,
     add_number,
@@ -34,6 +37,10 @@
 from cactuspass.models import DataCentreId, EntryId
 
 INTERVAL_SECONDS = 0.25
+MIN_STEP_SECONDS = 0.1
+# Time between a state and the sums that include it; states of many instances come spread over it.
+MIN_LEAD_SECONDS = 0.02
+MAX_LEAD_SECONDS = 0.07
 # For so long, ``latest`` is not computed again.
 LATEST_VALID_SECONDS = 0.1
 MAX_LIFETIME = 2**32
@@ -52,6 +59,7 @@
     :param send: sends a datagram to an address.
     :param decide: decides the shares of the data centre while this instance coordinates it.
     :param clock: returns the current clock value.
+    :ivar next_step_at: clock value of the next step.
     """
 
     def __init__(
@@ -80,8 +88,11 @@
         self._clock = clock
         self._own = OwnStates(cluster_state, loads, meter, rng.randrange(MAX_LIFETIME), clock())
         self._choice = CoordinatorChoice(instance)
-        self._known = KnownSums(data_centre)
-        self._coordinator = Coordinator(instance, data_centre, self._known, decide)
+        self._known = KnownFleet(data_centre)
+        self._known_sums = KnownSums()
+        self._coordinator = Coordinator(
+            instance, data_centre, self._known, self._known_sums, decide
+        )
         # Plain counts, since a coordinator sends over a thousand datagrams per second.
         self._sent_by_kind: Counter[str] = Counter()
         self._received_by_kind: Counter[str] = Counter()
@@ -97,7 +108,9 @@
         self._peers: tuple[Peer, ...] | None = None
         self._peers_by_address: Mapping[str, Peer] = {}
         self._local: list[Peer] = []
-        self._is_first_step = True
+        self.next_step_at = clock() + INTERVAL_SECONDS * rng.random()
+        self._lead_seconds = rng.uniform(MIN_LEAD_SECONDS, MAX_LEAD_SECONDS)
+        self._sums_at: float | None = None  # last sums of the coordinator in use
 
     @property
     def is_on(self) -> bool:
@@ -119,15 +132,14 @@
         return self._chosen
 
     async def step(self) -> None:
-        """Exchange loads once; the steps of different instances are spread over the interval."""
-        share = self._rng.random() if self._is_first_step else 1.0
-        self._is_first_step = False
-        await asyncio.sleep(INTERVAL_SECONDS * share)
+        """Exchange loads once."""
+        await asyncio.sleep(self.next_step_at - self._clock())
         self.exchange()
 
     def exchange(self) -> None:
         """Send the own state to the coordinator or, if that is this instance, the sums to all."""
         at = self._clock()
+        self.next_step_at = self._find_next_step(at)
         self._has_backlog(at)
         if not self.is_on:
             self._note_chosen(None)
@@ -148,6 +160,20 @@
                 self._send_to(peer, add_number(number, body), state.kind)
         self._note_places(at)
 
+    def _find_next_step(self, at: float) -> float:
+        """Return the clock value of the step after the present one.
+
+        It is shortly before the next sums of the coordinator are expected, so that the state does
+        not wait for them.
+        """
+        step = max(self.next_step_at + INTERVAL_SECONDS, at + MIN_STEP_SECONDS)
+        if self._sums_at is None or at - self._sums_at > SILENCE_SECONDS:
+            return step
+        expected = self._sums_at + INTERVAL_SECONDS - self._lead_seconds
+        while expected < at + MIN_STEP_SECONDS:
+            expected += INTERVAL_SECONDS
+        return expected
+
     def receive(self, datagram: bytes, address: str) -> None:
         """Process a datagram of another instance.
 
@@ -171,14 +197,19 @@
         if isinstance(message, InstanceState):
             if not self._coordinator.record_state(sender, number, message, at):
                 self._drop_sender(sender, "impossible")
+        elif isinstance(message, LoadSums):
+            self._receive_sums(sender, message, at)
         else:
-            self._receive_sums(sender, number, message, datagram, at)
+            self._receive_fleet_sums(sender, number, message, at)
 
     def page(self) -> tuple[int, bytes]:
         """Return the status and body of the page that shows the loads."""
         at = self._clock()
-        current = dict(self._known.current(at)) if self.is_on else {}
-        return 200, load_page(current, self._chosen, at - self._chosen_at, self.latest, at)
+        places = [part.sums.places for part in self._known.current(at)][:1]
+        ages = self._known.ages_by_place(at)
+        return 200, load_page(
+            places[0] if places else (), ages, self._chosen, at - self._chosen_at, self.latest
+        )
 
     def update_metrics(self) -> None:
         """Set the metrics of the exchange."""
@@ -192,8 +223,7 @@
         at = self._clock()
         self._metrics.coordinates_loads.set(self._chosen == self._instance)
         self._metrics.load_age.clear()
-        for place, parts in self._known.current(at):
-            age = max(received.age(at) for received in parts)
+        for place, age in self._known.ages_by_place(at).items():
             self._metrics.load_age.labels(place).set(age)
 
     def _coordinate(self, number: int, state: InstanceState, at: float) -> None:
@@ -201,36 +231,39 @@
         if at - self._chosen_at < INTERVAL_SECONDS / 2:
             return  # The other instances have not sent their states yet.
         sums = self._coordinator.sum_up(at, at - self._chosen_at)
-        self._known.record(number, sums, at)
-        bodies = encode_bodies(sums)
+        fleet_sums = self._coordinator.merge(sums, at)
+        self._known.record(number, fleet_sums, at)
+        bodies = encode_bodies(fleet_sums)
         for peer in self._local:
             if peer.instance != self._instance:
                 counted = self._coordinator.counted_number(peer.instance)
                 for body in bodies:
-                    self._send_to(peer, add_number(counted, body), sums.kind)
-        for peer in self._coordinator.other_coordinators(at):
-            for body in bodies:
-                self._send_to(peer, add_number(0, body), sums.kind)
+                    self._send_to(peer, add_number(counted, body), fleet_sums.kind)
+        datagrams = [add_number(0, body) for body in encode_bodies(sums)]
+        for peer, datagram in product(self._coordinator.other_coordinators(at), datagrams):
+            self._send_to(peer, datagram, sums.kind)
 
-    def _receive_sums(
-        self, sender: Peer, number: int, sums: LoadSums, datagram: bytes, at: float
-    ) -> None:
-        """Record sums; forward those of another data centre if this instance is the coordinator."""
-        is_of_sender = sums.data_centre == sender.data_centre
-        is_direct = is_of_sender and sums.coordinator == sender.instance
-        is_forwarded = not is_of_sender and sender.data_centre == self._data_centre
-        if not is_direct and not is_forwarded:
+    def _receive_sums(self, sender: Peer, sums: LoadSums, at: float) -> None:
+        """Record the sums of another data centre, which the coordinator passes on."""
+        is_of_sender = (sums.data_centre, sums.coordinator) == (
+            sender.data_centre,
+            sender.instance,
+        )
+        if not is_of_sender or sender.data_centre == self._data_centre:
+            self._drop_sender(sender, "inconsistent")
+            return
+        self._known_sums.record(sums, at)
+        self._coordinator.note_other(sender, at)
+
+    def _receive_fleet_sums(self, sender: Peer, number: int, sums: FleetSums, at: float) -> None:
+        """Record the sums of the fleet from a coordinator of the own data centre."""
+        if sums.coordinator != sender.instance or sender.data_centre != self._data_centre:
             self._drop_sender(sender, "inconsistent")
             return
         self._known.record(number, sums, at)
-        if is_direct and sender.data_centre == self._data_centre:
-            self._choice.note_heard(sender.instance, at)
-        elif is_direct:
-            self._coordinator.note_other(sender, at)
-            if self._chosen == self._instance:
-                for peer in self._local:
-                    if peer.instance != self._instance:
-                        self._send_to(peer, datagram, sums.kind)
+        self._choice.note_heard(sender.instance, at)
+        if sender.instance == self._chosen:
+            self._sums_at = at
 
     def _send_to(self, peer: Peer, datagram: bytes, kind: str) -> None:
         if peer.address is not None:
@@ -241,6 +274,7 @@
         """Drop a message that cannot be right, and what its sender has said before."""
         self._coordinator.remove(sender.instance)
         self._known.remove(sender.instance)
+        self._known_sums.remove(sender.instance)
         self._drop(reason, sender.instance)
 
     def _drop(self, reason: str, peer: str) -> None:
@@ -282,7 +316,7 @@
 
     def _note_places(self, at: float) -> None:
         """Log the data centres whose sums have come or have become too old."""
-        places = frozenset(place for place, _ in self._known.current(at))
+        places = frozenset(self._known.ages_by_place(at))
         for place in places ^ self._known_places:
             self._log.state_change("load-sums", data_centre=place, known=place in places)
         self._known_places = places
--- a/src/cactuspass/fleet/load_exchange/_messages.py
+++ b/src/cactuspass/fleet/load_exchange/_messages.py
@@ -17,6 +17,7 @@
 MAX_DATAGRAM_BYTES = 1200
 MAX_PREFIX_BYTES = 10  # of the array and the number
 MAX_PARTS = 16
+MAX_PLACES = 64
 MAX_COUNT = 2**40
 MAX_REQUESTS = 1_000_000
 MAX_REQUESTS_OF_INSTANCE = 10_000  # above the descriptors of any instance
@@ -31,6 +32,7 @@
 RateMilli = Annotated[int, Field(strict=True, ge=0, le=MAX_PER_SECOND_MILLI)]
 Permille = Annotated[int, Field(strict=True, ge=0, le=1000)]
 Milliseconds = Annotated[int, Field(strict=True, ge=0, le=MAX_MILLISECONDS)]
+Position = Annotated[int, Field(strict=True, ge=0, lt=MAX_PLACES)]
 Parts = Annotated[int, Field(strict=True, ge=1, le=MAX_PARTS)]
 
 # The head of a group and requests there, from one instance or from all of a data centre.
@@ -45,6 +47,14 @@
 DemandEntry = tuple[
     Name, Name, RateMilli, RateMilli, Permille, Milliseconds, tuple[ShareEntry, ...]
 ]
+# The same, and the position of the data centre among the places.
+FleetDemandEntry = tuple[
+    Name, Name, RateMilli, RateMilli, Permille, Milliseconds, tuple[ShareEntry, ...], Position
+]
+# A head, requests there, and the position of the place whose sums among these are the oldest.
+FleetHeadEntry = tuple[Name, Requests, Position]
+# Data centre, coordinator, instances that are counted, and age.
+PlaceEntry = tuple[Name, Name, Count, Milliseconds]
 CustomerRateEntry = tuple[Name, RateMilli]
 
 
@@ -70,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadSums:
-    """The sums of one data centre, sent by its coordinator and forwarded by other ones.
+    """The sums of one data centre, sent by its coordinator to those of the other ones.
 
     :param instances: number of instances whose states are counted.
     :param age_ms: mean age of these states.
@@ -89,8 +99,30 @@
     kind: Literal["load-sums"] = "load-sums"
 
 
-LoadMessage = InstanceState | LoadSums
-M = TypeVar("M", InstanceState, LoadSums)
+@dataclass(frozen=True, slots=True)
+class FleetSums:
+    """The sums of all data centres, sent by a coordinator to the instances of its own.
+
+    :param instances: number of instances of the own data centre whose states are counted.
+    :param age_ms: mean age of these states.
+    :param places: the data centres that are known, the same in all parts.
+    :param part: see :class:`InstanceState`.
+    """
+
+    coordinator: Name
+    instances: Count
+    age_ms: Milliseconds
+    places: tuple[PlaceEntry, ...]
+    heads: tuple[FleetHeadEntry, ...] = ()
+    models: tuple[FleetDemandEntry, ...] = ()
+    customers: tuple[CustomerRateEntry, ...] = ()
+    part: Count = 0
+    parts: Parts = 1
+    kind: Literal["load-fleet"] = "load-fleet"
+
+
+LoadMessage = InstanceState | LoadSums | FleetSums
+M = TypeVar("M", InstanceState, LoadSums, FleetSums)
 _BODY_CODEC: DatagramCodec[LoadMessage] = DatagramCodec(
     TypeAdapter(LoadMessage), MAX_DATAGRAM_BYTES - MAX_PREFIX_BYTES
 )
@@ -125,7 +157,17 @@
 def decode(datagram: bytes) -> tuple[int, LoadMessage] | None:
     """Return the number and the message in a datagram; None if it is invalid."""
     found = _CODEC.decode(datagram)
-    return found if found is not None and found[1].part < found[1].parts else None
+    return found if found is not None and _is_consistent(found[1]) else None
+
+
+def _is_consistent(message: LoadMessage) -> bool:
+    """Return whether the positions in a message exist."""
+    if message.part >= message.parts:
+        return False
+    if not isinstance(message, FleetSums):
+        return True
+    count = len(message.places)
+    return all(e[7] < count for e in message.models) and all(e[2] < count for e in message.heads)
 
 
 def _select_part(message: M, part: int, parts: int) -> M:
--- a/src/cactuspass/fleet/load_exchange/_rows.py
+++ b/src/cactuspass/fleet/load_exchange/_rows.py
@@ -6,7 +6,7 @@
 from cactuspass._output import as_table
 from cactuspass._rows import RowSet, row_set
 from cactuspass.fleet.load_exchange._fleet_load import FleetLoad
-from cactuspass.fleet.load_exchange._known_sums import ReceivedSums
+from cactuspass.fleet.load_exchange._messages import PlaceEntry
 from cactuspass.models import DataCentreId, EntryId
 
 LOAD_PATH = "/load"
@@ -52,38 +52,35 @@
 
 
 def load_page(
-    current: Mapping[DataCentreId, Sequence[ReceivedSums]],
+    places: Sequence[PlaceEntry],
+    ages_by_place: Mapping[DataCentreId, float],
     coordinator: EntryId | None,
     seconds: float,
     load: FleetLoad | None,
-    at: float,
 ) -> bytes:
     """Return the page of an instance that shows the loads.
 
-    :param current: the sums in use.
+    :param places: the data centres that are known.
     :param coordinator: the coordinator that the instance uses; None while nothing is exchanged.
     :param seconds: time since it does so.
     """
     if coordinator is None:
         return f"nothing is exchanged, since {seconds:.1f} s\n".encode()
-    tables = [f"coordinator {coordinator}, since {seconds:.1f} s", as_table(_sums(current, at))]
+    tables = [
+        f"coordinator {coordinator}, since {seconds:.1f} s",
+        as_table(_sums(places, ages_by_place)),
+    ]
     if load is not None:
         tables += [as_table(_demand(load)), as_table(_heads(load))]
     return ("\n\n".join(tables) + "\n").encode()
 
 
-def _sums(current: Mapping[DataCentreId, Sequence[ReceivedSums]], at: float) -> RowSet:
-    newest = (max(parts, key=lambda part: part.at) for _, parts in sorted(current.items()))
+def _sums(places: Sequence[PlaceEntry], ages_by_place: Mapping[DataCentreId, float]) -> RowSet:
     return row_set(
         SumsRow,
         (
-            SumsRow(
-                part.sums.data_centre,
-                part.sums.coordinator,
-                part.sums.instances,
-                round(part.age(at), 2),
-            )
-            for part in newest
+            SumsRow(place, coordinator, instances, round(ages_by_place[DataCentreId(place)], 2))
+            for place, coordinator, instances, _ in sorted(places)
         ),
     )
 
