--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -97,6 +97,7 @@
         self._sent_by_kind: Counter[str] = Counter()
         self._received_by_kind: Counter[str] = Counter()
         self._dropped_by_reason: Counter[str] = Counter()
+        self._fleet_parts = 1  # of the last sums sent to the instances
         self._logged_at_by_reason: dict[str, float] = {}
         self._active_at = clock()
         self._backlog_until = float("-inf")
@@ -233,12 +234,13 @@
         sums = self._coordinator.sum_up(at, at - self._chosen_at)
         fleet_sums = self._coordinator.merge(sums, at)
         self._known.record(number, fleet_sums, at)
-        bodies = encode_bodies(fleet_sums)
+        bodies = encode_bodies(fleet_sums, self._fleet_parts)
         for peer in self._local:
             if peer.instance != self._instance:
                 counted = self._coordinator.counted_number(peer.instance)
                 for body in bodies:
                     self._send_to(peer, add_number(counted, body), fleet_sums.kind)
+        self._fleet_parts = len(bodies)
         datagrams = [add_number(0, body) for body in encode_bodies(sums)]
         for peer, datagram in product(self._coordinator.other_coordinators(at), datagrams):
             self._send_to(peer, datagram, sums.kind)
