Replace split sums as a whole, and count customers of all services

Cause: receivers dropped all parts when the number of parts changed, so that heads looked idle until the others came; an answer with a server error counted as time at an engine.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -201,7 +201,7 @@
         active.exchange.abort()
         active.end_trial()
         self.dependencies.loads.record_end(active.upstream.upstream_id)
-        if active.has_begun:
+        if active.has_begun and self.has_begun:
             self.dependencies.meter.note_ended(self.model_key, now() - active.sent_at)
 
     def process_head(self, active: ActiveAttempt, head: AnswerHead) -> AnswerNotes:
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -48,6 +48,8 @@
 # dropped for a time in which all of them are read.
 PAUSE_SECONDS = 0.75
 BACKLOG_SECONDS = 0.2
+# The number of parts of the sums falls only that often, since receivers wait for all of them.
+PARTS_KEPT_SECONDS = 10.0
 MIN_LOG_INTERVAL_SECONDS = 10.0  # of lines on dropped messages, for each reason
 
 
@@ -98,6 +100,7 @@
         self._received_by_kind: Counter[str] = Counter()
         self._dropped_by_reason: Counter[str] = Counter()
         self._fleet_parts = 1  # of the last sums sent to the instances
+        self._parts_tried_at = clock()
         self._logged_at_by_reason: dict[str, float] = {}
         self._active_at = clock()
         self._backlog_until = float("-inf")
@@ -234,6 +237,8 @@
         sums = self._coordinator.sum_up(at, at - self._chosen_at)
         fleet_sums = self._coordinator.merge(sums, at)
         self._known.record(number, fleet_sums, at)
+        if at - self._parts_tried_at > PARTS_KEPT_SECONDS:
+            self._fleet_parts, self._parts_tried_at = 1, at
         bodies = encode_bodies(fleet_sums, self._fleet_parts)
         for peer in self._local:
             if peer.instance != self._instance:
--- a/src/cactuspass/fleet/load_exchange/_messages.py
+++ b/src/cactuspass/fleet/load_exchange/_messages.py
@@ -137,14 +137,14 @@
     return datagram.startswith(ARRAY_OF_TWO)
 
 
-def encode_bodies(message: M, last_parts: int = 1) -> list[bytes]:
+def encode_bodies(message: M, min_parts: int = 1) -> list[bytes]:
     """Return the bodies of a message, split into as many parts as its size requires.
 
     Entries for which ``MAX_PARTS`` are too few are left out.
 
-    :param last_parts: parts of the message before this one, to save attempts.
+    :param min_parts: smallest number of parts to try.
     """
-    for parts in range(max(1, last_parts - 1), MAX_PARTS + 1):
+    for parts in range(min_parts, MAX_PARTS + 1):
         bodies = [_BODY_CODEC.encode(_select_part(message, part, parts)) for part in range(parts)]
         if None not in bodies:
             break
--- a/src/cactuspass/fleet/load_exchange/_request_meter.py
+++ b/src/cactuspass/fleet/load_exchange/_request_meter.py
@@ -63,11 +63,10 @@
 
         :param customer: None for a request without a customer.
         """
-        if (counters := self._counters(key)) is None:
-            return
-        if is_in_time:
+        counters = self._counters(key)
+        if counters is not None and is_in_time:
             counters.begun_in_time += 1
-        else:
+        elif counters is not None:
             counters.begun_late += 1
         known = self.begun_by_customer
         if customer is not None and (customer in known or len(known) < MAX_CUSTOMERS):
--- a/src/cactuspass/fleet/load_exchange/_sum_sources.py
+++ b/src/cactuspass/fleet/load_exchange/_sum_sources.py
@@ -58,10 +58,28 @@
 
 @dataclass(slots=True)
 class _Source(Generic[S]):
-    """The last sums of a coordinator, by part."""
+    """The last sums of a coordinator, by part.
+
+    When the number of parts changes, the new ones are used once all of them have come.
+    """
 
     parts: int
     received_by_part: dict[int, ReceivedSums[S]] = field(default_factory=dict)
+    next_parts: int = 0
+    next_by_part: dict[int, ReceivedSums[S]] = field(default_factory=dict)
+
+    def add(self, received: ReceivedSums[S]) -> None:
+        """Add a part that was received."""
+        sums = received.sums
+        if sums.parts == self.parts:
+            self.received_by_part[sums.part] = received
+            return
+        if sums.parts != self.next_parts:
+            self.next_parts, self.next_by_part = sums.parts, {}
+        self.next_by_part[sums.part] = received
+        if len(self.next_by_part) == sums.parts:
+            self.parts, self.received_by_part = self.next_parts, self.next_by_part
+            self.next_parts, self.next_by_part = 0, {}
 
     def rank(self, at: float) -> tuple[bool, int, float]:
         """Return what to compare with rival coordinators."""
@@ -80,9 +98,9 @@
         """Record sums that were received."""
         coordinator = EntryId(sums.coordinator)
         source = self._sources.get(coordinator)
-        if source is None or source.parts != sums.parts:
+        if source is None:
             source = self._sources[coordinator] = _Source(sums.parts)
-        source.received_by_part[sums.part] = ReceivedSums(sums, number, at)
+        source.add(ReceivedSums(sums, number, at))
 
     def remove(self, coordinator: EntryId) -> None:
         """Remove the sums of a coordinator."""
--- a/tests/test_fleet_exchanging_instances.py
+++ b/tests/test_fleet_exchanging_instances.py
@@ -77,7 +77,7 @@
 
     # Guards against demand that vanishes while all engines are full.
     async def test_rejected_request_is_an_arrival_without_time_at_an_engine(self) -> None:
-        upstreams = await self.start([answer("503 Full", b"", NOT_RUN)])
+        upstreams = await self.start([answer("503 Full", b"full", NOT_RUN)])
         meter = await self.serve(upstreams)
         (counters,) = meter.counters_by_key.values()
         self.assertEqual((counters.arrivals, counters.refused, counters.ended), (1, 1, 0))
--- a/tests/test_fleet_load_exchange.py
+++ b/tests/test_fleet_load_exchange.py
@@ -11,10 +11,12 @@
 from cactuspass.fleet.load_exchange._fleet_load import DemandKey, FleetLoad
 from cactuspass.fleet.load_exchange._messages import (
     MAX_DATAGRAM_BYTES,
+    FleetSums,
     InstanceState,
     add_number,
     encode_bodies,
 )
+from cactuspass.fleet.load_exchange._sum_sources import SumSources
 from cactuspass.models import CustomerId, DataCentreId
 from tests.fleet_path import recording_log
 from tests.load_world import KEY, MODEL, SERVICE, ExchangeInstance, LoadWorld, head_id
@@ -79,6 +81,19 @@
         world.on_tick.append(change)
         world.run(5.0)
 
+    # Guards against heads that look idle while sums are split into another number of parts.
+    def test_sums_whose_number_of_parts_changes_are_replaced_as_a_whole(self) -> None:
+        sources: SumSources[FleetSums] = SumSources()
+
+        def record(part: int, parts: int, at: float) -> int:
+            sums = FleetSums("a-0", 4, 0, (("a", "a-0", 4, 0),), part=part, parts=parts)
+            sources.record(1, sums, at)
+            return len(sources.current(at))
+
+        self.assertEqual([record(part, 2, 0.0) for part in (0, 1)], [1, 2])
+        self.assertEqual([record(part, 3, 0.25) for part in (0, 2, 1)], [2, 2, 3])
+        self.assertEqual([record(0, 1, 0.5), record(2, 3, 0.75)], [1, 1])
+
     def test_states_too_large_for_a_datagram_are_known_whole(self) -> None:
         world = LoadWorld(per_place=3)
         heads = [head_id("a", number) for number in range(2, 150)]
