--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -21,6 +21,7 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Dispatcher, RequestActivity
+from cactuspass.fleet._exchanged_loads import create_load_exchange, create_meter
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
@@ -44,8 +45,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.load_exchange import LOAD_PATH, LoadExchange, ModelKey, RequestMeter
-from cactuspass.fleet.spill import ShareDecider
+from cactuspass.fleet.load_exchange import LOAD_PATH
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -148,8 +148,17 @@
             lambda: self.cluster_state.blocks.snapshot,
             lambda: self._presence.term is not None,
         )
-        meter = RequestMeter(self._is_declared_model)
-        self._load_exchange = self._create_load_exchange(meter, rng)
+        meter = create_meter(self.cluster_state)
+        self._load_exchange = create_load_exchange(
+            settings,
+            self.cluster_state,
+            self._loads,
+            meter,
+            lambda address, datagram: self._hints.send_datagram(address, datagram),
+            log,
+            metrics,
+            rng,
+        )
         dependencies = RequestDependencies(
             adapter.request_format,
             selector,
@@ -267,40 +276,10 @@
             )
         )
 
-    def _create_load_exchange(self, meter: RequestMeter, rng: random.Random) -> LoadExchange | None:
-        """Return the load exchange; None if the settings do not enable it."""
-        settings = self._settings
-        if settings.load_exchange is None or settings.listeners.peers is None:
-            return None
-        data_centre = DataCentreId(settings.instance.data_centre)
-        return LoadExchange(
-            EntryId(settings.instance.name),
-            data_centre,
-            settings.load_exchange.min_instances,
-            self.cluster_state,
-            self._loads,
-            meter,
-            lambda address, datagram: self._hints.send_datagram(address, datagram),
-            self._log,
-            self._metrics,
-            rng,
-            ShareDecider(self.cluster_state, data_centre, self._log).decide,
-        )
-
     def _receive_load_datagram(self, datagram: bytes, address: str) -> None:
         if self._load_exchange is not None:
             self._load_exchange.receive(datagram, address)
 
-    def _is_declared_model(self, key: ModelKey) -> bool:
-        """Return whether a service with engines declares a model."""
-        index = self.cluster_state.catalog_index
-        service = index.catalog.services_by_id.get(key[0]) if index is not None else None
-        return (
-            service is not None
-            and service.engine is not None
-            and (key[1] in service.engine.models_by_id)
-        )
-
     async def start(self) -> None:
         """Start all components, then listen for callers, whom a failed start would leave."""
         for page in self._pages:
--- a/src/cactuspass/fleet/load_exchange/_exchange.py
+++ b/src/cactuspass/fleet/load_exchange/_exchange.py
@@ -210,9 +210,13 @@
         """Return the status and body of the page that shows the loads."""
         at = self._clock()
         places = [part.sums.places for part in self._known.current(at)][:1]
-        ages = self._known.ages_by_place(at)
         return 200, load_page(
-            places[0] if places else (), ages, self._chosen, at - self._chosen_at, self.latest
+            places[0] if places else (),
+            self._known.ages_by_place(at),
+            self._instance,
+            self._chosen,
+            at - self._chosen_at,
+            self.latest,
         )
 
     def update_metrics(self) -> None:
--- a/src/cactuspass/fleet/load_exchange/_rows.py
+++ b/src/cactuspass/fleet/load_exchange/_rows.py
@@ -54,6 +54,7 @@
 def load_page(
     places: Sequence[PlaceEntry],
     ages_by_place: Mapping[DataCentreId, float],
+    instance: EntryId,
     coordinator: EntryId | None,
     seconds: float,
     load: FleetLoad | None,
@@ -61,13 +62,15 @@
     """Return the page of an instance that shows the loads.
 
     :param places: the data centres that are known.
+    :param instance: the instance itself.
     :param coordinator: the coordinator that the instance uses; None while nothing is exchanged.
     :param seconds: time since it does so.
     """
     if coordinator is None:
         return f"nothing is exchanged, since {seconds:.1f} s\n".encode()
+    own = " (this instance)" if coordinator == instance else ""
     tables = [
-        f"coordinator {coordinator}, since {seconds:.1f} s",
+        f"coordinator {coordinator}{own}, since {seconds:.1f} s",
         as_table(_sums(places, ages_by_place)),
     ]
     if load is not None:
--- a/tests/test_fleet_load_exchange.py
+++ b/tests/test_fleet_load_exchange.py
@@ -305,10 +305,11 @@
         world = LoadWorld()
         self.spread(world)
         self.run_demand(world, 3.0)
-        status, page = world.at_place("a")[0].exchange.page()
         (name,) = world.coordinators("a")
+        assert name is not None
+        status, page = world.instances[name].exchange.page()
         self.assertEqual(status, 200)
-        for text in (f"coordinator {name}", "data_centre", MODEL, head_id("b", 1)):
+        for text in (f"coordinator {name} (this instance)", "data_centre", MODEL, head_id("b", 1)):
             self.assertIn(text, page.decode())
 
 
