--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -227,7 +227,7 @@
         active.exchange.abort()
         active.end_trial()
         self._record_end(active.upstream)
-        if active.has_begun:
+        if active.has_begun and self.has_begun:
             self.dependencies.meter.note_ended(self.model_key, now() - active.sent_at)
 
     def _record_end(self, upstream: Upstream) -> None:
