Keep noise from adding upstreams, and take no number that is still registering

Numbers are taken as ordered only once no further upstream has registered for 3 s and at least the limit is there, so that a new leader does not order what is left of a data centre that comes back. 31 tests pass.

--- a/src/cactuspass/fleet/autoscaling/_autoscaler.py
+++ b/src/cactuspass/fleet/autoscaling/_autoscaler.py
@@ -84,6 +84,7 @@
         if term != self._last_term:
             self._last_term = term
             self._metrics.wanted_upstreams.clear()
+            self._metrics.offered_groups.clear()
             for scaling in self._scaling_by_service.values():
                 scaling.forget_orders()
         for service in scaled.values():
--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -5,7 +5,7 @@
 
 from cactuspass.fleet._offered_load import WAVE_SECONDS
 from cactuspass.fleet.autoscaling._group_counts import GroupCounts
-from cactuspass.fleet.autoscaling._reduction import find_reduction
+from cactuspass.fleet.autoscaling._reduction import SPARES_IN_DOMAIN, find_reduction
 from cactuspass.fleet.autoscaling._scaling_input import DataCentreHosts, ScalingInput
 from cactuspass.models import DataCentreId
 
@@ -14,6 +14,7 @@
 MAX_PEAK_FACTOR = 1.5
 # A partition or an evacuation that ends sooner is over before an additional upstream would serve.
 LOST_SECONDS = 5.0
+STABLE_SECONDS = 3.0  # without a further upstream in a data centre
 LOST_SHARE = 0.5  # of the upstreams that were registered before
 # Time in which the platform replaces lost upstreams, in addition to the time that they boot.
 REPLACEMENT_SECONDS = 10.0
@@ -25,6 +26,7 @@
 # spent already.
 KEPT_AFTER_GROWTH_SECONDS = 30.0
 KEPT_AFTER_RETURN_SECONDS = 15.0  # a data centre that was out may be out again
+LIMITS_REASON = "the limits have changed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,8 @@
         self.wanted_by_data_centre: dict[DataCentreId, int] = {}
         self._ordered_by_data_centre: dict[DataCentreId, int] = {}
         self._seen_by_data_centre: dict[DataCentreId, int] = {}
+        self._risen_at: dict[DataCentreId, float] = {}
+        self._unknown_since: dict[DataCentreId, float] = {}
         self._out_since: dict[DataCentreId, float] = {}
         self._last_out_at = float("-inf")
         self._short_since: dict[DataCentreId, float] = {}
@@ -85,6 +89,8 @@
         self._observe(scaling_input)
         if scaling_input.known_seconds < MIN_KNOWN_SECONDS:
             return ScalingDecision(held_for="the demand is not known yet")
+        if not self.wanted_by_data_centre:
+            return ScalingDecision(held_for="upstreams are registering")
         available = self._available(scaling_input)
         reason = self._grow(scaling_input, available)
         held_for = "upstreams were added" if reason else ""
@@ -103,24 +109,38 @@
         self._ordered_by_data_centre = dict(self.wanted_by_data_centre)
         covers_loss = self._covers_loss(scaling_input, available)
         return tuple(
-            CountChange(data_centre, count, before.get(data_centre), reason, covers_loss)
+            CountChange(
+                data_centre, count, before.get(data_centre), reason or LIMITS_REASON, covers_loss
+            )
             for data_centre, count in self.wanted_by_data_centre.items()
             if before.get(data_centre) != count
         )
 
     def _adopt(self, scaling_input: ScalingInput) -> bool:
-        """Take the registered numbers as wanted, where none is; return whether there were any."""
-        limits = scaling_input.limits
-        registered = {
-            hosts.data_centre: hosts.count
-            for hosts in scaling_input.data_centres
-            if hosts.data_centre not in self.wanted_by_data_centre
-        }
+        """Take the registered numbers as wanted, where none is; return whether there were any.
+
+        Fewer than the limit are not all that the platform holds, and neither are those of a data
+        centre whose upstreams are registering.
+        """
+        limits, at = scaling_input.limits, scaling_input.at
+        adopted: dict[DataCentreId, int] = {}
+        for hosts in scaling_input.data_centres:
+            data_centre, count = hosts.data_centre, hosts.count
+            if count > self._seen_by_data_centre.get(data_centre, 0):
+                self._seen_by_data_centre[data_centre] = count
+                self._risen_at[data_centre] = at
+            is_new = data_centre not in self.wanted_by_data_centre
+            is_stable = at - self._risen_at.get(data_centre, at) >= STABLE_SECONDS
+            _note_since(self._unknown_since, data_centre, is_new, at)
+            if is_new and is_stable and count >= limits.min_count:
+                adopted[data_centre] = count
         self.wanted_by_data_centre = {
             data_centre: max(limits.min_count, min(limits.max_count, count))
-            for data_centre, count in (self.wanted_by_data_centre | registered).items()
+            for data_centre, count in (self.wanted_by_data_centre | adopted).items()
         }
-        return bool(registered)
+        for data_centre in adopted:
+            del self._unknown_since[data_centre]
+        return bool(adopted)
 
     def _with_empty(self, scaling_input: ScalingInput) -> ScalingInput:
         """Add the data centres without any upstream, for which a number was ordered."""
@@ -132,10 +152,11 @@
         """Note since when data centres are out or lack upstreams, and the last step is over."""
         at = scaling_input.at
         for hosts in scaling_input.data_centres:
-            data_centre, wanted = hosts.data_centre, self.wanted_by_data_centre[hosts.data_centre]
-            seen = min(wanted, max(hosts.count, self._seen_by_data_centre.get(data_centre, 0)))
-            self._seen_by_data_centre[data_centre] = seen
-            is_lost = hosts.count < LOST_SHARE * seen
+            data_centre = hosts.data_centre
+            seen = self._seen_by_data_centre.get(data_centre, 0)
+            wanted = self.wanted_by_data_centre.get(data_centre, seen)
+            self._seen_by_data_centre[data_centre] = min(wanted, seen)
+            is_lost = hosts.count < LOST_SHARE * min(wanted, seen)
             _note_since(self._out_since, data_centre, hosts.is_evacuated or is_lost, at)
             _note_since(self._short_since, data_centre, hosts.count < wanted, at)
         if self._out_since:
@@ -162,14 +183,15 @@
         ]
 
     def _seconds_out(self, data_centre: DataCentreId, at: float) -> float:
-        return at - self._out_since.get(data_centre, at)
+        since = (self._out_since.get(data_centre, at), self._unknown_since.get(data_centre, at))
+        return at - min(since)
 
     def _has_just_grown(self, scaling_input: ScalingInput) -> bool:
         return scaling_input.at - self._grew_at < KEPT_AFTER_GROWTH_SECONDS
 
     def _counted(self, scaling_input: ScalingInput, hosts: DataCentreHosts) -> int:
         """Return the upstreams of a data centre that count as capacity now or soon."""
-        wanted = self.wanted_by_data_centre[hosts.data_centre]
+        wanted = self.wanted_by_data_centre.get(hosts.data_centre, hosts.count)
         patience = scaling_input.limits.boot_seconds + REPLACEMENT_SECONDS
         short_since = self._short_since.get(hosts.data_centre, scaling_input.at)
         if scaling_input.at - short_since < patience or self._has_just_grown(scaling_input):
@@ -185,18 +207,20 @@
         """Order more upstreams if the demand needs them; return why, or nothing."""
         required = GroupCounts.to_grow(scaling_input.needs, self._margin_count(available))
         counts = self._counts(scaling_input, available)
-        if required.fit(available, counts) and not self._lacks_groups(scaling_input, available):
+        fits = required.fit(available, counts, SPARES_IN_DOMAIN)
+        if fits and not self._lacks_groups(scaling_input, available):
             return ""
         target = GroupCounts.to_keep(scaling_input.needs, self._margin_count(available))
-        reason = f"needed: {required}"
-        if required.fit(available, counts):
+        lost = ", ".join(sorted(self._out_since))
+        reason = f"needed: {required}{f' without {lost}' if lost else ''}"
+        if fits:
             reason = f"the groups serve too few, needed: {required}"
             target = target.plus_one_of_each()
         grown = self._raise_until(target, scaling_input, available, counts)
         if not any(grown.values()):
             return ""
-        for data_centre, added in grown.items():
-            self.wanted_by_data_centre[data_centre] += added
+        for data_centre in grown.keys() & self.wanted_by_data_centre.keys():
+            self.wanted_by_data_centre[data_centre] += grown[data_centre]
         self._grew_at = scaling_input.at
         self._groups_short_since = None
         return reason
@@ -210,10 +234,12 @@
     ) -> dict[DataCentreId, int]:
         """Return how many upstreams to add to each data centre, to the smallest one first."""
         added = dict.fromkeys(counts, 0)
-        while not target.fit(available, {d: counts[d] + added[d] for d in counts}, spares=1):
+        while not target.fit(
+            available, {d: counts[d] + added[d] for d in counts}, SPARES_IN_DOMAIN
+        ):
             below_limit = [
                 data_centre
-                for data_centre in counts
+                for data_centre in counts.keys() & self.wanted_by_data_centre.keys()
                 if self.wanted_by_data_centre[data_centre] + added[data_centre]
                 < scaling_input.limits.max_count
             ]
@@ -244,6 +270,8 @@
             return f"the demand of {unheard} is not known"
         if self._has_just_grown(scaling_input):
             return "upstreams were added"
+        if self._unknown_since:
+            return f"upstreams are registering in {', '.join(sorted(self._unknown_since))}"
         if any(h.count > self.wanted_by_data_centre[h.data_centre] for h in available):
             return "upstreams are still to leave"
         if self._unsettled_since is not None and at - self._unsettled_since < MAX_CHANGING_SECONDS:
--- a/src/cactuspass/fleet/autoscaling/_group_counts.py
+++ b/src/cactuspass/fleet/autoscaling/_group_counts.py
@@ -15,7 +15,7 @@
 ROUNDING_TOLERANCE = 0.25  # of a group; less is not worth the price of a whole group
 # A lost group of a model with few groups is a large share of them, but costs as much as the margin.
 MAX_MARGIN_SHARE = 0.5
-GROWTH_MARGIN_SHARE = 0.5  # of the margin for lost groups; the rest keeps noise from adding groups
+GROWTH_MARGIN_SHARE = 1 / 3  # of the margin for lost groups; half of it lets noise add groups
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +45,8 @@
     @classmethod
     def to_grow(cls, needs: Iterable[ModelNeed], losses: int) -> "GroupCounts":
         """Return the groups below which upstreams are added."""
-        margin = losses * GROWTH_MARGIN_SHARE
-        return cls(tuple((need.spec, _with_margin(need.forecast, margin)) for need in needs))
+        share = GROWTH_MARGIN_SHARE
+        return cls(tuple((n.spec, _with_margin(n.forecast, losses, share)) for n in needs))
 
     def plus_one_of_each(self) -> "GroupCounts":
         """Return one more group of each model."""
@@ -86,5 +86,5 @@
     return max(MIN_GROUPS, ceil(groups - ROUNDING_TOLERANCE))
 
 
-def _with_margin(groups: float, losses: float) -> int:
-    return _round_up(groups + min(losses, MAX_MARGIN_SHARE * groups))
+def _with_margin(groups: float, losses: int, share: float = 1.0) -> int:
+    return _round_up(groups + share * min(losses, MAX_MARGIN_SHARE * groups))
