--- a/src/cactuspass/fleet/_offered_load.py
+++ b/src/cactuspass/fleet/_offered_load.py
@@ -12,7 +12,7 @@
 SMOOTHING_SECONDS = 2.0
 MAX_GAP_SECONDS = 5.0  # after a longer time without a sample, what came before counts as unknown
 MIN_RISE = 1.1  # between two waves; a smaller one may be noise
-MAX_FORECAST_FACTOR = 1.5
+MAX_FORECAST_FACTOR = 1.25  # a jump that is over looks like a rise
 
 
 def offered_concurrency(load: FleetLoad, service: ServiceId) -> dict[ModelId, float]:
--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -66,6 +66,7 @@
         self.wanted_by_data_centre: dict[DataCentreId, int] = {}
         self._ordered_by_data_centre: dict[DataCentreId, int] = {}
         self._seen_by_data_centre: dict[DataCentreId, int] = {}
+        self._count_by_data_centre: dict[DataCentreId, int] = {}
         self._risen_at: dict[DataCentreId, float] = {}
         self._unknown_since: dict[DataCentreId, float] = {}
         self._out_since: dict[DataCentreId, float] = {}
@@ -158,6 +159,9 @@
             self._seen_by_data_centre[data_centre] = min(wanted, seen)
             is_lost = hosts.count < LOST_SHARE * min(wanted, seen)
             _note_since(self._out_since, data_centre, hosts.is_evacuated or is_lost, at)
+            if hosts.count > self._count_by_data_centre.get(data_centre, 0):
+                self._short_since.pop(data_centre, None)  # the platform replaces lost ones
+            self._count_by_data_centre[data_centre] = hosts.count
             _note_since(self._short_since, data_centre, hosts.count < wanted, at)
         if self._out_since:
             self._last_out_at = at
