Send requests elsewhere before the own engines are full, and refuse nothing while others have room

It now keeps 70%, is short only when all are, and tries the others before a slot of its own that may still be in use. Time in queues is no longer taken for the time of a request.

--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -6,6 +6,9 @@
 
 from cactuspass.models import CustomerId, DataCentreId, ModelId, ServiceId
 
+# Of the time of a usual request at a full group; the requests of a model may be longer than usual.
+MAX_TIME_FACTOR = 1.5
+
 
 class RouteKind(Enum):
     """Kind of a route, which decides how far its requests may be retried."""
@@ -121,6 +124,15 @@
         model = model or ModelId("")
         return self.models_by_id.get(model) or ModelSpec(model, size=1)
 
+    def longest_mean_seconds(self, model: ModelId) -> float:
+        """Return the longest mean time of requests that run; what is above is time in a queue."""
+        if not self.usual_output_tokens:
+            return float("inf")
+        step = self.step_seconds + self.slots * self.step_seconds_per_request
+        prompt = self.usual_prompt_tokens / self.prompt_tokens_per_second
+        usual = self.model_spec(model).pace * (self.usual_output_tokens * step + prompt)
+        return MAX_TIME_FACTOR * usual
+
     def delay_between(self, first: DataCentreId, second: DataCentreId) -> float:
         """Return the seconds of one way between two data centres; 0 when not declared."""
         pair = {first, second}
--- a/src/cactuspass/fleet/_offered_load.py
+++ b/src/cactuspass/fleet/_offered_load.py
@@ -15,30 +15,16 @@
 MAX_FORECAST_FACTOR = 1.25  # a jump that is over looks like a rise
 
 
-# Of the time of a usual request at a full group; the requests of a model may be longer than usual.
-MAX_TIME_FACTOR = 1.5
-
-
 def offered_concurrency(load: FleetLoad, service: Service) -> dict[ModelId, float]:
     """Return the requests of each model that would run at once if none was refused or waited."""
     found: defaultdict[ModelId, float] = defaultdict(float)
     for key, demand in load.demand_by_key.items():
-        if key.service == service.service:
-            longest = longest_seconds(service.engine, key.model)
+        if key.service == service.service and service.engine is not None:
+            longest = service.engine.longest_mean_seconds(key.model)
             found[key.model] += demand.arrivals_per_second * min(demand.mean_seconds, longest)
     return dict(found)
 
 
-def longest_seconds(engine: EngineSpec | None, model: ModelId) -> float:
-    """Return the longest mean time of requests that run; what lies above is time in a queue."""
-    if engine is None or not engine.usual_output_tokens:
-        return float("inf")
-    step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
-    prompt = engine.usual_prompt_tokens / engine.prompt_tokens_per_second
-    usual = engine.model_spec(model).pace * (engine.usual_output_tokens * step + prompt)
-    return MAX_TIME_FACTOR * usual
-
-
 def asking_data_centres(load: FleetLoad, service: ServiceId) -> frozenset[DataCentreId]:
     """Return the data centres whose demand for a service is known."""
     return frozenset(key.data_centre for key in load.demand_by_key if key.service == service)
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -111,9 +111,12 @@
         is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
         shortage = view.shortage(self._data_centre, engine.request_seconds)
         if is_undecided:
-            is_passed = self._may_ask(request, prediction, admission, view, shortage)
-        else:
-            is_passed = True
+            self._note_arrival(request, prediction, admission, at)
+        is_passed = (
+            not is_undecided
+            or not self._is_short_everywhere(view, engine, shortage)
+            or self._may_ask(request, prediction, admission, view)
+        )
         found = self._find(view, request, engine, admission, shortage) if is_passed else None
         if found is None:
             return self._refusal(view, request, engine, prediction, shortage, is_passed)
@@ -123,20 +126,41 @@
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return Selection(found.upstream, wait, max_event_gap, prediction)
 
+    def _note_arrival(
+        self,
+        request: SelectionRequest,
+        prediction: Prediction,
+        admission: ModelAdmission,
+        at: float,
+    ) -> None:
+        seconds = self._request_seconds(request, prediction)
+        admission.note_arrival(request.priority, request.customer, request.route, seconds, at)
+
     def _may_ask(
         self,
         request: SelectionRequest,
         prediction: Prediction,
         admission: ModelAdmission,
         view: RoomView,
-        shortage: Shortage,
     ) -> bool:
-        """Count a request; return whether it may ask for room by its customer and its size."""
-        customer, route = request.customer, request.route
-        seconds = self.learnt_times.request_seconds(request.service, route, customer, prediction)
-        admission.note_arrival(request.priority, customer, route, seconds, view.at)
+        """Return whether a request may ask for room by its customer and its size."""
+        seconds = self._request_seconds(request, prediction)
         begun = view.fleet_load.begun_per_second_by_customer
-        return not shortage.is_short or admission.may_ask(customer, route, seconds, begun)
+        return admission.may_ask(request.customer, request.route, seconds, begun)
+
+    def _request_seconds(self, request: SelectionRequest, prediction: Prediction) -> float:
+        return self.learnt_times.request_seconds(
+            request.service, request.route, request.customer, prediction
+        )
+
+    def _is_short_everywhere(
+        self, view: RoomView, engine: EnginePrediction, here: Shortage
+    ) -> bool:
+        """Return whether neither this data centre nor another one has room for all."""
+        return here.is_short and all(
+            view.shortage(place, engine.request_seconds).is_short
+            for place in view.other_data_centres
+        )
 
     def _find(
         self,
@@ -157,18 +181,31 @@
             with_room = [head for head in view.heads_in(target) if head.free_slots >= 1]
             if with_room:
                 return choose_by_room(with_room, self._rng)
-        owned = view.owned_heads()
-        if owned and shortage.is_short:
-            interval = self._slot_interval(view, engine)
-            if not admission.leaves_reserve(request.priority, view.free_assigned_slots, interval):
-                return None
+        owned = self._usable_owned(view, request, engine, admission, shortage)
         with_room = [head for head in owned if head.free_slots > 0]
         if with_room:
             return choose_by_room(with_room, self._rng)
-        found = None if is_waiting else self._borrow(view, self._data_centre, shortage.lent_share)
-        if found is None and owned:
-            return choose_by_room(owned, self._rng)
-        return found or (None if is_waiting else self._borrow_elsewhere(view, engine))
+        if is_waiting:
+            return choose_by_room(owned, self._rng) if owned else None
+        found = self._borrow(view, self._data_centre, shortage.lent_share)
+        found = found or self._borrow_elsewhere(view, engine)
+        return found or (choose_by_room(owned, self._rng) if owned else None)
+
+    def _usable_owned(
+        self,
+        view: RoomView,
+        request: SelectionRequest,
+        engine: EnginePrediction,
+        admission: ModelAdmission,
+        shortage: Shortage,
+    ) -> list[Head]:
+        """Return the heads with a free assigned slot that more urgent requests don't need."""
+        owned = view.owned_heads()
+        if not owned or not shortage.is_short:
+            return owned
+        interval = self._slot_interval(view, engine)
+        is_left = admission.leaves_reserve(request.priority, view.free_assigned_slots, interval)
+        return owned if is_left else []
 
     def _find_again(self, view: RoomView, request: SelectionRequest) -> Head | None:
         """Return the head for a request that was admitted before; None without room.
--- a/src/cactuspass/fleet/choice/_room_view.py
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -47,7 +47,9 @@
 
         :param pace: factor applied to all times.
         """
-        return EnginePrediction.of(self.engine, pace, self.demand_in(self.data_centre).mean_seconds)
+        longest = self.engine.longest_mean_seconds(self.key[1])
+        measured = min(self.demand_in(self.data_centre).mean_seconds, longest)
+        return EnginePrediction.of(self.engine, pace, measured)
 
     def heads(self) -> list[Head]:
         """Return all heads."""
--- a/src/cactuspass/fleet/spill/_division.py
+++ b/src/cactuspass/fleet/spill/_division.py
@@ -7,10 +7,10 @@
 from cactuspass.models import DataCentreId
 
 # Shares of the slots, below 1 so that chance does not fill single groups: what a data centre runs
-# itself before it sends requests elsewhere, and up to which it offers room. Where demand was equal
-# to the sum of all slots, 4.0 % were refused with 0.95 offered, 2.7 % with 0.97 and 0.9 % with 1.
-LOCAL_FILL = 0.95
-OFFERED_FILL = 0.97
+# itself before it sends requests elsewhere, and up to which it offers room. With more, requests
+# wait for a slot here while slots elsewhere are free, and are late.
+LOCAL_FILL = 0.7
+OFFERED_FILL = 0.8
 # A request and a new connection cross the link four times before the first event.
 CROSSINGS = 4
 # Shares of the objective: up to the first, a delay does not matter; from the second, no request
--- a/src/cactuspass/fleet/spill/_inputs.py
+++ b/src/cactuspass/fleet/spill/_inputs.py
@@ -57,6 +57,7 @@
         groups = serving_by_place.get(place, [])
         demand = loads.demand_by_key.get(DemandKey(service.service, model, place), ModelDemand())
         mean_seconds = demand.mean_seconds or _usual_seconds(engine, model)
+        mean_seconds = min(mean_seconds, engine.longest_mean_seconds(model))
         capacity = 0.0
         if place not in evacuated:
             capacity = _capacity(groups, service, engine, mean_seconds, at)
