Reserve less for urgent requests while slots are lent, and test the choice by room and waits

Cause: rates were too low in the first seconds, and the reserve held back slots though the urgent requests could use those of other instances.

--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -160,7 +160,8 @@
         owned = view.owned_heads()
         if owned and shortage.is_short:
             interval = self._slot_interval(view, engine)
-            if not admission.leaves_reserve(request.priority, view.free_assigned_slots, interval):
+            free, lent_share = view.free_assigned_slots, shortage.lent_share
+            if not admission.leaves_reserve(request.priority, free, interval, lent_share):
                 return None
         with_room = [head for head in owned if head.free_slots > 0]
         if with_room:
--- a/src/cactuspass/fleet/load_shedding/_demand_trend.py
+++ b/src/cactuspass/fleet/load_shedding/_demand_trend.py
@@ -13,9 +13,9 @@
         self._history: deque[tuple[float, float]] = deque()
 
     def note(self, value: float, at: float) -> None:
-        """Record a value; one of the same time is ignored."""
+        """Record a value; it replaces one of the same time."""
         if self._history and self._history[-1][0] >= at:
-            return
+            self._history.pop()
         self._history.append((at, value))
         while at - self._history[0][0] > HISTORY_SECONDS:
             self._history.popleft()
--- a/src/cactuspass/fleet/load_shedding/_model_admission.py
+++ b/src/cactuspass/fleet/load_shedding/_model_admission.py
@@ -59,11 +59,14 @@
         )
         return share >= 1.0 or self._rng.random() < share
 
-    def leaves_reserve(self, priority: int, free_slots: float, slot_interval: float) -> bool:
+    def leaves_reserve(
+        self, priority: int, free_slots: float, slot_interval: float, lent_share: float
+    ) -> bool:
         """Return whether enough slots stay free for more urgent requests.
 
         :param free_slots: slots of this instance that are free.
         :param slot_interval: seconds between two of them that become free.
+        :param lent_share: share of the more urgent ones that can use slots of other instances.
         """
-        reserve = self.arrivals.reserve(priority, slot_interval)
+        reserve = self.arrivals.reserve(priority, slot_interval) * (1.0 - lent_share)
         return free_slots - 1 >= reserve - self._rng.random()
--- a/src/cactuspass/fleet/load_shedding/_shortage.py
+++ b/src/cactuspass/fleet/load_shedding/_shortage.py
@@ -7,6 +7,9 @@
 # have sent since, so above it some heads get more requests than they have slots.
 MAX_KNOWN_SHARE = 0.76
 SHARE_LOST_PER_SECOND_OF_AGE = 0.1
+# An instance with few slots sends most of its requests by known loads.
+FEW_SLOTS = 2.0
+SHARE_LOST_WITHOUT_SLOTS = 0.14
 MAX_OFFERED_PER_SLOT = 10.0
 
 
@@ -59,6 +62,7 @@
     :param age: seconds since the known loads were true.
     """
     target = MAX_KNOWN_SHARE - SHARE_LOST_PER_SECOND_OF_AGE * age
+    target -= SHARE_LOST_WITHOUT_SLOTS * max(0.0, 1.0 - slots_per_instance / FEW_SLOTS)
     if offered_per_slot <= target:
         return Shortage(1.0, 1.0)
     carried = carried_share(offered_per_slot, slots_per_instance)
--- a/src/cactuspass/fleet/load_shedding/_urgency.py
+++ b/src/cactuspass/fleet/load_shedding/_urgency.py
@@ -5,7 +5,7 @@
 AVERAGING_SECONDS = 10.0
 # Slots kept free, for each request of more urgent routes that is expected to arrive until the next
 # slot becomes free.
-RESERVE_FACTOR = 2.0
+RESERVE_FACTOR = 1.5
 MIN_SERVED_SHARE = 0.25  # of the share of all requests that are served
 
 
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -33,6 +33,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
+from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import CustomerId, DataCentreId, EntryId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 
@@ -253,8 +254,14 @@
             self.sent_limits.append,
             lambda address, message: None,
         )
+        self.fleet_load: FleetLoad | None = None
         self.selector = selector = Selector(
-            self.cluster_state, self.loads, HERE, rng, limits=limits.limits
+            self.cluster_state,
+            self.loads,
+            HERE,
+            rng,
+            limits=limits.limits,
+            fleet_load=lambda: self.fleet_load,
         )
         self.sent_messages: list[PartMessage] = []
         self.part_guard = PartGuard(
