--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -204,7 +204,8 @@
         if not owned or not shortage.is_short:
             return owned
         interval = self._slot_interval(view, engine)
-        is_left = admission.leaves_reserve(request.priority, view.free_assigned_slots, interval)
+        free, lent_share = view.free_assigned_slots, shortage.lent_share
+        is_left = admission.leaves_reserve(request.priority, free, interval, lent_share)
         return owned if is_left else []
 
     def _find_again(self, view: RoomView, request: SelectionRequest) -> Head | None:
