Take missing sums for unknown demand, and count refused requests without a known time

While all requests of a model are refused, the mean seconds are 0, and its demand was taken for none; so were sums that are all missing.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -201,8 +201,7 @@
     def _observe_offered(self, demand: Demand, service: Service) -> None:
         """Pass on what the whole fleet is asked for, where instances exchange their load."""
         assert service.engine is not None
-        load = self._fleet_load()
-        offered = offered_concurrency(load, service.service) if load is not None else None
+        offered = offered_concurrency(self._fleet_load(), service.service, service.engine)
         evacuated = self._cluster_state.evacuations.data_centres
         serving = Counter(
             group.model
--- a/src/cactuspass/fleet/_offered_load.py
+++ b/src/cactuspass/fleet/_offered_load.py
@@ -12,16 +12,36 @@
 SMOOTHING_SECONDS = 2.0
 MAX_GAP_SECONDS = 5.0  # after a longer time without a sample, what came before counts as unknown
 MIN_RISE = 1.1  # between two waves; a smaller one may be noise
+ASSUMED_OUTPUT_TOKENS = 100.0  # where the usual number is not declared
 MAX_FORECAST_FACTOR = 1.25  # a jump that is over looks like a rise
 
 
-def offered_concurrency(load: FleetLoad, service: ServiceId) -> dict[ModelId, float]:
-    """Return the requests of each model that would run at once if none was refused."""
-    found: Counter[ModelId] = Counter()
+def offered_concurrency(
+    load: FleetLoad | None, service: ServiceId, engine: EngineSpec
+) -> dict[ModelId, float] | None:
+    """Return the requests of each model that would run at once if none was refused.
+
+    :return: None while no data centre's demand for the service is known.
+    """
+    if load is None:
+        return None
+    found = Counter[ModelId]()
     for key, demand in load.demand_by_key.items():
         if key.service == service:
-            found[key.model] += demand.offered_concurrency  # type: ignore[assignment]
-    return {model: float(concurrency) for model, concurrency in found.items()}
+            # While all requests are refused, none shows how long it takes.
+            seconds = demand.mean_seconds or _declared_seconds(engine, key.model)
+            found[key.model] += demand.arrivals_per_second * seconds  # type: ignore[assignment]
+    return dict(found) or None
+
+
+def _declared_seconds(engine: EngineSpec, model: ModelId) -> float:
+    """Return how long a usual request takes at a full group."""
+    tokens = engine.usual_output_tokens or ASSUMED_OUTPUT_TOKENS
+    return tokens * _step_seconds(engine, engine.slots) * engine.model_spec(model).pace
+
+
+def _step_seconds(engine: EngineSpec, running: float) -> float:
+    return engine.step_seconds + running * engine.step_seconds_per_request
 
 
 def asking_data_centres(load: FleetLoad, service: ServiceId) -> frozenset[DataCentreId]:
@@ -39,9 +59,8 @@
     :param group_count: groups that they are spread over; 0 when it is not known.
     """
     running = min(float(engine.slots), concurrency / group_count if group_count else engine.slots)
-    present_step = engine.step_seconds + running * engine.step_seconds_per_request
-    full_step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
-    return concurrency / engine.slots * full_step / present_step
+    slowdown = _step_seconds(engine, engine.slots) / _step_seconds(engine, running)
+    return concurrency / engine.slots * slowdown
 
 
 class PeakWindow:
--- a/src/cactuspass/fleet/autoscaling/_service_scaling.py
+++ b/src/cactuspass/fleet/autoscaling/_service_scaling.py
@@ -46,10 +46,13 @@
 
     def observe_exchanged(self, service: Service, load: FleetLoad, at: float) -> None:
         """Record the demand that instances have told each other."""
+        assert service.engine is not None
         self._exchanged_at = at
         self._heard_now = asking_data_centres(load, service.service)
         self._heard_at_by_data_centre.update(dict.fromkeys(self._heard_now, at))
-        self._observe(service, offered_concurrency(load, service.service), at)
+        offered = offered_concurrency(load, service.service, service.engine)
+        if offered is not None:
+            self._observe(service, offered, at)
 
     def observe_reported(
         self, service: Service, concurrency_by_model: Mapping[ModelId, float], at: float
--- a/tests/scaling_world.py
+++ b/tests/scaling_world.py
@@ -249,7 +249,7 @@
         self._fleet_load = FleetLoad(self.engines.at, {}, demand_by_key)
         load = self._fleet_load if self.has_exchange else None
         self.engines.planner.demand.observe(self._running)
-        offered = offered_concurrency(load, SERVICE) if load is not None else None
+        offered = offered_concurrency(load, SERVICE, ENGINE)
         self.engines.planner.demand.observe_offered(ENGINE, offered, serving, self.engines.at)
 
     def _count_arrivals(self, model: ModelId, arrivals: float) -> float:
--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -1,6 +1,7 @@
 """Tests the target numbers of groups that follow from the demand of the whole fleet."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from cactuspass.fleet._catalog import EngineSpec, ModelSpec
@@ -54,7 +55,17 @@
         foreign = DemandKey(ServiceId("other"), SMALL, DataCentreId("a"))
         asked = ModelDemand(arrivals_per_second=100.0, refused_per_second=60.0, mean_seconds=0.5)
         load = FleetLoad(0.0, {}, {key: asked, other: asked, foreign: asked})
-        self.assertEqual(offered_concurrency(load, SERVICE), {SMALL: 100.0})
+        self.assertEqual(offered_concurrency(load, SERVICE, FLAT_ENGINE), {SMALL: 100.0})
+
+    def test_requests_that_are_all_refused_count_with_their_declared_time(self) -> None:
+        key = DemandKey(SERVICE, SMALL, DataCentreId("a"))
+        load = FleetLoad(0.0, {}, {key: ModelDemand(10.0, 10.0, mean_seconds=0.0)})
+        engine = replace(FLAT_ENGINE, usual_output_tokens=50.0)
+        self.assertEqual(offered_concurrency(load, SERVICE, engine), {SMALL: 10.0 * 50.0 * 0.006})
+
+    def test_sums_that_are_all_missing_are_not_taken_for_no_demand(self) -> None:
+        self.assertIsNone(offered_concurrency(FleetLoad(0.0), SERVICE, FLAT_ENGINE))
+        self.assertIsNone(offered_concurrency(None, SERVICE, FLAT_ENGINE))
 
     def test_a_floor_of_two_groups_remains(self) -> None:
         self.assertEqual(offer(Demand(), 0.1, 0.0), MIN_GROUPS)
