--- a/tests/scaling_world.py
+++ b/tests/scaling_world.py
@@ -171,12 +171,16 @@
             found += sum(before is not after for before, after in pairwise(has_grown))
         return found
 
-    def lose(self, data_centre: DataCentreId) -> None:
-        """End all upstreams of a data centre, which the platform does not replace."""
-        for upstream in list(self.engines.upstreams_by_id.values()):
-            if upstream.data_centre == data_centre:
-                self._end(upstream.upstream_id)
-        self._count_by_data_centre[data_centre] = 0
+    def lose(self, data_centre: DataCentreId, kept: int = 0) -> None:
+        """End the upstreams of a data centre, which the platform does not replace.
+
+        :param kept: number of upstreams that stay.
+        """
+        upstreams = list(self.engines.upstreams_by_id.values())
+        lost = [upstream for upstream in upstreams if upstream.data_centre == data_centre]
+        for upstream in lost[kept:]:
+            self._end(upstream.upstream_id)
+        self._count_by_data_centre[data_centre] = kept
 
     def serving(self) -> Counter[ModelId]:
         """Return the groups that serve, without those in evacuated data centres."""
--- a/tests/test_fleet_autoscaling.py
+++ b/tests/test_fleet_autoscaling.py
@@ -215,6 +215,20 @@
         first = {zone: count for _, zone, count, _ in world.stated[before : before + 3]}
         self.assertEqual(first, {zone: world.count(zone) for zone in DATA_CENTRES})
 
+    def test_a_new_leader_does_not_order_what_is_left_of_a_data_centre(self) -> None:
+        world = self.make_world(wave)
+        world.run(SHRUNK_SECONDS)
+        numbers = {zone: world.count(zone) for zone in DATA_CENTRES}
+        before = len(world.stated)
+        world.lose(DATA_CENTRES[0], kept=10)
+        world.autoscaler = world.make_autoscaler()
+        world.term = Term(6)
+        world.run(15.0)
+        orders = [(zone, count) for _, zone, count, _ in world.stated[before:]]
+        self.assertNotIn(DATA_CENTRES[0], {zone for zone, _ in orders})
+        self.assertTrue(all(count >= numbers[zone] for zone, count in orders))
+        self.assertTrue(any(count > numbers[zone] for zone, count in orders))
+
     def test_a_leader_orders_the_registered_numbers_before_it_changes_them(self) -> None:
         world = self.make_world(wave)
         world.term = None
