--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -125,6 +125,9 @@
         """
         limits, at = scaling_input.limits, scaling_input.at
         adopted: dict[DataCentreId, int] = {}
+        registered = {hosts.data_centre for hosts in scaling_input.data_centres}
+        for data_centre in self._unknown_since.keys() - registered:
+            del self._unknown_since[data_centre]
         for hosts in scaling_input.data_centres:
             data_centre, count = hosts.data_centre, hosts.count
             if count > self._seen_by_data_centre.get(data_centre, 0):
@@ -265,6 +268,8 @@
     def _find_hold(self, scaling_input: ScalingInput, available: list[DataCentreHosts]) -> str:
         """Return why no upstreams may be given up now, or nothing."""
         at = scaling_input.at
+        if self._unknown_since:
+            return f"upstreams are registering in {', '.join(sorted(self._unknown_since))}"
         if self._out_since:
             return f"out: {', '.join(sorted(self._out_since))}"
         if at - self._last_out_at < KEPT_AFTER_RETURN_SECONDS:
@@ -274,8 +279,6 @@
             return f"the demand of {unheard} is not known"
         if self._has_just_grown(scaling_input):
             return "upstreams were added"
-        if self._unknown_since:
-            return f"upstreams are registering in {', '.join(sorted(self._unknown_since))}"
         if any(h.count > self.wanted_by_data_centre[h.data_centre] for h in available):
             return "upstreams are still to leave"
         if self._unsettled_since is not None and at - self._unsettled_since < MAX_CHANGING_SECONDS:
--- a/tests/scaling_world.py
+++ b/tests/scaling_world.py
@@ -1,5 +1,6 @@
 """A platform that carries out ordered numbers of upstreams, and callers, without a network."""
 
+import json
 import math
 import random
 from collections import Counter
@@ -182,6 +183,12 @@
             self._end(upstream.upstream_id)
         self._count_by_data_centre[data_centre] = kept
 
+    def held_for(self) -> str:
+        """Return why the numbers do not change further, by the last line in the log."""
+        lines = map(json.loads, self.handler.lines)
+        kept = [line["reason"] for line in lines if line["event"] == "upstream-counts-kept"]
+        return kept[-1]
+
     def serving(self) -> Counter[ModelId]:
         """Return the groups that serve, without those in evacuated data centres."""
         evacuated = self.engines.evacuated_data_centres
--- a/tests/test_fleet_autoscaling.py
+++ b/tests/test_fleet_autoscaling.py
@@ -228,6 +228,10 @@
         self.assertNotIn(DATA_CENTRES[0], {zone for zone, _ in orders})
         self.assertTrue(all(count >= numbers[zone] for zone, count in orders))
         self.assertTrue(any(count > numbers[zone] for zone, count in orders))
+        self.assertIn(DATA_CENTRES[0], world.held_for())
+        world.lose(DATA_CENTRES[0])
+        world.run(2.0)
+        self.assertNotIn(DATA_CENTRES[0], world.held_for())
 
     def test_a_leader_orders_the_registered_numbers_before_it_changes_them(self) -> None:
         world = self.make_world(wave)
