--- a/tests/scaling_world.py
+++ b/tests/scaling_world.py
@@ -1,5 +1,6 @@
 """A platform that carries out ordered numbers of upstreams, and callers, without a network."""
 
+import json
 import math
 import random
 from collections import Counter
@@ -171,12 +172,22 @@
             found += sum(before is not after for before, after in pairwise(has_grown))
         return found
 
-    def lose(self, data_centre: DataCentreId) -> None:
-        """End all upstreams of a data centre, which the platform does not replace."""
-        for upstream in list(self.engines.upstreams_by_id.values()):
-            if upstream.data_centre == data_centre:
-                self._end(upstream.upstream_id)
-        self._count_by_data_centre[data_centre] = 0
+    def lose(self, data_centre: DataCentreId, kept: int = 0) -> None:
+        """End the upstreams of a data centre, which the platform does not replace.
+
+        :param kept: number of upstreams that stay.
+        """
+        upstreams = list(self.engines.upstreams_by_id.values())
+        lost = [upstream for upstream in upstreams if upstream.data_centre == data_centre]
+        for upstream in lost[kept:]:
+            self._end(upstream.upstream_id)
+        self._count_by_data_centre[data_centre] = kept
+
+    def held_for(self) -> str:
+        """Return why the numbers do not change further, by the last line in the log."""
+        lines = map(json.loads, self.handler.lines)
+        kept = [line["reason"] for line in lines if line["event"] == "upstream-counts-kept"]
+        return kept[-1]
 
     def serving(self) -> Counter[ModelId]:
         """Return the groups that serve, without those in evacuated data centres."""
@@ -249,7 +260,7 @@
         self._fleet_load = FleetLoad(self.engines.at, {}, demand_by_key)
         load = self._fleet_load if self.has_exchange else None
         self.engines.planner.demand.observe(self._running)
-        offered = offered_concurrency(load, SCALED_SERVICE) if load is not None else None
+        offered = offered_concurrency(load, SERVICE, ENGINE)
         self.engines.planner.demand.observe_offered(ENGINE, offered, serving, self.engines.at)
 
     def _count_arrivals(self, model: ModelId, arrivals: float) -> float:
--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from unittest import mock
 
-from cactuspass.fleet._catalog import MAX_TIME_FACTOR, EngineSpec, ModelSpec, Service
+from cactuspass.fleet._catalog import MAX_TIME_FACTOR, EngineSpec, ModelSpec
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._controller import Controller
 from cactuspass.fleet._demand import (
@@ -55,15 +55,25 @@
         foreign = DemandKey(ServiceId("other"), SMALL, DataCentreId("a"))
         asked = ModelDemand(arrivals_per_second=100.0, refused_per_second=60.0, mean_seconds=0.5)
         load = FleetLoad(0.0, {}, {key: asked, other: asked, foreign: asked})
-        self.assertEqual(offered_concurrency(load, SCALED_SERVICE), {SMALL: 100.0})
+        self.assertEqual(offered_concurrency(load, SERVICE, FLAT_ENGINE), {SMALL: 100.0})
+
+    def test_requests_that_are_all_refused_count_with_their_declared_time(self) -> None:
+        key = DemandKey(SERVICE, SMALL, DataCentreId("a"))
+        load = FleetLoad(0.0, {}, {key: ModelDemand(10.0, 10.0, mean_seconds=0.0)})
+        engine = replace(FLAT_ENGINE, usual_output_tokens=50.0)
+        self.assertEqual(offered_concurrency(load, SERVICE, engine), {SMALL: 10.0 * 50.0 * 0.006})
+
+    def test_sums_that_are_all_missing_are_not_taken_for_no_demand(self) -> None:
+        self.assertIsNone(offered_concurrency(FleetLoad(0.0), SERVICE, FLAT_ENGINE))
+        self.assertIsNone(offered_concurrency(None, SERVICE, FLAT_ENGINE))
 
     # Guards against orders for more upstreams because requests wait in the queues of engines.
     def test_time_in_a_queue_is_no_demand(self) -> None:
         engine = replace(FLAT_ENGINE, usual_output_tokens=100.0)
-        service = Service(SERVICE, engine=engine)
         key = DemandKey(SERVICE, SMALL, DataCentreId("a"))
         waiting = ModelDemand(arrivals_per_second=100.0, mean_seconds=5.0)
-        offered = offered_concurrency(FleetLoad(0.0, {}, {key: waiting}), service)
+        offered = offered_concurrency(FleetLoad(0.0, {}, {key: waiting}), SERVICE, engine)
+        assert offered is not None
         seconds = 100.0 * engine.step_seconds * MAX_TIME_FACTOR
         self.assertAlmostEqual(offered[SMALL], 100.0 * seconds)
 
