--- a/tests/duty_faults.py
+++ b/tests/duty_faults.py
@@ -65,11 +65,12 @@
         self.log.append(f"{self.world.at:.2f} {fault}")
         self.copies = [*self.copies[-COPIES + 1 :], self.world.store.copy()]
         leader = self.world.leader or self.world.instances[NAMES[0]]
-        await self._begin(fault, leader)
+        await self.begin(fault, leader)
         self.world.wanted_count = self.world.wanted_count % 50 + 1
         await self.world.run(fault.wait)
 
-    async def _begin(self, fault: Fault, leader: DutyInstance) -> None:
+    async def begin(self, fault: Fault, leader: DutyInstance) -> None:
+        """Begin a fault."""
         world, kind, seconds = self.world, fault.kind, fault.seconds
         if kind is FaultKind.PAUSED:
             leader.paused_until = world.at + seconds
