--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -9,7 +9,7 @@
 
 from cactuspass._revisions import make_revision
 from cactuspass.exceptions import OutcomeUnknown
-from cactuspass.fleet._catalog import ScalingLimits
+from cactuspass.fleet._catalog import Route, RouteKind, ScalingLimits
 from cactuspass.fleet.duties import CallOutcome, CountOrders, UsageReport
 from cactuspass.fleet.duties._true_time import TrueTime
 from cactuspass.fleet.duties._usage_messages import (
@@ -30,7 +30,16 @@
 from cactuspass.models import CustomerId, DataCentreId, EntryId, ServiceId
 from tests.duty_faults import Fault, FaultKind, FaultyDuties, start_faulty
 from tests.duty_world import DutyWorld, StoreClient, virtual_runner
-from tests.fleet_path import recording_log
+from tests.fleet_path import (
+    STAMP,
+    Script,
+    ScriptedPathCase,
+    answer,
+    events,
+    recording_log,
+    route,
+    stream,
+)
 
 WINDOWS = Windows(5.0, 10.0)
 C1 = CustomerId("c1")
@@ -41,39 +50,67 @@
 OTHER = UsageReport(200, {C1: 2})
 
 
-def answer(count: int, lifetime: int = 1, **changes: object) -> UsageAnswer:
+def usage_answer(count: int, lifetime: int = 1, **changes: object) -> UsageAnswer:
     """Return an answer with a count in window 200."""
     whole = UsageAnswer(EntryId("a"), lifetime, 5, 1, 0, 1, AT, ((200, {C1: count}),))
     return replace(whole, **changes)  # type: ignore[arg-type]
 
 
+class BegunTest(ScriptedPathCase):
+    """What counts as a request that an upstream has begun."""
+
+    async def _count(self, target_route: Route, *scripts: Script, **changes: object) -> list[str]:
+        case = await self.start_path(target_route, *scripts)
+        begun: list[str] = []
+        case.dispatcher._dependencies.count_begun = begun.append
+        await case.serve(**changes)
+        return begun
+
+    async def test_each_attempt_counts_once_when_its_answer_begins(self) -> None:
+        # Guards against counts by request or by event: a resumed stream has two attempts.
+        broken = stream(events(range(1, 4)), end=False, reset=True)
+        resumable = route(RouteKind.STREAM, resumable=True, gap_objective=0.2)
+        begun = await self._count(resumable, broken, stream(events(range(4, 7))))
+        self.assertEqual(begun, ["customer-1"] * 2)
+
+    async def test_failed_attempt_is_not_counted(self) -> None:
+        success = answer("200 OK", b"body", STAMP)
+        begun = await self._count(route(), answer("500 Oops", b"no", STAMP), success)
+        self.assertEqual(begun, ["customer-1"])
+
+    async def test_request_without_a_customer_is_not_counted(self) -> None:
+        success = answer("200 OK", b"body", STAMP)
+        begun = await self._count(route(public=True), success, key=None)
+        self.assertEqual(begun, [])
+
+
 class UsageTallyTest(unittest.TestCase):
     """Sums of counts over the runs of all instances."""
 
     def test_repeated_and_late_answers_change_nothing(self) -> None:
         tally = UsageTally(WINDOWS)
         for count in (3, 7, 7, 3):
-            tally.add(answer(count), AT)
+            tally.add(usage_answer(count), AT)
         self.assertEqual(tally.total(200), {C1: 7})
 
     def test_restarted_instance_adds_to_what_it_had_reported(self) -> None:
         tally = UsageTally(WINDOWS)
-        tally.add(answer(7), AT)
-        tally.add(answer(2, lifetime=2), AT)
+        tally.add(usage_answer(7), AT)
+        tally.add(usage_answer(2, lifetime=2), AT)
         self.assertEqual(tally.total(200), {C1: 9})
 
     def test_windows_far_away_are_left_out(self) -> None:
         # Guards against memory that grows with what a wrong clock states.
         tally = UsageTally(WINDOWS)
-        tally.add(answer(1, counts=((200, {C1: 1}), (900_000, {C1: 1}), (10, {C1: 1}))), AT)
+        tally.add(usage_answer(1, counts=((200, {C1: 1}), (900_000, {C1: 1}), (10, {C1: 1}))), AT)
         self.assertEqual([tally.total(w) for w in (200, 900_000, 10)], [{C1: 1}, {}, {}])
 
     def test_instance_has_answered_once_all_parts_have_arrived(self) -> None:
         progress = AnswerProgress(5)
         number = progress.begin_round(AT, 8)
-        progress.note(answer(1, number=number, parts=2))
+        progress.note(usage_answer(1, number=number, parts=2))
         self.assertEqual(progress.lacking([EntryId("a")], AT), ["a"])
-        progress.note(answer(1, number=number, parts=2, part=1))
+        progress.note(usage_answer(1, number=number, parts=2, part=1))
         self.assertEqual(progress.lacking([EntryId("a")], AT), [])
         self.assertEqual(progress.lacking([EntryId("a")], AT + 1), ["a"])
 
@@ -97,7 +134,7 @@
         self.assertEqual(found, counts)
 
     def test_invalid_counts_are_no_message(self) -> None:
-        valid = cbor2.loads(CODEC.encode(answer(1)) or b"")
+        valid = cbor2.loads(CODEC.encode(usage_answer(1)) or b"")
         self.assertIsNotNone(CODEC.decode(cbor2.dumps(valid)))
         for changes in (
             {"counts": [[200, {"c1": -1}]]},
--- a/tests/test_duty_calls.py
+++ b/tests/test_duty_calls.py
@@ -1,6 +1,8 @@
 """Calls to a stand-in of the platform over HTTP, by one sender and by whole instances."""
 
 import asyncio
+import socket
+import struct
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -101,6 +103,18 @@
         self.assertIs(await self.sender.report_usage(REPORT, 12), CallOutcome.NOT_SENT)
         self.assertEqual(self.cloud.calls, [])
 
+    async def test_connection_discards_what_has_not_arrived_when_it_is_closed(self) -> None:
+        # Guards against a call that the kernel delivers after a link has recovered.
+        pool = ConnectionPool(0.5, 1.0)
+        connection = await pool._connect(self.cloud.address)
+        assert connection._transport is not None
+        opened = connection._transport.get_extra_info("socket")
+        linger = opened.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+        self.assertEqual(struct.unpack("ii", linger), (1, 0))
+        timeout = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(timeout, 1000)
+        connection.abort()
+
     async def test_calls_stay_within_the_rate_of_all_instances(self) -> None:
         outcomes = [await self.sender.report_usage(REPORT, 12) for _ in range(60)]
         self.assertLess(outcomes.count(CallOutcome.ACCEPTED), 50)
