Fix contents while the platform does not answer, and log when its address is unreachable

Each unsent report waited up to 1 s for an answer before the next window was fixed, so a long outage would have cost windows after it. Sending now ends with the first call that is not answered.

--- a/src/cactuspass/fleet/duties/_duties.py
+++ b/src/cactuspass/fleet/duties/_duties.py
@@ -151,7 +151,7 @@
             log,
             metrics,
         )
-        sender = DutySender(calls, holder, settings.calls_per_second, metrics)
+        sender = DutySender(calls, holder, settings.calls_per_second, log, metrics)
         self._usage: UsageDuty | None = None
         if USAGE in settings.names:
             self._usage = UsageDuty(
--- a/src/cactuspass/fleet/duties/_sender.py
+++ b/src/cactuspass/fleet/duties/_sender.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from cactuspass._clock import now
+from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._token_bucket import TokenBucket
 from cactuspass.fleet.duties._calls import (
@@ -35,11 +36,14 @@
         duties: PlatformDuties,
         holder: DutyHolder,
         calls_per_second: float,
+        log: DecisionLog,
         metrics: Metrics,
     ) -> None:
         self._duties = duties
         self._holder = holder
+        self._log = log
         self._metrics = metrics
+        self._is_reachable = True
         burst = max(1.0, SHARE_OF_BURST * calls_per_second)
         self._rate_limit = TokenBucket(SHARE_OF_RATE * calls_per_second, burst, now())
 
@@ -86,4 +90,13 @@
         except TimeoutError:
             outcome = CallOutcome.UNKNOWN if was_allowed else CallOutcome.NOT_SENT
         self._metrics.duty_calls.labels(duty, outcome.value).inc()
+        if self._holder.fence == fence:
+            self._note_reachable(outcome is not CallOutcome.NOT_SENT, duty)
         return outcome
+
+    def _note_reachable(self, is_reachable: bool, duty: str) -> None:
+        """Log when the platform's address stops or begins to accept connections."""
+        if is_reachable != self._is_reachable:
+            self._is_reachable = is_reachable
+            event = "duties-reachable" if is_reachable else "duties-unreachable"
+            self._log.lifecycle(event, duty=duty)
--- a/src/cactuspass/fleet/duties/_usage_collector.py
+++ b/src/cactuspass/fleet/duties/_usage_collector.py
@@ -26,6 +26,7 @@
 MAX_OPEN_QUERIES = 8
 # An instance that stops deregisters before its last requests end, so it is asked for some time.
 LEAVING_SECONDS = 20.0
+GONE_SECONDS = 3.0  # without an answer after it has deregistered
 # With more instances, the counts that are lost with one are too few to matter. With fewer, all
 # instances get all answers, so that the next holder has the counts of one that was killed.
 MAX_INSTANCES_THAT_SHARE = 24
@@ -133,16 +134,27 @@
             del self._offsets_by_instance[instance]
         self._true_time.choose(self._offsets_by_instance.values())
         true_time = self._true_time.at()
+        asked_peers = [peer for peer in peers if self._is_asked(peer, true_time)]
         number = self._progress.begin_round(true_time, MAX_OPEN_QUERIES)
         self._queried_at_by_number[number] = now()
         self._queried_at_by_number.pop(number - MAX_OPEN_QUERIES, None)
         query = UsageQuery(fence, number, self._instance, true_time, max(0, self._first_window()))
-        for peer in peers:
+        for peer in asked_peers:
             if peer.address is not None and peer.instance != self._instance:
                 self._send(peer.address, query)
         self._highest_fence = max(self._highest_fence, fence)
         self._answer(query)
 
+    def _is_asked(self, peer: Peer, true_time: float) -> bool:
+        """Return whether an instance is registered, or has deregistered but still answers."""
+        assert self._progress is not None
+        since = true_time - GONE_SECONDS
+        return (
+            peer in self._cluster_state.peers
+            or self._progress.rounds * POLL_SECONDS < GONE_SECONDS
+            or not self._progress.lacking([peer.instance], since)
+        )
+
     def _accept_query(self, query: UsageQuery) -> None:
         if query.fence < self._highest_fence:
             return
--- a/src/cactuspass/fleet/duties/_usage_reporter.py
+++ b/src/cactuspass/fleet/duties/_usage_reporter.py
@@ -117,10 +117,11 @@
         first = self._windows.first_not_due(at)
         if self._next_window is None:
             last_fixed = max(self._fixed.reports_by_window, default=first - 1)
-            self._next_window = max(
-                first - MAX_WINDOWS_LOGGED_AS_MISSED, min(first, last_fixed + 1)
-            )
-        for window in range(self._next_window, first):
+            self._next_window = min(first, last_fixed + 1)
+        elif self._next_window > self._windows.at(at) + 1:
+            self._next_window = first  # the time had jumped forward
+        first_logged = max(self._next_window, first - MAX_WINDOWS_LOGGED_AS_MISSED)
+        for window in range(first_logged, first):
             if self._fixed.may_compose(window):
                 self._metrics.usage_windows.labels("missed").inc()
                 self._log.alarm("usage-window-missed", window=window, fence=fence)
@@ -178,24 +179,29 @@
         )
 
     async def _send_reports(self, fence: int) -> None:
-        """Send the fixed reports that the platform has not accepted, the oldest first."""
+        """Send the fixed reports that the platform has not accepted, the oldest first.
+
+        Sending ends with the first call that is not answered, so that fixing goes on meanwhile.
+        """
         for window in self._unsent():
             if self._holder.fence != fence:
                 return
             if self._retry_times.is_due(window, now()):
-                await self._send(window, fence)
+                outcome = await self._send(window, fence)
+                if outcome not in (CallOutcome.ACCEPTED, CallOutcome.REFUSED):
+                    return
 
     def _unsent(self) -> list[int]:
         first = self._windows.first_sent(self._true_time.at())
         fixed = self._fixed.reports_by_window.keys() - self._fixed.accepted
         return sorted(window for window in fixed if window >= first)
 
-    async def _send(self, window: int, fence: int) -> None:
+    async def _send(self, window: int, fence: int) -> CallOutcome:
         outcome = await self._sender.report_usage(self._fixed.reports_by_window[window], fence)
         at = now()
         self._retry_times.record(window, outcome, at)
         if outcome is CallOutcome.NOT_SENT:
-            return
+            return outcome
         self.last_sent = SentReport(window, outcome, at)
         if outcome is CallOutcome.ACCEPTED:
             self._fixed.accepted.add(window)
@@ -206,3 +212,4 @@
             outcome=outcome.value,
             after_end=self._true_time.at() - self._windows.end(window),
         )
+        return outcome
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -296,6 +296,14 @@
     def test_holder_cut_off_from_the_instances(self) -> None:
         self._assert_reported(FaultKind.CUT_FROM_PEERS)
 
+    def test_reports_that_an_outage_of_the_platform_has_held_up_are_sent_after_it(self) -> None:
+        # Guards against windows that are not fixed while calls wait for answers.
+        for kind in (FaultKind.ANSWERS_LOST, FaultKind.CUT_FROM_PLATFORM):
+            world = self._run_fault(kind, 0.0, seconds=40.0).world
+            accepted = world.platform.accepted_at_by_window
+            self.assertEqual(sorted(accepted), list(range(min(accepted), max(accepted) + 1)), kind)
+            self.assertGreaterEqual(max(accepted), world.window - 2)
+
     def test_restored_store_costs_one_window_at_most(self) -> None:
         self._assert_reported(FaultKind.RESTORED, max_missing=1)
 
--- a/tests/test_duty_calls.py
+++ b/tests/test_duty_calls.py
@@ -31,7 +31,7 @@
     CloudStandIn,
     ReceivedCall,
 )
-from tests.fleet_path import RecordingHandler
+from tests.fleet_path import RecordingHandler, recording_log
 from tests.metadata_store import MetadataStoreStandIn
 from tests.test_fleet_instance import until
 
@@ -54,7 +54,8 @@
     def sender_to(self, address: str) -> DutySender:
         """Return a sender to an address."""
         duties = CloudDuties(address, "front-1", ConnectionPool(0.5, 1.0))
-        return DutySender(duties, self.holder, 50.0, Metrics())
+        self.log, self.handler = recording_log()
+        return DutySender(duties, self.holder, 50.0, self.log, Metrics())
 
     async def test_calls_have_the_fields_and_headers_of_the_platform(self) -> None:
         self.assertIs(await self.sender.report_usage(REPORT, 12), CallOutcome.ACCEPTED)
@@ -89,6 +90,7 @@
     async def test_address_that_accepts_no_connection_is_sent_nothing(self) -> None:
         sender = self.sender_to(CLOSED_ADDRESS)
         self.assertIs(await sender.report_usage(REPORT, 12), CallOutcome.NOT_SENT)
+        self.assertIn("duties-unreachable", self.handler.lines[-1])
 
     async def test_call_is_not_written_when_the_term_ends_while_the_connection_opens(self) -> None:
         # Guards against calls of a paused holder after the next one has begun.
