--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -267,7 +267,7 @@
             await world.run(after)
             assert world.leader is not None
             await faulty.begin(Fault(kind, seconds, 0.0), world.leader)
-            await world.run(45.0, rate=100.0)
+            await world.run(38.0 + seconds, rate=100.0)
             return faulty
 
         with virtual_runner() as runner:
@@ -299,10 +299,10 @@
     def test_reports_that_an_outage_of_the_platform_has_held_up_are_sent_after_it(self) -> None:
         # Guards against windows that are not fixed while calls wait for answers.
         for kind in (FaultKind.ANSWERS_LOST, FaultKind.CUT_FROM_PLATFORM):
-            world = self._run_fault(kind, 0.0, seconds=40.0).world
-            accepted = world.platform.accepted_at_by_window
-            self.assertEqual(sorted(accepted), list(range(min(accepted), max(accepted) + 1)), kind)
-            self.assertGreaterEqual(max(accepted), world.window - 2)
+            world = self._run_fault(kind, 0.0, seconds=100.0).world
+            last = world.window - 2
+            missing = set(range(last - 18, last)) - world.platform.accepted_at_by_window.keys()
+            self.assertEqual(missing, set(), kind)
 
     def test_restored_store_costs_one_window_at_most(self) -> None:
         self._assert_reported(FaultKind.RESTORED, max_missing=1)
