--- a/tests/duty_world.py
+++ b/tests/duty_world.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
-from cactuspass._platform import KeyValue, LeaseId, Snapshot, Write, WriteResult
+from cactuspass._platform import KeyValue, Snapshot, Write, WriteResult
 from cactuspass._revisions import era_of, make_revision, number_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformUnavailable
 from cactuspass.fleet._catalog import ScalingLimits
@@ -23,7 +23,7 @@
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._presence import Term
 from cactuspass.fleet._settings import DutySection
-from cactuspass.fleet._store import Changes, SharedStore
+from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet.duties import (
     CallOutcome,
     Duties,
@@ -166,7 +166,7 @@
         return True
 
 
-class StoreClient(SharedStore):
+class StoreClient:
     """The store as one instance calls it, with the era that the instance has seen."""
 
     def __init__(self, world: "DutyWorld", instance: "DutyInstance") -> None:
@@ -218,26 +218,6 @@
         found = {write.key: store.key_value(write.key) for write in writes}
         return WriteResult(accepted, Snapshot(found, make_revision(store.era, store.state.number)))
 
-    async def read(self, keys: Sequence[str], keys_only: bool = False) -> Snapshot:
-        """Not used by duties."""
-        raise NotImplementedError
-
-    async def watch(self, prefix: str, after_revision: int, wait: float) -> Changes:
-        """Not used by duties."""
-        raise NotImplementedError
-
-    async def grant_lease(self, seconds: int) -> LeaseId:
-        """Not used by duties."""
-        raise NotImplementedError
-
-    async def keep_lease_alive(self, lease: LeaseId) -> float:
-        """Not used by duties."""
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease: LeaseId) -> None:
-        """Not used by duties."""
-        raise NotImplementedError
-
 
 class FakeCalls(PlatformDuties):
     """The platform as one instance calls it."""
@@ -314,7 +294,7 @@
             self.name,
             SETTINGS,
             FakeCalls(world, self),
-            StoreClient(world, self),
+            cast(SharedStore, StoreClient(world, self)),
             self.cluster_state,
             self,
             lambda service: ScalingLimits(0, 100),
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from typing import cast
 from unittest import mock
 
 import cbor2
@@ -10,6 +11,7 @@
 from cactuspass._revisions import make_revision
 from cactuspass.exceptions import OutcomeUnknown
 from cactuspass.fleet._catalog import Route, RouteKind, ScalingLimits
+from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet.duties import CallOutcome, CountOrders, UsageReport
 from cactuspass.fleet.duties._true_time import TrueTime
 from cactuspass.fleet.duties._usage_messages import (
@@ -182,7 +184,7 @@
     def fixed(self) -> FixedReports:
         """Return the contents as another instance knows them."""
         instance = mock.Mock(reaches_store=True, pass_gate=mock.AsyncMock())
-        return FixedReports(StoreClient(self.world, instance), self.log)
+        return FixedReports(cast(SharedStore, StoreClient(self.world, instance)), self.log)
 
     def take_over(self, fixed: FixedReports, fence: int, first_unsent: int = 0) -> None:
         """Take over in a term of the present era of the store."""
@@ -284,17 +286,14 @@
                 reported = [w for w in world.platform.reports_by_window if w > first + 1]
                 self.assertLess(max(map(world.error, reported)), 0.07)
 
-    def test_killed_holder(self) -> None:
-        self._assert_reported(FaultKind.KILLED)
-
-    def test_paused_holder(self) -> None:
-        self._assert_reported(FaultKind.PAUSED)
-
-    def test_holder_cut_off_from_the_store(self) -> None:
-        self._assert_reported(FaultKind.CUT_FROM_STORE)
-
-    def test_holder_cut_off_from_the_instances(self) -> None:
-        self._assert_reported(FaultKind.CUT_FROM_PEERS)
+    def test_holder_that_fails_once_costs_no_window(self) -> None:
+        for kind in (
+            FaultKind.KILLED,
+            FaultKind.PAUSED,
+            FaultKind.CUT_FROM_STORE,
+            FaultKind.CUT_FROM_PEERS,
+        ):
+            self._assert_reported(kind)
 
     def test_reports_that_an_outage_of_the_platform_has_held_up_are_sent_after_it(self) -> None:
         # Guards against windows that are not fixed while calls wait for answers.
