--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -25,7 +25,7 @@
 )
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.duties._usage_messages import CODEC as USAGE_CODEC
-from cactuspass.fleet.duties._usage_messages import UsageDatagram
+from cactuspass.fleet.duties._usage_messages import KIND_PREFIX, UsageDatagram
 
 REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
 # Shortest time between two sends of the same hint by any instance; shorter than the time for which
@@ -147,6 +147,12 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Decode a hint and call its callback; log a datagram that is no hint."""
+        # Messages on usage come first, since the holder receives many of them.
+        has_usage = self._on_usage_message is not None and KIND_PREFIX in data
+        usage_message = USAGE_CODEC.decode(data) if has_usage else None
+        if self._on_usage_message is not None and usage_message is not None:
+            self._on_usage_message(usage_message, addr[0])
+            return
         upstream_id, leaving = decode_unresponsive(data), decode_leaving(data)
         if upstream_id is not None:
             self._remember(data, now())
@@ -157,8 +163,6 @@
             self._accept_from_peer(self._on_part_message, message, addr[0])
         elif (limit_message := LIMIT_CODEC.decode(data)) is not None:
             self._accept_from_peer(self._on_limit_message, limit_message, addr[0])
-        elif self._on_usage_message and (usage_message := USAGE_CODEC.decode(data)) is not None:
-            self._on_usage_message(usage_message, addr[0])
         else:
             self._log.state_change("hint-unreadable", peer=addr[0], size=len(data))
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,8 +44,8 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties
-from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
+from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties, UsageDatagram
+from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
 # Time for the store to end the leases, when a stop is handled after its notice.
@@ -163,7 +163,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
-            (lambda customer: self._duties.count_begun(customer)) if has_duties else None,
+            self._count_begun if has_duties else None,
         )
         self._silences = dependencies.silences
         admission = Admission(self.cluster_state, bounds.key_seconds, bounds.propagation_seconds)
@@ -183,7 +183,7 @@
         if settings.listeners.metrics is not None:
             further = {PARTS_PATH: self.parts_page, LIMITS_PATH: self.limits_page}
             if has_duties:
-                further[DUTIES_PATH] = lambda: self._duties.page()
+                further[DUTIES_PATH] = self.duties_page
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
         self._probes = probes = Probes(
             self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
@@ -198,7 +198,7 @@
             self._notices.apply_leaving_hint,
             self._part_guard.receive,
             self._upstream_limits.receive,
-            (lambda message, host: self._duties.receive(message, host)) if has_duties else None,
+            self._receive_usage_message if has_duties else None,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -236,7 +236,7 @@
             metrics,
             self._request_activity,
         )
-        duties: tuple[Component, ...] = ()
+        self._duties: Duties | None = None
         if settings.duties is not None and adapter.duties is not None:
             self._duties = Duties(
                 entry_id,
@@ -250,7 +250,6 @@
                 log,
                 metrics,
             )
-            duties = (self._duties,)
         self._application = Application(
             (
                 source,
@@ -278,7 +277,7 @@
                 self._block_store,
                 probes,
                 self._controller,
-                *duties,
+                *([self._duties] if self._duties is not None else []),
             )
         )
 
@@ -456,6 +455,10 @@
         """Return the status and body of the page with the limits that upstreams state."""
         return self._upstream_limits.page()
 
+    def duties_page(self) -> tuple[int, bytes]:
+        """Return the status and body of the page with the duties of one instance at a time."""
+        return self._duties.page() if self._duties is not None else (404, b"no duties\n")
+
     def metrics_page(self) -> tuple[int, bytes]:
         """Return the status and body of the metrics page."""
         index = self.cluster_state.catalog_index
@@ -482,6 +485,14 @@
         is_listed = listed is not None and listed.lifetime == lifetime
         return not (listed and is_listed and await self._pool.is_reachable(listed.address))
 
+    def _count_begun(self, customer: CustomerId) -> None:
+        if self._duties is not None:
+            self._duties.count_begun(customer)
+
+    def _receive_usage_message(self, message: UsageDatagram, host: str) -> None:
+        if self._duties is not None:
+            self._duties.receive(message, host)
+
     def _report_unresponsive(self, upstream_id: UpstreamId) -> None:
         self._hints.send_unresponsive(upstream_id)
         self._probes.probe_group_now(upstream_id)
--- a/src/cactuspass/fleet/duties/__init__.py
+++ b/src/cactuspass/fleet/duties/__init__.py
@@ -10,6 +10,7 @@
 from cactuspass.fleet.duties._count_orders import CountOrders
 from cactuspass.fleet.duties._duties import Duties
 from cactuspass.fleet.duties._duty_rows import DUTIES_PATH
+from cactuspass.fleet.duties._usage_messages import UsageDatagram
 
 __all__ = [
     "DUTIES_PATH",
@@ -19,5 +20,6 @@
     "MayCall",
     "PlatformDuties",
     "UpstreamCountOrder",
+    "UsageDatagram",
     "UsageReport",
 ]
--- a/src/cactuspass/fleet/duties/_usage_collector.py
+++ b/src/cactuspass/fleet/duties/_usage_collector.py
@@ -74,6 +74,7 @@
         self._highest_fence = -1
         self._last_query: UsageQuery | None = None
         self._seen_at_by_peer: dict[Peer, float] = {}
+        self._hosts: set[str] = set()
 
     async def step(self) -> None:
         """Ask all instances once if this instance leads, then pause."""
@@ -97,7 +98,9 @@
 
         :param host: IP address of the sender.
         """
-        if host not in {str(peer.address).rpartition(":")[0] for peer in self._recent_peers()}:
+        if host not in self._hosts:
+            self._note_peers()
+        if host not in self._hosts:
             self._log.state_change("hint-from-stranger", peer=host, message=message.kind)
         elif isinstance(message, UsageQuery):
             self._accept_query(message)
@@ -223,6 +226,7 @@
         for peer, seen_at in list(self._seen_at_by_peer.items()):
             if at - seen_at > LEAVING_SECONDS:
                 del self._seen_at_by_peer[peer]
+        self._hosts = {str(peer.address).rpartition(":")[0] for peer in self._seen_at_by_peer}
 
     def _recent_peers(self) -> list[Peer]:
         return list(dict.fromkeys([*self._cluster_state.peers, *self._seen_at_by_peer]))
--- a/src/cactuspass/fleet/duties/_usage_messages.py
+++ b/src/cactuspass/fleet/duties/_usage_messages.py
@@ -15,6 +15,7 @@
 BYTES_PER_COUNT = 12  # with the length of the name
 BYTES_PER_WINDOW = 12
 MAX_NUMBER = 2**63
+KIND_PREFIX = b"usage-"  # in each datagram
 
 Number = Annotated[int, Field(ge=0, lt=MAX_NUMBER)]
 UnixSeconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
