--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -25,7 +25,7 @@
 )
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.duties._usage_messages import CODEC as USAGE_CODEC
-from cactuspass.fleet.duties._usage_messages import UsageDatagram
+from cactuspass.fleet.duties._usage_messages import KIND_PREFIX, UsageDatagram
 from cactuspass.fleet.load_exchange import is_load_datagram
 
 REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
@@ -155,6 +155,12 @@
         if is_load_datagram(data):
             self._on_load_datagram(data, f"{addr[0]}:{addr[1]}")
             return
+        # Messages on usage come first, since the holder receives many of them.
+        has_usage = self._on_usage_message is not None and KIND_PREFIX in data
+        usage_message = USAGE_CODEC.decode(data) if has_usage else None
+        if self._on_usage_message is not None and usage_message is not None:
+            self._on_usage_message(usage_message, addr[0])
+            return
         upstream_id, leaving = decode_unresponsive(data), decode_leaving(data)
         if upstream_id is not None:
             self._remember(data, now())
@@ -165,8 +171,6 @@
             self._accept_from_peer(self._on_part_message, message, addr[0])
         elif (limit_message := LIMIT_CODEC.decode(data)) is not None:
             self._accept_from_peer(self._on_limit_message, limit_message, addr[0])
-        elif self._on_usage_message and (usage_message := USAGE_CODEC.decode(data)) is not None:
-            self._on_usage_message(usage_message, addr[0])
         else:
             self._log.state_change("hint-unreadable", peer=addr[0], size=len(data))
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -46,9 +46,9 @@
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.autoscaling import Autoscaler
-from cactuspass.fleet.duties import DUTIES_PATH, CountOrders, Duties, PlatformDuties
+from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties, UsageDatagram
 from cactuspass.fleet.load_exchange import LOAD_PATH, FleetLoad
-from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
+from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
 # Time for the store to end the leases, when a stop is handled after its notice.
@@ -178,7 +178,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
-            (lambda customer: self._duties.count_begun(customer)) if has_duties else None,
+            self._count_begun if has_duties else None,
             meter=meter,
         )
         self._silences = dependencies.silences
@@ -201,7 +201,7 @@
             if self._load_exchange is not None:
                 further[LOAD_PATH] = self._load_exchange.page
             if has_duties:
-                further[DUTIES_PATH] = lambda: self._duties.page()
+                further[DUTIES_PATH] = self.duties_page
             self._pages.append(PageServer(settings.listeners.metrics, self.metrics_page, further))
         self._probes = probes = Probes(
             self.cluster_state, adapter.control, log, self._upstream_limits.notices.apply_report
@@ -217,7 +217,7 @@
             self._part_guard.receive,
             self._upstream_limits.receive,
             self._receive_load_datagram,
-            (lambda message, host: self._duties.receive(message, host)) if has_duties else None,
+            self._receive_usage_message if has_duties else None,
         )
         max_age = MAX_AGE_SHARE_OF_PROPAGATION * bounds.propagation_seconds
         self._feed = FeedFollower(
@@ -256,8 +256,7 @@
             self._request_activity,
             self._fleet_load,
         )
-        duties: tuple[Component, ...] = ()
-        orders: CountOrders | None = None
+        self._duties: Duties | None = None
         if settings.duties is not None and adapter.duties is not None:
             self._duties = Duties(
                 entry_id,
@@ -271,7 +270,6 @@
                 log,
                 metrics,
             )
-            duties, orders = (self._duties,), self._duties.count_orders
         self._application = Application(
             (
                 source,
@@ -299,9 +297,8 @@
                 self._block_store,
                 probes,
                 self._controller,
-                *filter(None, (self._load_exchange,)),
-                *duties,
-                *self._autoscalers(orders),
+                *filter(None, (self._load_exchange, self._duties)),
+                *self._autoscalers(),
             )
         )
 
@@ -309,8 +306,9 @@
         if self._load_exchange is not None:
             self._load_exchange.receive(datagram, address)
 
-    def _autoscalers(self, orders: CountOrders | None) -> tuple[Autoscaler, ...]:
+    def _autoscalers(self) -> tuple[Autoscaler, ...]:
         """Return the component that decides on numbers of upstreams, if they can be ordered."""
+        orders = self._duties.count_orders if self._duties is not None else None
         if orders is None:
             return ()
         return (
@@ -503,6 +501,10 @@
         """Return the status and body of the page with the limits that upstreams state."""
         return self._upstream_limits.page()
 
+    def duties_page(self) -> tuple[int, bytes]:
+        """Return the status and body of the page with the duties of one instance at a time."""
+        return self._duties.page() if self._duties is not None else (404, b"no duties\n")
+
     def metrics_page(self) -> tuple[int, bytes]:
         """Return the status and body of the metrics page."""
         index = self.cluster_state.catalog_index
@@ -531,6 +533,14 @@
         is_listed = listed is not None and listed.lifetime == lifetime
         return not (listed and is_listed and await self._pool.is_reachable(listed.address))
 
+    def _count_begun(self, customer: CustomerId) -> None:
+        if self._duties is not None:
+            self._duties.count_begun(customer)
+
+    def _receive_usage_message(self, message: UsageDatagram, host: str) -> None:
+        if self._duties is not None:
+            self._duties.receive(message, host)
+
     def _report_unresponsive(self, upstream_id: UpstreamId) -> None:
         self._hints.send_unresponsive(upstream_id)
         self._probes.probe_group_now(upstream_id)
--- a/src/cactuspass/fleet/duties/_usage_collector.py
+++ b/src/cactuspass/fleet/duties/_usage_collector.py
@@ -26,6 +26,7 @@
 MAX_OPEN_QUERIES = 8
 # An instance that stops deregisters before its last requests end, so it is asked for some time.
 LEAVING_SECONDS = 20.0
+GONE_SECONDS = 3.0  # without an answer after it has deregistered
 # With more instances, the counts that are lost with one are too few to matter. With fewer, all
 # instances get all answers, so that the next holder has the counts of one that was killed.
 MAX_INSTANCES_THAT_SHARE = 24
@@ -73,6 +74,7 @@
         self._highest_fence = -1
         self._last_query: UsageQuery | None = None
         self._seen_at_by_peer: dict[Peer, float] = {}
+        self._hosts: set[str] = set()
 
     async def step(self) -> None:
         """Ask all instances once if this instance leads, then pause."""
@@ -96,7 +98,9 @@
 
         :param host: IP address of the sender.
         """
-        if host not in {str(peer.address).rpartition(":")[0] for peer in self._recent_peers()}:
+        if host not in self._hosts:
+            self._note_peers()
+        if host not in self._hosts:
             self._log.state_change("hint-from-stranger", peer=host, message=message.kind)
         elif isinstance(message, UsageQuery):
             self._accept_query(message)
@@ -107,6 +111,24 @@
         """Return the counts of all instances in a window, by customer."""
         return self._tally.total(window)
 
+    @property
+    def asked_at(self) -> float:
+        """Time of the last query that this instance has answered, in Unix seconds."""
+        return self._last_query.true_time if self._last_query is not None else float("-inf")
+
+    def own_answer(self) -> UsageAnswer:
+        """Return all counts of this instance, as they are now, in one message of any size."""
+        at = self._true_time.at()
+        counts = self._counts.since(self._windows.first_kept(at))
+        source = (self._instance, self._counts.lifetime)
+        return UsageAnswer(*source, 0, 0, 0, 1, max(0.0, at), tuple(counts.items()))
+
+    def add_stored(self, answer: UsageAnswer) -> None:
+        """Add counts that an instance has written to the store, at the time that they state."""
+        self._tally.add(answer, self._true_time.at())
+        if self._progress is not None:
+            self._progress.note_complete(answer.instance, answer.wall_time)
+
     @property
     def rounds(self) -> int:
         """Number of times that all instances were asked in the current term."""
@@ -133,16 +155,27 @@
             del self._offsets_by_instance[instance]
         self._true_time.choose(self._offsets_by_instance.values())
         true_time = self._true_time.at()
+        asked_peers = [peer for peer in peers if self._is_asked(peer, true_time)]
         number = self._progress.begin_round(true_time, MAX_OPEN_QUERIES)
         self._queried_at_by_number[number] = now()
         self._queried_at_by_number.pop(number - MAX_OPEN_QUERIES, None)
         query = UsageQuery(fence, number, self._instance, true_time, max(0, self._first_window()))
-        for peer in peers:
+        for peer in asked_peers:
             if peer.address is not None and peer.instance != self._instance:
                 self._send(peer.address, query)
         self._highest_fence = max(self._highest_fence, fence)
         self._answer(query)
 
+    def _is_asked(self, peer: Peer, true_time: float) -> bool:
+        """Return whether an instance is registered, or has deregistered but still answers."""
+        assert self._progress is not None
+        since = true_time - GONE_SECONDS
+        return (
+            peer in self._cluster_state.peers
+            or self._progress.rounds * POLL_SECONDS < GONE_SECONDS
+            or not self._progress.lacking([peer.instance], since)
+        )
+
     def _accept_query(self, query: UsageQuery) -> None:
         if query.fence < self._highest_fence:
             return
@@ -211,6 +244,7 @@
         for peer, seen_at in list(self._seen_at_by_peer.items()):
             if at - seen_at > LEAVING_SECONDS:
                 del self._seen_at_by_peer[peer]
+        self._hosts = {str(peer.address).rpartition(":")[0] for peer in self._seen_at_by_peer}
 
     def _recent_peers(self) -> list[Peer]:
         return list(dict.fromkeys([*self._cluster_state.peers, *self._seen_at_by_peer]))
