--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -3,7 +3,9 @@
 Listed tests run like all others, and the outcome of each is printed.
 
 Test modules that start processes run in parallel, each in a subprocess; all others run in this
-process. ``python -m tests MODULE ...`` runs only the named modules, in this process.
+process. Modules that set ``RUNS_ALONE`` load the machine or measure a whole process: they run one
+at a time after all others. ``python -m tests MODULE ...`` runs only the named modules, in this
+process.
 """
 
 import faulthandler
@@ -25,6 +27,7 @@
 # A run in which nothing ends for so long is hung; it prints where and fails.
 HANG_SECONDS = 240.0
 PROCESS_IMPORT = re.compile(r"^from (trial\.|tests\.\w+_case )", re.MULTILINE)
+RUNS_ALONE = re.compile(r"^RUNS_ALONE = True$", re.MULTILINE)
 KNOWN_RED_LINE = re.compile(r"^known red, .*$", re.MULTILINE)
 KNOWN_RED_FAILED = "known red, failed:"
 TALLY_LINE = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
@@ -167,17 +170,36 @@
     return tally
 
 
+@dataclass(frozen=True, slots=True)
+class ModulesByRun:
+    """Names of test modules by how they are run."""
+
+    in_this_process: Sequence[str]
+    in_subprocesses: Sequence[str]
+    alone: Sequence[str]
+
+
+def divide_modules(texts_by_module: Mapping[str, str]) -> ModulesByRun:
+    """Return how each test module is run, by its text."""
+    alone = [name for name, text in texts_by_module.items() if RUNS_ALONE.search(text)]
+    shared = {name: text for name, text in texts_by_module.items() if name not in alone}
+    parallel = [name for name, text in shared.items() if PROCESS_IMPORT.search(text)]
+    own = [name for name in shared if name not in parallel]
+    return ModulesByRun(own, parallel, alone)
+
+
 def run_all() -> Tally:
     """Run all test modules."""
-    paths = sorted((ROOT / "tests").glob("test_*.py"))
-    process_modules = [
-        path for path in paths if PROCESS_IMPORT.search(path.read_text(encoding="utf-8"))
-    ]
-    own_modules = [f"tests.{path.stem}" for path in paths if path not in process_modules]
+    texts_by_module = {
+        f"tests.{path.stem}": path.read_text(encoding="utf-8")
+        for path in sorted((ROOT / "tests").glob("test_*.py"))
+    }
+    modules = divide_modules(texts_by_module)
     with ThreadPoolExecutor(MAX_SUBPROCESSES) as workers:
-        tallies = workers.map(run_in_subprocess, [f"tests.{path.stem}" for path in process_modules])
-        own_tally = run_in_this_process(own_modules)
-        return sum(tallies, own_tally)
+        tallies = workers.map(run_in_subprocess, modules.in_subprocesses)
+        own_tally = run_in_this_process(modules.in_this_process)
+        tally = sum(tallies, own_tally)
+    return sum(map(run_in_subprocess, modules.alone), tally)
 
 
 def describe_unreported(known_red: Mapping[str, str], known_red_lines: Iterable[str]) -> list[str]:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,7 +3,7 @@
 import io
 import unittest
 
-from tests.__main__ import Tally, describe_unreported, run_tests
+from tests.__main__ import Tally, describe_unreported, divide_modules, run_tests
 
 
 class _Sample(unittest.TestCase):
@@ -68,5 +68,18 @@
         )
 
 
+class DivisionTest(unittest.TestCase):
+    """How the runner divides the test modules."""
+
+    # Guards against a measurement of a whole process beside the load of other tests.
+    def test_modules_that_run_alone_run_nowhere_else(self) -> None:
+        process_import = "from trial.fleet import Fleet\n"
+        texts = {"a": "", "b": process_import, "c": f"{process_import}\nRUNS_ALONE = True\n"}
+        divided = divide_modules(texts)
+        self.assertEqual(
+            (divided.in_this_process, divided.in_subprocesses, divided.alone), (["a"], ["b"], ["c"])
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
