Bound what all callers of an instance hold together

Each request was bounded, but not all of them together: 40 callers that stop just short of the end of a body of 4.19 MB took 219 MB, 200 callers of mixed kinds 312 MB, and idle callers took the descriptors of upstreams. Callers' requests, with announced bytes, parsed heads and the buffers of their connections, now count in one budget with answers in progress. Where there is no room, the requests that have stalled and those that hold much more than a fair share are refused as not run; small ones keep an eighth of the room. Connections are bounded to half of the descriptors.

A refused caller that goes on sending is read for at most 2 s and 8 MiB, so that it gets its answer. Bodies are collected in blocks.

--- /dev/null
+++ b/src/cactuspass/_allocator.py
@@ -0,0 +1,17 @@
+"""Settings of the memory allocator of the C library."""
+
+import contextlib
+import ctypes
+
+M_MMAP_THRESHOLD = -3
+LARGE_BLOCK_BYTES = 65_536
+
+
+def return_large_blocks() -> None:
+    """Let large blocks of memory return to the system as soon as they are freed.
+
+    The allocator of glibc raises its threshold with each large block that is freed. Bodies of
+    requests then lie between small blocks, and the process keeps the gaps that they leave.
+    """
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -14,18 +14,16 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from cactuspass._caller_connections import (
-    FLUSH_SECONDS,
-    STOPPING_PROBLEM,
-    CallerHTTPServer,
-    CallerStream,
-    ends_at_close,
-)
+from cactuspass._caller_boundary import ReportRemoval
+from cactuspass._caller_connections import FLUSH_SECONDS, STOPPING_PROBLEM, CallerHTTPServer
+from cactuspass._caller_memory import CallerMemory
 from cactuspass._caller_requests import MalformedRequest, RawRequest, RequestReader
+from cactuspass._caller_stream import CallerStream, ends_at_close
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass._final_event import StreamTail
 from cactuspass._problems import Problem, RunState, bad_request, problem_from_error
+from cactuspass._request_body import RequestBody
 from cactuspass._requests import SERVICE_PREFIX, Answer, CallerRequest
 from cactuspass._running_requests import RunningRequests
 from cactuspass.exceptions import AnswerCut, CactuspassError, RequestError
@@ -97,10 +95,23 @@
 
 
 class CallerServer(Component):
-    """HTTP server for callers."""
+    """HTTP server for callers.
+
+    :param memory: bounds on what all callers hold; None for those by default.
+    :param report: called with each caller that loses its place.
+    """
 
-    def __init__(self, settings: CallerSettings, api: CallerApi, reader: RequestReader) -> None:
+    def __init__(
+        self,
+        settings: CallerSettings,
+        api: CallerApi,
+        reader: RequestReader,
+        memory: CallerMemory | None = None,
+        report: ReportRemoval | None = None,
+    ) -> None:
         self._settings = settings
+        self._memory = memory
+        self._report = report
         self._running = RunningRequests()
         context = {"settings": settings, "api": api, "reader": reader, "running": self._running}
         self._application = Application(
@@ -124,7 +135,9 @@
         self.port = sockets[0].getsockname()[1]
         self._server = CallerHTTPServer(
             self._application,
-            max_body_size=self._settings.body_bytes,
+            memory=self._memory,
+            report=self._report,
+            max_body_bytes=self._settings.body_bytes,
             max_header_size=self._settings.header_bytes,
         )
         self._server.add_sockets(sockets)
@@ -148,8 +161,7 @@
 class CallerHandler(RequestHandler):
     """Base of the callers' handlers: authentication, error responses and relaying of answers.
 
-    The body is received as a stream, so that an oversize one is refused by its Content-Length
-    before it arrives.
+    The body is received as a stream, so that small parts of it are held together.
     """
 
     def initialize(
@@ -166,23 +178,11 @@
         self.reader = reader
         self.request_id = RequestId(uuid.uuid4().hex)
         self._serving: asyncio.Task[None] | None = None
-        self._body = bytearray()
-
-    def prepare(self) -> None:
-        """Refuse a request whose Content-Length is over the limit."""
-        announced = self.request.headers.get("Content-Length", "0")
-        limit = self.settings_.body_bytes
-        if announced.isdigit() and int(announced) > limit:
-            connection = self.request.connection
-            # Raise the limit of the library, which would refuse an oversize body itself without a
-            # problem document.
-            connection.set_max_body_size(int(announced))  # type: ignore[union-attr]
-            detail = f"the body has {announced} bytes; the limit is {limit}"
-            self.write_problem(bad_request(detail, 413, "body-too-large"))
+        self._body = RequestBody()
 
     def data_received(self, chunk: bytes) -> None:
-        """Append a chunk of the body."""
-        self._body += chunk
+        """Add a part of the body."""
+        self._body.add(chunk)
 
     def set_default_headers(self) -> None:
         """Remove the Server header, which names the software."""
@@ -251,7 +251,7 @@
             self.request.method or "",
             path,
             tuple(self.request.headers.get_all()),
-            bytes(self._body),
+            self._body.take(),
         )
 
     async def run_and_relay(self, raw: RawRequest, model: str | None) -> None:
--- a/src/cactuspass/_operators.py
+++ b/src/cactuspass/_operators.py
@@ -63,7 +63,7 @@
         host, _, port = self._listen.rpartition(":")
         sockets = bind_sockets(int(port), host)
         self.port = sockets[0].getsockname()[1]
-        self._server = CallerHTTPServer(self._application, max_body_size=MAX_BODY_BYTES)
+        self._server = CallerHTTPServer(self._application, max_body_bytes=MAX_BODY_BYTES)
         self._server.add_sockets(sockets)
 
     async def drain(self) -> None:
--- a/src/cactuspass/fleet/_caller_listener.py
+++ b/src/cactuspass/fleet/_caller_listener.py
@@ -1,6 +1,7 @@
 """The HTTP listener of an instance for callers, built on tornado's HTTP server."""
 
 import asyncio
+import traceback
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -15,10 +16,14 @@
 )
 from tornado.iostream import StreamClosedError
 
-from cactuspass._caller_connections import FLUSH_SECONDS, CallerHTTPServer, CallerStream
+from cactuspass._caller_boundary import ReportRemoval
+from cactuspass._caller_connections import FLUSH_SECONDS, CallerHTTPServer
+from cactuspass._caller_memory import CallerMemory
+from cactuspass._caller_stream import CallerStream
 from cactuspass._clock import now
 from cactuspass._connection_phases import ConnectionCounts
 from cactuspass._problems import Problem
+from cactuspass._request_body import RequestBody
 from cactuspass.fleet._answer_head import Header
 from cactuspass.fleet._catalog import CallerLimits
 from cactuspass.fleet._connection_delivery import ConnectionDelivery
@@ -42,7 +47,6 @@
 # Time after the notice of a stop in which requests may still begin. With the notice before it, it
 # ends within 3 s of the signal: the cut of a request that begins later counts as a loss.
 LAST_REQUESTS_SECONDS = 0.3
-MAX_BODY_BYTES = 2**40  # effectively unlimited: _check_size applies the limit in the catalog
 STOPPING_PROBLEM = not_run_problem("stopping", "the instance is stopping", RETRY_AFTER_SECONDS)
 
 
@@ -54,8 +58,7 @@
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = RequestBody()
         self._arrived_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -80,15 +83,14 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a part of the body; refuse the request if the body is too large."""
-        self._chunks.append(chunk)
-        self._body_bytes += len(chunk)
-        self._check_size(self._body_bytes)
+        self._body.add(chunk)
+        self._check_size(self._body.received_bytes)
         return None
 
     def _check_size(self, body_bytes: int) -> None:
         limit = self._listener.limits().body_bytes
         if body_bytes > limit:
-            self._chunks.clear()
+            self._body.clear()
             detail = f"the body of the request is over the limit of {limit} bytes"
             self._refuse(malformed_problem(detail, HTTPStatus.REQUEST_ENTITY_TOO_LARGE))
 
@@ -119,6 +121,7 @@
 
     def on_connection_close(self) -> None:
         """Stop serving the request, since the connection is closed."""
+        self._body.clear()
         self._cancel()
 
     def _cancel(self) -> None:
@@ -135,7 +138,7 @@
             await self._listener.serve(
                 self._line,
                 headers,
-                b"".join(self._chunks),
+                self._body.take(),
                 self._arrived_at,
                 delivery,
                 is_late,
@@ -155,6 +158,8 @@
     :param is_closing: returns whether connections should be closed after their next response.
     :param failed: called with the error of a request whose task failed.
     :param limits: returns the current limits on the size and duration of requests.
+    :param memory: bounds on what all callers hold together; None for those by default.
+    :param removed: called with each caller that loses its place.
     """
 
     def __init__(
@@ -166,6 +171,8 @@
         is_closing: Callable[[], bool],
         failed: Callable[[BaseException], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
+        memory: CallerMemory | None = None,
+        removed: ReportRemoval | None = None,
     ) -> None:
         self._address = address
         self._dispatcher = dispatcher
@@ -179,11 +186,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._requests_by_connection: dict[HTTP1ServerConnection, _CallerRequest] = {}
         self.bound_address = ("", 0)
-        self._server = CallerHTTPServer(
-            self,
-            max_body_size=MAX_BODY_BYTES,
-            no_keep_alive=False,
-        )
+        self._server = CallerHTTPServer(self, memory=memory, report=removed, no_keep_alive=False)
         # Tornado's own timeout would also close a connection on which a request waits unread.
         self._server.conn_params.header_timeout = None
         self._apply_limits()
@@ -299,8 +302,15 @@
     def _request_ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         self._metrics.in_flight.set(len(self._tasks))
-        if not task.cancelled() and task.exception() is not None:
-            self._failed(task.exception())  # type: ignore[arg-type]
+        try:
+            error = task.exception()
+        except asyncio.CancelledError as cancelled:
+            # The task and its frames refer to each other; the bytes of a request and its answer
+            # would stay until the garbage collector finds them.
+            traceback.clear_frames(cancelled.__traceback__)
+            return
+        if error is not None:
+            self._failed(error)
 
     async def serve(
         self,
--- a/src/cactuspass/fleet/_connection_delivery.py
+++ b/src/cactuspass/fleet/_connection_delivery.py
@@ -5,7 +5,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPConnection, HTTPHeaders, RequestStartLine
 
-from cactuspass._caller_connections import CallerStream, ends_at_close
+from cactuspass._caller_stream import CallerStream, ends_at_close
 from cactuspass.fleet._answer_head import Header
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._pages import start_line
--- a/src/cactuspass/fleet/_decision_log.py
+++ b/src/cactuspass/fleet/_decision_log.py
@@ -19,6 +19,8 @@
 OTHER_LINES_PER_SECOND = 40.0
 # So do answers that end early, which the lines of their attempts come before.
 ENDING_LINES_PER_SECOND = 20.0
+# Callers that lose their place may be many, and must not use up the lines of others.
+CALLER_LINES_PER_SECOND = 20.0
 BURST_LINES = 300.0
 BUFFER_LINES = 2000
 # Time at the end of the process for a slow reader to take the lines that are left.
@@ -101,6 +103,7 @@
         self._rate_limits_by_share = {
             "request": TokenBucket(REQUEST_LINES_PER_SECOND, BURST_LINES, at),
             ENDING: TokenBucket(ENDING_LINES_PER_SECOND, BURST_LINES, at),
+            "caller": TokenBucket(CALLER_LINES_PER_SECOND, BURST_LINES, at),
             "belief": other_limit,
             "order": other_limit,
         }
@@ -120,6 +123,10 @@
         """Log that a caller has got a part of an answer at most, or had its connection closed."""
         self._write("request", event, {"request": request_id, **fields}, ENDING)
 
+    def caller(self, event: str, **fields: Any) -> None:
+        """Log that a caller has lost its place, before its request was known."""
+        self._write("caller", event, fields)
+
     def state_change(self, event: str, **fields: Any) -> None:
         """Log a change in this instance's view of the cluster."""
         self._write("belief", event, fields)
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from cactuspass._application import Application
+from cactuspass._caller_boundary import CallerRemoval
 from cactuspass._clock import now
 from cactuspass._component import Component
 from cactuspass._stop_signal import SignalTime, StopSignal
@@ -15,6 +16,7 @@
 from cactuspass.fleet._block_rows import PARTS_PATH, blocks_page
 from cactuspass.fleet._block_store import BlockStore
 from cactuspass.fleet._budgets import RetryBudget
+from cactuspass.fleet._caller_bounds import HeldByCallers
 from cactuspass.fleet._caller_listener import CallerListener
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._controller import Controller
@@ -146,6 +148,7 @@
             lambda: self.cluster_state.blocks.snapshot,
             lambda: self._presence.term is not None,
         )
+        self._held_by_callers = HeldByCallers(settings)
         dependencies = RequestDependencies(
             adapter.request_format,
             selector,
@@ -159,6 +162,7 @@
             self._notices,
             self._part_guard,
             self._upstream_limits.waits,
+            answer_buffers=self._held_by_callers.answer_buffers,
         )
         self._silences = dependencies.silences
         admission = Admission(self.cluster_state, bounds.key_seconds, bounds.propagation_seconds)
@@ -173,6 +177,8 @@
             self._must_close_connections,
             self._log_request_failure,
             self.cluster_state.caller_limits,
+            self._held_by_callers.memory,
+            self._report_removal,
         )
         self._pages = [PageServer(settings.listeners.readiness, self.readiness)]
         if settings.listeners.metrics is not None:
@@ -440,6 +446,9 @@
         self._metrics.upstreams_age.set(now() - self.cluster_state.upstreams_read_at)
         self._metrics.connections_opened.set(self._pool.opened_count)
         self._metrics.lines_dropped.set(self._log.dropped)
+        held = self._held_by_callers
+        self._metrics.held_bytes.labels("requests").set(held.memory.held_bytes)
+        self._metrics.held_bytes.labels("answers").set(held.answer_buffers.held_bytes)
         for service, retry_budget in self._retry_budgets_by_service.items():
             left = retry_budget.remaining(now(), self.cluster_state.instance_count)
             self._metrics.retries_left.labels(service).set(left)
@@ -458,6 +467,12 @@
         is_listed = listed is not None and listed.lifetime == lifetime
         return not (listed and is_listed and await self._pool.is_reachable(listed.address))
 
+    def _report_removal(self, removal: CallerRemoval) -> None:
+        """Count and log a caller that has lost its place."""
+        outcome = "refused" if removal.refused else "closed"
+        self._metrics.removed_callers.labels(removal.limit.value, outcome).inc()
+        self._log.caller(removal.event, **removal.log_fields())
+
     def _report_unresponsive(self, upstream_id: UpstreamId) -> None:
         self._hints.send_unresponsive(upstream_id)
         self._probes.probe_group_now(upstream_id)
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -77,6 +77,17 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.removed_callers = self._counter(
+            "callers_removed",
+            "Callers that lost their place, by limit and outcome",
+            "limit",
+            "outcome",
+        )
+        self.held_bytes = self._gauge(
+            "held_bytes",
+            "Bytes held for callers: requests, with their connections, and answers",
+            "by",
+        )
         self.groups = self._gauge("groups", "Groups by model and state", "model", "state")
         self.in_flight = self._gauge("requests_in_flight", "Requests being served")
         self.catalog_version = self._gauge("catalog_version", "Version of the catalog in force")
--- a/src/cactuspass/fleet/_settings.py
+++ b/src/cactuspass/fleet/_settings.py
@@ -3,9 +3,16 @@
 import tomllib
 from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Self
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
 from cactuspass._findings import Finding, findings_from_error
 from cactuspass.exceptions import SettingsError
@@ -138,6 +145,23 @@
     descriptors: int | None = Field(default=None, gt=0)
 
 
+class CallerSection(_Section):
+    """Bounds on what all callers of this instance hold together.
+
+    :param held_megabytes: bytes of requests and of answers in progress, in units of 1,000,000; None
+        for a share of the machine's memory.
+    :param connections: open connections; None for a share of the machine's descriptors.
+    :param stall_seconds: time without progress after which a request is the first to lose its place
+        when there is no room.
+    :param min_bytes_per_second: mean rate below which an unfinished request counts as stalled.
+    """
+
+    held_megabytes: float | None = Field(default=None, ge=16, le=65_536)
+    connections: int | None = Field(default=None, ge=16, le=1_000_000)
+    stall_seconds: float = Field(default=3.0, ge=0.1, le=60)
+    min_bytes_per_second: float = Field(default=65_536.0, ge=0, le=1_000_000_000)
+
+
 class InstanceSettings(_Section):
     """All settings of an instance.
 
@@ -150,9 +174,23 @@
     store: StoreSection
     bounds: BoundSection = BoundSection()
     machine: MachineSection = MachineSection()
+    callers: CallerSection = CallerSection()
     duties: DutySection | None = None
     load_exchange: LoadExchangeSection | None = None
 
+    @model_validator(mode="after")
+    def _check_callers(self) -> Self:
+        """Check that callers leave something of the machine to everything else."""
+        held, memory = self.callers.held_megabytes, self.machine.memory_megabytes
+        if held is not None and memory is not None and held > memory / 2:
+            raise ValueError(
+                "callers.held_megabytes must be half of machine.memory_megabytes at most"
+            )
+        connections, descriptors = self.callers.connections, self.machine.descriptors
+        if connections is not None and descriptors is not None and connections >= descriptors:
+            raise ValueError("callers.connections must be below machine.descriptors")
+        return self
+
 
 def parse_instance_settings(text: str, source: str) -> InstanceSettings:
     """Return the settings in a TOML text.
--- a/src/cactuspass/platform/entry.py
+++ b/src/cactuspass/platform/entry.py
@@ -4,6 +4,7 @@
 import os
 import sys
 
+from cactuspass._allocator import return_large_blocks
 from cactuspass.exceptions import SettingsError
 from cactuspass.fleet import (
     Adapter,
@@ -54,5 +55,6 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
+    return_large_blocks()
     asyncio.run(instance.run())
     return 0
