--- a/src/cactuspass/_caller_memory.py
+++ b/src/cactuspass/_caller_memory.py
@@ -120,11 +120,16 @@
 
         :param requester: request whose size decides how much it leaves to others.
         """
-        bound = self.bounds.held_bytes
-        if requester is not None and requester.held_bytes > SMALL_REQUEST_BYTES:
-            bound = int(bound * (1 - SMALL_REQUEST_SHARE))
-        over_budget = self._budget.held_bytes - self._budget.max_bytes
-        return max(0, self.held_bytes - bound, over_budget)
+        over_bound = self.held_bytes - self._bound(requester)
+        if requester is not None and requester.held_bytes <= SMALL_REQUEST_BYTES:
+            # Answers that fill the budget don't keep small requests out.
+            return max(0, over_bound)
+        return max(0, over_bound, self._budget.held_bytes - self._budget.max_bytes)
+
+    def _bound(self, requester: CallerAccount | None) -> int:
+        if requester is None or requester.held_bytes <= SMALL_REQUEST_BYTES:
+            return self.bounds.held_bytes
+        return int(self.bounds.held_bytes * (1 - SMALL_REQUEST_SHARE))
 
     def choose_victims(self, requester: CallerAccount | None, at: float) -> list[CallerAccount]:
         """Return the connections that lose their place, so that no bound is exceeded.
@@ -150,7 +155,7 @@
 
     def _candidates(self, requester: CallerAccount | None, at: float) -> Iterable[CallerAccount]:
         holders = [account for account in self._accounts if account.held_bytes]
-        share = min(self.bounds.held_bytes, self._budget.max_bytes) / max(1, len(holders))
+        share = min(self._bound(requester), self._budget.max_bytes) / max(1, len(holders))
         over_share = [
             account
             for account in holders
--- a/src/cactuspass/_callers.py
+++ b/src/cactuspass/_callers.py
@@ -193,7 +193,8 @@
         return
 
     def on_connection_close(self) -> None:
-        """Cancel the request of a caller that disconnected."""
+        """Cancel the request of a caller that disconnected, and release what it sent."""
+        self._body.clear()
         if self._serving is not None:
             self._serving.cancel()
 
--- a/src/cactuspass/_entry.py
+++ b/src/cactuspass/_entry.py
@@ -12,6 +12,8 @@
 from cactuspass._application import Application
 from cactuspass._backlog import BacklogSystem
 from cactuspass._burn import BurnTracker, Objective
+from cactuspass._caller_memory import CallerBounds, CallerMemory
+from cactuspass._caller_reports import CallerReports
 from cactuspass._caller_requests import RequestDefaults, RequestReader
 from cactuspass._callers import CallerServer, CallerSettings
 from cactuspass._claim_store import ClaimStore, min_call_interval
@@ -68,6 +70,8 @@
 
 INCARNATION_HEX_DIGITS = 12
 DRAIN_NOTICE_DELAY_SECONDS = 1.0
+# A body is held as it was received and as it is sent to an upstream or another entry.
+BODY_COPIES = 2
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
 
 
@@ -241,7 +245,11 @@
             self.gateway, self.keyed_requests, tables, self.burn, self.counters
         )
         self.callers = CallerServer(
-            self._caller_settings(), self._caller_api, self._request_reader()
+            self._caller_settings(),
+            self._caller_api,
+            self._request_reader(),
+            CallerMemory(self._caller_bounds()),
+            CallerReports(self.counters, self._log).report,
         )
 
     def _build_burn_tracker(self) -> BurnTracker:
@@ -266,6 +274,16 @@
             settings.limits.header_bytes,
         )
 
+    def _caller_bounds(self) -> CallerBounds:
+        limits = self.settings.limits
+        return CallerBounds(
+            limits.caller_memory_bytes,
+            limits.caller_connections,
+            limits.caller_stall_seconds,
+            limits.caller_min_bytes_per_second,
+            BODY_COPIES,
+        )
+
     def _request_reader(self) -> RequestReader:
         limits = self.settings.limits
         defaults = RequestDefaults(limits.default_deadline_seconds, limits.max_deadline_seconds)
--- a/src/cactuspass/_settings_sections.py
+++ b/src/cactuspass/_settings_sections.py
@@ -153,6 +153,30 @@
         default=256 * KIBIBYTE,
         description="Maximum number of bytes of one answer buffered for a slow reader.",
     )
+    caller_memory_bytes: int = Field(
+        default=96 * MEBIBYTE,
+        ge=16 * MEBIBYTE,
+        le=65_536 * MEBIBYTE,
+        description="Maximum number of bytes that callers' requests and connections hold together.",
+    )
+    caller_connections: int = Field(
+        default=16_384,
+        ge=16,
+        le=1_000_000,
+        description="Maximum number of open connections of callers.",
+    )
+    caller_stall_seconds: float = Field(
+        default=3.0,
+        ge=0.1,
+        le=60.0,
+        description="Time without progress after which a request is the first to lose its place.",
+    )
+    caller_min_bytes_per_second: float = Field(
+        default=65_536.0,
+        ge=0,
+        le=1_000_000_000,
+        description="Mean rate below which an unfinished request counts as stalled.",
+    )
     queued_requests: Count = Field(
         default=512, description="Maximum number of queued requests per model."
     )
--- a/src/cactuspass/daemon.py
+++ b/src/cactuspass/daemon.py
@@ -6,6 +6,7 @@
 
 import fire
 
+from cactuspass._allocator import return_large_blocks
 from cactuspass._entry import Entry
 from cactuspass._logs import StateLog
 from cactuspass._stop_signal import StopSignal
@@ -45,6 +46,7 @@
     file = loaded.logging.file
     stream = None if file is None else Path(file).open("a", encoding="utf-8")  # noqa: SIM115
     log = StateLog(loaded.logging.format, loaded.logging.level, stream, entry=loaded.entry_id)
+    return_large_blocks()
     try:
         asyncio.run(run_entry(loaded, log))
     except OSError as error:
