--- a/tests/instance_case.py
+++ b/tests/instance_case.py
@@ -5,6 +5,7 @@
 import os
 import tempfile
 import unittest
+import urllib.request
 from pathlib import Path
 from typing import Any, ClassVar
 from unittest import mock
@@ -139,6 +140,11 @@
         except TimeoutError:
             self.fail(f"no request is served; last answer {last}")
 
+    def read_metrics(self) -> list[str]:
+        """Return the lines of the metrics page."""
+        with urllib.request.urlopen(f"http://{self.metrics}/metrics") as answer:
+            return str(answer.read(), "utf-8").splitlines()
+
     def logged(self) -> list[dict[str, Any]]:
         """Return the decision lines so far, after ending the process."""
         self.child.terminate()
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -8,7 +8,7 @@
 import unittest
 from collections import Counter
 
-from tests.caller_crowd import KINDS, Crowd, UnfinishedRequest
+from tests.caller_crowd import CALLER_BYTES, KINDS, Crowd, UnfinishedRequest
 from tests.instance_case import InstanceProcessCase
 
 RUNS_ALONE = True
@@ -87,6 +87,22 @@
         await self.assert_bounded(["slow_readers"] * CALLERS_OF_A_KIND)
 
 
+class DecisionLineTest(SmallMachineCase):
+    """What operators learn of callers that lose their place."""
+
+    # Guards against refusals whose cause nobody can find.
+    async def test_refused_callers_are_counted_and_logged(self) -> None:
+        await self.crowd(["short_of_the_end"] * CALLERS_OF_A_KIND)
+        metrics = await asyncio.to_thread(self.read_metrics)
+        counter = 'cactuspass_callers_removed_total{limit="caller-memory",outcome="refused"}'
+        count = next(float(line.split()[1]) for line in metrics if line.startswith(counter))
+        lines = [line for line in self.logged() if line["event"] == "caller-refused"]
+        self.assertGreater(count, 0)
+        self.assertEqual(len(lines), count)
+        self.assertTrue(lines[0]["caller"].startswith("127.0.0.1:"))
+        self.assertGreaterEqual(max(line["held_bytes"] for line in lines), CALLER_BYTES)
+
+
 class MixedCrowdTest(SmallMachineCase):
     """Callers of all kinds at once."""
 
