Keep a large body once while its upstream reads slowly

A body was copied to be sent with the head of its request, and what the kernel did not take was copied once more into the transport, so that a body of 4 MB took 12 MB for a moment and 8 MB while the upstream did not read. Bodies above 64 KiB are now passed on as the upstream reads. A connection whose upstream answers before it has read the whole body is not used again, as before.

--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -22,6 +22,8 @@
 LARGE_RECEIVE_BYTES = 65_536
 MAX_CHUNKS_BEFORE_LARGE_READ = 16
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
+# Of a large body, passed on at once while the upstream reads; the transport copies what it keeps.
+WRITE_BYTES = 65_536
 
 
 class ResponseUnidentified(ConnectionError):
@@ -46,6 +48,8 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._requires_id = False
+        self._unsent = memoryview(b"")
+        self._is_writing_paused = False
         self._chunks_of_read = MAX_CHUNKS_BEFORE_LARGE_READ + 1
         self._reset_parser()
         self.is_reusable = True
@@ -106,6 +110,21 @@
         """Fail the exchange in progress."""
         self._fail(ConnectionClosed(str(exc) if exc else "the connection was closed"))
 
+    def pause_writing(self) -> None:
+        """Keep back the rest of a body, since the upstream reads slowly."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Send more of a body."""
+        self._is_writing_paused = False
+        self._send_body()
+
+    def _send_body(self) -> None:
+        while self._unsent and not self._is_writing_paused:
+            assert self._transport is not None
+            part, self._unsent = self._unsent[:WRITE_BYTES], self._unsent[WRITE_BYTES:]
+            self._transport.write(part)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -185,12 +204,15 @@
 
     # Calls of the pool and of the exchange.
 
-    def send_request(self, request: bytes, check: IdCheck | None, has_no_body: bool) -> Exchange:
+    def send_request(
+        self, request: bytes, check: IdCheck | None, has_no_body: bool, body: bytes = b""
+    ) -> Exchange:
         """Send a request.
 
-        :param request: encoded head and body.
+        :param request: encoded head, with the body unless that is large.
         :param check: header by which the response identifies the request, if any.
         :param has_no_body: whether the response has no body, as for HEAD requests.
+        :param body: large body, of which no more is passed on than the upstream reads.
         :raises UpstreamNotReached: if the connection is closed; no byte was sent.
         """
         if self._transport is None or self._transport.is_closing():
@@ -200,6 +222,8 @@
         self._reset_parser()
         self._exchange = exchange = Exchange(self, check, has_no_body)
         self._transport.write(request)
+        self._unsent = memoryview(body)
+        self._send_body()
         exchange.started = True
         return exchange
 
@@ -261,6 +285,10 @@
     def _finish_exchange(self) -> None:
         exchange, self._exchange = self._exchange, None
         self.idle_since = asyncio.get_running_loop().time()
+        if self._unsent:
+            # The upstream has answered before it has read the whole body.
+            self.is_reusable = False
+            self._unsent = memoryview(b"")
         if not self.is_reusable and self._transport is not None:
             self._transport.close()
         if exchange is not None:
@@ -268,6 +296,7 @@
 
     def _fail(self, error: Exception) -> None:
         self.is_reusable = False
+        self._unsent = memoryview(b"")
         exchange, self._exchange = self._exchange, None
         if self._transport is not None:
             self._transport.abort()
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -12,6 +12,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 KEEP_ALIVE_TIMEOUT_SHARE = 0.7
 MAX_IDLE_PER_ADDRESS = 32
+# Larger bodies are not copied to be sent with the head.
+MAX_JOINED_BYTES = 65_536
 
 
 def always() -> bool:
@@ -35,11 +37,15 @@
 
     def encode(self) -> bytes:
         """Return the request as bytes, including its framing."""
+        return self.encode_head() + self.body
+
+    def encode_head(self) -> bytes:
+        """Return the head as bytes, with the framing of the body."""
         lines = [f"{self.method} {self.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in self.headers]
         if self.body or self.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             lines.append(f"Content-Length: {len(self.body)}")
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
 
 
 class ConnectionPool:
@@ -82,8 +88,12 @@
         if not may_send():
             self.release(address, idle, connection)
             raise SendWithdrawn(f"{address} no longer accepts requests")
+        is_large = len(request.body) > MAX_JOINED_BYTES
         exchange = connection.send_request(
-            request.encode(), request.check, request.method == "HEAD"
+            request.encode_head() if is_large else request.encode(),
+            request.check,
+            request.method == "HEAD",
+            request.body if is_large else b"",
         )
         return PooledExchange(self, idle, address, connection, exchange)
 
