--- a/src/cactuspass/fleet/_connection_delivery.py
+++ b/src/cactuspass/fleet/_connection_delivery.py
@@ -10,6 +10,9 @@
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._pages import start_line
 
+# Larger bodies are not copied to be sent with the head.
+MAX_JOINED_BYTES = 65_536
+
 
 class ConnectionDelivery(Delivery):
     """Writes a response to one caller's connection.
@@ -47,7 +50,10 @@
             await self._write_head(status, headers, None)
         else:
             framed = [*headers, ("Content-Length", str(len(body)))]
-            await self._write_head(status, framed, body or None)
+            is_large = len(body) > MAX_JOINED_BYTES
+            await self._write_head(status, framed, None if is_large else body or None)
+            if is_large:
+                await self._connection.write(body)
         self._connection.finish()
 
     async def send_head(self, status: int, headers: list[Header]) -> None:
