List the keys of the instances also while keys of duties change

A watch that returns changes is not followed by a listing, and the keys of duties change every few seconds.

--- a/src/cactuspass/fleet/_presence.py
+++ b/src/cactuspass/fleet/_presence.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -16,6 +16,7 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._registration import (
+    DUTIES_PREFIX,
     INSTANCES_PREFIX,
     KEY_PREFIX,
     Registration,
@@ -131,6 +132,7 @@
         self._peers = DecodedKeys(self._peer)
         self._keys_listed = False
         self._revision = 0
+        self._listed_at = float("-inf")
         self._wake = asyncio.Event()
 
     async def start(self) -> None:
@@ -314,6 +316,7 @@
             snapshot = await self._store.read_prefix(KEY_PREFIX)
             self._keys = dict(snapshot.values_by_key)
             self._revision = snapshot.revision
+            self._listed_at = now()
             self._keys_listed = True
             self._cluster_state.note_era(era_of(snapshot.revision))
         else:
@@ -323,13 +326,21 @@
                     self._keys.pop(change.key, None)
                 else:
                     self._keys[change.key] = change
-            # A watch can miss changes, so the keys are listed again after each watch that has
-            # returned none.
-            self._revision = changes.revision if changes.changed else 0
+            self._revision = changes.revision if self._may_watch_on(changes.changed) else 0
         self._update_instances()
         self._on_keys(self._keys)
         self._wake.set()
 
+    def _may_watch_on(self, changed: Sequence[KeyValue]) -> bool:
+        """Return whether the next changes can be watched without listing the keys first.
+
+        A watch can miss changes, so the keys are listed again after each watch that has returned
+        none. Keys of duties change so often that each watch returns some, and do not count.
+        """
+        if any(not change.key.startswith(DUTIES_PREFIX) for change in changed):
+            return True
+        return bool(changed) and now() - self._listed_at < WATCH_WAIT_SECONDS
+
     def _peer(self, registered: KeyValue) -> Peer:
         """Return the instance that a key registers.
 
--- a/src/cactuspass/fleet/_registration.py
+++ b/src/cactuspass/fleet/_registration.py
@@ -14,6 +14,7 @@
 
 KEY_PREFIX = "cactuspass/"
 INSTANCES_PREFIX = f"{KEY_PREFIX}instances/"
+DUTIES_PREFIX = f"{KEY_PREFIX}duties/"
 # Long, since each instance renews its lease: other instances learn sooner from their connections
 # that one has gone, and one that is cut off goes on sending and must stay counted.
 REGISTRATION_SECONDS = 20
--- a/src/cactuspass/fleet/duties/_stored_counts.py
+++ b/src/cactuspass/fleet/duties/_stored_counts.py
@@ -9,13 +9,13 @@
 from cactuspass._platform import Write
 from cactuspass.exceptions import PlatformError
 from cactuspass.fleet._decision_log import DecisionLog
+from cactuspass.fleet._registration import DUTIES_PREFIX
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet.duties._holder import DutyHolder
 from cactuspass.fleet.duties._true_time import TrueTime
 from cactuspass.fleet.duties._usage_collector import UsageCollector
 from cactuspass.fleet.duties._usage_messages import UsageAnswer
-from cactuspass.fleet.duties._usage_store import DUTIES_PREFIX
 from cactuspass.fleet.duties._windows import Windows
 
 COUNTS_PREFIX = f"{DUTIES_PREFIX}usage-counts/"
--- a/src/cactuspass/fleet/duties/_usage_collector.py
+++ b/src/cactuspass/fleet/duties/_usage_collector.py
@@ -24,6 +24,8 @@
 
 POLL_SECONDS = 0.5
 MAX_OPEN_QUERIES = 8
+# The wall-clock time in a later answer is too inexact.
+MAX_ROUND_TRIP_SECONDS = 0.4
 # An instance that stops deregisters before its last requests end, so it is asked for some time.
 LEAVING_SECONDS = 20.0
 GONE_SECONDS = 3.0  # without an answer after it has deregistered
@@ -125,9 +127,10 @@
 
     def add_stored(self, answer: UsageAnswer) -> None:
         """Add counts that an instance has written to the store, at the time that they state."""
-        self._tally.add(answer, self._true_time.at())
+        at = self._true_time.at()
+        self._tally.add(answer, at)
         if self._progress is not None:
-            self._progress.note_complete(answer.instance, answer.wall_time)
+            self._progress.note_complete(answer.instance, min(at, answer.wall_time))
 
     @property
     def rounds(self) -> int:
@@ -229,9 +232,9 @@
         if progress is None or progress.fence != answer.fence:
             return
         progress.note(answer)
-        queried_at = self._queried_at_by_number.get(answer.number)
-        if queried_at is not None:
-            received_at = now()
+        received_at = now()
+        queried_at = self._queried_at_by_number.get(answer.number, float("-inf"))
+        if received_at - queried_at <= MAX_ROUND_TRIP_SECONDS:
             self._offsets_by_instance[answer.instance] = (
                 answer.wall_time - (queried_at + received_at) / 2
             )
--- a/src/cactuspass/fleet/duties/_usage_reporter.py
+++ b/src/cactuspass/fleet/duties/_usage_reporter.py
@@ -125,7 +125,8 @@
             self._next_window = first  # the time had jumped forward
         first_logged = max(self._next_window, first - MAX_WINDOWS_LOGGED_AS_MISSED)
         for window in range(first_logged, first):
-            if self._fixed.may_compose(window):
+            # Before the first report of a fleet, windows have passed in which it did not run.
+            if self._fixed.reports_by_window and self._fixed.may_compose(window):
                 self._metrics.usage_windows.labels("missed").inc()
                 self._log.alarm("usage-window-missed", window=window, fence=fence)
         self._next_window = max(self._next_window, first)
--- a/src/cactuspass/fleet/duties/_usage_store.py
+++ b/src/cactuspass/fleet/duties/_usage_store.py
@@ -16,12 +16,11 @@
 from cactuspass._revisions import era_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._registration import KEY_PREFIX
+from cactuspass.fleet._registration import DUTIES_PREFIX
 from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet.duties._calls import UsageReport
 from cactuspass.models import CustomerId
 
-DUTIES_PREFIX = f"{KEY_PREFIX}duties/"
 WINDOWS_PREFIX = f"{DUTIES_PREFIX}usage/"
 STATE_KEY = f"{DUTIES_PREFIX}usage-state"
 WINDOW_DIGITS = 12
--- a/tests/test_fleet_presence.py
+++ b/tests/test_fleet_presence.py
@@ -175,6 +175,27 @@
         self.assertGreater(successor.term.first_epoch, before)
         await self.stop(others)
 
+    @virtual_time
+    async def test_another_instance_leads_although_keys_of_duties_change_all_the_time(self) -> None:
+        # Guards against a missed end of the leader key that no listing of the keys shows, since
+        # each watch returns changes.
+        async def watch(prefix: str, after_revision: int, wait: float) -> Changes:
+            await asyncio.sleep(1.0)
+            store.check()
+            changed = KeyValue("cactuspass/duties/usage-state", b"{}", after_revision + 1)
+            return Changes((changed,), after_revision + 1)
+
+        store = MemoryStore()
+        with mock.patch.object(store, "watch", watch):
+            instances = await self.start(store, 2)
+            await asyncio.sleep(2)
+            [leader] = self.leaders(instances)
+            await leader.stop()
+            others = [presence for presence in instances if presence is not leader]
+            await asyncio.sleep(9)
+            self.assertEqual(len(self.leaders(others)), 1)
+            await self.stop(others)
+
     @virtual_time
     async def test_term_ends_by_the_own_clock_while_the_store_is_away(self) -> None:
         store = MemoryStore()
