Keep most slots assigned to the same instance when a group breaks

Cause: slots went to instances in turn, so each head that came or went moved most of them, and heads got the requests of old and new owners together.

Change: each slot goes to the first instance in an order by hash that has not got its share, and an instance uses no more slots than it has, at whichever heads its requests run.

--- a/src/cactuspass/fleet/choice/__init__.py
+++ b/src/cactuspass/fleet/choice/__init__.py
@@ -3,6 +3,6 @@
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_choice import RoomChoice
 from cactuspass.fleet.choice._room_waits import RoomWaits
-from cactuspass.fleet.choice._slot_assignment import assign_slots
+from cactuspass.fleet.choice._slot_assignment import SlotAssignment
 
-__all__ = ["Head", "RoomChoice", "RoomWaits", "assign_slots", "choose_by_room"]
+__all__ = ["Head", "RoomChoice", "RoomWaits", "SlotAssignment", "choose_by_room"]
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cactuspass.fleet._catalog import Service
 from cactuspass.fleet._choices import (
@@ -21,7 +21,7 @@
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_view import RoomView
-from cactuspass.fleet.choice._slot_assignment import assign_slots
+from cactuspass.fleet.choice._slot_assignment import SlotAssignment
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelKey
 from cactuspass.fleet.load_shedding import (
     QUEUE_PER_SLOT,
@@ -53,7 +53,9 @@
     """Slots that are assigned to this instance, for some heads and instances."""
 
     serving: Sequence[ServingUpstream]
-    peers: tuple[Peer, ...]
+    peers: tuple[Peer, ...] | None
+    head_ids: frozenset[UpstreamId]
+    assignment: SlotAssignment
     slots_by_id: Counter[UpstreamId]
 
 
@@ -311,19 +313,29 @@
         return arrivals
 
     def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
-        """Return the slots of this instance, found once for each list of heads and instances."""
+        """Return the slots of this instance, found once for each set of heads and instances."""
         serving = self._cluster_state.serving_upstreams(service, key[1])
-        peers = self._cluster_state.peers
         known = self._assigned_by_key.get(key)
-        if known is not None and known.serving is serving and known.peers is peers:
+        if known is not None and known.serving is serving and known.peers is self._peers:
             return known.slots_by_id
         assert service.engine is not None
-        head_ids = [
+        head_ids = frozenset(
             s.upstream.upstream_id
             for s in serving
             if s.upstream.data_centre == self._data_centre and not s.upstream.draining
-        ]
-        instances = [peer.instance for peer in peers if peer.data_centre == self._data_centre]
-        slots_by_id = assign_slots(head_ids, service.engine.slots, instances, self._instance)
-        self._assigned_by_key[key] = _Assigned(serving, peers, slots_by_id)
+        )
+        if known is None or known.peers is not self._peers:
+            peers = self._peers or ()
+            local = (peer.instance for peer in peers if peer.data_centre == self._data_centre)
+            assignment = SlotAssignment(local)
+        elif known.head_ids == head_ids:
+            self._assigned_by_key[key] = replace(known, serving=serving)
+            return known.slots_by_id
+        else:
+            assignment = known.assignment
+        assigned = assignment.assign(head_ids, service.engine.slots)
+        slots_by_id = assigned.get(self._instance, Counter()) if self._instance else Counter()
+        self._assigned_by_key[key] = _Assigned(
+            serving, self._peers, head_ids, assignment, slots_by_id
+        )
         return slots_by_id
--- a/src/cactuspass/fleet/choice/_room_view.py
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -58,7 +58,13 @@
         return self._heads(s for s in self.serving if s.upstream.data_centre == data_centre)
 
     def owned_heads(self) -> list[Head]:
-        """Return the heads of which an assigned slot is free."""
+        """Return the heads of which an assigned slot is free.
+
+        There is none when as many requests run as slots are assigned, at whichever heads: after a
+        change of the heads, they run at those whose slots were assigned before.
+        """
+        if self.free_assigned_slots <= 0:
+            return []
         slots_by_id = self.slots_by_id
         owned = (s for s in self.serving if s.upstream.upstream_id in slots_by_id)
         return [
@@ -70,11 +76,9 @@
 
     @property
     def free_assigned_slots(self) -> int:
-        """Assigned slots that this instance does not use."""
-        return sum(
-            max(0, slots - self.loads.load(head_id).in_flight)
-            for head_id, slots in self.slots_by_id.items()
-        )
+        """Slots that are assigned to this instance, less its requests at all heads."""
+        loads = (self.loads.load(s.upstream.upstream_id) for s in self.serving)
+        return self.slots_by_id.total() - sum(load.in_flight for load in loads)
 
     def target_data_centre(self, rng: random.Random) -> DataCentreId:
         """Return the data centre for a request, by the shares of this one's requests."""
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -127,6 +127,7 @@
         self.sum_delay = sum_delay
         self.outcome = Outcome()
         self.alive = list(range(instances))
+        self.instance_weight: Callable[[int], float] = lambda number: 1.0
         self.sums_stop_at = self.sums_start_at = float("inf")
         self.sums_start_at = 0.0
         self._shares_by_priority = shares_by_priority or {0: 1.0}
@@ -147,7 +148,8 @@
         self._cluster_state = ClusterState(recording_log()[0])
         services = {SERVICE: Service(SERVICE, engine=engine)}
         self._cluster_state.accept_catalog(Catalog(1, (route(),), services))
-        self._cluster_state.accept_upstreams(map(self._upstream, self.head_ids), 1)
+        self._revision = 1
+        self._cluster_state.accept_upstreams(map(self._upstream, self.head_ids), self._revision)
         self.register(self.alive)
         self.selectors = list(map(self._selector, range(instances)))
         self.plan(0.0, self._arrive)
@@ -158,6 +160,12 @@
         peers = tuple(Peer(EntryId(f"i{number:03}"), HERE, None) for number in alive)
         self._cluster_state.accept_peers(peers)
 
+    def replace_head(self, number: int) -> None:
+        """Let one head take no new requests, and all others take some."""
+        self._revision += 1
+        heads = [head_id for place, head_id in enumerate(self.head_ids) if place != number]
+        self._cluster_state.accept_upstreams(map(self._upstream, heads), self._revision)
+
     def _upstream(self, head_id: UpstreamId) -> Upstream:
         group = Membership(GroupKey(GroupId(f"g{head_id}"), 1), 0, MemberState.OPEN)
         return Upstream(
@@ -206,7 +214,7 @@
     def _retry(self, request: _Request) -> None:
         """Ask again at another instance, which does not know when the caller first asked."""
         self._arrivals += 1
-        self._ask(replace(request, number=self._rng.choice(self.alive), is_retry=True))
+        self._ask(replace(request, number=self._choose_instance(), is_retry=True))
 
     def _ask(self, request: _Request) -> None:
         if request.counts and not request.is_retry:
@@ -231,9 +239,13 @@
         customer = self._rng.choices(list(customers), list(customers.values()))[0]
         seconds = self._rng.uniform(MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS) * REQUEST_SECONDS
         objective = self._objective_by_priority.get(priority, OBJECTIVE_SECONDS)
-        number = self._rng.choice(self.alive)
+        number = self._choose_instance()
         return _Request(number, priority, customer, self.at, seconds, objective)
 
+    def _choose_instance(self) -> int:
+        weights = [self.instance_weight(number) for number in self.alive]
+        return self._rng.choices(self.alive, weights)[0]
+
     def _choose(self, request: _Request, stage: ChoiceStage) -> Selection | NoUpstream:
         left = request.arrived_at + request.objective - CALM_SECONDS - self.at
         asked = SelectionRequest(
--- a/tests/test_fleet_load_shedding.py
+++ b/tests/test_fleet_load_shedding.py
@@ -8,7 +8,8 @@
 import unittest
 
 from cactuspass.fleet._choices import NoUpstream, SelectionRequest
-from cactuspass.fleet.choice import assign_slots
+from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.choice import SlotAssignment
 from cactuspass.fleet.load_shedding import EnginePrediction, RequestSize, find_shortage
 from cactuspass.models import EntryId
 from tests.fleet_path import SERVICE
@@ -64,6 +65,17 @@
         simulation.plan(7.0, lambda: simulation.register(simulation.alive))
         self.check(simulation, 0.7)
 
+    def test_groups_that_break_every_second(self) -> None:
+        simulation = LoadSimulation(lambda at: BURST)
+        for second in range(int(SECONDS)):
+            simulation.plan(second, simulation.replace_head, 5 * second % 35)
+        self.check(simulation, 0.7)
+
+    def test_uneven_instances(self) -> None:
+        simulation = LoadSimulation(lambda at: BURST)
+        simulation.instance_weight = lambda number: 0.3 + 1.4 * (number % 8) / 7
+        self.check(simulation, 0.7)
+
     def test_few_heads_for_many_instances(self) -> None:
         outcome = LoadSimulation(lambda at: BURST, heads=5).run(SECONDS)
         self.assertLess(outcome.rejected_share, MAX_REJECTED_SHARE)
@@ -119,17 +131,29 @@
 class AssignmentTest(unittest.TestCase):
     """An instance that got more slots than others would overfill the heads."""
 
+    instances = [EntryId(f"i{number}") for number in range(87)]
+    heads = [UpstreamId(f"h{number}") for number in range(35)]
+
     def test_each_slot_has_one_instance(self) -> None:
-        simulation = LoadSimulation(lambda at: CALM)
-        heads = sorted(simulation.head_ids)
-        instances = [EntryId(f"i{number}") for number in range(87)]
-        assigned = [assign_slots(heads, 10, instances, instance) for instance in instances]
-        for head in heads:
-            self.assertEqual(sum(slots[head] for slots in assigned), 10)
-        self.assertLessEqual({slots.total() for slots in assigned}, {4, 5})
+        assigned = SlotAssignment(self.instances).assign(self.heads, 10)
+        for head in self.heads:
+            self.assertEqual(sum(slots[head] for slots in assigned.values()), 10)
+        self.assertLessEqual(max(slots.total() for slots in assigned.values()), 5)
+
+    def test_all_instances_assign_the_same(self) -> None:
+        mine = SlotAssignment(self.instances)
+        mine.assign(self.heads[5:], 10)
+        others = SlotAssignment(reversed(self.instances))
+        self.assertEqual(mine.assign(self.heads, 10), others.assign(self.heads[::-1], 10))
+
+    def test_most_slots_stay_when_a_head_goes(self) -> None:
+        assignment = SlotAssignment(self.instances)
+        before, after = (assignment.assign(heads, 10) for heads in (self.heads, self.heads[:-1]))
+        kept = sum((slots & after[instance]).total() for instance, slots in before.items())
+        self.assertGreater(kept, 0.75 * 340)
 
     def test_unregistered_instance_gets_none(self) -> None:
-        self.assertFalse(assign_slots([], 10, [], EntryId("a")))
+        self.assertFalse(SlotAssignment([]).assign(self.heads, 10))
 
 
 class PredictionTest(unittest.TestCase):
