--- a/src/cactuspass/fleet/_backoff.py
+++ b/src/cactuspass/fleet/_backoff.py
@@ -71,6 +71,10 @@
     def __init__(self) -> None:
         self._backoffs_by_lifetime: dict[Lifetime, _Backoff] = {}
 
+    def __len__(self) -> int:
+        """Return the number of backoffs on record."""
+        return len(self._backoffs_by_lifetime)
+
     def extend(self, lifetime: Lifetime, seconds: float, at: float) -> float:
         """Back off from an upstream; return the seconds added to its current backoff.
 
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -167,7 +167,10 @@
             if self._is_eligible(s.upstream) and request.allows(s.upstream.upstream_id)
         ]
         backoff_by_id = {
-            s.upstream.upstream_id: self.backoff.delay(s.upstream.lifetime, at) for s in eligible
+            s.upstream.upstream_id: self.backoff.delay(s.upstream.lifetime, at)
+            if self.backoff
+            else 0.0
+            for s in eligible
         }
         backoff_remaining = min(filter(None, backoff_by_id.values()), default=NO_BACKOFF_SECONDS)
         available = [
@@ -179,7 +182,9 @@
         if not available:
             return _no_upstream(backoff_by_id, backoff_remaining)
         delays = self._delays_at_limit(available, request.priority, at)
-        within = [s for s in available if s.upstream.lifetime not in delays]
+        within = available
+        if delays:
+            within = [s for s in available if s.upstream.lifetime not in delays]
         found = self._choose_best(within, request, service, at, accepts_suspects, fleet_load)
         if isinstance(found, Selection):
             return found
@@ -268,6 +273,8 @@
             for upstream in upstreams
             if self._loads.load(upstream.upstream_id).is_suspect(at)
         )
+        if not suspects:
+            return candidates
         total = Counter(upstream.data_centre for upstream in upstreams)
         unreachable = {
             data_centre
