--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -124,6 +124,7 @@
             self.customer_id,
             self.route.name,
             self.request.size,
+            self.route.objective,
             self.request.arrived_at + self.route.objective - at,
         )
         return self.dependencies.selector.choose(selection_request, at)
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -7,7 +7,7 @@
 from cactuspass.fleet._allowance import LEAST_URGENT_PRIORITY
 from cactuspass.fleet._prompt_parts import ANONYMOUS
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
-from cactuspass.fleet.load_shedding import Prediction, RequestSize
+from cactuspass.fleet.load_shedding import Prediction, RequestSize, Urgency
 from cactuspass.models import CustomerId, ModelId, ServiceId
 
 NO_BACKOFF_SECONDS = float("inf")
@@ -115,6 +115,7 @@
     :param customer: customer whose request it is.
     :param route: name of its route.
     :param size: what the caller states about it.
+    :param objective: seconds from its arrival within which its first event should come.
     :param objective_left: seconds until its first event is late.
     """
 
@@ -130,8 +131,14 @@
     customer: CustomerId = ANONYMOUS
     route: str = ""
     size: RequestSize = RequestSize()
+    objective: float = 0.0
     objective_left: float = 0.0
 
+    @property
+    def urgency(self) -> Urgency:
+        """How urgent the request is."""
+        return Urgency(self.priority, self.objective)
+
     def allows(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream may take the request."""
         if self.only is not None and upstream_id not in self.only:
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -120,7 +120,7 @@
         if found is None:
             return self._refusal(view, request, engine, prediction, shortage, is_passed)
         if is_undecided or request.stage is ChoiceStage.WAITING:
-            admission.arrivals.note_admitted(request.priority, at)
+            admission.arrivals.note_admitted(request.urgency, at)
         wait = engine.queue_seconds(found.requests)
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return Selection(found.upstream, wait, max_event_gap, prediction)
@@ -136,7 +136,7 @@
         """Count a request; return whether it may ask for room by its customer and its size."""
         customer, route = request.customer, request.route
         seconds = self.learnt_times.request_seconds(request.service, route, customer, prediction)
-        admission.note_arrival(request.priority, customer, route, seconds, view.at)
+        admission.note_arrival(request.urgency, customer, route, seconds, view.at)
         begun = view.fleet_load.begun_per_second_by_customer
         return not shortage.is_short or admission.may_ask(customer, route, seconds, begun)
 
@@ -163,7 +163,7 @@
         if owned and shortage.is_short:
             interval = self._slot_interval(view, engine)
             free, lent_share = view.free_assigned_slots, shortage.lent_share
-            if not admission.leaves_reserve(request.priority, free, interval, lent_share):
+            if not admission.leaves_reserve(request.urgency, free, interval, lent_share):
                 return None
         with_room = [head for head in owned if head.free_slots > 0]
         if with_room:
@@ -314,6 +314,8 @@
 
     def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
         """Return the slots of this instance, found once for each set of heads and instances."""
+        if self._data_centre in self._cluster_state.evacuations.data_centres:
+            return Counter()
         serving = self._cluster_state.serving_upstreams(service, key[1])
         known = self._assigned_by_key.get(key)
         if known is not None and known.serving is serving and known.peers is self._peers:
--- a/src/cactuspass/fleet/load_shedding/__init__.py
+++ b/src/cactuspass/fleet/load_shedding/__init__.py
@@ -12,7 +12,7 @@
     RequestSize,
 )
 from cactuspass.fleet.load_shedding._shortage import Shortage, carried_share, find_shortage
-from cactuspass.fleet.load_shedding._urgency import ModelArrivals
+from cactuspass.fleet.load_shedding._urgency import ModelArrivals, Urgency
 from cactuspass.fleet.load_shedding._waiting_line import Place, WaitingLine
 
 __all__ = [
@@ -28,6 +28,7 @@
     "Prediction",
     "RequestSize",
     "Shortage",
+    "Urgency",
     "WaitingLine",
     "carried_share",
     "find_shortage",
--- a/src/cactuspass/fleet/load_shedding/_model_admission.py
+++ b/src/cactuspass/fleet/load_shedding/_model_admission.py
@@ -6,7 +6,7 @@
 
 from cactuspass.fleet.load_shedding._fair_shares import CustomerShares
 from cactuspass.fleet.load_shedding._sizes import passed_share
-from cactuspass.fleet.load_shedding._urgency import ModelArrivals
+from cactuspass.fleet.load_shedding._urgency import ModelArrivals, Urgency
 from cactuspass.models import CustomerId
 
 WEIGHT_OF_LAST_SIZE = 0.02
@@ -23,13 +23,13 @@
         self._usual_seconds_by_key: OrderedDict[tuple[str, CustomerId], float] = OrderedDict()
 
     def note_arrival(
-        self, priority: int, customer: CustomerId, route: str, request_seconds: float, at: float
+        self, urgency: Urgency, customer: CustomerId, route: str, request_seconds: float, at: float
     ) -> None:
         """Count a request.
 
         :param request_seconds: predicted time that it takes up a slot.
         """
-        self.arrivals.note_arrival(priority, at)
+        self.arrivals.note_arrival(urgency, at)
         self.customers.note_arrival(customer, at)
         key = (route, customer)
         usual = self._usual_seconds_by_key.get(key, request_seconds)
@@ -60,7 +60,7 @@
         return share >= 1.0 or self._rng.random() < share
 
     def leaves_reserve(
-        self, priority: int, free_slots: float, slot_interval: float, lent_share: float
+        self, urgency: Urgency, free_slots: float, slot_interval: float, lent_share: float
     ) -> bool:
         """Return whether enough slots stay free for more urgent requests.
 
@@ -68,5 +68,5 @@
         :param slot_interval: seconds between two of them that become free.
         :param lent_share: share of the more urgent ones that can use slots of other instances.
         """
-        reserve = self.arrivals.reserve(priority, slot_interval) * (1.0 - lent_share)
+        reserve = self.arrivals.reserve(urgency, slot_interval) * (1.0 - lent_share)
         return free_slots - 1 >= reserve - self._rng.random()
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -127,6 +127,7 @@
         self.sum_delay = sum_delay
         self.outcome = Outcome()
         self.alive = list(range(instances))
+        self.same_priority = False
         self.instance_weight: Callable[[int], float] = lambda number: 1.0
         self.sums_stop_at = self.sums_start_at = float("inf")
         self.sums_start_at = 0.0
@@ -234,13 +235,13 @@
 
     def _create_request(self) -> _Request:
         classes = list(self._shares_by_priority)
-        priority = self._rng.choices(classes, list(self._shares_by_priority.values()))[0]
+        kind = self._rng.choices(classes, list(self._shares_by_priority.values()))[0]
         customers = self._shares_by_customer(self.at)
         customer = self._rng.choices(list(customers), list(customers.values()))[0]
         seconds = self._rng.uniform(MIN_REQUEST_SECONDS, MAX_REQUEST_SECONDS) * REQUEST_SECONDS
-        objective = self._objective_by_priority.get(priority, OBJECTIVE_SECONDS)
+        objective = self._objective_by_priority.get(kind, OBJECTIVE_SECONDS)
         number = self._choose_instance()
-        return _Request(number, priority, customer, self.at, seconds, objective)
+        return _Request(number, kind, customer, self.at, seconds, objective)
 
     def _choose_instance(self) -> int:
         weights = [self.instance_weight(number) for number in self.alive]
@@ -253,10 +254,11 @@
             SMALL,
             (),
             OBJECTIVE_SECONDS / 2,
-            priority=request.priority,
+            priority=0 if self.same_priority else request.priority,
             stage=stage,
             customer=request.customer,
             size=self._size(request.customer, request.seconds),
+            objective=request.objective,
             objective_left=left,
         )
         return self.selectors[request.number].choose(asked, self.at)
--- a/tests/test_fleet_load_shedding.py
+++ b/tests/test_fleet_load_shedding.py
@@ -90,6 +90,17 @@
         self.assertGreater(served[1], served[2])
         self.assertGreater(served[2], 0.25 * overall)
 
+    def test_requests_that_cannot_wait_are_not_starved_by_those_that_can(self) -> None:
+        objectives = {0: 0.25, 1: 0.5, 2: 1.0}
+        shares = {0: 0.4, 1: 0.3, 2: 0.3}
+        simulation = LoadSimulation(lambda at: BURST, 87, 35, 0.5, shares, objectives)
+        simulation.same_priority = True
+        outcome = simulation.run(SECONDS)
+        served = {p: outcome.in_time[p] / n for p, n in outcome.arrived.items()}
+        overall = outcome.in_time.total() / outcome.arrived.total()
+        self.assertGreater(min(served.values()), 0.25 * overall)
+        self.assertGreater(served[0], 0.8 * overall)
+
 
 class CalmTest(unittest.TestCase):
     """Room for all: nobody is refused because slots are assigned."""
