--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -44,6 +44,7 @@
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.choice import RoomReport
 from cactuspass.models import DataCentreId, EntryId, GroupId, ServiceId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
@@ -130,6 +131,7 @@
             lambda: self._controller.wake(),
         )
         self._backoff = selector.backoff
+        self._room_report = RoomReport(selector.room_choice, log, metrics)
         self._part_guard = PartGuard(
             entry_id,
             self.cluster_state,
@@ -346,6 +348,7 @@
         self._loads.remove_idle(now())
         self._backoff.remove_expired(now())
         self._upstream_limits.remove_expired()
+        self._room_report.log_changes()
         self._log_store_calls()
 
     def reload(self) -> None:
@@ -444,6 +447,7 @@
             left = retry_budget.remaining(now(), self.cluster_state.instance_count)
             self._metrics.retries_left.labels(service).set(left)
         self._upstream_limits.update_metrics()
+        self._room_report.update_metrics()
         self._metrics.blocks.set(len(self.cluster_state.blocks.active))
         self._metrics.groups.clear()
         for group in self.cluster_state.view.groups_by_key.values():
--- a/src/cactuspass/fleet/_metrics.py
+++ b/src/cactuspass/fleet/_metrics.py
@@ -32,6 +32,12 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.lent_share = self._gauge(
+            "room_lent_share",
+            "Share of the requests without a slot of their instance that are sent",
+            "service",
+            "model",
+        )
         self.room_waits = self._counter(
             "room_waits", "Requests that waited for a slot of this instance, by outcome", "outcome"
         )
--- a/src/cactuspass/fleet/choice/__init__.py
+++ b/src/cactuspass/fleet/choice/__init__.py
@@ -2,7 +2,8 @@
 
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_choice import RoomChoice
+from cactuspass.fleet.choice._room_report import RoomReport
 from cactuspass.fleet.choice._room_waits import RoomWaits
 from cactuspass.fleet.choice._slot_assignment import SlotAssignment
 
-__all__ = ["Head", "RoomChoice", "RoomWaits", "SlotAssignment", "choose_by_room"]
+__all__ = ["Head", "RoomChoice", "RoomReport", "RoomWaits", "SlotAssignment", "choose_by_room"]
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -89,6 +89,7 @@
         self._instances_by_data_centre: Counter[DataCentreId] = Counter()
         self._trends_by_key: dict[DemandKey, DemandTrend] = {}
         self._fleet_load: FleetLoad | None = None
+        self._shortage_by_key: dict[ModelKey, tuple[float, Shortage]] = {}
         self.learnt_times = LearntTimes()
 
     def choose(
@@ -112,6 +113,7 @@
         admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
         is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
         shortage = view.shortage(self._data_centre, engine.request_seconds)
+        self._shortage_by_key[key] = (at, shortage)
         if is_undecided:
             is_passed = self._may_ask(request, prediction, admission, view, shortage)
         else:
@@ -125,6 +127,18 @@
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return Selection(found.upstream, wait, max_event_gap, prediction)
 
+    def shortages_since(self, since: float) -> dict[ModelKey, Shortage]:
+        """Return how short the room was when it was last chosen, by model.
+
+        :param since: clock value; what was found before is forgotten.
+        """
+        self._shortage_by_key = {
+            key: (at, shortage)
+            for key, (at, shortage) in self._shortage_by_key.items()
+            if at >= since
+        }
+        return {key: shortage for key, (_, shortage) in self._shortage_by_key.items()}
+
     def _may_ask(
         self,
         request: SelectionRequest,
--- a/tests/test_fleet_room_choice.py
+++ b/tests/test_fleet_room_choice.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+import json
 import random
 import unittest
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
+from unittest import mock
 
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import Catalog, RouteKind, Service
@@ -23,10 +25,11 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import LoadReport
 from cactuspass.fleet._loads import LoadTable
+from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._peers import Peer
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
-from cactuspass.fleet.choice import RoomWaits
+from cactuspass.fleet.choice import RoomReport, RoomWaits, _room_report
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, HeadLoad, ModelDemand
 from cactuspass.models import DataCentreId, EntryId, GroupId
 from tests.fleet_path import HERE, SERVICE, PathCase, ScriptedPathCase, answer, recording_log, route
@@ -34,6 +37,7 @@
 from tests.load_simulation import MODEL
 
 AT = 100.0
+EVENTS = ["room-short", "room-enough"]
 SLOTS = 4
 THERE = DataCentreId("there")
 ME, OTHER = EntryId("me"), EntryId("other")
@@ -171,6 +175,24 @@
         self.assertNotIn("refused", world.count())
 
 
+class RoomReportTest(unittest.TestCase):
+    """An operator asks why callers are refused."""
+
+    def test_shortage_is_logged_once_and_shown(self) -> None:
+        world = World(head("a"), head("b"))
+        log, handler = recording_log()
+        metrics = Metrics()
+        report = RoomReport(world.selector.room_choice, log, metrics)
+        for arrivals in (4 * SLOTS, 4 * SLOTS, 0.1):
+            world.set_load({}, arrivals)
+            world.selector.choose(NEW, AT)
+            with mock.patch.object(_room_report, "now", lambda: AT):
+                report.log_changes()
+                report.update_metrics()
+        self.assertEqual([json.loads(line)["event"] for line in handler.lines], EVENTS)
+        self.assertIn(b"cactuspass_room_lent_share", metrics.render())
+
+
 class RoomWaitsTest(unittest.IsolatedAsyncioTestCase):
     """Requests that would take a slot that a more urgent one waits for."""
 
