--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -48,6 +48,7 @@
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.autoscaling import Autoscaler
+from cactuspass.fleet.choice import RoomReport
 from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties, UsageDatagram
 from cactuspass.fleet.load_exchange import LOAD_PATH, FleetLoad
 from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId, ServiceId
@@ -139,6 +140,7 @@
             lambda: self._controller.wake(),
         )
         self._backoff = selector.backoff
+        self._room_report = RoomReport(selector.room_choice, log, metrics)
         self._part_guard = PartGuard(
             entry_id,
             self.cluster_state,
@@ -421,6 +423,7 @@
         self._loads.remove_idle(now())
         self._backoff.remove_expired(now())
         self._upstream_limits.remove_expired()
+        self._room_report.log_changes()
         self._log_store_calls()
 
     def reload(self) -> None:
@@ -528,6 +531,7 @@
         self._upstream_limits.update_metrics()
         if self._load_exchange is not None:
             self._load_exchange.update_metrics()
+        self._room_report.update_metrics()
         self._metrics.blocks.set(len(self.cluster_state.blocks.active))
         self._metrics.groups.clear()
         for group in self.cluster_state.view.groups_by_key.values():
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cactuspass.fleet._catalog import Service
 from cactuspass.fleet._choices import (
@@ -21,7 +21,7 @@
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_view import RoomView
-from cactuspass.fleet.choice._slot_assignment import assign_slots
+from cactuspass.fleet.choice._slot_assignment import SlotAssignment
 from cactuspass.fleet.load_exchange import DemandKey, FleetLoad, ModelKey
 from cactuspass.fleet.load_shedding import (
     QUEUE_PER_SLOT,
@@ -53,7 +53,9 @@
     """Slots that are assigned to this instance, for some heads and instances."""
 
     serving: Sequence[ServingUpstream]
-    peers: tuple[Peer, ...]
+    peers: tuple[Peer, ...] | None
+    head_ids: frozenset[UpstreamId]
+    assignment: SlotAssignment
     slots_by_id: Counter[UpstreamId]
 
 
@@ -87,6 +89,7 @@
         self._instances_by_data_centre: Counter[DataCentreId] = Counter()
         self._trends_by_key: dict[DemandKey, DemandTrend] = {}
         self._fleet_load: FleetLoad | None = None
+        self._shortage_by_key: dict[ModelKey, tuple[float, Shortage]] = {}
         self.learnt_times = LearntTimes()
 
     def choose(
@@ -110,6 +113,7 @@
         admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
         is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
         shortage = view.shortage(self._data_centre, engine.request_seconds)
+        self._shortage_by_key[key] = (at, shortage)
         if is_undecided:
             self._note_arrival(request, prediction, admission, at)
         is_passed = (
@@ -121,7 +125,7 @@
         if found is None:
             return self._refusal(view, request, engine, prediction, shortage, is_passed)
         if is_undecided or request.stage is ChoiceStage.WAITING:
-            admission.arrivals.note_admitted(request.priority, at)
+            admission.arrivals.note_admitted(request.urgency, at)
         wait = engine.queue_seconds(found.requests)
         max_event_gap = service.engine.max_event_gap(spec.pace)
         return Selection(found.upstream, wait, max_event_gap, prediction)
@@ -134,7 +138,19 @@
         at: float,
     ) -> None:
         seconds = self._request_seconds(request, prediction)
-        admission.note_arrival(request.priority, request.customer, request.route, seconds, at)
+        admission.note_arrival(request.urgency, request.customer, request.route, seconds, at)
+
+    def shortages_since(self, since: float) -> dict[ModelKey, Shortage]:
+        """Return how short the room was when it was last chosen, by model.
+
+        :param since: clock value; what was found before is forgotten.
+        """
+        self._shortage_by_key = {
+            key: (at, shortage)
+            for key, (at, shortage) in self._shortage_by_key.items()
+            if at >= since
+        }
+        return {key: shortage for key, (_, shortage) in self._shortage_by_key.items()}
 
     def _may_ask(
         self,
@@ -205,7 +221,7 @@
             return owned
         interval = self._slot_interval(view, engine)
         free, lent_share = view.free_assigned_slots, shortage.lent_share
-        is_left = admission.leaves_reserve(request.priority, free, interval, lent_share)
+        is_left = admission.leaves_reserve(request.urgency, free, interval, lent_share)
         return owned if is_left else []
 
     def _find_again(self, view: RoomView, request: SelectionRequest) -> Head | None:
@@ -348,19 +364,31 @@
         return arrivals
 
     def _assigned_slots(self, service: Service, key: ModelKey) -> Counter[UpstreamId]:
-        """Return the slots of this instance, found once for each list of heads and instances."""
+        """Return the slots of this instance, found once for each set of heads and instances."""
+        if self._data_centre in self._cluster_state.evacuations.data_centres:
+            return Counter()
         serving = self._cluster_state.serving_upstreams(service, key[1])
-        peers = self._cluster_state.peers
         known = self._assigned_by_key.get(key)
-        if known is not None and known.serving is serving and known.peers is peers:
+        if known is not None and known.serving is serving and known.peers is self._peers:
             return known.slots_by_id
         assert service.engine is not None
-        head_ids = [
+        head_ids = frozenset(
             s.upstream.upstream_id
             for s in serving
             if s.upstream.data_centre == self._data_centre and not s.upstream.draining
-        ]
-        instances = [peer.instance for peer in peers if peer.data_centre == self._data_centre]
-        slots_by_id = assign_slots(head_ids, service.engine.slots, instances, self._instance)
-        self._assigned_by_key[key] = _Assigned(serving, peers, slots_by_id)
+        )
+        if known is None or known.peers is not self._peers:
+            peers = self._peers or ()
+            local = (peer.instance for peer in peers if peer.data_centre == self._data_centre)
+            assignment = SlotAssignment(local)
+        elif known.head_ids == head_ids:
+            self._assigned_by_key[key] = replace(known, serving=serving)
+            return known.slots_by_id
+        else:
+            assignment = known.assignment
+        assigned = assignment.assign(head_ids, service.engine.slots)
+        slots_by_id = assigned.get(self._instance, Counter()) if self._instance else Counter()
+        self._assigned_by_key[key] = _Assigned(
+            serving, self._peers, head_ids, assignment, slots_by_id
+        )
         return slots_by_id
