Turn groups of a model that has more than it needs into groups of one that needs more

Hosts of such a group now load the weights of the other model while the group serves; then it closes and they join the new groups. This needs the demand of the whole fleet, so it is done only where loads are exchanged.

--- a/src/cactuspass/fleet/_controller.py
+++ b/src/cactuspass/fleet/_controller.py
@@ -146,7 +146,7 @@
             self._probes.reports_by_id(),
             self._before_traffic,
             self._cluster_state.evacuations.data_centres,
-            keeps_spares=self._fleet_load() is not None,
+            knows_demand=self._fleet_load() is not None,
         )
         for addressed in planner.plan(planner_input):
             self._start_order(planner, addressed)
--- a/src/cactuspass/fleet/_group_maintenance.py
+++ b/src/cactuspass/fleet/_group_maintenance.py
@@ -92,6 +92,9 @@
     for transfer in planning_round.memory.transfers_by_id.values():
         if transfer.source == group.key:
             return f"{transfer.model} needs its hosts", False
+    reallocation = planning_round.memory.reallocations_by_key.get(group.key)
+    if reallocation is not None and reallocation.is_prepared:
+        return f"its hosts are to serve {reallocation.model}", False
     return None, False
 
 
--- a/src/cactuspass/fleet/_planner.py
+++ b/src/cactuspass/fleet/_planner.py
@@ -10,6 +10,7 @@
 from cactuspass.fleet._orders import AddressedOrder, Close, Join, OrderOutcome, Stage
 from cactuspass.fleet._planner_memory import AbandonedFormation, PlannerMemory
 from cactuspass.fleet._planning_round import PlannerInput, PlanningRound
+from cactuspass.fleet._reallocation import plan_reallocations
 from cactuspass.fleet._rebalancing import plan_transfers
 from cactuspass.fleet._releasing import release_hosts
 from cactuspass.fleet._staging import stage_hosts
@@ -60,6 +61,8 @@
         orders += stage_hosts(planning_round)
         if not planner_input.before_traffic:
             plan_transfers(planning_round)
+            if planner_input.knows_demand:
+                orders += plan_reallocations(planning_round)
         self._last_planning_round = planning_round
         return orders
 
--- a/src/cactuspass/fleet/_planner_memory.py
+++ b/src/cactuspass/fleet/_planner_memory.py
@@ -64,6 +64,20 @@
     missing_since: float
 
 
+@dataclass(slots=True)
+class Reallocation:
+    """A group whose hosts are to serve another model.
+
+    :param model: model whose weights they load while the group serves.
+    :param expires_at: clock value after which this is abandoned.
+    :param is_prepared: whether all have the weights, so that the group is closed.
+    """
+
+    model: ModelId
+    expires_at: float
+    is_prepared: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class HostTransfer:
     """A host that leaves its group to serve another model.
@@ -97,6 +111,8 @@
     :param kept_sets: clock values of the first and the last round in which the incomplete set of a
         domain and model was kept together.
     :param transfer_needed_since: clock value since when a transfer is needed; None while none is.
+    :param reallocations_by_key: groups whose hosts are to serve another model.
+    :param reallocation_needed_since: clock value since when one is needed; None while none is.
     :param last_epoch: epoch of the last group that this planner has formed.
     :param abandoned_formations: formations that no caller has fetched yet.
     """
@@ -120,6 +136,8 @@
         default_factory=dict
     )
     transfer_needed_since: float | None = None
+    reallocations_by_key: dict[GroupKey, Reallocation] = field(default_factory=dict)
+    reallocation_needed_since: float | None = None
     last_epoch: int = 0
     abandoned_formations: list[AbandonedFormation] = field(default_factory=list)
 
--- a/src/cactuspass/fleet/_planning_round.py
+++ b/src/cactuspass/fleet/_planning_round.py
@@ -33,7 +33,8 @@
     :param reports_by_id: last reports of the upstreams that answer.
     :param before_traffic: whether no request has arrived yet; loads are then fast and not limited.
     :param evacuated_data_centres: data centres that get no requests until operators revoke that.
-    :param keeps_spares: whether the spare hosts of large groups are kept for them.
+    :param knows_demand: whether the demand of the whole fleet is known. The spare hosts of large
+        groups are then kept for them, and groups are turned into those of a model that needs more.
     """
 
     at: float
@@ -46,7 +47,7 @@
     reports_by_id: Mapping[UpstreamId, UpstreamReport] = field(default_factory=dict)
     before_traffic: bool = False
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
-    keeps_spares: bool = False
+    knows_demand: bool = False
 
 
 @dataclass(slots=True)
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -19,7 +19,7 @@
 KEPT_SET_SECONDS = 12.0
 KEPT_SET_GAP_SECONDS = 2.0  # after a longer time the set counts as a new one
 # Below this supply ratio, a model takes the spare hosts of larger groups too.
-MIN_SUPPLY_RATIO_WITHOUT_SPARES = 0.5
+MIN_SUPPLY_RATIO_WITHOUT_SPARES = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +196,7 @@
     :param wanting: model that could use the hosts.
     :param reserved_counts: number of hosts in groups of the domain, by model.
     """
-    if not planning_round.planner_input.keeps_spares or wanting.size >= spec.size:
+    if not planning_round.planner_input.knows_demand or wanting.size >= spec.size:
         return 0
     if planning_round.supply_ratio(wanting) < MIN_SUPPLY_RATIO_WITHOUT_SPARES:
         return 0
