--- a/tests/duty_faults.py
+++ b/tests/duty_faults.py
@@ -7,7 +7,8 @@
 from unittest import mock
 
 from cactuspass.fleet.duties import CallOutcome, _usage_collector
-from tests.duty_world import DutyInstance, DutyWorld, StoreState, virtual_runner
+from tests.duty_stand_ins import StoreState
+from tests.duty_world import DutyInstance, DutyWorld, virtual_runner
 
 NAMES = ("a", "b", "c", "d")
 WALK_FAULTS = 14
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -31,7 +31,8 @@
 from cactuspass.fleet.duties._windows import Windows
 from cactuspass.models import CustomerId, DataCentreId, EntryId, ServiceId
 from tests.duty_faults import Fault, FaultKind, FaultyDuties, start_faulty
-from tests.duty_world import DutyWorld, StoreClient, virtual_runner
+from tests.duty_stand_ins import StoreClient
+from tests.duty_world import DutyWorld, virtual_runner
 from tests.fleet_path import (
     STAMP,
     Script,
--- a/tests/test_duty_machine.py
+++ b/tests/test_duty_machine.py
@@ -16,7 +16,8 @@
 from cactuspass.fleet.duties._usage_store import FixedReports
 from tests import duty_world
 from tests.duty_faults import FaultKind, FaultyDuties, draw_fault, start_faulty, walk
-from tests.duty_world import SETTINGS, Call, FakeCalls, virtual_runner
+from tests.duty_stand_ins import SETTINGS, Call, FakeCalls
+from tests.duty_world import virtual_runner
 
 WALKS = 40
 MAX_WALKS_TO_FIND = 60
