Tell callers to come back at once where another instance probably has room, and few to come back late

Cause: callers who come back after their objective look like new ones and took the room of those who could be in time; refused callers who came back at once found room in three of four cases.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -30,8 +30,8 @@
 REJECTION_PAUSE_SECONDS = 0.15
 BUDGET_SHARE_RESERVED_FOR_RESUMPTION = 0.4
 BUDGET_SHARE_RESERVED_FROM_HEDGES = 0.25
-# Less than what is left to attempts after rejections and broken connections.
-BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM = 0.7
+# Where the load of all upstreams is known; the rest is for rejections and broken connections.
+BUDGET_SHARE_RESERVED_FROM_FIRST_EVENT_HEDGES = 0.7
 MIN_SECONDS_LEFT = 0.1
 MAX_VERDICT_WAIT_SHARE_OF_DEADLINE = 0.5
 # A connection that the upstream closes while idle loses a request that cannot be repeated.
@@ -405,11 +405,9 @@
         retry_budget = self.dependencies.retry_budget(self.service)
         if not isinstance(found, Selection):
             return None
-        reserved_share = (
-            BUDGET_SHARE_RESERVED_FROM_HEDGES_IN_KNOWN_ROOM
-            if is_room_known
-            else BUDGET_SHARE_RESERVED_FROM_HEDGES
-        )
+        reserved_share = BUDGET_SHARE_RESERVED_FROM_HEDGES
+        if is_room_known and not late.has_begun:
+            reserved_share = BUDGET_SHARE_RESERVED_FROM_FIRST_EVENT_HEDGES
         if not retry_budget.try_spend(now(), self.dependencies.instance_count(), reserved_share):
             return None
         return found
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -55,7 +55,7 @@
 class RoomOutlook:
     """When there is room for a request for which there is none now.
 
-    :param return_interval: seconds between two callers that come back.
+    :param return_interval: seconds between two slots that become free, for each instance.
     :param slot_interval: seconds between two slots of this instance that become free; None if it
         has none or the request must not wait for one.
     :param max_wait: seconds that the request may wait for its first event to be in time.
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -24,13 +24,13 @@
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._request_problems import (
     RETRY_AFTER_SECONDS,
-    RETRY_ELSEWHERE_SECONDS,
     TOO_LATE_PROBLEM,
     blocked_problem,
     not_run_problem,
     unknown_outcome_problem,
 )
 from cactuspass.fleet._return_schedule import ReturnSchedule
+from cactuspass.fleet._room_returns import RoomReturns
 from cactuspass.fleet._stop_progress import StopPhase, StopProgress
 from cactuspass.fleet._stream_relay import StreamRelay
 from cactuspass.models import ModelId, ServiceId
@@ -73,6 +73,7 @@
         self._admission = admission
         self._rng = rng
         self._returns = ReturnSchedule()
+        self._room_returns = RoomReturns(rng)
         self._first_request_at: float | None = None
         self._ends_at = float("inf")
 
@@ -272,14 +273,11 @@
         Callers come back one after the other, at the rate at which there is room for them, or at
         once where another instance probably has room.
         """
-        if found.room is not None and found.room.may_try_elsewhere:
-            return self._add_jitter(RETRY_ELSEWHERE_SECONDS)
-        return self._returns.book(
-            (attempts.service, attempts.request.model),
-            self._add_jitter(found.retry_after),
-            found.room.return_interval if found.room is not None else 0.0,
-            attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
-            now(),
+        room = found.room
+        assert room is not None
+        latest = attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE
+        return self._room_returns.book(
+            (attempts.service, attempts.request.model), room, latest, now()
         )
 
     def _add_jitter(self, estimate: float) -> float:
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -17,7 +17,6 @@
 from cactuspass.fleet._cluster_state import ClusterState, ServingUpstream
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._request_problems import RETRY_ELSEWHERE_SECONDS
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice._heads import Head, choose_by_room
 from cactuspass.fleet.choice._room_view import RoomView
@@ -38,11 +37,10 @@
 SLOTS_NOT_LENT = 1.0
 # Mean age of the arrivals that a received rate consists of.
 DEMAND_DELAY_SECONDS = 1.0
-# Part of the slots that becomes free which is promised to callers that come back.
-RETURN_SHARE = 0.5
 # Share of the requests that find a slot of their own instance, from which on another instance
 # probably has one for a caller that comes back at once.
 MIN_SHARE_TO_TRY_ELSEWHERE = 0.6
+MIN_SECONDS_TO_TRY_ELSEWHERE = 0.05
 RESUMPTION_QUEUE_SHARE = 0.8  # of the longest queue of an engine
 # Free slots of a head to which a request is sent in addition to one that may still be answered.
 MIN_FREE_SLOTS_FOR_HEDGE = 3.0
@@ -256,9 +254,9 @@
         first_event = self.learnt_times.first_event(*view.key, prediction)
         max_wait = request.objective_left - first_event
         is_likely = is_passed and shortage.own_share >= MIN_SHARE_TO_TRY_ELSEWHERE
-        may_try_elsewhere = is_likely and max_wait > RETRY_ELSEWHERE_SECONDS
+        may_try_elsewhere = is_likely and max_wait > MIN_SECONDS_TO_TRY_ELSEWHERE
         outlook = RoomOutlook(
-            return_interval / RETURN_SHARE,
+            return_interval,
             interval,
             max_wait,
             shortage.lent_share,
--- a/tests/test_fleet_room_choice.py
+++ b/tests/test_fleet_room_choice.py
@@ -27,6 +27,7 @@
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._room_returns import RoomReturns
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._upstreams import GroupKey, Membership, MemberState, Upstream, UpstreamId
 from cactuspass.fleet.choice import RoomReport, RoomWaits, _room_report
@@ -250,6 +251,29 @@
         self.assertEqual(self.waits.count, 0)
 
 
+class RoomReturnsTest(unittest.TestCase):
+    """Callers that come back too late take the room of those that can be in time."""
+
+    key = (SERVICE, SMALL)
+
+    def book(self, room: RoomOutlook, number: int, latest: float = 3.0) -> list[float]:
+        returns = RoomReturns(random.Random(1))
+        return [returns.book(self.key, room, latest, AT) for _ in range(number)]
+
+    def test_callers_come_back_one_after_the_other(self) -> None:
+        times = self.book(RoomOutlook(0.1, max_wait=0.8), 3)
+        self.assertEqual([round(each, 3) for each in times], [0.1, 0.3, 0.5])
+
+    def test_few_come_back_who_cannot_be_in_time(self) -> None:
+        times = self.book(RoomOutlook(0.25, max_wait=0.07), 20)
+        self.assertEqual(sum(each <= 3.0 for each in times), 1)
+
+    def test_turns_after_the_objective_are_late_ones(self) -> None:
+        times = self.book(RoomOutlook(0.1, max_wait=0.4), 20)
+        self.assertEqual(sum(each <= 0.4 for each in times), 2)
+        self.assertLessEqual(sum(each <= 3.0 for each in times), 4)
+
+
 class RoomPathTest(ScriptedPathCase):
     """The way of a request to its refusal."""
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -187,6 +187,13 @@
         headers = tuple((k, changes.get(k.replace("-", "_"), v)) for k, v in self.headers)
         return self.format.read_request("POST", "/a/x?y=1", headers, b"{}", 5.0)
 
+    # A wrong hint must not have a request refused.
+    def test_length_hint_is_read_or_ignored(self) -> None:
+        for text, expected in (("120", 120), (" 7 ", 7), ("", None), ("many", None), ("-1", None)):
+            headers = (*self.headers, ("Cactuspass-Length-Hint", text))
+            got = self.format.read_request("POST", "/a", headers, b"", 0.0)
+            self.assertEqual(got.expected_output_tokens, expected)
+
     def test_request_is_read(self) -> None:
         request = self.format.read_request("POST", "/a/x?y=1", self.headers, b"{}", 5.0)
         self.assertEqual((request.caller_timeout, request.key, request.model), (1.5, "k1", "m0"))
