Give the parts that an instance connects modules of their own

The interfaces to the platform, the retry budgets, the gauges of its state and the creation of the duties are modules now; nothing else changes.

--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -4,6 +4,7 @@
 time, the leader, sends the orders that form groups of upstreams.
 """
 
+from cactuspass.fleet._adapter import Adapter
 from cactuspass.fleet._answer_head import AnswerHead, IdCheck
 from cactuspass.fleet._catalog import (
     CallerLimits,
@@ -36,7 +37,7 @@
     SendDetails,
     StatedLimit,
 )
-from cactuspass.fleet._instance import Adapter, Instance
+from cactuspass.fleet._instance import Instance
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._orders import (
     AddressedOrder,
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -4,7 +4,6 @@
 import random
 import signal
 from collections import Counter
-from dataclasses import dataclass
 
 from cactuspass._application import Application
 from cactuspass._caller_boundary import CallerRemoval
@@ -12,46 +11,44 @@
 from cactuspass._component import Component
 from cactuspass._stop_signal import SignalTime, StopSignal
 from cactuspass.exceptions import SettingsError
+from cactuspass.fleet._adapter import Adapter
 from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._block_rows import PARTS_PATH, blocks_page
 from cactuspass.fleet._block_store import BlockStore
-from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._caller_bounds import HeldByCallers
 from cactuspass.fleet._caller_listener import CallerListener
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._controller import Controller
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._directory import Directory
 from cactuspass.fleet._dispatch import Dispatcher, RequestActivity
+from cactuspass.fleet._duty_parts import create_autoscaler, create_duties
 from cactuspass.fleet._exchanged_loads import create_load_exchange, create_meter
 from cactuspass.fleet._feed_follower import FeedFollower
 from cactuspass.fleet._feed_source import MAX_AGE_SHARE_OF_PROPAGATION, FeedSource
 from cactuspass.fleet._hints import Hints
-from cactuspass.fleet._inbound import RequestFormat
 from cactuspass.fleet._limit_rows import LIMITS_PATH
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._orders import UpstreamControl
 from cactuspass.fleet._pages import PageServer
 from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._probes import Probes
 from cactuspass.fleet._request_dependencies import RequestDependencies
+from cactuspass.fleet._retry_budgets import RetryBudgets
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._settings import InstanceSettings, load_instance_settings
+from cactuspass.fleet._state_metrics import update_cluster_metrics, update_held_metrics
 from cactuspass.fleet._stop_bounds import StopBounds
-from cactuspass.fleet._store import SharedStore
 from cactuspass.fleet._store_retries import StoreRetries
 from cactuspass.fleet._sync import OperatorSync, UpstreamSync
 from cactuspass.fleet._upstream_limits import UpstreamLimits
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.autoscaling import Autoscaler
 from cactuspass.fleet.choice import RoomReport
-from cactuspass.fleet.duties import DUTIES_PATH, Duties, PlatformDuties, UsageDatagram
+from cactuspass.fleet.duties import DUTIES_PATH, UsageDatagram
 from cactuspass.fleet.load_exchange import LOAD_PATH, FleetLoad
-from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId, ServiceId
+from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
 # Time for the store to end the leases, when a stop is handled after its notice.
@@ -59,24 +56,6 @@
 HOUSEKEEPING_INTERVAL_SECONDS = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Adapter:
-    """Interfaces to the platform that an instance uses.
-
-    :param store: shared key-value store.
-    :param directory: documents of the operators and registry entries of upstreams.
-    :param control: orders to upstreams and their reports.
-    :param request_format: translation of requests and responses.
-    :param duties: calls that one instance at a time makes; None where the platform has none.
-    """
-
-    store: SharedStore
-    directory: Directory
-    control: UpstreamControl
-    request_format: RequestFormat
-    duties: PlatformDuties | None = None
-
-
 class Instance(Component):
     """Accepts callers' requests and sends them to upstreams.
 
@@ -105,8 +84,8 @@
         self.cluster_state = ClusterState(log, len(settings.instance.data_centres))
         self._loads = LoadTable()
         self._request_activity = RequestActivity()
-        self._retry_budgets_by_service: dict[ServiceId, RetryBudget] = {}
         bounds = settings.bounds
+        self._retry_budgets = RetryBudgets(bounds, lambda: self.cluster_state.instance_count)
         entry_id = EntryId(settings.instance.name)
         self._upstream_limits = UpstreamLimits(
             self.cluster_state,
@@ -177,7 +156,7 @@
             pool,
             log,
             metrics,
-            self._retry_budget,
+            self._retry_budgets.find,
             lambda: self.cluster_state.instance_count,
             self._report_unresponsive,
             self._notices,
@@ -264,20 +243,24 @@
             self._request_activity,
             self._fleet_load,
         )
-        self._duties: Duties | None = None
-        if settings.duties is not None and adapter.duties is not None:
-            self._duties = Duties(
-                entry_id,
-                settings.duties,
-                adapter.duties,
-                adapter.store,
-                self.cluster_state,
-                self._presence,
-                self.cluster_state.scaling_limits,
-                self._hints.send_usage_message,
-                log,
-                metrics,
-            )
+        self._duties = create_duties(
+            settings,
+            adapter,
+            self.cluster_state,
+            self._presence,
+            self._hints.send_usage_message,
+            log,
+            metrics,
+        )
+        autoscaler = create_autoscaler(
+            self._duties,
+            self.cluster_state,
+            self._presence,
+            self._controller,
+            self._fleet_load,
+            log,
+            metrics,
+        )
         self._application = Application(
             (
                 source,
@@ -305,8 +288,7 @@
                 self._block_store,
                 probes,
                 self._controller,
-                *filter(None, (self._load_exchange, self._duties)),
-                *self._autoscalers(),
+                *filter(None, (self._load_exchange, self._duties, autoscaler)),
             )
         )
 
@@ -314,23 +296,6 @@
         if self._load_exchange is not None:
             self._load_exchange.receive(datagram, address)
 
-    def _autoscalers(self) -> tuple[Autoscaler, ...]:
-        """Return the component that decides on numbers of upstreams, if they can be ordered."""
-        orders = self._duties.count_orders if self._duties is not None else None
-        if orders is None:
-            return ()
-        return (
-            Autoscaler(
-                self.cluster_state,
-                lambda: self._presence.term,
-                self._fleet_load,
-                self._controller.concurrency_by_model,
-                orders.want,
-                self._log,
-                self._metrics,
-            ),
-        )
-
     def _fleet_load(self) -> FleetLoad | None:
         """Return the load that instances have exchanged; None while nothing recent is known."""
         return self._load_exchange.latest if self._load_exchange is not None else None
@@ -453,14 +418,6 @@
         counts = self._caller_listener.connection_counts()
         self._log.lifecycle(event, **counts.log_fields(), **fields)
 
-    def _retry_budget(self, service: ServiceId) -> RetryBudget:
-        bounds = self._settings.bounds
-        if service not in self._retry_budgets_by_service:
-            self._retry_budgets_by_service[service] = RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-        return self._retry_budgets_by_service[service]
-
     def _uses_feed(self) -> bool:
         """Return whether another instance supplies the contents of the store, or soon will."""
         return self._feed.is_expected
@@ -516,28 +473,15 @@
 
     def metrics_page(self) -> tuple[int, bytes]:
         """Return the status and body of the metrics page."""
-        index = self.cluster_state.catalog_index
-        self._metrics.catalog_version.set(index.catalog.version if index is not None else 0)
-        self._metrics.operators_age.set(self.cluster_state.operators_age())
-        self._metrics.upstreams_age.set(now() - self.cluster_state.upstreams_read_at)
+        update_cluster_metrics(self._metrics, self.cluster_state)
+        update_held_metrics(self._metrics, self._held_by_callers)
         self._metrics.connections_opened.set(self._pool.opened_count)
         self._metrics.lines_dropped.set(self._log.dropped)
-        held = self._held_by_callers
-        self._metrics.held_bytes.labels("requests").set(held.memory.held_bytes)
-        self._metrics.held_bytes.labels("answers").set(held.answer_buffers.held_bytes)
-        for service, retry_budget in self._retry_budgets_by_service.items():
-            left = retry_budget.remaining(now(), self.cluster_state.instance_count)
-            self._metrics.retries_left.labels(service).set(left)
+        self._retry_budgets.update_metrics(self._metrics)
         self._upstream_limits.update_metrics()
         if self._load_exchange is not None:
             self._load_exchange.update_metrics()
         self._room_report.update_metrics()
-        self._metrics.blocks.set(len(self.cluster_state.blocks.active))
-        self._metrics.groups.clear()
-        for group in self.cluster_state.view.groups_by_key.values():
-            head = group.head
-            state = head.membership.state.value if head and head.membership else "headless"
-            self._metrics.groups.labels(group.model or "unknown", state).inc()
         return 200, self._metrics.render()
 
     async def _is_gone(self, lifetime: Lifetime) -> bool:
