--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -110,7 +110,7 @@
         prediction = engine.predict(request.size)
         admission = self._admission_by_key.setdefault(key, ModelAdmission(self._rng))
         is_undecided = request.stage is ChoiceStage.NEW and not request.is_resumed
-        shortage = view.shortage(self._data_centre, engine.request_seconds)
+        shortage = view.local_shortage(engine.request_seconds)
         self._shortage_by_key[key] = (at, shortage)
         if is_undecided:
             is_passed = self._may_ask(request, prediction, admission, view, shortage)
--- a/src/cactuspass/fleet/choice/_room_view.py
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -92,6 +92,17 @@
         """The other data centres that have heads of the model."""
         return sorted({s.upstream.data_centre for s in self.serving} - {self.data_centre})
 
+    def local_shortage(self, request_seconds: float) -> Shortage:
+        """Return how short the room is for this instance's requests.
+
+        Without a head in its data centre, it is that of the other one that lends most.
+        """
+        places = {s.upstream.data_centre for s in self.serving}
+        if self.data_centre in places or not places:
+            return self.shortage(self.data_centre, request_seconds)
+        shortages = (self.shortage(place, request_seconds) for place in places)
+        return max(shortages, key=lambda shortage: shortage.lent_share)
+
     def shortage(self, data_centre: DataCentreId, request_seconds: float) -> Shortage:
         """Return how short the room of a data centre is for its own callers.
 
--- a/tests/test_fleet_room_choice.py
+++ b/tests/test_fleet_room_choice.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from cactuspass._clock import now
-from cactuspass.fleet._catalog import Catalog, RouteKind, Service
+from cactuspass.fleet._catalog import Catalog, Evacuations, RouteKind, Service
 from cactuspass.fleet._choices import (
     ChoiceStage,
     NoUpstream,
@@ -140,6 +140,16 @@
         world.set_load({"a": 2 * SLOTS, "b": 2 * SLOTS})
         self.assertEqual(set(world.count()), {"c"})
 
+    def test_model_without_a_local_group_is_served_elsewhere(self) -> None:
+        world = World(head("c", THERE))
+        self.assertEqual(set(world.count()), {"c"})
+        self.assertEqual(set(world.count(replace(NEW, stage=ChoiceStage.HEDGE))), {"c"})
+
+    def test_evacuated_data_centre_gets_nothing(self) -> None:
+        world = World(head("a"), head("b"), head("c", THERE))
+        world.cluster_state.accept_evacuations(Evacuations(frozenset({HERE})))
+        self.assertEqual(set(world.count()), {"c"})
+
     def test_shares_decide_the_data_centre(self) -> None:
         world = World(head("a"), head("b"), head("c", THERE))
         world.set_load({}, shares={HERE: 0.5, THERE: 0.5})
