Lend to other data centres only what their own callers do not need

Cause: where room was short everywhere, each request asked one data centre after the other, so that together they lent more than they could.

--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -42,6 +42,8 @@
 MIN_SHARE_TO_TRY_ELSEWHERE = 0.6
 MIN_SECONDS_TO_TRY_ELSEWHERE = 0.05
 RESUMPTION_QUEUE_SHARE = 0.8  # of the longest queue of an engine
+# Of the requests of a data centre without a head, so that they do not starve.
+MIN_SHARE_LENT_TO_HEADLESS = 0.1
 # Free slots of a head to which a request is sent in addition to one that may still be answered.
 MIN_FREE_SLOTS_FOR_HEDGE = 3.0
 
@@ -227,11 +229,19 @@
         return choose_by_room(with_room, self._rng) if with_room else None
 
     def _borrow_elsewhere(self, view: RoomView, engine: EnginePrediction) -> Head | None:
-        """Return a head with room in another data centre."""
+        """Return a head in another data centre that has room for all of its own requests.
+
+        Where room is short everywhere, data centres would otherwise lend several times as much as
+        each of them can. Callers of a data centre without a head get what one of the others lends.
+        """
         others = view.other_data_centres
+        if others and not view.has_local_head:
+            place = self._rng.choice(others)
+            lent_share = view.shortage(place, engine.request_seconds).lent_share
+            return self._borrow(view, place, max(MIN_SHARE_LENT_TO_HEADLESS, lent_share))
         for place in self._rng.sample(others, len(others)):
             shortage = view.shortage(place, engine.request_seconds)
-            if found := self._borrow(view, place, shortage.lent_share):
+            if not shortage.is_short and (found := self._borrow(view, place, 1.0)):
                 return found
         return None
 
--- a/src/cactuspass/fleet/choice/_room_view.py
+++ b/src/cactuspass/fleet/choice/_room_view.py
@@ -92,13 +92,18 @@
         """The other data centres that have heads of the model."""
         return sorted({s.upstream.data_centre for s in self.serving} - {self.data_centre})
 
+    @property
+    def has_local_head(self) -> bool:
+        """Whether this data centre has a head of the model."""
+        return any(s.upstream.data_centre == self.data_centre for s in self.serving)
+
     def local_shortage(self, request_seconds: float) -> Shortage:
         """Return how short the room is for this instance's requests.
 
         Without a head in its data centre, it is that of the other one that lends most.
         """
         places = {s.upstream.data_centre for s in self.serving}
-        if self.data_centre in places or not places:
+        if self.has_local_head or not places:
             return self.shortage(self.data_centre, request_seconds)
         shortages = (self.shortage(place, request_seconds) for place in places)
         return max(shortages, key=lambda shortage: shortage.lent_share)
--- a/tests/test_fleet_room_choice.py
+++ b/tests/test_fleet_room_choice.py
@@ -92,12 +92,16 @@
         requests: Mapping[str, float],
         arrivals: float = 0.0,
         shares: Mapping[DataCentreId, float] | None = None,
+        arrivals_there: float = 0.0,
     ) -> None:
         """Set what is known of the other instance."""
         self.fleet_load = FleetLoad(
             AT,
             {UpstreamId(name): HeadLoad(number, 0.3) for name, number in requests.items()},
-            {DemandKey(SERVICE, SMALL, HERE): ModelDemand(arrivals, mean_seconds=1.0)},
+            {
+                DemandKey(SERVICE, SMALL, HERE): ModelDemand(arrivals, mean_seconds=1.0),
+                DemandKey(SERVICE, SMALL, THERE): ModelDemand(arrivals_there, mean_seconds=1.0),
+            },
             {(SERVICE, SMALL): shares} if shares is not None else {},
         )
 
@@ -145,11 +149,24 @@
         self.assertEqual(set(world.count()), {"c"})
         self.assertEqual(set(world.count(replace(NEW, stage=ChoiceStage.HEDGE))), {"c"})
 
+    def test_callers_without_a_local_group_do_not_starve(self) -> None:
+        world = World(head("c", THERE))
+        world.set_load({}, arrivals_there=4 * SLOTS)
+        self.assertTrue(5 < world.count()["c"] < 60)
+
     def test_evacuated_data_centre_gets_nothing(self) -> None:
         world = World(head("a"), head("b"), head("c", THERE))
         world.cluster_state.accept_evacuations(Evacuations(frozenset({HERE})))
         self.assertEqual(set(world.count()), {"c"})
 
+    def test_data_centre_without_room_for_its_own_callers_lends_nothing(self) -> None:
+        world = World(head("a"), head("b"), head("c", THERE))
+        world.fill_own_slots()
+        world.set_load({}, 4 * SLOTS, arrivals_there=4 * SLOTS)
+        self.assertEqual(set(world.count()), {"refused"})
+        world.set_load({}, 4 * SLOTS)
+        self.assertEqual(set(world.count()), {"c"})
+
     def test_shares_decide_the_data_centre(self) -> None:
         world = World(head("a"), head("b"), head("c", THERE))
         world.set_load({}, shares={HERE: 0.5, THERE: 0.5})
