Thin out only customers that ask for much more than they usually do

Customers with less than twice their usual rate, or fewer than 8 recent requests, are no longer thinned out.

--- a/src/cactuspass/fleet/load_shedding/_fair_shares.py
+++ b/src/cactuspass/fleet/load_shedding/_fair_shares.py
@@ -13,6 +13,10 @@
 MAX_USUAL_GROWTH = 1.2
 MIN_HISTORY_SECONDS = 30.0
 MIN_SERVED_SHARE = 0.25  # of the share of all requests that are served
+# An instance sees few requests of most customers, so a smaller excess over the usual rate, or one
+# of fewer requests, is chance.
+MIN_EXCESS_FACTOR = 2.0
+MIN_RECENT_REQUESTS = 8.0
 
 KeyT = TypeVar("KeyT")
 
@@ -41,14 +45,15 @@
     ) -> float:
         """Return the share of a customer's requests that may ask for room.
 
-        It is 1 for the customer that gets the largest part of what it asks for; the others are
-        thinned out to their fair shares. All of them together still ask for all the room there is.
+        It is 1 for a customer that asks for about what it usually does. Others are thinned out
+        to their fair shares, relative to the customer that gets the largest part of what it asks
+        for, so that all of them together still ask for all the room there is.
 
         :param served_rate: requests per second that this instance serves.
         :param begun_per_second: requests of each customer that begin in the whole fleet.
         """
         recent = self._recent.rates_by_key
-        if len(recent) < 2:
+        if len(recent) < 2 or not self._is_excessive(customer):
             return 1.0
         weights = {key: self._weight(key, begun_per_second) for key in recent}
         granted = divide(served_rate, recent, weights)
@@ -59,6 +64,13 @@
         overall = sum(granted.values()) / sum(recent.values())
         return min(1.0, max(MIN_SERVED_SHARE * overall, served[customer]) / largest)
 
+    def _is_excessive(self, customer: CustomerId) -> bool:
+        """Return whether a customer asks for much more than it usually does."""
+        recent = self._recent.rate(customer)
+        usual = max(MIN_USUAL_SHARE * self._usual.total, self._usual.rate(customer))
+        is_frequent = recent * RECENT_SECONDS >= MIN_RECENT_REQUESTS
+        return is_frequent and recent >= MIN_EXCESS_FACTOR * usual
+
     def _weight(self, customer: CustomerId, begun_per_second: Mapping[CustomerId, float]) -> float:
         """Return the share that a customer has usually, less what it exceeds it in the fleet."""
         usual = max(MIN_USUAL_SHARE, _share(self._usual, customer))
