--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -76,9 +76,16 @@
         begun = await self._count(resumable, broken, stream(events(range(4, 7))))
         self.assertEqual(begun, ["customer-1"] * 2)
 
-    async def test_failed_attempt_is_not_counted(self) -> None:
+    # Guards against reports below the truth: the failure of a plain service is the end of a run.
+    async def test_failure_of_the_service_is_counted(self) -> None:
         success = answer("200 OK", b"body", STAMP)
         begun = await self._count(route(), answer("500 Oops", b"no", STAMP), success)
+        self.assertEqual(begun, ["customer-1"] * 2)
+
+    async def test_attempt_that_has_not_run_is_not_counted(self) -> None:
+        success = answer("200 OK", b"body", STAMP)
+        rejected = answer("503 Full", b"no", STAMP, "Cactuspass-Not-Run: 1")
+        begun = await self._count(route(), rejected, success)
         self.assertEqual(begun, ["customer-1"])
 
     async def test_request_without_a_customer_is_not_counted(self) -> None:
