--- a/tests/test_fleet_load_exchange.py
+++ b/tests/test_fleet_load_exchange.py
@@ -165,7 +165,7 @@
                 rates = [d.arrivals_per_second for by_place in found for d in by_place.values()]
                 self.assertAlmostEqual(fmean(rates), 40.0, delta=1.0)
                 # Six states lost in a row leave an instance out for a moment.
-                self.assertGreater(sum(abs(rate - 40.0) < 8.0 for rate in rates), 0.95 * len(rates))
+                self.assertGreater(sum(abs(rate - 40.0) < 8.0 for rate in rates), 0.97 * len(rates))
 
     def loads_after(self, world: LoadWorld, seconds: float) -> list[FleetLoad]:
         """Return what the instances know after a time; those that know nothing are left out."""
--- a/tests/test_fleet_load_shedding.py
+++ b/tests/test_fleet_load_shedding.py
@@ -52,8 +52,8 @@
         self.check(LoadSimulation(lambda at: BURST, sum_delay=1.2))
 
     def test_burst_after_calm(self) -> None:
-        # The demand is known a second after it has risen, and what was sent meanwhile is late.
-        self.check(LoadSimulation(lambda at: BURST if at > 6.0 else CALM), 0.6, 0.2)
+        # Guards against a rise in demand that stays unknown while requests are sent as before.
+        self.check(LoadSimulation(lambda at: BURST if at > 6.0 else CALM), 0.6)
 
     def test_third_of_the_instances_gone(self) -> None:
         simulation = LoadSimulation(lambda at: BURST)
