Share what several parts wrote again, and simplify conditions

The time of a step, the usual number of output tokens, the log lines of unreadable documents, the reset at close, the outcome of a removed caller, the nearest heads by room and the send of one datagram each have one place now. Stalled callers are told from others in one pass: the search in a list took time by the square of their number. Hosts in groups are counted only where spares are kept. Comments no longer name the times of one deployment. No change in behaviour, except that messages on limits are not sent on a closing socket either.

--- a/src/cactuspass/_caller_boundary.py
+++ b/src/cactuspass/_caller_boundary.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -66,10 +66,15 @@
     received_bytes: int
     seconds: float
 
+    @property
+    def outcome(self) -> str:
+        """What became of the caller, for counters."""
+        return "refused" if self.refused else "closed"
+
     @property
     def event(self) -> str:
         """Name of the log event."""
-        return "caller-refused" if self.refused else "caller-closed"
+        return f"caller-{self.outcome}"
 
     def log_fields(self) -> dict[str, str | int | float]:
         """Return the fields of a log line."""
@@ -167,9 +172,10 @@
         self._check = None
         self._remove_accounts(self.memory.choose_victims(None, now()))
 
-    def _remove_accounts(self, accounts: Collection[CallerAccount]) -> None:
-        if accounts:
-            for stream in [stream for stream in self._streams if stream.account in accounts]:
+    def _remove_accounts(self, accounts: Iterable[CallerAccount]) -> None:
+        removed = set(accounts)
+        if removed:
+            for stream in [stream for stream in self._streams if stream.account in removed]:
                 self._remove(stream, CallerLimit.MEMORY, not stream.account.is_whole)
 
     def _remove(self, stream: CallerStream, limit: CallerLimit, refused: bool) -> None:
--- a/src/cactuspass/_caller_memory.py
+++ b/src/cactuspass/_caller_memory.py
@@ -162,13 +162,14 @@
             if account is not requester and account.held_bytes > share and self._may_lose(account)
         ]
         over_share.sort(key=lambda account: account.held_bytes * (account.began_at - at))
-        stalled = [account for account in over_share if self._is_stalled(account, at)]
         smallest = 0 if requester is None else DISPLACING_FACTOR * requester.held_bytes
-        others = [
-            account
-            for account in over_share
-            if account not in stalled and not account.is_whole and account.held_bytes > smallest
-        ]
+        stalled: list[CallerAccount] = []
+        others: list[CallerAccount] = []
+        for account in over_share:
+            if self._is_stalled(account, at):
+                stalled.append(account)
+            elif not account.is_whole and account.held_bytes > smallest:
+                others.append(account)
         return (*stalled, *others)
 
     @staticmethod
--- a/src/cactuspass/_caller_reports.py
+++ b/src/cactuspass/_caller_reports.py
@@ -22,8 +22,7 @@
 
     def report(self, removal: CallerRemoval) -> None:
         """Report one caller."""
-        outcome = "refused" if removal.refused else "closed"
-        self._counters.count(f"callers.removed.{removal.limit.value}.{outcome}")
+        self._counters.count(f"callers.removed.{removal.limit.value}.{removal.outcome}")
         at = now()
         if at >= self._next_line_at:
             self._next_line_at = at + LINE_INTERVAL_SECONDS
--- a/src/cactuspass/_caller_stream.py
+++ b/src/cactuspass/_caller_stream.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 from asyncio import Future
 from collections.abc import Callable
 from http import HTTPStatus
@@ -14,13 +13,10 @@
 from cactuspass._caller_memory import CallerAccount, CallerMemory
 from cactuspass._clock import now
 from cactuspass._connection_phases import ConnectionPhase, unread_bytes
-from cactuspass._lingering import LingeringSockets
+from cactuspass._lingering import READ_BYTES, LingeringSockets, reset_at_close
 from cactuspass._problems import Problem, RunState
 
 MAX_DISCARD_BYTES = 1_048_576
-READ_BYTES = 65_536
-# Value of SO_LINGER with which a close resets the connection.
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 HEADER_TOO_LARGE_PROBLEM = Problem(
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -172,7 +168,7 @@
             self._send_problem(HEADER_TOO_LARGE_PROBLEM)
         if self._cuts_response() and not self.closed():
             with contextlib.suppress(OSError):
-                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                reset_at_close(self.socket)
         super().close(exc_info)
         if self.error is not None:
             # Its frames refer to what was being written and to the stream, which refers to it; they
--- a/src/cactuspass/_lingering.py
+++ b/src/cactuspass/_lingering.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 LINGER_SECONDS = 2.0
 # More than the largest body by default, which some callers send before they read an answer.
@@ -14,6 +15,13 @@
 MAX_LINGERING = 64
 READ_BYTES = 65_536
 READS_AT_ONCE = 4
+# Value of SO_LINGER, which is on with a time of zero.
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def reset_at_close(connection: socket.socket) -> None:
+    """Let the close of a socket reset its connection, and discard what was not sent."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
 class LingeringSockets:
--- a/src/cactuspass/fleet/_block_store.py
+++ b/src/cactuspass/fleet/_block_store.py
@@ -105,8 +105,7 @@
         try:
             block = decode_block(stored.key, stored.value or b"")
         except DocumentError as error:
-            for finding in error.findings:
-                self._log.alarm("document-unreadable", finding=str(finding))
+            self._log.unreadable(error.findings)
             return None
         self._on_block(block)
         return block
--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -124,11 +124,15 @@
         model = model or ModelId("")
         return self.models_by_id.get(model) or ModelSpec(model, size=1)
 
+    def step_seconds_with(self, running: float) -> float:
+        """Return the time of a step of a group that runs so many requests."""
+        return self.step_seconds + running * self.step_seconds_per_request
+
     def longest_mean_seconds(self, model: ModelId) -> float:
         """Return the longest mean time of requests that run; what is above is time in a queue."""
         if not self.usual_output_tokens:
             return float("inf")
-        step = self.step_seconds + self.slots * self.step_seconds_per_request
+        step = self.step_seconds_with(self.slots)
         prompt = self.usual_prompt_tokens / self.prompt_tokens_per_second
         usual = self.model_spec(model).pace * (self.usual_output_tokens * step + prompt)
         return MAX_TIME_FACTOR * usual
@@ -143,7 +147,7 @@
 
         :param pace: factor applied to the group's times.
         """
-        step = self.step_seconds + self.slots * self.step_seconds_per_request
+        step = self.step_seconds_with(self.slots)
         prompt_seconds = self.prompt_tokens_per_step / self.prompt_tokens_per_second
         return pace * (self.steps_per_event * step + prompt_seconds)
 
--- a/src/cactuspass/fleet/_decision_log.py
+++ b/src/cactuspass/fleet/_decision_log.py
@@ -7,11 +7,13 @@
 import sys
 import time
 from collections import Counter, deque
+from collections.abc import Iterable
 from typing import Any
 
 import logbook
 
 from cactuspass._clock import now
+from cactuspass._findings import Finding
 from cactuspass.fleet._token_bucket import TokenBucket
 
 REQUEST_LINES_PER_SECOND = 60.0
@@ -143,6 +145,11 @@
         """Log a condition that needs an operator's attention."""
         self._write("alarm", event, fields)
 
+    def unreadable(self, findings: Iterable[Finding]) -> None:
+        """Log each mistake in a document that cannot be used."""
+        for finding in findings:
+            self.alarm("document-unreadable", finding=str(finding))
+
     def _write(
         self, kind: str, event: str, fields: dict[str, Any], share: str | None = None
     ) -> None:
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -156,11 +156,11 @@
             self._on_load_datagram(data, f"{addr[0]}:{addr[1]}")
             return
         # Messages on usage come first, since the holder receives many of them.
-        has_usage = self._on_usage_message is not None and KIND_PREFIX in data
-        usage_message = USAGE_CODEC.decode(data) if has_usage else None
-        if self._on_usage_message is not None and usage_message is not None:
-            self._on_usage_message(usage_message, addr[0])
-            return
+        if self._on_usage_message is not None and KIND_PREFIX in data:
+            usage_message = USAGE_CODEC.decode(data)
+            if usage_message is not None:
+                self._on_usage_message(usage_message, addr[0])
+                return
         upstream_id, leaving = decode_unresponsive(data), decode_leaving(data)
         if upstream_id is not None:
             self._remember(data, now())
@@ -229,8 +229,8 @@
         :param address: ``host:port`` of the instance.
         """
         datagram = LIMIT_CODEC.encode(message)
-        if datagram is not None and self._transport is not None:
-            self._transport.sendto(datagram, _parse_address(address))
+        if datagram is not None:
+            self.send_datagram(address, datagram)
 
     def send_datagram(self, address: str, datagram: bytes) -> None:
         """Send one other instance a datagram.
@@ -248,8 +248,8 @@
         datagram = USAGE_CODEC.encode(message)
         if datagram is None:
             self._log.alarm("usage-message-too-large", message=message.kind)
-        elif self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(datagram, _parse_address(address))
+        else:
+            self.send_datagram(address, datagram)
 
     def _send_unless_recent(self, datagram: bytes) -> bool:
         """Send a datagram unless it was sent or received less than ``MIN_INTERVAL_SECONDS`` ago.
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -500,8 +500,7 @@
 
     def _report_removal(self, removal: CallerRemoval) -> None:
         """Count and log a caller that has lost its place."""
-        outcome = "refused" if removal.refused else "closed"
-        self._metrics.removed_callers.labels(removal.limit.value, outcome).inc()
+        self._metrics.removed_callers.labels(removal.limit.value, removal.outcome).inc()
         self._log.caller(removal.event, **removal.log_fields())
 
     def _report_unresponsive(self, upstream_id: UpstreamId) -> None:
--- a/src/cactuspass/fleet/_offered_load.py
+++ b/src/cactuspass/fleet/_offered_load.py
@@ -7,8 +7,9 @@
 from cactuspass.fleet.load_exchange import FleetLoad
 from cactuspass.models import DataCentreId, ModelId, ServiceId
 
-WAVE_SECONDS = 15.0  # a little longer than the periods of 11 to 13 s with which demand swings
-# Rates of single seconds are too noisy: 27 requests a second vary by a fifth.
+# Longer than demand usually takes to swing once, so that each window includes a peak.
+WAVE_SECONDS = 15.0
+# Rates of single seconds are too noisy: by chance, they vary by the root of the requests in them.
 SMOOTHING_SECONDS = 2.0
 MAX_GAP_SECONDS = 5.0  # after a longer time without a sample, what came before counts as unknown
 MIN_RISE = 1.1  # between two waves; a smaller one may be noise
@@ -39,11 +40,7 @@
 def _declared_seconds(engine: EngineSpec, model: ModelId) -> float:
     """Return how long a usual request takes at a full group."""
     tokens = engine.usual_output_tokens or ASSUMED_OUTPUT_TOKENS
-    return tokens * _step_seconds(engine, engine.slots) * engine.model_spec(model).pace
-
-
-def _step_seconds(engine: EngineSpec, running: float) -> float:
-    return engine.step_seconds + running * engine.step_seconds_per_request
+    return tokens * engine.step_seconds_with(engine.slots) * engine.model_spec(model).pace
 
 
 def asking_data_centres(load: FleetLoad, service: ServiceId) -> frozenset[DataCentreId]:
@@ -61,7 +58,7 @@
     :param group_count: groups that they are spread over; 0 when it is not known.
     """
     running = min(float(engine.slots), concurrency / group_count if group_count else engine.slots)
-    slowdown = _step_seconds(engine, engine.slots) / _step_seconds(engine, running)
+    slowdown = engine.step_seconds_with(engine.slots) / engine.step_seconds_with(running)
     return concurrency / engine.slots * slowdown
 
 
--- a/src/cactuspass/fleet/_pool.py
+++ b/src/cactuspass/fleet/_pool.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from cactuspass._lingering import reset_at_close
 from cactuspass.exceptions import SendWithdrawn, UpstreamNotReached
 from cactuspass.fleet._answer_head import AnswerHead, Header, IdCheck
 from cactuspass.fleet._connections import Connection
@@ -18,10 +18,6 @@
 MAX_JOINED_BYTES = 65_536
 
 
-# A connection that closes sends nothing any more: SO_LINGER is on, with a time of zero.
-DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
 def always() -> bool:
     """Return True: the default check of :meth:`ConnectionPool.send_request`."""
     return True
@@ -139,7 +135,7 @@
         self.opened_count += 1
         if self._discard_unsent_after is not None:
             opened: socket.socket = transport.get_extra_info("socket")
-            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_ON_CLOSE)
+            reset_at_close(opened)
             milliseconds = int(self._discard_unsent_after * 1000)
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
         return connection
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -25,6 +25,7 @@
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.fleet.choice import RoomChoice
 from cactuspass.fleet.load_exchange import FleetLoad
+from cactuspass.fleet.load_shedding import TYPICAL_OUTPUT_TOKENS
 from cactuspass.models import DataCentreId, EntryId, ServiceId
 
 OTHER_DATA_CENTRE_PENALTY = 0.15
@@ -40,7 +41,6 @@
 FAILURE_WEIGHT = 6.0
 COLD_FACTOR_DEFAULT = 1.5
 COLD_SLACK_DEFAULT = 5.0
-TYPICAL_OUTPUT_TOKENS = 180.0
 MIN_SUSPECTS_OF_PARTITION = 2
 SUSPECT_SHARE_OF_PARTITION = 0.5
 BUSY_RETRY_SECONDS = 0.5
@@ -393,5 +393,5 @@
     :param estimate: requests that run or wait at the group.
     """
     queued = max(0.0, estimate + 1 - engine.slots)
-    step = engine.step_seconds + engine.slots * engine.step_seconds_per_request
+    step = engine.step_seconds_with(engine.slots)
     return queued * TYPICAL_OUTPUT_TOKENS * step * pace / engine.slots
--- a/src/cactuspass/fleet/_staging.py
+++ b/src/cactuspass/fleet/_staging.py
@@ -153,7 +153,9 @@
     for load in planned:
         hosts_by_model[load.spec.model].append(load.host)
     planned_ids = {load.host.upstream_id for load in planned}
-    reserved_counts = _count_reserved_hosts(hosts[0].fabric_domain, planning_round) if hosts else {}
+    reserved_counts: Mapping[ModelId, int] = {}
+    if hosts and planning_round.planner_input.knows_demand:
+        reserved_counts = _count_reserved_hosts(hosts[0].fabric_domain, planning_round)
     for spec in specs:
         if supply_ratio(spec) >= 1:
             return
--- a/src/cactuspass/fleet/autoscaling/_count_decider.py
+++ b/src/cactuspass/fleet/autoscaling/_count_decider.py
@@ -10,7 +10,7 @@
 from cactuspass.models import DataCentreId
 
 MIN_KNOWN_SECONDS = 3.0
-# The rest of the first wave may be higher: with a swing of 0.2, the peak is 1.5 times the trough.
+# The rest of the first wave may be higher: with a swing of a fifth, a peak is 1.5 times a trough.
 MAX_PEAK_FACTOR = 1.5
 # A partition or an evacuation that ends sooner is over before an additional upstream would serve.
 LOST_SECONDS = 5.0
@@ -20,10 +20,10 @@
 REPLACEMENT_SECONDS = 10.0
 SHORTAGE_SECONDS = 20.0  # longer than weights take to load
 SETTLED_SECONDS = 0.5
-# Requests of a group that closes run for 2 s, and its hosts join again within 1.6 s.
+# A group that closes lets its requests end before its hosts join another one.
 MAX_CHANGING_SECONDS = 3.0
-# Upstreams that were ordered additionally serve after 20 to 24 s; what they cost until then is
-# spent already.
+# Longer than additional upstreams usually take to boot and to load weights; what they cost until
+# then is spent already.
 KEPT_AFTER_GROWTH_SECONDS = 30.0
 KEPT_AFTER_RETURN_SECONDS = 15.0  # a data centre that was out may be out again
 LIMITS_REASON = "the limits have changed"
@@ -199,9 +199,10 @@
     def _counted(self, scaling_input: ScalingInput, hosts: DataCentreHosts) -> int:
         """Return the upstreams of a data centre that count as capacity now or soon."""
         wanted = self.wanted_by_data_centre.get(hosts.data_centre, hosts.count)
-        patience = scaling_input.limits.boot_seconds + REPLACEMENT_SECONDS
+        replacement_seconds = scaling_input.limits.boot_seconds + REPLACEMENT_SECONDS
         short_since = self._short_since.get(hosts.data_centre, scaling_input.at)
-        if scaling_input.at - short_since < patience or self._has_just_grown(scaling_input):
+        is_replacing = scaling_input.at - short_since < replacement_seconds
+        if is_replacing or self._has_just_grown(scaling_input):
             return wanted
         return hosts.count
 
--- a/src/cactuspass/fleet/choice/_room_choice.py
+++ b/src/cactuspass/fleet/choice/_room_choice.py
@@ -231,9 +231,8 @@
         """
         heads = view.heads()
         with_room = [head for head in heads if head.free_slots >= 1]
-        local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
         if with_room:
-            return choose_by_room(local or with_room, self._rng)
+            return self._choose_near(with_room)
         if owned := view.owned_heads():
             return choose_by_room(owned, self._rng)
         limit = view.engine.slots * QUEUE_PER_SLOT * RESUMPTION_QUEUE_SHARE
@@ -254,8 +253,12 @@
             return None
         min_free = 1.0 if request.is_resumed else MIN_FREE_SLOTS_FOR_HEDGE
         with_room = [head for head in view.heads() if head.free_slots >= min_free]
-        local = [head for head in with_room if head.upstream.data_centre == self._data_centre]
-        return choose_by_room(local or with_room, self._rng) if with_room else None
+        return self._choose_near(with_room) if with_room else None
+
+    def _choose_near(self, heads: Sequence[Head]) -> Head:
+        """Return one of some heads by room, of this data centre if any is."""
+        local = [head for head in heads if head.upstream.data_centre == self._data_centre]
+        return choose_by_room(local or heads, self._rng)
 
     def _borrow(self, view: RoomView, data_centre: DataCentreId, lent_share: float) -> Head | None:
         """Return a head with a slot that is assigned to another instance and not needed."""
--- a/src/cactuspass/fleet/duties/_count_orders.py
+++ b/src/cactuspass/fleet/duties/_count_orders.py
@@ -102,9 +102,9 @@
         There is none while the last order has another outcome.
         """
         sent = self.sent_by_subject.get((service, data_centre))
-        is_current = sent is not None and sent.wanted.fence == self._holder.term_fence
-        is_accepted = sent is not None and sent.outcome is CallOutcome.ACCEPTED
-        return sent.wanted.count if sent is not None and is_current and is_accepted else None
+        if sent is None or sent.outcome is not CallOutcome.ACCEPTED:
+            return None
+        return sent.wanted.count if sent.wanted.fence == self._holder.term_fence else None
 
     async def step(self) -> None:
         """Send one order for each subject that needs one."""
@@ -121,8 +121,11 @@
                 del self.wanted_by_subject[subject]
             return
         sent = self.sent_by_subject.get(subject)
-        is_accepted = sent is not None and sent.outcome is CallOutcome.ACCEPTED
-        if is_accepted and sent is not None and self._is_same(sent.wanted, wanted):
+        if (
+            sent is not None
+            and sent.outcome is CallOutcome.ACCEPTED
+            and (sent.wanted.count, sent.wanted.fence) == (wanted.count, fence)
+        ):
             return
         if not self._retry_times.is_due(subject, now()):
             return
@@ -143,9 +146,6 @@
             reason=wanted.reason,
         )
 
-    def _is_same(self, sent: WantedCount, wanted: WantedCount) -> bool:
-        return (sent.count, sent.fence) == (wanted.count, wanted.fence)
-
     def _check(self, subject: Subject, count: int) -> bool:
         """Return whether a number may be ordered; log once why it may not."""
         limits = self._limits(subject[0])
--- a/src/cactuspass/fleet/duties/_stored_counts.py
+++ b/src/cactuspass/fleet/duties/_stored_counts.py
@@ -77,8 +77,7 @@
             try:
                 answer = _ADAPTER.validate_json(stored.value or b"")
             except ValidationError as error:
-                for finding in findings_from_error(key, error):
-                    self._log.alarm("document-unreadable", finding=str(finding))
+                self._log.unreadable(findings_from_error(key, error))
             else:
                 self._collector.add_stored(answer)
 
--- a/src/cactuspass/fleet/duties/_usage_reporter.py
+++ b/src/cactuspass/fleet/duties/_usage_reporter.py
@@ -30,8 +30,7 @@
 # instances' clocks differ.
 ANSWER_MARGIN_SECONDS = 0.3
 # A window that ended less than this share of the time to settle before a restore was not fixed by
-# then.
-# The rest allows for clocks of two holders that differ.
+# then. The rest allows for clocks of two holders that differ.
 NOT_FIXED_SHARE = 0.75
 MAX_NAMES_IN_LINE = 5
 MAX_WINDOWS_LOGGED_AS_MISSED = 100
--- a/src/cactuspass/fleet/duties/_usage_store.py
+++ b/src/cactuspass/fleet/duties/_usage_store.py
@@ -11,7 +11,7 @@
 from pydantic import Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
-from cactuspass._findings import findings_from_error
+from cactuspass._findings import Finding, findings_from_error
 from cactuspass._platform import KeyValue, Write
 from cactuspass._revisions import era_of
 from cactuspass.exceptions import OutcomeUnknown, PlatformError
@@ -174,8 +174,7 @@
         try:
             return _STATE.validate_json(stored.value)
         except ValidationError as error:
-            for finding in findings_from_error(STATE_KEY, error):
-                self._log.alarm("document-unreadable", finding=str(finding))
+            self._log.unreadable(findings_from_error(STATE_KEY, error))
             # As after a restore: it is not known which contents were sent.
             return _State(0, 0, 0) if era_of(stored.mod_revision) else None
 
@@ -203,10 +202,9 @@
             if stored.window != window:
                 raise ValueError(f"it is the content of window {stored.window}")
         except ValidationError as error:
-            for finding in findings_from_error(key, error):
-                self._log.alarm("document-unreadable", finding=str(finding))
+            self._log.unreadable(findings_from_error(key, error))
         except ValueError as error:
-            self._log.alarm("document-unreadable", finding=f"{key}: {error}")
+            self._log.unreadable([Finding(key, "", str(error))])
         else:
             counts = {CustomerId(name): count for name, count in stored.counts.items()}
             return UsageReport(window, counts)
--- a/src/cactuspass/fleet/load_shedding/__init__.py
+++ b/src/cactuspass/fleet/load_shedding/__init__.py
@@ -7,6 +7,7 @@
 from cactuspass.fleet.load_shedding._model_admission import ModelAdmission
 from cactuspass.fleet.load_shedding._prediction import (
     QUEUE_PER_SLOT,
+    TYPICAL_OUTPUT_TOKENS,
     EnginePrediction,
     Prediction,
     RequestSize,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "QUEUE_PER_SLOT",
+    "TYPICAL_OUTPUT_TOKENS",
     "Corrections",
     "CustomerShares",
     "DemandTrend",
--- a/src/cactuspass/fleet/load_shedding/_prediction.py
+++ b/src/cactuspass/fleet/load_shedding/_prediction.py
@@ -64,8 +64,7 @@
     @property
     def step_seconds(self) -> float:
         """Time of one step of a full group."""
-        engine = self.engine
-        return self.pace * (engine.step_seconds + engine.slots * engine.step_seconds_per_request)
+        return self.pace * self.engine.step_seconds_with(self.engine.slots)
 
     def queue_seconds(self, requests: float) -> float:
         """Return the seconds until a group with some requests starts one more."""
--- a/src/cactuspass/fleet/spill/_inputs.py
+++ b/src/cactuspass/fleet/spill/_inputs.py
@@ -90,7 +90,7 @@
 
 def _usual_seconds(engine: EngineSpec, model: ModelId) -> float:
     """Return the time of a request at a half full group, for use before any has ended."""
-    step = engine.step_seconds + engine.slots / 2 * engine.step_seconds_per_request
+    step = engine.step_seconds_with(engine.slots / 2)
     return engine.usual_output_tokens * step * engine.model_spec(model).pace
 
 
