--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,4 +20,5 @@
 
 
 if __name__ == "__main__":
-    run_script(__file__, main)
+    # With TROUBLE=0 the script does the same without the disruption.
+    run_script(__file__, main, disturb=os.environ.get("TROUBLE", "1") != "0")
--- a/review/kit-2/poison.py
+++ b/review/kit-2/poison.py
@@ -129,7 +129,7 @@
         }
     ],
     "tenants": [{"name": f"library-{n}", "api_keys": [f"key-{n}"]} for n in range(4)],
-    "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_ms": 3000, "idle_ms": 15000},
+    "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_ms": 3000, "idle_ms": 15000},
 }
 
 
--- a/review/kit-2/standins.py
+++ b/review/kit-2/standins.py
@@ -608,15 +608,15 @@
         return status, headers, body
 
 
-def run_script(case, main, seconds_limit=110):
+def run_script(case, main, disturb, seconds_limit=110):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
     :param main: coroutine function with a record, a folder and whether to disturb; returns the
         list of breaches.
+    :param disturb: False to do the same without the disruption.
     """
     folder = Path(case).resolve().parent
     record = Record(folder / "record.txt")
-    disturb = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"disruption: {'yes' if disturb else 'no'}")
 
     async def guarded(scratch):
