Review: take ports outside the range of outgoing connections in the stand-ins

A port that was free when it was chosen can be taken by an outgoing connection before the instance listens. Ports now come from below that range, and the log of an instance that is not ready goes into the record.

--- a/review/kit-2/standins.py
+++ b/review/kit-2/standins.py
@@ -9,7 +9,9 @@
 import itertools
 import json
 import os
+import random
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -465,15 +467,23 @@
 """
 
 
+# Below the ports that kernels give to outgoing connections, which could take one meanwhile.
+PORTS = range(20_000, 32_000)
+
+
 def free_ports(count):
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
+    """Return ports on which nothing listens, drawn so that scripts beside each other differ."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -523,12 +533,18 @@
             self.process.send_signal(number)
 
     async def wait_ready(self, timeout=20.0):
-        async with asyncio.timeout(timeout):
-            while True:
-                status, _, _ = await Caller(self.ip, self.readiness).get("/ready")
-                if status == 200:
-                    return
-                await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(timeout):
+                while True:
+                    status, _, _ = await Caller(self.ip, self.readiness).get("/ready")
+                    if status == 200:
+                        return
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            log = self.log.read_text(errors="replace")[-2000:]
+            state = f"exit {self.process.returncode}, last readiness {status}"
+            self.record.add(f"instance {self.name} is not ready: {state}\n{log}")
+            raise
 
     async def kill(self):
         if self.process is not None and self.process.returncode is None:
