Move parts of prompts into a package of their own

Cause: fourteen modules on one concern (evidence on crashes, guard, holds, blocks, their messages and their store) stood among a hundred others in fleet/, and the next changes all touch them.

Change: they are fleet/prompt_parts/, behind an __init__ with the names that others use. Modules only moved: _part_guard is _guard, _part_holds _holds, _part_log _log, _part_messages _messages, _part_reporter _reporter and _prompt_parts _parts. The guard and the trials name the cluster state for types only, since it holds the table of blocks.

No behaviour changes.

--- a/src/cactuspass/_block_commands.py
+++ b/src/cactuspass/_block_commands.py
@@ -4,8 +4,7 @@
 from contextlib import asynccontextmanager
 
 from cactuspass.exceptions import ArgumentError, PlatformError
-from cactuspass.fleet._block_orders import BlockOrders, StoredBlocks, check_names
-from cactuspass.fleet._prompt_parts import Block, BlockKey
+from cactuspass.fleet.prompt_parts import Block, BlockKey, BlockOrders, StoredBlocks, check_names
 from cactuspass.models import CustomerId, ModelId, ServiceId
 from cactuspass.platform.operators import PlatformAccess, open_platform, parse_part_ids
 
--- a/src/cactuspass/cli.py
+++ b/src/cactuspass/cli.py
@@ -21,8 +21,8 @@
 from cactuspass._rows import row_set
 from cactuspass._statements import Query
 from cactuspass.exceptions import ArgumentError, CactuspassError, CommandError
-from cactuspass.fleet._block_rows import block_rows
 from cactuspass.fleet._explain import explain, read_logs, timeline
+from cactuspass.fleet.prompt_parts import block_rows
 
 ENTRY_VARIABLE = "CACTUSPASS_ENTRY"
 TOKEN_VARIABLE = "CACTUSPASS_TOKEN"
--- a/src/cactuspass/fleet/__init__.py
+++ b/src/cactuspass/fleet/__init__.py
@@ -52,7 +52,6 @@
     UpstreamReport,
 )
 from cactuspass.fleet._pool import ConnectionPool, OutgoingRequest
-from cactuspass.fleet._prompt_parts import PromptPartId
 from cactuspass.fleet._settings import (
     InstanceSettings,
     load_instance_settings,
@@ -74,6 +73,7 @@
     UpstreamCountOrder,
     UsageReport,
 )
+from cactuspass.fleet.prompt_parts import PromptPartId
 
 __all__ = [
     "Adapter",
--- a/src/cactuspass/fleet/_admission.py
+++ b/src/cactuspass/fleet/_admission.py
@@ -7,8 +7,8 @@
 from cactuspass.fleet._catalog import Customer, Route
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._inbound import InboundRequest
-from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._request_problems import RETRY_AFTER_SECONDS, not_run_problem
+from cactuspass.fleet.prompt_parts import Block
 
 
 class NotAdmitted(RequestError):
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -17,13 +17,12 @@
     AttemptFailed,
     Failure,
 )
-from cactuspass.fleet._guarded_request import GuardedRequest
 from cactuspass.fleet._inbound import AnswerNotes, InboundRequest, SendDetails
-from cactuspass.fleet._prompt_parts import ANONYMOUS, BrokenAttempt
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import ModelKey
+from cactuspass.fleet.prompt_parts import ANONYMOUS, BrokenAttempt, GuardedRequest
 from cactuspass.models import CustomerId, ModelId, ServiceId
 
 MAX_SENDS = 4
--- a/src/cactuspass/fleet/_choices.py
+++ b/src/cactuspass/fleet/_choices.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from cactuspass.fleet._allowance import LEAST_URGENT_PRIORITY
-from cactuspass.fleet._prompt_parts import ANONYMOUS
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.fleet.load_shedding import Prediction, RequestSize, Urgency
+from cactuspass.fleet.prompt_parts import ANONYMOUS
 from cactuspass.models import CustomerId, ModelId, ServiceId
 
 NO_BACKOFF_SECONDS = float("inf")
--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass.fleet._block_table import BlockTable
 from cactuspass.fleet._catalog import (
     CallerLimits,
     Catalog,
@@ -20,7 +19,6 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._departures import Departures
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._removed_upstreams import RemovedUpstreams
 from cactuspass.fleet._upstream_log import log_upstream_changes
 from cactuspass.fleet._upstreams import (
@@ -31,6 +29,7 @@
     UpstreamId,
     UpstreamView,
 )
+from cactuspass.fleet.prompt_parts import Block, BlockTable
 from cactuspass.models import ModelId, ServiceId
 
 NEVER = float("-inf")
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -17,10 +17,8 @@
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._delivery import Delivery
 from cactuspass.fleet._failures import AttemptFailed, DeadlinePassed, Failure, NoUpstreamAvailable
-from cactuspass.fleet._guarded_request import GuardedRequest, guard_request
 from cactuspass.fleet._inbound import InboundRequest
 from cactuspass.fleet._plain_relay import PlainRelay
-from cactuspass.fleet._prompt_parts import ANONYMOUS, Block, PromptIdentity
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._request_problems import (
     RETRY_AFTER_SECONDS,
@@ -33,6 +31,13 @@
 from cactuspass.fleet._room_returns import RoomReturns
 from cactuspass.fleet._stop_progress import StopPhase, StopProgress
 from cactuspass.fleet._stream_relay import StreamRelay
+from cactuspass.fleet.prompt_parts import (
+    ANONYMOUS,
+    Block,
+    GuardedRequest,
+    PromptIdentity,
+    guard_request,
+)
 from cactuspass.models import ModelId, ServiceId
 
 MAX_RETRY_DEADLINE_SHARE = 0.3
--- a/src/cactuspass/fleet/_feed_follower.py
+++ b/src/cactuspass/fleet/_feed_follower.py
@@ -33,9 +33,9 @@
     order_readers,
     order_sources,
 )
-from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._upstreams import Lifetime
+from cactuspass.fleet.prompt_parts import Block
 from cactuspass.models import DataCentreId, EntryId
 
 CONNECT_TIMEOUT_SECONDS = 0.4
--- a/src/cactuspass/fleet/_feed_messages.py
+++ b/src/cactuspass/fleet/_feed_messages.py
@@ -11,8 +11,8 @@
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet._catalog import Catalog, Evacuations
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
+from cactuspass.fleet.prompt_parts import Block
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/_feed_source.py
+++ b/src/cactuspass/fleet/_feed_source.py
@@ -24,8 +24,8 @@
     encode_feed_update,
 )
 from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._prompt_parts import Block
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
+from cactuspass.fleet.prompt_parts import Block
 
 UPDATE_REQUEST = b""
 # A request that a source without recent state answers once it has one, instead of closing at once.
--- a/src/cactuspass/fleet/_hints.py
+++ b/src/cactuspass/fleet/_hints.py
@@ -17,16 +17,16 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._limit_messages import CODEC as LIMIT_CODEC
 from cactuspass.fleet._limit_messages import LimitDatagram, LimitMessage
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.duties._usage_messages import CODEC as USAGE_CODEC
+from cactuspass.fleet.duties._usage_messages import KIND_PREFIX, UsageDatagram
+from cactuspass.fleet.load_exchange import is_load_datagram
+from cactuspass.fleet.prompt_parts import (
     BlockMessage,
     PartMessage,
     decode_part_message,
     encode_part_message,
 )
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.duties._usage_messages import CODEC as USAGE_CODEC
-from cactuspass.fleet.duties._usage_messages import KIND_PREFIX, UsageDatagram
-from cactuspass.fleet.load_exchange import is_load_datagram
 
 REPEAT_SECONDS = 0.3  # time after which a hint that must not be lost is sent again
 # Shortest time between two sends of the same hint by any instance; shorter than the time for which
--- a/src/cactuspass/fleet/_inbound.py
+++ b/src/cactuspass/fleet/_inbound.py
@@ -7,9 +7,9 @@
 from cactuspass.exceptions import RequestError
 from cactuspass.fleet._answer_head import AnswerHead, Header
 from cactuspass.fleet._pool import OutgoingRequest
-from cactuspass.fleet._prompt_parts import PromptPartId
 from cactuspass.fleet._upstreams import Upstream
 from cactuspass.fleet.load_shedding import RequestSize
+from cactuspass.fleet.prompt_parts import PromptPartId
 from cactuspass.models import CustomerId, ModelId, RequestId
 
 
--- a/src/cactuspass/fleet/_instance.py
+++ b/src/cactuspass/fleet/_instance.py
@@ -13,8 +13,6 @@
 from cactuspass.exceptions import SettingsError
 from cactuspass.fleet._adapter import Adapter
 from cactuspass.fleet._admission import Admission
-from cactuspass.fleet._block_rows import PARTS_PATH, blocks_page
-from cactuspass.fleet._block_store import BlockStore
 from cactuspass.fleet._caller_bounds import HeldByCallers
 from cactuspass.fleet._caller_listener import CallerListener
 from cactuspass.fleet._cluster_state import ClusterState
@@ -30,7 +28,6 @@
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._pages import PageServer
-from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._probes import Probes
@@ -48,6 +45,7 @@
 from cactuspass.fleet.choice import RoomReport
 from cactuspass.fleet.duties import DUTIES_PATH, UsageDatagram
 from cactuspass.fleet.load_exchange import LOAD_PATH, FleetLoad
+from cactuspass.fleet.prompt_parts import PARTS_PATH, BlockStore, PartGuard, blocks_page
 from cactuspass.models import CustomerId, DataCentreId, EntryId, GroupId
 
 MAX_READY_DOCUMENT_AGE_SECONDS = 3.0
--- a/src/cactuspass/fleet/_request_dependencies.py
+++ b/src/cactuspass/fleet/_request_dependencies.py
@@ -10,7 +10,6 @@
 from cactuspass.fleet._limit_waits import LimitWaits
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_guard import PartGuard
 from cactuspass.fleet._pool import ConnectionPool
 from cactuspass.fleet._selection import Selector
 from cactuspass.fleet._silence_report import SilenceReport
@@ -18,6 +17,7 @@
 from cactuspass.fleet._upstreams import UpstreamId
 from cactuspass.fleet.choice import RoomWaits
 from cactuspass.fleet.load_exchange import RequestMeter
+from cactuspass.fleet.prompt_parts import PartGuard
 from cactuspass.models import CustomerId, ServiceId
 
 
--- a/src/cactuspass/fleet/_request_problems.py
+++ b/src/cactuspass/fleet/_request_problems.py
@@ -1,7 +1,7 @@
 """Problems that callers get for requests that an instance does not serve."""
 
 from cactuspass._problems import Problem, RunState
-from cactuspass.fleet._prompt_parts import Block
+from cactuspass.fleet.prompt_parts import Block
 
 RETRY_AFTER_SECONDS = 0.5
 # Other instances can take the request now.
--- a/src/cactuspass/fleet/_block_orders.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_orders.py
@@ -16,10 +16,15 @@
     OutcomeUnknown,
     PlatformError,
 )
-from cactuspass.fleet._block_store import BLOCKS_PREFIX, decode_block, encode_block, store_key
 from cactuspass.fleet._catalog import Catalog
-from cactuspass.fleet._prompt_parts import Block, BlockKey, all_customers
 from cactuspass.fleet._store import SharedStore
+from cactuspass.fleet.prompt_parts._block_store import (
+    BLOCKS_PREFIX,
+    decode_block,
+    encode_block,
+    store_key,
+)
+from cactuspass.fleet.prompt_parts._parts import Block, BlockKey, all_customers
 from cactuspass.models import CustomerId
 
 MAX_TRIES = 8
--- a/src/cactuspass/fleet/_block_rows.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_rows.py
@@ -6,7 +6,7 @@
 
 from cactuspass._output import as_table
 from cactuspass._rows import RowSet, row_set
-from cactuspass.fleet._prompt_parts import Block
+from cactuspass.fleet.prompt_parts._parts import Block
 
 PARTS_PATH = "/parts"
 
--- a/src/cactuspass/fleet/_block_store.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_store.py
@@ -13,12 +13,12 @@
 from cactuspass._findings import Finding, findings_from_error
 from cactuspass._platform import KeyValue, Write
 from cactuspass.exceptions import DocumentError, PlatformError
-from cactuspass.fleet._block_table import MAX_BLOCKS
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._prompt_parts import Block, BlockKey
 from cactuspass.fleet._registration import KEY_PREFIX
 from cactuspass.fleet._repeating import RepeatingComponent
 from cactuspass.fleet._store import SharedStore
+from cactuspass.fleet.prompt_parts._block_table import MAX_BLOCKS
+from cactuspass.fleet.prompt_parts._parts import Block, BlockKey
 
 BLOCKS_PREFIX = f"{KEY_PREFIX}blocked-parts/"
 WRITE_INTERVAL_SECONDS = 0.5
--- a/src/cactuspass/fleet/_block_table.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_table.py
@@ -1,6 +1,6 @@
 """The blocks that this instance knows, merged from all instances and from the store."""
 
-from cactuspass.fleet._prompt_parts import Block, BlockKey, PartKey, PromptIdentity
+from cactuspass.fleet.prompt_parts._parts import Block, BlockKey, PartKey, PromptIdentity
 
 MAX_BLOCKS = 256  # ended ones included
 
--- a/src/cactuspass/fleet/_block_trials.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_trials.py
@@ -1,14 +1,17 @@
 """Decides when this instance may let a request try blocked parts of prompts again."""
 
 import time
+from typing import TYPE_CHECKING
 
 from cactuspass._clock import now
-from cactuspass.fleet._block_table import MAX_BLOCKS
-from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._peers import choose_senders
-from cactuspass.fleet._prompt_parts import Block, BlockKey
+from cactuspass.fleet.prompt_parts._block_table import MAX_BLOCKS
+from cactuspass.fleet.prompt_parts._parts import Block, BlockKey
 from cactuspass.models import EntryId
 
+if TYPE_CHECKING:
+    from cactuspass.fleet._cluster_state import ClusterState
+
 TURN_SECONDS = 30.0  # for which one instance may try a block again, before another may
 
 
@@ -18,7 +21,7 @@
     A trial may cost an upstream, so one instance at a time may begin one, with one request.
     """
 
-    def __init__(self, instance: EntryId, cluster_state: ClusterState) -> None:
+    def __init__(self, instance: EntryId, cluster_state: "ClusterState") -> None:
         self._instance = instance
         self._cluster_state = cluster_state
         self._due_at_by_key: dict[BlockKey, float] = {}
--- a/src/cactuspass/fleet/_crash_evidence.py
+++ b/src/cactuspass/fleet/prompt_parts/_crash_evidence.py
@@ -16,8 +16,8 @@
 from enum import Enum
 from itertools import chain
 
-from cactuspass.fleet._prompt_parts import CrashReport, PartKey
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._parts import CrashReport, PartKey
 from cactuspass.models import EntryId
 
 MIN_ROUNDS = 2
--- a/src/cactuspass/fleet/_part_guard.py
+++ b/src/cactuspass/fleet/prompt_parts/_guard.py
@@ -5,25 +5,25 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from cactuspass._clock import now
-from cactuspass.fleet._block_trials import BlockTrials
-from cactuspass.fleet._cluster_state import ClusterState
-from cactuspass.fleet._crash_evidence import MIN_ROUNDS, Cause, CrashEvidence, Doubt
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._head_timing import HeadTiming
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_holds import PartHolds
-from cactuspass.fleet._part_log import PartLog
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_trials import BlockTrials
+from cactuspass.fleet.prompt_parts._crash_evidence import MIN_ROUNDS, Cause, CrashEvidence, Doubt
+from cactuspass.fleet.prompt_parts._head_timing import HeadTiming
+from cactuspass.fleet.prompt_parts._holds import PartHolds
+from cactuspass.fleet.prompt_parts._log import PartLog
+from cactuspass.fleet.prompt_parts._messages import (
     MAX_REQUEST_ID_CHARS,
     BreakMessage,
     ClearanceMessage,
     CrashMessage,
     PartMessage,
 )
-from cactuspass.fleet._part_reporter import CallLater, PartReporter, Send
-from cactuspass.fleet._prompt_parts import (
+from cactuspass.fleet.prompt_parts._parts import (
     EVERYONE,
     Block,
     BlockKey,
@@ -32,9 +32,12 @@
     PartKey,
     PromptIdentity,
 )
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._reporter import CallLater, PartReporter, Send
 from cactuspass.models import CustomerId, EntryId, RequestId
 
+if TYPE_CHECKING:
+    from cactuspass.fleet._cluster_state import ClusterState
+
 # Time for the reports and clearances of other instances to arrive before a part is blamed.
 SETTLE_SECONDS = 0.15
 # Longest time to wait for the reports of further crashes.
@@ -63,7 +66,7 @@
     def __init__(
         self,
         instance: EntryId,
-        cluster_state: ClusterState,
+        cluster_state: "ClusterState",
         log: DecisionLog,
         metrics: Metrics,
         send: Send,
--- a/src/cactuspass/fleet/_guarded_request.py
+++ b/src/cactuspass/fleet/prompt_parts/_guarded_request.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from cactuspass._clock import now
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._part_holds import UnansweredRequest
-from cactuspass.fleet._prompt_parts import Block, BrokenAttempt, PromptIdentity
+from cactuspass.fleet.prompt_parts._guard import PartGuard
+from cactuspass.fleet.prompt_parts._holds import UnansweredRequest
+from cactuspass.fleet.prompt_parts._parts import Block, BrokenAttempt, PromptIdentity
 from cactuspass.models import RequestId
 
 
--- a/src/cactuspass/fleet/_head_timing.py
+++ b/src/cactuspass/fleet/prompt_parts/_head_timing.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from cactuspass.fleet._prompt_parts import PromptIdentity
+from cactuspass.fleet.prompt_parts._parts import PromptIdentity
 from cactuspass.models import ModelId, ServiceId
 
 # A head that precedes the body by more than this was sent before the body was being written.
--- a/src/cactuspass/fleet/_part_holds.py
+++ b/src/cactuspass/fleet/prompt_parts/_holds.py
@@ -8,7 +8,7 @@
 from itertools import takewhile
 
 from cactuspass._clock import now
-from cactuspass.fleet._prompt_parts import CrashReport, PartKey
+from cactuspass.fleet.prompt_parts._parts import CrashReport, PartKey
 from cactuspass.models import RequestId
 
 HOLD_SECONDS = 1.0  # longest time for which other requests wait for the one that tries a part
--- a/src/cactuspass/fleet/_part_log.py
+++ b/src/cactuspass/fleet/prompt_parts/_log.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 from cactuspass._clock import now
-from cactuspass.fleet._crash_evidence import CrashEvidence
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet._prompt_parts import Block, PartKey
+from cactuspass.fleet.prompt_parts._crash_evidence import CrashEvidence
+from cactuspass.fleet.prompt_parts._parts import Block, PartKey
 
 
 class PartLog:
--- a/src/cactuspass/fleet/_part_messages.py
+++ b/src/cactuspass/fleet/prompt_parts/_messages.py
@@ -6,8 +6,8 @@
 from pydantic import TypeAdapter
 
 from cactuspass.fleet._datagrams import DatagramCodec
-from cactuspass.fleet._prompt_parts import Block, CrashReport, PartKey, PromptPartId
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._parts import Block, CrashReport, PartKey, PromptPartId
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId, ServiceId
 
 MAX_MESSAGE_BYTES = 1200
--- a/src/cactuspass/fleet/_part_reporter.py
+++ b/src/cactuspass/fleet/prompt_parts/_reporter.py
@@ -7,7 +7,9 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._token_bucket import TokenBucket
+from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.prompt_parts._messages import (
     BlockMessage,
     BreakMessage,
     Clearance,
@@ -15,9 +17,7 @@
     PartMessage,
     message_of,
 )
-from cactuspass.fleet._prompt_parts import Block, CrashReport, PartKey
-from cactuspass.fleet._token_bucket import TokenBucket
-from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.prompt_parts._parts import Block, CrashReport, PartKey
 
 MAX_BREAK_DELAY_SECONDS = 0.05
 MAX_CLEARANCE_DELAY_SECONDS = 0.08
--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -24,8 +24,6 @@
 from cactuspass.fleet._limit_messages import LimitMessage
 from cactuspass.fleet._loads import LoadTable
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._part_messages import PartMessage
 from cactuspass.fleet._pool import CONNECT_TIMEOUT_SECONDS, ConnectionPool
 from cactuspass.fleet._request_dependencies import RequestDependencies
 from cactuspass.fleet._selection import Selector
@@ -34,6 +32,8 @@
 from cactuspass.fleet._upstream_notices import UpstreamNotices
 from cactuspass.fleet._upstreams import Lifetime, Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import FleetLoad
+from cactuspass.fleet.prompt_parts._guard import PartGuard
+from cactuspass.fleet.prompt_parts._messages import PartMessage
 from cactuspass.models import CustomerId, DataCentreId, EntryId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 
--- a/tests/part_traffic.py
+++ b/tests/part_traffic.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._part_holds import UnansweredRequest
-from cactuspass.fleet._prompt_parts import BrokenAttempt, PromptIdentity
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._guard import PartGuard
+from cactuspass.fleet.prompt_parts._holds import UnansweredRequest
+from cactuspass.fleet.prompt_parts._parts import BrokenAttempt, PromptIdentity
 from cactuspass.models import RequestId
 from tests.part_world import PartWorld, prompt
 
--- a/tests/part_world.py
+++ b/tests/part_world.py
@@ -9,15 +9,16 @@
 
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._guard import PartGuard
+from cactuspass.fleet.prompt_parts._messages import (
     BlockMessage,
     PartMessage,
     decode_part_message,
     encode_part_message,
 )
-from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._prompt_parts import (
+from cactuspass.fleet.prompt_parts._parts import (
     Block,
     BlockKey,
     BrokenAttempt,
@@ -25,7 +26,6 @@
     PromptIdentity,
     PromptPartId,
 )
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, EntryId, ModelId, RequestId, ServiceId
 from tests.fleet_path import recording_log
 
@@ -36,9 +36,9 @@
 START_SECONDS = 1000.0
 RESEND_SECONDS = 0.25
 MODULES_WITH_RANDOM_CHOICES = (
-    "cactuspass.fleet._part_guard",
-    "cactuspass.fleet._part_reporter",
-    "cactuspass.fleet._crash_evidence",
+    "cactuspass.fleet.prompt_parts._guard",
+    "cactuspass.fleet.prompt_parts._reporter",
+    "cactuspass.fleet.prompt_parts._crash_evidence",
 )
 
 
@@ -207,7 +207,9 @@
         clock = mock.Mock(CLOCK_BOOTTIME=0, clock_gettime=read_clock)
         patches = [
             mock.patch("cactuspass._clock.time", clock),
-            mock.patch("cactuspass.fleet._part_guard.time.time", lambda: UNIX_TIME + read_clock()),
+            mock.patch(
+                "cactuspass.fleet.prompt_parts._guard.time.time", lambda: UNIX_TIME + read_clock()
+            ),
         ]
         rng = random.Random(seed if delay_seed is None else delay_seed)
         patches += [mock.patch(f"{module}.random", rng) for module in MODULES_WITH_RANDOM_CHOICES]
--- a/tests/test_fleet_block_orders.py
+++ b/tests/test_fleet_block_orders.py
@@ -19,16 +19,22 @@
 from cactuspass.cli import Commands, run_guarded
 from cactuspass.exceptions import PlatformError
 from cactuspass.fleet import ConnectionPool, Metrics
-from cactuspass.fleet._block_orders import MAX_TRIES, BlockOrders, NotBlocked
-from cactuspass.fleet._block_rows import PARTS_PATH, block_rows, blocks_page
-from cactuspass.fleet._block_store import BLOCKS_PREFIX, decode_block, encode_block, store_key
-from cactuspass.fleet._block_table import MAX_BLOCKS
 from cactuspass.fleet._catalog import RouteKind
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._pages import PageServer
-from cactuspass.fleet._part_guard import PartGuard
-from cactuspass.fleet._prompt_parts import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_orders import MAX_TRIES, BlockOrders, NotBlocked
+from cactuspass.fleet.prompt_parts._block_rows import PARTS_PATH, block_rows, blocks_page
+from cactuspass.fleet.prompt_parts._block_store import (
+    BLOCKS_PREFIX,
+    decode_block,
+    encode_block,
+    store_key,
+)
+from cactuspass.fleet.prompt_parts._block_table import MAX_BLOCKS
+from cactuspass.fleet.prompt_parts._guard import PartGuard
+from cactuspass.fleet.prompt_parts._parts import (
     ANONYMOUS,
     Block,
     BlockKey,
@@ -36,7 +42,6 @@
     PromptIdentity,
     PromptPartId,
 )
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 from cactuspass.platform._store import MetadataStore
--- a/tests/test_fleet_block_store.py
+++ b/tests/test_fleet_block_store.py
@@ -8,10 +8,15 @@
 
 from cactuspass._platform import KeyValue, Write, WriteResult
 from cactuspass.exceptions import OutcomeUnknown, PlatformError, PlatformUnavailable
-from cactuspass.fleet import _block_store
-from cactuspass.fleet._block_store import BlockStore, decode_block, encode_block, store_key
-from cactuspass.fleet._block_table import MAX_BLOCKS, BlockTable
-from cactuspass.fleet._prompt_parts import Block
+from cactuspass.fleet.prompt_parts import _block_store
+from cactuspass.fleet.prompt_parts._block_store import (
+    BlockStore,
+    decode_block,
+    encode_block,
+    store_key,
+)
+from cactuspass.fleet.prompt_parts._block_table import MAX_BLOCKS, BlockTable
+from cactuspass.fleet.prompt_parts._parts import Block
 from tests.fleet_path import RecordingHandler, recording_log
 from tests.part_world import block_of, prompt
 from tests.test_fleet_presence import MemoryStore
--- a/tests/test_fleet_block_table.py
+++ b/tests/test_fleet_block_table.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cactuspass.fleet._block_table import MAX_BLOCKS, BlockTable
-from cactuspass.fleet._prompt_parts import Block
+from cactuspass.fleet.prompt_parts._block_table import MAX_BLOCKS, BlockTable
+from cactuspass.fleet.prompt_parts._parts import Block
 from cactuspass.models import CustomerId, EntryId, ModelId
 from tests.part_world import UNIX_TIME, block_of, part_key, prompt
 
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from cactuspass.fleet._crash_evidence import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._crash_evidence import (
     BREAK_WINDOW_SECONDS,
     CLEARED_SECONDS,
     EVIDENCE_SECONDS,
@@ -17,8 +18,7 @@
     CrashEvidence,
     Doubt,
 )
-from cactuspass.fleet._prompt_parts import CrashReport
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._parts import CrashReport
 from cactuspass.models import CustomerId, EntryId, RequestId
 from tests.part_world import CUSTOMER, part_key
 
--- a/tests/test_fleet_crashing_part.py
+++ b/tests/test_fleet_crashing_part.py
@@ -6,8 +6,8 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet._catalog import RouteKind
-from cactuspass.fleet._head_timing import EARLY_HEAD_SECONDS
-from cactuspass.fleet._part_messages import CrashMessage
+from cactuspass.fleet.prompt_parts._head_timing import EARLY_HEAD_SECONDS
+from cactuspass.fleet.prompt_parts._messages import CrashMessage
 from cactuspass.platform._requests import PlatformRequests
 from tests.fleet_path import (
     KEY,
--- a/tests/test_fleet_hints.py
+++ b/tests/test_fleet_hints.py
@@ -7,8 +7,8 @@
 
 from cactuspass.fleet._hints import Hints, decode_unresponsive, encode_unresponsive
 from cactuspass.fleet._loads import LoadTable
-from cactuspass.fleet._part_messages import BreakMessage, encode_part_message
 from cactuspass.fleet._upstreams import UpstreamId
+from cactuspass.fleet.prompt_parts._messages import BreakMessage, encode_part_message
 from tests.fleet_path import recording_log
 
 HEAD = UpstreamId("i-1")
--- a/tests/test_fleet_hostile_documents.py
+++ b/tests/test_fleet_hostile_documents.py
@@ -11,10 +11,10 @@
 from cactuspass._platform import KeyValue
 from cactuspass.exceptions import DocumentError
 from cactuspass.fleet import ConnectionPool, Metrics
-from cactuspass.fleet._block_store import decode_block, encode_block
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._sync import MAX_LOGGED_FINDINGS, log_findings
+from cactuspass.fleet.prompt_parts._block_store import decode_block, encode_block
 from cactuspass.models import EntryId
 from cactuspass.platform._config_document import decode_catalog
 from cactuspass.platform._directory import MetadataDirectory
--- a/tests/test_fleet_instance.py
+++ b/tests/test_fleet_instance.py
@@ -7,8 +7,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from cactuspass.fleet import ConnectionPool, DecisionLog, Instance, Metrics, parse_instance_settings
-from cactuspass.fleet._block_orders import BlockOrders
-from cactuspass.fleet._prompt_parts import BlockKey, PromptPartId
+from cactuspass.fleet.prompt_parts._block_orders import BlockOrders
+from cactuspass.fleet.prompt_parts._parts import BlockKey, PromptPartId
 from cactuspass.models import ModelId, ServiceId
 from cactuspass.platform._store import MetadataStore
 from cactuspass.platform.entry import build_adapter
--- a/tests/test_fleet_odd_entries.py
+++ b/tests/test_fleet_odd_entries.py
@@ -8,10 +8,10 @@
 from cactuspass._platform import KeyValue
 from cactuspass.exceptions import DocumentError, PlatformError, UpstreamNotReached
 from cactuspass.fleet import ConnectionPool, MalformedRequest, Metrics, OutgoingRequest
-from cactuspass.fleet._block_store import decode_block, encode_block
 from cactuspass.fleet._cluster_state import ClusterState
 from cactuspass.fleet._presence import Presence
 from cactuspass.fleet._sync import MAX_SEEN_FINDINGS, log_findings
+from cactuspass.fleet.prompt_parts._block_store import decode_block, encode_block
 from cactuspass.models import EntryId
 from cactuspass.platform._directory import MetadataDirectory
 from cactuspass.platform._requests import PlatformRequests
--- a/tests/test_fleet_part_guard.py
+++ b/tests/test_fleet_part_guard.py
@@ -2,17 +2,17 @@
 
 from dataclasses import replace
 
-from cactuspass.fleet._block_trials import TURN_SECONDS
-from cactuspass.fleet._crash_evidence import CLEARED_SECONDS
-from cactuspass.fleet._guarded_request import GuardedRequest, guard_request
-from cactuspass.fleet._part_guard import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_trials import TURN_SECONDS
+from cactuspass.fleet.prompt_parts._crash_evidence import CLEARED_SECONDS
+from cactuspass.fleet.prompt_parts._guard import (
     FIRST_BLOCK_SECONDS,
     MAX_ACCUSED_PER_PROMPT,
     SETTLE_SECONDS,
 )
-from cactuspass.fleet._part_holds import HOLD_SECONDS, MAX_HELD_PARTS
-from cactuspass.fleet._prompt_parts import BrokenAttempt, PromptPartId
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._guarded_request import GuardedRequest, guard_request
+from cactuspass.fleet.prompt_parts._holds import HOLD_SECONDS, MAX_HELD_PARTS
+from cactuspass.fleet.prompt_parts._parts import BrokenAttempt, PromptPartId
 from cactuspass.models import CustomerId, ModelId, RequestId
 from cactuspass.platform._requests import PlatformRequests
 from tests.part_world import UNIX_TIME, PartWorld, PartWorldCase, block_of, part_key, prompt
--- a/tests/test_fleet_part_messages.py
+++ b/tests/test_fleet_part_messages.py
@@ -9,7 +9,8 @@
 from pydantic import TypeAdapter
 
 from cactuspass.fleet._hints import decode_leaving, decode_unresponsive
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._messages import (
     MAX_BLOCK_MESSAGE_BYTES,
     MAX_MESSAGE_BYTES,
     BlockMessage,
@@ -21,8 +22,7 @@
     encode_part_message,
     message_of,
 )
-from cactuspass.fleet._prompt_parts import CrashReport
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._parts import CrashReport
 from cactuspass.models import EntryId, RequestId
 from tests.part_world import CUSTOMER, block_of, part_key
 
--- a/tests/test_fleet_part_safety.py
+++ b/tests/test_fleet_part_safety.py
@@ -7,21 +7,27 @@
 
 from cactuspass._clock import now
 from cactuspass._running_requests import RunningRequests, ShutdownReached
-from cactuspass.fleet._block_table import BlockTable
 from cactuspass.fleet._catalog import RouteKind
 from cactuspass.fleet._cluster_state import ClusterState
-from cactuspass.fleet._crash_evidence import CLEARED_SECONDS, Cause, CrashEvidence, Doubt
-from cactuspass.fleet._guarded_request import guard_request
 from cactuspass.fleet._metrics import Metrics
-from cactuspass.fleet._part_guard import SETTLE_SECONDS, PartGuard
-from cactuspass.fleet._part_messages import (
+from cactuspass.fleet._peers import Peer
+from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_table import BlockTable
+from cactuspass.fleet.prompt_parts._crash_evidence import (
+    CLEARED_SECONDS,
+    Cause,
+    CrashEvidence,
+    Doubt,
+)
+from cactuspass.fleet.prompt_parts._guard import SETTLE_SECONDS, PartGuard
+from cactuspass.fleet.prompt_parts._guarded_request import guard_request
+from cactuspass.fleet.prompt_parts._messages import (
     CrashMessage,
     PartMessage,
     encode_part_message,
     message_of,
 )
-from cactuspass.fleet._peers import Peer
-from cactuspass.fleet._prompt_parts import (
+from cactuspass.fleet.prompt_parts._parts import (
     Block,
     BlockKey,
     BrokenAttempt,
@@ -30,7 +36,6 @@
     PromptIdentity,
     PromptPartId,
 )
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.models import CustomerId, DataCentreId, EntryId, ModelId, RequestId, ServiceId
 from cactuspass.platform._requests import PlatformRequests
 from tests.fleet_path import (
@@ -217,7 +222,7 @@
         guard.end_trial(block)
         clock = mock.Mock(CLOCK_BOOTTIME=0, clock_gettime=lambda _: self.at)
         for patch in (
-            mock.patch("cactuspass.fleet._part_guard.time.time", lambda: self.unix_time),
+            mock.patch("cactuspass.fleet.prompt_parts._guard.time.time", lambda: self.unix_time),
             mock.patch("cactuspass._clock.time", clock),
         ):
             patch.start()
@@ -248,7 +253,7 @@
         guard = self.guards[0]
         guard.note_begun(self.prompt, RequestId("q0"))
         later = now() + 2 * CLEARED_SECONDS
-        with mock.patch("cactuspass.fleet._part_guard.now", return_value=later):
+        with mock.patch("cactuspass.fleet.prompt_parts._guard.now", return_value=later):
             self.assertTrue(guard._evidence.without_cleared(self.prompt.keys, later))
             self.assertFalse(guard.is_known_harmless(self.prompt))
 
--- a/tests/test_fleet_recalled_requests.py
+++ b/tests/test_fleet_recalled_requests.py
@@ -9,8 +9,8 @@
 from cactuspass.fleet._attempts import MAX_SENDS
 from cactuspass.fleet._budgets import RetryBudget
 from cactuspass.fleet._catalog import RouteKind
-from cactuspass.fleet._prompt_parts import BrokenAttempt, CrashReport, PartKey, PromptPartId
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._parts import BrokenAttempt, CrashReport, PartKey, PromptPartId
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId
 from tests.fleet_path import (
     SERVICE,
@@ -176,7 +176,7 @@
     # Guards against requests that wait longer than the time of a hold.
     async def test_wait_ends_when_the_other_request_has_no_outcome(self) -> None:
         case = await self.start(route(), [WHOLE])
-        with mock.patch("cactuspass.fleet._part_holds.HOLD_SECONDS", 0.05):
+        with mock.patch("cactuspass.fleet.prompt_parts._holds.HOLD_SECONDS", 0.05):
             case.part_guard.holds.hold(report(now()), now())
         got = await self.begin(case)
         self.assertEqual((got.status, got.body), (200, b"whole"))
