Log why the end of an upstream accuses no part of a prompt

Change: a line no-part-suspected for each broken attempt with shared parts that accuses none, with upstream, request, parts and reason.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -308,9 +308,10 @@
         if self.dependencies.selector.is_leaving(upstream):
             return
         self.dependencies.part_guard.note_own_break(upstream.upstream_id)
-        if not active.has_begun:
-            has_head = active.head_at is not None
-            self.guarded.note_crash(BrokenAttempt(upstream.lifetime, active.sent_at, has_head))
+        has_head = active.head_at is not None
+        self.guarded.note_crash(
+            BrokenAttempt(upstream.lifetime, active.sent_at, has_head, active.has_begun)
+        )
 
     def record_failure(
         self, failure: Failure, upstream: Upstream, active: ActiveAttempt | None
--- a/src/cactuspass/fleet/prompt_parts/_guard.py
+++ b/src/cactuspass/fleet/prompt_parts/_guard.py
@@ -161,8 +161,11 @@
         at = now()
         if tried_block is not None:
             self._renew_block(tried_block.key)
+        if not prompt.parts:
+            return
         suspects = self._evidence.without_cleared(prompt.keys, at)
-        if not suspects:
+        if attempt.has_begun or not suspects:
+            self._log_no_suspect(request_id, prompt, attempt)
             return
         keys = self._choose_accused(suspects, at)
         report = CrashReport(
@@ -180,6 +183,20 @@
         self._reporter.send_report(report, at)
         self._call_later(SETTLE_SECONDS, lambda: self._decide(report))
 
+    def _log_no_suspect(
+        self, request_id: RequestId, prompt: PromptIdentity, attempt: BrokenAttempt
+    ) -> None:
+        """Log why a crash accuses no part of the request that was there."""
+        reason = "answer-had-begun" if attempt.has_begun else "answers-on-all-parts"
+        self._log.note_parts(
+            "no-part-suspected",
+            prompt.keys,
+            customer=prompt.customer,
+            upstream=attempt.lifetime.upstream_id,
+            request=request_id,
+            reason=reason,
+        )
+
     def _choose_accused(self, keys: tuple[PartKey, ...], at: float) -> tuple[PartKey, ...]:
         """Return the parts to accuse, those first that were accused most.
 
--- a/src/cactuspass/fleet/prompt_parts/_parts.py
+++ b/src/cactuspass/fleet/prompt_parts/_parts.py
@@ -47,15 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenAttempt:
-    """An attempt whose upstream closed the connection before the answer had begun.
+    """An attempt whose upstream closed the connection before the answer was complete.
 
     :param sent_at: clock value at which the request was sent.
     :param has_head: whether the head of the answer had arrived.
+    :param has_begun: whether a part of its body had arrived.
     """
 
     lifetime: Lifetime
     sent_at: float
     has_head: bool
+    has_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_fleet_part_guard.py
+++ b/tests/test_fleet_part_guard.py
@@ -1,5 +1,6 @@
 """Which parts of prompts are blocked after crashes, by several instances in simulated time."""
 
+import json
 from dataclasses import replace
 
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
@@ -111,6 +112,18 @@
         self.crash_twice(world, *parts, BAD)
         self.assertEqual(world.all_blocked, {BAD})
 
+    # Guards against a crash of which nobody can tell why it accused no part.
+    def test_log_tells_why_a_crash_accuses_no_part(self) -> None:
+        world = self.start(1)
+        world.begin(0, FIRST)
+        world.crash(0, "u1", FIRST)
+        lines = [json.loads(line) for line in world.handler.lines]
+        found = [line for line in lines if line["event"] == "no-part-suspected"]
+        self.assertEqual(
+            [(line["upstream"], line["parts"], line["reason"]) for line in found],
+            [("u1", FIRST, "answers-on-all-parts")],
+        )
+
     # Guards against a part that is answered and stays accused.
     def test_answer_at_another_instance_clears_a_part_at_once(self) -> None:
         world = self.start(3)
