--- a/src/cactuspass/fleet/_answer_progress.py
+++ b/src/cactuspass/fleet/_answer_progress.py
@@ -12,6 +12,7 @@
     """Why a request may not be sent again."""
 
     PART_BLOCKED = "part-blocked"
+    CRASHED_UPSTREAMS = "crashed-upstreams"
     NO_SENDS_LEFT = "no-sends-left"
     NO_TIME_LEFT = "no-time-left"
     UPSTREAM_COUNT = "upstream-count"
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -283,6 +283,11 @@
         else:
             self.guarded.note_attempt_ended()
 
+    def note_whole(self, head: AnswerHead) -> None:
+        """Record that the last attempt has returned a whole answer from its beginning."""
+        if head.is_success:
+            self.guarded.note_whole()
+
     def _report_usage(self) -> None:
         """Count an attempt that an upstream has run, for the usage report of its customer."""
         if self.customer is not None and self.dependencies.count_begun is not None:
@@ -376,6 +381,8 @@
         """Return why the request may not be sent again, whatever is left of the retry budget."""
         if self.guarded.find_block() is not None:
             return RetryObstacle.PART_BLOCKED
+        if self.guarded.has_crashed_too_many:
+            return RetryObstacle.CRASHED_UPSTREAMS
         max_sends = MAX_SENDS_AFTER_RESPONSE_START if response_started else MAX_SENDS
         if self.sends >= max_sends:
             return RetryObstacle.NO_SENDS_LEFT
@@ -409,9 +416,10 @@
     def may_hedge(self, active: ActiveAttempt) -> bool:
         """Return whether a second upstream may get the request besides the one that is late.
 
-        Both could crash if the answer has not begun and the parts of the prompt are not known.
+        Both could crash if the answer has not begun, or an upstream has crashed under the request,
+        and the parts of the prompt are not known.
         """
-        return active.has_begun or self.guarded.may_hedge
+        return self.guarded.may_hedge_begun if active.has_begun else self.guarded.may_hedge
 
     def could_retry_elsewhere(self, current: Upstream) -> bool:
         """Return whether a stalled attempt could be repeated at another upstream."""
@@ -419,6 +427,8 @@
             return False
         if self.sends >= MAX_SENDS or self.seconds_left < MIN_SECONDS_LEFT:
             return False
+        if self.guarded.has_crashed_too_many:
+            return False
         return isinstance(self.choose(other_than=current.upstream_id), Selection)
 
     def choose_hedge(self, late: ActiveAttempt) -> Selection | None:
--- a/src/cactuspass/fleet/_plain_relay.py
+++ b/src/cactuspass/fleet/_plain_relay.py
@@ -82,6 +82,7 @@
         if not body:
             self._check_empty(head)
         self._attempts.note_begun(active, head)
+        self._attempts.note_whole(head)
         upstream_id = active.upstream.upstream_id
         self._attempts.dependencies.loads.record_success(upstream_id, now() - active.sent_at)
         headers = self._attempts.dependencies.request_format.answer_headers(head)
@@ -124,6 +125,7 @@
         while chunk := await self._receive_within_deadline(read):
             self._attempts.note_heard(active)
             await self._send_chunk(chunk)
+        self._attempts.note_whole(head)
         await self._delivery.finish()
 
     async def _send_chunk(self, chunk: bytes) -> None:
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -146,11 +146,18 @@
             hedge = await self._read_or_hedge(attempt, attempt.read_next, gap_timeout, hedge_delay)
             if hedge is not None:
                 return hedge
+        self._note_whole(attempt)
         await self._delivery.finish()
         if not self._is_resumed:
             note_finished(attempt)
         return None
 
+    def _note_whole(self, attempt: StreamAttempt) -> None:
+        """Record a whole answer, unless its beginning came from another attempt."""
+        assert attempt.head is not None
+        if not self._is_resumed and self._attempts.request.last_event_id is None:
+            self._attempts.note_whole(attempt.head)
+
     def _first_event_timeout(self, attempt: StreamAttempt) -> float:
         """Return the seconds without an event that the prompt and the queue can account for."""
         prompt_seconds = self._attempts.request.prompt_tokens / PROMPT_TOKENS_PER_SECOND
--- a/src/cactuspass/fleet/prompt_parts/_block_table.py
+++ b/src/cactuspass/fleet/prompt_parts/_block_table.py
@@ -1,6 +1,12 @@
 """The blocks that this instance knows, merged from all instances and from the store."""
 
-from cactuspass.fleet.prompt_parts._parts import Block, BlockKey, PartKey, PromptIdentity
+from cactuspass.fleet.prompt_parts._parts import (
+    AnswerStage,
+    Block,
+    BlockKey,
+    PartKey,
+    PromptIdentity,
+)
 
 MAX_BLOCKS = 256  # ended ones included
 
@@ -40,25 +46,32 @@
         known = self._blocks_by_key.get(key)
         return known.version + 1 if known is not None else 1
 
-    def find(self, prompt: PromptIdentity) -> Block | None:
-        """Return the block that refuses a request, the longest if several do; None if none does."""
+    def find(self, prompt: PromptIdentity, has_begun: bool = False) -> Block | None:
+        """Return the block that refuses a request, the longest if several do; None if none does.
+
+        :param has_begun: whether an answer to the request has begun.
+        """
         if not self._blocks_by_part or not prompt.parts:
             return None
         found = (
             block
             for key in prompt.keys
             for block in self._blocks_by_part.get(key, ())
-            if block.matches(prompt)
+            if block.matches(prompt, has_begun)
         )
         return max(found, key=lambda block: block.trial_order, default=None)
 
-    def contradicted_by(self, prompt: PromptIdentity) -> list[Block]:
-        """Return the active blocks whose parts a prompt has, whoever its customer is."""
+    def contradicted_by(self, prompt: PromptIdentity, stage: AnswerStage) -> list[Block]:
+        """Return the active blocks that an answer on a prompt ends, whoever its customer is.
+
+        :param stage: how far the answer has come.
+        """
         return [
             block
             for key in prompt.keys
             for block in self._blocks_by_part.get(key, ())
             if set(block.key.parts) <= set(prompt.parts)
+            and stage in (block.stage, AnswerStage.WHOLE)
         ]
 
     def is_blocked_elsewhere(self, key: PartKey) -> bool:
--- a/src/cactuspass/fleet/prompt_parts/_crash_evidence.py
+++ b/src/cactuspass/fleet/prompt_parts/_crash_evidence.py
@@ -1,12 +1,17 @@
 """Evidence on which shared part of a prompt makes upstreams crash.
 
-A part is accused when an upstream closes the connection of a request with it before the answer has
-begun, and cleared when an answer on it begins. One crash accuses the parts of all requests that
-were under way, so a part is blamed only after it has been present at several crashes one after
-another, each of a request that was sent after the crash before, and more often than the others.
-Upstreams that are lost together look the same to a request that is repeated from one to the next,
-so crashes at which no head of an answer had arrived count less, and still less if all are of one
-request.
+A part is accused when an upstream closes the connection of a request with it, and cleared when an
+answer on it comes far enough. There are two kinds of such evidence, which one class holds:
+
+- Crashes before an answer has begun are contradicted by any answer that begins.
+- Crashes behind that are contradicted by whole answers only. Every stream at the upstream breaks at
+  the same moment, so such a crash says less about each of them, and one more is needed.
+
+One crash accuses the parts of all requests that were under way, so a part is blamed only after it
+has been present at several crashes one after another, each of a request that was sent after the
+crash before, and more often than the others. Upstreams that are lost together look the same to a
+request that is repeated from one to the next, so crashes at which no head of an answer had arrived
+count less, and still less if all are of one request.
 """
 
 import random
@@ -16,21 +21,20 @@
 from enum import Enum
 from itertools import chain
 
-from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.prompt_parts._parts import CrashReport, PartKey
+from cactuspass.fleet._upstreams import Lifetime
+from cactuspass.fleet.prompt_parts._parts import AnswerStage, CrashReport, PartKey
+from cactuspass.fleet.prompt_parts._recent_breaks import RecentBreaks
 from cactuspass.models import EntryId
 
-MIN_ROUNDS = 2
-# A part on which an answer began so recently is not accused.
+MIN_ROUNDS_BY_STAGE = {AnswerStage.BEGUN: 2, AnswerStage.WHOLE: 3}
+# A part on which an answer came far enough so recently is not accused.
 CLEARED_SECONDS = 10.0
 EVIDENCE_SECONDS = 600.0
-BREAK_WINDOW_SECONDS = 3.0
 MAX_CLEARED_PARTS = 4096
 MAX_CLEARED_PER_PROMPT = 64
 MAX_ACCUSED_PARTS = 4096
 MAX_CRASHES = 128
 MAX_REPORTED_PARTS = 32_768  # in the reports on all crashes
-MAX_BREAKS = 2048
 MAX_CRASHES_PER_PART = 16
 MAX_REPORTS_PER_CRASH = 64
 MAX_NAMED_INSTANCES = 8  # a block has to fit into a datagram
@@ -98,19 +102,33 @@
 
 
 class CrashEvidence:
-    """Accusations and clearances of parts, bounded in number; the oldest are forgotten."""
+    """Accusations and clearances of parts, bounded in number; the oldest are forgotten.
 
-    def __init__(self) -> None:
+    :param stage: how far an answer has to come to clear its parts.
+    :param breaks: which upstreams have broken connections lately.
+    """
+
+    def __init__(
+        self,
+        stage: AnswerStage = AnswerStage.BEGUN,
+        breaks: RecentBreaks | None = None,
+    ) -> None:
+        self._stage = stage
+        self._breaks = breaks if breaks is not None else RecentBreaks()
         self._cleared_at_by_part: OrderedDict[PartKey, float] = OrderedDict()
         self._tallies_by_part: OrderedDict[PartKey, Tally] = OrderedDict()
         self._reports_by_lifetime: OrderedDict[Lifetime, list[CrashReport]] = OrderedDict()
         self._reported_part_count = 0
-        self._broke_at_by_id: OrderedDict[UpstreamId, float] = OrderedDict()
+
+    @property
+    def min_rounds(self) -> int:
+        """Crashes one after another that are needed to blame a part."""
+        return MIN_ROUNDS_BY_STAGE[self._stage]
 
     def clear(self, keys: Iterable[PartKey], at: float) -> list[PartKey]:
-        """Record that an answer on some parts has begun; return those that were accused.
+        """Record that an answer on some parts came far enough; return those that were accused.
 
-        :param at: clock value at which it began, which may be some seconds ago.
+        :param at: clock value at which it did, which may be some seconds ago.
         """
         accused = []
         for key in self._choose_cleared(tuple(keys)):
@@ -137,17 +155,21 @@
         return tuple(accused | set(random.sample(keys, MAX_CLEARED_PER_PROMPT)))
 
     def is_known_harmless(self, keys: Iterable[PartKey], at: float) -> bool:
-        """Return whether answers have begun on all parts recently and none was accused since."""
+        """Return whether all parts were cleared recently and none was accused since."""
         known = tuple(keys)
         is_accused = any(key in self._tallies_by_part for key in known)
         return not is_accused and not self.without_cleared(known, at)
 
+    def find_doubtful(self, keys: Iterable[PartKey], at: float) -> tuple[PartKey, ...]:
+        """Return the parts that could be blamed for the next crash."""
+        return tuple(key for key in keys if self.rounds(key, at) >= self.min_rounds - 1)
+
     def cleared_at(self, key: PartKey) -> float:
-        """Return the clock value at which the last known answer on a part has begun."""
+        """Return the clock value at which a part was last cleared."""
         return self._cleared_at_by_part.get(key, float("-inf"))
 
     def without_cleared(self, keys: Iterable[PartKey], at: float) -> tuple[PartKey, ...]:
-        """Return the parts on which no answer has begun recently."""
+        """Return the parts that were not cleared recently."""
         since = at - CLEARED_SECONDS
         return tuple(key for key in keys if self.cleared_at(key) < since)
 
@@ -163,25 +185,13 @@
         tally = self._tallies_by_part.get(key)
         return tally.accused_at if tally is not None else float("-inf")
 
-    def note_break(self, upstream_id: UpstreamId, at: float) -> bool:
-        """Record that an upstream broke connections, whatever was under way there.
-
-        :return: whether it was not known to have done so in the last seconds.
-        """
-        is_new = at - self._broke_at_by_id.get(upstream_id, float("-inf")) > BREAK_WINDOW_SECONDS
-        self._broke_at_by_id[upstream_id] = at
-        self._broke_at_by_id.move_to_end(upstream_id)
-        if len(self._broke_at_by_id) > MAX_BREAKS:
-            self._broke_at_by_id.popitem(last=False)
-        return is_new
-
     def accuse(self, report: CrashReport) -> list[PartKey]:
         """Add a report; return the parts that were not accused before.
 
         A report without some of the parts accuses none: those that it names could be blamed for
         one that it does not name.
         """
-        self.note_break(report.lifetime.upstream_id, report.broke_at)
+        self._breaks.note(report.lifetime.upstream_id, report.broke_at)
         self._add_report(report)
         if not report.is_complete:
             return []
@@ -223,14 +233,18 @@
                     del self._tallies_by_part[key]
 
     def find_cause(
-        self, report: CrashReport, at: float, min_rounds: int = MIN_ROUNDS
+        self, report: CrashReport, at: float, is_known_elsewhere: bool = False
     ) -> Cause | Doubt:
         """Return the parts of a request that are to blame for its crash, or why none is.
 
         :param report: a crash all reports of which have arrived.
-        :param min_rounds: crashes one after another that are needed at least; one more if the
-            head of an answer had arrived at none of them, and two more if these are of one request.
+        :param is_known_elsewhere: whether a part is blocked for another model, so that one crash
+            less is needed.
+
+        One crash more is needed if the head of an answer had arrived at none of them, and two more
+        if these are of one request.
         """
+        min_rounds = self.min_rounds - is_known_elsewhere
         if not report.is_complete:
             return Doubt.TOO_MANY_PARTS
         rounds_by_key = {key: self.rounds(key, at) for key in report.keys}
@@ -243,14 +257,16 @@
         weight = most if all(tally.was_writing for tally in tallies) else most - 1
         if weight < min_rounds:
             return Doubt.TOO_FEW_CRASHES
-        if weight < most and self._is_of_one_request(blamed, lifetimes):
+        is_weak = weight < most or self._stage is AnswerStage.WHOLE
+        if is_weak and self._is_of_one_request(blamed, lifetimes):
             weight -= 1
         if weight < min_rounds:
             return Doubt.ONE_REQUEST
         if self._has_rival(report, blamed, most, at):
             return Doubt.OTHER_PROMPT
-        others = self._count_other_breaks(lifetimes, at)
-        if others > _max_other_breaks(weight, report.was_writing):
+        upstream_ids = {lifetime.upstream_id for lifetime in lifetimes}
+        is_singled_out = report.was_writing and self._stage is AnswerStage.BEGUN
+        if self._breaks.count_others(upstream_ids, at) > _max_other_breaks(weight, is_singled_out):
             return Doubt.OTHER_UPSTREAMS
         return Cause(
             blamed,
@@ -282,19 +298,13 @@
             others = [other for other in others if other.was_writing]
         return any(self.rounds(key, at) >= most for other in others for key in other.keys)
 
-    def _count_other_breaks(self, lifetimes: set[Lifetime], at: float) -> int:
-        """Return how many other upstreams broke connections at about the same time."""
-        since = at - BREAK_WINDOW_SECONDS
-        upstream_ids = {lifetime.upstream_id for lifetime in lifetimes}
-        recent = (i for i, broke_at in self._broke_at_by_id.items() if broke_at >= since)
-        return sum(upstream_id not in upstream_ids for upstream_id in recent)
-
 
-def _max_other_breaks(weight: int, was_writing: bool) -> int:
+def _max_other_breaks(weight: int, is_singled_out: bool) -> int:
     """Return how many upstreams may have broken connections besides those of a blamed part.
 
     When a rack or a data centre is lost, or an instance loses its network, many break at once and
-    a part is present at few of them. More are allowed with each crash, and if the upstream had
-    begun to answer the blamed request.
+    a part is present at few of them. More are allowed with each crash.
+
+    :param is_singled_out: whether the upstream had begun to answer just the blamed request.
     """
-    return max(0, int(2 ** (weight + was_writing)) - 3)
+    return max(0, int(2 ** (weight + is_singled_out)) - 3)
--- a/src/cactuspass/fleet/prompt_parts/_guard.py
+++ b/src/cactuspass/fleet/prompt_parts/_guard.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import random
-import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -11,41 +10,34 @@
 from cactuspass.fleet._decision_log import DecisionLog
 from cactuspass.fleet._metrics import Metrics
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_changes import BlockChanges
 from cactuspass.fleet.prompt_parts._block_trials import BlockTrials
-from cactuspass.fleet.prompt_parts._crash_evidence import MIN_ROUNDS, Cause, CrashEvidence, Doubt
 from cactuspass.fleet.prompt_parts._head_timing import HeadTiming
 from cactuspass.fleet.prompt_parts._holds import PartHolds
 from cactuspass.fleet.prompt_parts._log import PartLog
 from cactuspass.fleet.prompt_parts._messages import (
-    MAX_REQUEST_ID_CHARS,
     BreakMessage,
     ClearanceMessage,
     CrashMessage,
     PartMessage,
 )
 from cactuspass.fleet.prompt_parts._parts import (
-    EVERYONE,
+    AnswerStage,
     Block,
-    BlockKey,
     BrokenAttempt,
     CrashReport,
     PartKey,
     PromptIdentity,
 )
 from cactuspass.fleet.prompt_parts._reporter import CallLater, PartReporter, Send
-from cactuspass.models import CustomerId, EntryId, RequestId
+from cactuspass.fleet.prompt_parts._staged_evidence import StagedEvidence
+from cactuspass.fleet.prompt_parts._verdicts import SETTLE_SECONDS, IsGone, Verdicts
+from cactuspass.models import EntryId, RequestId
 
 if TYPE_CHECKING:
     from cactuspass.fleet._cluster_state import ClusterState
 
-# Time for the reports and clearances of other instances to arrive before a part is blamed.
-SETTLE_SECONDS = 0.15
-# Longest time to wait for the reports of further crashes.
-MAX_SETTLE_SECONDS = 0.5
-FIRST_BLOCK_SECONDS = 600.0
-MAX_BLOCK_SECONDS = 86_400.0
 VERDICT_MARGIN_SECONDS = 0.02
-RECHECK_SECONDS = 2.5  # after that, the registry has the new run of an upstream
 MAX_ACCUSED_PER_PROMPT = 256
 
 
@@ -72,21 +64,31 @@
         send: Send,
         on_own_change: Callable[[Block], None],
         call_later: CallLater = _call_later,
-        is_gone: Callable[[Lifetime], Awaitable[bool]] | None = None,
+        is_gone: IsGone | None = None,
     ) -> None:
-        self._is_gone = is_gone
-        self._tasks: set[asyncio.Future[None]] = set()
         self._instance = instance
         self._cluster_state = cluster_state
         self._metrics = metrics
         self._reporter = PartReporter(send, metrics, call_later)
-        self._on_own_change = on_own_change
-        self._call_later = call_later
-        self._evidence = CrashEvidence()
+        self._evidence = StagedEvidence()
         self._log = PartLog(log, self._evidence)
         self._head_timing = HeadTiming()
         self._trials = BlockTrials(instance, cluster_state)
         self.holds = PartHolds()
+        self._changes = BlockChanges(
+            instance,
+            cluster_state,
+            self._evidence,
+            self.holds,
+            self._trials,
+            self._reporter,
+            self._log,
+            metrics,
+            on_own_change,
+        )
+        self._verdicts = Verdicts(
+            cluster_state, self._evidence, self._log, call_later, is_gone, self._changes.block
+        )
 
     # Questions of the request path.
 
@@ -98,20 +100,46 @@
         self._log.note_block("part-tried", block, request=request_id)
         return block
 
-    def find_block(self, prompt: PromptIdentity) -> Block | None:
-        """Return the block that refuses a request; None if there is none."""
-        return self._cluster_state.blocks.find(prompt)
+    def find_block(self, prompt: PromptIdentity, has_begun: bool = False) -> Block | None:
+        """Return the block that refuses a request; None if there is none.
+
+        :param has_begun: whether an answer to the request has begun.
+        """
+        return self._cluster_state.blocks.find(prompt, has_begun)
 
     def is_known_harmless(self, prompt: PromptIdentity) -> bool:
         """Return whether answers have begun on all parts of a prompt, and none is accused."""
         return self._evidence.is_known_harmless(prompt.keys, now())
 
-    def verdict_remaining(self, prompt: PromptIdentity) -> float:
-        """Return the seconds until it is decided whether a part of a prompt is blamed."""
+    def is_known_whole(self, prompt: PromptIdentity) -> bool:
+        """Return whether answers on all parts of a prompt were whole recently."""
+        at = now()
+        return not self._evidence.at_stage(AnswerStage.WHOLE).without_cleared(prompt.keys, at)
+
+    def verdict_remaining(self, prompt: PromptIdentity, has_begun: bool = False) -> float:
+        """Return the seconds until it is decided whether a part of a prompt is blamed.
+
+        :param has_begun: whether an answer to the request has begun.
+        """
         at = now()
-        accused = (key for key in prompt.keys if self._evidence.rounds(key, at) >= MIN_ROUNDS)
-        last = max(map(self._evidence.accused_at, accused), default=float("-inf"))
-        return max(0.0, last + SETTLE_SECONDS + VERDICT_MARGIN_SECONDS - at)
+        stages = (AnswerStage.WHOLE,) if has_begun else tuple(AnswerStage)
+        accused_at = (self._last_decisive_at(prompt, stage, at) for stage in stages)
+        return max(0.0, max(accused_at) + SETTLE_SECONDS + VERDICT_MARGIN_SECONDS - at)
+
+    def _last_decisive_at(self, prompt: PromptIdentity, stage: AnswerStage, at: float) -> float:
+        """Return the clock value of the last accusation of a part that may be blamed for it."""
+        evidence = self._evidence.at_stage(stage)
+        accused = (key for key in prompt.keys if evidence.rounds(key, at) >= evidence.min_rounds)
+        return max(map(evidence.accused_at, accused), default=float("-inf"))
+
+    async def find_gone(self, lifetimes: set[Lifetime]) -> set[Lifetime]:
+        """Return those of some upstreams that run no more, as far as that can be found out."""
+        return await self._verdicts.find_gone(lifetimes)
+
+    def have_others_broken(self, lifetimes: Iterable[Lifetime]) -> bool:
+        """Return whether other upstreams than some have broken connections lately."""
+        ids = (lifetime.upstream_id for lifetime in lifetimes)
+        return self._evidence.have_others_broken(ids, now())
 
     def end_trial(self, block: Block) -> None:
         """Allow the next trial of a block."""
@@ -122,29 +150,38 @@
     def note_begun(
         self, prompt: PromptIdentity, request_id: RequestId, head_seconds: float = 0.0
     ) -> None:
-        """Record that an answer has begun, which clears all shared parts of the prompt.
+        """Record that an answer has begun.
+
+        That clears all shared parts of the prompt of crashes before any part of an answer.
 
         :param head_seconds: time in seconds from the head to the first part of the body.
         """
         self._head_timing.note_answer(prompt, head_seconds)
+        self._clear(prompt, request_id, AnswerStage.BEGUN)
+
+    def note_whole(self, prompt: PromptIdentity, request_id: RequestId) -> None:
+        """Record that one upstream has written a whole answer, which clears all shared parts."""
+        self._clear(prompt, request_id, AnswerStage.WHOLE)
+
+    def _clear(self, prompt: PromptIdentity, request_id: RequestId, stage: AnswerStage) -> None:
         if not prompt.parts:
             return
         at = now()
-        accused = self._evidence.clear(prompt.keys, at)
+        accused = self._evidence.at_stage(stage).clear(prompt.keys, at)
         if accused:
             self.holds.release(accused)
-            self._log.note_parts("part-cleared", accused, request=request_id)
-            self._reporter.tell_clearances(dict.fromkeys(accused, at))
-        for block in self._cluster_state.blocks.contradicted_by(prompt):
+            self._log.note_parts("part-cleared", accused, request=request_id, by=stage.value)
+            self._reporter.tell_clearances(stage, dict.fromkeys(accused, at))
+        for block in self._cluster_state.blocks.contradicted_by(prompt, stage):
             if not block.is_held:
-                self.end_block(block, f"an answer to {request_id} has begun")
+                self.end_block(block, f"an answer to {request_id} has been {stage.value}")
 
     def note_own_break(self, upstream_id: UpstreamId) -> None:
         """Record that an upstream has closed a connection on which an answer was expected.
 
         The other instances are told after a random time, unless one of them has told it before.
         """
-        if self._evidence.note_break(upstream_id, now()):
+        if self._evidence.breaks.note(upstream_id, now()):
             self._reporter.tell_break_later(upstream_id)
 
     def note_crash(
@@ -154,61 +191,69 @@
         tried_block: Block | None,
         attempt: BrokenAttempt,
     ) -> None:
-        """Accuse the parts of a request whose upstream closed the connection before an answer.
+        """Accuse the parts of a request whose upstream closed the connection.
 
         :param tried_block: the block that the request has tried again; None if there is none.
         """
         at = now()
         if tried_block is not None:
-            self._renew_block(tried_block.key)
+            self._changes.renew(tried_block.key)
         if not prompt.parts:
             return
-        suspects = self._evidence.without_cleared(prompt.keys, at)
-        if attempt.has_begun or not suspects:
-            self._log_no_suspect(request_id, prompt, attempt)
+        stage = AnswerStage.WHOLE if attempt.has_begun else AnswerStage.BEGUN
+        suspects = self._evidence.at_stage(stage).without_cleared(prompt.keys, at)
+        if not suspects:
+            self._log_no_suspect(request_id, prompt, attempt, stage)
             return
-        keys = self._choose_accused(suspects, at)
+        keys = self._choose_accused(suspects, stage, at)
         report = CrashReport(
             keys,
             prompt.customer,
             attempt.lifetime,
             attempt.sent_at,
             at,
-            attempt.has_head and self._head_timing.comes_with_body(prompt),
+            attempt.has_begun or (attempt.has_head and self._head_timing.comes_with_body(prompt)),
             self._instance,
             request_id,
             is_complete=len(keys) == len(suspects),
+            stage=stage,
         )
         self._accuse(report)
         self._reporter.send_report(report, at)
-        self._call_later(SETTLE_SECONDS, lambda: self._decide(report))
+        self._verdicts.decide_later(report)
 
     def _log_no_suspect(
-        self, request_id: RequestId, prompt: PromptIdentity, attempt: BrokenAttempt
+        self,
+        request_id: RequestId,
+        prompt: PromptIdentity,
+        attempt: BrokenAttempt,
+        stage: AnswerStage,
     ) -> None:
         """Log why a crash accuses no part of the request that was there."""
-        reason = "answer-had-begun" if attempt.has_begun else "answers-on-all-parts"
         self._log.note_parts(
             "no-part-suspected",
             prompt.keys,
             customer=prompt.customer,
             upstream=attempt.lifetime.upstream_id,
             request=request_id,
-            reason=reason,
+            reason=f"answers-{stage.value}-on-all-parts",
         )
 
-    def _choose_accused(self, keys: tuple[PartKey, ...], at: float) -> tuple[PartKey, ...]:
+    def _choose_accused(
+        self, keys: tuple[PartKey, ...], stage: AnswerStage, at: float
+    ) -> tuple[PartKey, ...]:
         """Return the parts to accuse, those first that were accused most.
 
         If there are more than MAX_ACCUSED_PER_PROMPT, those accused equally often are drawn by lot.
         """
+        evidence = self._evidence.at_stage(stage)
         shuffled = random.sample(keys, len(keys))
-        shuffled.sort(key=lambda key: self._evidence.rounds(key, at), reverse=True)
+        shuffled.sort(key=lambda key: evidence.rounds(key, at), reverse=True)
         return tuple(shuffled[:MAX_ACCUSED_PER_PROMPT])
 
     def _accuse(self, report: CrashReport) -> None:
         new = self._evidence.accuse(report)
-        self.holds.hold(report, now())
+        self._hold(report)
         if new:
             self._metrics.prompt_parts.labels("suspected").inc(len(new))
             self._log.note_parts(
@@ -218,110 +263,24 @@
                 upstream=report.lifetime.upstream_id,
                 by=report.instance,
                 request=report.request,
+                until=report.stage.value,
             )
 
-    def _decide(self, report: CrashReport, is_confirmed: bool = False) -> None:
-        """Block the parts of a crashed request if they are to blame.
+    def _hold(self, report: CrashReport) -> None:
+        """Let one request at a time try the accused parts.
 
-        The upstream may only have closed a connection, or spoilt an answer, and go on.
-
-        :param is_confirmed: whether the upstream was found to be gone.
+        A crash behind the beginning of an answer says little about each request that was there, so
+        others wait only for parts that the next crash could be blamed on.
         """
         at = now()
-        unsettled = max(map(self._evidence.accused_at, report.keys)) + SETTLE_SECONDS - at
-        if unsettled > 0 and at - report.broke_at < MAX_SETTLE_SECONDS and not is_confirmed:
-            self._call_later(unsettled, lambda: self._decide(report))
-            return
-        blocks = self._cluster_state.blocks
-        is_repeated = any(map(blocks.is_blocked_elsewhere, report.keys))
-        cause = self._evidence.find_cause(report, at, 1 if is_repeated else MIN_ROUNDS)
-        needs_check = self._is_gone is not None and not is_confirmed
-        if isinstance(cause, Cause) and needs_check:
-            self._confirm(report, is_last=False)
-        elif isinstance(cause, Cause):
-            self._block(cause, report)
-        elif cause is not Doubt.TOO_FEW_CRASHES:
-            self._log.note_parts("part-not-blamed", report.keys, reason=cause.value)
-
-    def _confirm(self, report: CrashReport, is_last: bool) -> None:
-        task = asyncio.ensure_future(self._decide_if_gone(report, is_last))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _decide_if_gone(self, report: CrashReport, is_last: bool) -> None:
-        """Decide if the upstream is gone; if not, look again once its restart would be known.
-
-        :param is_last: whether the report is withdrawn if the upstream still runs.
-        """
-        assert self._is_gone is not None
-        if await self._is_gone(report.lifetime):
-            self._decide(report, is_confirmed=True)
-        elif is_last:
-            self._evidence.withdraw(report.lifetime)
-        else:
-            self._log.note_parts("part-not-blamed", report.keys, reason=Doubt.STILL_RUNNING.value)
-            self._call_later(RECHECK_SECONDS, lambda: self._confirm(report, is_last=True))
-
-    def _block(self, cause: Cause, report: CrashReport) -> None:
-        blocks = self._cluster_state.blocks
-        first = cause.keys[0]
-        key = BlockKey(first.service, first.model, tuple(key.part for key in cause.keys))
-        known = blocks.get(key)
-        # A customer can only have its own requests refused, whatever it sends together.
-        customers: tuple[CustomerId, ...] = (report.customer,)
-        request = report.request[:MAX_REQUEST_ID_CHARS]
-        if known is not None and known.is_active:
-            if _covers(known.customers, customers):
-                return
-            customers = EVERYONE
-        self._change(
-            Block(
-                key,
-                blocks.next_version(key),
-                customers,
-                True,
-                time.time(),
-                self._seconds_until_trial(known),
-                cause.crashes,
-                cause.instances,
-                f"crashed {cause.crashes} upstreams, the last with {request}",
-            )
-        )
-
-    def _seconds_until_trial(self, known: Block | None) -> float | None:
-        """Return the seconds until a trial of a block that is made or extended now."""
-        if known is None:
-            return FIRST_BLOCK_SECONDS
-        return None if known.is_held else known.seconds or FIRST_BLOCK_SECONDS
-
-    def _renew_block(self, key: BlockKey) -> None:
-        """Refuse requests for longer after a trial has crashed another upstream."""
-        block = self._cluster_state.blocks.get(key)
-        if block is None or not block.is_active or block.is_held:
-            return
-        self._change(
-            replace(
-                block,
-                version=self._cluster_state.blocks.next_version(block.key),
-                since=time.time(),
-                seconds=min(MAX_BLOCK_SECONDS, 2 * (block.seconds or FIRST_BLOCK_SECONDS)),
-                crashes=block.crashes + 1,
-                reason="a trial has crashed an upstream",
-            )
-        )
+        if report.stage is AnswerStage.WHOLE:
+            evidence = self._evidence.at_stage(report.stage)
+            report = replace(report, keys=evidence.find_doubtful(report.keys, at))
+        self.holds.hold(report, at)
 
     def end_block(self, block: Block, reason: str) -> None:
         """End a block on all instances."""
-        version = self._cluster_state.blocks.next_version(block.key)
-        self._change(
-            replace(block, version=version, is_active=False, since=time.time(), reason=reason)
-        )
-
-    def _change(self, block: Block) -> None:
-        """Put a change that this instance has made in force here and at all instances."""
-        if self.merge(block, self._instance):
-            self._on_own_change(block)
-            self._reporter.send_block(block)
+        self._changes.end(block, reason)
 
     # Evidence and blocks of other instances.
 
@@ -330,7 +289,7 @@
         if isinstance(message, CrashMessage):
             self._receive_crash(message)
         elif isinstance(message, BreakMessage):
-            self._evidence.note_break(message.upstream_id, now())
+            self._evidence.breaks.note(message.upstream_id, now())
             self._reporter.forget_break(message.upstream_id)
         elif isinstance(message, ClearanceMessage):
             self._receive_clearances(message)
@@ -340,53 +299,27 @@
     def _receive_crash(self, message: CrashMessage) -> None:
         at = now()
         report = message.to_report(at)
-        self._evidence.note_break(report.lifetime.upstream_id, at)
+        self._evidence.breaks.note(report.lifetime.upstream_id, at)
         self._reporter.forget_break(report.lifetime.upstream_id)
-        keys = self._evidence.without_cleared(report.keys, at)
+        evidence = self._evidence.at_stage(report.stage)
+        keys = evidence.without_cleared(report.keys, at)
         cleared = (key for key in report.keys if key not in keys)
-        begun_at_by_part = {key: self._evidence.cleared_at(key) for key in cleared}
-        self._reporter.tell_clearances_later(begun_at_by_part)
+        cleared_at_by_part = {key: evidence.cleared_at(key) for key in cleared}
+        self._reporter.tell_clearances_later(report.stage, cleared_at_by_part)
         if keys:
             self._accuse(replace(report, keys=keys))
 
     def _receive_clearances(self, message: ClearanceMessage) -> None:
         at = now()
-        self._reporter.forget_clearances(each.key for each in message.clearances)
+        evidence = self._evidence.at_stage(message.stage)
+        self._reporter.forget_clearances(message.stage, (each.key for each in message.clearances))
         for each in message.clearances:
-            begun_at = at - max(0.0, each.begun_ago)
-            self.holds.release(self._evidence.clear([each.key], begun_at))
+            cleared_at = at - max(0.0, each.seconds_ago)
+            self.holds.release(evidence.clear([each.key], cleared_at))
 
     def merge(self, block: Block, source: str) -> bool:
         """Accept a state of a block, unless a later one is known; return whether it was new.
 
-        A block that contradicts an answer that has begun here recently is ended, unless an operator
-        has set it.
-
         :param source: where it comes from, for the log.
         """
-        before = self._cluster_state.blocks.get(block.key)
-        if not self._cluster_state.accept_block(block):
-            return False
-        self._trials.note_block(block)
-        service, model = block.key.service, block.key.model
-        self.holds.release(PartKey(service, model, part) for part in block.key.parts)
-        was_active = before is not None and before.is_active
-        if block.is_active or was_active:
-            event = "part-blocked" if block.is_active else "part-block-ended"
-            self._metrics.prompt_parts.labels("blocked" if block.is_active else "ended").inc()
-            self._log.note_block(event, block, source=source)
-        if block.is_held or not block.is_active or source == self._instance:
-            return True
-        if self._is_contradicted(block):
-            self.end_block(block, f"an answer has begun recently at {self._instance}")
-        return True
-
-    def _is_contradicted(self, block: Block) -> bool:
-        service, model = block.key.service, block.key.model
-        keys = [PartKey(service, model, part) for part in block.key.parts]
-        return not self._evidence.without_cleared(keys, now())
-
-
-def _covers(known: tuple[CustomerId, ...], customers: tuple[CustomerId, ...]) -> bool:
-    """Return whether a block for some customers refuses all of others; empty means everyone."""
-    return not known or (bool(customers) and set(customers) <= set(known))
+        return self._changes.merge(block, source)
--- a/src/cactuspass/fleet/prompt_parts/_guarded_request.py
+++ b/src/cactuspass/fleet/prompt_parts/_guarded_request.py
@@ -2,21 +2,28 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cactuspass._clock import now
+from cactuspass.fleet._upstreams import Lifetime
 from cactuspass.fleet.prompt_parts._guard import PartGuard
 from cactuspass.fleet.prompt_parts._holds import UnansweredRequest
 from cactuspass.fleet.prompt_parts._parts import Block, BrokenAttempt, PromptIdentity
 from cactuspass.models import RequestId
 
+# Upstreams that may crash under one request, first sends, hedges and resumptions together.
+MAX_CRASHES = 2
+# The same if the request may only have met the crashes: other upstreams crash as well, or whole
+# answers are known on all its shared parts.
+MAX_CRASHES_BY_BAD_LUCK = 3
+
 
 @dataclass(slots=True)
 class GuardedRequest:
-    """The parts of one request, and whether it may be sent.
+    """The parts of one request, the upstreams that crashed under it, and whether it may be sent.
 
     :param tried_block: a block that this request tries again; None if there is none.
-    :param has_begun: whether an answer has begun, so that its own parts are known to be harmless.
+    :param has_begun: whether an answer has begun.
     """
 
     guard: PartGuard
@@ -26,12 +33,11 @@
     has_begun: bool = False
     _has_waited_long: bool = False
     _unanswered: UnansweredRequest | None = None
+    _crashed: set[Lifetime] = field(default_factory=set)
 
     def find_block(self) -> Block | None:
         """Return the block that refuses this request now; None if there is none."""
-        if self.has_begun:
-            return None
-        block = self.guard.find_block(self.prompt)
+        block = self.guard.find_block(self.prompt, self.has_begun)
         return None if block == self.tried_block else block
 
     @property
@@ -39,6 +45,20 @@
         """Whether a second upstream may get the request before the first has begun an answer."""
         return self.tried_block is None and self.guard.is_known_harmless(self.prompt)
 
+    @property
+    def may_hedge_begun(self) -> bool:
+        """Whether a second upstream may get the request after the first has begun an answer."""
+        return not self._crashed or self.guard.is_known_whole(self.prompt)
+
+    @property
+    def has_crashed_too_many(self) -> bool:
+        """Whether so many upstreams have crashed under this request that no other may get it."""
+        if len(self._crashed) < MAX_CRASHES:
+            return False
+        guard = self.guard
+        is_doubtful = guard.have_others_broken(self._crashed) or guard.is_known_whole(self.prompt)
+        return len(self._crashed) >= (MAX_CRASHES_BY_BAD_LUCK if is_doubtful else MAX_CRASHES)
+
     @property
     def is_held(self) -> bool:
         """Whether another request tries one of the parts now."""
@@ -54,17 +74,26 @@
 
         :param max_seconds: time after which the request goes on without a verdict.
         """
-        if not self.prompt.parts or self.has_begun:
-            return
         try:
             async with asyncio.timeout(max(0.0, max_seconds)):
-                remaining = self.guard.verdict_remaining(self.prompt)
-                if remaining > 0:
-                    await asyncio.sleep(remaining)
-                await self.guard.holds.wait(self.request_id, self.prompt.keys)
+                await self._forget_running()
+                if self.prompt.parts:
+                    await self._wait_for_guard()
         except TimeoutError:
             self._has_waited_long = True
 
+    async def _forget_running(self) -> None:
+        """Forget the upstreams that have only closed a connection, once that matters."""
+        if self.has_crashed_too_many:
+            self._crashed &= await self.guard.find_gone(self._crashed)
+
+    async def _wait_for_guard(self) -> None:
+        remaining = self.guard.verdict_remaining(self.prompt, self.has_begun)
+        if remaining > 0:
+            await asyncio.sleep(remaining)
+        if not self.has_begun:
+            await self.guard.holds.wait(self.request_id, self.prompt.keys)
+
     def note_sent(self, recall: Callable[[], None] | None) -> None:
         """Record that the request was sent.
 
@@ -84,8 +113,13 @@
         self.note_attempt_ended()
         self.guard.note_begun(self.prompt, self.request_id, head_seconds)
 
+    def note_whole(self) -> None:
+        """Record that one upstream has written the whole answer."""
+        self.guard.note_whole(self.prompt, self.request_id)
+
     def note_crash(self, attempt: BrokenAttempt) -> None:
-        """Record that an upstream closed the connection before any part of the answer had come."""
+        """Record that an upstream closed the connection before the answer was complete."""
+        self._crashed.add(attempt.lifetime)
         self.guard.note_crash(self.request_id, self.prompt, self.tried_block, attempt)
 
     def note_attempt_ended(self) -> None:
--- a/src/cactuspass/fleet/prompt_parts/_log.py
+++ b/src/cactuspass/fleet/prompt_parts/_log.py
@@ -5,14 +5,14 @@
 
 from cactuspass._clock import now
 from cactuspass.fleet._decision_log import DecisionLog
-from cactuspass.fleet.prompt_parts._crash_evidence import CrashEvidence
 from cactuspass.fleet.prompt_parts._parts import Block, PartKey
+from cactuspass.fleet.prompt_parts._staged_evidence import StagedEvidence
 
 
 class PartLog:
     """Writes what is decided on parts, with the evidence for it."""
 
-    def __init__(self, log: DecisionLog, evidence: CrashEvidence) -> None:
+    def __init__(self, log: DecisionLog, evidence: StagedEvidence) -> None:
         self._log = log
         self._evidence = evidence
 
--- a/src/cactuspass/fleet/prompt_parts/_messages.py
+++ b/src/cactuspass/fleet/prompt_parts/_messages.py
@@ -7,7 +7,13 @@
 
 from cactuspass.fleet._datagrams import DatagramCodec
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
-from cactuspass.fleet.prompt_parts._parts import Block, CrashReport, PartKey, PromptPartId
+from cactuspass.fleet.prompt_parts._parts import (
+    AnswerStage,
+    Block,
+    CrashReport,
+    PartKey,
+    PromptPartId,
+)
 from cactuspass.models import CustomerId, EntryId, ModelId, RequestId, ServiceId
 
 MAX_MESSAGE_BYTES = 1200
@@ -36,7 +42,8 @@
     instance: EntryId
     request: RequestId
     is_complete: bool
-    kind: Literal["part-crash"] = "part-crash"
+    stage: AnswerStage
+    kind: Literal["upstream-crash"] = "upstream-crash"
 
     def to_report(self, at: float) -> CrashReport:
         """Return the report by this instance's clock.
@@ -53,25 +60,27 @@
             self.instance,
             self.request,
             self.is_complete,
+            self.stage,
         )
 
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
-    """A part on which an answer has begun recently.
+    """A part on which an answer has come as far as a stage recently.
 
-    :param begun_ago: seconds since it began.
+    :param seconds_ago: seconds since then.
     """
 
     key: PartKey
-    begun_ago: float
+    seconds_ago: float
 
 
 @dataclass(frozen=True, slots=True)
 class ClearanceMessage:
-    """Parts on which answers have begun recently."""
+    """Parts on which answers have begun, or were whole, recently."""
 
     clearances: tuple[Clearance, ...]
+    stage: AnswerStage
     kind: Literal["part-cleared"] = "part-cleared"
 
 
@@ -115,6 +124,7 @@
         report.instance,
         RequestId(report.request[:MAX_REQUEST_ID_CHARS]),
         report.is_complete,
+        report.stage,
     )
 
 
--- a/src/cactuspass/fleet/prompt_parts/_parts.py
+++ b/src/cactuspass/fleet/prompt_parts/_parts.py
@@ -1,6 +1,7 @@
 """Shared parts of prompts, and the blocks on those that make upstreams crash."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated, NewType
 
 from pydantic import FailFast
@@ -14,6 +15,17 @@
 EVERYONE: tuple[CustomerId, ...] = ()
 
 
+class AnswerStage(Enum):
+    """How far an answer has come, or has to come to clear the parts of its prompt.
+
+    An answer that has begun clears them of crashes before any part of an answer, but not of those
+    that come later.
+    """
+
+    BEGUN = "begun"
+    WHOLE = "whole"
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class PartKey:
     """A shared part of the prompts for one model.
@@ -62,9 +74,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashReport:
-    """A request whose upstream closed the connection before its answer had begun.
+    """A request whose upstream closed the connection before its answer was complete.
 
-    :param keys: shared parts on which no answer is known to have begun recently.
+    :param keys: shared parts on which no answer is known to have come so far recently.
     :param lifetime: the upstream that closed the connection.
     :param sent_at: clock value at which the request was sent.
     :param broke_at: clock value at which the connection was closed.
@@ -72,6 +84,8 @@
     :param instance: instance that had sent the request.
     :param is_complete: whether these are all such parts of the prompt; if not, the part that is to
         blame may be missing.
+    :param stage: how far an answer has to come to contradict the report: a crash before the answer
+        had begun is contradicted by answers that begin, a later one by whole answers.
     """
 
     keys: tuple[PartKey, ...]
@@ -83,6 +97,7 @@
     instance: EntryId
     request: RequestId
     is_complete: bool = True
+    stage: AnswerStage = AnswerStage.BEGUN
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -111,6 +126,7 @@
     :param crashes: crashes that are known to have been caused by these parts.
     :param instances: instances that reported them.
     :param reason: why the block began or ended, for operators.
+    :param stage: how far an answer on the parts has to come to end the block.
     """
 
     key: BlockKey
@@ -122,6 +138,7 @@
     crashes: int
     instances: Annotated[tuple[EntryId, ...], FailFast()]
     reason: str
+    stage: AnswerStage = AnswerStage.BEGUN
 
     @property
     def customer_names(self) -> tuple[str, ...]:
@@ -144,10 +161,15 @@
         due = self.next_trial_at
         return (float("inf") if due is None else due, self.key)
 
-    def matches(self, prompt: PromptIdentity) -> bool:
-        """Return whether a request is refused by this block."""
+    def matches(self, prompt: PromptIdentity, has_begun: bool = False) -> bool:
+        """Return whether a request is refused by this block.
+
+        :param has_begun: whether an answer to the request has begun.
+        """
         if not self.is_active or (self.customers and prompt.customer not in self.customers):
             return False
+        if has_begun and self.stage is AnswerStage.BEGUN:
+            return False
         return set(self.key.parts) <= set(prompt.parts)
 
     def supersedes(self, other: "Block | None") -> bool:
@@ -171,6 +193,7 @@
             self.seconds or 0.0,
             self.instances,
             self.reason,
+            self.stage.value,
         )
 
 
--- a/src/cactuspass/fleet/prompt_parts/_reporter.py
+++ b/src/cactuspass/fleet/prompt_parts/_reporter.py
@@ -17,7 +17,7 @@
     PartMessage,
     message_of,
 )
-from cactuspass.fleet.prompt_parts._parts import Block, CrashReport, PartKey
+from cactuspass.fleet.prompt_parts._parts import AnswerStage, Block, CrashReport, PartKey
 
 MAX_BREAK_DELAY_SECONDS = 0.05
 MAX_CLEARANCE_DELAY_SECONDS = 0.08
@@ -45,7 +45,7 @@
         self._reports = TokenBucket(MESSAGES_PER_SECOND, MESSAGE_BURST, now())
         self._others = TokenBucket(MESSAGES_PER_SECOND, MESSAGE_BURST, now())
         self._untold_breaks: set[UpstreamId] = set()
-        self._untold_clearances: set[PartKey] = set()
+        self._untold_clearances: set[tuple[AnswerStage, PartKey]] = set()
 
     def send_block(self, block: Block) -> None:
         """Send the state of a block."""
@@ -71,50 +71,56 @@
         """Do not tell of an upstream of which another message has told."""
         self._untold_breaks.discard(upstream_id)
 
-    def tell_clearances(self, begun_at_by_part: Mapping[PartKey, float]) -> None:
+    def tell_clearances(
+        self, stage: AnswerStage, cleared_at_by_part: Mapping[PartKey, float]
+    ) -> None:
         """Tell which parts are cleared.
 
-        :param begun_at_by_part: clock value at which an answer has begun on each part.
+        :param cleared_at_by_part: clock value at which an answer on each part came so far.
         """
         at = now()
-        found = [Clearance(key, at - begun_at) for key, begun_at in begun_at_by_part.items()]
+        found = [Clearance(key, at - cleared_at) for key, cleared_at in cleared_at_by_part.items()]
         for start in range(0, len(found), MAX_CLEARANCES_PER_MESSAGE):
             some = tuple(found[start : start + MAX_CLEARANCES_PER_MESSAGE])
-            self._send_if(self._others, ClearanceMessage(some))
+            self._send_if(self._others, ClearanceMessage(some, stage))
 
-    def tell_clearances_later(self, begun_at_by_part: Mapping[PartKey, float]) -> None:
+    def tell_clearances_later(
+        self, stage: AnswerStage, cleared_at_by_part: Mapping[PartKey, float]
+    ) -> None:
         """Tell after a random time which parts are cleared.
 
         Otherwise each report would make all instances answer that have seen the same parts.
         """
         new = {
-            key: begun_at
-            for key, begun_at in begun_at_by_part.items()
-            if key not in self._untold_clearances
+            key: cleared_at
+            for key, cleared_at in cleared_at_by_part.items()
+            if (stage, key) not in self._untold_clearances
         }
         if new:
-            self._untold_clearances.update(new)
+            self._untold_clearances.update((stage, key) for key in new)
             delay = random.uniform(0.0, MAX_CLEARANCE_DELAY_SECONDS)
-            self._call_later(delay, lambda: self._tell_untold_clearances(new))
+            self._call_later(delay, lambda: self._tell_untold_clearances(stage, new))
 
-    def forget_clearances(self, keys: Iterable[PartKey]) -> None:
+    def forget_clearances(self, stage: AnswerStage, keys: Iterable[PartKey]) -> None:
         """Do not tell of parts of which another instance has told."""
-        self._untold_clearances.difference_update(keys)
+        self._untold_clearances.difference_update((stage, key) for key in keys)
 
     def _tell_break(self, upstream_id: UpstreamId) -> None:
         if upstream_id in self._untold_breaks:
             self._untold_breaks.discard(upstream_id)
             self._send_if(self._others, BreakMessage(upstream_id))
 
-    def _tell_untold_clearances(self, begun_at_by_part: Mapping[PartKey, float]) -> None:
+    def _tell_untold_clearances(
+        self, stage: AnswerStage, cleared_at_by_part: Mapping[PartKey, float]
+    ) -> None:
         untold = {
-            key: begun_at
-            for key, begun_at in begun_at_by_part.items()
-            if key in self._untold_clearances
+            key: cleared_at
+            for key, cleared_at in cleared_at_by_part.items()
+            if (stage, key) in self._untold_clearances
         }
-        self._untold_clearances.difference_update(untold)
+        self.forget_clearances(stage, untold)
         if untold:
-            self.tell_clearances(untold)
+            self.tell_clearances(stage, untold)
 
     def _send_if(self, bucket: TokenBucket, message: PartMessage) -> None:
         if bucket.try_consume(now()):
--- a/tests/part_world.py
+++ b/tests/part_world.py
@@ -208,7 +208,8 @@
         patches = [
             mock.patch("cactuspass._clock.time", clock),
             mock.patch(
-                "cactuspass.fleet.prompt_parts._guard.time.time", lambda: UNIX_TIME + read_clock()
+                "cactuspass.fleet.prompt_parts._block_changes.time.time",
+                lambda: UNIX_TIME + read_clock(),
             ),
         ]
         rng = random.Random(seed if delay_seed is None else delay_seed)
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -1,14 +1,13 @@
 """The evidence on parts of prompts: its bounds, and what is forgotten first."""
 
 import unittest
+from dataclasses import replace
 
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
 from cactuspass.fleet.prompt_parts._crash_evidence import (
-    BREAK_WINDOW_SECONDS,
     CLEARED_SECONDS,
     EVIDENCE_SECONDS,
     MAX_ACCUSED_PARTS,
-    MAX_BREAKS,
     MAX_CLEARED_PARTS,
     MAX_CRASHES,
     MAX_CRASHES_PER_PART,
@@ -18,7 +17,8 @@
     CrashEvidence,
     Doubt,
 )
-from cactuspass.fleet.prompt_parts._parts import CrashReport
+from cactuspass.fleet.prompt_parts._parts import AnswerStage, CrashReport
+from cactuspass.fleet.prompt_parts._recent_breaks import BREAK_WINDOW_SECONDS, MAX_BREAKS
 from cactuspass.models import CustomerId, EntryId, RequestId
 from tests.part_world import CUSTOMER, part_key
 
@@ -91,7 +91,7 @@
     # Guards against a block while many upstreams break, and against none long afterwards.
     def test_other_broken_upstreams_prevent_a_verdict_for_a_while(self) -> None:
         for number in range(6):
-            self.evidence.note_break(UpstreamId(f"other-{number}"), AT)
+            self.evidence._breaks.note(UpstreamId(f"other-{number}"), AT)
         for number in (1, 2):
             last = report(f"u{number}", AT + number, "bb")
             self.evidence.accuse(last)
@@ -128,6 +128,38 @@
         self.assertIsInstance(evidence.find_cause(other, other.broke_at), Cause)
 
 
+class LaterCrashTest(unittest.TestCase):
+    """Crashes behind the beginning of an answer, at which all streams of an upstream break."""
+
+    def setUp(self) -> None:
+        self.evidence = CrashEvidence(AnswerStage.WHOLE)
+
+    def crash(self, *requests: str) -> Cause | Doubt:
+        """Return the verdict after one crash for each request."""
+        for number, request in enumerate(requests):
+            last = report(f"u{number}", AT + number, "bb", request=request)
+            self.evidence.accuse(replace(last, stage=AnswerStage.WHOLE))
+        return self.evidence.find_cause(last, last.broke_at)
+
+    # Guards against a part that was at two crashes by chance and is blamed.
+    def test_two_crashes_are_not_enough(self) -> None:
+        self.assertIs(self.crash("q1", "q2"), Doubt.TOO_FEW_CRASHES)
+
+    # Guards against a stream that was resumed at two upstreams that were lost after the first.
+    def test_three_crashes_of_one_request_are_not_enough(self) -> None:
+        self.assertIs(self.crash("q1", "q1", "q1"), Doubt.ONE_REQUEST)
+
+    # Guards against a part that is never blamed, since a request crashes two upstreams at most.
+    def test_three_crashes_of_two_requests_are_enough(self) -> None:
+        self.assertIsInstance(self.crash("q1", "q1", "q2"), Cause)
+
+    # Guards against a block for streams that broke when a rack or a data centre was lost.
+    def test_other_broken_upstreams_prevent_the_verdict(self) -> None:
+        for number in range(6):
+            self.evidence._breaks.note(UpstreamId(f"other-{number}"), AT + 2.0)
+        self.assertIs(self.crash("q1", "q1", "q2"), Doubt.OTHER_UPSTREAMS)
+
+
 class BoundsTest(unittest.TestCase):
     """Callers choose the parts, so memory must not depend on their number."""
 
@@ -143,7 +175,7 @@
             len(evidence._cleared_at_by_part),
             len(evidence._tallies_by_part),
             len(evidence._reports_by_lifetime),
-            len(evidence._broke_at_by_id),
+            len(evidence._breaks),
         )
         self.assertEqual(lengths, (MAX_CLEARED_PARTS, MAX_ACCUSED_PARTS, MAX_CRASHES, MAX_BREAKS))
         at = AT + count / 100
--- a/tests/test_fleet_crashing_part.py
+++ b/tests/test_fleet_crashing_part.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from itertools import count
 
 from cactuspass._clock import now
@@ -23,6 +24,7 @@
 CRASHING_PART = "bad0"
 MAX_CRASHES = 5
 UPSTREAM_COUNT = 4
+EVENTS_OF_LONG_ANSWER = 12
 
 
 def crash_or_answer(head_seconds: float = 0.0) -> Script:
@@ -126,6 +128,70 @@
         return crashes[0].was_writing
 
 
+def crash_behind(event_count: int) -> Script:
+    """Return a script that writes some events, and ends there if the prompt has the part."""
+
+    async def run(writer: asyncio.StreamWriter, request: bytes) -> None:
+        lines = ["HTTP/1.1 200 OK", STAMP, "Transfer-Encoding: chunked"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        last_id = re.search(rb"Last-Event-Id: (\d+)", request, re.IGNORECASE)
+        first = int(last_id.group(1)) + 1 if last_id else 1
+        for number in range(first, EVENTS_OF_LONG_ANSWER + 1):
+            if CRASHING_PART.encode() in request and number == first + event_count:
+                await asyncio.sleep(0.01)
+                writer.close()
+                return
+            event = events(range(number, number + 1))
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return run
+
+
+class LateCrashTest(CrashingPartCase):
+    """A part on which upstreams crash behind some events of the answer."""
+
+    async def start_upstreams(self, event_count: int) -> None:
+        """Start upstreams that crash behind some events."""
+        scripts = [[crash_behind(event_count)] for _ in range(UPSTREAM_COUNT)]
+        target = route(RouteKind.STREAM, resumable=True, max_upstreams=3)
+        self.case = await self.start(target, *scripts)
+
+    # Guards against a part that is never blocked, since the first event clears it each time, and
+    # against streams that are resumed at one upstream after the other until each has crashed.
+    async def test_part_that_crashes_upstreams_behind_an_event_reaches_few_of_them(self) -> None:
+        for event_count in (1, 4):
+            await self.start_upstreams(event_count)
+            await self.send(FIRST_PART)
+            for _ in range(12):
+                await self.send(FIRST_PART, CRASHING_PART)
+            with self.subTest(event_count=event_count):
+                self.assertLessEqual(self.crashes(), MAX_CRASHES)
+                self.assertEqual(len(self.case.cluster_state.blocks.active), 1)
+                got = await self.send(FIRST_PART)
+                self.assertEqual((got.status, got.is_complete), (200, True))
+
+    # Guards against one stream that is resumed until it has crashed eight upstreams.
+    async def test_one_stream_crashes_two_upstreams_at_most(self) -> None:
+        await self.start_upstreams(1)
+        got = await self.send(FIRST_PART, CRASHING_PART)
+        self.assertEqual((self.crashes(), got.status, got.is_complete), (2, 200, False))
+
+    # Guards against resumptions of a stream that had begun before its part was blocked.
+    async def test_stream_with_a_blocked_part_is_not_resumed(self) -> None:
+        await self.start_upstreams(1)
+        await self.send(FIRST_PART)
+        outcomes = []
+        for _ in range(2):
+            before = self.crashes()
+            got = await self.send(FIRST_PART, CRASHING_PART)
+            outcomes.append((self.crashes() - before, got.is_complete))
+        self.assertEqual(outcomes, [(2, False), (1, False)])
+        self.assertEqual(len(self.case.cluster_state.blocks.active), 1)
+
+
 class BlockedPartTest(CrashingPartCase):
     """What callers get once the part is blocked."""
 
--- a/tests/test_fleet_part_guard.py
+++ b/tests/test_fleet_part_guard.py
@@ -4,13 +4,10 @@
 from dataclasses import replace
 
 from cactuspass.fleet._upstreams import Lifetime, UpstreamId
+from cactuspass.fleet.prompt_parts._block_changes import FIRST_BLOCK_SECONDS
 from cactuspass.fleet.prompt_parts._block_trials import TURN_SECONDS
 from cactuspass.fleet.prompt_parts._crash_evidence import CLEARED_SECONDS
-from cactuspass.fleet.prompt_parts._guard import (
-    FIRST_BLOCK_SECONDS,
-    MAX_ACCUSED_PER_PROMPT,
-    SETTLE_SECONDS,
-)
+from cactuspass.fleet.prompt_parts._guard import MAX_ACCUSED_PER_PROMPT, SETTLE_SECONDS
 from cactuspass.fleet.prompt_parts._guarded_request import GuardedRequest, guard_request
 from cactuspass.fleet.prompt_parts._holds import HOLD_SECONDS, MAX_HELD_PARTS
 from cactuspass.fleet.prompt_parts._parts import BrokenAttempt, PromptPartId
@@ -121,7 +118,7 @@
         found = [line for line in lines if line["event"] == "no-part-suspected"]
         self.assertEqual(
             [(line["upstream"], line["parts"], line["reason"]) for line in found],
-            [("u1", FIRST, "answers-on-all-parts")],
+            [("u1", FIRST, "answers-begun-on-all-parts")],
         )
 
     # Guards against a part that is answered and stays accused.
@@ -402,15 +399,15 @@
     def test_block_that_an_answer_contradicts_is_ended_everywhere(self) -> None:
         world = self.start(3)
         world.begin(2, BAD)
-        world.guards[0]._change(block_of(BAD))
+        world.guards[0]._changes.apply(block_of(BAD))
         world.run(SETTLED_SECONDS)
         self.assertEqual(world.all_blocked, set())
 
     # Guards against two decisions at once after which instances differ.
     def test_two_decisions_at_once_leave_the_same_block_everywhere(self) -> None:
         world = self.start(6, loss=0.3)
-        world.guards[0]._change(block_of(BAD, customers=(CustomerId("c1"),)))
-        world.guards[1]._change(block_of(BAD, reason="other"))
+        world.guards[0]._changes.apply(block_of(BAD, customers=(CustomerId("c1"),)))
+        world.guards[1]._changes.apply(block_of(BAD, reason="other"))
         world.run(1.0)
         found = {guard._cluster_state.blocks.snapshot for guard in world.guards[:2]}
         self.assertEqual(len(found), 1)
@@ -447,7 +444,7 @@
     # Guards against an end of a block that an instance which was cut off takes back.
     def test_state_of_an_instance_that_was_cut_off_does_not_bring_a_block_back(self) -> None:
         world = self.start(3)
-        world.guards[0]._change(block_of(BAD))
+        world.guards[0]._changes.apply(block_of(BAD))
         world.run(1.0)
         world.cut_off.add(2)
         world.guards[0].end_block(world.active(0)[0], "by an operator")
--- a/tests/test_fleet_part_messages.py
+++ b/tests/test_fleet_part_messages.py
@@ -22,7 +22,7 @@
     encode_part_message,
     message_of,
 )
-from cactuspass.fleet.prompt_parts._parts import CrashReport
+from cactuspass.fleet.prompt_parts._parts import AnswerStage, CrashReport
 from cactuspass.models import EntryId, RequestId
 from tests.part_world import CUSTOMER, block_of, part_key
 
@@ -38,7 +38,9 @@
 )
 MESSAGES: tuple[PartMessage, ...] = (
     message_of(REPORT, 100.6),
-    ClearanceMessage((Clearance(part_key("aa"), 0.25),)),
+    message_of(replace(REPORT, stage=AnswerStage.WHOLE), 100.6),
+    ClearanceMessage((Clearance(part_key("aa"), 0.25),), AnswerStage.BEGUN),
+    ClearanceMessage((Clearance(part_key("aa"), 0.25),), AnswerStage.WHOLE),
     BreakMessage(UpstreamId("i-1")),
     BlockMessage(block_of("aa", "bb", instances=(EntryId("i1"),), reason="two crashes")),
 )
--- a/tests/test_fleet_part_safety.py
+++ b/tests/test_fleet_part_safety.py
@@ -28,6 +28,7 @@
     message_of,
 )
 from cactuspass.fleet.prompt_parts._parts import (
+    AnswerStage,
     Block,
     BlockKey,
     BrokenAttempt,
@@ -110,14 +111,14 @@
         evidence = CrashEvidence()
         only = report("u1", 100.0, "d1")
         evidence.accuse(only)
-        self.assertIsInstance(evidence.find_cause(only, 100.2, min_rounds=1), Cause)
+        self.assertIsInstance(evidence.find_cause(only, 100.2, is_known_elsewhere=True), Cause)
 
     # Guards against a part that is not blamed because a few idle connections broke elsewhere.
     def test_breaks_of_a_few_of_many_upstreams_do_not_clear_a_part(self) -> None:
         evidence = CrashEvidence()
         evidence.accuse(report("u1", 100.0, "d1"))
         for number in range(2):
-            evidence.note_break(UpstreamId(f"other-{number}"), 101.0)
+            evidence._breaks.note(UpstreamId(f"other-{number}"), 101.0)
         last = report("u2", 101.0, "d1")
         evidence.accuse(last)
         self.assertIsNot(evidence.find_cause(last, 101.2), Doubt.OTHER_UPSTREAMS)
@@ -222,7 +223,9 @@
         guard.end_trial(block)
         clock = mock.Mock(CLOCK_BOOTTIME=0, clock_gettime=lambda _: self.at)
         for patch in (
-            mock.patch("cactuspass.fleet.prompt_parts._guard.time.time", lambda: self.unix_time),
+            mock.patch(
+                "cactuspass.fleet.prompt_parts._block_changes.time.time", lambda: self.unix_time
+            ),
             mock.patch("cactuspass._clock.time", clock),
         ):
             patch.start()
@@ -254,7 +257,9 @@
         guard.note_begun(self.prompt, RequestId("q0"))
         later = now() + 2 * CLEARED_SECONDS
         with mock.patch("cactuspass.fleet.prompt_parts._guard.now", return_value=later):
-            self.assertTrue(guard._evidence.without_cleared(self.prompt.keys, later))
+            self.assertTrue(
+                guard._evidence.at_stage(AnswerStage.BEGUN).without_cleared(self.prompt.keys, later)
+            )
             self.assertFalse(guard.is_known_harmless(self.prompt))
 
     # Guards against one prompt with thousands of parts that makes an instance forget all others.
@@ -452,7 +457,7 @@
         case = await self.start(route(max_upstreams=3), [head], [head])
         await case.serve(shared_parts=parts("new"))
         kinds = [message.kind for message in case.sent_messages]
-        self.assertNotIn("part-crash", kinds)
+        self.assertNotIn("upstream-crash", kinds)
 
     # Guards against a request that waits for another one beyond its own time limit, and is sent.
     async def test_wait_ends_at_the_time_limit_of_the_caller(self) -> None:
--- a/tests/test_fleet_part_traffic.py
+++ b/tests/test_fleet_part_traffic.py
@@ -7,6 +7,7 @@
 from tests.part_world import PartWorld, PartWorldCase
 
 SHARED_PARTS = 40
+STREAM_SECONDS = 1.2
 MAX_CRASHES = 5
 # Requests with a crashing part that may be sent when the fifth crash is this long ago.
 MAX_LATE_REQUESTS = 3
@@ -22,10 +23,11 @@
         loss: float = 0.0,
         delay_seed: int | None = None,
         heads: Heads = Heads.BEFORE_CRASH,
+        stream_seconds: float = 0.0,
     ) -> tuple[PartWorld, PartTraffic]:
         """Return a world after some seconds of traffic."""
         world = self.start(6, seed, loss=loss, delay_seed=delay_seed)
-        traffic = PartTraffic(world, 24, heads)
+        traffic = PartTraffic(world, 24, heads, stream_seconds)
         self.send_for(world, traffic, 3.0)
         return world, traffic
 
@@ -76,17 +78,34 @@
             with self.subTest(seed=seed):
                 self.check_lost_together(seed, heads=Heads.AT_ONCE)
 
+    # Guards against blocks for streams that broke while they were being written.
+    def test_upstreams_that_are_lost_together_while_they_write_block_no_part(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.check_lost_together(seed, stream_seconds=STREAM_SECONDS)
+
+    # Guards against blocks of parts that one stream after the other is resumed with.
+    def test_upstreams_that_are_lost_one_by_one_while_they_write_block_no_part(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world, traffic = self.begin(500 + seed, stream_seconds=STREAM_SECONDS)
+                for _ in range(16):
+                    traffic.lose(f"u{world.rng.randrange(8)}")
+                    self.send_for(world, traffic, 0.6)
+                self.assertEqual(world.all_blocked, set())
+
     def check_lost_together(
         self,
         seed: int,
         delay_seed: int | None = None,
         heads: Heads = Heads.BEFORE_CRASH,
+        stream_seconds: float = 0.0,
     ) -> None:
         """Lose some upstreams within a second, and check that no part is blocked.
 
         :param delay_seed: seed of the delays before messages are sent; by default the same seed.
         """
-        world, traffic = self.begin(seed, 0.1 * (seed % 4), delay_seed, heads)
+        world, traffic = self.begin(seed, 0.1 * (seed % 4), delay_seed, heads, stream_seconds)
         for upstream in range(world.rng.choice([4, 8, 12])):
             delay = world.rng.uniform(0.0, 1.0)
             world.call_later(delay, partial(traffic.lose, f"u{upstream}"))
@@ -99,7 +118,7 @@
             with self.subTest(seed=seed):
                 world, traffic = self.begin(100 + seed)
                 for _ in range(8):
-                    traffic.lose(f"u{world.rng.randrange(24)}")
+                    traffic.lose(f"u{world.rng.randrange(8)}")
                     self.send_for(world, traffic, 0.6)
                 self.assertEqual(world.all_blocked, set())
 
@@ -128,6 +147,17 @@
                 late = traffic.count_sent_after("bad-1", MAX_CRASHES, LATE_SECONDS)
                 self.assertLessEqual(late, MAX_LATE_REQUESTS)
 
+    # Guards against parts that crash upstreams behind the beginning of each answer.
+    def test_part_that_crashes_upstreams_later_reaches_few_of_them(self) -> None:
+        for seed in range(700, 708):
+            with self.subTest(seed=seed):
+                world, traffic = self.begin(seed, stream_seconds=STREAM_SECONDS)
+                self.send_for(world, traffic, 8.0, ("late-1",))
+                world.run(2 * STREAM_SECONDS)
+                self.assertEqual(world.all_blocked, {"late-1"})
+                late = traffic.count_sent_after("late-1", MAX_CRASHES, LATE_SECONDS)
+                self.assertLessEqual(late, MAX_LATE_REQUESTS)
+
     def check_crashes(self, seed: int, heads: Heads = Heads.BEFORE_CRASH) -> None:
         """Send requests with one or two crashing parts, and check what is blocked and when."""
         bad_parts = ("bad-1", "bad-2")[: 1 + seed % 2]
