Fail attempts at once whose response has no valid status

What callers saw (new test on the code before): with 000, 020, 099 and 1xx that state a body, a POST got 504 at its deadline, and with a sound response right behind it 200 with both bodies as one, as did a GET; 600 and 999 reached a POST as statuses. The client of the own path returned such statuses or waited.

Cause: the parser takes any three digits, and informational was 'below 200', so the body behind such a head went to the request.

Change: one check for all connections of both paths (_status_codes): 100 to 599, no body behind an informational head, no unasked switch of protocols. The attempt fails at once, the outcome is unknown and the connection is closed. Detection of a status line in a head takes any three digits.

--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -19,6 +19,7 @@
 from cactuspass._byte_queue import ByteQueue, BytesAccount
 from cactuspass._final_event import StreamTail
 from cactuspass._requests import Answer, Header
+from cactuspass._status_codes import InvalidStatus, check_status, is_informational
 from cactuspass._status_lines import has_status_line
 from cactuspass.exceptions import AnswerCut, RunOutcomeUnknown, UpstreamNotReached
 
@@ -88,7 +89,8 @@
     ) -> Awaitable[None] | None:
         """Process the head of the answer."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
+        has_valid_status = self._check_status(start_line.code, headers)
+        if not has_valid_status or is_informational(start_line.code):
             return None
         content_type = headers.get("Content-Type", "")
         self._is_event_stream = content_type.startswith("text/event-stream")
@@ -99,6 +101,17 @@
         self._restart_idle_timeout()
         return None
 
+    def _check_status(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a status goes with the other headers; if not, fail the answer."""
+        states_body = headers.get("Content-Length", "0") != "0" or "Transfer-Encoding" in headers
+        try:
+            check_status(status, states_body)
+        except InvalidStatus as error:
+            if not self.head.done():
+                self._fail_head(str(error))
+            return False
+        return True
+
     def _set_head(self, start_line: ResponseStartLine, headers: HTTPHeaders) -> None:
         texts = [start_line.reason, *(value for _, value in headers.get_all())]
         if any(map(has_status_line, texts)):
--- a/src/cactuspass/_status_lines.py
+++ b/src/cactuspass/_status_lines.py
@@ -7,7 +7,7 @@
 
 import re
 
-STATUS_LINE_PATTERN = r"HTTP/1\.[01] [1-5]\d\d"
+STATUS_LINE_PATTERN = r"HTTP/1\.[01] \d\d\d"
 _STATUS_LINE = re.compile(STATUS_LINE_PATTERN)
 
 
--- a/src/cactuspass/fleet/_answer_head.py
+++ b/src/cactuspass/fleet/_answer_head.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from cactuspass._status_codes import is_informational
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 Header = tuple[str, str]
@@ -22,7 +24,13 @@
     @property
     def is_informational(self) -> bool:
         """Whether the status is in the 1xx range, so that another head follows."""
-        return self.status < 200
+        return is_informational(self.status)
+
+    @property
+    def states_body(self) -> bool:
+        """Whether a length that is not zero, or a coding such as chunks, is stated."""
+        length = self.get("content-length")
+        return length not in (None, "0") or self.get("transfer-encoding") is not None
 
     @property
     def body_ends_at_close(self) -> bool:
--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -7,6 +7,7 @@
 import httptools
 
 from cactuspass._numbers import parse_number
+from cactuspass._status_codes import check_status
 from cactuspass._status_lines import has_status_line
 from cactuspass.exceptions import (
     AnswerOversize,
@@ -158,12 +159,15 @@
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange unless it is informational or for another request.
 
+        :raises InvalidStatus: if the status is none, or that of an informational response that
+            states a body.
         :raises ResponseUnidentified: if the response may be a copy of an earlier one.
         """
         exchange = self._exchange
         if exchange is None:
             return
         head = AnswerHead(self._parser.get_status_code(), tuple(self._headers))
+        check_status(head.status, head.states_body)
         self._head = head
         self._is_informational = head.is_informational
         self._skips_response = not exchange.matches(head)
