Require each field that a server writes into its registry entry

Change: version, seq and born are required, and types are strict in entries and reports. Stand-ins of three test modules write all fields.

--- a/src/cactuspass/platform/_server_entry.py
+++ b/src/cactuspass/platform/_server_entry.py
@@ -44,7 +44,8 @@
 
 
 class _Document(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    # Strict, since a text in place of a number shows that another writer has made the document.
+    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
 
 
 class _Group(_Document):
@@ -64,17 +65,21 @@
 
 
 class _Entry(_Document):
-    """An entry, which anyone may have written; a list in it has one mistake at most."""
+    """An entry, which anyone may have written; a list in it has one mistake at most.
+
+    Each field that a server always writes is required: an entry without one names no server.
+    """
 
     service: Name
     address: Address
     zone: Name
+    version: Name
     slots: Annotated[StrictInt, Field(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS, allow_inf_nan=False)]
-    born: Integer = 0
+    born: Integer
     # Counts the writes of the entry; in a report, seq counts orders instead.
-    seq: Integer = 0
+    seq: Integer
     domain: Name | None = None
     staged: Annotated[tuple[Name, ...], FailFast(), Field(max_length=MAX_MODELS)] = ()
     models: Annotated[tuple[_Model, ...], FailFast(), Field(max_length=MAX_MODELS)] = ()
--- a/tests/test_fleet_hostile_documents.py
+++ b/tests/test_fleet_hostile_documents.py
@@ -34,9 +34,12 @@
     "service": "llm",
     "address": "127.0.0.1:80",
     "zone": "here",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
     "cold_ms": 0,
+    "seq": 1,
+    "born": 1,
 }
 WRONG_VALUES: dict[str, Any] = {
     "numbers": [0] * ITEMS,
--- a/tests/test_fleet_odd_entries.py
+++ b/tests/test_fleet_odd_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from itertools import product
 from typing import Any
 
 from cactuspass._platform import KeyValue
@@ -36,6 +37,7 @@
     "service": '"llm"',
     "address": '"127.0.0.1:80"',
     "zone": '"here"',
+    "version": '"v1"',
     "slots": "4",
     "state": '"ready"',
     "cold_ms": "0",
@@ -73,6 +75,10 @@
     ("born", HUGE),
     ("group", NESTED),
 ]
+TEXT_FIELDS = ("service", "address", "zone", "version", "state")
+NUMBER_FIELDS = ("slots", "cold_ms", "seq", "born")
+NO_TEXTS = ("null", "true", "1", "[]", "{}")
+NO_NUMBERS = ("null", "true", '"1"', '"text"', "[1]", "{}")
 
 
 def document(fields: dict[str, str], **changes: str) -> bytes:
@@ -92,6 +98,26 @@
             with self.subTest(field=name, value=value[:40]), self.assertRaises(DocumentError):
                 decode_entry("a", document(ENTRY, **{name: value}), 0.0)
 
+    # Guards against requests that are sent where the entry of another writer leads.
+    def test_entries_with_a_field_missing_are_invalid(self) -> None:
+        for name in ENTRY:
+            rest = {key: value for key, value in ENTRY.items() if key != name}
+            with self.subTest(field=name), self.assertRaises(DocumentError):
+                decode_entry("a", document(rest), 0.0)
+
+    # Guards against an entry whose numbers are texts, or the other way round.
+    def test_entries_with_a_field_of_another_type_are_invalid(self) -> None:
+        odd = [*product(TEXT_FIELDS, NO_TEXTS), *product(NUMBER_FIELDS, NO_NUMBERS)]
+        for name, value in odd:
+            with self.subTest(field=name, value=value), self.assertRaises(DocumentError):
+                decode_entry("a", document(ENTRY, **{name: value}), 0.0)
+
+    # Guards against a report whose numbers are texts.
+    def test_reports_with_a_field_of_another_type_are_invalid(self) -> None:
+        for name, value in product(REPORT, NO_NUMBERS):
+            with self.subTest(field=name, value=value), self.assertRaises(DocumentError):
+                decode_report(document(REPORT, **{name: value}))
+
     def test_entries_that_are_no_object_are_invalid(self) -> None:
         for value in (b"", b"\xff", b"[]", b"null", b"1", NESTED.encode(), HUGE.encode()):
             with self.subTest(value=value[:40]), self.assertRaises(DocumentError):
--- a/tests/test_fleet_restored_store.py
+++ b/tests/test_fleet_restored_store.py
@@ -41,6 +41,7 @@
         "service": SERVICE,
         "address": address,
         "zone": "here",
+        "version": "v1",
         "slots": 4,
         "state": state,
         "cold_ms": 0,
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -30,6 +30,7 @@
     "service": "s1",
     "address": "10.0.0.1:80",
     "zone": "z1",
+    "version": "v1",
     "slots": 13,
     "state": "ready",
     "cold_ms": 500,
