Keep nothing of the names of models that nobody declares

Cause: the upstreams that serve a model were kept by its name also if the catalog does not declare it; the choice by the load of the fleet and the return times of plain services kept such names too.

Change: nothing is kept for an undeclared model, which is refused before the load of the fleet is looked at, and return times are kept by the model that the service has. A request without shared parts sets no timer any more for the verdict on them.

--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -87,6 +87,11 @@
         """The service and the model that the request is for."""
         return self.service, self.request.model or ModelId("")
 
+    @property
+    def schedule_key(self) -> tuple[ServiceId, ModelId | None]:
+        """The service, and the model if it has models: what the request waits for with others."""
+        return self.service, self.guarded.prompt.model or None
+
     @property
     def priority(self) -> int:
         """Priority, where 0 is the highest; the customer's priority overrides the route's."""
--- a/src/cactuspass/fleet/_catalog.py
+++ b/src/cactuspass/fleet/_catalog.py
@@ -119,6 +119,10 @@
     usual_output_tokens: float = 0.0
     delays: tuple[DataCentreDelay, ...] = ()
 
+    def declares(self, model: ModelId | None) -> bool:
+        """Return whether a model is declared."""
+        return model in self.models_by_id
+
     def model_spec(self, model: ModelId | None) -> ModelSpec:
         """Return the declaration of a model; an undeclared one has groups of one member."""
         model = model or ModelId("")
--- a/src/cactuspass/fleet/_cluster_state.py
+++ b/src/cactuspass/fleet/_cluster_state.py
@@ -306,10 +306,15 @@
         if self._serving_view is not self.view or self._serving_catalog is not self.catalog_index:
             self._serving_view, self._serving_catalog = self.view, self.catalog_index
             self._serving_by_model.clear()
-        key = (service.service, model if service.engine is not None else None)
+        if service.engine is None:
+            model = None
+        elif model is not None and not service.engine.declares(model):
+            # Callers choose the names of such models, so nothing is kept for them.
+            return self._find_serving(service, model)
+        key = (service.service, model)
         found = self._serving_by_model.get(key)
         if found is None:
-            found = self._serving_by_model[key] = self._find_serving(service, key[1])
+            found = self._serving_by_model[key] = self._find_serving(service, model)
         return found
 
     def _find_serving(self, service: Service, model: ModelId | None) -> list[ServingUpstream]:
--- a/src/cactuspass/fleet/_dispatch.py
+++ b/src/cactuspass/fleet/_dispatch.py
@@ -268,7 +268,7 @@
         Callers come back one after the other, at the rate of these limits.
         """
         return self._returns.book(
-            (attempts.service, attempts.request.model),
+            attempts.schedule_key,
             found.retry_after,
             self._dependencies.instance_count() / found.limit_rate,
             attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE,
@@ -284,9 +284,7 @@
         room = found.room
         assert room is not None
         latest = attempts.seconds_left * MAX_RETRY_DEADLINE_SHARE
-        return self._room_returns.book(
-            (attempts.service, attempts.request.model), room, latest, now()
-        )
+        return self._room_returns.book(attempts.schedule_key, room, latest, now())
 
     def _add_jitter(self, estimate: float) -> float:
         """Return a retry delay with random jitter, so that callers do not retry all at once."""
--- a/src/cactuspass/fleet/_selection.py
+++ b/src/cactuspass/fleet/_selection.py
@@ -118,7 +118,10 @@
         if service is None:
             return NoUpstream(NoUpstreamReason.NONE_SERVES, 1.0)
         serving = self._cluster_state.serving_upstreams(service, request.model)
-        fleet_load = self._fleet_load() if service.engine and request.model else None
+        engine = service.engine
+        # For a model that nobody serves, the load of others would only be kept by its name.
+        is_known = engine is not None and (bool(serving) or engine.declares(request.model))
+        fleet_load = self._fleet_load() if is_known and request.model else None
         if fleet_load is not None:
             return self._choose_among(
                 serving, request, service, at, accepts_suspects=True, fleet_load=fleet_load
--- a/src/cactuspass/fleet/prompt_parts/_guarded_request.py
+++ b/src/cactuspass/fleet/prompt_parts/_guarded_request.py
@@ -74,6 +74,8 @@
 
         :param max_seconds: time after which the request goes on without a verdict.
         """
+        if not self.prompt.parts and not self.has_crashed_too_many:
+            return
         try:
             async with asyncio.timeout(max(0.0, max_seconds)):
                 await self._forget_running()
