Fail answers behind whose body without a length another response comes

Change: _extra_responses looks for a status line with the id header in the lines behind it, across the borders of parts, in bodies without a length, on both paths. The attempt fails: 502 for a request that may run only once, another upstream for others; what its caller has a part of is cut.

--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -17,6 +17,7 @@
 from tornado.tcpclient import TCPClient
 
 from cactuspass._byte_queue import ByteQueue, BytesAccount
+from cactuspass._extra_responses import ExtraResponseScanner, ResponseExtra
 from cactuspass._final_event import StreamTail
 from cactuspass._requests import Answer, Header
 from cactuspass._status_codes import InvalidStatus, check_status, is_informational
@@ -83,6 +84,8 @@
         self._is_reset = is_reset
         self._has_begun = False
         self._tail = StreamTail()
+        self._scanner = ExtraResponseScanner(REQUEST_ID_HEADER)
+        self._has_extra = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -137,10 +140,23 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Queue a chunk of the body; the connection is not read while the queue is full."""
         self._has_begun = True
+        if not self._has_length and self._contains_extra(chunk):
+            return None
         if self._is_event_stream:
             self._tail.add(chunk)
         return self._put(chunk)
 
+    def _contains_extra(self, chunk: bytes) -> bool:
+        """Return whether a body without a length contains another response, and fail it then."""
+        if self._has_extra:
+            return True
+        try:
+            self._scanner.feed(chunk)
+        except ResponseExtra as error:
+            self._has_extra = True
+            self._queue.fail(AnswerCut(str(error)))
+        return self._has_extra
+
     async def _put(self, chunk: bytes) -> None:
         """Queue a chunk, with the idle timeout suspended while the queue is full."""
         if not self.timeout.expired():
@@ -162,6 +178,8 @@
         neither a length nor chunks. Any other body of an engine ends by its length or chunks; that
         of a plain service may also end with its connection.
         """
+        if self._has_extra:
+            return
         if self._is_event_stream and self._expect_done_event:
             complete = self._tail.is_complete or (self._has_length and self._tail.has_final_event)
         else:
--- a/src/cactuspass/fleet/_connections.py
+++ b/src/cactuspass/fleet/_connections.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from cactuspass._extra_responses import ExtraResponseScanner
 from cactuspass._numbers import parse_number
 from cactuspass._status_codes import check_status
 from cactuspass._status_lines import has_status_line
@@ -67,6 +68,7 @@
         self._skips_response = False
         self._body_ends_at_close = False
         self._is_informational = False
+        self._scanner: ExtraResponseScanner | None = None
 
     # Callbacks of the event loop.
 
@@ -183,18 +185,25 @@
         # Without an id, a copy could not be told from the response to the next request.
         self.is_reusable = self.is_reusable and is_identified
         self._apply_keep_alive(head)
+        if head.body_ends_at_close and exchange.id_header is not None:
+            self._scanner = ExtraResponseScanner(exchange.id_header)
         exchange.receive_head(head)
         if exchange.has_no_body:
             self.is_reusable = False
             self._finish_exchange()
 
     def on_body(self, body: bytes) -> None:
-        """Pass a part of the body to the exchange, or count it if the response is skipped."""
+        """Pass a part of the body to the exchange, or count it if the response is skipped.
+
+        :raises ResponseExtra: if another response follows a body that ends with the connection.
+        """
         self._chunks_of_read += 1
         if self._skips_response:
             self._bounds.add_skipped(len(body))
         elif self._exchange is not None:
             self._bounds.add_body(len(body))
+            if self._scanner is not None:
+                self._scanner.feed(body)
             self._exchange.receive_chunk(body)
 
     def on_message_complete(self) -> None:
--- a/src/cactuspass/fleet/_exchange.py
+++ b/src/cactuspass/fleet/_exchange.py
@@ -130,6 +130,11 @@
         """Return whether a response states that it is for this request, or needs no check."""
         return self._check is None or head.get(self._check.header) == self._check.value
 
+    @property
+    def id_header(self) -> str | None:
+        """Name of the header by which responses name their requests, if they do."""
+        return self._check.header if self._check is not None else None
+
     @property
     def has_no_body(self) -> bool:
         """Whether the response has no body, whatever its headers declare."""
