--- a/src/cactuspass/fleet/_active_attempt.py
+++ b/src/cactuspass/fleet/_active_attempt.py
@@ -16,6 +16,7 @@
     :param has_begun: whether a part of the body has arrived.
     :param heard_at: clock value at which the request was sent or a part of its answer last arrived.
     :param is_recalled: whether this instance has cancelled the attempt.
+    :param is_crash_noted: whether its upstream was recorded to have closed the connection.
     """
 
     upstream: Upstream
@@ -26,6 +27,7 @@
     has_begun: bool = False
     heard_at: float = field(default_factory=now)
     is_recalled: bool = False
+    is_crash_noted: bool = False
     is_closed: bool = False
 
     def recall(self) -> None:
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -313,10 +313,11 @@
         return self.customer.customer if self.customer is not None else ANONYMOUS
 
     def note_crash(self, active: ActiveAttempt) -> None:
-        """Record that an upstream closed the connection, unless the upstream is leaving."""
+        """Record once that an upstream closed the connection, unless the upstream is leaving."""
         upstream = active.upstream
-        if self.dependencies.selector.is_leaving(upstream):
+        if active.is_crash_noted or self.dependencies.selector.is_leaving(upstream):
             return
+        active.is_crash_noted = True
         self.dependencies.part_guard.note_own_break(upstream.upstream_id)
         has_head = active.head_at is not None
         self.guarded.note_crash(
--- a/src/cactuspass/fleet/_hedges.py
+++ b/src/cactuspass/fleet/_hedges.py
@@ -10,6 +10,7 @@
 from cactuspass._clock import now
 from cactuspass.fleet._attempts import Attempts
 from cactuspass.fleet._failures import DeadlinePassed
+from cactuspass.fleet._relay import is_connection_closed
 from cactuspass.fleet._stream_attempt import StreamAttempt
 
 HEDGE_DELAY_SHARE_OF_OBJECTIVE = 0.5
@@ -64,6 +65,7 @@
         self._attempts = attempts
         self._late = late
         self._late_read = asyncio.ensure_future(call())
+        self._late_read.add_done_callback(self._note_late_crash)
         self._hedge = asyncio.ensure_future(start_hedge())
 
     async def run(self, stall_timeout: float) -> StreamAttempt | None:
@@ -99,6 +101,15 @@
         """
         await self._late_read
 
+    def _note_late_crash(self, read: "asyncio.Future[None]") -> None:
+        """Record the crash of the late attempt's upstream at once; the race may go on for long."""
+        active = self._late.active
+        if read.cancelled() or active.is_recalled:
+            return
+        error = read.exception()
+        if error is not None and is_connection_closed(error):
+            self._attempts.note_crash(active)
+
     async def _wait_for_first(self, unresponsive_at: float) -> StreamAttempt | None:
         running = {self._late_read, self._hedge}
         while running:
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -22,6 +22,12 @@
 T = TypeVar("T")
 
 
+def is_connection_closed(error: BaseException) -> bool:
+    """Return whether an attempt has failed because its upstream closed the connection."""
+    is_lost = isinstance(error, RunOutcomeUnknown | AnswerCut)
+    return is_lost and isinstance(error.__cause__, ConnectionClosed)
+
+
 class Relay(ABC):
     """Relays the response to one request from an upstream to the caller."""
 
@@ -70,7 +76,7 @@
             if active.is_recalled:
                 self._attempts.record_failure(Failure.RECALLED, active.upstream, active)
                 raise AttemptFailed(Failure.RECALLED) from None
-            if isinstance(error.__cause__, ConnectionClosed):
+            if is_connection_closed(error):
                 failure = Failure.CONNECTION_BROKEN
                 self._attempts.note_crash(active)
             else:
--- a/tests/test_fleet_hedges.py
+++ b/tests/test_fleet_hedges.py
@@ -10,6 +10,7 @@
 
 from cactuspass.fleet import _attempts, _stream_relay
 from cactuspass.fleet._catalog import EngineSpec, RouteKind
+from cactuspass.fleet.prompt_parts._messages import BreakMessage
 from tests.fleet_path import (
     STAMP,
     MemoryDelivery,
@@ -161,6 +162,27 @@
         self.assertIn('"connection-broken"', failed[0])
         self.assertEqual(case.reported_unresponsive, ["u0"])
 
+    # Guards against a crash that the other instances hear of only when a slow hedge has answered.
+    async def test_break_of_a_late_attempt_is_told_before_the_hedge_answers(self) -> None:
+        hedge_received = asyncio.Event()
+
+        async def breaking(writer: asyncio.StreamWriter, got: bytes) -> None:
+            await wait_until_set(hedge_received)
+            writer.transport.abort()
+
+        async def second(writer: asyncio.StreamWriter, got: bytes) -> None:
+            hedge_received.set()
+            async with asyncio.timeout(EVENT_TIMEOUT_SECONDS):
+                while not any(isinstance(m, BreakMessage) for m in case.sent_messages):
+                    await asyncio.sleep(HEDGE_DELAY_SECONDS)
+            await stream(events(range(1, 4)))(writer, got)
+
+        case = await self.case(breaking, second)
+        got = await case.serve()
+        self.assertEqual((got.body, got.is_complete), (events(range(1, 4)), True))
+        breaks = [m for m in case.sent_messages if isinstance(m, BreakMessage)]
+        self.assertEqual([m.upstream_id for m in breaks], ["u0"])
+
     async def test_stream_that_may_not_be_repeated_is_sent_once(self) -> None:
         resumed = asyncio.Event()
         late = stream_with_pause(events(range(1, 4)), resumed, events(range(4, 7)))
