--- a/tests/fleet_path.py
+++ b/tests/fleet_path.py
@@ -12,6 +12,8 @@
 import logbook
 
 from cactuspass._clock import now
+from cactuspass._http_exchange import UpstreamClient
+from cactuspass._requests import Answer
 from cactuspass.fleet._admission import Admission
 from cactuspass.fleet._answer_head import Header
 from cactuspass.fleet._budgets import RetryBudget
@@ -162,6 +164,15 @@
             self._tasks.discard(task)
 
 
+async def send_once(client: UpstreamClient, upstream: ScriptedUpstream) -> Answer:
+    """Send a request that may run only once, by the client of the own path."""
+    headers = (("Host", "a.example"),)
+    address = upstream.address
+    return await client.send(
+        address, "POST", "/p/x", headers, b"", repeatable=False, queue_limit=1000
+    )
+
+
 def answer(status: str, body: bytes = b"", *headers: str) -> Script:
     """Return a script that sends a complete response."""
 
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -10,7 +10,15 @@
 from cactuspass._http_exchange import REQUEST_ID_HEADER, UpstreamClient
 from cactuspass.exceptions import AnswerCut
 from cactuspass.fleet._catalog import RouteKind
-from tests.fleet_path import STAMP, PreferredOrderCase, Script, ScriptedUpstream, answer, route
+from tests.fleet_path import (
+    STAMP,
+    PreferredOrderCase,
+    Script,
+    ScriptedUpstream,
+    answer,
+    route,
+    send_once,
+)
 
 ID_HEADER = "Cactuspass-Request-Id"
 OWN_ID = f"{ID_HEADER}: q1"
@@ -108,15 +116,7 @@
                 upstream = ScriptedUpstream([until_close(*parts)])
                 await upstream.start()
                 client = UpstreamClient()
-                got = await client.send(
-                    upstream.address,
-                    "POST",
-                    "/p/x",
-                    (("Host", "a.example"),),
-                    b"",
-                    repeatable=False,
-                    queue_limit=1000,
-                )
+                got = await send_once(client, upstream)
                 received = []
                 with self.assertRaises(AnswerCut):
                     async for chunk in got.body.chunks():
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -5,7 +5,6 @@
 import unittest
 from itertools import product
 
-from cactuspass._byte_queue import UnboundedAccount
 from cactuspass._http_exchange import UpstreamClient
 from cactuspass.exceptions import RunOutcomeUnknown
 from cactuspass.fleet._catalog import RouteKind
@@ -17,6 +16,7 @@
     answer,
     events,
     route,
+    send_once,
     stream,
 )
 
@@ -145,15 +145,6 @@
                 client = UpstreamClient()
                 with self.assertRaises(RunOutcomeUnknown):
                     async with asyncio.timeout(AT_ONCE_SECONDS):
-                        await client.send(
-                            upstream.address,
-                            "POST",
-                            "/p/x",
-                            (("Host", "a.example"),),
-                            b"",
-                            repeatable=False,
-                            queue_limit=1000,
-                            account=UnboundedAccount(),
-                        )
+                        await send_once(client, upstream)
                 client.close()
                 await upstream.stop()
