Accuse parts of prompts under which upstreams went dark

Cause: only closed connections accused a part; a silent upstream was left, and what was under way there forgotten.

Rounds are counted by when crashes happened, whatever the order in which they become known.

Why it works: an upstream that is only slow, frozen or cut off goes on as the same run; a new run proves the end of the one before.

--- a/src/cactuspass/fleet/_active_attempt.py
+++ b/src/cactuspass/fleet/_active_attempt.py
@@ -6,6 +6,7 @@
 from cactuspass.fleet._backoff import TrialRequest
 from cactuspass.fleet._pool import PooledExchange
 from cactuspass.fleet._upstreams import Upstream
+from cactuspass.fleet.prompt_parts import BrokenAttempt
 
 
 @dataclass(slots=True)
@@ -17,6 +18,7 @@
     :param heard_at: clock value at which the request was sent or a part of its answer last arrived.
     :param is_recalled: whether this instance has cancelled the attempt.
     :param is_crash_noted: whether its upstream was recorded to have closed the connection.
+    :param is_silence_noted: whether its upstream was recorded to be silent.
     """
 
     upstream: Upstream
@@ -28,6 +30,7 @@
     heard_at: float = field(default_factory=now)
     is_recalled: bool = False
     is_crash_noted: bool = False
+    is_silence_noted: bool = False
     is_closed: bool = False
 
     def recall(self) -> None:
@@ -47,6 +50,11 @@
             return "begun"
         return "none" if self.head_at is None else "head"
 
+    def as_broken(self) -> BrokenAttempt:
+        """Return what is reported of the attempt if its upstream has ended."""
+        has_head = self.head_at is not None
+        return BrokenAttempt(self.upstream.lifetime, self.sent_at, has_head, self.has_begun)
+
     def end_trial(self, is_answered: bool = False) -> None:
         """Record the outcome if this was a trial request after the upstream's backoff period."""
         if self.trial is None:
--- a/src/cactuspass/fleet/_attempts.py
+++ b/src/cactuspass/fleet/_attempts.py
@@ -22,7 +22,7 @@
 from cactuspass.fleet._send_permit import SendPermit
 from cactuspass.fleet._upstreams import Upstream, UpstreamId
 from cactuspass.fleet.load_exchange import ModelKey
-from cactuspass.fleet.prompt_parts import ANONYMOUS, BrokenAttempt, GuardedRequest
+from cactuspass.fleet.prompt_parts import ANONYMOUS, GuardedRequest
 from cactuspass.models import CustomerId, ModelId, ServiceId
 
 MAX_SENDS = 4
@@ -319,10 +319,13 @@
             return
         active.is_crash_noted = True
         self.dependencies.part_guard.note_own_break(upstream.upstream_id)
-        has_head = active.head_at is not None
-        self.guarded.note_crash(
-            BrokenAttempt(upstream.lifetime, active.sent_at, has_head, active.has_begun)
-        )
+        self.guarded.note_crash(active.as_broken())
+
+    def note_silence(self, active: ActiveAttempt) -> None:
+        """Record once that an upstream has sent nothing for longer than can be accounted for."""
+        if not active.is_silence_noted:
+            active.is_silence_noted = True
+            self.guarded.note_silence(active.as_broken(), active.heard_at)
 
     def record_failure(
         self, failure: Failure, upstream: Upstream, active: ActiveAttempt | None
@@ -400,8 +403,10 @@
             return RetryObstacle.MAY_RUN_ONCE
         return RetryObstacle.UPSTREAM_COUNT if self._is_upstream_limit_reached() else None
 
-    def note_unresponsive(self, upstream: Upstream) -> None:
+    def note_unresponsive(self, active: ActiveAttempt) -> None:
         """Send no new requests to an unresponsive upstream for a while; this attempt continues."""
+        upstream = active.upstream
+        self.note_silence(active)
         pause = self.dependencies.loads.mark_suspect(upstream.upstream_id, now())
         self.dependencies.report_unresponsive(upstream.upstream_id)
         self.dependencies.log.request(
@@ -413,11 +418,11 @@
         )
         self.dependencies.silences.report(upstream.service, now())
 
-    def note_stalled(self, upstream: Upstream) -> None:
+    def note_stalled(self, active: ActiveAttempt) -> None:
         """Exclude an unresponsive upstream from further attempts; this attempt continues."""
         self.last_failure = Failure.STALLED
-        self.excluded.add(upstream.upstream_id)
-        self.note_unresponsive(upstream)
+        self.excluded.add(active.upstream.upstream_id)
+        self.note_unresponsive(active)
 
     def may_hedge(self, active: ActiveAttempt) -> bool:
         """Return whether a second upstream may get the request besides the one that is late.
--- a/src/cactuspass/fleet/_hedges.py
+++ b/src/cactuspass/fleet/_hedges.py
@@ -125,7 +125,7 @@
                 raise DeadlinePassed
             if not done:
                 unresponsive_at = float("inf")
-                self._attempts.note_unresponsive(self._late.active.upstream)
+                self._attempts.note_unresponsive(self._late.active)
         await self._late_read
         return None
 
--- a/src/cactuspass/fleet/_relay.py
+++ b/src/cactuspass/fleet/_relay.py
@@ -116,8 +116,9 @@
                 return await self._call_within(stall_timeout, call)
             except TimeoutError:
                 if self._attempts.could_retry_elsewhere(active.upstream):
+                    self._attempts.note_silence(active)
                     raise AttemptFailed(Failure.STALLED) from None
-                self._attempts.note_unresponsive(active.upstream)
+                self._attempts.note_unresponsive(active)
                 stall_timeout = again_after or stall_timeout
 
     async def _receive_within_deadline(self, call: Callable[[], Awaitable[T]]) -> T:
--- a/src/cactuspass/fleet/_stream_relay.py
+++ b/src/cactuspass/fleet/_stream_relay.py
@@ -246,7 +246,7 @@
 
         :return: the attempt that replaces this one; None if this one has gone on.
         """
-        self._attempts.note_stalled(attempt.active.upstream)
+        self._attempts.note_stalled(attempt.active)
         race = Race(
             self._attempts,
             attempt,
@@ -324,7 +324,7 @@
         if race.has_late_failed:
             await self._record_late_failure(race, attempt)
         elif not has_upstream_responded(attempt, started_at):
-            self._attempts.note_unresponsive(attempt.active.upstream)
+            self._attempts.note_unresponsive(attempt.active)
         return winner
 
     async def _start_hedge(self, selection: Selection, can_stall: bool = False) -> StreamAttempt:
--- a/src/cactuspass/fleet/prompt_parts/_crash_evidence.py
+++ b/src/cactuspass/fleet/prompt_parts/_crash_evidence.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import chain
+from operator import itemgetter
 
 from cactuspass.fleet._upstreams import Lifetime
 from cactuspass.fleet.prompt_parts._parts import AnswerStage, CrashReport, PartKey
@@ -45,36 +46,47 @@
     """The crashes at which a part was present since it was last cleared.
 
     :param rounds: crashes one after another; those of requests under way at once count as one.
-    :param last_broke_at: clock value of the crash that began the last round.
     :param accused_at: clock value of the last report.
     :param was_writing: whether the head of an answer had arrived at any of the crashes.
+    :param spans_by_lifetime: clock values at which a request was sent to each crashed upstream, and
+        at which that crashed.
     """
 
     rounds: int = 0
-    last_broke_at: float = float("-inf")
     accused_at: float = float("-inf")
     was_writing: bool = False
-    lifetimes: set[Lifetime] = field(default_factory=set)
+    spans_by_lifetime: dict[Lifetime, tuple[float, float]] = field(default_factory=dict)
     instances: set[EntryId] = field(default_factory=set)
 
+    @property
+    def lifetimes(self) -> set[Lifetime]:
+        """The upstreams that crashed."""
+        return set(self.spans_by_lifetime)
+
     def add(self, report: CrashReport) -> None:
         """Add a crash."""
-        if report.lifetime not in self.lifetimes and report.sent_at >= self.last_broke_at:
-            self.rounds += 1
-            self.last_broke_at = report.broke_at
         self.accused_at = max(self.accused_at, report.broke_at)
         self.was_writing = self.was_writing or report.was_writing
-        if len(self.lifetimes) < MAX_CRASHES_PER_PART:
-            self.lifetimes.add(report.lifetime)
+        is_known = report.lifetime in self.spans_by_lifetime
+        if not is_known and len(self.spans_by_lifetime) < MAX_CRASHES_PER_PART:
+            self.spans_by_lifetime[report.lifetime] = (report.sent_at, report.broke_at)
+            self._count_rounds()
         if len(self.instances) < MAX_NAMED_INSTANCES:
             self.instances.add(report.instance)
 
     def remove(self, lifetime: Lifetime) -> bool:
         """Remove a crash that was none; return whether none is left."""
-        if lifetime in self.lifetimes:
-            self.lifetimes.discard(lifetime)
-            self.rounds = min(self.rounds, len(self.lifetimes))
-        return not self.lifetimes
+        if self.spans_by_lifetime.pop(lifetime, None) is not None:
+            self._count_rounds()
+        return not self.spans_by_lifetime
+
+    def _count_rounds(self) -> None:
+        """Count the crashes one after another, whatever the order in which they became known."""
+        self.rounds, last_broke_at = 0, float("-inf")
+        for sent_at, broke_at in sorted(self.spans_by_lifetime.values(), key=itemgetter(1)):
+            if sent_at >= last_broke_at:
+                self.rounds += 1
+                last_broke_at = broke_at
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cactuspass/fleet/prompt_parts/_guard.py
+++ b/src/cactuspass/fleet/prompt_parts/_guard.py
@@ -13,7 +13,7 @@
 from cactuspass.fleet.prompt_parts._block_changes import BlockChanges
 from cactuspass.fleet.prompt_parts._block_trials import BlockTrials
 from cactuspass.fleet.prompt_parts._head_timing import HeadTiming
-from cactuspass.fleet.prompt_parts._holds import PartHolds
+from cactuspass.fleet.prompt_parts._holds import HOLD_SECONDS, PartHolds
 from cactuspass.fleet.prompt_parts._log import PartLog
 from cactuspass.fleet.prompt_parts._messages import (
     BreakMessage,
@@ -30,6 +30,7 @@
     PromptIdentity,
 )
 from cactuspass.fleet.prompt_parts._reporter import CallLater, PartReporter, Send
+from cactuspass.fleet.prompt_parts._silence_watch import SilenceWatch, SilentAttempt
 from cactuspass.fleet.prompt_parts._staged_evidence import StagedEvidence
 from cactuspass.fleet.prompt_parts._verdicts import SETTLE_SECONDS, IsGone, Verdicts
 from cactuspass.models import EntryId, RequestId
@@ -86,6 +87,7 @@
             metrics,
             on_own_change,
         )
+        self._silences = SilenceWatch(cluster_state, call_later, self._note_ended)
         self._verdicts = Verdicts(
             cluster_state, self._evidence, self._log, call_later, is_gone, self._changes.block
         )
@@ -195,13 +197,44 @@
 
         :param tried_block: the block that the request has tried again; None if there is none.
         """
-        at = now()
         if tried_block is not None:
             self._changes.renew(tried_block.key)
-        if not prompt.parts:
-            return
+        if prompt.parts:
+            self._note_evidence(request_id, prompt, attempt, now())
+
+    def note_silence(
+        self,
+        request_id: RequestId,
+        prompt: PromptIdentity,
+        attempt: BrokenAttempt,
+        silent_since: float,
+    ) -> None:
+        """Accuse the parts of a request whose upstream is silent, once it is known to have ended.
+
+        :param silent_since: clock value at which the upstream was last heard.
+        """
+        if prompt.parts:
+            self._silences.watch(SilentAttempt(request_id, prompt, attempt, silent_since))
+
+    def _note_ended(self, silent: SilentAttempt) -> None:
+        """Accuse the parts of a request whose silent upstream has ended."""
+        self.note_own_break(silent.attempt.lifetime.upstream_id)
+        self._note_evidence(silent.request_id, silent.prompt, silent.attempt, silent.silent_since)
+
+    def _note_evidence(
+        self,
+        request_id: RequestId,
+        prompt: PromptIdentity,
+        attempt: BrokenAttempt,
+        broke_at: float,
+    ) -> None:
+        """Accuse the parts that no answer has cleared, and tell the other instances.
+
+        :param broke_at: clock value at which the upstream ended.
+        """
+        at = now()
         stage = AnswerStage.WHOLE if attempt.has_begun else AnswerStage.BEGUN
-        suspects = self._evidence.at_stage(stage).without_cleared(prompt.keys, at)
+        suspects = self._evidence.at_stage(stage).without_cleared(prompt.keys, broke_at)
         if not suspects:
             self._log_no_suspect(request_id, prompt, attempt, stage)
             return
@@ -211,7 +244,7 @@
             prompt.customer,
             attempt.lifetime,
             attempt.sent_at,
-            at,
+            broke_at,
             attempt.has_begun or (attempt.has_head and self._head_timing.comes_with_body(prompt)),
             self._instance,
             request_id,
@@ -270,9 +303,12 @@
         """Let one request at a time try the accused parts.
 
         A crash behind the beginning of an answer says little about each request that was there, so
-        others wait only for parts that the next crash could be blamed on.
+        others wait only for parts that the next crash could be blamed on. Nobody waits for a
+        request whose upstream ended long ago.
         """
         at = now()
+        if at - report.broke_at > HOLD_SECONDS:
+            return
         if report.stage is AnswerStage.WHOLE:
             evidence = self._evidence.at_stage(report.stage)
             report = replace(report, keys=evidence.find_doubtful(report.keys, at))
--- a/src/cactuspass/fleet/prompt_parts/_guarded_request.py
+++ b/src/cactuspass/fleet/prompt_parts/_guarded_request.py
@@ -124,6 +124,13 @@
         self._crashed.add(attempt.lifetime)
         self.guard.note_crash(self.request_id, self.prompt, self.tried_block, attempt)
 
+    def note_silence(self, attempt: BrokenAttempt, silent_since: float) -> None:
+        """Record that an upstream is silent, which may have ended under the request.
+
+        :param silent_since: clock value at which it was last heard.
+        """
+        self.guard.note_silence(self.request_id, self.prompt, attempt, silent_since)
+
     def note_attempt_ended(self) -> None:
         """Record that nothing more is expected from the last attempt, or that its answer came."""
         if self._unanswered is not None:
--- a/src/cactuspass/fleet/prompt_parts/_recent_breaks.py
+++ b/src/cactuspass/fleet/prompt_parts/_recent_breaks.py
@@ -23,8 +23,9 @@
 
         :return: whether it was not known to have done so in the last seconds.
         """
-        is_new = at - self._broke_at_by_id.get(upstream_id, float("-inf")) > BREAK_WINDOW_SECONDS
-        self._broke_at_by_id[upstream_id] = at
+        known_at = self._broke_at_by_id.get(upstream_id, float("-inf"))
+        is_new = at - known_at > BREAK_WINDOW_SECONDS
+        self._broke_at_by_id[upstream_id] = max(at, known_at)
         self._broke_at_by_id.move_to_end(upstream_id)
         if len(self._broke_at_by_id) > MAX_BREAKS:
             self._broke_at_by_id.popitem(last=False)
