Drop a check that the queue makes, and go through watched attempts once

A queue that has failed ignores its end, so the reader of the own path need not look whether an extra response was found. The silent attempts are split in one pass, without a search of each in a list. No behaviour changes.

--- a/src/cactuspass/_http_exchange.py
+++ b/src/cactuspass/_http_exchange.py
@@ -178,8 +178,6 @@
         neither a length nor chunks. Any other body of an engine ends by its length or chunks; that
         of a plain service may also end with its connection.
         """
-        if self._has_extra:
-            return
         if self._is_event_stream and self._expect_done_event:
             complete = self._tail.is_complete or (self._has_length and self._tail.has_final_event)
         else:
--- a/src/cactuspass/fleet/prompt_parts/_silence_watch.py
+++ b/src/cactuspass/fleet/prompt_parts/_silence_watch.py
@@ -62,12 +62,12 @@
 
     def _poll(self) -> None:
         since = now() - WATCH_SECONDS
-        ended = [each for each in self._watched if self._has_restarted(each.attempt.lifetime)]
-        self._watched = [
-            each for each in self._watched if each not in ended and each.silent_since > since
-        ]
-        for each in ended:
-            self._on_ended(each)
+        watched, self._watched = self._watched, []
+        for each in watched:
+            if self._has_restarted(each.attempt.lifetime):
+                self._on_ended(each)
+            elif each.silent_since > since:
+                self._watched.append(each)
         if self._watched:
             self._call_later(POLL_SECONDS, self._poll)
 
