Keep review case 11 inside the dose of the site file

Cause: answers from before the trouble counted towards the one in 20 that has no end, so that more than 5 in 100 of the answers in trouble had none.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -95,15 +95,15 @@
 
     in_trouble = False
     spoilt = 0
-    _answers = 0
+    answers_in_trouble = 0
 
     async def stream(self, request_id: str, after: int, writer: asyncio.StreamWriter) -> None:
         """Stream the events, or bytes that are no answer until the channel is closed."""
-        self._answers += 1
-        if not self.in_trouble or self._answers < ANSWERS_PER_SPOILT:
+        if self.in_trouble:
+            self.answers_in_trouble += 1
+        if not self.in_trouble or self.answers_in_trouble % ANSWERS_PER_SPOILT:
             await super().stream(request_id, after, writer)
             return
-        self._answers = 0
         self.spoilt += 1
         self.ran.append(request_id)
         self.record.line(f"server {self.name} answers {request_id} with bytes without end")
@@ -242,8 +242,8 @@
     unanswered = [call for call in calls if call.waited(0.0)]
     still = [call for call in calls if call.waited(GRACE_SECONDS)]
     spoilt = sum(model.spoilt for model in models)
-    answers = sum(model.answered for model in models) + spoilt
-    record.line(f"{len(calls)} requests; {spoilt} of {answers} streams were bytes without end")
+    answers = sum(model.answers_in_trouble for model in models)
+    record.line(f"{len(calls)} requests; {spoilt} of {answers} answers in trouble had no end")
     record.line(f"unanswered at their route's timeout: {len(unanswered)}")
     record.line(f"unanswered {GRACE_SECONDS} s later: {len(still)}")
     record.line(f"longest: {max(call.seconds for call in calls):.3f} s")
